--- /dev/null
+++ b/kernel/include/endiveusher/kernel.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "endiveusher/kernel/daemon_core.h" // IWYU pragma: export
--- /dev/null
+++ b/kernel/src/headers.cpp
@@ -0,0 +1,2 @@
+// Compiles every public header of the kernel on its own.
+#include "endiveusher/kernel.h"
