Add control state, freshness, gossip and takeover

Cause: safety between daemons rests on one fence, the freshness of stream control. The tests of the freshness and offset guards fail without the guard. A test found that a member that had just joined was taken over at once, because its silence counted from the start of the clock; silence now counts from its join record.

--- a/kernel/include/endiveusher/kernel/control_state.h
+++ b/kernel/include/endiveusher/kernel/control_state.h
@@ -3,10 +3,10 @@
 #include "endiveusher/kernel/messages/call.h"
 #include "endiveusher/kernel/messages/platform.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +31,8 @@
   /// Offset of the record.
   log_offset mOffset = 0;
   bool mGraceful = false;
+  /// Slices that moved to the successor by this record.
+  std::map<team_name, limit_vector> mSlices;
 };
 
 /// State of stream control: a pure function of its records in offset order.
@@ -74,7 +76,7 @@
 
   /// Snapshot of the whole state, JSON.
   std::string encode() const;
-  /// Replaces the state if the snapshot is newer than it; false if it cannot be read.
+  /// Replaces the state if the snapshot can be read and is newer; true if replaced.
   bool restore(const std::string& aState);
 
 private:
@@ -103,7 +105,8 @@
   std::map<zone_name, zone_view> mZones;
   std::map<team_name, std::map<incarnation_id, limit_vector>> mSlices;
   std::map<std::string, operation_result> mOperations;
-  std::set<std::string> mRecentIds;
+  /// Ids of the latest records, oldest first; a second record with one of them is dropped.
+  std::deque<std::string> mRecentIds;
 };
 
 } // namespace endiveusher
--- a/kernel/include/endiveusher/kernel/membership.h
+++ b/kernel/include/endiveusher/kernel/membership.h
@@ -86,6 +86,8 @@
     std::set<incarnation_id> mMembersThen;
   };
   const std::vector<inherited>& inheritedMembers() const;
+  /// Tells that the sweep of aDead is complete: its slice may be used from now on.
+  void markSwept(const incarnation_id& aDead);
   /// Targets that other live members own and have swept since aOffset.
   std::set<target_id> sweptElsewhere(log_offset aOffset, time_point aNow) const;
 
--- a/kernel/include/endiveusher/kernel/messages/peer.h
+++ b/kernel/include/endiveusher/kernel/messages/peer.h
@@ -45,11 +45,16 @@
   resources mTotal;
   /// Largest room on a single target.
   resources mLargestRoom;
+  /// At most kMaxTeams teams, those whose numbers changed first, the others in turn. The receiver
+  /// keeps what it knows of teams not named.
   std::vector<team_usage> mTeams;
-  /// Targets the sender owns and whose tables it has read since it applied mSweptOffset.
+  /// Targets the sender owns, whose tables it has read since mSweptOffset had settled, and that
+  /// hold no attempt of another placer. Only sent to a receiver that succeeds another daemon.
   std::vector<target_id> mOwnedTargets;
   log_offset mSweptOffset = 0;
   bool mLeaving = false;
+
+  static constexpr std::size_t kMaxTeams = 16;
 };
 
 /// Hands tasks to a placer. Repeated until a task_report names them.
--- /dev/null
+++ b/kernel/src/limit_math.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "endiveusher/kernel/config.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+
+namespace endiveusher::internal {
+
+/// The components of a limit_vector, for code that treats all of them alike.
+inline constexpr std::array kLimitComponents{ &limit_vector::mTasks, &limit_vector::mCpuMilli,
+                                              &limit_vector::mMemoryMb,
+                                              &limit_vector::mAccelerators };
+
+inline constexpr limit_vector kNoLimitUsed{ .mTasks = 0,
+                                            .mCpuMilli = 0,
+                                            .mMemoryMb = 0,
+                                            .mAccelerators = 0 };
+
+/// aLeft + aRight; a component that is unlimited on either side stays unlimited.
+inline limit_vector addLimits(const limit_vector& aLeft, const limit_vector& aRight)
+{
+  limit_vector sum;
+  for (const auto component : kLimitComponents) {
+    const bool unlimited =
+      aLeft.*component == limit_vector::kUnlimited || aRight.*component == limit_vector::kUnlimited;
+    sum.*component = unlimited ? limit_vector::kUnlimited : aLeft.*component + aRight.*component;
+  }
+  return sum;
+}
+
+/// aLeft - aRight, not below zero; an unlimited aLeft stays unlimited, an unlimited aRight takes
+/// nothing away.
+inline limit_vector subtractLimits(const limit_vector& aLeft, const limit_vector& aRight)
+{
+  limit_vector rest;
+  for (const auto component : kLimitComponents) {
+    if (aLeft.*component == limit_vector::kUnlimited ||
+        aRight.*component == limit_vector::kUnlimited) {
+      rest.*component = aLeft.*component;
+    } else {
+      rest.*component = std::max<std::int64_t>(0, aLeft.*component - aRight.*component);
+    }
+  }
+  return rest;
+}
+
+/// aAmount x aNumerator / aDenominator rounded down, without overflow.
+inline std::int64_t scaled(std::int64_t aAmount, std::int64_t aNumerator, std::int64_t aDenominator)
+{
+  __extension__ using wide = __int128;
+  return static_cast<std::int64_t>(static_cast<wide>(aAmount) * aNumerator / aDenominator);
+}
+
+} // namespace endiveusher::internal
--- /dev/null
+++ b/kernel/src/membership_state.h
@@ -0,0 +1,835 @@
+#pragma once
+
+#include "control_writer.h"
+#include "freshness.h"
+#include "peer_table.h"
+#include "publisher.h"
+#include "slice_lender.h"
+#include "takeover_policy.h"
+
+#include "endiveusher/kernel/membership.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <ranges>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endiveusher {
+
+template<guard_policy Guards>
+class basic_membership<Guards>::impl
+{
+public:
+  using peer_entry = internal::peer_entry;
+
+  explicit impl(membership_options aOptions)
+    : mOptions(std::move(aOptions)), mWriter(mOptions.mSelf), mFreshness(mOptions.mTiming),
+      mTakeovers(mOptions.mTiming, mOptions.mSelf), mLender(mOptions.mSelf),
+      mPublisher(settlePeriod())
+  {
+  }
+
+  /// Time after which a record that was stored is applied everywhere or the daemon that lacks it
+  /// is stale: W of docs/design.md, 4.2.
+  duration settlePeriod() const
+  {
+    const auto& timing = mOptions.mTiming;
+    return std::chrono::duration_cast<duration>(timing.mFreshnessPeriod *
+                                                (1.0 + timing.mClockDrift)) +
+           timing.mSafetyMargin;
+  }
+
+  // --- Stream control ---
+
+  void controlRead(const control_read_event& aEvent, time_point aNow)
+  {
+    if (aEvent.mReadId != mReadInFlight) {
+      return;
+    }
+    mReadInFlight = 0;
+    if (!aEvent.mPage) {
+      mLogReachable = false;
+      mNextReadAt = aNow + mOptions.mTiming.mControlReadInterval;
+      return;
+    }
+    mLogReachable = true;
+    const control_page& page = *aEvent.mPage;
+    if (!page.mRecords.empty() && page.mRecords.front().mOffset > mControl.next() &&
+        restoreFrom(page.mRecords, aNow)) {
+      mSearchFrom = 0;
+      mNextReadAt = aNow;
+      return;
+    }
+    for (const auto& record : page.mRecords) {
+      applyRecord(record, aNow);
+    }
+    const log_offset reached = page.mRecords.empty() ? mReadFrom : page.mRecords.back().mOffset + 1;
+    if (mControl.next() >= page.mEnd) {
+      mFreshness.readToEnd(mReadSentAt);
+      mNextReadAt = std::max(aNow, mReadSentAt + mOptions.mTiming.mControlReadInterval);
+      mSearchFrom = 0;
+    } else if (reached < page.mEnd && reached > mReadFrom) {
+      // Either more pages follow, or the search for a snapshot goes on.
+      mSearchFrom = reached > mControl.next() ? reached : 0;
+      mNextReadAt = aNow;
+    } else {
+      mSearchFrom = 0;
+      mNextReadAt = aNow + mOptions.mTiming.mControlReadInterval;
+    }
+  }
+
+  void applyRecord(const stored_record<control_record>& aRecord, time_point aNow)
+  {
+    if (aRecord.mOffset != mControl.next()) {
+      return;
+    }
+    mControl.apply(aRecord);
+    mRecent.push_back(aRecord);
+    if (mRecent.size() > kRecordsKept) {
+      mRecent.pop_front();
+    }
+    mSettling.emplace_back(mControl.next(), aNow);
+    mWriter.seen(aRecord.mRecord.mId);
+    const auto receiver = mLender.finish(aRecord.mRecord.mId);
+    if (receiver) {
+      sendRecords(mControl.resolve(*receiver), aNow);
+    }
+    if (std::holds_alternative<snapshot_record>(aRecord.mRecord.mBody)) {
+      mLastSnapshotAt = aNow;
+    }
+    noteSuccessions(aNow);
+  }
+
+  /// Starts from the latest snapshot in aRecords, if it covers the gap before them.
+  template<typename Records>
+  bool restoreFrom(const Records& aRecords, time_point aNow)
+  {
+    for (const auto& record : std::views::reverse(aRecords)) {
+      const auto* snapshot = std::get_if<snapshot_record>(&record.mRecord.mBody);
+      if (snapshot == nullptr) {
+        continue;
+      }
+      if constexpr (!Guards::kChecksOffsets) {
+        mControl = {};
+      }
+      if (mControl.restore(snapshot->mState)) {
+        mRecent.clear();
+        mSettling.emplace_back(mControl.next(), aNow);
+        noteSuccessions(aNow);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /// Notes members whose work this daemon has to take over.
+  void noteSuccessions(time_point aNow)
+  {
+    if (!mControl.isMember(mOptions.mSelf)) {
+      return;
+    }
+    for (const auto& [dead, entry] : mControl.successions()) {
+      if (mControl.resolve(dead) != mOptions.mSelf || mNoted.contains(dead)) {
+        continue;
+      }
+      mNoted.insert(dead);
+      inherited item{ .mDead = dead,
+                      .mActsFrom = entry.mGraceful ? aNow : aNow + settlePeriod(),
+                      .mGraceful = entry.mGraceful,
+                      .mOffset = entry.mOffset,
+                      .mMembersThen = {} };
+      for (const auto& id : std::views::keys(mControl.members())) {
+        item.mMembersThen.insert(id);
+      }
+      mInherited.push_back(std::move(item));
+      log(log_level::info, "Takes over " + dead + ".");
+    }
+  }
+
+  void startRead(time_point aNow)
+  {
+    mReadInFlight = ++mLastRead;
+    mReadSentAt = aNow;
+    mReadFrom = mSearchFrom != 0 ? mSearchFrom : mControl.next();
+    mEffects.emplace_back(
+      read_effect{ .mReadId = mReadInFlight, .mStream = log_stream::control, .mFrom = mReadFrom });
+  }
+
+  void advanceLog(time_point aNow)
+  {
+    if (mReadInFlight != 0 && aNow - mReadSentAt > kReadDeadline) {
+      mReadInFlight = 0;
+      mLogReachable = false;
+      mNextReadAt = aNow;
+    }
+    if (mReadInFlight == 0 && aNow >= mNextReadAt) {
+      startRead(aNow);
+    }
+    if (auto append = mWriter.next(aNow)) {
+      mEffects.emplace_back(std::move(*append));
+    }
+  }
+
+  void advanceJoin(time_point aNow)
+  {
+    const bool mayJoin = mLogReachable && aNow < mFreshness.until() && mJoinId.empty() &&
+                         !mControl.isMember(mOptions.mSelf) && !mControl.hasEnded(mOptions.mSelf);
+    if (mayJoin) {
+      mListeningSince = aNow;
+      mJoinId = mWriter.add(join_record{ .mIncarnation = mOptions.mSelf,
+                                         .mVm = mOptions.mVm,
+                                         .mZone = mOptions.mZone,
+                                         .mPeerAddress = mOptions.mPeerAddress });
+    }
+  }
+
+  void advanceSnapshot(time_point aNow)
+  {
+    if (mLastSnapshotAt == time_point{}) {
+      mLastSnapshotAt = aNow;
+    }
+    const bool first = mControl.members().begin()->first == mOptions.mSelf;
+    const bool due = aNow - mLastSnapshotAt >= mOptions.mTiming.mSnapshotInterval;
+    if (first && due && mLogReachable) {
+      mLastSnapshotAt = aNow;
+      mWriter.add(snapshot_record{ .mAsOf = mControl.next(), .mState = mControl.encode() });
+    }
+  }
+
+  void advanceTakeovers(time_point aNow)
+  {
+    if (!mLogReachable || mLeaving || aNow >= mFreshness.until()) {
+      return;
+    }
+    for (const incarnation_id& dead :
+         mTakeovers.candidates(mControl, mPeers, mVms, mListeningSince, aNow)) {
+      if (mTakeoverIds.contains(dead)) {
+        continue;
+      }
+      mTakeoverIds[dead] =
+        mWriter.add(takeover_record{ .mDead = dead, .mSuccessor = mOptions.mSelf });
+    }
+    std::erase_if(mTakeoverIds,
+                  [&](const auto& aEntry) { return !mControl.isMember(aEntry.first); });
+  }
+
+  // --- Gossip ---
+
+  void heard(const incarnation_id& aFrom, const gossip& aGossip, time_point aNow)
+  {
+    if (aFrom == mOptions.mSelf || mControl.hasEnded(aFrom)) {
+      answerEnded(aFrom, aGossip, aNow);
+      return;
+    }
+    mPeers.merge(aFrom, aGossip, aNow);
+    peer_entry& peer = mPeers.entries().at(aFrom);
+    considerPeerFreshness(peer);
+    if (!aGossip.mLogReachable) {
+      peer.mNextProbeAt = std::min(peer.mNextProbeAt, aNow + mOptions.mTiming.mGossipInterval / 2);
+      if (aGossip.mControlOffset < mControl.next() && aNow < mFreshness.until()) {
+        sendRecords(aFrom, aNow);
+      }
+    }
+  }
+
+  /// Tells a daemon that does not know yet that it was taken over.
+  void answerEnded(const incarnation_id& aFrom, const gossip& aGossip, time_point aNow)
+  {
+    if (aFrom != mOptions.mSelf && aGossip.mControlOffset < mControl.next() &&
+        !aGossip.mPeerAddress.empty()) {
+      sendRecordsTo(aFrom, aGossip.mPeerAddress, aGossip.mControlOffset, aNow);
+    }
+  }
+
+  void considerPeerFreshness(const peer_entry& aPeer)
+  {
+    const bool caughtUp = mControl.next() >= aPeer.mLast.mControlOffset;
+    if (aPeer.mAnsweredProbeAt && caughtUp && aPeer.mLast.mFreshFor.count() > 0) {
+      mFreshness.peerIsFresh(*aPeer.mAnsweredProbeAt, aPeer.mLast.mFreshFor);
+    }
+  }
+
+  void sendRecords(const incarnation_id& aTo, time_point aNow)
+  {
+    const auto found = mPeers.entries().find(aTo);
+    if (found == mPeers.entries().end() || aNow < found->second.mNextRecordsAt) {
+      return;
+    }
+    found->second.mNextRecordsAt = aNow + kRecordsInterval;
+    sendRecordsTo(aTo, addressOf(aTo), found->second.mLast.mControlOffset, aNow);
+  }
+
+  void sendRecordsTo(const incarnation_id& aTo, const std::string& aAddress, log_offset aFrom,
+                     time_point /*aNow*/)
+  {
+    records message{ .mFrom = aFrom, .mRecords = {}, .mEnd = mControl.next() };
+    if (mRecent.empty() || mRecent.front().mOffset > aFrom) {
+      message.mFrom = mControl.next();
+      message.mRecords.push_back(
+        { .mOffset = mControl.next(),
+          .mRecord = {
+            .mId = "",
+            .mBody = snapshot_record{ .mAsOf = mControl.next(), .mState = mControl.encode() } } });
+    } else {
+      std::ranges::copy_if(mRecent, std::back_inserter(message.mRecords),
+                           [&](const auto& aRecord) { return aRecord.mOffset >= aFrom; });
+      if (message.mRecords.size() > kRecordsPerMessage) {
+        message.mRecords.resize(kRecordsPerMessage);
+      }
+    }
+    send(aTo, aAddress, std::move(message));
+  }
+
+  void recordsReceived(const records& aRecords, time_point aNow)
+  {
+    if (!aRecords.mRecords.empty() && aRecords.mRecords.front().mOffset > mControl.next()) {
+      restoreFrom(aRecords.mRecords, aNow);
+    }
+    for (const auto& record : aRecords.mRecords) {
+      // A snapshot made for this message is no record of the stream.
+      if (!record.mRecord.mId.empty()) {
+        applyRecord(record, aNow);
+      }
+    }
+    for (const auto& peer : std::views::values(mPeers.entries())) {
+      considerPeerFreshness(peer);
+    }
+  }
+
+  void advanceGossip(const placer_summary& aSummary, time_point aNow)
+  {
+    for (const auto& [id, member] : mControl.members()) {
+      if (id == mOptions.mSelf) {
+        continue;
+      }
+      peer_entry& peer = mPeers.entries()[id];
+      if (peer.mMemberSince == time_point{}) {
+        peer.mMemberSince = aNow;
+      }
+      if (aNow < peer.mNextProbeAt) {
+        continue;
+      }
+      const bool close = member.mZone == mOptions.mZone || !mLogReachable ||
+                         (peer.mHeardAt != time_point{} && !peer.mLast.mLogReachable);
+      peer.mNextProbeAt =
+        aNow + (close ? mOptions.mTiming.mGossipInterval : kRemoteZoneGossipInterval);
+      send(id, member.mPeerAddress, gossipFor(id, peer, aSummary, aNow));
+    }
+    if (aNow >= mNextStrangerProbeAt) {
+      mNextStrangerProbeAt = aNow + kRemoteZoneGossipInterval;
+      for (const auto& address : strangerAddresses()) {
+        send({}, address, gossipFor({}, mSeedEntry, aSummary, aNow));
+      }
+      // Incarnations that are no members yet are answered, so that they learn of the cell.
+      for (auto& [id, peer] : mPeers.entries()) {
+        if (!mControl.isMember(id) && !peer.mLast.mPeerAddress.empty()) {
+          send(id, peer.mLast.mPeerAddress, gossipFor(id, peer, aSummary, aNow));
+        }
+      }
+    }
+  }
+
+  /// Addresses of seeds and listed entry VMs at which no member is known.
+  std::vector<std::string> strangerAddresses() const
+  {
+    std::set<std::string> known{ mOptions.mPeerAddress };
+    for (const auto& member : std::views::values(mControl.members())) {
+      known.insert(member.mPeerAddress);
+    }
+    std::vector<std::string> strangers;
+    const auto consider = [&](const std::string& aAddress) {
+      if (known.insert(aAddress).second) {
+        strangers.push_back(aAddress);
+      }
+    };
+    std::ranges::for_each(mOptions.mSeeds, consider);
+    std::ranges::for_each(mEntryAddresses, consider);
+    return strangers;
+  }
+
+  gossip gossipFor(const incarnation_id& aTo, peer_entry& aPeer, const placer_summary& aSummary,
+                   time_point aNow)
+  {
+    gossip message{ .mVm = mOptions.mVm,
+                    .mZone = mOptions.mZone,
+                    .mPeerAddress = mOptions.mPeerAddress,
+                    .mProbe = mPeers.startProbe(aTo, aNow),
+                    .mEchoedProbe = aPeer.mProbeToEcho,
+                    .mControlOffset = mControl.next(),
+                    .mFreshFor = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::max(duration{ 0 }, mFreshness.until() - aNow)),
+                    .mLogReachable = mLogReachable,
+                    .mFree = aSummary.mFree,
+                    .mTotal = aSummary.mTotal,
+                    .mLargestRoom = aSummary.mLargestRoom,
+                    .mLeaving = mLeaving };
+    addTeams(message, aPeer, aSummary);
+    if (std::ranges::any_of(mControl.successions(), [&](const auto& aEntry) {
+          return mControl.resolve(aEntry.first) == aTo;
+        })) {
+      message.mOwnedTargets = aSummary.mOwnedTargets;
+      message.mSweptOffset = aSummary.mSweptOffset;
+    }
+    return message;
+  }
+
+  static void addTeams(gossip& aMessage, peer_entry& aPeer, const placer_summary& aSummary)
+  {
+    const std::size_t count = aSummary.mTeams.size();
+    const std::size_t shown = std::min(count, gossip::kMaxTeams);
+    for (std::size_t step = 0; step < shown; ++step) {
+      aMessage.mTeams.push_back(aSummary.mTeams[(aPeer.mTeamCursor + step) % count]);
+    }
+    aPeer.mTeamCursor = count == 0 ? 0 : (aPeer.mTeamCursor + shown) % count;
+  }
+
+  void send(const incarnation_id& aTo, const std::string& aAddress, peer_body aBody)
+  {
+    if (!aAddress.empty()) {
+      mEffects.emplace_back(send_effect{
+        .mAddress = aAddress,
+        .mMessage = { .mFrom = mOptions.mSelf, .mTo = aTo, .mBody = std::move(aBody) } });
+    }
+  }
+
+  std::string addressOf(const incarnation_id& aMember) const
+  {
+    const auto member = mControl.members().find(aMember);
+    if (member != mControl.members().end()) {
+      return member->second.mPeerAddress;
+    }
+    const peer_entry* peer = mPeers.find(aMember);
+    return peer == nullptr ? std::string{} : peer->mLast.mPeerAddress;
+  }
+
+  // --- VM list ---
+
+  void vmListRead(const vm_list_event& aEvent, time_point aNow)
+  {
+    mVmListInFlight = false;
+    if (!aEvent.mList) {
+      return;
+    }
+    mVms.mReadAt = aNow;
+    mVms.mEverRead = true;
+    mVms.mPresent.clear();
+    mEntryAddresses.clear();
+    mTargetVms.clear();
+    for (const vm_entry& vm : aEvent.mList->mVms) {
+      if (vm.mRole == vm_role::target) {
+        mTargetVms.push_back(vm);
+        continue;
+      }
+      mVms.mPresent.insert(vm.mName);
+      mVms.mEverSeen.insert(vm.mName);
+      mVms.mMissingSince.erase(vm.mName);
+      mEntryAddresses.push_back(vm.mAddress);
+    }
+    for (const std::string& vm : mVms.mEverSeen) {
+      if (!mVms.mPresent.contains(vm)) {
+        mVms.mMissingSince.try_emplace(vm, aNow);
+      }
+    }
+  }
+
+  // --- Slices ---
+
+  void lend(const incarnation_id& aFrom, const slice_request& aRequest,
+            const limit_vector& aCharged)
+  {
+    const bool mayLend = mLogReachable && mControl.isMember(aFrom) &&
+                         mControl.teams().contains(aRequest.mTeam) &&
+                         !mLender.lending(aRequest.mTeam, aFrom);
+    if (!mayLend) {
+      return;
+    }
+    const limit_vector amount = mLender.offer(mControl, aRequest, aCharged);
+    if (amount == internal::kNoLimitUsed) {
+      return;
+    }
+    const slice_transfer_record transfer{
+      .mFrom = mOptions.mSelf, .mTo = aFrom, .mTeam = aRequest.mTeam, .mAmount = amount
+    };
+    mLender.begin(mWriter.add(transfer), transfer);
+  }
+
+  void advanceShortages(std::span<const slice_request> aShortages, time_point aNow)
+  {
+    for (const slice_request& request : aShortages) {
+      time_point& nextAt = mNextSliceRequestAt[request.mTeam];
+      if (aNow < nextAt) {
+        continue;
+      }
+      nextAt = aNow + kSliceRequestInterval;
+      const incarnation_id lender = bestLender(request, aNow);
+      if (!lender.empty()) {
+        send(lender, addressOf(lender), request);
+      }
+    }
+  }
+
+  /// The live member with the largest unused part of the first component wanted.
+  incarnation_id bestLender(const slice_request& aRequest, time_point aNow) const
+  {
+    incarnation_id best;
+    std::int64_t most = 0;
+    for (const auto& [id, peer] : mPeers.entries()) {
+      if (!mControl.isMember(id) ||
+          !mPeers.heardWithin(id, mOptions.mTiming.mSilencePeriod, aNow)) {
+        continue;
+      }
+      const auto usage = std::ranges::find(peer.mLast.mTeams, aRequest.mTeam, &team_usage::mTeam);
+      if (usage == peer.mLast.mTeams.end()) {
+        continue;
+      }
+      const std::int64_t unused = unusedOf(aRequest.mWanted, usage->mUnusedSlice);
+      if (unused > most) {
+        most = unused;
+        best = id;
+      }
+    }
+    return best;
+  }
+
+  static std::int64_t unusedOf(const limit_vector& aWanted, const limit_vector& aUnused)
+  {
+    for (const auto component : internal::kLimitComponents) {
+      if (aWanted.*component > 0 && aWanted.*component != limit_vector::kUnlimited &&
+          aUnused.*component != limit_vector::kUnlimited) {
+        return aUnused.*component;
+      }
+    }
+    return 0;
+  }
+
+  // --- Time ---
+
+  void tick(const placer_summary& aSummary, std::span<const slice_request> aShortages,
+            time_point aNow)
+  {
+    if (mLastTick != time_point{} && aNow - mLastTick > kPausePeriod) {
+      // After a pause, silence of the peers says nothing about them.
+      mListeningSince = aNow;
+    }
+    mLastTick = aNow;
+    advanceLog(aNow);
+    advanceVmList(aNow);
+    advanceJoin(aNow);
+    mPeers.expire(mControl, aNow);
+    if (joined()) {
+      if (!mLogReachable) {
+        mFreshness.considerOutage(mOptions.mSelf, mControl, mPeers, mVms, aNow);
+      }
+      advanceSnapshot(aNow);
+      advanceTakeovers(aNow);
+      proveDeaths(aNow);
+      advanceShortages(aShortages, aNow);
+    }
+    if (!ended()) {
+      advanceGossip(aSummary, aNow);
+    }
+    advancePublished(aNow);
+    settle(aNow);
+  }
+
+  void advanceVmList(time_point aNow)
+  {
+    const bool overdue = mVmListInFlight && aNow - mVmListSentAt > kReadDeadline;
+    if ((!mVmListInFlight || overdue) && aNow - mVmListSentAt >= mOptions.mTiming.mVmListInterval) {
+      mVmListInFlight = true;
+      mVmListSentAt = aNow;
+      mEffects.emplace_back(read_vm_list_effect{});
+    }
+  }
+
+  /// Notes for each inherited member whether its process is surely gone (E1 or E2).
+  void proveDeaths(time_point aNow)
+  {
+    for (inherited& item : mInherited) {
+      if (item.mProvedDead) {
+        continue;
+      }
+      const auto entry = mControl.successions().find(item.mDead);
+      if (entry == mControl.successions().end()) {
+        continue;
+      }
+      const std::string& vm = entry->second.mVm;
+      const bool replaced = std::ranges::any_of(mControl.members(), [&](const auto& aMember) {
+        return aMember.second.mVm == vm && aMember.first != item.mDead;
+      });
+      const auto missing = mVms.mMissingSince.find(vm);
+      const bool gone = mVms.dropped(vm) && missing != mVms.mMissingSince.end() &&
+                        aNow - missing->second >= mOptions.mTiming.mSafetyMargin;
+      item.mProvedDead = item.mGraceful || replaced || gone;
+    }
+  }
+
+  void settle(time_point aNow)
+  {
+    while (!mSettling.empty() && aNow - mSettling.front().second >= settlePeriod()) {
+      mSettledOffset = std::max(mSettledOffset, mSettling.front().first);
+      mSettling.pop_front();
+    }
+  }
+
+  void advancePublished(time_point aNow)
+  {
+    auto results = mPublisher.advance(
+      mControl, [&](log_offset aOffset) { return allAt(aOffset + 1); },
+      [&](const std::string& aRecord) { return mWriter.neverSent(aRecord); }, aNow);
+    for (auto& [callId, result] : results) {
+      mPublished.push_back({ .mCallId = callId, .mAnswer = std::move(result) });
+    }
+    for (const std::string& record : mPublisher.takeAbandoned()) {
+      mWriter.cancel(record);
+    }
+  }
+
+  bool allAt(log_offset aNext) const
+  {
+    return std::ranges::all_of(mControl.members(), [&](const auto& aMember) {
+      const peer_entry* peer = mPeers.find(aMember.first);
+      return aMember.first == mOptions.mSelf ||
+             (peer != nullptr && peer->mLast.mControlOffset >= aNext);
+    });
+  }
+
+  void publish(std::uint64_t aCallId, const publish_call& aCall, time_point aNow)
+  {
+    std::string record;
+    if (!mControl.operation(aCall.mOperationId)) {
+      if (!mLogReachable) {
+        mPublished.push_back(
+          { .mCallId = aCallId, .mAnswer = internal::publisher::unreachable(true) });
+        return;
+      }
+      record = mWriter.add(config_record{ .mOperationId = aCall.mOperationId,
+                                          .mExpectedOffset = aCall.mExpectedOffset,
+                                          .mChanges = aCall.mChanges });
+    }
+    mPublisher.begin(aCallId, aCall.mOperationId, std::move(record), aNow);
+  }
+
+  void beginLeave(time_point aNow)
+  {
+    if (std::exchange(mLeaving, true)) {
+      return;
+    }
+    mLeaveBegunAt = aNow;
+    if (joined()) {
+      mWriter.add(leave_record{ .mIncarnation = mOptions.mSelf, .mSuccessor = successor(aNow) });
+    }
+  }
+
+  bool left() const
+  {
+    return mLeaving && (!mControl.isMember(mOptions.mSelf) || !mLogReachable ||
+                        mLastTick - mLeaveBegunAt > kLeaveDeadline);
+  }
+
+  incarnation_id successor(time_point aNow) const
+  {
+    const auto self = mControl.members().find(mOptions.mSelf);
+    if (self == mControl.members().end()) {
+      return {};
+    }
+    return mTakeovers.successorOf(self->second, mControl, mPeers, aNow, { mOptions.mSelf });
+  }
+
+  bool joined() const { return mControl.isMember(mOptions.mSelf); }
+  bool ended() const { return mControl.hasEnded(mOptions.mSelf); }
+
+  std::set<incarnation_id> live(time_point aNow) const
+  {
+    std::set<incarnation_id> ids;
+    for (const auto& id : std::views::keys(mControl.members())) {
+      if (id == mOptions.mSelf || mPeers.heardWithin(id, mOptions.mTiming.mSilencePeriod, aNow)) {
+        ids.insert(id);
+      }
+    }
+    return ids;
+  }
+
+  // --- View ---
+
+  cell_view view(time_point aNow) const
+  {
+    cell_view view{ .mSelf = mOptions.mSelf,
+                    .mZone = mOptions.mZone,
+                    .mFreshUntil = freshUntil(),
+                    .mRenewUntil = mFreshness.until() + mOptions.mTiming.mIsolationLimit,
+                    .mControlOffset = mControl.next(),
+                    .mSettledOffset = mSettledOffset,
+                    .mLive = live(aNow) };
+    for (const auto& [name, team] : mControl.teams()) {
+      view.mTeams.emplace(
+        name, team_terms{ .mShare = team.mTeam.mShare, .mSlice = mLender.usable(mControl, name) });
+    }
+    for (const incarnation_id& id : view.mLive) {
+      if (id != mOptions.mSelf) {
+        addElsewhere(view, mPeers.find(id)->mLast);
+      }
+    }
+    addTargets(view);
+    for (const auto& dead : std::views::keys(mControl.successions())) {
+      view.mSuccessors.emplace(dead, mControl.resolve(dead));
+    }
+    return view;
+  }
+
+  time_point freshUntil() const
+  {
+    if constexpr (!Guards::kChecksFreshness) {
+      return time_point::max();
+    }
+    return joined() && !ended() ? mFreshness.until() : time_point{};
+  }
+
+  static void addElsewhere(cell_view& aView, const gossip& aGossip)
+  {
+    aView.mTotalElsewhere += aGossip.mTotal;
+    for (const team_usage& usage : aGossip.mTeams) {
+      const auto team = aView.mTeams.find(usage.mTeam);
+      if (team != aView.mTeams.end()) {
+        team->second.mUsedElsewhere += usage.mUsed;
+      }
+    }
+  }
+
+  void addTargets(cell_view& aView) const
+  {
+    std::map<zone_name, std::vector<incarnation_id>> owners;
+    for (const incarnation_id& id : aView.mLive) {
+      const peer_entry* peer = mPeers.find(id);
+      if (peer == nullptr || !peer->mLast.mLeaving) {
+        owners[mControl.members().at(id).mZone].push_back(id);
+      }
+    }
+    for (const vm_entry& vm : mTargetVms) {
+      auto& candidates = owners[vm.mZone];
+      if (candidates.empty()) {
+        candidates.push_back(internal::rendezvousPick(vm.mZone, aView.mLive));
+      }
+      const bool mine = std::ranges::find(candidates, mOptions.mSelf) != candidates.end();
+      if (!mine && vm.mZone != mOptions.mZone) {
+        continue;
+      }
+      aView.mTargets.push_back(
+        { .mTarget = vm.mName,
+          .mZone = vm.mZone,
+          .mAddress = vm.mAddress,
+          .mLeaving = vm.mLeaving || mControl.zoneState(vm.mZone) == zone_state::out,
+          .mPreferredOwner = internal::rendezvousPick(vm.mName, candidates) });
+    }
+  }
+
+  std::set<target_id> sweptElsewhere(log_offset aOffset, time_point aNow) const
+  {
+    std::set<target_id> targets;
+    for (const incarnation_id& id : live(aNow)) {
+      const peer_entry* peer = mPeers.find(id);
+      if (peer != nullptr && peer->mLast.mSweptOffset > aOffset) {
+        targets.insert(peer->mLast.mOwnedTargets.begin(), peer->mLast.mOwnedTargets.end());
+      }
+    }
+    return targets;
+  }
+
+  std::string dump(time_point aNow) const
+  {
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& [id, member] : mControl.members()) {
+      const peer_entry* peer = mPeers.find(id);
+      nlohmann::json item{ { "incarnation", id }, { "zone", member.mZone } };
+      if (peer != nullptr && peer->mHeardAt != time_point{}) {
+        item["heard_ms_ago"] = milliseconds(aNow - peer->mHeardAt);
+        item["offset"] = peer->mLast.mControlOffset;
+        item["log_reachable"] = peer->mLast.mLogReachable;
+      }
+      members.push_back(std::move(item));
+    }
+    nlohmann::json inheritedJson = nlohmann::json::array();
+    for (const inherited& item : mInherited) {
+      inheritedJson.push_back({ { "dead", item.mDead }, { "proved_dead", item.mProvedDead } });
+    }
+    const nlohmann::json json{ { "incarnation", mOptions.mSelf },
+                               { "joined", joined() },
+                               { "log_reachable", mLogReachable },
+                               { "offset", mControl.next() },
+                               { "fresh_for_ms", milliseconds(mFreshness.until() - aNow) },
+                               { "members", members },
+                               { "inherited", inheritedJson } };
+    return json.dump();
+  }
+
+  static std::int64_t milliseconds(duration aSpan)
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+  }
+
+  void log(log_level aLevel, std::string aText)
+  {
+    mEffects.emplace_back(
+      log_effect{ .mLevel = aLevel, .mPart = "membership", .mText = std::move(aText) });
+  }
+
+  // A log that is slow for longer than this counts as unreachable.
+  static constexpr duration kReadDeadline = std::chrono::milliseconds(1500);
+  static constexpr duration kPausePeriod = std::chrono::seconds(1);
+  static constexpr duration kLeaveDeadline = std::chrono::seconds(3);
+  static constexpr duration kRemoteZoneGossipInterval = std::chrono::seconds(1);
+  static constexpr duration kRecordsInterval = std::chrono::milliseconds(200);
+  static constexpr duration kSliceRequestInterval = std::chrono::milliseconds(300);
+  static constexpr std::size_t kRecordsKept = 1024;
+  static constexpr std::size_t kRecordsPerMessage = 256;
+
+  membership_options mOptions;
+  control_state mControl;
+  internal::control_writer mWriter;
+  internal::freshness mFreshness;
+  internal::peer_table mPeers;
+  internal::takeover_policy mTakeovers;
+  internal::slice_lender mLender;
+  internal::publisher mPublisher;
+  internal::entry_vm_view mVms;
+  peer_entry mSeedEntry;
+  std::vector<std::string> mEntryAddresses;
+  std::vector<vm_entry> mTargetVms;
+  std::vector<effect> mEffects;
+  std::vector<published> mPublished;
+  std::vector<inherited> mInherited;
+  std::set<incarnation_id> mNoted;
+  std::map<incarnation_id, std::string> mTakeoverIds;
+  std::map<team_name, time_point> mNextSliceRequestAt;
+  /// Records applied lately, for peers that are behind.
+  std::deque<stored_record<control_record>> mRecent;
+  /// Offsets with the time at which they were applied, until they have settled.
+  std::deque<std::pair<log_offset, time_point>> mSettling;
+  log_offset mSettledOffset = 0;
+  std::string mJoinId;
+  std::uint64_t mLastRead = 0;
+  std::uint64_t mReadInFlight = 0;
+  time_point mReadSentAt{};
+  log_offset mReadFrom = 0;
+  /// Where the search for a snapshot goes on; zero if there is none.
+  log_offset mSearchFrom = 0;
+  time_point mNextReadAt{};
+  time_point mNextStrangerProbeAt{};
+  time_point mLastSnapshotAt{};
+  time_point mLastTick{};
+  time_point mListeningSince{};
+  time_point mLeaveBegunAt{};
+  time_point mVmListSentAt{ -std::chrono::hours(1) };
+  bool mVmListInFlight = false;
+  bool mLogReachable = false;
+  bool mLeaving = false;
+};
+
+} // namespace endiveusher
--- /dev/null
+++ b/kernel/src/publisher.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "endiveusher/kernel/control_state.h"
+#include "endiveusher/kernel/events.h"
+#include "endiveusher/kernel/timing.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endiveusher::internal {
+
+/// Answers publish calls once the record is read back and in force, or once its fate is unknown.
+class publisher
+{
+public:
+  /// A published answer and its call.
+  using result = std::pair<std::uint64_t, answer>;
+
+  explicit publisher(duration aInForcePeriod) : mInForcePeriod(aInForcePeriod) {}
+
+  /// aRecordId is empty if the operation already stands in the log.
+  void begin(std::uint64_t aCallId, std::string aOperationId, std::string aRecordId,
+             time_point aNow)
+  {
+    mWaiting.push_back({ .mCallId = aCallId,
+                         .mOperationId = std::move(aOperationId),
+                         .mRecordId = std::move(aRecordId),
+                         .mBegunAt = aNow });
+  }
+
+  /// Ends the calls that can be answered now. aAllAt(offset) tells whether all members have
+  /// applied the offset; aNeverSent(record) whether the record surely is not in the log.
+  template<typename AllAt, typename NeverSent>
+  std::vector<result> advance(const control_state& aControl, AllAt&& aAllAt, NeverSent&& aNeverSent,
+                              time_point aNow)
+  {
+    std::vector<result> ended;
+    std::erase_if(mWaiting, [&](waiting& aCall) {
+      const auto operation = aControl.operation(aCall.mOperationId);
+      if (operation) {
+        if (aCall.mSeenAt == time_point{}) {
+          aCall.mSeenAt = aNow;
+        }
+        const bool stale = aNow - aCall.mSeenAt >= mInForcePeriod;
+        if (operation->mApplied && !stale && !aAllAt(operation->mOffset)) {
+          return false;
+        }
+        ended.emplace_back(aCall.mCallId, resultOf(*operation));
+        return true;
+      }
+      if (aNow - aCall.mBegunAt < kAppendDeadline) {
+        return false;
+      }
+      const bool neverSent = aNeverSent(aCall.mRecordId);
+      ended.emplace_back(aCall.mCallId, unreachable(neverSent));
+      if (neverSent) {
+        mAbandoned.push_back(aCall.mRecordId);
+      }
+      return true;
+    });
+    return ended;
+  }
+
+  /// Records that must not be appended any more, since their calls were answered as not run.
+  std::vector<std::string> takeAbandoned() { return std::exchange(mAbandoned, {}); }
+
+  static answer unreachable(bool aNeverSent)
+  {
+    return { .mClass = aNeverSent ? answer_class::not_run : answer_class::unknown,
+             .mBody = call_error{ .mStatus = 503,
+                                  .mCode = "log_unreachable",
+                                  .mMessage =
+                                    aNeverSent ? "The log cannot be reached; nothing was published."
+                                               : "The log did not confirm the record; it may be in "
+                                                 "force. Publish the same operation again.",
+                                  .mStep = "append",
+                                  .mPeer = "log" } };
+  }
+
+private:
+  static constexpr duration kAppendDeadline = std::chrono::seconds(5);
+
+  struct waiting
+  {
+    std::uint64_t mCallId = 0;
+    std::string mOperationId;
+    std::string mRecordId;
+    time_point mBegunAt{};
+    time_point mSeenAt{};
+  };
+
+  static answer resultOf(const control_state::operation_result& aOperation)
+  {
+    if (!aOperation.mApplied) {
+      return { .mClass = answer_class::not_run,
+               .mBody = call_error{ .mStatus = 409,
+                                    .mCode = "offset_conflict",
+                                    .mMessage = "An entry was changed after the expected offset; "
+                                                "nothing was published.",
+                                    .mStep = "publish",
+                                    .mPeer = "log" } };
+    }
+    return { .mClass = answer_class::ran,
+             .mBody = publish_result{ .mOffset = aOperation.mOffset, .mInForceEverywhere = true } };
+  }
+
+  duration mInForcePeriod;
+  std::vector<waiting> mWaiting;
+  std::vector<std::string> mAbandoned;
+};
+
+} // namespace endiveusher::internal
