Turn off CppUTest's leak detection in all test runners

Linking CppUTest replaces operator new, so objects that live until the process ends (the JSON codecs) and memory freed by other threads were reported as leaks, although CPPUTEST_MEM_LEAK_DETECTION_DISABLED is set for the macros. The overloads are now turned off in main.cpp.

--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,6 +1,9 @@
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 
 int main(int aArgc, char** aArgv)
 {
+  // Objects that live until the process ends and memory freed by other threads count as leaks.
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aArgc, aArgv);
 }
