Add the schema, its generated code and the conversions

One schema file describes all messages. Every kernel struct has one list of its fields, which serves for writing and for reading, in Cap'n Proto and in JSON. JSON from outside is checked strictly: unknown and repeated fields, two members of a union, negative and huge numbers, NaN and bytes that are not UTF-8 are errors.

--- /dev/null
+++ b/protocol/src/archive.h
@@ -0,0 +1,308 @@
+#pragma once
+
+#include "endiveusher.capnp.h"
+
+#include <capnp/list.h>
+#include <kj/exception.h>
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace endiveusher::protocol::internal {
+
+/// A message holds a value that its kernel struct cannot hold.
+class invalid_message : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Describes how a kernel struct travels. A specialisation has the member type `wire` (a schema
+/// struct) and a function `fields(aArchive, aValue)` that names every field once; the same list
+/// serves for writing and reading.
+template<typename T>
+struct codec;
+
+template<typename T>
+concept coded = requires
+{
+  typename codec<T>::wire;
+};
+
+/// Schema enum of a kernel enum, with the enumerants in the same order, and its last enumerant.
+template<typename E>
+struct enum_codec;
+
+template<typename T>
+struct is_vector : std::false_type
+{
+};
+template<typename T>
+struct is_vector<std::vector<T>> : std::true_type
+{
+};
+
+/// The generated functions of one schema field.
+template<typename Get, typename Has, typename Set, typename Init>
+struct field_access
+{
+  Get mGet;
+  Has mHas;
+  Set mSet;
+  Init mInit;
+  const char* mName;
+};
+// Spelled out because clang 14 does not deduce the arguments of aggregates.
+template<typename Get, typename Has, typename Set, typename Init>
+field_access(Get, Has, Set, Init, const char*) -> field_access<Get, Has, Set, Init>;
+
+// Generated accessors cannot be named by a template argument, so a macro collects them.
+#define ENDIVEUSHER_FIELD(Name)                                                                    \
+  ::endiveusher::protocol::internal::field_access                                                  \
+  {                                                                                                \
+    [](const auto& aWire) { return aWire.get##Name(); },                                           \
+      [](const auto& aWire) { return aWire.has##Name(); },                                         \
+      [](auto& aWire, auto&& aValue) { aWire.set##Name(aValue); },                                 \
+      [](auto& aWire, auto... aSize) { return aWire.init##Name(aSize...); }, #Name                 \
+  }
+
+/// Largest amount of a resource and largest time in milliseconds that a caller may name. Sums of
+/// thousands of them stay within 64 bits, also in microseconds.
+inline constexpr std::int64_t kLargestAmount = std::int64_t{ 1 } << 40;
+
+inline capnp::Text::Reader toText(const std::string& aText)
+{
+  return { aText.c_str(), aText.size() };
+}
+inline std::string fromText(capnp::Text::Reader aText)
+{
+  return { aText.cStr(), aText.size() };
+}
+
+template<typename Value, typename Builder>
+void writeStruct(const Value& aValue, Builder aWire);
+
+/// Writes kernel values into a schema struct.
+template<typename Builder>
+class writer
+{
+public:
+  explicit writer(Builder aWire) : mWire(aWire) {}
+
+  template<typename Value, typename Access>
+  void operator()(const Value& aValue, Access aAccess)
+  {
+    if constexpr (std::same_as<Value, std::string>) {
+      aAccess.mSet(mWire, toText(aValue));
+    } else if constexpr (std::is_enum_v<Value>) {
+      aAccess.mSet(mWire, static_cast<typename enum_codec<Value>::wire>(aValue));
+    } else if constexpr (std::same_as<Value, std::chrono::milliseconds>) {
+      aAccess.mSet(mWire, std::int64_t{ aValue.count() });
+    } else if constexpr (coded<Value>) {
+      writeStruct(aValue, aAccess.mInit(mWire));
+    } else if constexpr (is_vector<Value>::value) {
+      auto list = aAccess.mInit(mWire, static_cast<capnp::uint>(aValue.size()));
+      writeList(aValue, list);
+    } else {
+      aAccess.mSet(mWire, aValue);
+    }
+  }
+
+  template<typename Access>
+  void amount(const std::int64_t& aValue, Access aAccess)
+  {
+    aAccess.mSet(mWire, aValue);
+  }
+  /// A list that may be absent.
+  template<typename Value, typename Access>
+  void optionalList(const std::optional<std::vector<Value>>& aValue, Access aAccess)
+  {
+    if (aValue) {
+      (*this)(*aValue, aAccess);
+    }
+  }
+  /// A number below 2^63 that may be absent; absent is written as -1.
+  template<typename Access>
+  void optionalNumber(const std::optional<std::uint64_t>& aValue, Access aAccess)
+  {
+    aAccess.mSet(mWire, aValue ? static_cast<std::int64_t>(*aValue) : std::int64_t{ -1 });
+  }
+  /// A union; the accesses are in the order of the variant's alternatives.
+  template<typename... Alternatives, typename... Access>
+  void alternatives(const std::variant<Alternatives...>& aValue, Access... aAccess)
+  {
+    static_assert(sizeof...(Alternatives) == sizeof...(Access), "every alternative needs a field");
+    std::size_t index = 0;
+    const auto write = [&]<typename Alternative>(Alternative* /*aTag*/, auto& aOne) {
+      if (index++ == aValue.index()) {
+        writeStruct(*std::get_if<Alternative>(&aValue), aOne.mInit(mWire));
+      }
+    };
+    (write(static_cast<Alternatives*>(nullptr), aAccess), ...);
+  }
+
+private:
+  template<typename Value, typename List>
+  static void writeList(const std::vector<Value>& aValues, List& aList)
+  {
+    for (std::size_t i = 0; i < aValues.size(); ++i) {
+      const auto at = static_cast<capnp::uint>(i);
+      if constexpr (std::same_as<Value, std::string>) {
+        aList.set(at, toText(aValues[i]));
+      } else if constexpr (std::same_as<Value, std::chrono::milliseconds>) {
+        aList.set(at, std::int64_t{ aValues[i].count() });
+      } else if constexpr (coded<Value>) {
+        writeStruct(aValues[i], aList[at]);
+      } else {
+        aList.set(at, aValues[i]);
+      }
+    }
+  }
+
+  Builder mWire;
+};
+
+/// What a reader checks besides the types.
+enum class strictness
+{
+  trusted, ///< From another daemon.
+  strict,  ///< From outside: times and amounts must lie in [0, kLargestAmount].
+};
+
+template<typename Value, typename Reader>
+Value readStruct(Reader aWire, strictness aStrictness);
+
+/// Reads kernel values from a schema struct. Throws invalid_message or kj::Exception.
+template<typename Reader>
+class reader
+{
+public:
+  reader(Reader aWire, strictness aStrictness) : mWire(aWire), mStrictness(aStrictness) {}
+
+  template<typename Value, typename Access>
+  void operator()(Value& aValue, Access aAccess)
+  {
+    if constexpr (std::same_as<Value, std::string>) {
+      aValue = fromText(aAccess.mGet(mWire));
+    } else if constexpr (std::is_enum_v<Value>) {
+      const auto raw = static_cast<std::uint16_t>(aAccess.mGet(mWire));
+      if (raw > static_cast<std::uint16_t>(enum_codec<Value>::kLast)) {
+        throw invalid_message(std::string("unknown enumerant in ") + aAccess.mName);
+      }
+      aValue = static_cast<Value>(raw);
+    } else if constexpr (std::same_as<Value, std::chrono::milliseconds>) {
+      aValue = std::chrono::milliseconds(checked(aAccess.mGet(mWire), aAccess.mName));
+    } else if constexpr (coded<Value>) {
+      aValue = readStruct<Value>(aAccess.mGet(mWire), mStrictness);
+    } else if constexpr (is_vector<Value>::value) {
+      readList(aValue, aAccess.mGet(mWire), aAccess.mName);
+    } else {
+      aValue = aAccess.mGet(mWire);
+      if constexpr (std::same_as<Value, std::int64_t> || std::same_as<Value, double>) {
+        // Written so that NaN fails as well.
+        if (mStrictness == strictness::strict &&
+            !(aValue >= 0 && aValue <= std::numeric_limits<Value>::max())) {
+          throw invalid_message(std::string(aAccess.mName) + " is out of range");
+        }
+      }
+    }
+  }
+
+  template<typename Access>
+  void amount(std::int64_t& aValue, Access aAccess)
+  {
+    aValue = checked(aAccess.mGet(mWire), aAccess.mName);
+  }
+  template<typename Value, typename Access>
+  void optionalList(std::optional<std::vector<Value>>& aValue, Access aAccess)
+  {
+    if (aAccess.mHas(mWire)) {
+      (*this)(aValue.emplace(), aAccess);
+    }
+  }
+  template<typename Access>
+  void optionalNumber(std::optional<std::uint64_t>& aValue, Access aAccess)
+  {
+    const std::int64_t raw = aAccess.mGet(mWire);
+    if (raw >= 0) {
+      aValue = static_cast<std::uint64_t>(raw);
+    }
+  }
+  template<typename... Alternatives, typename... Access>
+  void alternatives(std::variant<Alternatives...>& aValue, Access... aAccess)
+  {
+    // The discriminants count from 0 in the order of the schema, which is that of the variant.
+    const auto which = static_cast<std::size_t>(mWire.which());
+    if (which >= sizeof...(Alternatives)) {
+      throw invalid_message("unknown kind of message");
+    }
+    std::size_t index = 0;
+    const auto read = [&]<typename Alternative>(Alternative* /*aTag*/, auto& aOne) {
+      if (index++ == which) {
+        // A message without any member of the union reads as its first member, not set.
+        if (!aOne.mHas(mWire)) {
+          throw invalid_message("no kind of message given");
+        }
+        aValue = readStruct<Alternative>(aOne.mGet(mWire), mStrictness);
+      }
+    };
+    (read(static_cast<Alternatives*>(nullptr), aAccess), ...);
+  }
+
+private:
+  std::int64_t checked(std::int64_t aNumber, const char* aName) const
+  {
+    if (mStrictness == strictness::strict && (aNumber < 0 || aNumber > kLargestAmount)) {
+      throw invalid_message(std::string(aName) + " is out of range");
+    }
+    return aNumber;
+  }
+
+  template<typename Value, typename List>
+  void readList(std::vector<Value>& aValues, List aList, const char* aName)
+  {
+    aValues.clear();
+    aValues.reserve(aList.size());
+    for (auto element : aList) {
+      if constexpr (std::same_as<Value, std::string>) {
+        aValues.push_back(fromText(element));
+      } else if constexpr (std::same_as<Value, std::chrono::milliseconds>) {
+        aValues.emplace_back(checked(element, aName));
+      } else if constexpr (coded<Value>) {
+        aValues.push_back(readStruct<Value>(element, mStrictness));
+      } else {
+        aValues.push_back(element);
+      }
+    }
+  }
+
+  Reader mWire;
+  strictness mStrictness;
+};
+
+template<typename Value, typename Builder>
+void writeStruct(const Value& aValue, Builder aWire)
+{
+  writer<Builder> archive(aWire);
+  codec<Value>::fields(archive, aValue);
+}
+
+template<typename Value, typename Reader>
+Value readStruct(Reader aWire, strictness aStrictness)
+{
+  Value value;
+  reader<Reader> archive(aWire, aStrictness);
+  codec<Value>::fields(archive, value);
+  return value;
+}
+
+} // namespace endiveusher::protocol::internal
