--- /dev/null
+++ b/standins/include/endiveusher/standins/vm_list_model.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "endiveusher/kernel/messages/platform.h"
+#include "endiveusher/kernel/time.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace endiveusher::standins {
+
+/// The platform's VM list. Answers show the state as it was mLag ago.
+///
+/// Usage: `vms.set({ .mName = "t1", .mZone = "z1" }, now); auto list = vms.list(now);`
+class vm_list_model
+{
+public:
+  /// aInitial is shown from the beginning.
+  explicit vm_list_model(duration aLag, vm_list aInitial = {});
+
+  /// Adds a VM or replaces the entry of the same name.
+  void set(const vm_entry& aVm, time_point aNow);
+  void setLeaving(const std::string& aName, bool aLeaving, time_point aNow);
+  void remove(const std::string& aName, time_point aNow);
+  void setDown(bool aDown) { mDown = aDown; }
+
+  /// Absent while the service is down.
+  std::optional<vm_list> list(time_point aNow);
+  /// The state without lag.
+  const vm_list& current() const { return mHistory.back().second; }
+
+private:
+  vm_list& change(time_point aNow);
+
+  duration mLag;
+  bool mDown = false;
+  std::deque<std::pair<time_point, vm_list>> mHistory;
+};
+
+} // namespace endiveusher::standins
