Add Promela models of the core protocol

Cause: the safety of takeover, ownership, slices and request ids has to be checked over all interleavings.

--- /dev/null
+++ b/model/fence.pml
@@ -0,0 +1,125 @@
+/* Freshness of stream control as the fence between a daemon X and its successor Y
+ * (docs/design.md, 4.2 and 4.6).
+ *
+ * X may start one task on target 0. Y takes X over through the log and starts the task on target 1
+ * unless it finds it on target 0. Messages and answers take any time; X may be paused between any
+ * two steps; the log goes down and comes back; the answer to Y's append may be lost.
+ *
+ * Property (M2): the task never runs on both targets.
+ * Mutants: START_BY_NOT_BOUNDED, NO_START_BY, NO_WAIT, NO_SWEEP.
+ */
+#define F 2          /* freshness period, ticks */
+#define W (F + 1)    /* settle period: freshness and margin */
+#define LAST 8       /* ticks explored */
+
+byte now = 0;
+bool logUp = true;
+bool takenOver = false;   /* the record is in the log */
+bool runs[2];
+
+/* The start order on its way from X to target 0. */
+bool orderSent = false;
+bool orderDelivered = false;
+byte orderStartBy;
+
+#define INVARIANT assert(!(runs[0] && runs[1]))
+
+active proctype time_passes()
+{
+  do
+  :: now < LAST -> now++
+  :: now >= LAST -> break
+  od
+}
+
+active proctype log_service()
+{
+  do
+  :: logUp -> logUp = false
+  :: !logUp -> logUp = true
+  :: now >= LAST -> break
+  od
+}
+
+active proctype daemon_x()
+{
+  byte sentAt;
+  byte freshUntil = F;   /* X has just read the log at time 0 */
+  bool sawTakeover = false;
+  bool answered;
+  do
+  :: /* Reads the log: the request leaves at sentAt and takes effect later. */
+     sentAt = now;
+     answered = false;
+     if
+     :: logUp -> answered = true; sawTakeover = takenOver
+     :: skip
+     fi;
+     /* The answer may arrive after any pause. */
+     if
+     :: answered && sawTakeover -> break
+     :: answered && !sawTakeover ->
+        if
+        :: sentAt + F > freshUntil -> freshUntil = sentAt + F
+        :: else
+        fi
+     :: else
+     fi
+  :: !orderSent && now < freshUntil ->
+     /* A pause may fall here, between the check and the sending. */
+#ifdef START_BY_NOT_BOUNDED
+     orderStartBy = now + F;
+#else
+     orderStartBy = freshUntil;
+#endif
+     orderSent = true
+  :: now >= LAST -> break
+  od
+}
+
+active proctype target_0()
+{
+  do
+  :: orderSent && !orderDelivered ->
+     atomic {
+       orderDelivered = true;
+       if
+#ifdef NO_START_BY
+       :: true -> runs[0] = true; INVARIANT
+#else
+       :: now < orderStartBy -> runs[0] = true; INVARIANT
+       :: else
+#endif
+       fi
+     }
+  :: now >= LAST -> break
+  od
+}
+
+active proctype daemon_y()
+{
+  byte answeredAt;
+  bool found;
+  /* The append; its answer may be lost, then the record is found by reading. */
+  do
+  :: atomic { logUp -> takenOver = true }; break
+  :: now >= LAST -> goto done
+  od;
+  answeredAt = now;
+#ifndef NO_WAIT
+  do
+  :: now >= answeredAt + W -> break
+  :: now >= LAST -> goto done
+  od;
+#endif
+  found = false;
+#ifndef NO_SWEEP
+  found = runs[0];
+#endif
+  if
+  :: !found -> atomic { runs[1] = true; INVARIANT }
+  :: else
+  fi;
+done:
+  skip
+}
