Add the placer: target ownership, accounting, queue and placement

Change: basic_placer with target registers and exchanges, resource and slice accounts, fair queue by size class, placement policies, attempts and reports; reservations, preemption, leaving targets and shutdown in a first version that has no tests yet; kernel/invariant.h.

--- /dev/null
+++ b/kernel/src/fair_queue.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "endiveusher/kernel/resources.h"
+#include "held_attempt.h"
+
+#include <array>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace endiveusher::internal {
+
+/// Position of a task within its lane: earliest deadline or oldest first.
+struct queue_rank
+{
+  time_point mTime{};
+  std::uint64_t mSequence = 0;
+
+  // The check takes the zero in the generated comparison for a null pointer.
+  auto operator<=>(const queue_rank&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// Orders sizes so that they can be map keys; the order has no meaning.
+struct size_order
+{
+  bool operator()(const resources& aLeft, const resources& aRight) const
+  {
+    return std::tie(aLeft.mSlots, aLeft.mCpuMilli, aLeft.mMemoryMb, aLeft.mAccelerators) <
+           std::tie(aRight.mSlots, aRight.mCpuMilli, aRight.mMemoryMb, aRight.mAccelerators);
+  }
+};
+
+/// Tasks of one team and one order of precedence. Tasks of the same size form a class, so that a
+/// size that does not fit is passed over at once, whatever the number of its tasks.
+class queue_lane
+{
+public:
+  using size_class = std::map<queue_rank, held_attempt*>;
+
+  void push(const queue_rank& aRank, held_attempt& aAttempt);
+  void erase(const queue_rank& aRank, const held_attempt& aAttempt);
+  bool empty() const { return mHeads.empty(); }
+  /// The first task of every class, by rank.
+  const std::map<queue_rank, held_attempt*>& heads() const { return mHeads; }
+  const std::map<resources, size_class, size_order>& classes() const { return mClasses; }
+
+private:
+  std::map<resources, size_class, size_order> mClasses;
+  std::map<queue_rank, held_attempt*> mHeads;
+};
+
+/// Queue of one team. Lanes in order of precedence: urgent, services, gangs, batch.
+struct team_queue
+{
+  static constexpr std::size_t kUrgentLane = 0;
+
+  std::string mTeam;
+  std::array<queue_lane, 4> mLanes;
+  std::size_t mCount = 0;
+  resources mWaiting;
+  /// Nothing of it fits until room, slices or the queue change.
+  bool mBlocked = false;
+  /// Something of it would fit but for the slice.
+  bool mShortOfSlice = false;
+  /// Weighted dominant share.
+  double mScore = 0.0;
+};
+
+/// Waiting tasks of all teams. The team with the smallest weighted dominant share goes first.
+class fair_queue
+{
+public:
+  void push(held_attempt& aAttempt);
+  void erase(const held_attempt& aAttempt);
+  std::size_t size() const { return mSize; }
+
+  /// The team to serve next, or null if all are empty or blocked.
+  team_queue* next();
+  void unblockAll();
+  void setScore(const team_name& aTeam, double aScore);
+  std::map<team_name, team_queue>& teams() { return mTeams; }
+  const std::map<team_name, team_queue>& teams() const { return mTeams; }
+
+private:
+  std::map<team_name, team_queue> mTeams;
+  std::size_t mSize = 0;
+};
+
+} // namespace endiveusher::internal
--- /dev/null
+++ b/kernel/src/placer_gangs.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "placer_impl.h"
+
+#include <algorithm>
+
+namespace endiveusher {
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::reserve(const incarnation_id& aHome, std::uint64_t aReservation,
+                                         std::span<const task_attempt> aTasks, duration aWaited,
+                                         time_point aNow)
+{
+  const internal::reservation_book::id id{ aHome, aReservation };
+  if (mReservations.committed(id) || mReservations.find(id) != nullptr) {
+    return true;
+  }
+  if (!mayStart(aNow) || aTasks.empty()) {
+    return false;
+  }
+  // Room held back for this gang is open to it.
+  const bool drains = mDraining && mDraining->mRequest == aTasks.front().mKey.mRequest;
+  internal::reservation made{ .mExpires = aNow + mOptions.mTiming.mReservationPeriod };
+  for (const task_attempt& task : aTasks) {
+    const held_attempt* held = mBook.find(task.mKey);
+    const bool mayHold = held == nullptr || held->mState == placed_state::queued ||
+                         (held->final() && held->mTask.mAttempt <= task.mAttempt);
+    target_state* target =
+      mayHold && sliceHas(task.mTeam, task.mSize) ? choose(task.mSize, drains, aNow) : nullptr;
+    if (target == nullptr) {
+      freeReservation(made);
+      noteWaitingGang(aTasks, aWaited, aNow);
+      return false;
+    }
+    target->mAccount.take(task.mSize);
+    ++target->mReservations;
+    mSlices.add(task.mTeam, task.mSize);
+    rescore(task.mTeam);
+    made.mParts.push_back({ .mTask = task, .mTarget = target->mTerms.mTarget });
+    internal::invariant(
+      internal::within(mSlices.of(task.mTeam).mCharged, mView.mTeams.at(task.mTeam).mSlice),
+      "a reservation keeps the team's charge within its slice");
+  }
+  mReservations.add(id, std::move(made));
+  if (drains) {
+    mDraining.reset();
+    updateDraining(aNow);
+  }
+  checkInvariants();
+  return true;
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::freeReservation(const internal::reservation& aReservation)
+{
+  for (const auto& part : aReservation.mParts) {
+    if (target_state* target = targetOf(part.mTarget)) {
+      target->mAccount.giveBack(part.mTask.mSize);
+      --target->mReservations;
+    }
+    mSlices.remove(part.mTask.mTeam, part.mTask.mSize);
+    rescore(part.mTask.mTeam);
+  }
+  roomGrew();
+}
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::commit(const incarnation_id& aHome, std::uint64_t aReservation,
+                                        time_point aNow)
+{
+  const internal::reservation_book::id id{ aHome, aReservation };
+  if (mReservations.committed(id)) {
+    return true;
+  }
+  const internal::reservation* found = mReservations.find(id);
+  if (found == nullptr) {
+    return false;
+  }
+  const bool valid =
+    aNow < found->mExpires && mayStart(aNow) &&
+    std::all_of(found->mParts.begin(), found->mParts.end(), [&](const auto& aPart) {
+      const target_state* target = targetOf(aPart.mTarget);
+      const held_attempt* held = mBook.find(aPart.mTask.mKey);
+      // The team may have been removed, or its slice lowered, since the reservation.
+      const auto terms = mView.mTeams.find(aPart.mTask.mTeam);
+      return target != nullptr && placeable(*target, aNow, true) && terms != mView.mTeams.end() &&
+             (!Guards::kChecksSlices ||
+              internal::within(mSlices.of(aPart.mTask.mTeam).mCharged, terms->second.mSlice)) &&
+             (held == nullptr || !held->onTarget());
+    });
+  const internal::reservation taken = mReservations.take(id);
+  freeReservation(taken);
+  if (!valid) {
+    return false;
+  }
+  for (const auto& part : taken.mParts) {
+    if (held_attempt* held = mBook.find(part.mTask.mKey)) {
+      erase(*held);
+    }
+    held_attempt& attempt = mBook.add(part.mTask);
+    attempt.mQueuedAt = aNow;
+    start(attempt, *targetOf(part.mTarget), aNow);
+  }
+  mReservations.setCommitted(id, aNow);
+  checkInvariants();
+  return true;
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::release(const incarnation_id& aHome, std::uint64_t aReservation)
+{
+  const internal::reservation_book::id id{ aHome, aReservation };
+  if (mReservations.find(id) != nullptr) {
+    freeReservation(mReservations.take(id));
+  }
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::noteWaitingGang(std::span<const task_attempt> aTasks,
+                                                 duration aWaited, time_point aNow)
+{
+  constexpr duration kDrainAfter = std::chrono::seconds(5);
+  const request_id& request = aTasks.front().mKey.mRequest;
+  if (mDraining && mDraining->mRequest == request) {
+    mDraining->mWaited = aWaited;
+    mDraining->mLastAsked = aNow;
+    return;
+  }
+  if (aWaited < kDrainAfter ||
+      (mDraining ? aWaited <= mDraining->mWaited : aNow < mNextDrainFrom)) {
+    return;
+  }
+  // A gang that takes the place of another gets the rest of its time.
+  internal::draining_gang gang{ .mRequest = request,
+                                .mWaited = aWaited,
+                                .mSince = mDraining ? mDraining->mSince : aNow,
+                                .mLastAsked = aNow };
+  for (const task_attempt& task : aTasks) {
+    gang.mSizes.push_back(task.mSize);
+  }
+  constexpr duration kDrainCycle = std::chrono::seconds(20);
+  mNextDrainFrom = gang.mSince + kDrainCycle;
+  mDraining = std::move(gang);
+  updateDraining(aNow);
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::updateDraining(time_point aNow)
+{
+  constexpr duration kLongestDrain = std::chrono::seconds(10);
+  // A home that asks no more has given the gang up.
+  constexpr duration kForgottenAfter = std::chrono::seconds(5);
+  if (mDraining && (aNow - mDraining->mSince >= kLongestDrain ||
+                    aNow - mDraining->mLastAsked >= kForgottenAfter)) {
+    mDraining.reset();
+  }
+  bool wasDraining = false;
+  for (target_state* target : mOrder) {
+    wasDraining = wasDraining || target->mDraining;
+    target->mDraining = false;
+  }
+  if (!mDraining) {
+    if (wasDraining) {
+      roomGrew();
+    }
+    return;
+  }
+  // The emptiest targets that together could hold the gang.
+  std::vector<target_state*> targets;
+  for (target_state* target : mOrder) {
+    if (placeable(*target, aNow, true)) {
+      targets.push_back(target);
+    }
+  }
+  std::stable_sort(targets.begin(), targets.end(), [](const auto* aLeft, const auto* aRight) {
+    return dominantShare(aLeft->mAccount.committed(), aLeft->mAccount.capacity()) <
+           dominantShare(aRight->mAccount.committed(), aRight->mAccount.capacity());
+  });
+  auto next = targets.begin();
+  resources room;
+  for (const resources& size : mDraining->mSizes) {
+    while (!size.fitsIn(room) && next != targets.end()) {
+      room = (*next)->mAccount.capacity();
+      (*next++)->mDraining = true;
+    }
+    if (!size.fitsIn(room)) {
+      return;
+    }
+    room -= size;
+  }
+}
+
+} // namespace endiveusher
--- /dev/null
+++ b/kernel/src/placer_impl.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "attempt_book.h"
+#include "endiveusher/kernel/invariant.h"
+#include "endiveusher/kernel/placer.h"
+#include "fair_queue.h"
+#include "placement_policy.h"
+#include "reservation_book.h"
+#include "slice_account.h"
+#include "target_state.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace endiveusher {
+
+/// Definitions are in the placer_*.h headers, one per concern.
+template<guard_policy Guards>
+class basic_placer<Guards>::impl
+{
+public:
+  explicit impl(placer_options aOptions);
+
+  // placer_tasks.h
+  void setView(cell_view aView, time_point aNow);
+  void enqueue(const task_attempt& aTask, duration aStartWithin, time_point aNow);
+  void recall(const incarnation_id& aHome, std::span<const task_key> aKeys, bool aStop,
+              time_point aNow);
+  void acknowledge(const incarnation_id& aHome, std::span<const placed_task> aTasks);
+  void beginShutdown();
+
+  // placer_gangs.h
+  bool reserve(const incarnation_id& aHome, std::uint64_t aReservation,
+               std::span<const task_attempt> aTasks, duration aWaited, time_point aNow);
+  bool commit(const incarnation_id& aHome, std::uint64_t aReservation, time_point aNow);
+  void release(const incarnation_id& aHome, std::uint64_t aReservation);
+
+  // placer_answers.h
+  void handle(const exchange_event& aEvent, time_point aNow);
+
+  // placer_schedule.h
+  void tick(time_point aNow);
+
+  // placer_report.h
+  std::vector<exchange_effect> takeExchanges() { return std::exchange(mExchanges, {}); }
+  std::vector<log_effect> takeLogs() { return std::exchange(mLogs, {}); }
+  std::vector<incarnation_id> takeChangedHomes();
+  std::vector<incarnation_id> homes() const;
+  task_report reportFor(const incarnation_id& aHome) const;
+  placer_summary summary() const;
+  limit_vector charged(const team_name& aTeam) const { return mSlices.of(aTeam).mCharged; }
+  std::vector<slice_request> shortages() const;
+  bool swept(const std::set<target_id>& aElsewhere, bool aProvedDead, time_point aSince,
+             time_point aNow) const;
+  bool couldEverFit(const resources& aSize) const;
+  bool released() const;
+  std::string dump(time_point aNow) const;
+
+private:
+  using held_attempt = internal::held_attempt;
+  using target_state = internal::target_state;
+  using target_wish = internal::target_wish;
+  using team_queue = internal::team_queue;
+
+  /// Room kept for an urgent task while preempted tasks end.
+  struct urgent_hold
+  {
+    target_id mTarget;
+    resources mSize;
+    time_point mUntil{};
+  };
+
+  // placer_tasks.h: transitions of attempts.
+  const incarnation_id& self() const { return mView.mSelf; }
+  bool isSelf(const incarnation_id& aIncarnation) const
+  {
+    return mView.resolve(aIncarnation) == mView.mSelf;
+  }
+  void charge(held_attempt& aAttempt);
+  void uncharge(held_attempt& aAttempt);
+  void queue(held_attempt& aAttempt);
+  /// Takes an attempt off its target: charge, account and orders.
+  void detach(held_attempt& aAttempt);
+  /// Takes back a start that was surely not executed.
+  void requeue(held_attempt& aAttempt);
+  void setReturned(held_attempt& aAttempt);
+  /// The attempt surely runs no more, and its outcome is not known.
+  void setLost(held_attempt& aAttempt);
+  void setRunning(held_attempt& aAttempt, target_state& aTarget, bool aOwn, time_point aNow);
+  void uncount(held_attempt& aAttempt, target_state& aTarget);
+  void erase(held_attempt& aAttempt);
+  void orderEnd(held_attempt& aAttempt, order_action aAction);
+  /// Ends an attempt so that it can go on elsewhere.
+  void evict(held_attempt& aAttempt);
+  void dropHold(const task_key& aKey);
+  void roomGrew();
+  void rescore(const team_name& aTeam);
+  void rescoreAll();
+  target_state* targetOf(const target_id& aTarget);
+
+  // placer_schedule.h
+  bool mayStart(time_point aNow) const;
+  bool placeable(const target_state& aTarget, time_point aNow, bool aUrgent) const;
+  bool sliceHas(const team_name& aTeam, const resources& aSize) const;
+  void schedule(time_point aNow);
+  bool startNext(team_queue& aTeam, time_point aNow);
+  target_state* choose(const resources& aSize, bool aUrgent, time_point aNow);
+  target_state* heldTarget(const held_attempt& aAttempt, time_point aNow);
+  void start(held_attempt& aAttempt, target_state& aTarget, time_point aNow);
+  void scan(time_point aNow);
+  void checkInvariants() const;
+
+  // placer_eviction.h
+  void evictFromLeaving();
+  void enforceSlices(time_point aNow);
+  void preemptForUrgent(time_point aNow);
+  bool preemptFor(const held_attempt& aUrgent, time_point aNow);
+  std::vector<team_queue*> teamsByScore();
+
+  // placer_gangs.h
+  void freeReservation(const internal::reservation& aReservation);
+  void noteWaitingGang(std::span<const task_attempt> aTasks, duration aWaited, time_point aNow);
+  void updateDraining(time_point aNow);
+
+  // placer_exchanges.h
+  target_wish decide(const target_state& aTarget) const;
+  target_wish decideOwned(const target_state& aTarget) const;
+  bool presumedSuccessorOf(const incarnation_id& aSilent, const target_state& aTarget) const;
+  bool mustPoll(const target_state& aTarget) const;
+  void exchangeIfDue(target_state& aTarget, time_point aNow);
+  void sendExchange(target_state& aTarget, target_wish aWish, time_point aNow);
+  void addOrders(target_state& aTarget, exchange_request& aRequest, time_point aNow);
+  void onTimeout(target_state& aTarget, time_point aNow);
+  void expireLeases(target_state& aTarget, time_point aNow);
+
+  // placer_answers.h
+  void onAnswer(target_state& aTarget, const exchange_response& aAnswer, time_point aNow);
+  void onRestart(target_state& aTarget);
+  void applyResults(target_state& aTarget, const exchange_response& aAnswer, time_point aNow);
+  void applyStartResult(target_state& aTarget, held_attempt& aAttempt, order_result_code aCode,
+                        time_point aNow);
+  void adoptTable(target_state& aTarget, time_point aNow);
+  void adoptEntry(target_state& aTarget, const running_task& aEntry, time_point aNow);
+  void applyFinished(target_state& aTarget, const exchange_response& aAnswer, time_point aNow);
+  void settleOrders(target_state& aTarget, const exchange_response& aAnswer, bool aVoid);
+  void dropMissing(target_state& aTarget);
+  void noteHealth(target_state& aTarget, bool aFailed, time_point aNow);
+  void updateAccount(target_state& aTarget, const exchange_response& aAnswer);
+
+  template<typename... Arguments>
+  void log(log_level aLevel, fmt::format_string<Arguments...> aText, Arguments&&... aArguments)
+  {
+    mLogs.push_back({ .mLevel = aLevel,
+                      .mPart = "placer",
+                      .mText = fmt::format(aText, std::forward<Arguments>(aArguments)...) });
+  }
+
+  placer_options mOptions;
+  cell_view mView;
+  bool mShuttingDown = false;
+  /// Offset applied when the latest succession by this daemon was seen.
+  log_offset mSweepOffset = 0;
+
+  internal::attempt_book mBook;
+  internal::fair_queue mQueue;
+  internal::slice_account mSlices;
+  internal::reservation_book mReservations;
+  std::optional<internal::draining_gang> mDraining;
+  time_point mNextDrainFrom{};
+  std::map<task_key, urgent_hold> mHolds;
+  /// Since when the charge of a team has exceeded its slice.
+  std::map<team_name, time_point> mOverSince;
+
+  std::map<target_id, target_state> mTargets;
+  /// All targets in the order of their ids.
+  std::vector<target_state*> mOrder;
+  resources mOwnTotal;
+  std::unique_ptr<internal::placement_policy> mPolicy;
+  std::mt19937_64 mRandom;
+  std::vector<internal::placement_candidate> mCandidates;
+  std::vector<target_state*> mCandidateTargets;
+  /// Sizes that found no room since room last grew; index 1 for urgent tasks.
+  std::array<std::vector<resources>, 2> mNoRoom;
+
+  std::uint64_t mLastExchange = 0;
+  std::uint64_t mLastOrder = 0;
+  time_point mLastRelease{};
+  time_point mNextScan{};
+  time_point mNextRetry{};
+  std::vector<exchange_effect> mExchanges;
+  std::vector<log_effect> mLogs;
+};
+
+} // namespace endiveusher
--- /dev/null
+++ b/kernel/src/placer_schedule.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "placer_impl.h"
+
+namespace endiveusher {
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::mayStart(time_point aNow) const
+{
+  if (mShuttingDown) {
+    return false;
+  }
+  if constexpr (Guards::kChecksFreshness) {
+    return aNow < mView.mFreshUntil;
+  }
+  return true;
+}
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::placeable(const target_state& aTarget, time_point aNow,
+                                           bool aUrgent) const
+{
+  if (!aTarget.mOwned || !aTarget.mListed || aTarget.mMissed > 0 || aTarget.mReleasing ||
+      !aTarget.mTableKnown || aTarget.mForeign > 0) {
+    return false;
+  }
+  if (Guards::kChecksLeaving && aTarget.leaving()) {
+    return false;
+  }
+  return aNow >= aTarget.mBackoffUntil && aTarget.mHealth.admits(aNow) &&
+         (aUrgent || !aTarget.mDraining);
+}
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::sliceHas(const team_name& aTeam, const resources& aSize) const
+{
+  const auto terms = mView.mTeams.find(aTeam);
+  if (terms == mView.mTeams.end()) {
+    return false;
+  }
+  if constexpr (Guards::kChecksSlices) {
+    return internal::within(internal::sum(mSlices.of(aTeam).mCharged, internal::chargeOf(aSize)),
+                            terms->second.mSlice);
+  }
+  return true;
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::schedule(time_point aNow)
+{
+  if (!mayStart(aNow)) {
+    return;
+  }
+  while (team_queue* team = mQueue.next()) {
+    if (!startNext(*team, aNow)) {
+      team->mBlocked = true;
+    }
+  }
+}
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::startNext(team_queue& aTeam, time_point aNow)
+{
+  aTeam.mShortOfSlice = false;
+  if (!mView.mTeams.contains(aTeam.mTeam)) {
+    return false;
+  }
+  // Urgent tasks for which others were preempted.
+  for (const auto& [key, hold] : mHolds) {
+    held_attempt* attempt = mBook.find(key);
+    if (attempt->mTask.mTeam != aTeam.mTeam || !sliceHas(aTeam.mTeam, hold.mSize)) {
+      continue;
+    }
+    if (target_state* target = heldTarget(*attempt, aNow)) {
+      mQueue.erase(*attempt);
+      start(*attempt, *target, aNow);
+      return true;
+    }
+  }
+  for (std::size_t lane = 0; lane < aTeam.mLanes.size(); ++lane) {
+    const bool urgent = lane == team_queue::kUrgentLane;
+    for (const auto& [rank, head] : aTeam.mLanes.at(lane).heads()) {
+      held_attempt& attempt = *head;
+      const resources& size = attempt.mTask.mSize;
+      if (!sliceHas(aTeam.mTeam, size)) {
+        aTeam.mShortOfSlice =
+          aTeam.mShortOfSlice ||
+          std::any_of(mOrder.begin(), mOrder.end(), [&](const auto* aTarget) {
+            return size.fitsIn(aTarget->mAccount.room()) && placeable(*aTarget, aNow, urgent);
+          });
+        continue;
+      }
+      if (target_state* target = choose(size, urgent, aNow)) {
+        mQueue.erase(attempt);
+        start(attempt, *target, aNow);
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+template<guard_policy Guards>
+internal::target_state* basic_placer<Guards>::impl::heldTarget(const held_attempt& aAttempt,
+                                                               time_point aNow)
+{
+  const auto hold = mHolds.find(aAttempt.mTask.mKey);
+  if (hold == mHolds.end()) {
+    return nullptr;
+  }
+  target_state* target = targetOf(hold->second.mTarget);
+  const bool fits = target != nullptr && placeable(*target, aNow, true) &&
+                    aAttempt.mTask.mSize.fitsIn(target->mAccount.roomWith(hold->second.mSize));
+  return fits ? target : nullptr;
+}
+
+template<guard_policy Guards>
+internal::target_state* basic_placer<Guards>::impl::choose(const resources& aSize, bool aUrgent,
+                                                           time_point aNow)
+{
+  std::vector<resources>& noRoom = mNoRoom.at(aUrgent ? 1 : 0);
+  const auto asLarge = [&](const resources& aFailed) { return aFailed.fitsIn(aSize); };
+  if (std::any_of(noRoom.begin(), noRoom.end(), asLarge)) {
+    return nullptr;
+  }
+  mCandidates.clear();
+  mCandidateTargets.clear();
+  for (target_state* target : mOrder) {
+    if (aSize.fitsIn(target->mAccount.room()) && placeable(*target, aNow, aUrgent)) {
+      mCandidates.push_back({ .mIndex = target->mIndex,
+                              .mRoom = target->mAccount.room(),
+                              .mCapacity = target->mAccount.capacity(),
+                              .mFailureRatio = target->mHealth.failureRatio() });
+      mCandidateTargets.push_back(target);
+    }
+  }
+  if (mCandidates.empty()) {
+    std::erase_if(noRoom, [&](const resources& aFailed) { return aSize.fitsIn(aFailed); });
+    noRoom.push_back(aSize);
+    return nullptr;
+  }
+  return mCandidateTargets.at(mPolicy->choose(aSize, mCandidates));
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::start(held_attempt& aAttempt, target_state& aTarget,
+                                       time_point aNow)
+{
+  dropHold(aAttempt.mTask.mKey);
+  aAttempt.mTask.mPlacer = self();
+  aAttempt.mOwn = true;
+  aAttempt.mState = placed_state::starting;
+  aAttempt.mTarget = aTarget.mTerms.mTarget;
+  aAttempt.mStartedAt = aNow;
+  aAttempt.mStartOrder = ++mLastOrder;
+  charge(aAttempt);
+  aAttempt.mCounted = true;
+  aTarget.mAccount.take(aAttempt.mTask.mSize);
+  aTarget.mHeld.insert(aAttempt.mTask.mKey);
+  aTarget.mOrders[aAttempt.mStartOrder] = { .mOrder = { .mOrderId = aAttempt.mStartOrder,
+                                                        .mAction = order_action::start,
+                                                        .mTask = aAttempt.mTask } };
+  aTarget.mUnsentOrders = true;
+  aTarget.mHealth.started();
+  mBook.changed(aAttempt);
+  internal::invariant(internal::within(mSlices.of(aAttempt.mTask.mTeam).mCharged,
+                                       mView.mTeams.at(aAttempt.mTask.mTeam).mSlice),
+                      "a start keeps the team's charge within its slice");
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::checkInvariants() const
+{
+  for (const target_state* target : mOrder) {
+    internal::invariant(target->mAccount.withinCapacity(),
+                        "no target's account exceeds its capacity");
+  }
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::scan(time_point aNow)
+{
+  for (const auto& id : mReservations.expired(aNow)) {
+    freeReservation(mReservations.take(id));
+  }
+  std::vector<task_key> endedHolds;
+  for (const auto& [key, hold] : mHolds) {
+    if (aNow >= hold.mUntil) {
+      endedHolds.push_back(key);
+    }
+  }
+  for (const task_key& key : endedHolds) {
+    dropHold(key);
+  }
+  for (target_state* target : mOrder) {
+    expireLeases(*target, aNow);
+  }
+  updateDraining(aNow);
+  evictFromLeaving();
+  enforceSlices(aNow);
+  preemptForUrgent(aNow);
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::tick(time_point aNow)
+{
+  // Retries what time alone may have made possible, such as the end of an ejection.
+  constexpr duration kRetryInterval = std::chrono::milliseconds(100);
+  constexpr duration kScanInterval = std::chrono::milliseconds(10);
+  if (aNow >= mNextRetry) {
+    mNextRetry = aNow + kRetryInterval;
+    roomGrew();
+  }
+  const bool scans = aNow >= mNextScan;
+  if (scans) {
+    mNextScan = aNow + kScanInterval;
+    scan(aNow);
+  }
+  schedule(aNow);
+  for (target_state* target : mOrder) {
+    if (scans || target->mUnsentOrders) {
+      exchangeIfDue(*target, aNow);
+    }
+  }
+  checkInvariants();
+}
+
+} // namespace endiveusher
