Test the placer's guards, queue, limits, gangs and evictions

Three faults found: renewals to a silent target went on, so that its attempts were never lost; the failure ratio never faded; without kCountsUnansweredOrders the orders stayed pending. kChecksEpoch removed now sends no epoch.

--- a/kernel/src/placer_answers.h
+++ b/kernel/src/placer_answers.h
@@ -58,7 +58,7 @@
   }
   applyFinished(aTarget, aAnswer, aNow);
   if (aTarget.mTableKnown) {
-    settleOrders(aTarget, aAnswer, Guards::kChecksEpoch && newEpoch);
+    settleOrders(aTarget, aAnswer, newEpoch);
     if (aAnswer.mTable) {
       dropMissing(aTarget);
     }
@@ -355,10 +355,10 @@
 void basic_placer<Guards>::impl::noteHealth(target_state& aTarget, bool aFailed, time_point aNow)
 {
   if (!aFailed) {
-    aTarget.mHealth.succeeded();
+    aTarget.mHealth.succeeded(aNow);
     return;
   }
-  if (!aTarget.mHealth.failed()) {
+  if (!aTarget.mHealth.failed(aNow)) {
     return;
   }
   // Counted over the own targets, so that the placers of a zone together stay below the part too.
@@ -386,19 +386,13 @@
   for (const auto& [key, entry] : aTarget.mTable) {
     table += entry.mTask.mSize;
   }
-  bool starting = false;
   for (const task_key& key : aTarget.mHeld) {
-    held_attempt& attempt = *mBook.find(key);
-    starting = starting || attempt.mState == placed_state::starting;
+    const held_attempt& attempt = *mBook.find(key);
     if (attempt.mState == placed_state::running && !aTarget.mTable.contains(key)) {
       // Started by this answer, which brought no table.
       table += attempt.mTask.mSize;
       aTarget.mTableVersion = 0;
     }
-    if (attempt.mState == placed_state::starting && !attempt.mCounted) {
-      attempt.mCounted = true;
-      aTarget.mAccount.take(attempt.mTask.mSize);
-    }
   }
   aTarget.mAccount.setReported(aAnswer.mCapacity, aAnswer.mMeasured, table);
   resources total;
--- a/kernel/src/placer_exchanges.h
+++ b/kernel/src/placer_exchanges.h
@@ -136,7 +136,11 @@
     request.mOwnershipLease =
       std::chrono::duration_cast<std::chrono::milliseconds>(timing.mOwnershipLease);
   }
-  if (aWish != target_wish::read && aTarget.contacted() && aNow < mView.mRenewUntil) {
+  // Renewals to a silent target stop, so that its leases surely end and its work can go on
+  // elsewhere.
+  constexpr std::uint32_t kMissedToStopRenewal = 3;
+  if (aWish != target_wish::read && aTarget.contacted() && aNow < mView.mRenewUntil &&
+      aTarget.mMissed < kMissedToStopRenewal) {
     // Counted from the earliest reading, so that no lease outlasts the renewal by more than a
     // task lease.
     request.mTaskLeaseUntil =
@@ -215,10 +219,10 @@
         aTarget.mTerms.mAddress);
   }
   if constexpr (!Guards::kCountsUnansweredOrders) {
-    for (const task_key& key : aTarget.mHeld) {
+    for (const task_key& key : std::set(aTarget.mHeld)) {
       held_attempt& attempt = *mBook.find(key);
       if (attempt.mState == placed_state::starting) {
-        uncount(attempt, aTarget);
+        requeue(attempt);
       }
     }
   }
--- a/kernel/src/placer_report.h
+++ b/kernel/src/placer_report.h
@@ -218,7 +218,7 @@
                     { "room", amounts(target.mAccount.room()) },
                     { "ejected", target.mHealth.ejected() },
                     { "draining", target.mDraining },
-                    { "failure_ratio", target.mHealth.failureRatio() } };
+                    { "failure_ratio", target.mHealth.failureRatio(aNow) } };
   }
   json teams = json::object();
   for (const team_usage& usage : summary().mTeams) {
--- a/kernel/src/placer_schedule.h
+++ b/kernel/src/placer_schedule.h
@@ -130,7 +130,7 @@
       mCandidates.push_back({ .mIndex = target->mIndex,
                               .mRoom = target->mAccount.room(),
                               .mCapacity = target->mAccount.capacity(),
-                              .mFailureRatio = target->mHealth.failureRatio() });
+                              .mFailureRatio = target->mHealth.failureRatio(aNow) });
       mCandidateTargets.push_back(target);
     }
   }
--- a/kernel/src/target_health.h
+++ b/kernel/src/target_health.h
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/time.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace endiveusher::internal {
@@ -15,18 +16,18 @@
   static constexpr duration kFirstEjection = std::chrono::seconds(5);
   static constexpr duration kLongestEjection = std::chrono::minutes(5);
 
-  void succeeded()
+  void succeeded(time_point aNow)
   {
-    mFailureRatio *= 1.0 - kWeight;
+    weigh(0.0, aNow);
     mConsecutive = 0;
     mEjections = 0;
     mEjected = false;
     mProbing = false;
   }
   /// Returns true if the target should be ejected now.
-  bool failed()
+  bool failed(time_point aNow)
   {
-    mFailureRatio = mFailureRatio * (1.0 - kWeight) + kWeight;
+    weigh(1.0, aNow);
     ++mConsecutive;
     const bool probeFailed = mProbing;
     mProbing = false;
@@ -50,13 +51,29 @@
   void started() { mProbing = mProbing || mEjected; }
   /// The start ended without telling anything about the target.
   void startVoid() { mProbing = false; }
-  /// Exponentially weighted share of recent starts that failed.
-  double failureRatio() const { return mFailureRatio; }
+  /// Exponentially weighted share of recent starts that failed. Fades with time, because a target
+  /// that is avoided has no starts that could lower it.
+  double failureRatio(time_point aNow) const
+  {
+    if (mFailureRatio <= 0.0) {
+      return 0.0;
+    }
+    using seconds = std::chrono::duration<double>;
+    return mFailureRatio * std::exp2(-seconds(aNow - mWeighed) / seconds(kHalfLife));
+  }
 
 private:
   /// The last ten or so starts dominate the ratio.
   static constexpr double kWeight = 0.1;
+  static constexpr duration kHalfLife = std::chrono::seconds(30);
+
+  void weigh(double aFailed, time_point aNow)
+  {
+    mFailureRatio = failureRatio(aNow) * (1.0 - kWeight) + kWeight * aFailed;
+    mWeighed = aNow;
+  }
 
+  time_point mWeighed{};
   double mFailureRatio = 0.0;
   std::uint32_t mConsecutive = 0;
   std::uint32_t mEjections = 0;
--- a/tests/kernel/placer_fixture.h
+++ b/tests/kernel/placer_fixture.h
@@ -25,8 +25,8 @@
   bool mChecksCapacity = true;
   bool mLeaving = false;
   bool mFailsStarts = false;
-  bool mChecksEpoch = true;
-  resources mMeasured;
+  /// Measured use beyond the declared sizes.
+  resources mExtraUse;
 
   incarnation_id mOwner;
   std::uint64_t mEpoch = 0;
@@ -140,7 +140,8 @@
     exchange_response answer{ .mTarget = mId,
                               .mTargetIncarnation = mIncarnation,
                               .mClock = aClock };
-    const bool current = owner && (!mChecksEpoch || aRequest.mEpoch == mEpoch);
+    // Orders that name no epoch, as without the guard, are checked by owner alone.
+    const bool current = owner && (aRequest.mEpoch == 0 || aRequest.mEpoch == mEpoch);
     for (const target_order& order : aRequest.mOrders) {
       const auto known = mAnswered.find(order.mOrderId);
       const order_result_code code =
@@ -157,7 +158,7 @@
     answer.mOwnerUntil = mOwnerUntil;
     answer.mLeaving = mLeaving;
     answer.mCapacity = mCapacity;
-    answer.mMeasured = mMeasured;
+    answer.mMeasured = used() + mExtraUse;
     answer.mTableVersion = mVersion;
     answer.mFinished = mFinished;
     if (aRequest.mKnownTableVersion != mVersion || aRequest.mTargetIncarnation != mIncarnation) {
@@ -175,6 +176,7 @@
   normal,
   lose_request,
   lose_answer,
+  delay, ///< The request arrives after the placer has given the exchange up.
 };
 
 /// One placer with fake targets, driven in steps of 10 ms. Exchanges take no time.
@@ -220,6 +222,18 @@
     for (auto& [id, target] : mTargets) {
       target.advance(clockOf());
     }
+    std::erase_if(mDelayed, [&](const auto& aDelayed) {
+      if (mNow < aDelayed.first) {
+        return false;
+      }
+      const exchange_effect& sent = aDelayed.second;
+      fake_target& target = mTargets.at(sent.mRequest.mTarget);
+      mPlacer.handle(exchange_event{ .mTarget = target.mId,
+                                     .mExchangeId = sent.mExchangeId,
+                                     .mResponse = target.exchange(sent.mRequest, clockOf()) },
+                     mNow);
+      return true;
+    });
     mPlacer.tick(mNow);
     for (const exchange_effect& sent : mPlacer.takeExchanges()) {
       mSent.push_back(sent);
@@ -231,13 +245,20 @@
         mPlacer.handle(event, mNow);
         continue;
       }
+      if (how == delivery::delay) {
+        mDelayed.emplace_back(mNow + 900ms, sent);
+      }
       if (how == delivery::lose_answer) {
         target.exchange(sent.mRequest, clockOf());
       }
       mTimeouts.emplace_back(mNow + 800ms, event);
     }
+    std::set<task_key> keys;
     for (auto& [id, target] : mTargets) {
       mOvercommitted = mOvercommitted || !target.used().fitsIn(target.mCapacity);
+      for (const auto& [key, entry] : target.mTable) {
+        mDoubled = !keys.insert(key).second || mDoubled;
+      }
     }
   }
   void run(duration aSpan)
@@ -293,7 +314,10 @@
   std::function<delivery(const exchange_effect&)> mDelivery;
   std::vector<std::pair<time_point, exchange_event>> mTimeouts;
   std::vector<exchange_effect> mSent;
+  std::vector<std::pair<time_point, exchange_effect>> mDelayed;
+  /// A target has run more than its capacity; a task has run on two targets.
   bool mOvercommitted = false;
+  bool mDoubled = false;
 };
 
 /// Counts broken invariants instead of aborting, while it lives.
--- /dev/null
+++ b/tests/kernel/placer_limits_test.cpp
@@ -0,0 +1,133 @@
+#include "placer_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+
+namespace {
+
+std::vector<task_attempt> gangOf(placer_harness<>& aCell, std::uint32_t aCount)
+{
+  std::vector<task_attempt> tasks;
+  for (std::uint32_t i = 0; i < aCount; ++i) {
+    task_attempt task = aCell.task(i);
+    task.mKey.mRequest = "gang";
+    task.mKind = job_kind::gang;
+    tasks.push_back(task);
+  }
+  return tasks;
+}
+
+} // namespace
+
+TEST_GROUP(placer_limits){};
+
+// Guards against a daemon that never asks for the slice that its waiting work lacks.
+TEST(placer_limits, namesTheShortage)
+{
+  placer_harness<> cell(1);
+  cell.mView.mTeams["team"].mSlice.mTasks = 3;
+  cell.setView();
+  cell.enqueueMany(5);
+  cell.run(1s);
+  const std::vector<slice_request> shortages = cell.mPlacer.shortages();
+  UNSIGNED_LONGS_EQUAL(1, shortages.size());
+  LONGS_EQUAL(2, shortages.at(0).mWanted.mTasks);
+  LONGS_EQUAL(0, cell.mPlacer.summary().mTeams.at(0).mUnusedSlice.mTasks);
+}
+
+// Guards against a lowered limit that running work keeps exceeding, and services stopped first.
+TEST(placer_limits, loweredLimitStopsTheYoungestBatchFirst)
+{
+  placer_harness<> cell(1);
+  cell.run(100ms);
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    task_attempt task = cell.task(i);
+    task.mKind = i < 3 ? job_kind::service : job_kind::batch;
+    cell.enqueue(task);
+    cell.run(100ms);
+  }
+  cell.mView.mTeams["team"].mSlice.mTasks = 4;
+  cell.setView();
+  cell.run(1500ms);
+  UNSIGNED_LONGS_EQUAL(8, cell.running());
+  cell.run(1500ms);
+  UNSIGNED_LONGS_EQUAL(4, cell.running());
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    CHECK(cell.placed(i).mState == placed_state::running);
+  }
+}
+
+// Guards against gangs of which only a part starts.
+TEST(placer_limits, reservesForAllTasksOfAGangOrNone)
+{
+  placer_harness<> cell(2);
+  cell.enqueueMany(2);
+  cell.run(1s);
+  CHECK_FALSE(cell.mPlacer.reserve("home", 1, gangOf(cell, 15), 0s, cell.mNow));
+  LONGS_EQUAL(2, cell.mPlacer.charged("team").mTasks);
+  CHECK(cell.mPlacer.reserve("home", 2, gangOf(cell, 14), 0s, cell.mNow));
+  CHECK(cell.mPlacer.reserve("home", 2, gangOf(cell, 14), 0s, cell.mNow));
+  LONGS_EQUAL(16, cell.mPlacer.charged("team").mTasks);
+  // Other work must not use the reserved room.
+  cell.enqueue(cell.task(9));
+  cell.run(500ms);
+  CHECK(cell.placed(9).mState == placed_state::queued);
+  CHECK(cell.mPlacer.commit("home", 2, cell.mNow));
+  CHECK(cell.mPlacer.commit("home", 2, cell.mNow));
+  cell.run(500ms);
+  UNSIGNED_LONGS_EQUAL(16, cell.running());
+  CHECK_FALSE(cell.mOvercommitted);
+}
+
+// Guards against room that stays reserved for a home that does not come back.
+TEST(placer_limits, reservationsExpire)
+{
+  placer_harness<> cell(1);
+  cell.run(1s);
+  CHECK(cell.mPlacer.reserve("home", 1, gangOf(cell, 8), 0s, cell.mNow));
+  cell.run(4s);
+  LONGS_EQUAL(0, cell.mPlacer.charged("team").mTasks);
+  CHECK_FALSE(cell.mPlacer.commit("home", 1, cell.mNow));
+  CHECK(cell.mPlacer.reserve("home", 3, gangOf(cell, 8), 0s, cell.mNow));
+  cell.mPlacer.release("home", 3);
+  LONGS_EQUAL(0, cell.mPlacer.charged("team").mTasks);
+}
+
+// Guards against a gang that starves because small tasks take all room as it is freed.
+TEST(placer_limits, holdsFreedRoomBackForTheDrainingGang)
+{
+  placer_harness<> cell(1);
+  cell.enqueueMany(200);
+  cell.run(1s);
+  bool reserved = false;
+  duration waited = 0s;
+  std::uint32_t next = 0;
+  for (; waited < 12s && !reserved; waited += 500ms) {
+    reserved = cell.mPlacer.reserve("home", 1, gangOf(cell, 8), waited, cell.mNow);
+    // Two tasks end every half second.
+    cell.target().finish({ "job", next++ }, attempt_outcome::succeeded);
+    cell.target().finish({ "job", next++ }, attempt_outcome::succeeded);
+    cell.run(500ms);
+  }
+  CHECK(reserved);
+  CHECK(waited > 5s);
+}
+
+// Guards against room held back for a gang for ever.
+TEST(placer_limits, drainingEndsAfterTenSeconds)
+{
+  placer_harness<> cell(1);
+  cell.run(1s);
+  for (int i = 0; i < 9; ++i) {
+    CHECK_FALSE(cell.mPlacer.reserve("home", 1, gangOf(cell, 9), 6s, cell.mNow));
+    cell.run(1s);
+  }
+  cell.enqueue(cell.task(0));
+  cell.run(500ms);
+  CHECK(cell.placed(0).mState == placed_state::queued);
+  cell.run(1s);
+  CHECK_FALSE(cell.mPlacer.reserve("home", 1, gangOf(cell, 9), 7s, cell.mNow));
+  cell.run(1s);
+  CHECK(cell.placed(0).mState == placed_state::running);
+}
