--- a/kernel/src/placer_gangs.h
+++ b/kernel/src/placer_gangs.h
@@ -43,8 +43,8 @@
   }
   mReservations.add(id, std::move(made));
   if (drains) {
-    mDraining.reset();
-    updateDraining(aNow);
+    // Other placers of the gang may still lack room, so draining goes on until the commit.
+    mDraining->mLastAsked = aNow;
   }
   checkInvariants();
   return true;
@@ -102,6 +102,10 @@
     start(attempt, *targetOf(part.mTarget), aNow);
   }
   mReservations.setCommitted(id, aNow);
+  if (mDraining && mDraining->mRequest == taken.mParts.front().mTask.mKey.mRequest) {
+    mDraining.reset();
+    updateDraining(aNow);
+  }
   checkInvariants();
   return true;
 }
