Number delegates and name the offset in task reports

A placer forgets a task once the home has acknowledged its end; a repeated delegate that arrives later would start it again. Delegates and reserves carry a growing number, and the acknowledgement closes all lower ones. A task report names the offset applied by its sender, which shows the successor of a home that the report was made after the takeover.

--- a/kernel/include/endiveusher/kernel/messages/peer.h
+++ b/kernel/include/endiveusher/kernel/messages/peer.h
@@ -58,6 +58,8 @@
   std::vector<task_attempt> mTasks;
   /// Urgency deadline of each, measured from the sending; zero if none.
   std::vector<std::chrono::milliseconds> mStartWithin;
+  /// Grows with every delegate and reserve of one home.
+  std::uint64_t mSequence = 0;
 };
 
 enum class placed_state
@@ -87,12 +89,17 @@
 {
   incarnation_id mHome;
   std::uint64_t mSequence = 0;
+  /// Offset up to which the sender had applied stream control.
+  log_offset mControlOffset = 0;
   std::vector<placed_task> mTasks;
 };
 /// The home has taken over the end of these tasks; the placer forgets them.
 struct report_ack
 {
   std::vector<placed_task> mTasks;
+  /// Delegates and reserves of the home numbered below this are void if they arrive later; a late
+  /// copy would start a forgotten task again.
+  std::uint64_t mClosedBefore = 0;
 };
 /// The home wants these back: queued ones are returned, running ones stopped if mStop.
 struct recall
