--- /dev/null
+++ b/kernel/src/forwarded_calls.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "endiveusher/kernel/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace endiveusher::internal {
+
+/// Remembers which forwarded calls were handled. A late copy of a call that was refused as not run
+/// must not be accepted afterwards.
+class forwarded_calls
+{
+public:
+  enum class arrival
+  {
+    first,
+    repeated,
+    too_old, ///< Cannot be told from a repetition.
+  };
+  static constexpr std::size_t kMaxKept = 10'000;
+
+  arrival note(const incarnation_id& aPeer, std::uint64_t aCallId)
+  {
+    auto& peer = mPeers[aPeer];
+    if (aCallId < peer.mFloor) {
+      return arrival::too_old;
+    }
+    if (!peer.mHandled.insert(aCallId).second) {
+      return arrival::repeated;
+    }
+    if (peer.mHandled.size() > kMaxKept) {
+      peer.mFloor = *peer.mHandled.begin() + 1;
+      peer.mHandled.erase(peer.mHandled.begin());
+    }
+    return arrival::first;
+  }
+
+private:
+  struct peer
+  {
+    std::uint64_t mFloor = 0;
+    std::set<std::uint64_t> mHandled;
+  };
+  std::map<incarnation_id, peer> mPeers;
+};
+
+} // namespace endiveusher::internal
--- /dev/null
+++ b/kernel/src/gang_coordinator.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "delegation.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace endiveusher::internal {
+
+/// Starts gangs: reserves room for all tasks at one or more placers, then commits or releases.
+template<guard_policy Guards>
+class gang_coordinator
+{
+public:
+  gang_coordinator(core_context<Guards>& aContext, placer_links<Guards>& aLinks,
+                   member_rooms<Guards>& aRooms, delegation<Guards>& aDelegation)
+    : mContext(aContext), mLinks(aLinks), mRooms(aRooms), mDelegation(aDelegation)
+  {
+  }
+
+  void start(home_job& aJob);
+  /// Takes up a gang of a home that has ended; its tasks may be running.
+  void inherit(home_job& aJob);
+  void cancel(home_job& aJob);
+  /// A placer is done with a task.
+  void taskOver(home_job& aJob, std::uint32_t aIndex, const placed_task& aPlaced);
+  void handle(const incarnation_id& aFrom, const reserve_answer& aAnswer);
+  void forget(const request_id& aRequest);
+  /// Tries the gangs that are due and repeats commits.
+  void tick();
+
+private:
+  static constexpr duration kBackOffBase = std::chrono::milliseconds(50);
+  static constexpr duration kBackOffLargest = std::chrono::seconds(5);
+  static constexpr duration kRetryLargest = std::chrono::seconds(30);
+  /// A draining gang asks often, because freed room is held back for it meanwhile.
+  static constexpr duration kDrainingBackOff = std::chrono::milliseconds(500);
+  static constexpr duration kDrainAfter = std::chrono::seconds(5);
+  static constexpr duration kAnswerPeriod = std::chrono::seconds(1);
+  static constexpr duration kRepeatCommit = std::chrono::milliseconds(200);
+  static constexpr std::size_t kMaxTriesPerTick = 50;
+  static constexpr std::size_t kFailingTargets = 3;
+  static constexpr std::uint32_t kMaxFailures = 10;
+
+  enum class phase
+  {
+    waiting,   ///< For the next try.
+    reserving, ///< For answers to reserve.
+    running,   ///< Committed.
+    stopping,  ///< For the end of all tasks after one has failed.
+  };
+  enum class result : std::uint8_t
+  {
+    none,
+    returned,
+    succeeded,
+    failed,
+    stopped,
+    checkpointed,
+    unknown,
+  };
+  struct part
+  {
+    std::vector<std::uint32_t> mTasks;
+    bool mReserved = false;
+  };
+  struct gang
+  {
+    phase mPhase = phase::waiting;
+    time_point mWaitingSince{};
+    std::uint32_t mTries = 0;
+    std::uint32_t mFailures = 0;
+    std::set<target_id> mFailedOn;
+    std::uint64_t mReservation = 0;
+    std::map<incarnation_id, part> mParts;
+    time_point mDeadline{};
+    time_point mCommitSentAt{};
+    std::vector<result> mResults;
+    std::uint32_t mAtRest = 0;
+  };
+
+  static result classify(const placed_task& aPlaced);
+  void scheduleTry(const request_id& aRequest, gang& aGang, duration aDelay);
+  void tryReserve(home_job& aJob, gang& aGang);
+  bool plan(const home_job& aJob, gang& aGang, bool aTotal);
+  void commitAll(home_job& aJob, gang& aGang);
+  void releaseAll(const request_id& aRequest, gang& aGang);
+  void giveUpRound(const request_id& aRequest, gang& aGang);
+  void commitRefused(home_job& aJob, gang& aGang, const incarnation_id& aPlacer);
+  void stopAll(home_job& aJob, gang& aGang);
+  void finish(home_job& aJob, gang& aGang);
+  bool mayRetry(const home_job& aJob, const gang& aGang) const;
+  void endAll(home_job& aJob, const gang& aGang);
+  void retry(home_job& aJob, gang& aGang);
+  bool isDraining(const request_id& aRequest, const gang& aGang) const;
+  void leaveWaiting(const request_id& aRequest, const gang& aGang);
+
+  core_context<Guards>& mContext;
+  placer_links<Guards>& mLinks;
+  member_rooms<Guards>& mRooms;
+  delegation<Guards>& mDelegation;
+  std::unordered_map<request_id, gang> mGangs;
+  /// Next tries of waiting gangs.
+  std::set<std::pair<time_point, request_id>> mDue;
+  /// Gangs that have not been committed, longest waiting first.
+  std::set<std::pair<time_point, request_id>> mWaiting;
+  /// Gangs with a reserve or commit that is not answered.
+  std::set<request_id> mOpen;
+};
+
+} // namespace endiveusher::internal
+
+#include "gang_coordinator_impl.h"
--- /dev/null
+++ b/kernel/src/gang_coordinator_impl.h
@@ -0,0 +1,414 @@
+#pragma once
+
+#include "gang_coordinator.h"
+
+namespace endiveusher::internal {
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::start(home_job& aJob)
+{
+  const auto& request = aJob.mSpec.mRequest;
+  auto& gang = mGangs[request];
+  gang.mWaitingSince = mContext.mNow;
+  gang.mResults.assign(aJob.mTasks.size(), result::none);
+  for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
+    mContext.mBudget.countFirst(aJob.mSpec.mTeam, mContext.mNow);
+  }
+  mWaiting.emplace(gang.mWaitingSince, request);
+  scheduleTry(request, gang, duration(0));
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::inherit(home_job& aJob)
+{
+  auto& gang = mGangs[aJob.mSpec.mRequest];
+  gang.mPhase = phase::running;
+  gang.mResults.assign(aJob.mTasks.size(), result::none);
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::scheduleTry(const request_id& aRequest, gang& aGang, duration aDelay)
+{
+  aGang.mPhase = phase::waiting;
+  mDue.emplace(mContext.mNow + aDelay, aRequest);
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::leaveWaiting(const request_id& aRequest, const gang& aGang)
+{
+  mWaiting.erase({ aGang.mWaitingSince, aRequest });
+}
+
+template<guard_policy Guards>
+bool gang_coordinator<Guards>::isDraining(const request_id& aRequest, const gang& aGang) const
+{
+  return mContext.mNow - aGang.mWaitingSince > kDrainAfter && !mWaiting.empty() &&
+         mWaiting.begin()->second == aRequest;
+}
+
+/// Spreads the tasks over placers: one if it has room for all, else this daemon first.
+template<guard_policy Guards>
+bool gang_coordinator<Guards>::plan(const home_job& aJob, gang& aGang, bool aTotal)
+{
+  aGang.mParts.clear();
+  const auto count = static_cast<std::int64_t>(aJob.mTasks.size());
+  std::vector<std::pair<std::int64_t, incarnation_id>> rooms;
+  for (auto& member : mRooms.allowed(aJob.mSpec)) {
+    const auto capacity = mRooms.capacity(member, aJob.mSpec, aTotal);
+    if (capacity > 0) {
+      rooms.emplace_back(capacity, std::move(member));
+    }
+  }
+  const auto whole = std::find_if(rooms.begin(), rooms.end(),
+                                  [count](const auto& aRoom) { return aRoom.first >= count; });
+  if (whole != rooms.end()) {
+    rooms = { *whole };
+  } else if (rooms.size() > 1) {
+    const auto others = rooms.front().second == mContext.self() ? 1 : 0;
+    std::stable_sort(
+      rooms.begin() + others, rooms.end(),
+      [](const auto& aLeft, const auto& aRight) { return aLeft.first > aRight.first; });
+  }
+  std::uint32_t next = 0;
+  for (const auto& [capacity, member] : rooms) {
+    for (std::int64_t i = 0; i < capacity && next < aJob.mTasks.size(); ++i) {
+      aGang.mParts[member].mTasks.push_back(next++);
+    }
+  }
+  return next == aJob.mTasks.size();
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::tryReserve(home_job& aJob, gang& aGang)
+{
+  const auto& request = aJob.mSpec.mRequest;
+  ++aGang.mTries;
+  const bool draining = isDraining(request, aGang);
+  if (!plan(aJob, aGang, false) && !(draining && plan(aJob, aGang, true))) {
+    giveUpRound(request, aGang);
+    return;
+  }
+  // Only the draining gang may state a wait that makes placers hold room back.
+  const auto waited = draining ? mContext.mNow - aGang.mWaitingSince
+                               : std::min<duration>(mContext.mNow - aGang.mWaitingSince,
+                                                    kDrainAfter - std::chrono::milliseconds(1));
+  aGang.mPhase = phase::reserving;
+  aGang.mReservation = mContext.mNextSequence++;
+  aGang.mDeadline = mContext.mNow + kAnswerPeriod;
+  mOpen.insert(request);
+  for (const auto& [placer, part] : aGang.mParts) {
+    reserve message{ .mReservation = aGang.mReservation,
+                     .mWaited = std::chrono::duration_cast<std::chrono::milliseconds>(waited) };
+    for (const auto index : part.mTasks) {
+      message.mTasks.push_back(mLinks.attemptOf(aJob, index));
+      message.mTasks.back().mPlacer = placer;
+    }
+    mRooms.deduct(placer, aJob.mSpec, static_cast<std::int64_t>(part.mTasks.size()));
+    mContext.send(placer, std::move(message));
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::handle(const incarnation_id& aFrom, const reserve_answer& aAnswer)
+{
+  const auto found = mGangs.find(aAnswer.mRequest);
+  auto* job = mContext.mJobs.find(aAnswer.mRequest);
+  if (found == mGangs.end() || job == nullptr ||
+      found->second.mReservation != aAnswer.mReservation) {
+    return;
+  }
+  auto& gang = found->second;
+  const auto part = gang.mParts.find(aFrom);
+  if (part == gang.mParts.end()) {
+    return;
+  }
+  if (gang.mPhase == phase::reserving) {
+    if (!aAnswer.mReserved) {
+      releaseAll(aAnswer.mRequest, gang);
+      giveUpRound(aAnswer.mRequest, gang);
+      return;
+    }
+    part->second.mReserved = true;
+    if (std::all_of(gang.mParts.begin(), gang.mParts.end(),
+                    [](const auto& aPart) { return aPart.second.mReserved; })) {
+      commitAll(*job, gang);
+    }
+  } else if (!aAnswer.mReserved) {
+    commitRefused(*job, gang, aFrom);
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::commitAll(home_job& aJob, gang& aGang)
+{
+  const auto& request = aJob.mSpec.mRequest;
+  if (!mContext.mayDecide()) {
+    releaseAll(request, aGang);
+    giveUpRound(request, aGang);
+    return;
+  }
+  leaveWaiting(request, aGang);
+  aGang.mPhase = phase::running;
+  aGang.mCommitSentAt = mContext.mNow;
+  for (const auto& [placer, part] : aGang.mParts) {
+    for (const auto index : part.mTasks) {
+      mLinks.attach(aJob, index, placer, placer);
+      aJob.mTasks[index].mState = task_state::starting;
+    }
+    mContext.send(placer, commit{ .mReservation = aGang.mReservation, .mRequest = request });
+  }
+}
+
+/// The reservation had expired: nothing of this part runs.
+template<guard_policy Guards>
+void gang_coordinator<Guards>::commitRefused(home_job& aJob, gang& aGang,
+                                             const incarnation_id& aPlacer)
+{
+  const auto tasks = aGang.mParts.at(aPlacer).mTasks;
+  const auto isOpen = [&](std::uint32_t aIndex) {
+    const auto& task = aJob.mTasks[aIndex];
+    return task.mPlacer == aPlacer && task.mOrigin == aPlacer && !task.mReported &&
+           aGang.mResults[aIndex] == result::none;
+  };
+  // A late answer about a part that has been reported says nothing.
+  if (!std::all_of(tasks.begin(), tasks.end(), isOpen)) {
+    return;
+  }
+  for (const auto index : tasks) {
+    mLinks.detach(aJob, index);
+    taskOver(aJob, index, { .mState = placed_state::returned });
+    if (!mGangs.contains(aJob.mSpec.mRequest)) {
+      return;
+    }
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::releaseAll(const request_id& aRequest, gang& aGang)
+{
+  for (const auto& [placer, part] : aGang.mParts) {
+    mContext.send(placer, release{ .mReservation = aGang.mReservation, .mRequest = aRequest });
+  }
+  aGang.mReservation = 0;
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::giveUpRound(const request_id& aRequest, gang& aGang)
+{
+  mOpen.erase(aRequest);
+  aGang.mParts.clear();
+  const auto largest = isDraining(aRequest, aGang) ? kDrainingBackOff : kBackOffLargest;
+  scheduleTry(aRequest, aGang, backOff(aGang.mTries, kBackOffBase, largest, mContext.mRandom));
+}
+
+template<guard_policy Guards>
+typename gang_coordinator<Guards>::result gang_coordinator<Guards>::classify(
+  const placed_task& aPlaced)
+{
+  if (aPlaced.mState == placed_state::returned) {
+    return result::returned;
+  }
+  if (aPlaced.mState == placed_state::unknown) {
+    return result::unknown;
+  }
+  switch (aPlaced.mOutcome) {
+    case attempt_outcome::succeeded:
+      return result::succeeded;
+    case attempt_outcome::failed:
+      return result::failed;
+    case attempt_outcome::stopped:
+      return result::stopped;
+    case attempt_outcome::checkpointed:
+      return aPlaced.mCheckpoint.empty() ? result::stopped : result::checkpointed;
+    case attempt_outcome::lease_expired:
+      break;
+  }
+  return result::unknown;
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::taskOver(home_job& aJob, std::uint32_t aIndex,
+                                        const placed_task& aPlaced)
+{
+  const auto found = mGangs.find(aJob.mSpec.mRequest);
+  if (found == mGangs.end() || found->second.mResults.at(aIndex) != result::none) {
+    return;
+  }
+  auto& gang = found->second;
+  const auto outcome = classify(aPlaced);
+  gang.mResults[aIndex] = outcome;
+  ++gang.mAtRest;
+  if (outcome == result::failed) {
+    gang.mFailedOn.insert(aPlaced.mTarget);
+  }
+  if (outcome == result::checkpointed) {
+    aJob.mTasks[aIndex].mCheckpoint = aPlaced.mCheckpoint;
+  }
+  if (outcome != result::succeeded && gang.mPhase == phase::running) {
+    stopAll(aJob, gang);
+  }
+  if (gang.mAtRest == gang.mResults.size()) {
+    finish(aJob, gang);
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::stopAll(home_job& aJob, gang& aGang)
+{
+  aGang.mPhase = phase::stopping;
+  for (std::uint32_t i = 0; i < aJob.mTasks.size(); ++i) {
+    if (!aJob.mTasks[i].mPlacer.empty()) {
+      mLinks.stop(aJob, i);
+    }
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::cancel(home_job& aJob)
+{
+  aJob.mCancelled = true;
+  const auto found = mGangs.find(aJob.mSpec.mRequest);
+  if (found == mGangs.end()) {
+    return;
+  }
+  auto& gang = found->second;
+  if (gang.mPhase == phase::running || gang.mPhase == phase::stopping) {
+    stopAll(aJob, gang);
+    return;
+  }
+  if (gang.mPhase == phase::reserving) {
+    releaseAll(aJob.mSpec.mRequest, gang);
+  }
+  endAll(aJob, gang);
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::finish(home_job& aJob, gang& aGang)
+{
+  mOpen.erase(aJob.mSpec.mRequest);
+  const bool succeeded = std::all_of(aGang.mResults.begin(), aGang.mResults.end(),
+                                     [](result aResult) { return aResult == result::succeeded; });
+  if (succeeded || aJob.mCancelled || !mayRetry(aJob, aGang)) {
+    endAll(aJob, aGang);
+  } else {
+    retry(aJob, aGang);
+  }
+}
+
+template<guard_policy Guards>
+bool gang_coordinator<Guards>::mayRetry(const home_job& aJob, const gang& aGang) const
+{
+  if (aJob.mSpec.mIdempotent) {
+    return aGang.mFailedOn.size() < kFailingTargets && aGang.mFailures < kMaxFailures;
+  }
+  // Going on from a checkpoint is the same run.
+  return std::all_of(aGang.mResults.begin(), aGang.mResults.end(), [](result aResult) {
+    return aResult == result::returned || aResult == result::checkpointed;
+  });
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::endAll(home_job& aJob, const gang& aGang)
+{
+  const auto results = aGang.mResults;
+  for (std::uint32_t i = 0; i < results.size(); ++i) {
+    auto state = aJob.mCancelled ? task_state::cancelled : task_state::failed;
+    if (results[i] == result::succeeded) {
+      state = task_state::succeeded;
+    } else if (results[i] == result::failed) {
+      state = task_state::failed;
+    } else if (results[i] == result::unknown && !aJob.mSpec.mIdempotent) {
+      state = task_state::unknown;
+    }
+    mDelegation.endTask(aJob, i, state);
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::retry(home_job& aJob, gang& aGang)
+{
+  const bool failed = std::any_of(aGang.mResults.begin(), aGang.mResults.end(),
+                                  [](result aResult) { return aResult == result::failed; });
+  for (auto& task : aJob.mTasks) {
+    ++task.mAttempt;
+    task.mState = task_state::waiting;
+    task.mTarget.clear();
+  }
+  aGang.mResults.assign(aJob.mTasks.size(), result::none);
+  aGang.mAtRest = 0;
+  aGang.mTries = 0;
+  aGang.mReservation = 0;
+  aGang.mParts.clear();
+  aGang.mWaitingSince = mContext.mNow;
+  mWaiting.emplace(aGang.mWaitingSince, aJob.mSpec.mRequest);
+  auto delay = backOff(1, kBackOffBase, kBackOffLargest, mContext.mRandom);
+  if (failed) {
+    ++aGang.mFailures;
+    delay = backOff(aGang.mFailures, 2 * kBackOffBase, kRetryLargest, mContext.mRandom);
+    if (!mContext.mBudget.take(aJob.mSpec.mTeam, mContext.mNow)) {
+      delay = kRetryLargest;
+    }
+  }
+  scheduleTry(aJob.mSpec.mRequest, aGang, delay);
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::forget(const request_id& aRequest)
+{
+  const auto found = mGangs.find(aRequest);
+  if (found != mGangs.end()) {
+    leaveWaiting(aRequest, found->second);
+    mOpen.erase(aRequest);
+    mGangs.erase(found);
+  }
+}
+
+template<guard_policy Guards>
+void gang_coordinator<Guards>::tick()
+{
+  const std::vector<request_id> open(mOpen.begin(), mOpen.end());
+  for (const auto& request : open) {
+    auto& gang = mGangs.at(request);
+    auto* job = mContext.mJobs.find(request);
+    if (gang.mPhase == phase::reserving) {
+      if (mContext.mNow >= gang.mDeadline) {
+        releaseAll(request, gang);
+        giveUpRound(request, gang);
+      }
+      continue;
+    }
+    if (mContext.mNow - gang.mCommitSentAt < kRepeatCommit) {
+      continue;
+    }
+    gang.mCommitSentAt = mContext.mNow;
+    bool complete = true;
+    for (const auto& [placer, part] : gang.mParts) {
+      const auto& first = job->mTasks.at(part.mTasks.front());
+      if (first.mPlacer == placer && first.mOrigin == placer && !first.mReported) {
+        complete = false;
+        mContext.send(placer, commit{ .mReservation = gang.mReservation, .mRequest = request });
+      }
+    }
+    if (complete) {
+      mOpen.erase(request);
+    }
+  }
+  if (mDue.empty() || mDue.begin()->first > mContext.mNow || !mContext.mayDecide()) {
+    return;
+  }
+  mRooms.refresh();
+  for (std::size_t i = 0; i < kMaxTriesPerTick; ++i) {
+    if (mDue.empty() || mDue.begin()->first > mContext.mNow) {
+      break;
+    }
+    const auto request = mDue.begin()->second;
+    mDue.erase(mDue.begin());
+    const auto found = mGangs.find(request);
+    auto* job = mContext.mJobs.find(request);
+    if (found != mGangs.end() && job != nullptr && found->second.mPhase == phase::waiting) {
+      tryReserve(*job, found->second);
+    }
+  }
+}
+
+} // namespace endiveusher::internal
--- /dev/null
+++ b/kernel/src/job_keeper.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "gang_coordinator.h"
+
+#include <functional>
+#include <set>
+#include <unordered_map>
+
+namespace endiveusher::internal {
+
+/// Creates accepted jobs and keeps them safe: a record in stream jobs, and a copy at one peer until
+/// the record has been read back.
+template<guard_policy Guards>
+class job_keeper
+{
+public:
+  job_keeper(core_context<Guards>& aContext, delegation<Guards>& aDelegation,
+             gang_coordinator<Guards>& aGangs)
+    : mContext(aContext), mDelegation(aDelegation), mGangs(aGangs)
+  {
+  }
+
+  /// Called when a job's durability has risen.
+  std::function<void(home_job&)> mOnSafer;
+
+  /// A job that this daemon decides for: starts it, appends its record, sends a copy.
+  home_job& accept(const job_spec& aSpec, std::uint64_t aDigest);
+  /// A job whose record has been read back already.
+  home_job& acceptLogged(const job_spec& aSpec, std::uint64_t aDigest);
+  /// An unfinished job of a home that has ended. Not started here.
+  home_job& adopt(const request_index::unfinished_job& aJob);
+  void cancel(home_job& aJob);
+
+  /// The accept record of an own job was read.
+  void onLogged(const request_id& aRequest);
+  void onEnded(home_job& aJob);
+  void handle(const incarnation_id& aFrom, const job_copy& aMessage);
+  void handle(const incarnation_id& aFrom, const job_copy_ack& aMessage);
+  void tick();
+
+  /// Whether every unfinished job is in the log or at a peer.
+  bool allSafe() const;
+  /// Whether an accepted job can be kept anywhere but in memory.
+  bool canBeSafer() const { return !mPeer.empty() || mContext.mMembership.logReachable(); }
+
+private:
+  static constexpr duration kRepeatCopy = std::chrono::milliseconds(300);
+  static constexpr std::size_t kMaxCopiesPerTick = 500;
+
+  struct unlogged
+  {
+    incarnation_id mHolder;
+    bool mAcknowledged = false;
+    time_point mSentAt{};
+  };
+  void startTasks(home_job& aJob);
+  void keep(home_job& aJob);
+  void sendCopy(const home_job& aJob, unlogged& aEntry);
+  void setDurability(home_job& aJob, durability aDurability);
+
+  core_context<Guards>& mContext;
+  delegation<Guards>& mDelegation;
+  gang_coordinator<Guards>& mGangs;
+  std::unordered_map<request_id, unlogged> mUnlogged;
+  /// Holder of copies: the member that would succeed this daemon.
+  incarnation_id mPeer;
+  time_point mNextCopyRound{};
+};
+
+template<guard_policy Guards>
+void job_keeper<Guards>::startTasks(home_job& aJob)
+{
+  if (aJob.mSpec.mKind == job_kind::gang) {
+    mGangs.start(aJob);
+  } else {
+    mDelegation.start(aJob);
+  }
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::keep(home_job& aJob)
+{
+  mContext.mJobLog.append(
+    accept_record{ .mHome = mContext.self(), .mJob = aJob.mSpec, .mBodyDigest = aJob.mDigest });
+  sendCopy(aJob, mUnlogged[aJob.mSpec.mRequest]);
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::sendCopy(const home_job& aJob, unlogged& aEntry)
+{
+  aEntry = { .mHolder = mPeer, .mSentAt = mContext.mNow };
+  if (!mPeer.empty()) {
+    mContext.send(mPeer, job_copy{ .mAccept = { .mHome = mContext.self(),
+                                                .mJob = aJob.mSpec,
+                                                .mBodyDigest = aJob.mDigest },
+                                   .mEnded = aJob.mEnded });
+  }
+}
+
+template<guard_policy Guards>
+home_job& job_keeper<Guards>::accept(const job_spec& aSpec, std::uint64_t aDigest)
+{
+  auto& job = mContext.mJobs.add(aSpec, aDigest, mContext.mNow);
+  keep(job);
+  startTasks(job);
+  return job;
+}
+
+template<guard_policy Guards>
+home_job& job_keeper<Guards>::acceptLogged(const job_spec& aSpec, std::uint64_t aDigest)
+{
+  auto& job = mContext.mJobs.add(aSpec, aDigest, mContext.mNow);
+  job.mDurability = durability::log;
+  startTasks(job);
+  return job;
+}
+
+template<guard_policy Guards>
+home_job& job_keeper<Guards>::adopt(const request_index::unfinished_job& aJob)
+{
+  const auto& accept = aJob.mAccept;
+  auto& job = mContext.mJobs.add(accept.mJob, accept.mBodyDigest, mContext.mNow);
+  job.mInherited = true;
+  job.mSettled = false;
+  if (aJob.mLogged) {
+    job.mDurability = durability::log;
+  } else {
+    keep(job);
+  }
+  if (job.mSpec.mKind == job_kind::gang) {
+    mGangs.inherit(job);
+  }
+  return job;
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::cancel(home_job& aJob)
+{
+  if (aJob.mEnded) {
+    return;
+  }
+  if (aJob.mSpec.mKind == job_kind::gang) {
+    mGangs.cancel(aJob);
+  } else {
+    mDelegation.cancel(aJob);
+  }
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::setDurability(home_job& aJob, durability aDurability)
+{
+  if (aDurability > aJob.mDurability) {
+    aJob.mDurability = aDurability;
+    mOnSafer(aJob);
+  }
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::onLogged(const request_id& aRequest)
+{
+  mUnlogged.erase(aRequest);
+  if (auto* job = mContext.mJobs.find(aRequest)) {
+    setDurability(*job, durability::log);
+  }
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::onEnded(home_job& aJob)
+{
+  mContext.mJobLog.append(job_table::summary(aJob));
+  mGangs.forget(aJob.mSpec.mRequest);
+  const auto found = mUnlogged.find(aJob.mSpec.mRequest);
+  if (found != mUnlogged.end() && !found->second.mHolder.empty()) {
+    sendCopy(aJob, found->second);
+  }
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::handle(const incarnation_id& aFrom, const job_copy& aMessage)
+{
+  mContext.mIndex.applyCopy(aMessage.mAccept, aMessage.mEnded);
+  mContext.send(aFrom, job_copy_ack{ .mRequest = aMessage.mAccept.mJob.mRequest });
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::handle(const incarnation_id& aFrom, const job_copy_ack& aMessage)
+{
+  const auto found = mUnlogged.find(aMessage.mRequest);
+  if (found == mUnlogged.end() || found->second.mHolder != aFrom) {
+    return;
+  }
+  found->second.mAcknowledged = true;
+  if (auto* job = mContext.mJobs.find(aMessage.mRequest)) {
+    setDurability(*job, durability::peer);
+  }
+}
+
+template<guard_policy Guards>
+void job_keeper<Guards>::tick()
+{
+  mPeer = mContext.mMembership.successor(mContext.mNow);
+  if (mPeer.empty() || mContext.mNow < mNextCopyRound) {
+    return;
+  }
+  mNextCopyRound = mContext.mNow + kRepeatCopy;
+  std::size_t sent = 0;
+  for (auto entry = mUnlogged.begin(); entry != mUnlogged.end() && sent < kMaxCopiesPerTick;) {
+    auto& [request, copy] = *entry;
+    const auto* job = mContext.mJobs.find(request);
+    if (job == nullptr) {
+      entry = mUnlogged.erase(entry);
+      continue;
+    }
+    const bool current = copy.mHolder == mPeer && copy.mAcknowledged;
+    if (!current && !(job->mEnded && copy.mHolder != mPeer) &&
+        (copy.mHolder != mPeer || mContext.mNow - copy.mSentAt >= kRepeatCopy)) {
+      sendCopy(*job, copy);
+      ++sent;
+    }
+    ++entry;
+  }
+}
+
+template<guard_policy Guards>
+bool job_keeper<Guards>::allSafe() const
+{
+  return std::all_of(mUnlogged.begin(), mUnlogged.end(), [this](const auto& aEntry) {
+    const auto* job = mContext.mJobs.find(aEntry.first);
+    return job == nullptr || job->mEnded || aEntry.second.mAcknowledged;
+  });
+}
+
+} // namespace endiveusher::internal
--- /dev/null
+++ b/kernel/src/job_table.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "home_job.h"
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace endiveusher::internal {
+
+/// The jobs of one home. Ended jobs are kept for kKeepEnded, at most kMaxEnded of them.
+class job_table
+{
+public:
+  static constexpr duration kKeepEnded = std::chrono::minutes(10);
+  static constexpr std::size_t kMaxEnded = 20'000;
+  static constexpr std::size_t kMaxOutputBytes = 4096;
+
+  home_job* find(const request_id& aRequest);
+  const home_job* find(const request_id& aRequest) const;
+  /// Adds a job with all tasks waiting.
+  home_job& add(const job_spec& aSpec, std::uint64_t aDigest, time_point aNow);
+
+  /// Moves a task to an ended state. True if it was the last open one of its job.
+  bool endTask(home_job& aJob, std::uint32_t aIndex, task_state aState, time_point aNow);
+
+  void evict(time_point aNow);
+
+  std::size_t unfinished() const { return mUnfinished; }
+  std::size_t size() const { return mJobs.size(); }
+  void forEach(const std::function<void(home_job&)>& aVisit);
+  void clear();
+
+  static job_status status(const home_job& aJob);
+  static ended_record summary(const home_job& aJob);
+  /// JSON.
+  std::string dump() const;
+
+private:
+  std::unordered_map<request_id, home_job> mJobs;
+  std::deque<std::pair<time_point, request_id>> mEnded;
+  std::size_t mUnfinished = 0;
+};
+
+/// Shortens aOutput to job_table::kMaxOutputBytes; keeps the end.
+std::string boundedOutput(std::string_view aOutput);
+
+} // namespace endiveusher::internal
--- /dev/null
+++ b/kernel/src/retry_policy.cpp
@@ -0,0 +1,45 @@
+#include "retry_policy.h"
+
+#include <algorithm>
+
+namespace endiveusher::internal {
+
+duration backOff(std::uint32_t aFailures, duration aBase, duration aLargest,
+                 std::mt19937_64& aRandom)
+{
+  constexpr std::uint32_t kMaxDoublings = 20;
+  const auto doublings = std::min(aFailures == 0 ? 0 : aFailures - 1, kMaxDoublings);
+  const auto whole = std::min(aLargest, aBase * (std::int64_t{ 1 } << doublings));
+  std::uniform_int_distribution<duration::rep> jitter(0, whole.count() / 2);
+  return whole / 2 + duration(jitter(aRandom));
+}
+
+retry_budget::bucket& retry_budget::refilled(const team_name& aTeam, time_point aNow)
+{
+  const auto [entry, isNew] = mBuckets.try_emplace(aTeam);
+  auto& bucket = entry->second;
+  if (!isNew) {
+    const std::chrono::duration<double> passed = aNow - bucket.mFilledAt;
+    bucket.mTokens = std::min(kLargest, bucket.mTokens + kTrickle * passed.count());
+  }
+  bucket.mFilledAt = aNow;
+  return bucket;
+}
+
+void retry_budget::countFirst(const team_name& aTeam, time_point aNow)
+{
+  auto& bucket = refilled(aTeam, aNow);
+  bucket.mTokens = std::min(kLargest, bucket.mTokens + kRatio);
+}
+
+bool retry_budget::take(const team_name& aTeam, time_point aNow)
+{
+  auto& bucket = refilled(aTeam, aNow);
+  if (bucket.mTokens < 1.0) {
+    return false;
+  }
+  bucket.mTokens -= 1.0;
+  return true;
+}
+
+} // namespace endiveusher::internal
