--- a/kernel/src/delegation.h
+++ b/kernel/src/delegation.h
@@ -43,8 +43,8 @@
   /// Repeats messages, follows takeovers of placers, recalls queued tasks.
   void tick();
 
-  /// Tasks that wait for a placer, without those in back-off.
-  std::size_t ready() const { return mReady.size(); }
+  /// Whether tasks wait for a placer, other than for the retry of a failed attempt.
+  bool hasWaiting() const;
 
 private:
   static constexpr duration kBackOffBase = std::chrono::milliseconds(100);
--- a/kernel/src/delegation_impl.h
+++ b/kernel/src/delegation_impl.h
@@ -72,6 +72,19 @@
   }
 }
 
+template<guard_policy Guards>
+bool delegation<Guards>::hasWaiting() const
+{
+  return !mReady.empty() ||
+         std::any_of(mDelayed.begin(), mDelayed.end(), [this](const auto& aEntry) {
+           const auto& key = aEntry.second;
+           const auto* job = mContext.mJobs.find(key.mRequest);
+           return job != nullptr && key.mIndex < job->mTasks.size() &&
+                  job->mSpec.mKind == job_kind::batch && !job->mTasks[key.mIndex].mIsRetry &&
+                  !hasEnded(job->mTasks[key.mIndex].mState);
+         });
+}
+
 template<guard_policy Guards>
 void delegation<Guards>::advance()
 {
--- a/kernel/src/graceful_stop.h
+++ b/kernel/src/graceful_stop.h
@@ -75,7 +75,7 @@
   // Without another member, queued tasks stay with the job records.
   const bool alone = mContext.mMembership.live(mContext.mNow).size() <= 1;
   const auto& links = mLinks.all();
-  need(alone || (mDelegation.ready() == 0 &&
+  need(alone || (!mDelegation.hasWaiting() &&
                  std::all_of(links.begin(), links.end(),
                              [](const auto& aEntry) { return aEntry.second.mUnreported.empty(); })),
        "tasks to hand over");
--- a/kernel/src/inheritance.h
+++ b/kernel/src/inheritance.h
@@ -56,6 +56,8 @@
     std::vector<request_id> mJobs;
     time_point mAskedAt{};
   };
+  /// Offset of the latest record by which this daemon came to answer for aDead.
+  log_offset successionOffset(const incarnation_id& aDead) const;
   void begin(const typename basic_membership<Guards>::inherited& aMember);
   void addRound(const typename basic_membership<Guards>::inherited& aMember,
                 const std::vector<request_index::unfinished_job>& aJobs);
@@ -70,6 +72,18 @@
   std::list<round> mRounds;
 };
 
+template<guard_policy Guards>
+log_offset inheritance<Guards>::successionOffset(const incarnation_id& aDead) const
+{
+  const auto& successions = mContext.control().successions();
+  log_offset offset = 0;
+  for (auto entry = successions.find(aDead); entry != successions.end();
+       entry = successions.find(entry->second.mSuccessor)) {
+    offset = std::max(offset, entry->second.mOffset);
+  }
+  return offset;
+}
+
 template<guard_policy Guards>
 void inheritance<Guards>::begin(const typename basic_membership<Guards>::inherited& aMember)
 {
@@ -83,7 +97,7 @@
                                    const std::vector<request_index::unfinished_job>& aJobs)
 {
   round round{ .mDead = aMember.mDead,
-               .mOffset = aMember.mOffset,
+               .mOffset = successionOffset(aMember.mDead),
                .mWaitingFor = aMember.mMembersThen };
   round.mWaitingFor.insert(mContext.self());
   round.mWaitingFor.erase(aMember.mDead);
--- a/kernel/src/job_keeper.h
+++ b/kernel/src/job_keeper.h
@@ -167,7 +167,9 @@
 template<guard_policy Guards>
 void job_keeper<Guards>::onEnded(home_job& aJob)
 {
-  mContext.mJobLog.append(job_table::summary(aJob));
+  if (!mContext.mJobLog.withdraw(aJob.mSpec.mRequest)) {
+    mContext.mJobLog.append(job_table::summary(aJob));
+  }
   mGangs.forget(aJob.mSpec.mRequest);
   const auto found = mUnlogged.find(aJob.mSpec.mRequest);
   if (found != mUnlogged.end() && !found->second.mHolder.empty()) {
--- a/kernel/src/job_log.cpp
+++ b/kernel/src/job_log.cpp
@@ -1,5 +1,7 @@
 #include "job_log.h"
 
+#include "control_writer.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,8 +9,6 @@
 
 namespace {
 
-/// Marks ids of appends and reads of this part; membership numbers its own from 1.
-constexpr std::uint64_t kIdMark = std::uint64_t{ 1 } << 62U;
 constexpr duration kIdleReadInterval = std::chrono::seconds(1);
 constexpr duration kRetryInterval = std::chrono::milliseconds(200);
 /// An answer later than this is treated as lost; the edge gives up earlier.
@@ -23,17 +23,40 @@
 
 } // namespace
 
-job_log::job_log(incarnation_id aSelf) : mSelf(std::move(aSelf)), mNextId(kIdMark) {}
+job_log::job_log(incarnation_id aSelf) : mSelf(std::move(aSelf)) {}
 
 void job_log::append(std::variant<accept_record, ended_record> aBody)
 {
+  if (const auto* accept = std::get_if<accept_record>(&aBody)) {
+    mUnsent.insert(accept->mJob.mRequest);
+  }
   mQueue.push_back(
     { .mId = mSelf + "/j" + std::to_string(mNextRecord++), .mBody = std::move(aBody) });
 }
 
+bool job_log::isWithdrawn(const job_record& aRecord) const
+{
+  const auto* accept = std::get_if<accept_record>(&aRecord.mBody);
+  return accept != nullptr && mWithdrawn.contains(accept->mJob.mRequest);
+}
+
+bool job_log::withdraw(const request_id& aRequest)
+{
+  if (mQueue.size() <= kMaxBatch || mUnsent.erase(aRequest) == 0) {
+    return false;
+  }
+  mWithdrawn.insert(aRequest);
+  // In a long outage the queue holds little but withdrawn records.
+  if (mWithdrawn.size() * 2 > mQueue.size()) {
+    std::erase_if(mQueue, [this](const job_record& aRecord) { return isWithdrawn(aRecord); });
+    mWithdrawn.clear();
+  }
+  return true;
+}
+
 bool job_log::handle(const append_event& aEvent, time_point aNow)
 {
-  if ((aEvent.mAppendId & kIdMark) == 0) {
+  if (aEvent.mAppendId >= control_writer::kIdBase) {
     return false;
   }
   if (aEvent.mAppendId != mAppendId) {
@@ -41,13 +64,14 @@
   }
   mAppendId = 0;
   mReachable = aEvent.mStatus == append_status::stored;
-  for (const auto& id : mInFlight) {
-    const auto found = mUnconfirmed.find(id);
+  // Back to the front, so that a job's end does not overtake its acceptance.
+  for (auto id = mInFlight.rbegin(); id != mInFlight.rend(); ++id) {
+    const auto found = mUnconfirmed.find(*id);
     if (found == mUnconfirmed.end()) {
       continue;
     }
     if (aEvent.mStatus == append_status::rejected) {
-      mQueue.push_back(std::move(found->second.mRecord));
+      mQueue.push_front(std::move(found->second.mRecord));
       mUnconfirmed.erase(found);
       continue;
     }
@@ -100,7 +124,7 @@
 {
   for (auto entry = mUnconfirmed.begin(); entry != mUnconfirmed.end();) {
     if (!entry->second.mInFlight && entry->second.mAnsweredAt <= mReadToEndAt) {
-      mQueue.push_back(std::move(entry->second.mRecord));
+      mQueue.push_front(std::move(entry->second.mRecord));
       entry = mUnconfirmed.erase(entry);
     } else {
       ++entry;
@@ -133,12 +157,22 @@
   while (!mQueue.empty() && effect.mRecords.size() < kMaxBatch && bytes < kMaxBatchBytes) {
     auto record = std::move(mQueue.front());
     mQueue.pop_front();
+    if (isWithdrawn(record)) {
+      mWithdrawn.erase(std::get<accept_record>(record.mBody).mJob.mRequest);
+      continue;
+    }
+    if (const auto* accept = std::get_if<accept_record>(&record.mBody)) {
+      mUnsent.erase(accept->mJob.mRequest);
+    }
     bytes += sizeOf(record);
     effect.mRecords.push_back(record);
     mInFlight.push_back(record.mId);
     const auto id = record.mId;
     mUnconfirmed[id] = { .mRecord = std::move(record), .mInFlight = true };
   }
+  if (effect.mRecords.empty()) {
+    return;
+  }
   mAppendId = effect.mAppendId;
   mAppendedAt = aNow;
   mEffects.emplace_back(std::move(effect));
--- a/kernel/src/job_log.h
+++ b/kernel/src/job_log.h
@@ -7,7 +7,7 @@
 #include <deque>
 #include <map>
 #include <string>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace endiveusher::internal {
@@ -34,6 +34,9 @@
   explicit job_log(incarnation_id aSelf);
 
   void append(std::variant<accept_record, ended_record> aBody);
+  /// Drops the accept record of an ended job, if it was never sent and many records wait. True if
+  /// dropped; the record of the end is not needed then.
+  bool withdraw(const request_id& aRequest);
   /// True if the event answers an append made here.
   bool handle(const append_event& aEvent, time_point aNow);
   void handle(const jobs_read_event& aEvent, time_point aNow);
@@ -67,11 +70,15 @@
   void sendAppend(std::size_t aMembers, time_point aNow);
   void sendRead(time_point aNow);
   void requeueMissing();
+  bool isWithdrawn(const job_record& aRecord) const;
 
   incarnation_id mSelf;
   std::uint64_t mNextRecord = 1;
-  std::uint64_t mNextId;
+  std::uint64_t mNextId = 0;
   std::deque<job_record> mQueue;
+  /// Requests whose accept records wait for their first append.
+  std::unordered_set<request_id> mUnsent;
+  std::unordered_set<request_id> mWithdrawn;
   std::map<std::string, unconfirmed_record> mUnconfirmed;
   std::vector<std::string> mInFlight;
   std::uint64_t mAppendId = 0;
--- a/kernel/src/placer_port.h
+++ b/kernel/src/placer_port.h
@@ -78,6 +78,8 @@
   std::map<incarnation_id, home_link> mLinks;
   std::uint64_t mReportSequence = 0;
   time_point mNextSweepCheck{};
+  /// Ended members whose sweep has been complete once.
+  std::set<incarnation_id> mSwept;
 };
 
 template<guard_policy Guards>
@@ -179,6 +181,14 @@
     link.mDue = true;
     return;
   }
+  // After a commit that has been forgotten here, only the report tells the home the truth.
+  const auto held = mContext.mPlacer.reportFor(aFrom).mTasks;
+  if (std::any_of(held.begin(), held.end(), [&aMessage](const placed_task& aTask) {
+        return aTask.mKey.mRequest == aMessage.mRequest;
+      })) {
+    link.mDue = true;
+    return;
+  }
   mContext.mPlacer.release(aFrom, aMessage.mReservation);
   mContext.send(aFrom, reserve_answer{ .mReservation = aMessage.mReservation,
                                        .mRequest = aMessage.mRequest,
@@ -264,6 +274,9 @@
 template<guard_policy Guards>
 bool placer_port<Guards>::swept(const incarnation_id& aOrigin) const
 {
+  if (mSwept.contains(aOrigin)) {
+    return true;
+  }
   for (const auto& inherited : mContext.mMembership.inheritedMembers()) {
     if (inherited.mDead == aOrigin) {
       return mContext.mNow >= inherited.mActsFrom &&
@@ -279,6 +292,12 @@
 void placer_port<Guards>::checkSweeps()
 {
   std::map<incarnation_id, bool> known;
+  for (const auto& inherited : mContext.mMembership.inheritedMembers()) {
+    if (!mSwept.contains(inherited.mDead) && swept(inherited.mDead)) {
+      mSwept.insert(inherited.mDead);
+      mContext.mMembership.markSwept(inherited.mDead);
+    }
+  }
   for (auto& [home, link] : mLinks) {
     if (link.mAwaiting.empty()) {
       continue;
--- a/kernel/src/request_index.cpp
+++ b/kernel/src/request_index.cpp
@@ -31,7 +31,9 @@
     return false;
   }
   mByOffset.emplace_back(aOffset, request);
-  mUnfinished.insert_or_assign(request, unfinished_job{ aRecord, true });
+  if (!mEnded.contains(request)) {
+    mUnfinished.insert_or_assign(request, unfinished_job{ aRecord, true });
+  }
   return true;
 }
 
