Add the HTTP server on Pistache

Pistache 0.0.5 loses a request that arrives while the previous one of its connection is unanswered, reads at most 4,096 bytes, queues answers under the number of the descriptor, which may belong to another caller by then, and spins on callers that do not read. The server therefore takes the bytes from Pistache before its request handling, finds the end of each request itself, and sends answers itself while the connection is known to be open. One thread completes partly sent answers and enforces time limits.

--- /dev/null
+++ b/edges/src/connection_registry.cpp
@@ -0,0 +1,111 @@
+#include "connection_registry.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace endiveusher::edges::internal {
+
+namespace {
+
+/// Precision of the time limits.
+constexpr std::chrono::milliseconds kInterval{ 100 };
+
+int makeEventSocket()
+{
+  const int made = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (made < 0) {
+    throw std::runtime_error("http_server: no event descriptor");
+  }
+  return made;
+}
+
+} // namespace
+
+connection_registry::connection_registry()
+  : mWakeSocket(makeEventSocket()), mThread([this] { run(); })
+{
+}
+
+connection_registry::~connection_registry()
+{
+  stop();
+  ::close(mWakeSocket);
+}
+
+void connection_registry::add(std::shared_ptr<connection> aConnection)
+{
+  const std::lock_guard lock(mMutex);
+  mConnections.insert(std::move(aConnection));
+}
+
+void connection_registry::remove(const std::shared_ptr<connection>& aConnection)
+{
+  const std::lock_guard lock(mMutex);
+  mConnections.erase(aConnection);
+}
+
+void connection_registry::wake() const
+{
+  const std::uint64_t one = 1;
+  // Fails only if the counter is full, and then the thread is awake.
+  [[maybe_unused]] const auto written = ::write(mWakeSocket, &one, sizeof one);
+}
+
+bool connection_registry::anyBusy() const
+{
+  return std::ranges::any_of(snapshot(), [](const auto& aOne) { return aOne->busy(); });
+}
+
+void connection_registry::closeAll()
+{
+  for (const auto& one : snapshot()) {
+    one->close();
+  }
+}
+
+bool connection_registry::empty() const
+{
+  const std::lock_guard lock(mMutex);
+  return mConnections.empty();
+}
+
+void connection_registry::stop()
+{
+  mStopped = true;
+  wake();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+std::vector<std::shared_ptr<connection>> connection_registry::snapshot() const
+{
+  const std::lock_guard lock(mMutex);
+  return { mConnections.begin(), mConnections.end() };
+}
+
+void connection_registry::run()
+{
+  std::vector<pollfd> sockets;
+  while (!mStopped) {
+    sockets.assign(1, { .fd = mWakeSocket, .events = POLLIN, .revents = 0 });
+    for (const auto& one : snapshot()) {
+      if (const int socket = one->socketToWrite(); socket >= 0) {
+        sockets.push_back({ .fd = socket, .events = POLLOUT, .revents = 0 });
+      }
+    }
+    ::poll(sockets.data(), sockets.size(), static_cast<int>(kInterval.count()));
+    std::uint64_t wakes = 0;
+    [[maybe_unused]] const auto taken = ::read(mWakeSocket, &wakes, sizeof wakes);
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& one : snapshot()) {
+      one->maintain(now);
+    }
+  }
+}
+
+} // namespace endiveusher::edges::internal
--- /dev/null
+++ b/edges/src/http_connection.cpp
@@ -0,0 +1,322 @@
+#include "http_connection.h"
+
+#include "endiveusher/edges/url.h"
+#include "endiveusher/protocol/json.h"
+#include "responder_impl.h"
+
+#include <pistache/http.h>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace endiveusher::edges::internal {
+
+namespace {
+
+const char* reasonOf(std::uint16_t aStatus)
+{
+  return Pistache::Http::codeString(static_cast<Pistache::Http::Code>(aStatus));
+}
+
+std::string headOf(const http_answer& aAnswer, bool aClose)
+{
+  return "HTTP/1.1 " + std::to_string(aAnswer.mStatus) + " " + reasonOf(aAnswer.mStatus) +
+         "\r\nContent-Type: " + aAnswer.mContentType +
+         "\r\nContent-Length: " + std::to_string(aAnswer.mBody.size()) +
+         (aClose ? "\r\nConnection: close" : "") + "\r\n\r\n";
+}
+
+} // namespace
+
+std::string errorBody(answer_class aClass, std::uint16_t aStatus, const char* aCode,
+                      const char* aMessage)
+{
+  return protocol::toJson(answer{
+    .mClass = aClass,
+    .mBody =
+      call_error{ .mStatus = aStatus, .mCode = aCode, .mMessage = aMessage, .mStep = "http" } });
+}
+
+connection::connection(std::shared_ptr<server_shared> aShared, int aSocket)
+  : mShared(std::move(aShared)), mSocket(aSocket), mSince(std::chrono::steady_clock::now())
+{
+  ++mShared->mConnections;
+}
+
+connection::~connection()
+{
+  --mShared->mConnections;
+}
+
+void connection::receive(std::string_view aBytes)
+{
+  std::optional<ready_request> ready;
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mOpen || mClosing) {
+      return;
+    }
+    if (mInProgress != 0 || !mOutput.empty()) {
+      mClosing = true;
+      return;
+    }
+    if (mInput.empty()) {
+      mSince = std::chrono::steady_clock::now();
+    }
+    mInput += aBytes;
+    ready = takeRequest();
+  }
+  if (!ready) {
+    return;
+  }
+  try {
+    mShared->mHandler(std::move(ready->mRequest), responder(std::make_shared<responder::impl>(
+                                                    shared_from_this(), ready->mNumber)));
+  } catch (const std::exception&) {
+    // The responder is gone with the handler, which has sent status 500.
+    return;
+  }
+}
+
+std::optional<connection::ready_request> connection::takeRequest()
+{
+  // Some clients end a body with an extra line end.
+  while (mInput.starts_with("\r\n")) {
+    mInput.erase(0, 2);
+  }
+  const request_frame frame = frameRequest(mInput, mShared->mOptions.mMaxRequestBytes);
+  if (frame.mFraming == framing::rejected) {
+    rejectLocked(frame.mStatus, frame.mCode, frame.mMessage);
+    return std::nullopt;
+  }
+  if (frame.mFraming == framing::incomplete) {
+    if (frame.mExpectsContinue && !mContinueSent) {
+      mContinueSent = true;
+      mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+      flushLocked();
+    }
+    return std::nullopt;
+  }
+  if (mShared->mStopping) {
+    rejectLocked(503, "stopping", "this server is stopping");
+    return std::nullopt;
+  }
+  auto request = parse(frame);
+  if (!request) {
+    rejectLocked(400, "malformed_request", "the request line or a header cannot be read");
+    return std::nullopt;
+  }
+  // What follows belongs to a pipelined request.
+  mClosing = !frame.mKeepAlive || mInput.size() > frame.mLength;
+  mInput.clear();
+  mContinueSent = false;
+  mInProgress = ++mLastRequest;
+  mHeadRequest = request->mMethod == "HEAD";
+  return ready_request{ .mRequest = std::move(*request), .mNumber = mInProgress };
+}
+
+std::optional<http_request> connection::parse(const request_frame& aFrame)
+{
+  namespace http = Pistache::Http;
+  try {
+    http::RequestParser parser(aFrame.mLength);
+    if (!parser.feed(mInput.data(), aFrame.mLength) ||
+        parser.parse() != http::Private::State::Done) {
+      return std::nullopt;
+    }
+    http_request request{ .mMethod = http::methodString(parser.request.method()),
+                          .mPath = parser.request.resource(),
+                          .mBearer = aFrame.mBearer,
+                          .mBody = std::move(parser.request).body() };
+    const auto& query = parser.request.query();
+    for (auto at = query.parameters_begin(); at != query.parameters_end(); ++at) {
+      const auto name = percentDecode(at->first);
+      const auto value = percentDecode(at->second);
+      if (!name || !value) {
+        return std::nullopt;
+      }
+      request.mQuery[*name] = *value;
+    }
+    return request;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+void connection::rejectLocked(std::uint16_t aStatus, const char* aCode, const char* aMessage)
+{
+  mClosing = true;
+  mInput.clear();
+  mInput.shrink_to_fit();
+  sendLocked(
+    { .mStatus = aStatus, .mBody = errorBody(answer_class::not_run, aStatus, aCode, aMessage) });
+}
+
+bool connection::answer(std::uint64_t aRequest, http_answer aAnswer)
+{
+  // Destroyed after the lock is released: it may hold the last responder of this request.
+  std::function<void()> dropped;
+  const std::lock_guard lock(mMutex);
+  if (!mOpen || mInProgress != aRequest) {
+    return false;
+  }
+  if (aAnswer.mBody.size() > mShared->mOptions.mMaxAnswerBytes) {
+    aAnswer = { .mStatus = 500,
+                .mBody = errorBody(answer_class::unknown, 500, "answer_too_large",
+                                   "the answer is too large to send") };
+  }
+  dropped.swap(mDropped);
+  mInProgress = 0;
+  sendLocked(aAnswer);
+  return true;
+}
+
+void connection::whenDropped(std::uint64_t aRequest, std::function<void()> aCallback)
+{
+  bool callNow = false;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mInProgress != aRequest) {
+      return;
+    }
+    callNow = !mOpen;
+    if (mOpen) {
+      mDropped.swap(aCallback);
+    }
+  }
+  if (callNow) {
+    aCallback();
+  }
+}
+
+void connection::close()
+{
+  std::function<void()> dropped;
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mOpen) {
+      return;
+    }
+    abortLocked();
+    mOpen = false;
+    dropped.swap(mDropped);
+  }
+  if (dropped) {
+    dropped();
+  }
+}
+
+void connection::refuse()
+{
+  const std::lock_guard lock(mMutex);
+  rejectLocked(503, "too_many_connections", "this server has too many connections");
+  // A refused connection stays for the caller to read why, but only so many of them.
+  if (mShared->mConnections > 2 * mShared->mOptions.mMaxConnections) {
+    abortLocked();
+  }
+}
+
+void connection::maintain(socket_time aNow)
+{
+  const std::lock_guard lock(mMutex);
+  if (!mOpen) {
+    return;
+  }
+  const auto& options = mShared->mOptions;
+  const auto elapsed = aNow - mSince;
+  if (!mOutput.empty()) {
+    flushLocked();
+    if (!mOutput.empty() && elapsed > options.mSendPeriod) {
+      abortLocked();
+    }
+  } else if (mInProgress != 0) {
+    return;
+  } else if (mClosing) {
+    if (elapsed > options.mSendPeriod) {
+      abortLocked();
+    }
+  } else if (!mInput.empty()) {
+    if (elapsed > options.mReceivePeriod) {
+      rejectLocked(408, "request_timeout", "the request did not arrive in time");
+    }
+  } else if (elapsed > options.mIdlePeriod) {
+    abortLocked();
+  }
+}
+
+int connection::socketToWrite() const
+{
+  const std::lock_guard lock(mMutex);
+  return mOpen && !mOutput.empty() ? mSocket : -1;
+}
+
+bool connection::busy() const
+{
+  const std::lock_guard lock(mMutex);
+  return mOpen && (mInProgress != 0 || !mOutput.empty());
+}
+
+void connection::sendLocked(const http_answer& aAnswer)
+{
+  mOutput += headOf(aAnswer, mClosing);
+  if (!mHeadRequest) {
+    mOutput += aAnswer.mBody;
+  }
+  mSince = std::chrono::steady_clock::now();
+  flushLocked();
+  if (mOutput.empty()) {
+    return;
+  }
+  if (mShared->mUnreadBytes > mShared->mOptions.mMaxUnreadBytes) {
+    abortLocked();
+    return;
+  }
+  mShared->mWake();
+}
+
+void connection::flushLocked()
+{
+  while (mSent < mOutput.size()) {
+    const ssize_t sent =
+      ::send(mSocket, mOutput.data() + mSent, mOutput.size() - mSent, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent >= 0) {
+      mSent += static_cast<std::size_t>(sent);
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR) {
+      abortLocked();
+      return;
+    }
+  }
+  if (mSent == mOutput.size()) {
+    mOutput = {};
+    mSent = 0;
+    if (mClosing && mInProgress == 0) {
+      // Ends only the sending side: closing with unread input would make the system discard the
+      // answer on its way.
+      ::shutdown(mSocket, SHUT_WR);
+    }
+  }
+  countUnreadLocked();
+}
+
+void connection::countUnreadLocked()
+{
+  const std::size_t unread = mOutput.size() - mSent;
+  mShared->mUnreadBytes += unread - mUnreadCounted;
+  mUnreadCounted = unread;
+}
+
+void connection::abortLocked()
+{
+  mClosing = true;
+  mInput = {};
+  mOutput = {};
+  mSent = 0;
+  countUnreadLocked();
+  ::shutdown(mSocket, SHUT_RDWR);
+}
+
+} // namespace endiveusher::edges::internal
--- /dev/null
+++ b/tests/edges/http_server_test.cpp
@@ -0,0 +1,434 @@
+#include "endiveusher/edges/http_server.h"
+#include "raw_client.h"
+
+#include <condition_variable>
+#include <filesystem>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher::edges;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Handler that keeps requests until the test answers them.
+class kept_requests
+{
+public:
+  http_server::handler handler()
+  {
+    return [this](http_request aRequest, responder aResponder) {
+      const std::lock_guard lock(mMutex);
+      mRequests.push_back(std::move(aRequest));
+      mResponders.push_back(std::move(aResponder));
+      mChanged.notify_all();
+    };
+  }
+  responder wait(std::size_t aIndex)
+  {
+    std::unique_lock lock(mMutex);
+    mChanged.wait(lock, [&] { return mResponders.size() > aIndex; });
+    return mResponders[aIndex];
+  }
+  http_request request(std::size_t aIndex)
+  {
+    const std::lock_guard lock(mMutex);
+    return mRequests.at(aIndex);
+  }
+  std::size_t count()
+  {
+    const std::lock_guard lock(mMutex);
+    return mRequests.size();
+  }
+  void forget()
+  {
+    const std::lock_guard lock(mMutex);
+    mResponders.clear();
+  }
+
+private:
+  std::mutex mMutex;
+  std::vector<http_request> mRequests;
+  std::condition_variable mChanged;
+  std::vector<responder> mResponders;
+};
+
+void echoPath(const http_request& aRequest, const responder& aResponder)
+{
+  aResponder.answer({ .mBody = aRequest.mPath });
+}
+
+bool contains(const std::string& aText, const char* aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(http_server){};
+
+// Guards against parts of a request that do not reach the handler.
+TEST(http_server, handlerGetsTheWholeRequest)
+{
+  kept_requests kept;
+  http_server server({}, kept.handler());
+  raw_client client(server.port());
+  client.send("POST /a%2Fb/c?from=5&name=x%20y HTTP/1.1\r\nHost: t\r\nauthorization: bearer k-1\r\n"
+              "Content-Length: 3\r\n\r\nxyz");
+  kept.wait(0).answer({ .mStatus = 201, .mBody = "done" });
+  STRCMP_EQUAL("done", client.receiveAnswer().c_str());
+  LONGS_EQUAL(201, client.status());
+  const auto request = kept.request(0);
+  STRCMP_EQUAL("POST", request.mMethod.c_str());
+  STRCMP_EQUAL("/a%2Fb/c", request.mPath.c_str());
+  STRCMP_EQUAL("5", request.mQuery.at("from").c_str());
+  STRCMP_EQUAL("x y", request.mQuery.at("name").c_str());
+  STRCMP_EQUAL("k-1", request.mBearer.c_str());
+  STRCMP_EQUAL("xyz", request.mBody.c_str());
+}
+
+// Guards against connections that cannot be used for a second request.
+TEST(http_server, connectionServesManyRequests)
+{
+  http_server server({}, echoPath);
+  raw_client client(server.port());
+  for (int i = 0; i < 50; ++i) {
+    const auto path = "/" + std::to_string(i);
+    client.send(getRequest(path));
+    STRCMP_EQUAL(path.c_str(), client.receiveAnswer().c_str());
+  }
+}
+
+// Guards against a caller that waits for ever because its pipelined request was lost.
+TEST(http_server, pipelinedRequestsAreEndedAfterTheFirstAnswer)
+{
+  http_server server({}, echoPath);
+  raw_client client(server.port());
+  client.send(getRequest("/1") + getRequest("/2"));
+  STRCMP_EQUAL("/1", client.receiveAnswer().c_str());
+  CHECK(contains(client.mHead, "Connection: close"));
+  CHECK(client.ended());
+}
+
+// Guards against a request that is lost because the one before it is not answered yet.
+TEST(http_server, requestDuringAnotherEndsTheConnectionAfterTheAnswer)
+{
+  kept_requests kept;
+  http_server server({ .mThreads = 1 }, kept.handler());
+  raw_client client(server.port());
+  client.send(getRequest("/1"));
+  const auto first = kept.wait(0);
+  client.send(getRequest("/2"));
+  // The one thread reads the second request before the one of a later connection.
+  raw_client later(server.port());
+  later.send(getRequest("/3"));
+  kept.wait(1);
+  first.answer({ .mBody = "one" });
+  STRCMP_EQUAL("one", client.receiveAnswer().c_str());
+  CHECK(client.ended());
+  LONGS_EQUAL(2, kept.count());
+}
+
+// Guards against Pistache's limit of 4,096 bytes, and against bodies cut at a segment's end.
+TEST(http_server, largeBodiesArriveWhole)
+{
+  http_server server({ .mMaxRequestBytes = 1'000'000 },
+                     [](const http_request& aRequest, const responder& aResponder) {
+                       aResponder.answer({ .mBody = aRequest.mBody });
+                     });
+  raw_client client(server.port());
+  std::string body(1'000'000, 'x');
+  body[999'999] = 'y';
+  client.send(postRequest("/", body));
+  CHECK(client.receiveAnswer() == body);
+}
+
+// Guards against oversized requests that end without an answer that tells why.
+TEST(http_server, tooLargeBodiesGetStatus413)
+{
+  http_server server({ .mMaxRequestBytes = 1000 }, echoPath);
+  raw_client client(server.port());
+  client.send(postRequest("/", std::string(1001, 'x')));
+  const auto body = client.receiveAnswer();
+  LONGS_EQUAL(413, client.status());
+  CHECK_TEXT(contains(body, R"("class":"not_run")"), body.c_str());
+  CHECK_TEXT(contains(body, R"("code":"request_too_large")"), body.c_str());
+  CHECK(client.ended());
+}
+
+// Guards against requests that two readers of the protocol could understand differently.
+TEST(http_server, malformedRequestsGetAClearStatus)
+{
+  http_server server({}, echoPath);
+  const std::pair<int, std::string> cases[] = {
+    { 400, "nonsense\r\n\r\n" },
+    { 400, "GET / HTTP/9.9\r\n\r\n" },
+    { 400, "GARBAGE / HTTP/1.1\r\n\r\n" },
+    { 400, "GET / HTTP/1.1\r\nno colon\r\n\r\n" },
+    { 400, "GET / HTTP/1.1\r\nName : space\r\n\r\n" },
+    { 400, "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n" },
+    { 400, "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n" },
+    { 400, "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab" },
+    { 400, "GET /?a=%zz HTTP/1.1\r\n\r\n" },
+    { 411, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { 431, "GET / HTTP/1.1\r\nLong: " + std::string(20'000, 'x') + "\r\n\r\n" },
+  };
+  for (const auto& [status, text] : cases) {
+    raw_client client(server.port());
+    client.send(text);
+    const auto body = client.receiveAnswer();
+    LONGS_EQUAL_TEXT(status, client.status(), text.substr(0, 60).c_str());
+    CHECK_TEXT(contains(body, R"("class":"not_run")"), body.c_str());
+    CHECK(client.ended());
+  }
+}
+
+// Guards against callers that wait for leave to send a body.
+TEST(http_server, expectationOfContinueIsAnswered)
+{
+  http_server server({}, echoPath);
+  raw_client client(server.port());
+  client.send("POST /c HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+  CHECK(client.receiveUntil("HTTP/1.1 100 Continue\r\n\r\n"));
+  client.mReceived.clear();
+  client.send("ab");
+  STRCMP_EQUAL("/c", client.receiveAnswer().c_str());
+}
+
+// Guards against callers that stop reading and so take a thread from all others.
+TEST(http_server, stalledReadersDoNotHoldUpOthers)
+{
+  const std::string large(6'000'000, 'z');
+  http_server server({ .mThreads = 1, .mSendPeriod = milliseconds(600) },
+                     [&](const http_request& aRequest, const responder& aResponder) {
+                       aResponder.answer({ .mBody = aRequest.mPath == "/large" ? large : "small" });
+                     });
+  std::vector<std::unique_ptr<raw_client>> stalled;
+  for (int i = 0; i < 8; ++i) {
+    stalled.push_back(std::make_unique<raw_client>(server.port()));
+    stalled.back()->send(getRequest("/large"));
+  }
+  for (int i = 0; i < 100; ++i) {
+    raw_client other(server.port());
+    other.send(getRequest("/"));
+    STRCMP_EQUAL("small", other.receiveAnswer().c_str());
+  }
+  raw_client reader(server.port());
+  reader.send(getRequest("/large"));
+  CHECK(reader.receiveAnswer() == large);
+  std::this_thread::sleep_for(milliseconds(1200));
+  for (const auto& one : stalled) {
+    STRCMP_EQUAL("cut short", one->receiveAnswer().c_str());
+  }
+}
+
+// Guards against unread answers that take all memory.
+TEST(http_server, unreadBytesAreBounded)
+{
+  const std::string large(6'000'000, 'z');
+  http_server server({ .mMaxUnreadBytes = 1 },
+                     [&](const http_request& /*aRequest*/, const responder& aResponder) {
+                       aResponder.answer({ .mBody = large });
+                     });
+  raw_client client(server.port());
+  client.send(getRequest("/"));
+  STRCMP_EQUAL("cut short", client.receiveAnswer().c_str());
+}
+
+// Guards against an answer above the limit that is sent in part.
+TEST(http_server, tooLargeAnswersAreReplaced)
+{
+  http_server server({ .mMaxAnswerBytes = 10 },
+                     [](const http_request& /*aRequest*/, const responder& aResponder) {
+                       aResponder.answer({ .mBody = "12345678901" });
+                     });
+  raw_client client(server.port());
+  client.send(getRequest("/"));
+  const auto body = client.receiveAnswer();
+  LONGS_EQUAL(500, client.status());
+  CHECK_TEXT(contains(body, R"("class":"unknown")"), body.c_str());
+}
+
+// Guards against a late answer that reaches the next caller with the same descriptor.
+TEST(http_server, lateAnswersReachNobodyElse)
+{
+  kept_requests kept;
+  http_server server({ .mThreads = 1 }, kept.handler());
+  for (std::size_t i = 0; i < 20; ++i) {
+    auto gone = std::make_unique<raw_client>(server.port());
+    gone->send(getRequest("/gone"));
+    const auto late = kept.wait(2 * i);
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool dropped = false;
+    late.whenDropped([&] {
+      const std::lock_guard lock(mutex);
+      dropped = true;
+      changed.notify_all();
+    });
+    gone.reset();
+    {
+      std::unique_lock lock(mutex);
+      changed.wait(lock, [&] { return dropped; });
+    }
+    raw_client next(server.port());
+    next.send(getRequest("/next"));
+    const auto wanted = kept.wait(2 * i + 1);
+    CHECK_FALSE(late.answer({ .mBody = "late" }));
+    CHECK(wanted.answer({ .mBody = "wanted" }));
+    CHECK_FALSE(wanted.answer({ .mBody = "second" }));
+    STRCMP_EQUAL("wanted", next.receiveAnswer().c_str());
+  }
+}
+
+// Guards against answers that cross between callers while connections come and go.
+TEST(http_server, everyCallerGetsItsOwnAnswerUnderChurn)
+{
+  kept_requests kept;
+  http_server server({}, kept.handler());
+  constexpr std::size_t kThreads = 6;
+  constexpr std::size_t kRequests = 300;
+  std::thread answering([&] {
+    std::mt19937 engine(3);
+    for (std::size_t i = 0; i < kThreads * kRequests; ++i) {
+      const auto next = kept.wait(i);
+      if (engine() % 4 == 0) {
+        std::this_thread::sleep_for(std::chrono::microseconds(engine() % 500));
+      }
+      next.answer({ .mBody = kept.request(i).mPath + std::string(engine() % 3000, '.') });
+    }
+  });
+  std::atomic<int> wrong = 0;
+  std::vector<std::thread> callers;
+  for (std::size_t t = 0; t < kThreads; ++t) {
+    callers.emplace_back([&, t] {
+      std::mt19937 engine(static_cast<unsigned>(t));
+      std::optional<raw_client> client;
+      for (std::size_t i = 0; i < kRequests; ++i) {
+        if (!client) {
+          client.emplace(server.port());
+        }
+        const auto path = "/" + std::to_string(t) + "-" + std::to_string(i);
+        client->send(getRequest(path));
+        if (engine() % 3 == 0) {
+          // The request must have arrived, or the answering thread would wait for it for ever.
+          ::shutdown(client->socket(), SHUT_WR);
+          client.reset();
+          continue;
+        }
+        auto body = client->receiveAnswer();
+        body.erase(std::min(body.find('.'), body.size()));
+        wrong += body != path ? 1 : 0;
+      }
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  answering.join();
+  LONGS_EQUAL(0, wrong.load());
+}
+
+// Guards against a request that is given up and leaves its caller waiting.
+TEST(http_server, requestsGivenUpGetAnAnswer)
+{
+  kept_requests kept;
+  http_server server({}, kept.handler());
+  raw_client client(server.port());
+  client.send(getRequest("/"));
+  kept.wait(0);
+  kept.forget();
+  const auto body = client.receiveAnswer();
+  LONGS_EQUAL(500, client.status());
+  CHECK_TEXT(contains(body, R"("class":"unknown")"), body.c_str());
+}
+
+// Guards against connections that idle or send byte by byte at the cost of others.
+TEST(http_server, idleAndTricklingConnectionsCostOthersNothing)
+{
+  http_server server(
+    { .mThreads = 1, .mReceivePeriod = milliseconds(400), .mIdlePeriod = milliseconds(300) },
+    echoPath);
+  std::vector<std::unique_ptr<raw_client>> idle;
+  for (int i = 0; i < 100; ++i) {
+    idle.push_back(std::make_unique<raw_client>(server.port()));
+  }
+  raw_client trickling(server.port());
+  trickling.send("GET / HT");
+  for (int i = 0; i < 100; ++i) {
+    raw_client other(server.port());
+    other.send(getRequest("/x"));
+    STRCMP_EQUAL("/x", other.receiveAnswer().c_str());
+  }
+  trickling.receiveAnswer();
+  LONGS_EQUAL(408, trickling.status());
+  for (const auto& one : idle) {
+    CHECK(one->ended());
+  }
+}
+
+// Guards against connections without number that leave none for others' sockets.
+TEST(http_server, tooManyConnectionsAreRefused)
+{
+  http_server server({ .mMaxConnections = 2 }, echoPath);
+  raw_client first(server.port());
+  raw_client second(server.port());
+  first.send(getRequest("/1"));
+  second.send(getRequest("/2"));
+  first.receiveAnswer();
+  second.receiveAnswer();
+  raw_client third(server.port());
+  const auto body = third.receiveAnswer();
+  LONGS_EQUAL(503, third.status());
+  CHECK_TEXT(contains(body, R"("class":"not_run")"), body.c_str());
+  first.send(getRequest("/again"));
+  STRCMP_EQUAL("/again", first.receiveAnswer().c_str());
+}
+
+// Guards against a graceful shutdown that cuts answers off.
+TEST(http_server, stopFinishesWhatItHolds)
+{
+  kept_requests kept;
+  http_server server({}, kept.handler());
+  raw_client held(server.port());
+  raw_client later(server.port());
+  held.send(getRequest("/held"));
+  const auto pending = kept.wait(0);
+  std::thread stopping([&] { server.stop(milliseconds(20'000)); });
+  // Until the server is stopping, it hands requests to the handler.
+  std::this_thread::sleep_for(milliseconds(100));
+  later.send(getRequest("/later"));
+  later.receiveAnswer();
+  LONGS_EQUAL(503, later.status());
+  pending.answer({ .mBody = "held" });
+  STRCMP_EQUAL("held", held.receiveAnswer().c_str());
+  stopping.join();
+  CHECK(held.ended());
+  CHECK_FALSE(pending.answer({ .mBody = "again" }));
+}
+
+// Guards against sockets that stay open after their connection or their server has gone.
+TEST(http_server, stoppedServersLeaveNoSockets)
+{
+  const auto sockets = [] {
+    std::size_t count = 0;
+    for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+      std::error_code gone;
+      count += read_symlink(entry.path(), gone).string().starts_with("socket:") ? 1 : 0;
+    }
+    return count;
+  };
+  const auto before = sockets();
+  for (int i = 0; i < 5; ++i) {
+    http_server server({}, echoPath);
+    raw_client client(server.port());
+    client.send(getRequest("/"));
+    client.receiveAnswer();
+  }
+  LONGS_EQUAL(before, sockets());
+}
