--- /dev/null
+++ b/ctl/src/command.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "endiveusher/ctl/run.h"
+
+#include <iosfwd>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace endiveusher::ctl::internal {
+
+/// What a command works with.
+struct command_context
+{
+  /// Words after the command's name.
+  std::vector<std::string> mArguments;
+  environment mEnvironment;
+  std::ostream& mOut;
+  std::ostream& mErrors;
+};
+
+struct command
+{
+  /// One or two words.
+  std::string mName;
+  std::string mSummary;
+  exit_code (*mRun)(command_context&);
+};
+
+/// Ends a command early, after its message has been printed.
+struct command_ended
+{
+  exit_code mCode;
+};
+
+std::span<const command> jobCommands();
+std::span<const command> operatorCommands();
+
+} // namespace endiveusher::ctl::internal
