Add the clients of targets, of the platform and of peers

Cause: the daemon's state machine asks for exchanges, log requests and peer messages and performs no I/O itself.

--- /dev/null
+++ b/edges/src/http_requests.cpp
@@ -0,0 +1,315 @@
+#include "http_requests.h"
+
+#include <curl/curl.h>
+#include <readerwriterqueue/readerwriterqueue.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <pthread.h>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace endiveusher::edges::internal {
+
+namespace {
+
+using wall_clock = std::chrono::steady_clock;
+
+/// Transfer handles kept for reuse; each holds some tens of kB of buffers.
+constexpr std::size_t kIdleHandles = 4;
+/// Connections kept open over all lanes; enough for the targets of one zone.
+constexpr long kOpenConnections = 256;
+/// A lane without a request for this long is forgotten.
+constexpr auto kLaneIdlePeriod = std::chrono::minutes(1);
+constexpr auto kLongestPoll = std::chrono::milliseconds(1000);
+
+void initialiseCurl()
+{
+  static std::once_flag once;
+  // Without TLS: all channels are plain HTTP, and the TLS library's tables cost memory.
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_NOTHING); });
+}
+
+} // namespace
+
+class http_requests::impl
+{
+public:
+  explicit impl(http_requests_options aOptions)
+    : mOptions(std::move(aOptions)), mRing(mOptions.mQueueLimit)
+  {
+    initialiseCurl();
+    mMulti = curl_multi_init();
+    curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, kOpenConnections);
+    mHeaders = curl_slist_append(mHeaders, "Content-Type: application/json");
+    // Without this, a large body waits for a 100-continue answer.
+    mHeaders = curl_slist_append(mHeaders, "Expect:");
+    mThread = std::thread([this] { run(); });
+    pthread_setname_np(mThread.native_handle(), mOptions.mThreadName.c_str());
+  }
+
+  ~impl()
+  {
+    mStopping = true;
+    curl_multi_wakeup(mMulti);
+    mThread.join();
+    for (auto& [handle, active] : mActive) {
+      curl_multi_remove_handle(mMulti, handle);
+      curl_easy_cleanup(handle);
+    }
+    for (auto* handle : mIdle) {
+      curl_easy_cleanup(handle);
+    }
+    curl_multi_cleanup(mMulti);
+    curl_slist_free_all(mHeaders);
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  bool send(http_request&& aRequest)
+  {
+    if (mOpen.load(std::memory_order_relaxed) >= mOptions.mQueueLimit) {
+      ++mCounters.mDropped;
+      return false;
+    }
+    ++mOpen;
+    if (!mRing.try_enqueue(
+          pending{ .mRequest = std::move(aRequest), .mSince = wall_clock::now() })) {
+      --mOpen;
+      ++mCounters.mDropped;
+      return false;
+    }
+    curl_multi_wakeup(mMulti);
+    return true;
+  }
+
+  channel_counters mCounters;
+
+private:
+  struct pending
+  {
+    http_request mRequest;
+    wall_clock::time_point mSince;
+
+    wall_clock::time_point deadline() const { return mSince + mRequest.mTimeout; }
+  };
+  struct lane
+  {
+    std::deque<pending> mWaiting;
+    bool mBusy = false;
+    /// The last connection failed; the next request must not use one from the cache.
+    bool mFreshConnection = false;
+    wall_clock::time_point mLastUsed;
+  };
+  struct transfer
+  {
+    pending mPending;
+    std::string mResponse;
+    std::size_t mBodyLimit = 0;
+  };
+
+  static std::size_t onBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+  {
+    auto& self = *static_cast<transfer*>(aTransfer);
+    const std::size_t size = aSize * aCount;
+    if (self.mResponse.size() + size > self.mBodyLimit) {
+      return 0;
+    }
+    self.mResponse.append(aData, size);
+    return size;
+  }
+
+  void run()
+  {
+    while (!mStopping) {
+      pending next;
+      while (mRing.try_dequeue(next)) {
+        auto& target = mLanes[next.mRequest.mLane];
+        target.mWaiting.push_back(std::move(next));
+        startNext(target);
+      }
+      int running = 0;
+      curl_multi_perform(mMulti, &running);
+      finishTransfers();
+      const auto now = wall_clock::now();
+      const auto wait = expireWaiting(now);
+      if (mRing.peek() == nullptr && !mStopping) {
+        curl_multi_poll(mMulti, nullptr, 0, static_cast<int>(wait.count()), nullptr);
+      }
+    }
+  }
+
+  void startNext(lane& aLane)
+  {
+    if (aLane.mBusy || aLane.mWaiting.empty()) {
+      return;
+    }
+    auto next = std::move(aLane.mWaiting.front());
+    aLane.mWaiting.pop_front();
+    aLane.mLastUsed = wall_clock::now();
+    const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(next.deadline() - aLane.mLastUsed);
+    if (left.count() <= 0) {
+      finish(next, http_result{ .mNeverSent = true });
+      startNext(aLane);
+      return;
+    }
+    aLane.mBusy = true;
+    CURL* handle = takeHandle();
+    auto active = std::make_unique<transfer>();
+    active->mPending = std::move(next);
+    active->mBodyLimit = mOptions.mBodyLimit;
+    const auto& request = active->mPending.mRequest;
+    curl_easy_setopt(handle, CURLOPT_URL, request.mUrl.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, mHeaders);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, 16384L);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &impl::onBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, aLane.mFreshConnection ? 1L : 0L);
+    if (request.mBody) {
+      curl_easy_setopt(handle, CURLOPT_POST, 1L);
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.mBody->size()));
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.mBody->data());
+    }
+    curl_multi_add_handle(mMulti, handle);
+    mActive.emplace(handle, std::move(active));
+  }
+
+  void finishTransfers()
+  {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(mMulti, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      CURL* handle = message->easy_handle;
+      const CURLcode code = message->data.result;
+      curl_multi_remove_handle(mMulti, handle);
+      const auto found = mActive.find(handle);
+      const auto active = std::move(found->second);
+      mActive.erase(found);
+      const http_result result = evaluate(handle, code, *active);
+      giveHandle(handle);
+      auto& target = mLanes[active->mPending.mRequest.mLane];
+      target.mBusy = false;
+      target.mFreshConnection = code != CURLE_OK;
+      finish(active->mPending, result);
+      startNext(target);
+    }
+  }
+
+  http_result evaluate(CURL* aHandle, CURLcode aCode, transfer& aTransfer)
+  {
+    long requestSize = 0;
+    long headerSize = 0;
+    curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &requestSize);
+    curl_easy_getinfo(aHandle, CURLINFO_HEADER_SIZE, &headerSize);
+    if (requestSize > 0) {
+      const auto& body = aTransfer.mPending.mRequest.mBody;
+      mCounters.mSentBytes += static_cast<std::uint64_t>(requestSize) + (body ? body->size() : 0);
+    }
+    mCounters.mReceivedBytes += static_cast<std::uint64_t>(headerSize) + aTransfer.mResponse.size();
+    http_result result;
+    if (aCode == CURLE_OK) {
+      long status = 0;
+      curl_easy_getinfo(aHandle, CURLINFO_RESPONSE_CODE, &status);
+      result.mStatus = status;
+      result.mBody = std::move(aTransfer.mResponse);
+    } else {
+      // libcurl repeats a request on a new connection if a reused one was closed without an
+      // answer; a refused repetition does not prove that the first one was not received. The
+      // request size counts all tries.
+      result.mNeverSent = requestSize == 0;
+    }
+    return result;
+  }
+
+  void finish(const pending& aPending, http_result aResult)
+  {
+    ++(aResult.mStatus ? mCounters.mSucceeded : mCounters.mFailed);
+    aResult.mElapsed = std::chrono::duration_cast<duration>(wall_clock::now() - aPending.mSince);
+    --mOpen;
+    aPending.mRequest.mDone(std::move(aResult));
+  }
+
+  /// Ends waiting requests past their deadline, forgets idle lanes, and returns the time until the
+  /// next deadline of a waiting one.
+  std::chrono::milliseconds expireWaiting(wall_clock::time_point aNow)
+  {
+    auto next = aNow + kLongestPoll;
+    for (auto at = mLanes.begin(); at != mLanes.end();) {
+      auto& waiting = at->second.mWaiting;
+      while (!waiting.empty() && waiting.front().deadline() <= aNow) {
+        finish(waiting.front(), http_result{ .mNeverSent = true });
+        waiting.pop_front();
+      }
+      if (!waiting.empty()) {
+        next = std::min(next, waiting.front().deadline());
+      }
+      const bool idle = waiting.empty() && !at->second.mBusy;
+      at = idle && aNow - at->second.mLastUsed > kLaneIdlePeriod ? mLanes.erase(at) : ++at;
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(next - aNow);
+  }
+
+  CURL* takeHandle()
+  {
+    if (mIdle.empty()) {
+      return curl_easy_init();
+    }
+    CURL* handle = mIdle.back();
+    mIdle.pop_back();
+    return handle;
+  }
+
+  void giveHandle(CURL* aHandle)
+  {
+    if (mIdle.size() < kIdleHandles) {
+      curl_easy_reset(aHandle);
+      mIdle.push_back(aHandle);
+    } else {
+      curl_easy_cleanup(aHandle);
+    }
+  }
+
+  const http_requests_options mOptions;
+  moodycamel::ReaderWriterQueue<pending, 64> mRing;
+  std::atomic<std::size_t> mOpen{ 0 };
+  std::atomic<bool> mStopping{ false };
+  CURLM* mMulti = nullptr;
+  curl_slist* mHeaders = nullptr;
+  std::map<std::string, lane> mLanes;
+  std::map<CURL*, std::unique_ptr<transfer>> mActive;
+  std::vector<CURL*> mIdle;
+  std::thread mThread;
+};
+
+http_requests::http_requests(http_requests_options aOptions)
+  : mImpl(std::make_unique<impl>(std::move(aOptions)))
+{
+}
+
+http_requests::~http_requests() = default;
+
+bool http_requests::send(http_request aRequest)
+{
+  return mImpl->send(std::move(aRequest));
+}
+
+const channel_counters& http_requests::counters() const
+{
+  return mImpl->mCounters;
+}
+
+} // namespace endiveusher::edges::internal
