Compile the core tests against the kernel's own instances

Each core test instantiated the whole kernel again, which made the test build take minutes on a busy machine. Only the test with guards removed includes the definitions now.

--- a/tests/kernel/core_calls_test.cpp
+++ b/tests/kernel/core_calls_test.cpp
@@ -1,5 +1,9 @@
 #include "tests/kernel/core_cell.h"
 
+#include "kernel/src/daemon_core_impl.h"
+#include "kernel/src/membership_impl.h"
+#include "kernel/src/placer_definitions.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace endiveusher;
@@ -7,6 +11,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Instantiated by the kernel itself.
+extern template class endiveusher::basic_daemon_core<all_guards>;
+extern template class endiveusher::basic_membership<all_guards>;
+extern template class endiveusher::basic_placer<all_guards>;
+
 namespace {
 
 struct without_request_ids : all_guards
--- a/tests/kernel/core_cell.h
+++ b/tests/kernel/core_cell.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "endiveusher/standins/log_model.h"
+#include "endiveusher/kernel/daemon_core.h"
 #include "endiveusher/standins/target_model.h"
-#include "kernel/src/daemon_core_impl.h"
+#include "kernel/src/request_ids.h"
 
 #include <deque>
 #include <functional>
--- a/tests/kernel/core_jobs_test.cpp
+++ b/tests/kernel/core_jobs_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/kernel/core_cell.h"
 
+#include "kernel/src/job_table.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace endiveusher;
