--- a/tests/kernel/core_jobs_test.cpp
+++ b/tests/kernel/core_jobs_test.cpp
@@ -2,6 +2,8 @@
 
 #include "kernel/src/job_table.h"
 
+#include <random>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace endiveusher;
