--- a/kernel/src/freshness.h
+++ b/kernel/src/freshness.h
@@ -77,7 +77,8 @@
       if (aNow - peer.mHeardAt >= mTiming.mFreshnessPeriod || peer.mHeardAt == time_point{}) {
         continue;
       }
-      if (peer.mLast.mLogReachable) {
+      // A peer that has applied more of the log knows of changes made before the outage.
+      if (peer.mLast.mLogReachable || peer.mLast.mControlOffset > aControl.next()) {
         return std::nullopt;
       }
       if (!peer.mAnsweredProbeAt) {
@@ -93,7 +94,11 @@
       }
       const bool vmGone = aVms.mEverRead && aNow - aVms.mReadAt < kVmListPeriod &&
                           aVms.dropped(member.mVm) && zonesAnswering.contains(member.mZone);
-      if (!vmGone) {
+      // A member that last reached the log may have published something before it died.
+      const peer_entry* last = aPeers.find(id);
+      const bool knewNoMore = last != nullptr && !last->mLast.mLogReachable &&
+                              last->mLast.mControlOffset <= aControl.next();
+      if (!vmGone || !knewNoMore) {
         return std::nullopt;
       }
     }
--- a/kernel/src/membership_state.h
+++ b/kernel/src/membership_state.h
@@ -681,6 +681,12 @@
     for (const auto& dead : std::views::keys(mControl.successions())) {
       view.mSuccessors.emplace(dead, mControl.resolve(dead));
     }
+    for (const auto& [id, silent] : mControl.members()) {
+      if (!view.mLive.contains(id)) {
+        view.mPresumedSuccessors.emplace(
+          id, mTakeovers.successorOf(silent, mControl, mPeers, aNow, {}));
+      }
+    }
     return view;
   }
 
--- a/tests/kernel/membership_test.cpp
+++ b/tests/kernel/membership_test.cpp
@@ -140,6 +140,24 @@
   CHECK_FALSE(cell.fresh("a2"));
 }
 
+// M11. Guards against agreement on an outage among daemons of which one knows of a change that was
+// accepted just before the outage and that it cannot pass on.
+TEST(membership, memberWithAHigherOffsetBlocksTheAgreement)
+{
+  two_zones cell;
+  cell.mWithoutLog = { "a1", "a2" };
+  cell.mConnected = [](const std::string& aFrom, const std::string&) { return aFrom != "b1"; };
+  cell.publish("b1", "1", set_zone_state{ "a", zone_state::out });
+  cell.run(1s);
+  cell.withoutLog();
+  cell.at("b1").takeEffects();
+  cell.mConnected = [](const std::string&, const std::string&) { return true; };
+  cell.mDropsRecords = true;
+  cell.run(4s);
+  CHECK(cell.at("a1").control().zoneState("a") == zone_state::in);
+  CHECK_FALSE(cell.fresh("a1"));
+}
+
 // Guards against an outage agreement that outlives the return of the log at one member.
 TEST(membership, oneMemberWithLogEndsTheAgreement)
 {
