--- a/tests/kernel/core_calls_test.cpp
+++ b/tests/kernel/core_calls_test.cpp
@@ -49,12 +49,12 @@
 std::uint32_t startsOfOneIdSentTwice()
 {
   pair_cell<Guards> cell;
-  auto job = jobOf("order 1");
+  auto job = jobOf("order-1");
   job.mIdempotent = false;
   cell.call("d1", submit_call{ .mKey = kKey, .mJob = job });
   cell.call("d2", submit_call{ .mKey = kKey, .mJob = job });
   cell.run(seconds(5));
-  return cell.starts("order 1", 1);
+  return cell.starts("order-1", 1);
 }
 
 /// Submits while the log stores records but does not answer. Returns the answer's class and whether
@@ -64,14 +64,14 @@
 {
   pair_cell<Guards> cell;
   cell.mLosesAppendAnswers = true;
-  const auto id = cell.call("d1", submit_call{ .mKey = kKey, .mJob = jobOf("order 2") });
+  const auto id = cell.call("d1", submit_call{ .mKey = kKey, .mJob = jobOf("order-2") });
   cell.run(milliseconds(20));
   cell.mLogDown = true;
   cell.run(seconds(4));
   cell.mLogDown = false;
   cell.mLosesAppendAnswers = false;
   cell.run(seconds(8));
-  return { cell.mAnswers.at(id).mClass, cell.starts("order 2", 1) > 0 };
+  return { cell.mAnswers.at(id).mClass, cell.starts("order-2", 1) > 0 };
 }
 
 /// Withdraws the key while d2 is cut off from everything; returns d2's answer to a submission.
--- a/tests/kernel/core_cell.h
+++ b/tests/kernel/core_cell.h
@@ -4,11 +4,13 @@
 #include "endiveusher/standins/target_model.h"
 #include "kernel/src/request_ids.h"
 
-#include <deque>
 #include <functional>
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
--- a/tests/kernel/core_takeover_test.cpp
+++ b/tests/kernel/core_takeover_test.cpp
@@ -41,7 +41,7 @@
 TEST(core_takeover, theSuccessorFinishesTheJobsOfADeadHome)
 {
   trio_cell cell;
-  auto job = jobOf("tour 1", job_kind::batch, 24);
+  auto job = jobOf("tour-1", job_kind::batch, 24);
   job.mCommand = "run=9000ms";
   CHECK(cell.submit("d1", job).mClass == answer_class::ran);
   cell.run(seconds(2));
@@ -49,7 +49,7 @@
   CHECK(begun > 0);
   cell.kill("d1");
   cell.run(seconds(90));
-  const auto status = cell.status("d2", "tour 1");
+  const auto status = cell.status("d2", "tour-1");
   CHECK(status.mEnded);
   CHECK_EQUAL(24, count(status, task_state::succeeded));
 }
