Answer unconfirmed publications as unknown and drop them

Change: a publication that the log does not confirm is answered as unknown, also by a daemon that has sent nothing, and its record is not appended any more.

--- a/kernel/src/control_writer.h
+++ b/kernel/src/control_writer.h
@@ -35,14 +35,9 @@
     std::erase_if(mPending, [&](const control_record& aRecord) { return aRecord.mId == aId; });
     std::erase(mStored, aId);
   }
+  /// Gives up a record; it may have been stored already.
   void cancel(std::string_view aId) { seen(aId); }
 
-  /// Whether the record was never handed to an append that may have stored it.
-  bool neverSent(std::string_view aId) const
-  {
-    return std::ranges::find(mMaybeStored, aId) == mMaybeStored.end();
-  }
-
   /// The next append, if one is due.
   std::optional<append_control_effect> next(time_point aNow)
   {
@@ -53,15 +48,11 @@
     for (const control_record& record : mPending) {
       if (std::ranges::find(mStored, record.mId) == mStored.end()) {
         append.mRecords.push_back(record);
-        mMaybeStored.push_back(record.mId);
       }
     }
     if (append.mRecords.empty()) {
       return std::nullopt;
     }
-    if (mMaybeStored.size() > kIdsKept) {
-      mMaybeStored.erase(mMaybeStored.begin(), mMaybeStored.end() - kIdsKept);
-    }
     mInFlight = kIdBase + ++mLastAppend;
     append.mAppendId = mInFlight;
     mSending = append.mRecords;
@@ -85,11 +76,6 @@
         }
         break;
       case append_status::rejected:
-        for (const control_record& record : mSending) {
-          std::erase(mMaybeStored, record.mId);
-        }
-        mRetryAt = aNow + kRetryInterval;
-        break;
       case append_status::unknown:
         mRetryAt = aNow + kRetryInterval;
         break;
@@ -105,7 +91,6 @@
 
 private:
   static constexpr duration kRetryInterval = std::chrono::milliseconds(300);
-  static constexpr std::ptrdiff_t kIdsKept = 1000;
 
   incarnation_id mSelf;
   std::uint64_t mLastNumber = 0;
@@ -116,8 +101,6 @@
   std::vector<control_record> mSending;
   /// Ids known to be in the stream, not read back yet.
   std::vector<std::string> mStored;
-  /// Ids handed to an append that was not surely rejected.
-  std::vector<std::string> mMaybeStored;
 };
 
 } // namespace endiveusher::internal
--- a/kernel/src/membership_state.h
+++ b/kernel/src/membership_state.h
@@ -582,8 +582,7 @@
   void advancePublished(time_point aNow)
   {
     auto results = mPublisher.advance(
-      mControl, [&](log_offset aOffset) { return allAt(aOffset + 1); },
-      [&](const std::string& aRecord) { return mWriter.neverSent(aRecord); }, aNow);
+      mControl, [&](log_offset aOffset) { return allAt(aOffset + 1); }, aNow);
     for (auto& [callId, result] : results) {
       mPublished.push_back({ .mCallId = callId, .mAnswer = std::move(result) });
     }
@@ -606,8 +605,7 @@
     std::string record;
     if (!mControl.operation(aCall.mOperationId)) {
       if (!mLogReachable) {
-        mPublished.push_back(
-          { .mCallId = aCallId, .mAnswer = internal::publisher::unreachable(true) });
+        mPublished.push_back({ .mCallId = aCallId, .mAnswer = internal::publisher::unreachable() });
         return;
       }
       record = mWriter.add(config_record{ .mOperationId = aCall.mOperationId,
--- a/kernel/src/publisher.h
+++ b/kernel/src/publisher.h
@@ -31,10 +31,9 @@
   }
 
   /// Ends the calls that can be answered now. aAllAt(offset) tells whether all members have
-  /// applied the offset; aNeverSent(record) whether the record surely is not in the log.
-  template<typename AllAt, typename NeverSent>
-  std::vector<result> advance(const control_state& aControl, AllAt&& aAllAt, NeverSent&& aNeverSent,
-                              time_point aNow)
+  /// applied the offset.
+  template<typename AllAt>
+  std::vector<result> advance(const control_state& aControl, AllAt&& aAllAt, time_point aNow)
   {
     std::vector<result> ended;
     std::erase_if(mWaiting, [&](waiting& aCall) {
@@ -53,28 +52,26 @@
       if (aNow - aCall.mBegunAt < kAppendDeadline) {
         return false;
       }
-      const bool neverSent = aNeverSent(aCall.mRecordId);
-      ended.emplace_back(aCall.mCallId, unreachable(neverSent));
-      if (neverSent) {
-        mAbandoned.push_back(aCall.mRecordId);
-      }
+      // Appended later it could undo a newer change.
+      mAbandoned.push_back(aCall.mRecordId);
+      ended.emplace_back(aCall.mCallId, unreachable());
       return true;
     });
     return ended;
   }
 
-  /// Records that must not be appended any more, since their calls were answered as not run.
+  /// Records that must not be appended any more, since their calls have been answered.
   std::vector<std::string> takeAbandoned() { return std::exchange(mAbandoned, {}); }
 
-  static answer unreachable(bool aNeverSent)
+  /// The class is unknown even if this daemon has sent nothing: the same operation may have been
+  /// published through another daemon.
+  static answer unreachable()
   {
-    return { .mClass = aNeverSent ? answer_class::not_run : answer_class::unknown,
+    return { .mClass = answer_class::unknown,
              .mBody = call_error{ .mStatus = 503,
                                   .mCode = "log_unreachable",
-                                  .mMessage =
-                                    aNeverSent ? "The log cannot be reached; nothing was published."
-                                               : "The log did not confirm the record; it may be in "
-                                                 "force. Publish the same operation again.",
+                                  .mMessage = "The log did not confirm the record; it may be in "
+                                              "force. Publish the same operation again.",
                                   .mStep = "append",
                                   .mPeer = "log" } };
   }
--- a/tests/kernel/membership_test.cpp
+++ b/tests/kernel/membership_test.cpp
@@ -270,6 +270,28 @@
   CHECK(published.front().mAnswer.mClass == answer_class::unknown);
 }
 
+// M7, M11. Guards against a refusal as not run of an operation that another daemon may still
+// publish, and against a queued change that undoes a newer one when the log is back (soak, faults
+// zone_cut,limits,keys, seed 3).
+TEST(membership, unconfirmedChangeIsNotAppendedLater)
+{
+  two_zones cell;
+  cell.withoutLog();
+  cell.run(2s);
+  cell.publish("a1", "1", set_team{ .mTeam = "t" });
+  const auto published = cell.at("a1").takePublished();
+  LONGS_EQUAL(1, published.size());
+  CHECK(published.front().mAnswer.mClass == answer_class::unknown);
+  cell.mWithoutLog = {};
+  cell.run(2s);
+  cell.withoutLog();
+  cell.publish("a1", "2", set_team{ .mTeam = "u" });
+  cell.run(8s);
+  cell.mWithoutLog = {};
+  cell.run(3s);
+  CHECK(cell.at("a1").control().teams().empty());
+}
+
 // Guards against a joining daemon that takes a log without its old records for an empty one.
 TEST(membership, joiningDaemonNeedsTheSnapshot)
 {
