Stop instead of rejoining after the own leave record

A daemon that read its own leave record took it for a takeover and asked for a new incarnation, so a graceful shutdown never ended. It now stops there. Records of jobs are appended in the same call that accepts the job instead of at the next tick.

--- a/kernel/src/daemon_core_impl.h
+++ b/kernel/src/daemon_core_impl.h
@@ -57,12 +57,11 @@
       return;
     }
     updateView();
-    if (mRejoining) {
+    if (isOver()) {
       return;
     }
     mContext.mMembership.tick(mContext.mPlacer.summary(), mContext.mPlacer.shortages(), aNow);
     mKeeper.tick();
-    mContext.mJobLog.tick(mContext.control().members().size(), aNow);
     mInheritance.tick();
     mPort.tick();
     mDelegation.tick();
@@ -114,9 +113,7 @@
   void apply(const exchange_event& aEvent) { mContext.mPlacer.handle(aEvent, mContext.mNow); }
   void apply(const append_event& aEvent)
   {
-    if (mContext.mJobLog.handle(aEvent, mContext.mNow)) {
-      mContext.mJobLog.tick(mContext.control().members().size(), mContext.mNow);
-    } else {
+    if (!mContext.mJobLog.handle(aEvent, mContext.mNow)) {
       mContext.mMembership.handle(aEvent, mContext.mNow);
       updateView();
     }
@@ -130,7 +127,6 @@
   {
     mContext.mJobLog.handle(aEvent, mContext.mNow);
     readNews();
-    mContext.mJobLog.tick(mContext.control().members().size(), mContext.mNow);
   }
   void apply(const vm_list_event& aEvent)
   {
@@ -202,7 +198,11 @@
   void updateView()
   {
     if (mContext.mMembership.ended()) {
-      rejoin();
+      if (mContext.mStopping) {
+        mStop.finish();
+      } else {
+        rejoin();
+      }
       return;
     }
     mContext.mPlacer.setView(mContext.mMembership.view(mContext.mNow), mContext.mNow);
@@ -213,7 +213,7 @@
   {
     // Each round is caused by the one before; the rest waits for the next call.
     constexpr int kMaxRounds = 8;
-    for (int round = 0; round < kMaxRounds && !mRejoining; ++round) {
+    for (int round = 0; round < kMaxRounds && !isOver(); ++round) {
       while (!mContext.mLocal.empty()) {
         const auto message = std::move(mContext.mLocal.front());
         mContext.mLocal.pop_front();
@@ -228,6 +228,9 @@
         break;
       }
     }
+    if (!isOver()) {
+      mContext.mJobLog.tick(mContext.control().members().size(), mContext.mNow);
+    }
     drain();
   }
 
@@ -243,7 +246,7 @@
   void drain()
   {
     // Whatever an ended incarnation still wanted to send is its successor's to decide.
-    if (mRejoining) {
+    if (isOver()) {
       return;
     }
     for (auto& published : mContext.mMembership.takePublished()) {
--- a/kernel/src/graceful_stop.h
+++ b/kernel/src/graceful_stop.h
@@ -25,6 +25,13 @@
 
   void begin();
   void tick();
+  /// The own leave record, or a takeover, has been read.
+  void finish()
+  {
+    if (!mStopped) {
+      stop();
+    }
+  }
   bool stopped() const { return mStopped; }
 
 private:
--- a/kernel/src/placer_exchanges.h
+++ b/kernel/src/placer_exchanges.h
@@ -40,9 +40,8 @@
   if (aTarget.mTable.empty()) {
     const incarnation_id& preferred = aTarget.mTerms.mPreferredOwner;
     // A target that is no longer listed belongs to a zone that has got its own member.
-    const bool elsewhere =
-      !aTarget.mListed ||
-      (!preferred.empty() && preferred != self() && mView.mLive.contains(preferred));
+    const bool elsewhere = !aTarget.mListed || (!preferred.empty() && preferred != self() &&
+                                                mView.mLive.contains(preferred));
     return elsewhere ? target_wish::release : target_wish::own;
   }
   for (const auto& [key, entry] : aTarget.mTable) {
--- a/tests/kernel/core_cell.h
+++ b/tests/kernel/core_cell.h
@@ -4,9 +4,9 @@
 #include "endiveusher/standins/target_model.h"
 #include "kernel/src/request_ids.h"
 
-#include <functional>
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
