Wait for interim owners before an attempt counts as lost

Change: an attempt is lost only after a silence period, a task lease and the margin without a gap between ticks and without a member that is not heard; an interim owner renews nothing once it releases the target to a live placer, and attempts claimed for a home no longer keep it from releasing. A placer that hears a member which does not hear it is not covered.

--- a/kernel/src/placer_exchanges.h
+++ b/kernel/src/placer_exchanges.h
@@ -33,8 +33,13 @@
   if (mShuttingDown) {
     return aTarget.sentOrders() ? target_wish::own : target_wish::release;
   }
-  if (!aTarget.mHeld.empty() || !aTarget.mEnded.empty() || !aTarget.mOrders.empty() ||
-      aTarget.mOwnEntries > 0 || aTarget.mReservations > 0 || !aTarget.mTableKnown) {
+  if (!aTarget.mOrders.empty() || aTarget.mOwnEntries > 0 || aTarget.mReservations > 0 ||
+      !aTarget.mTableKnown) {
+    return target_wish::own;
+  }
+  const auto isOwn = [this](const task_key& aKey) { return mBook.attempts().at(aKey).mOwn; };
+  if (std::any_of(aTarget.mHeld.begin(), aTarget.mHeld.end(), isOwn) ||
+      std::any_of(aTarget.mEnded.begin(), aTarget.mEnded.end(), isOwn)) {
     return target_wish::own;
   }
   if (aTarget.mTable.empty()) {
@@ -139,8 +144,10 @@
   // Renewals to a silent target stop, so that its leases surely end and its work can go on
   // elsewhere.
   constexpr std::uint32_t kMissedToStopRenewal = 3;
-  if (aWish != target_wish::read && aTarget.contacted() && aNow < mView.mRenewUntil &&
-      aTarget.mMissed < kMissedToStopRenewal) {
+  // An interim owner renews nothing once the placer is heard from again.
+  const bool interimRelease = aWish == target_wish::release && aTarget.mForeign > 0;
+  if (aWish != target_wish::read && !interimRelease && aTarget.contacted() &&
+      aNow < mView.mRenewUntil && aTarget.mMissed < kMissedToStopRenewal) {
     // Counted from the earliest reading, so that no lease outlasts the renewal by more than a
     // task lease.
     request.mTaskLeaseUntil =
@@ -233,6 +240,33 @@
   }
 }
 
+/// While this daemon was silent, or is to a member that it does not hear, another member may be
+/// the interim owner of its targets and renew the leases there.
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::noteSilence(time_point aNow)
+{
+  mMembersSeen.insert(mView.mLive.begin(), mView.mLive.end());
+  std::erase_if(mMembersSeen,
+                [this](const auto& aMember) { return mView.mSuccessors.contains(aMember); });
+  const bool allHeard =
+    std::includes(mView.mLive.begin(), mView.mLive.end(), mMembersSeen.begin(), mMembersSeen.end());
+  if (!allHeard || aNow - mLastTick > mOptions.mTiming.mSilencePeriod / 2) {
+    mHeardSince = aNow;
+  }
+  mLastTick = aNow;
+}
+
+template<guard_policy Guards>
+bool basic_placer<Guards>::impl::othersRenewNothing(time_point aNow) const
+{
+  // Interim owners stop renewing once they hear from the placer, at the latest a silence period
+  // after it is heard again.
+  const timing_options& timing = mOptions.mTiming;
+  const duration lease(static_cast<duration::rep>(static_cast<double>(timing.mTaskLease.count()) *
+                                                  (1.0 + timing.mClockDrift)));
+  return aNow - mHeardSince > timing.mSilencePeriod + lease + timing.mSafetyMargin;
+}
+
 template<guard_policy Guards>
 void basic_placer<Guards>::impl::expireLeases(target_state& aTarget, time_point aNow)
 {
@@ -242,7 +276,7 @@
   }
   const target_time ended =
     aTarget.mLeaseMax + std::chrono::duration_cast<target_time>(mOptions.mTiming.mSafetyMargin);
-  const bool leasesEnded = aTarget.mClock.earliest(aNow) > ended;
+  const bool leasesEnded = aTarget.mClock.earliest(aNow) > ended && othersRenewNothing(aNow);
   for (const task_key& key : std::set(aTarget.mHeld)) {
     held_attempt& attempt = *mBook.find(key);
     const auto order = aTarget.mOrders.find(attempt.mStartOrder);
--- a/kernel/src/placer_impl.h
+++ b/kernel/src/placer_impl.h
@@ -135,6 +135,8 @@
   void addOrders(target_state& aTarget, exchange_request& aRequest, time_point aNow);
   void onTimeout(target_state& aTarget, time_point aNow);
   void expireLeases(target_state& aTarget, time_point aNow);
+  void noteSilence(time_point aNow);
+  bool othersRenewNothing(time_point aNow) const;
 
   // placer_answers.h
   void onAnswer(target_state& aTarget, const exchange_response& aAnswer, time_point aNow);
@@ -185,6 +187,12 @@
   /// Sizes that found no room since room last grew; index 1 for urgent tasks.
   std::array<std::vector<resources>, 2> mNoRoom;
 
+  /// Members that were heard from and have not ended.
+  std::set<incarnation_id> mMembersSeen;
+  time_point mLastTick{};
+  /// Since when neither this daemon nor any other member has been silent.
+  time_point mHeardSince{};
+
   std::uint64_t mLastExchange = 0;
   std::uint64_t mLastOrder = 0;
   time_point mLastRelease{};
--- a/kernel/src/placer_schedule.h
+++ b/kernel/src/placer_schedule.h
@@ -211,6 +211,7 @@
     mNextRetry = aNow + kRetryInterval;
     roomGrew();
   }
+  noteSilence(aNow);
   const bool scans = aNow >= mNextScan;
   if (scans) {
     mNextScan = aNow + kScanInterval;
