--- a/tests/kernel/core_cell.h
+++ b/tests/kernel/core_cell.h
@@ -1,14 +1,16 @@
 #pragma once
 
-#include "endiveusher/standins/log_model.h"
+#include "endiveusher/kernel/daemon_core.h"
 #include "endiveusher/standins/target_model.h"
-#include "kernel/src/daemon_core_impl.h"
+#include "kernel/src/request_ids.h"
 
-#include <deque>
 #include <functional>
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
