Keep a queued attempt when an earlier one is found running

Cause: a queued attempt was dropped when a target's table showed an earlier attempt of the task, so the home waited for it without end (seed 2173 of the randomised trial). Change: the later attempt is set aside and queued again once the home has acknowledged the end of the earlier one.

--- a/kernel/src/placer_answers.h
+++ b/kernel/src/placer_answers.h
@@ -204,6 +204,9 @@
     mQueue.erase(*held);
     held->mState = placed_state::returned;
     if (held->mTask.mAttempt != task.mAttempt) {
+      if (own && held->mTask.mAttempt > task.mAttempt) {
+        mParked[task.mKey] = *held;
+      }
       erase(*held);
       held = nullptr;
     }
--- a/kernel/src/placer_definitions.h
+++ b/kernel/src/placer_definitions.h
@@ -98,9 +98,9 @@
 }
 template<guard_policy Guards>
 void basic_placer<Guards>::acknowledge(const incarnation_id& aHome,
-                                       std::span<const placed_task> aTasks, time_point)
+                                       std::span<const placed_task> aTasks, time_point aNow)
 {
-  mImpl->acknowledge(aHome, aTasks);
+  mImpl->acknowledge(aHome, aTasks, aNow);
 }
 template<guard_policy Guards>
 placer_summary basic_placer<Guards>::summary() const
--- a/kernel/src/placer_impl.h
+++ b/kernel/src/placer_impl.h
@@ -29,7 +29,8 @@
   void enqueue(const task_attempt& aTask, duration aStartWithin, time_point aNow);
   void recall(const incarnation_id& aHome, std::span<const task_key> aKeys, bool aStop,
               time_point aNow);
-  void acknowledge(const incarnation_id& aHome, std::span<const placed_task> aTasks);
+  void acknowledge(const incarnation_id& aHome, std::span<const placed_task> aTasks,
+                   time_point aNow);
   void beginShutdown();
 
   // placer_gangs.h
@@ -173,6 +174,8 @@
   std::optional<internal::draining_gang> mDraining;
   time_point mNextDrainFrom{};
   std::map<task_key, urgent_hold> mHolds;
+  /// Queued attempts of tasks whose earlier attempt was found running; queued again after its end.
+  std::map<task_key, held_attempt> mParked;
   /// Since when the charge of a team has exceeded its slice.
   std::map<team_name, time_point> mOverSince;
 
--- a/kernel/src/placer_tasks.h
+++ b/kernel/src/placer_tasks.h
@@ -128,13 +128,19 @@
 
 template<guard_policy Guards>
 void basic_placer<Guards>::impl::acknowledge(const incarnation_id& aHome,
-                                             std::span<const placed_task> aTasks)
+                                             std::span<const placed_task> aTasks, time_point aNow)
 {
   for (const placed_task& task : aTasks) {
     held_attempt* held = mBook.find(task.mKey);
     if (held != nullptr && held->final() && held->mTask.mAttempt == task.mAttempt &&
         held->mState == task.mState && mView.resolve(held->mTask.mHome) == mView.resolve(aHome)) {
       erase(*held);
+      if (const auto parked = mParked.extract(task.mKey); !parked.empty()) {
+        const held_attempt& later = parked.mapped();
+        const bool hasDeadline = later.mDeadline != time_point::max();
+        enqueue(later.mTask,
+                hasDeadline ? std::max(later.mDeadline - aNow, duration(1)) : duration(0), aNow);
+      }
     }
   }
 }
