Make Cap'n Proto's headers pass the newer linter

clang-tidy 16 rejects the comparison of a C string with a kj::StringPtr in the headers of Cap'n Proto 0.9, because no operator has that order of operands. capnp_schema.h defines it and is the one place that includes the generated code.

--- a/protocol/include/endiveusher/protocol/peer_rpc.h
+++ b/protocol/include/endiveusher/protocol/peer_rpc.h
@@ -2,7 +2,7 @@
 
 // For the peer RPC edge only: includes the generated schema code.
 
-#include "endiveusher.capnp.h"
+#include "endiveusher/protocol/capnp_schema.h"
 #include "endiveusher/protocol/peer_codec.h"
 
 #include <span>
--- a/protocol/src/archive.h
+++ b/protocol/src/archive.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endiveusher.capnp.h"
+#include "endiveusher/protocol/capnp_schema.h"
 
 #include <capnp/list.h>
 #include <kj/exception.h>
