--- a/protocol/schema/endiveusher.capnp
+++ b/protocol/schema/endiveusher.capnp
@@ -16,7 +16,7 @@
 using Json = import "/capnp/compat/json.capnp";
 $Cxx.namespace("endiveusher::schema");
 
-const schemaVersion :UInt32 = 1;
+const schemaVersion :UInt32 = 2;
 
 # ---- Resources and jobs
 
@@ -507,6 +507,7 @@
 struct Delegate {
   tasks @0 :List(TaskAttempt);
   startWithinMs @1 :List(Int64);
+  sequence @2 :UInt64;
 }
 
 enum PlacedState {
@@ -533,10 +534,12 @@
   home @0 :Text;
   sequence @1 :UInt64;
   tasks @2 :List(PlacedTask);
+  controlOffset @3 :UInt64;
 }
 
 struct ReportAck {
   tasks @0 :List(PlacedTask);
+  closedBefore @1 :UInt64;
 }
 
 struct Recall {
--- a/protocol/src/codec_peer.h
+++ b/protocol/src/codec_peer.h
@@ -57,6 +57,7 @@
   {
     aArchive(aValue.mTasks, ENDIVEUSHER_FIELD(Tasks));
     aArchive(aValue.mStartWithin, ENDIVEUSHER_FIELD(StartWithinMs));
+    aArchive(aValue.mSequence, ENDIVEUSHER_FIELD(Sequence));
   }
 };
 template<>
@@ -83,6 +84,7 @@
   {
     aArchive(aValue.mHome, ENDIVEUSHER_FIELD(Home));
     aArchive(aValue.mSequence, ENDIVEUSHER_FIELD(Sequence));
+    aArchive(aValue.mControlOffset, ENDIVEUSHER_FIELD(ControlOffset));
     aArchive(aValue.mTasks, ENDIVEUSHER_FIELD(Tasks));
   }
 };
@@ -93,6 +95,7 @@
   static void fields(auto& aArchive, auto& aValue)
   {
     aArchive(aValue.mTasks, ENDIVEUSHER_FIELD(Tasks));
+    aArchive(aValue.mClosedBefore, ENDIVEUSHER_FIELD(ClosedBefore));
   }
 };
 template<>
