Start gangs within slices and refuse jobs that never fit

Members' sums now count for targets that were not read, gangs are spread within unused slices and ask for more, and an impossible gang gives its turn up.

--- a/kernel/src/call_answers.h
+++ b/kernel/src/call_answers.h
@@ -4,6 +4,8 @@
 
 #include "endiveusher/kernel/messages/call.h"
 
+#include <fmt/format.h>
+
 #include <string>
 #include <utility>
 
@@ -29,26 +31,16 @@
   return { .mClass = answer_class::ran, .mBody = job_table::status(aJob) };
 }
 
-/// Status of a job of which only the record of its end is left.
+/// Answer about a job of which only the record of its end is left. The record has no outputs, so
+/// it is no status: an answer with tasks would have to be complete.
 inline answer endedAnswer(const ended_record& aRecord)
 {
-  job_status status{ .mRequest = aRecord.mRequest,
-                     .mDurability = durability::log,
-                     .mEnded = true,
-                     .mTaskCount = aRecord.mSucceeded + aRecord.mFailed + aRecord.mCancelled +
-                                   aRecord.mUnknown };
-  const auto add = [&status](std::uint32_t aCount, task_state aState) {
-    for (std::uint32_t i = 0; i < aCount && status.mTasks.size() < job_status::kMaxTasksShown;
-         ++i) {
-      status.mTasks.push_back(
-        { .mIndex = static_cast<std::uint32_t>(status.mTasks.size()), .mState = aState });
-    }
-  };
-  add(aRecord.mSucceeded, task_state::succeeded);
-  add(aRecord.mFailed, task_state::failed);
-  add(aRecord.mCancelled, task_state::cancelled);
-  add(aRecord.mUnknown, task_state::unknown);
-  return { .mClass = answer_class::ran, .mBody = std::move(status) };
+  return refusal(answer_class::ran, 410, "result_lost",
+                 fmt::format("The job has ended: {} tasks succeeded, {} failed, {} were cancelled, "
+                             "{} have an unknown outcome.",
+                             aRecord.mSucceeded, aRecord.mFailed, aRecord.mCancelled,
+                             aRecord.mUnknown),
+                 "look up");
 }
 
 } // namespace endiveusher::internal
--- a/kernel/src/call_handler.h
+++ b/kernel/src/call_handler.h
@@ -214,11 +214,15 @@
 template<guard_policy Guards>
 void call_handler<Guards>::apply(const call_origin& aOrigin, const publish_call& aCall)
 {
-  if (!checkOperator(aOrigin, aCall.mOperatorKey)) {
+  // Another daemon may have published the operation under the same id.
+  if (!isOperator(aCall.mOperatorKey)) {
+    mRouter.reply(aOrigin,
+                  refusal(call_router<Guards>::maybeRan(), 401, "operator_key_unknown",
+                          "The call needs an operator's key.", "authenticate", mContext.self()));
     return;
   }
   if (mContext.mStopping) {
-    mRouter.reply(aOrigin, refusal(answer_class::not_run, 503, "stopping",
+    mRouter.reply(aOrigin, refusal(call_router<Guards>::maybeRan(), 503, "stopping",
                                    "This daemon is shutting down.", "accept", mContext.self()));
     return;
   }
--- a/kernel/src/daemon_core_impl.h
+++ b/kernel/src/daemon_core_impl.h
@@ -60,7 +60,11 @@
     if (isOver()) {
       return;
     }
-    mContext.mMembership.tick(mContext.mPlacer.summary(), mContext.mPlacer.shortages(), aNow);
+    auto shortages = mContext.mPlacer.shortages();
+    for (auto& request : mGangs.shortages()) {
+      shortages.push_back(std::move(request));
+    }
+    mContext.mMembership.tick(mContext.mPlacer.summary(), shortages, aNow);
     mKeeper.tick();
     mInheritance.tick();
     mPort.tick();
--- a/kernel/src/delegation.h
+++ b/kernel/src/delegation.h
@@ -58,7 +58,7 @@
   static constexpr duration kStableRun = std::chrono::minutes(1);
   static constexpr std::size_t kFailingTargets = 3;
   /// Ends tasks that fail again and again where fewer than kFailingTargets targets exist.
-  static constexpr std::uint32_t kMaxFailures = 10;
+  static constexpr std::uint32_t kMaxFailures = 6;
   /// Bounds the time of one round.
   static constexpr std::size_t kMaxPerRound = 5000;
   static constexpr std::size_t kMaxRecallsPerRound = 500;
--- a/kernel/src/gang_coordinator.h
+++ b/kernel/src/gang_coordinator.h
@@ -28,6 +28,8 @@
   void taskOver(home_job& aJob, std::uint32_t aIndex, const placed_task& aPlaced);
   void handle(const incarnation_id& aFrom, const reserve_answer& aAnswer);
   void forget(const request_id& aRequest);
+  /// What this daemon's slices lack to start the gang that has waited longest.
+  std::vector<slice_request> shortages();
   /// Tries the gangs that are due and repeats commits.
   void tick();
 
@@ -42,7 +44,7 @@
   static constexpr duration kRepeatCommit = std::chrono::milliseconds(200);
   static constexpr std::size_t kMaxTriesPerTick = 50;
   static constexpr std::size_t kFailingTargets = 3;
-  static constexpr std::uint32_t kMaxFailures = 10;
+  static constexpr std::uint32_t kMaxFailures = 6;
 
   enum class phase
   {
--- a/kernel/src/gang_coordinator_impl.h
+++ b/kernel/src/gang_coordinator_impl.h
@@ -85,6 +85,12 @@
   ++aGang.mTries;
   const bool draining = isDraining(request, aGang);
   if (!plan(aJob, aGang, false) && !(draining && plan(aJob, aGang, true))) {
+    if (draining) {
+      // It would not fit even into empty targets; the next gang drains meanwhile.
+      leaveWaiting(request, aGang);
+      aGang.mWaitingSince = mContext.mNow;
+      mWaiting.emplace(aGang.mWaitingSince, request);
+    }
     giveUpRound(request, aGang);
     return;
   }
@@ -352,6 +358,32 @@
   scheduleTry(aJob.mSpec.mRequest, aGang, delay);
 }
 
+template<guard_policy Guards>
+std::vector<slice_request> gang_coordinator<Guards>::shortages()
+{
+  std::vector<slice_request> requests;
+  auto* job = mWaiting.empty() ? nullptr : mContext.mJobs.find(mWaiting.begin()->second);
+  if (job == nullptr) {
+    return requests;
+  }
+  const auto& spec = job->mSpec;
+  const auto unused = mRooms.unusedSlice(spec.mTeam);
+  const auto missing = [&spec](std::int64_t aPerTask, std::int64_t aUnused) {
+    return aUnused == limit_vector::kUnlimited
+             ? 0
+             : std::max<std::int64_t>(0, aPerTask * spec.mTaskCount - aUnused);
+  };
+  const limit_vector wanted{ .mTasks = missing(1, unused.mTasks),
+                             .mCpuMilli = missing(spec.mPerTask.mCpuMilli, unused.mCpuMilli),
+                             .mMemoryMb = missing(spec.mPerTask.mMemoryMb, unused.mMemoryMb),
+                             .mAccelerators =
+                               missing(spec.mPerTask.mAccelerators, unused.mAccelerators) };
+  if (wanted != limit_vector{ .mTasks = 0, .mCpuMilli = 0, .mMemoryMb = 0, .mAccelerators = 0 }) {
+    requests.push_back({ .mTeam = spec.mTeam, .mWanted = wanted });
+  }
+  return requests;
+}
+
 template<guard_policy Guards>
 void gang_coordinator<Guards>::forget(const request_id& aRequest)
 {
--- a/kernel/src/member_rooms.h
+++ b/kernel/src/member_rooms.h
@@ -32,8 +32,19 @@
   bool hasRoom(const incarnation_id& aMember, const job_spec& aJob) const;
   void deduct(const incarnation_id& aMember, const job_spec& aJob, std::int64_t aTasks = 1);
 
-  /// Tasks of aJob that fit into aMember's free (or, with aTotal, whole) room, by its sums.
+  /// Tasks of aJob that fit into aMember's free (or, with aTotal, whole) room and its unused slice,
+  /// by its sums.
   std::int64_t capacity(const incarnation_id& aMember, const job_spec& aJob, bool aTotal) const;
+  /// Part of this daemon's slice of aTeam that is not charged; unlimited if not known.
+  limit_vector unusedSlice(const team_name& aTeam) const
+  {
+    const auto self = mRooms.find(mContext.self());
+    if (self == mRooms.end()) {
+      return {};
+    }
+    const auto found = self->second.mUnusedSlices.find(aTeam);
+    return found == self->second.mUnusedSlices.end() ? limit_vector{} : found->second;
+  }
   /// Members that may run aJob, this daemon first.
   std::vector<incarnation_id> allowed(const job_spec& aJob) const;
   /// Others that have had room for kRoomPeriod.
@@ -258,6 +269,13 @@
   bound(sums.mCpuMilli, aJob.mPerTask.mCpuMilli);
   bound(sums.mMemoryMb, aJob.mPerTask.mMemoryMb);
   bound(sums.mAccelerators, aJob.mPerTask.mAccelerators);
+  const auto slice = room.mUnusedSlices.find(aJob.mTeam);
+  if (slice != room.mUnusedSlices.end()) {
+    bound(slice->second.mTasks, 1);
+    bound(slice->second.mCpuMilli, aJob.mPerTask.mCpuMilli);
+    bound(slice->second.mMemoryMb, aJob.mPerTask.mMemoryMb);
+    bound(slice->second.mAccelerators, aJob.mPerTask.mAccelerators);
+  }
   return tasks;
 }
 
--- a/kernel/src/retry_policy.h
+++ b/kernel/src/retry_policy.h
@@ -23,7 +23,7 @@
   static constexpr double kInitial = 10.0;
   static constexpr double kLargest = 100.0;
   /// Tokens per second on top, so that a small team's last tasks come to an end.
-  static constexpr double kTrickle = 0.1;
+  static constexpr double kTrickle = 1.0;
 
   void countFirst(const team_name& aTeam, time_point aNow);
   /// True, and one retry less, if the team may retry now.
--- a/kernel/src/submit_handler.h
+++ b/kernel/src/submit_handler.h
@@ -71,6 +71,8 @@
   void acknowledge(const call_origin& aOrigin, const home_job& aJob);
   /// Fills in the team of the key and returns the reason to refuse the job, if any.
   std::optional<call_error> check(submit_call& aCall) const;
+  /// Notes the room of all live members.
+  void noteTotals();
   std::optional<call_error> checkFit(const job_spec& aJob) const;
   std::optional<call_error> checkLoad() const;
   void refuse(const call_origin& aOrigin, answer_class aClass, call_error aError)
@@ -89,6 +91,9 @@
   call_router<Guards>& mRouter;
   job_keeper<Guards>& mKeeper;
   inheritance<Guards>& mInheritance;
+  /// The largest whole room of a member seen so far, by component.
+  resources mLargestTotal{ .mSlots = 0 };
+  time_point mNextTotals{};
   std::uint64_t mNextTicket = 1;
   /// By ticket number; outlives the jobs, so that a late copy of a request is not run again.
   std::vector<bool> mAccepted;
--- a/kernel/src/submit_handler_impl.h
+++ b/kernel/src/submit_handler_impl.h
@@ -72,26 +72,33 @@
 }
 
 template<guard_policy Guards>
-std::optional<call_error> submit_handler<Guards>::checkFit(const job_spec& aJob) const
+void submit_handler<Guards>::noteTotals()
 {
-  if (mContext.mPlacer.couldEverFit(aJob.mPerTask)) {
-    return std::nullopt;
-  }
-  // Gossip gives sums only, so a member counts as able unless its whole room is too small.
-  bool anyKnown = mContext.mPlacer.summary().mTotal.mSlots > 0;
+  const auto note = [this](const resources& aTotal) {
+    mLargestTotal.mSlots = std::max(mLargestTotal.mSlots, aTotal.mSlots);
+    mLargestTotal.mCpuMilli = std::max(mLargestTotal.mCpuMilli, aTotal.mCpuMilli);
+    mLargestTotal.mMemoryMb = std::max(mLargestTotal.mMemoryMb, aTotal.mMemoryMb);
+    mLargestTotal.mAccelerators = std::max(mLargestTotal.mAccelerators, aTotal.mAccelerators);
+  };
+  note(mContext.mPlacer.summary().mTotal);
   for (const auto& member : mContext.mMembership.live(mContext.mNow)) {
     const auto* gossip =
       member == mContext.self() ? nullptr : mContext.mMembership.lastGossip(member);
-    if (gossip == nullptr || gossip->mTotal.mSlots == 0) {
-      continue;
-    }
-    anyKnown = true;
-    if (aJob.mPerTask.fitsIn(gossip->mTotal)) {
-      return std::nullopt;
+    if (gossip != nullptr) {
+      note(gossip->mTotal);
     }
   }
-  // Before any target is known, nothing can be said.
-  if (!anyKnown) {
+}
+
+template<guard_policy Guards>
+std::optional<call_error> submit_handler<Guards>::checkFit(const job_spec& aJob) const
+{
+  // A placer knows the capacity of the targets that it reads only; the others count with their
+  // owners' sums.
+  const bool allHeard =
+    mContext.mMembership.live(mContext.mNow).size() == mContext.control().members().size();
+  if (mLargestTotal.mSlots == 0 || aJob.mPerTask.fitsIn(mLargestTotal) ||
+      (!allHeard && mContext.mPlacer.couldEverFit(aJob.mPerTask))) {
     return std::nullopt;
   }
   return call_error{ .mStatus = 422,
@@ -346,6 +353,10 @@
 template<guard_policy Guards>
 void submit_handler<Guards>::tick()
 {
+  if (mContext.mNow >= mNextTotals) {
+    mNextTotals = mContext.mNow + std::chrono::milliseconds(500);
+    noteTotals();
+  }
   for (auto& [request, pending] : mPlain) {
     if (mContext.mNow < pending.mDeadline || pending.mOrigins.empty()) {
       continue;
--- a/tests/kernel/core_cell.h
+++ b/tests/kernel/core_cell.h
@@ -190,6 +190,7 @@
       target->advance(mNow);
     }
     std::vector<std::string> names;
+    names.reserve(mNodes.size());
     for (const auto& [name, node] : mNodes) {
       names.push_back(name);
     }
