Use the stand-in programs of the proof part in the process tests

Cause: two programs of the same name and purpose were written at the same time. One process serves the targets of all zones, so that it sees a task that runs in two places.

--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -60,10 +60,12 @@
         self._peer = {}
         self._zone = {}
         self._programs = []
+        self._target_port = self._ports.take(len(zones) * targets_per_zone)
         for zone, count in zones.items():
-            for number in range(targets_per_zone):
-                self.targets[f"{zone}-t{number}"] = self._address()
-                self._zone[f"{zone}-t{number}"] = zone
+            for _ in range(targets_per_zone):
+                name = f"t{len(self.targets) + 1}"
+                self.targets[name] = f"127.0.0.1:{self._target_port + len(self.targets)}"
+                self._zone[name] = zone
             for number in range(count):
                 name = f"{zone}{number}"
                 self.http[name] = self._address()
@@ -94,10 +96,12 @@
     # Programs
 
     def _start(self):
-        standin = BUILD / "standins/program/endiveusher-standin"
-        self._run("log", [standin, "log", self.log_address])
-        self._run("vms", [standin, "vms", self.vms_address, self._vm_file()])
-        self._run("targets", [standin, "targets", *map("=".join, self.targets.items())])
+        standin = BUILD / "standins/endiveusher-standin"
+        log_port, vms_port = (at.rsplit(":", 1)[1] for at in (self.log_address, self.vms_address))
+        self._run("log", [standin, "log", "--port", log_port])
+        self._run("vms", [standin, "vms", "--port", vms_port, "--file", self._vm_file()])
+        self._run("targets", [standin, "targets", "--port", self._target_port, "--prefix", "t",
+                              "--count", len(self.targets)])
         for address in (self.log_address, self.vms_address, *self.targets.values()):
             wait_until(lambda at=address: answers(at), f"the stand-in at {address} answers")
         for name in self.http:
@@ -229,6 +233,9 @@
     def log_faults(self, **faults):
         assert request(self.log_address, "POST", "/faults", faults)[0] == 200
 
+    def zone_of(self, target):
+        return self._zone[target]
+
     def target_faults(self, target, **faults):
         assert request(self.targets[target], "POST", "/faults", faults)[0] == 200
 
--- a/tests/process/programs.py
+++ b/tests/process/programs.py
@@ -18,20 +18,29 @@
     def __init__(self, start):
         self._next = FIRST_PORT + start % (LAST_PORT - FIRST_PORT)
 
-    def take(self):
+    def take(self, count=1):
+        """First of count free ports in a row."""
         for _ in range(LAST_PORT - FIRST_PORT):
-            port = self._next
-            self._next = FIRST_PORT + (port + 1 - FIRST_PORT) % (LAST_PORT - FIRST_PORT)
-            with socket.socket() as probe:
-                # As the servers do; a port with closing connections can be listened on.
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind(("127.0.0.1", port))
-                    return port
-                except OSError:
-                    continue
+            first = self._next
+            if first + count > LAST_PORT:
+                first = FIRST_PORT
+            self._next = first + 1
+            if all(self._free(port) for port in range(first, first + count)):
+                self._next = first + count
+                return first
         raise RuntimeError("no free port")
 
+    @staticmethod
+    def _free(port):
+        with socket.socket() as probe:
+            # As the servers do; a port with closing connections can be listened on.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+                return True
+            except OSError:
+                return False
+
 
 def wait_until(condition, what, patience_s=PATIENCE_S):
     """Returns the first true value of condition(); fails after patience_s."""
--- a/tests/process/test_calls.py
+++ b/tests/process/test_calls.py
@@ -85,7 +85,7 @@
     def runs_in(self, zone, *options):
         request = self.cell.submit("maps", *options, "run=10ms")
         job = self.cell.ctl("wait", request, key="maps")["job"]
-        return job["tasks"][0]["target"].startswith(zone)
+        return self.cell.zone_of(job["tasks"][0]["target"]) == zone
 
     def test_published_file_applies_as_one_change(self):
         path = self.cell.folder / "change.yaml"
