--- /dev/null
+++ b/tests/soak/without_epoch.cpp
@@ -0,0 +1,23 @@
+#include "tests/soak/guards_removed.h"
+
+#include "daemon_core_impl.h"
+#include "membership_impl.h"
+#include "placer_impl.h"
+
+namespace endiveusher::standins {
+
+namespace {
+
+struct removed : all_guards
+{
+  static constexpr bool kChecksEpoch = false;
+};
+
+} // namespace
+
+core_factory withoutEpoch()
+{
+  return coreFactory<removed>();
+}
+
+} // namespace endiveusher::standins
