--- a/kernel/src/placer_tasks.h
+++ b/kernel/src/placer_tasks.h
@@ -85,6 +85,8 @@
     if (target->mForeign > 0 && target->mTable.contains(aTask.mKey)) {
       // It runs on a target in interim ownership; its placer's end of it is awaited.
       attempt.mTask = target->mTable.at(aTask.mKey).mTask;
+      // The table may still name an earlier home; the book knows the attempt by the present one.
+      attempt.mTask.mHome = aTask.mHome;
       setRunning(attempt, *target, false, aNow);
       return;
     }
