--- a/tests/soak/without_request_ids.cpp
+++ b/tests/soak/without_request_ids.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon_core_impl.h"
 #include "membership_impl.h"
-#include "placer_impl.h"
+#include "placer_definitions.h"
 
 namespace endiveusher::standins {
 
