Add an in-memory cell that counts what daemons spend

The capacity of a daemon was unknown: placer_bench times the placer alone, without messages. bench_cell drives daemon_core instances over the stand-ins in simulated time and measures the processor time of each event, messages and bytes by channel, and the heap of each daemon; slopes runs it at several sizes of each role and at two-year size.

--- /dev/null
+++ b/bench/storms.cpp
@@ -0,0 +1,178 @@
+#include "storms.h"
+
+namespace endiveusher::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration kWindow = 20s;
+constexpr duration kStorm = 30s;
+constexpr double kPeakStarts = 690.0;
+constexpr std::size_t kZones = 7;
+constexpr std::size_t kTargets = 1000;
+
+cell_options twoYearOptions()
+{
+  return { .mDaemons = kTwoYearDaemons,
+           .mZones = kZones,
+           .mTargets = kTargets,
+           .mTeams = 320,
+           // Ten tasks run on each worker, and the peak adds one second's starts.
+           .mCapacity = { .mSlots = 16, .mCpuMilli = 64'000, .mMemoryMb = 128'000 } };
+}
+
+std::unique_ptr<bench_cell> loadedCell(const cell_options& aOptions)
+{
+  auto cell = std::make_unique<bench_cell>(aOptions);
+  cell->settle();
+  submitTasks(*cell, 2'000, job_kind::service, "", 50);
+  submitTasks(*cell, 8'000, job_kind::batch, "run=3600000ms", 50);
+  cell->run(5s);
+  return cell;
+}
+
+template<typename Action>
+storm_result runStorm(bench_cell& aCell, std::string aName, duration aLength, const Action& aAction)
+{
+  aCell.measured().clear();
+  const auto stored = aCell.log().appends();
+  const auto rejected = aCell.log().rejected();
+  aAction(aCell);
+  const auto cost = [&] {
+    aCell.run(aLength);
+    const auto& meter = aCell.measured();
+    return *std::max_element(meter.mDaemonCpuNs.begin(), meter.mDaemonCpuNs.end());
+  }();
+  storm_result result{ .mName = std::move(aName),
+                       .mAppends = aCell.log().appends() - stored,
+                       .mRejected = aCell.log().rejected() - rejected,
+                       .mRunning = aCell.runningTasks() };
+  for (std::size_t at = 0; at < kChannels; ++at) {
+    result.mPeaks[at] = aCell.measured().peak(static_cast<channel>(at));
+  }
+  result.mAppendBytes = aCell.measured().mTraffic[static_cast<std::size_t>(channel::append)].mBytes;
+  result.mWorstCpuPercent = cost * 1e-9 * 100.0 / std::chrono::duration<double>(aLength).count();
+  return result;
+}
+
+/// Kills the daemons of the first aZones zones and takes their targets away; both return after
+/// aAway.
+void zonesLeave(bench_cell& aCell, std::size_t aZones, duration aAway)
+{
+  const auto each = [&aCell, aZones](const auto& aDaemon, const auto& aTarget) {
+    for (std::size_t at = 0; at < aCell.options().mDaemons; ++at) {
+      if (aCell.zoneOfDaemon(at) < aZones) {
+        aDaemon(at);
+      }
+    }
+    for (std::size_t at = 0; at < aCell.options().mTargets; ++at) {
+      if (aCell.zoneOfTarget(at) < aZones) {
+        aTarget(at);
+      }
+    }
+  };
+  each([&](std::size_t aAt) { aCell.killDaemon(aAt); },
+       [&](std::size_t aAt) { aCell.setTargetGone(aAt, true); });
+  aCell.sim().after(aAway, [&aCell, each] {
+    each([&](std::size_t aAt) { aCell.startDaemon(aAt); },
+         [&](std::size_t aAt) { aCell.setTargetGone(aAt, false); });
+  });
+}
+
+void rackLeaves(bench_cell& aCell, duration aAway)
+{
+  constexpr std::size_t kRack = 8;
+  const auto set = [&aCell](bool aGone) {
+    for (std::size_t at = 0; at < kRack; ++at) {
+      aCell.setTargetGone(at * aCell.options().mZones, aGone);
+    }
+  };
+  set(true);
+  aCell.sim().after(aAway, [set] { set(false); });
+}
+
+void restartAll(bench_cell& aCell)
+{
+  for (std::size_t at = 0; at < aCell.options().mDaemons; ++at) {
+    aCell.killDaemon(at);
+    aCell.sim().after(1s, [&aCell, at] { aCell.startDaemon(at); });
+  }
+}
+
+void logOutage(bench_cell& aCell)
+{
+  aCell.log().setFaults({ .mDown = true });
+  scheduleStarts(aCell, kPeakStarts, kStorm);
+  aCell.sim().after(kStorm / 2, [&aCell] { aCell.log().setFaults({}); });
+}
+
+/// Submits jobs of ten tasks and cancels all of them at once.
+void cancelWave(bench_cell& aCell)
+{
+  constexpr std::size_t kJobs = 200;
+  auto tickets = std::make_shared<std::vector<std::pair<std::size_t, request_id>>>();
+  for (std::size_t job = 0; job < kJobs; ++job) {
+    const std::size_t daemon = job % aCell.options().mDaemons;
+    job_spec spec{ .mTeam = bench_cell::teamName(job % aCell.options().mTeams),
+                   .mTaskCount = 10,
+                   .mPerTask = { .mSlots = 1, .mCpuMilli = 100, .mMemoryMb = 100 },
+                   .mCommand = "run=3600000ms" };
+    aCell.submit(daemon, spec, [tickets, daemon](const answer& aAnswer) {
+      if (const auto* status = std::get_if<job_status>(&aAnswer.mBody)) {
+        tickets->emplace_back(daemon, status->mRequest);
+      }
+    });
+  }
+  aCell.sim().after(kStorm / 3, [&aCell, tickets] {
+    for (const auto& [daemon, request] : *tickets) {
+      aCell.call(daemon, cancel_call{ .mRequest = request }, {});
+    }
+  });
+}
+
+} // namespace
+
+void runTwoYears(const two_year_observer& aObserver)
+{
+  const auto options = twoYearOptions();
+  {
+    const auto cell = loadedCell(options);
+    aObserver.mOnCost("two_years_calm", measureWindow(*cell, kWindow));
+    scheduleStarts(*cell, kPeakStarts, kWindow + 2s);
+    cell->run(2s);
+    auto peak = measureWindow(*cell, kWindow);
+    aObserver.mOnStorm(runStorm(*cell, "replacement", kStorm, [](bench_cell& aCell) {
+      aCell.killDaemon(0);
+      aCell.sim().after(1s, [&aCell] { aCell.startDaemon(0); });
+    }));
+    aObserver.mOnStorm(
+      runStorm(*cell, "rack", kStorm, [](bench_cell& aCell) { rackLeaves(aCell, 10s); }));
+    aObserver.mOnStorm(runStorm(*cell, "changes", kStorm, [](bench_cell& aCell) {
+      constexpr std::size_t kChangesPerHour = 1900;
+      scheduleChanges(aCell, kChangesPerHour * static_cast<std::size_t>(kStorm / 1s) / 3600,
+                      kStorm);
+    }));
+    aObserver.mOnStorm(runStorm(*cell, "cancel", kStorm, cancelWave));
+    aObserver.mOnStorm(runStorm(*cell, "log_outage", kStorm, logOutage));
+    peak.mMemoryKb = measureMemoryKb(*cell);
+    aObserver.mOnCost("two_years_peak", peak);
+  }
+  {
+    const auto cell = loadedCell(options);
+    aObserver.mOnStorm(
+      runStorm(*cell, "zone", kStorm, [](bench_cell& aCell) { zonesLeave(aCell, 1, 15s); }));
+    aObserver.mOnStorm(
+      runStorm(*cell, "region", kStorm, [](bench_cell& aCell) { zonesLeave(aCell, 4, 15s); }));
+    aObserver.mOnStorm(runStorm(*cell, "restart_all", kStorm, restartAll));
+  }
+  {
+    auto slow = options;
+    slow.mTiming.mVmListInterval = 10s;
+    slow.mTiming.mControlReadInterval = 1s;
+    const auto cell = loadedCell(slow);
+    aObserver.mOnCost("two_years_calm_slow_reads", measureWindow(*cell, kWindow));
+  }
+}
+
+} // namespace endiveusher::bench
