--- a/bench/bench_cell.h
+++ b/bench/bench_cell.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace endiveusher::bench {
@@ -56,6 +57,8 @@
 
   /// Starts all daemons, publishes the teams and waits until every target has an owner.
   void settle();
+  /// Longer ticks make a large cell faster to simulate; 50 ms at most.
+  void setTickInterval(duration aInterval) { mOptions.mTickInterval = aInterval; }
   void run(duration aLength) { mSim.runUntil(mSim.now() + aLength); }
 
   void call(std::size_t aDaemon, endiveusher::call aCall, answer_handler aDone);
--- a/bench/cell_load.h
+++ b/bench/cell_load.h
@@ -29,9 +29,10 @@
 /// Mean of endAndMeasureMemory(), KB. Ends all daemons.
 double measureMemoryKb(bench_cell& aCell);
 
-/// Submits tasks of 0.1 cores and 100 MB, spread over daemons and teams, in jobs of aPerJob tasks.
-void submitTasks(bench_cell& aCell, std::size_t aTasks, job_kind aKind, const std::string& aCommand,
-                 std::size_t aPerJob);
+/// Submits tasks of 0.1 cores and 100 MB, spread over daemons and teams, in jobs of
+/// 50 tasks.
+void submitTasks(bench_cell& aCell, std::size_t aTasks, job_kind aKind,
+                 const std::string& aCommand);
 
 /// Starts tasks that run 1 s at a steady rate over all daemons until aLength has passed, as jobs
 /// of ten tasks.
