Satisfy the linter in slopes and bench_cell

clang-tidy reported a vector grown in a loop and a handler passed by value. Both are changed; slopes builds.

--- a/bench/bench_cell.cpp
+++ b/bench/bench_cell.cpp
@@ -202,7 +202,7 @@
           call_event{ .mCallId = id, .mCall = std::move(aCall) });
 }
 
-void bench_cell::submit(std::size_t aDaemon, job_spec aJob, answer_handler aDone)
+void bench_cell::submit(std::size_t aDaemon, job_spec aJob, const answer_handler& aDone)
 {
   call(aDaemon, ticket_call{}, [=, this, job = std::move(aJob)](const answer& aAnswer) mutable {
     const auto* tickets = std::get_if<tickets_result>(&aAnswer.mBody);
--- a/bench/bench_cell.h
+++ b/bench/bench_cell.h
@@ -63,7 +63,7 @@
 
   void call(std::size_t aDaemon, endiveusher::call aCall, answer_handler aDone);
   /// Fetches a ticket and submits with it.
-  void submit(std::size_t aDaemon, job_spec aJob, answer_handler aDone = {});
+  void submit(std::size_t aDaemon, job_spec aJob, const answer_handler& aDone = {});
   /// Publishes a change of one team's share at a daemon.
   void changeShare(std::size_t aDaemon, std::size_t aTeam, double aShare, answer_handler aDone);
 
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -176,6 +176,7 @@
             const std::string& aUnit, const cost_field& aField, std::size_t aChannel, double aShow)
 {
   std::vector<std::pair<double, double>> points;
+  points.reserve(aSeries.mPoints.size());
   for (const auto& each : aSeries.mPoints) {
     points.emplace_back(each.mSize, aField(each.mCost, aChannel));
   }
