Renew the placer's view after a slice was lent

The view was also rebuilt for each gossip message, the largest processor cost at 320 teams. Change: the view is renewed at once after a slice request and no more after gossip.

--- a/kernel/src/daemon_core_impl.h
+++ b/kernel/src/daemon_core_impl.h
@@ -145,8 +145,9 @@
   }
   void receive(const incarnation_id& aFrom, const gossip& aBody)
   {
+    // The next tick renews the view: gossip takes no right away from this daemon, and a view for
+    // each message costs more than a millisecond at 1,000 targets and 320 teams.
     mContext.mMembership.handleGossip(aFrom, aBody, mContext.mNow);
-    updateView();
   }
   void receive(const incarnation_id&, const records& aBody)
   {
@@ -157,6 +158,8 @@
   {
     mContext.mMembership.handleSliceRequest(aFrom, aBody, mContext.mPlacer.charged(aBody.mTeam),
                                             mContext.mNow);
+    // The placer must not start tasks on the part of the slice that was just given away.
+    updateView();
   }
   void receive(const incarnation_id& aFrom, const task_report& aBody)
   {
