--- a/kernel/src/daemon_core_impl.h
+++ b/kernel/src/daemon_core_impl.h
@@ -46,7 +46,7 @@
       }
       return;
     }
-    std::visit([this](const auto& aBody) { apply(aBody); }, aEvent);
+    std::visit([this](const auto& aBody) { this->apply(aBody); }, aEvent);
     advance();
   }
 
--- a/kernel/src/placer_answers.h
+++ b/kernel/src/placer_answers.h
@@ -310,6 +310,7 @@
                                               const exchange_response& aAnswer, bool aVoid)
 {
   std::vector<std::pair<std::uint64_t, task_key>> orders;
+  orders.reserve(aTarget.mOrders.size());
   for (const auto& [id, order] : aTarget.mOrders) {
     orders.emplace_back(id, order.mOrder.mTask.mKey);
   }
--- a/standins/src/target_model.cpp
+++ b/standins/src/target_model.cpp
@@ -366,6 +366,7 @@
 std::vector<task_attempt> target_model::running() const
 {
   std::vector<task_attempt> tasks;
+  tasks.reserve(mTable.size());
   for (const auto& [key, task] : mTable) {
     tasks.push_back(task.mTask);
   }
