--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -1,4 +1,6 @@
 #include "daemon_process.h"
+#include "endiveusher/node/cell_node.h"
+#include "endiveusher/platform/node_settings.h"
 #include "kernel/src/placement_policy.h"
 #include "logger.h"
 #include "settings.h"
@@ -31,6 +33,8 @@
 /// By how much the shutdown may outlast its period before the process ends by force. The core ends
 /// by itself at the period, and names what is left.
 constexpr auto kShutdownMargin = std::chrono::seconds(1);
+/// How often the platform's settings file is looked at; it may change without a signal.
+constexpr auto kSettingsInterval = std::chrono::seconds(2);
 /// How long the state dump of an unfinished shutdown may take.
 constexpr auto kLastDumpPeriod = std::chrono::milliseconds(500);
 
@@ -75,6 +79,9 @@
       case wake_reason::dump:
         (*process)->dumpState();
         break;
+      case wake_reason::reload:
+        logLine(log_level::info, "main", "settings of this kind are read at the start only");
+        break;
       case wake_reason::terminate:
         if (deadline) {
           abandon(**process, "second signal during the shutdown");
@@ -97,16 +104,73 @@
   }
 }
 
+std::string readFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return file ? text.str() : std::string();
+}
+
+/// Serves a cell on the prepared platform, whose settings file may change at any time.
+int runOnPlatform(bool aCheckOnly)
+{
+  limitMemory();
+  const auto path = platform::settingsPath();
+  auto text = readFile(path);
+  const auto settings = platform::parseSettings(text);
+  if (!settings.ok()) {
+    fmt::print(stderr, "{}: {}\n", path, std::string(settings.status().message()));
+    return kExitSettings;
+  }
+  if (aCheckOnly) {
+    fmt::print("{}: ok\n", path);
+    return EXIT_SUCCESS;
+  }
+  signal_watch signals;
+  node::cell_node cell(*settings);
+  cell.start([&signals] { signals.notifyStopped(); });
+  for (;;) {
+    const auto reason = signals.wait(std::chrono::steady_clock::now() + kSettingsInterval);
+    if (reason == wake_reason::stopped) {
+      return EXIT_SUCCESS;
+    }
+    if (reason == wake_reason::terminate) {
+      cell.stop();
+    } else if (reason == wake_reason::dump) {
+      cell.dumpState();
+    } else if (auto newText = readFile(path); newText != text) {
+      text = std::move(newText);
+      auto changed = platform::parseSettings(text);
+      if (changed.ok()) {
+        cell.reload(*std::move(changed));
+      } else {
+        fmt::print(stderr, "{}: {}\n", path, std::string(changed.status().message()));
+      }
+    }
+  }
+}
+
 } // namespace
 
 int main(int aArgc, char** aArgv)
 {
   TCLAP::CmdLine line("The scheduler daemon of an entry VM.", ' ', ENDIVEUSHER_VERSION);
-  TCLAP::ValueArg<std::string> config("c", "config", "Settings file (YAML).", true, "", "file",
+  TCLAP::ValueArg<std::string> config("c", "config", "Settings file (YAML).", false, "", "file",
                                       line);
   TCLAP::SwitchArg check("", "check", "Check the settings, print every fault, and exit.", line);
+  TCLAP::SwitchArg onPlatform("", "platform",
+                              "Serve a cell on the prepared platform, by its settings file.", line);
   line.parse(aArgc, aArgv);
 
+  if (onPlatform.getValue()) {
+    return runOnPlatform(check.getValue());
+  }
+  if (!config.isSet()) {
+    fmt::print(stderr, "one of --config and --platform is needed\n");
+    return kExitSettings;
+  }
+
   const std::string& path = config.getValue();
   std::ifstream file(path);
   std::ostringstream text;
--- a/daemon/src/signal_watch.cpp
+++ b/daemon/src/signal_watch.cpp
@@ -15,7 +15,7 @@
 {
   sigset_t watched;
   sigemptyset(&watched);
-  for (const int number : { SIGTERM, SIGINT, SIGUSR1 }) {
+  for (const int number : { SIGTERM, SIGINT, SIGUSR1, SIGHUP }) {
     sigaddset(&watched, number);
   }
   pthread_sigmask(SIG_BLOCK, &watched, nullptr);
@@ -58,6 +58,9 @@
     }
     signalfd_siginfo info{};
     if (read(mSignalFd, &info, sizeof(info)) == sizeof(info)) {
+      if (info.ssi_signo == SIGHUP) {
+        return wake_reason::reload;
+      }
       return info.ssi_signo == SIGUSR1 ? wake_reason::dump : wake_reason::terminate;
     }
   }
--- a/daemon/src/signal_watch.h
+++ b/daemon/src/signal_watch.h
@@ -10,6 +10,7 @@
 {
   terminate, ///< SIGTERM or SIGINT.
   dump,      ///< SIGUSR1.
+  reload,    ///< SIGHUP.
   stopped,   ///< notifyStopped() was called.
   deadline,
 };
--- a/edges/include/endiveusher/edges/http_server.h
+++ b/edges/include/endiveusher/edges/http_server.h
@@ -7,6 +7,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace endiveusher::edges {
 
@@ -19,7 +22,20 @@
   std::map<std::string, std::string> mQuery;
   /// Token of `Authorization: Bearer`; empty if there is none.
   std::string mBearer;
+  /// In the order sent; names in lower case.
+  std::vector<std::pair<std::string, std::string>> mHeaders;
   std::string mBody;
+
+  /// Value of the first header aName (lower case); empty if there is none.
+  std::string_view header(std::string_view aName) const
+  {
+    for (const auto& [name, value] : mHeaders) {
+      if (name == aName) {
+        return value;
+      }
+    }
+    return {};
+  }
 };
 
 struct http_answer
@@ -27,6 +43,10 @@
   std::uint16_t mStatus = 200;
   std::string mBody;
   std::string mContentType = "application/json";
+  /// Further headers of the answer.
+  std::vector<std::pair<std::string, std::string>> mHeaders;
+  /// Ends the connection after this answer.
+  bool mClose = false;
 };
 
 /// Answers one request: once, at any time, from any thread. Copies share the one answer. If all
--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -20,11 +20,20 @@
   return Pistache::Http::codeString(static_cast<Pistache::Http::Code>(aStatus));
 }
 
+std::string headerLines(const http_answer& aAnswer)
+{
+  std::string lines;
+  for (const auto& [name, value] : aAnswer.mHeaders) {
+    lines += "\r\n" + name + ": " + value;
+  }
+  return lines;
+}
+
 std::string headOf(const http_answer& aAnswer, bool aClose)
 {
   return "HTTP/1.1 " + std::to_string(aAnswer.mStatus) + " " + reasonOf(aAnswer.mStatus) +
          "\r\nContent-Type: " + aAnswer.mContentType +
-         "\r\nContent-Length: " + std::to_string(aAnswer.mBody.size()) +
+         "\r\nContent-Length: " + std::to_string(aAnswer.mBody.size()) + headerLines(aAnswer) +
          (aClose ? "\r\nConnection: close" : "") + "\r\n\r\n";
 }
 
@@ -129,6 +138,7 @@
     http_request request{ .mMethod = http::methodString(parser.request.method()),
                           .mPath = parser.request.resource(),
                           .mBearer = aFrame.mBearer,
+                          .mHeaders = aFrame.mHeaders,
                           .mBody = std::move(parser.request).body() };
     const auto& query = parser.request.query();
     for (auto at = query.parameters_begin(); at != query.parameters_end(); ++at) {
@@ -165,6 +175,7 @@
   if (!mOpen || mInProgress != aRequest) {
     return false;
   }
+  mClosing = mClosing || aAnswer.mClose;
   if (aAnswer.mBody.size() > mShared->mOptions.mMaxAnswerBytes) {
     aAnswer = { .mStatus = 500,
                 .mBody = errorBody(answer_class::unknown, 500, "answer_too_large",
--- a/edges/src/http_framing.cpp
+++ b/edges/src/http_framing.cpp
@@ -16,6 +16,14 @@
   });
 }
 
+std::string lowerCase(std::string_view aText)
+{
+  std::string lower(aText);
+  std::ranges::transform(lower, lower.begin(),
+                         [](unsigned char aOne) { return static_cast<char>(std::tolower(aOne)); });
+  return lower;
+}
+
 std::string_view trimmed(std::string_view aText)
 {
   while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
@@ -107,6 +115,7 @@
     return malformed("the request line is not one of HTTP/1.1");
   }
   header_fields fields;
+  std::vector<std::pair<std::string, std::string>> headers;
   while (!header.empty()) {
     const auto line = nextLine();
     const auto colon = line.find(':');
@@ -115,6 +124,7 @@
       return malformed("a header line has no name");
     }
     fields.add(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+    headers.emplace_back(lowerCase(line.substr(0, colon)), trimmed(line.substr(colon + 1)));
   }
   if (!fields.mLengthValid) {
     return malformed("Content-Length is not one decimal number");
@@ -132,7 +142,8 @@
            .mLength = length,
            .mKeepAlive = version11 ? !fields.mClose : fields.mKeepAlive,
            .mExpectsContinue = fields.mExpectsContinue && !complete,
-           .mBearer = std::move(fields.mBearer) };
+           .mBearer = std::move(fields.mBearer),
+           .mHeaders = std::move(headers) };
 }
 
 } // namespace endiveusher::edges::internal
--- a/edges/src/http_framing.h
+++ b/edges/src/http_framing.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace endiveusher::edges::internal {
 
@@ -25,6 +27,8 @@
   /// The header is there and the caller waits for `100 Continue` before it sends the body.
   bool mExpectsContinue = false;
   std::string mBearer;
+  /// Names in lower case.
+  std::vector<std::pair<std::string, std::string>> mHeaders;
   /// If rejected.
   std::uint16_t mStatus = 0;
   const char* mCode = "";
--- /dev/null
+++ b/edges/src/http_loop.cpp
@@ -0,0 +1,217 @@
+#include "endiveusher/edges/http_loop.h"
+
+#include <curl/curl.h>
+
+#include <map>
+#include <stdexcept>
+#include <utility>
+
+namespace endiveusher::edges {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+/// Transfer handles kept for reuse; each holds some tens of kB of buffers.
+constexpr std::size_t kIdleHandles = 64;
+constexpr long kReceiveBufferBytes = 16384;
+
+struct list_deleter
+{
+  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+};
+using header_list = std::unique_ptr<curl_slist, list_deleter>;
+
+void append(header_list& aList, const std::string& aLine)
+{
+  aList.reset(curl_slist_append(aList.release(), aLine.c_str()));
+}
+
+struct transfer
+{
+  loop_call mCall;
+  std::string mUrl;
+  std::string mBody;
+  header_list mHeaders;
+  std::size_t mMaxBodyBytes = 0;
+  steady::time_point mSince;
+};
+
+std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
+{
+  auto& self = *static_cast<transfer*>(aTransfer);
+  if (aCount > self.mMaxBodyBytes - self.mBody.size()) {
+    return 0; // Makes curl end the transfer with an error.
+  }
+  self.mBody.append(aBytes, aCount);
+  return aCount;
+}
+
+} // namespace
+
+class http_loop::impl
+{
+public:
+  explicit impl(http_loop_options aOptions) : mOptions(aOptions)
+  {
+    // Without TLS: all channels are plain HTTP, and the TLS library's tables cost memory.
+    static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_NOTHING);
+    mMulti = kInitialised == CURLE_OK ? curl_multi_init() : nullptr;
+    if (mMulti == nullptr) {
+      throw std::runtime_error("http_loop: libcurl cannot be initialised");
+    }
+    curl_multi_setopt(mMulti, CURLMOPT_MAX_HOST_CONNECTIONS, mOptions.mConnectionsPerAddress);
+    curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, mOptions.mConnections);
+  }
+
+  ~impl()
+  {
+    for (auto& [handle, active] : mActive) {
+      curl_multi_remove_handle(mMulti, handle);
+      curl_easy_cleanup(handle);
+    }
+    for (auto* handle : mIdle) {
+      curl_easy_cleanup(handle);
+    }
+    curl_multi_cleanup(mMulti);
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  void send(loop_call&& aCall)
+  {
+    auto active = std::make_unique<transfer>();
+    active->mCall = std::move(aCall);
+    active->mSince = steady::now();
+    active->mMaxBodyBytes = mOptions.mMaxBodyBytes;
+    const auto& call = active->mCall;
+    active->mUrl = "http://" + call.mAddress + call.mPath;
+    CURL* handle = takeHandle();
+    // An empty header removes what libcurl adds by itself.
+    append(active->mHeaders, "Expect:");
+    append(active->mHeaders, "Accept:");
+    append(active->mHeaders, "Content-Type: " + call.mContentType);
+    for (const auto& line : call.mHeaders) {
+      append(active->mHeaders, line);
+    }
+    curl_easy_setopt(handle, CURLOPT_URL, active->mUrl.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, active->mHeaders.get());
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, ""); // Peers are reached directly.
+    curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.mTimeout.count()));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(mOptions.mConnectTimeout.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
+    if (call.mMethod != "GET") {
+      curl_easy_setopt(handle, CURLOPT_POST, 1L);
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.mBody.data());
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.mBody.size()));
+    }
+    curl_multi_add_handle(mMulti, handle);
+    mActive.emplace(handle, std::move(active));
+  }
+
+  void run(std::chrono::milliseconds aWait)
+  {
+    int running = 0;
+    curl_multi_perform(mMulti, &running);
+    if (finish()) {
+      return;
+    }
+    curl_multi_poll(mMulti, nullptr, 0, static_cast<int>(aWait.count()), nullptr);
+    curl_multi_perform(mMulti, &running);
+    finish();
+  }
+
+  void wake() { curl_multi_wakeup(mMulti); }
+
+  std::size_t open() const { return mActive.size(); }
+
+private:
+  /// Runs the callbacks of complete calls; false if there were none.
+  bool finish()
+  {
+    bool any = false;
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(mMulti, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      any = true;
+      CURL* handle = message->easy_handle;
+      const CURLcode code = message->data.result;
+      curl_multi_remove_handle(mMulti, handle);
+      const auto found = mActive.find(handle);
+      const auto active = std::move(found->second);
+      mActive.erase(found);
+      loop_reply reply{ .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+                          steady::now() - active->mSince) };
+      if (code == CURLE_OK) {
+        long status = 0;
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        reply.mStatus = static_cast<int>(status);
+        reply.mBody = std::move(active->mBody);
+      } else {
+        reply.mError = curl_easy_strerror(code);
+      }
+      giveHandle(handle);
+      active->mCall.mDone(std::move(reply));
+    }
+    return any;
+  }
+
+  CURL* takeHandle()
+  {
+    if (mIdle.empty()) {
+      return curl_easy_init();
+    }
+    CURL* handle = mIdle.back();
+    mIdle.pop_back();
+    return handle;
+  }
+
+  void giveHandle(CURL* aHandle)
+  {
+    if (mIdle.size() < kIdleHandles) {
+      curl_easy_reset(aHandle);
+      mIdle.push_back(aHandle);
+    } else {
+      curl_easy_cleanup(aHandle);
+    }
+  }
+
+  const http_loop_options mOptions;
+  CURLM* mMulti = nullptr;
+  std::map<CURL*, std::unique_ptr<transfer>> mActive;
+  std::vector<CURL*> mIdle;
+};
+
+http_loop::http_loop(http_loop_options aOptions) : mImpl(std::make_unique<impl>(aOptions)) {}
+http_loop::~http_loop() = default;
+
+void http_loop::send(loop_call aCall)
+{
+  mImpl->send(std::move(aCall));
+}
+
+void http_loop::run(std::chrono::milliseconds aWait)
+{
+  mImpl->run(aWait);
+}
+
+void http_loop::wake()
+{
+  mImpl->wake();
+}
+
+std::size_t http_loop::open() const
+{
+  return mImpl->open();
+}
+
+} // namespace endiveusher::edges
--- /dev/null
+++ b/node/src/boot_clock.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "endiveusher/kernel/time.h"
+
+#include <time.h>
+
+namespace endiveusher::node {
+
+/// Monotonic time that goes on while the machine is suspended, so that a daemon that wakes up knows
+/// how long it was away.
+class boot_clock : public clock
+{
+public:
+  time_point now() const override
+  {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) +
+                                                           std::chrono::nanoseconds(time.tv_nsec)));
+  }
+};
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/cell_node.cpp
@@ -0,0 +1,969 @@
+#include "endiveusher/node/cell_node.h"
+
+#include "boot_clock.h"
+#include "daemon/src/quantile_summary.h"
+#include "election.h"
+#include "endiveusher/edges/http_loop.h"
+#include "endiveusher/edges/http_server.h"
+#include "endiveusher/scheduler/owner.h"
+#include "event_log.h"
+#include "front_desk.h"
+#include "inbox.h"
+#include "log_tail.h"
+#include "peer_api.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <thread>
+#include <utility>
+#include <variant>
+
+namespace endiveusher::node {
+
+namespace {
+
+using scheduler::journal_record;
+
+constexpr const char* kJournalTopic = "journal";
+constexpr const char* kOwnerTopic = "owner";
+/// Numbered appends of whoever owns the cell share this name, so that an epoch shuts out the lower.
+constexpr const char* kOwnerProducer = "owner";
+
+/// Calls that wait for the loop; more are rejected at once.
+constexpr std::size_t kInboxCapacity = 2000;
+/// How often the journal is read: by the owner, which acts on it, and by others, which tell states.
+constexpr std::chrono::milliseconds kOwnerJournalInterval{ 20 };
+constexpr std::chrono::milliseconds kJournalInterval{ 80 };
+/// How often the registry is read: the owner has to know leaving targets within a second or two.
+constexpr std::chrono::milliseconds kOwnerRegistryInterval{ 250 };
+constexpr std::chrono::milliseconds kRegistryInterval{ 8000 };
+constexpr std::chrono::milliseconds kOwnerTopicInterval{ 100 };
+/// How often the operator's records are read at least; bounds the age of keys.
+constexpr std::chrono::milliseconds kOperatorWait{ 700 };
+constexpr std::chrono::milliseconds kOperatorInterval{ 50 };
+/// A daemon tells the owner this often that it lives, and is forgotten after the longer time.
+constexpr std::chrono::milliseconds kHelloInterval{ 500 };
+constexpr std::chrono::milliseconds kHelloRetention{ 1600 };
+/// Wait of the loop when nothing is due.
+constexpr std::chrono::milliseconds kLoopWait{ 50 };
+/// Without an answer of the store for this long a daemon is not ready: it could take nothing.
+constexpr std::chrono::milliseconds kReadyContact{ 2500 };
+/// Left of the shutdown period when the process ends.
+constexpr std::chrono::milliseconds kShutdownMargin{ 1500 };
+/// After this much of a shutdown no new connections are expected any more: the platform needs two
+/// misses, a second apart, to take a daemon out.
+constexpr std::chrono::milliseconds kLeavePeriod{ 2800 };
+constexpr std::chrono::milliseconds kForgetInterval{ 1000 };
+/// Claims of different daemons are spread over this time.
+constexpr int kMaxStaggerMs = 250;
+/// A lease is a little shorter than targets grant, so that they shorten none.
+constexpr std::chrono::milliseconds kLeaseReserve{ 200 };
+
+scheduler::wall_time wallNow()
+{
+  return std::chrono::duration_cast<scheduler::wall_time>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// A call that a server thread hands to the loop.
+struct front_request
+{
+  platform::front_call mCall;
+  std::string mBody;
+  edges::responder mResponder;
+};
+struct peer_request
+{
+  std::string mPath;
+  std::string mBody;
+  edges::responder mResponder;
+};
+using inbox_item = std::variant<front_request, peer_request>;
+
+} // namespace
+
+class cell_node::impl : private scheduler::owner_port
+{
+public:
+  explicit impl(platform::node_settings aSettings)
+    : mSettings(std::move(aSettings)), mLog(mSettings.mNode),
+      mInbox(kInboxCapacity, [this] { mLoop.wake(); }), mStore(mLoop, mSettings.mStoreAddress),
+      mIncarnation(std::random_device{}()),
+      mPeerAddress(fmt::format("{}:{}", mSettings.mIp, mSettings.mPeerPort)),
+      mElection({ .mNode = mSettings.mNode,
+                  .mIncarnation = mIncarnation,
+                  .mPeerAddress = mPeerAddress,
+                  .mStagger = std::chrono::milliseconds(mIncarnation % kMaxStaggerMs) }),
+      mWriter(mStore, mClock,
+              { .mTopic = kJournalTopic,
+                .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation) }),
+      mDesk(mClock, mBook, mWriter, mLog, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
+            [this](const journal_record& aRecord) { applied(aRecord); })
+  {
+    mDesk.setEndStored([this](scheduler::job_id aId) { return !mUnstoredEnds.contains(aId); });
+    makeTails();
+  }
+
+  ~impl() override
+  {
+    mQuit = true;
+    mLoop.wake();
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  void start(std::function<void()> aStopped)
+  {
+    mStopped = std::move(aStopped);
+    mLog.write("start", fmt::format("zone={} front={} peer={} store={} incarnation={}",
+                                    mSettings.mZone, mSettings.mFrontAddress, mPeerAddress,
+                                    mSettings.mStoreAddress, mIncarnation));
+    mFront = std::make_unique<edges::http_server>(
+      edges::http_server_options{ .mAddress = mSettings.mFrontAddress,
+                                  .mThreads = 1,
+                                  .mMaxConnections = mSettings.mMaxConnections },
+      [this](edges::http_request aRequest, edges::responder aResponder) {
+        inbox_item item = front_request{ .mCall = platform::decodeFrontCall(aRequest),
+                                         .mBody = std::move(aRequest.mBody),
+                                         .mResponder = aResponder };
+        if (!mInbox.push(item)) {
+          aResponder.answer({ .mStatus = 503,
+                              .mBody = R"({"error":"overloaded"})",
+                              .mHeaders = { { "Retry-After", "1" } } });
+        }
+      });
+    mReadiness = std::make_unique<edges::http_server>(
+      edges::http_server_options{ .mAddress = mSettings.mReadinessAddress, .mThreads = 1 },
+      [this](const edges::http_request& /*aRequest*/, const edges::responder& aResponder) {
+        aResponder.answer({ .mStatus = static_cast<std::uint16_t>(mReady ? 200 : 503) });
+      });
+    mPeers = std::make_unique<edges::http_server>(
+      edges::http_server_options{ .mAddress = mPeerAddress, .mThreads = 1 },
+      [this](edges::http_request aRequest, edges::responder aResponder) {
+        inbox_item item = peer_request{ .mPath = aRequest.mPath,
+                                        .mBody = std::move(aRequest.mBody),
+                                        .mResponder = aResponder };
+        if (!mInbox.push(item)) {
+          aResponder.answer({ .mStatus = 503 });
+        }
+      });
+    mThread = std::thread([this] { run(); });
+  }
+
+  void stop()
+  {
+    mStopping = true;
+    mLoop.wake();
+  }
+
+  void reload(platform::node_settings aSettings)
+  {
+    const std::lock_guard lock(mReloadMutex);
+    mReloaded = std::move(aSettings);
+  }
+
+  void dumpState()
+  {
+    mDump = true;
+    mLoop.wake();
+  }
+
+private:
+  // owner_port; the answers go to the owner that asked, if it still is one.
+  void store(std::vector<journal_record> aRecords) override
+  {
+    std::vector<std::string> bytes;
+    std::vector<scheduler::job_id> ended;
+    for (const auto& record : aRecords) {
+      if (const auto* end = std::get_if<scheduler::run_ended>(&record)) {
+        ended.push_back(end->mTask.mStep.mJob);
+      } else if (const auto* givenUp = std::get_if<scheduler::job_given_up>(&record)) {
+        ended.push_back(givenUp->mJob);
+      }
+      bytes.push_back(encode(record));
+    }
+    for (const auto id : ended) {
+      ++mUnstoredEnds[id];
+    }
+    mOwnerWriter->write(std::move(bytes),
+                        [this, ended = std::move(ended), epoch = mEpoch](write_outcome aOutcome) {
+                          if (epoch != mEpoch || !mOwner) {
+                            return;
+                          }
+                          if (aOutcome != write_outcome::stored) {
+                            mLost = "journal fenced";
+                            return;
+                          }
+                          mAppendTimes.record(mOwnerWriter->lastElapsed());
+                          for (const auto id : ended) {
+                            if (const auto found = mUnstoredEnds.find(id);
+                                found != mUnstoredEnds.end() && --found->second == 0) {
+                              mUnstoredEnds.erase(found);
+                            }
+                          }
+                          mOwner->stored(mClock.now());
+                        });
+  }
+
+  void look(const scheduler::look_order& aOrder) override
+  {
+    ++mLooks;
+    auto call = platform::encodeLook(aOrder);
+    call.mDone = [this, target = aOrder.mTarget, sent = mClock.now(),
+                  epoch = mEpoch](edges::loop_reply&& aReply) {
+      if (epoch != mEpoch || !mOwner) {
+        return;
+      }
+      auto outcome = platform::decodeOutcome(aReply);
+      scheduler::target_report report;
+      if (outcome == scheduler::order_outcome::accepted) {
+        auto decoded = platform::decodeReport(aReply.mBody);
+        if (decoded.ok()) {
+          report = *std::move(decoded);
+        } else {
+          mLog.write("bad_report", fmt::format("target={} error=\"{}\"", target,
+                                               std::string(decoded.status().message())));
+          outcome = scheduler::order_outcome::invalid;
+        }
+      }
+      mOwner->looked(target, sent, outcome, report, mClock.now());
+    };
+    mLoop.send(std::move(call));
+  }
+
+  void start(const scheduler::start_order& aOrder) override
+  {
+    ++mStarts;
+    auto call = platform::encodeStart(aOrder);
+    call.mDone = [this, aOrder, epoch = mEpoch](edges::loop_reply&& aReply) {
+      if (epoch == mEpoch && mOwner) {
+        mStartTimes.record(aReply.mElapsed);
+        mOwner->startAnswered(aOrder, platform::decodeOutcome(aReply), mClock.now());
+      }
+    };
+    mLoop.send(std::move(call));
+  }
+
+  void stop(const scheduler::stop_order& aOrder) override
+  {
+    auto call = platform::encodeStop(aOrder);
+    call.mDone = [this, aOrder, epoch = mEpoch](edges::loop_reply&& aReply) {
+      if (epoch == mEpoch && mOwner) {
+        mOwner->stopAnswered(aOrder, platform::decodeOutcome(aReply), mClock.now());
+      }
+    };
+    mLoop.send(std::move(call));
+  }
+
+  void advise(const scheduler::advice_request& aRequest) override
+  {
+    ++mAdviceCalls;
+    auto call = aRequest.mHelper.empty()
+                  ? platform::encodeAdvice(mSettings.mAdviceAddress, aRequest)
+                  : encodePeerAdvice(aRequest);
+    call.mDone = [this, number = aRequest.mCall, step = aRequest.mStep, helper = aRequest.mHelper,
+                  epoch = mEpoch](edges::loop_reply&& aReply) {
+      if (epoch != mEpoch || !mOwner) {
+        return;
+      }
+      mAdviceTimes.record(aReply.mElapsed);
+      scheduler::advice_answer answer{ .mCall = number };
+      if (aReply.ok()) {
+        auto good = platform::decodeAdvice(aReply.mBody);
+        answer.mOk = good.ok();
+        answer.mGood = good.ok() ? *std::move(good) : std::vector<scheduler::advice_ticket>{};
+      }
+      if (!answer.mOk) {
+        mLog.write("advice_unanswered",
+                   fmt::format("step={} helper={} status={} error=\"{}\" after_ms={}", toText(step),
+                               helper, aReply.mStatus.value_or(0), aReply.mError,
+                               aReply.mElapsed / std::chrono::milliseconds(1)));
+      }
+      mOwner->advised(answer, mClock.now());
+    };
+    mLoop.send(std::move(call));
+  }
+
+  void explain(std::string_view aEvent, std::string_view aDetail) override
+  {
+    mLog.write(aEvent, aDetail);
+  }
+
+  void makeTails()
+  {
+    const auto failed = [this](const std::string& aError) { contactFailed(aError); };
+    const auto answered = [this](std::uint64_t /*aEnd*/) { contact(); };
+    mOperatorTail = std::make_unique<log_tail>(
+      mStore, mClock,
+      log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
+                        .mKeyed = true,
+                        .mWait = kOperatorWait,
+                        .mInterval = kOperatorInterval },
+      log_tail::callbacks{
+        .mRecords = [this](const auto& aRecords, std::uint64_t) { readOperator(aRecords); },
+        .mNewest = [this](auto&& aRecords) { replaceOperator(aRecords); },
+        .mGap = [](std::uint64_t) {},
+        .mAnswered = answered,
+        .mFailed = failed });
+    mRegistryTail = std::make_unique<log_tail>(
+      mStore, mClock,
+      log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
+                        .mKeyed = true,
+                        .mWait = std::chrono::milliseconds(0),
+                        .mInterval = kRegistryInterval },
+      log_tail::callbacks{
+        .mRecords = [this](const auto& aRecords, std::uint64_t) { readRegistry(aRecords); },
+        .mNewest = [this](auto&& aRecords) { replaceRegistry(aRecords); },
+        .mGap = [](std::uint64_t) {},
+        .mAnswered = answered,
+        .mFailed = failed });
+    mOwnerTail = std::make_unique<log_tail>(
+      mStore, mClock, log_tail_options{ .mTopic = kOwnerTopic, .mInterval = kOwnerTopicInterval },
+      log_tail::callbacks{
+        .mRecords = [this](const auto& aRecords,
+                           std::uint64_t aOffset) { readOwners(aRecords, aOffset); },
+        .mNewest = [](auto&&) {},
+        .mGap = [](std::uint64_t) {},
+        .mAnswered =
+          [this](std::uint64_t aEnd) {
+            contact();
+            mElection.sawEnd(aEnd, mClock.now());
+          },
+        .mFailed =
+          [this](const std::string& aError) {
+            contactFailed(aError);
+            mElection.lostStore();
+          } });
+    mJournalTail = std::make_unique<log_tail>(
+      mStore, mClock, log_tail_options{ .mTopic = kJournalTopic, .mInterval = kJournalInterval },
+      log_tail::callbacks{
+        .mRecords = [this](const auto& aRecords, std::uint64_t) { readJournal(aRecords); },
+        .mNewest = [](auto&&) {},
+        .mGap =
+          [this](std::uint64_t aFirst) {
+            mLog.write("journal_gap", fmt::format("first={}", aFirst));
+          },
+        .mAnswered = answered,
+        .mFailed = failed });
+  }
+
+  void contact()
+  {
+    mLastContact = mClock.now();
+    if (mStoreLost) {
+      mStoreLost = false;
+      mLog.write("store_regained", fmt::format("address={}", mStore.address()));
+    }
+  }
+
+  void contactFailed(const std::string& aError)
+  {
+    if (!mStoreLost) {
+      mStoreLost = true;
+      mLog.write("store_lost", fmt::format("address={} error=\"{}\"", mStore.address(), aError));
+    }
+  }
+
+  // Operator's records.
+  void readOperator(const std::vector<std::string>& aRecords)
+  {
+    for (const auto& bytes : aRecords) {
+      if (const auto record = platform::decodeKeyed(bytes)) {
+        readOperatorRecord(*record);
+      } else {
+        mLog.write("bad_record", "topic=operator error=\"no key\"");
+      }
+    }
+    operatorChanged();
+  }
+
+  void replaceOperator(const std::vector<platform::keyed_record>& aRecords)
+  {
+    mClosedZones.clear();
+    for (const auto& record : aRecords) {
+      readOperatorRecord(record);
+    }
+    operatorChanged();
+  }
+
+  void readOperatorRecord(const platform::keyed_record& aRecord)
+  {
+    if (aRecord.mKey == platform::kConfigKey && aRecord.mValue) {
+      auto decoded = platform::decodeConfig(*aRecord.mValue);
+      if (!decoded.ok()) {
+        mLog.write("bad_config",
+                   fmt::format("error=\"{}\"", std::string(decoded.status().message())));
+        return;
+      }
+      if (mConfig && decoded->mVersion <= mConfig->mVersion) {
+        return;
+      }
+      mLog.write("config", fmt::format("version={} routes={} teams={}", decoded->mVersion,
+                                       decoded->mRoutes.size(), decoded->mTeams.size()));
+      mConfig = std::make_shared<const scheduler::cell_config>(*std::move(decoded));
+      if (mOwner) {
+        mOwner->configure(mConfig);
+      }
+    } else if (aRecord.mKey.starts_with(platform::kEvacuationPrefix)) {
+      const auto zone = aRecord.mKey.substr(platform::kEvacuationPrefix.size());
+      const bool closed = aRecord.mValue.has_value();
+      if (closed ? mClosedZones.insert(zone).second : mClosedZones.erase(zone) > 0) {
+        mLog.write(closed ? "zone_closed" : "zone_opened", fmt::format("zone={}", zone));
+      }
+    }
+  }
+
+  void operatorChanged()
+  {
+    if (mOwner) {
+      mOwner->setClosedZones(mClosedZones);
+    }
+  }
+
+  // Registry of targets.
+  void readRegistry(const std::vector<std::string>& aRecords)
+  {
+    for (const auto& bytes : aRecords) {
+      if (const auto record = platform::decodeKeyed(bytes)) {
+        readRegistryRecord(*record);
+      }
+    }
+  }
+
+  void replaceRegistry(const std::vector<platform::keyed_record>& aRecords)
+  {
+    std::set<std::string> listed;
+    for (const auto& record : aRecords) {
+      listed.insert(record.mKey);
+    }
+    std::vector<std::string> gone;
+    for (const auto& [id, entry] : mTargets) {
+      if (!listed.contains(id)) {
+        gone.push_back(id);
+      }
+    }
+    for (const auto& id : gone) {
+      readRegistryRecord({ .mKey = id });
+    }
+    for (const auto& record : aRecords) {
+      readRegistryRecord(record);
+    }
+  }
+
+  void readRegistryRecord(const platform::keyed_record& aRecord)
+  {
+    const auto now = mClock.now();
+    std::optional<scheduler::target_entry> entry;
+    if (aRecord.mValue) {
+      auto decoded = platform::decodeTargetEntry(aRecord.mKey, *aRecord.mValue);
+      if (decoded.ok()) {
+        entry = *std::move(decoded);
+      } else if (mBadEntries.insert(aRecord.mKey).second) {
+        mLog.write("bad_entry", fmt::format("target={} error=\"{}\"", aRecord.mKey,
+                                            std::string(decoded.status().message())));
+      }
+    }
+    const auto known = mTargets.find(aRecord.mKey);
+    if (!entry) {
+      if (known != mTargets.end()) {
+        mLog.write("target_unlisted", fmt::format("target={}", aRecord.mKey));
+        mTargets.erase(known);
+        if (mOwner) {
+          mOwner->removeTarget(aRecord.mKey, now);
+        }
+        mCapacityChanged = true;
+      }
+      return;
+    }
+    if (known == mTargets.end() || known->second.mDraining != entry->mDraining) {
+      mLog.write("target_listed",
+                 fmt::format("target={} zone={} pool={} draining={} cpu={} mem={} born={}",
+                             entry->mId, entry->mZone, entry->mPool, entry->mDraining,
+                             entry->mCapacity.mCpuMilli, entry->mCapacity.mMemoryMb, entry->mBorn));
+      mCapacityChanged = true;
+    }
+    if (mOwner) {
+      mOwner->setTarget(*entry, now);
+    }
+    mTargets[aRecord.mKey] = *std::move(entry);
+  }
+
+  void updateCapacity()
+  {
+    cell_capacity capacity;
+    for (const auto& [id, entry] : mTargets) {
+      auto& pool = capacity.mPools[entry.mPool];
+      if (std::ranges::find(pool, entry.mCapacity) == pool.end()) {
+        pool.push_back(entry.mCapacity);
+      }
+    }
+    mDesk.setCapacity(std::move(capacity));
+    mCapacityChanged = false;
+  }
+
+  // Ownership.
+  void readOwners(const std::vector<std::string>& aRecords, std::uint64_t aOffset)
+  {
+    for (const auto& bytes : aRecords) {
+      const auto record = decodeOwnerRecord(bytes);
+      if (record.ok()) {
+        if (record->mKind != owner_record::kind::renewal) {
+          mLog.write("owner_record",
+                     fmt::format("kind={} node={} offset={}", static_cast<int>(record->mKind),
+                                 record->mNode, aOffset));
+        }
+        mElection.sawRecord(*record, aOffset, mClock.now());
+      }
+      ++aOffset;
+    }
+  }
+
+  void tickElection(time_point aNow)
+  {
+    if (mOwner && !mElection.mayAct(aNow)) {
+      giveUp(mElection.state() == election::role::owner ? "no renewal" : "another owner");
+    }
+    if (mLost) {
+      const auto reason = *std::exchange(mLost, std::nullopt);
+      mElection.abandon();
+      giveUp(reason);
+    }
+    const bool eligible = mJournalTail->caughtUp() && mConfig && !mStoreLost;
+    // What has ended is stored before others are let in.
+    const bool handOver =
+      mStopping && (!mOwnerWriter || (!mOwnerWriter->openSince() && mOwnerWriter->waiting() == 0));
+    const auto action = mElection.next(aNow, eligible && !mStopping, handOver);
+    if (action != election::action::none) {
+      appendOwnerRecord(action, aNow);
+    }
+    if (mElection.state() == election::role::owner && !mOwner && !mStopping) {
+      takeOver();
+    }
+  }
+
+  void appendOwnerRecord(election::action aAction, time_point aNow)
+  {
+    if (aAction == election::action::claim) {
+      mLog.write("claim", fmt::format("expected_end={} last_owner={}", mElection.expectedEnd(),
+                                      mElection.ownerNode()));
+    }
+    mStore.append({ .mTopic = kOwnerTopic,
+                    .mRecords = { encode(mElection.record(aAction)) },
+                    .mExpectedEnd = mElection.expectedEnd() },
+                  [this, aAction, sent = aNow](platform::append_reply&& aReply) {
+                    if (aReply.mOutcome == platform::append_outcome::appended) {
+                      mElection.appended(aAction, aReply.mOffset, sent);
+                      if (aAction == election::action::release) {
+                        giveUp("released");
+                      }
+                    } else if (aReply.mOutcome == platform::append_outcome::unanswered) {
+                      mElection.unanswered(aAction, mClock.now());
+                    } else {
+                      mElection.rejected(aAction);
+                    }
+                  });
+  }
+
+  /// First shuts the former owner out of the journal, then reads what it has written.
+  void takeOver()
+  {
+    const auto epoch = mElection.epoch();
+    if (mEpoch != epoch) {
+      mEpoch = epoch;
+      mFenceEnd.reset();
+      mOwnerWriter = std::make_unique<journal_writer>(
+        mStore, mClock,
+        journal_writer_options{
+          .mTopic = kJournalTopic, .mProducer = kOwnerProducer, .mEpoch = epoch, .mInsist = true });
+      mLog.write("take_over", fmt::format("epoch={}", epoch));
+      mOwnerWriter->write({}, [this, epoch](write_outcome aOutcome) {
+        if (epoch != mEpoch) {
+          return;
+        }
+        if (aOutcome != write_outcome::stored) {
+          mLost = "fenced at take-over";
+          return;
+        }
+        mFencedAt = mClock.now();
+        mFenceEnd = true;
+      });
+      mRegistryTail->setInterval(kOwnerRegistryInterval);
+      mRegistryTail->restart(0);
+      mJournalTail->setInterval(kOwnerJournalInterval);
+    }
+    if (!mFenceEnd || !mJournalTail->caughtUp() || mJournalTail->freshAsOf() <= mFencedAt ||
+        !mRegistryTail->caughtUp() || !mConfig) {
+      return;
+    }
+    const auto now = mClock.now();
+    mUnstoredEnds.clear();
+    mOwner = std::make_unique<scheduler::owner>(
+      mBook, static_cast<scheduler::owner_port&>(*this),
+      scheduler::owner_options{ .mMaxLease = mSettings.mMaxLease - kLeaseReserve,
+                                .mGangPeriod = mSettings.mGangPeriod },
+      epoch, now);
+    mOwner->configure(mConfig);
+    mOwner->setClosedZones(mClosedZones);
+    mBook.forEach([&](scheduler::job& aJob) { mOwner->noticed(aJob, now, wallNow()); });
+    for (const auto& [id, entry] : mTargets) {
+      mOwner->setTarget(entry, now);
+    }
+    mLog.write("owner",
+               fmt::format("epoch={} jobs={} targets={}", epoch, mBook.size(), mTargets.size()));
+  }
+
+  void giveUp(std::string_view aReason)
+  {
+    if (!mOwner && mEpoch == 0) {
+      return;
+    }
+    mLog.write("owner_ends", fmt::format("epoch={} reason=\"{}\"", mEpoch, aReason));
+    mOwner.reset();
+    mOwnerWriter.reset();
+    mEpoch = 0;
+    mHelpers.clear();
+    // What this owner had decided and not stored is forgotten with the rest.
+    mUnstoredEnds.clear();
+    mBook.clear();
+    mJournalTail->setInterval(kJournalInterval);
+    mJournalTail->restart(0);
+    mRegistryTail->setInterval(kRegistryInterval);
+  }
+
+  // Journal.
+  void readJournal(const std::vector<std::string>& aRecords)
+  {
+    for (const auto& bytes : aRecords) {
+      auto record = scheduler::decodeRecord(bytes);
+      if (!record.ok()) {
+        mLog.write("bad_record", fmt::format("topic=journal error=\"{}\"",
+                                             std::string(record.status().message())));
+        continue;
+      }
+      applied(*record);
+    }
+  }
+
+  void applied(const journal_record& aRecord)
+  {
+    const auto now = mClock.now();
+    // Of this owner's own records the book has had the effect when they were made.
+    auto* changed = mBook.apply(aRecord, now);
+    if (changed != nullptr && mOwner) {
+      mOwner->noticed(*changed, now, wallNow());
+    }
+  }
+
+  // Peers.
+  void tickPeers(time_point aNow)
+  {
+    if (mOwner) {
+      std::erase_if(mHelpers,
+                    [aNow](const auto& aOne) { return aOne.second + kHelloRetention < aNow; });
+      std::vector<std::string> names;
+      for (const auto& [name, seen] : mHelpers) {
+        names.push_back(name);
+      }
+      mOwner->setHelpers(names);
+      return;
+    }
+    const auto owner = mElection.ownerAddress();
+    if (owner && mNextHello <= aNow && !mStopping && !mSettings.mAdviceAddress.empty()) {
+      mNextHello = aNow + kHelloInterval;
+      auto call = encodeHello(*owner, mPeerAddress);
+      call.mDone = [](edges::loop_reply&&) {};
+      mLoop.send(std::move(call));
+    }
+  }
+
+  void handlePeer(peer_request& aRequest)
+  {
+    if (aRequest.mPath == kPeerHelloPath) {
+      mHelpers[aRequest.mBody] = mClock.now();
+      aRequest.mResponder.answer({});
+    } else if (aRequest.mPath == kPeerAdvicePath) {
+      const auto request = decodePeerAdvice(aRequest.mBody);
+      if (!request.ok()) {
+        aRequest.mResponder.answer({ .mStatus = 400 });
+        return;
+      }
+      auto call = platform::encodeAdvice(mSettings.mAdviceAddress, *request);
+      call.mDone = [responder = aRequest.mResponder](edges::loop_reply&& aReply) {
+        responder.answer({ .mStatus = static_cast<std::uint16_t>(aReply.mStatus.value_or(504)),
+                           .mBody = std::move(aReply.mBody) });
+      };
+      mLoop.send(std::move(call));
+    } else if (aRequest.mPath == kMetricsPath) {
+      aRequest.mResponder.answer({ .mBody = metrics(), .mContentType = "text/plain" });
+    } else if (aRequest.mPath == kStatePath) {
+      aRequest.mResponder.answer({ .mBody = state(), .mContentType = "text/plain" });
+    } else {
+      aRequest.mResponder.answer({ .mStatus = 404 });
+    }
+  }
+
+  void handleFront(front_request& aRequest)
+  {
+    mDesk.handle(
+      aRequest.mCall, std::move(aRequest.mBody),
+      [this, responder = aRequest.mResponder, since = mClock.now()](front_answer&& aAnswer) {
+        mCallTimes.record(mClock.now() - since);
+        edges::http_answer answer{
+          .mStatus = static_cast<std::uint16_t>(aAnswer.mStatus),
+          .mBody = std::move(aAnswer.mBody),
+          .mClose = mStopping,
+        };
+        if (aAnswer.mRetryAfter) {
+          answer.mHeaders.emplace_back("Retry-After", std::to_string(aAnswer.mRetryAfter->count()));
+        }
+        responder.answer(std::move(answer));
+      });
+  }
+
+  void run()
+  {
+    while (!mQuit) {
+      const auto now = mClock.now();
+      applyReload();
+      mOperatorTail->tick(now);
+      mOwnerTail->tick(now);
+      mJournalTail->tick(now);
+      mRegistryTail->tick(now);
+      if (mCapacityChanged) {
+        updateCapacity();
+      }
+      mDesk.setView({ .mConfig = mConfig,
+                      .mConfigAsOf = mOperatorTail->freshAsOf(),
+                      .mJournalAsOf = mJournalTail->freshAsOf(),
+                      .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr });
+      for (auto& item : mInbox.takeAll()) {
+        if (auto* front = std::get_if<front_request>(&item)) {
+          handleFront(*front);
+        } else {
+          handlePeer(std::get<peer_request>(item));
+        }
+      }
+      mWriter.tick(now);
+      mDesk.tick(now);
+      tickElection(now);
+      if (mOwnerWriter) {
+        mOwnerWriter->tick(now);
+      }
+      tickPeers(now);
+      auto next = now + kLoopWait;
+      if (mOwner && mElection.mayAct(mClock.now())) {
+        next = std::min(next, mOwner->tick(mClock.now(), wallNow()));
+        if (mOwner->fenced()) {
+          mLost = "fenced by a target";
+        }
+      }
+      if (mNextForget <= now) {
+        mNextForget = now + kForgetInterval;
+        mBook.forgetEnded(now - mSettings.mStatusRetention - kForgetInterval);
+      }
+      mReady =
+        !mStopping && mConfig && mJournalTail->caughtUp() && now - mLastContact < kReadyContact;
+      if (mDump.exchange(false)) {
+        mLog.write("state", state());
+      }
+      mLog.flush();
+      if (tickShutdown(now)) {
+        return;
+      }
+      const auto wait =
+        std::chrono::ceil<std::chrono::milliseconds>(std::max(next - mClock.now(), duration{ 0 }));
+      mLoop.run(wait);
+    }
+  }
+
+  /// True when the loop has to end.
+  bool tickShutdown(time_point aNow)
+  {
+    if (!mStopping) {
+      return false;
+    }
+    if (!mStopSince) {
+      mStopSince = aNow;
+      mLog.write("stop", fmt::format("waiting={} owner={}", mDesk.waiting(), mOwner != nullptr));
+    }
+    const auto elapsed = aNow - *mStopSince;
+    const bool idle = mDesk.waiting() == 0 && mElection.state() != election::role::owner;
+    if ((elapsed > kLeavePeriod && idle) || elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
+      mLog.write("stopped", fmt::format("waiting={}", mDesk.waiting()));
+      mLog.flush();
+      mFront->stop(std::chrono::milliseconds(200));
+      mStopped();
+      return true;
+    }
+    return false;
+  }
+
+  void applyReload()
+  {
+    std::optional<platform::node_settings> changed;
+    {
+      const std::lock_guard lock(mReloadMutex);
+      changed.swap(mReloaded);
+    }
+    if (!changed) {
+      return;
+    }
+    mLog.write("reload",
+               fmt::format("store={} advice={}", changed->mStoreAddress, changed->mAdviceAddress));
+    mStore.setAddress(changed->mStoreAddress);
+    mSettings.mStoreAddress = changed->mStoreAddress;
+    mSettings.mAdviceAddress = changed->mAdviceAddress;
+    mSettings.mStatusRetention = changed->mStatusRetention;
+  }
+
+  std::string metrics() const
+  {
+    const auto& counters = mDesk.counters();
+    std::string text;
+    const auto add = [&text](std::string_view aName, auto aValue) {
+      text += fmt::format("endiveusher_{} {}\n", aName, aValue);
+    };
+    add("jobs_submitted_total", counters.mSubmitted);
+    add("jobs_accepted_total", counters.mAccepted);
+    add("calls_rejected_total", counters.mRejected);
+    add("outcomes_unknown_total", counters.mUnknown);
+    add("status_calls_total", counters.mStatus);
+    add("jobs_cancelled_total", counters.mCancelled);
+    add("jobs_known", mBook.size());
+    add("store_calls_total", mStore.calls());
+    add("looks_total", mLooks);
+    add("starts_total", mStarts);
+    add("advice_calls_total", mAdviceCalls);
+    add("log_lines_dropped_total", mLog.dropped());
+    add("ready", mReady ? 1 : 0);
+    add("owner", mOwner ? 1 : 0);
+    if (mOwner) {
+      const auto counts = mOwner->counts();
+      add("targets", counts.mTargets);
+      add("targets_usable", counts.mUsableTargets);
+      add("runs_open", counts.mOpenRuns);
+      add("steps_waiting", counts.mWaitingSteps);
+      add("advice_calls_open", counts.mAdviceCalls);
+      add("advice_helpers", mHelpers.size());
+    }
+    text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
+    text += mAppendTimes.render("endiveusher_append_seconds", "Appends of the owner.");
+    text += mStartTimes.render("endiveusher_start_seconds", "Orders to start a task.");
+    text += mAdviceTimes.render("endiveusher_advice_seconds", "Calls for advice.");
+    return text;
+  }
+
+  std::string state() const
+  {
+    const auto now = mClock.now();
+    return fmt::format(
+      "node={} role={} epoch={} config={} config_age_ms={} journal_next={} "
+      "journal_age_ms={} jobs={} targets={} closed_zones={} owner={}\n{}",
+      mSettings.mNode, mOwner ? "owner" : "follower", mEpoch, mConfig ? mConfig->mVersion : 0,
+      (now - mOperatorTail->freshAsOf()) / std::chrono::milliseconds(1), mJournalTail->next(),
+      (now - mJournalTail->freshAsOf()) / std::chrono::milliseconds(1), mBook.size(),
+      mTargets.size(), mClosedZones.size(), mElection.ownerNode(),
+      mOwner ? mOwner->dump() : std::string());
+  }
+
+  platform::node_settings mSettings;
+  boot_clock mClock;
+  event_log mLog;
+  edges::http_loop mLoop;
+  inbox<inbox_item> mInbox;
+  platform::store mStore;
+  const std::uint64_t mIncarnation;
+  const std::string mPeerAddress;
+  scheduler::job_book mBook;
+  election mElection;
+  journal_writer mWriter;
+  front_desk mDesk;
+  std::unique_ptr<log_tail> mOperatorTail;
+  std::unique_ptr<log_tail> mRegistryTail;
+  std::unique_ptr<log_tail> mOwnerTail;
+  std::unique_ptr<log_tail> mJournalTail;
+
+  std::shared_ptr<const scheduler::cell_config> mConfig;
+  std::set<std::string> mClosedZones;
+  std::map<std::string, scheduler::target_entry, std::less<>> mTargets;
+  std::set<std::string> mBadEntries;
+  bool mCapacityChanged = false;
+
+  /// Of the own ownership; 0 if there is none.
+  std::uint64_t mEpoch = 0;
+  std::optional<bool> mFenceEnd;
+  time_point mFencedAt{};
+  std::unique_ptr<journal_writer> mOwnerWriter;
+  std::unique_ptr<scheduler::owner> mOwner;
+  std::optional<std::string> mLost;
+  /// Jobs with ends that are on their way into the journal, and how many calls hold some.
+  std::map<scheduler::job_id, std::uint32_t> mUnstoredEnds;
+  /// Daemons that make calls for advice, and when each was last heard of.
+  std::map<std::string, time_point> mHelpers;
+  time_point mNextHello{};
+
+  time_point mLastContact{};
+  bool mStoreLost = false;
+  time_point mNextForget{};
+  std::optional<time_point> mStopSince;
+
+  std::uint64_t mLooks = 0;
+  std::uint64_t mStarts = 0;
+  std::uint64_t mAdviceCalls = 0;
+  daemon::quantile_summary mCallTimes;
+  daemon::quantile_summary mAppendTimes;
+  daemon::quantile_summary mStartTimes;
+  daemon::quantile_summary mAdviceTimes;
+
+  std::mutex mReloadMutex;
+  std::optional<platform::node_settings> mReloaded;
+  std::atomic<bool> mQuit{ false };
+  std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mDump{ false };
+  std::atomic<bool> mReady{ false };
+  std::function<void()> mStopped;
+  std::unique_ptr<edges::http_server> mFront;
+  std::unique_ptr<edges::http_server> mReadiness;
+  std::unique_ptr<edges::http_server> mPeers;
+  std::thread mThread;
+};
+
+cell_node::cell_node(platform::node_settings aSettings)
+  : mImpl(std::make_unique<impl>(std::move(aSettings)))
+{
+}
+
+cell_node::~cell_node() = default;
+
+void cell_node::start(std::function<void()> aStopped)
+{
+  mImpl->start(std::move(aStopped));
+}
+
+void cell_node::stop()
+{
+  mImpl->stop();
+}
+
+void cell_node::reload(platform::node_settings aSettings)
+{
+  mImpl->reload(std::move(aSettings));
+}
+
+void cell_node::dumpState()
+{
+  mImpl->dumpState();
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/election.cpp
@@ -0,0 +1,167 @@
+#include "election.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveusher::node {
+
+namespace {
+
+using nlohmann::json;
+
+/// Pause after an append without an answer; a read tells what became of it.
+constexpr auto kUnansweredPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+std::string encode(const owner_record& aRecord)
+{
+  std::string bytes;
+  json::to_msgpack(json::array({ static_cast<int>(aRecord.mKind), aRecord.mNode,
+                                 aRecord.mIncarnation, aRecord.mPeerAddress }),
+                   bytes);
+  return bytes;
+}
+
+absl::StatusOr<owner_record> decodeOwnerRecord(std::string_view aBytes)
+{
+  try {
+    const auto value = json::from_msgpack(aBytes.begin(), aBytes.end());
+    return owner_record{ .mKind = static_cast<owner_record::kind>(value.at(0).get<int>()),
+                         .mNode = value.at(1),
+                         .mIncarnation = value.at(2),
+                         .mPeerAddress = value.at(3) };
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(absl::StrCat("owner record: ", error.what()));
+  }
+}
+
+election::election(election_options aOptions) : mOptions(std::move(aOptions)) {}
+
+bool election::isOwn(const owner_record& aRecord) const
+{
+  return aRecord.mNode == mOptions.mNode && aRecord.mIncarnation == mOptions.mIncarnation;
+}
+
+void election::sawRecord(const owner_record& aRecord, std::uint64_t aOffset, time_point aNow)
+{
+  mEnd = std::max(mEnd, aOffset + 1);
+  mLast = aRecord;
+  mLastSeen = aNow;
+  mAny = true;
+  if (isOwn(aRecord)) {
+    if (aRecord.mKind == owner_record::kind::claim && mEpoch < aOffset + 1) {
+      mEpoch = aOffset + 1;
+      mRole = role::owner;
+      mRenewedAt = std::max(mRenewedAt, aNow - kUnansweredPause);
+    }
+  } else if (aRecord.mKind == owner_record::kind::claim && mRole == role::owner &&
+             aOffset + 1 > mEpoch) {
+    abandon();
+  }
+}
+
+void election::sawEnd(std::uint64_t aEnd, time_point aNow)
+{
+  mKnown = true;
+  mEnd = std::max(mEnd, aEnd);
+  if (!mContactSince) {
+    mContactSince = aNow;
+  }
+}
+
+void election::lostStore()
+{
+  mContactSince.reset();
+}
+
+election::action election::next(time_point aNow, bool aEligible, bool aStopping)
+{
+  const auto chosen = choose(aNow, aEligible, aStopping);
+  mAppendOpen = chosen != action::none;
+  return chosen;
+}
+
+election::action election::choose(time_point aNow, bool aEligible, bool aStopping) const
+{
+  if (mAppendOpen || mRetryAt > aNow || !mKnown) {
+    return action::none;
+  }
+  if (mRole == role::owner) {
+    if (aStopping) {
+      return action::release;
+    }
+    return mNextRenewal <= aNow ? action::renew : action::none;
+  }
+  if (!aEligible || aStopping || !mContactSince) {
+    return action::none;
+  }
+  const bool vacant = !mAny || mLast.mKind == owner_record::kind::release;
+  const auto quietSince = std::max(mLastSeen, *mContactSince);
+  const auto patience = vacant ? mOptions.mStagger : mOptions.mSilence + mOptions.mStagger;
+  return aNow - quietSince > patience ? action::claim : action::none;
+}
+
+owner_record election::record(action aAction) const
+{
+  auto kind = owner_record::kind::claim;
+  if (aAction == action::renew) {
+    kind = owner_record::kind::renewal;
+  } else if (aAction == action::release) {
+    kind = owner_record::kind::release;
+  }
+  return { .mKind = kind,
+           .mNode = mOptions.mNode,
+           .mIncarnation = mOptions.mIncarnation,
+           .mPeerAddress = mOptions.mPeerAddress };
+}
+
+void election::appended(action aAction, std::uint64_t aOffset, time_point aSent)
+{
+  mAppendOpen = false;
+  mEnd = std::max(mEnd, aOffset + 1);
+  mLast = record(aAction);
+  mLastSeen = std::max(mLastSeen, aSent);
+  mAny = true;
+  if (aAction == action::release) {
+    mRole = role::follower;
+    return;
+  }
+  if (aAction == action::claim) {
+    mEpoch = aOffset + 1;
+    mRole = role::owner;
+  }
+  mRenewedAt = std::max(mRenewedAt, aSent);
+  mNextRenewal = aSent + mOptions.mRenewInterval;
+}
+
+void election::rejected(action /*aAction*/)
+{
+  // The topic holds records that are still to be read.
+  mAppendOpen = false;
+}
+
+void election::unanswered(action /*aAction*/, time_point aNow)
+{
+  mAppendOpen = false;
+  mRetryAt = aNow + kUnansweredPause;
+}
+
+void election::abandon()
+{
+  mRole = role::follower;
+}
+
+std::optional<std::string> election::ownerAddress() const
+{
+  if (!mAny || isOwn(mLast) || mLast.mKind == owner_record::kind::release) {
+    return std::nullopt;
+  }
+  return mLast.mPeerAddress;
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/journal_writer.cpp
@@ -0,0 +1,131 @@
+#include "journal_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveusher::node {
+
+namespace {
+
+/// Of one append; the platform's bound is 2 MB.
+constexpr std::size_t kMaxCallBytes = std::size_t{ 1 } << 20U;
+/// First try of an append; a repetition is cheap and changes nothing.
+constexpr std::chrono::milliseconds kAppendTimeout{ 1000 };
+constexpr auto kRetryPause = std::chrono::milliseconds(20);
+constexpr auto kMaxRetryPause = std::chrono::milliseconds(300);
+
+} // namespace
+
+journal_writer::journal_writer(platform::store& aStore, const clock& aClock,
+                               journal_writer_options aOptions)
+  : mStore(aStore), mClock(aClock), mOptions(std::move(aOptions))
+{
+}
+
+void journal_writer::write(std::vector<std::string> aRecords, done aDone)
+{
+  mWaiting.push_back({ .mRecords = std::move(aRecords), .mDone = std::move(aDone) });
+  tick(mClock.now());
+}
+
+void journal_writer::tick(time_point aNow)
+{
+  if (mInFlight || mFenced) {
+    return;
+  }
+  if (mCurrent.empty()) {
+    std::size_t bytes = 0;
+    while (!mWaiting.empty() && bytes < kMaxCallBytes) {
+      auto& next = mWaiting.front();
+      for (const auto& record : next.mRecords) {
+        bytes += record.size();
+      }
+      std::ranges::move(next.mRecords, std::back_inserter(mCurrentRecords));
+      mCurrent.push_back(std::move(next));
+      mWaiting.pop_front();
+    }
+    mTries = 0;
+    mUncertain = false;
+    mRetryAt = time_point{};
+    if (!mCurrent.empty()) {
+      mOpenSince = aNow;
+    }
+  }
+  if (!mCurrent.empty() && mRetryAt <= aNow) {
+    send(aNow);
+  }
+}
+
+void journal_writer::send(time_point /*aNow*/)
+{
+  mInFlight = true;
+  mRepeats += mTries > 0 ? 1 : 0;
+  ++mTries;
+  mStore.append({ .mTopic = mOptions.mTopic,
+                  .mRecords = mCurrentRecords,
+                  .mProducer = platform::producer{ .mName = mOptions.mProducer,
+                                                   .mEpoch = mOptions.mEpoch,
+                                                   .mSequence = mSequence },
+                  .mTimeout = kAppendTimeout },
+                [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
+                  if (!alive.expired()) {
+                    answered(aReply);
+                  }
+                });
+}
+
+void journal_writer::answered(const platform::append_reply& aReply)
+{
+  using platform::append_outcome;
+  mInFlight = false;
+  mLastElapsed = aReply.mElapsed;
+  const auto now = mClock.now();
+  switch (aReply.mOutcome) {
+    case append_outcome::appended:
+      ++mSequence;
+      finish(write_outcome::stored);
+      return;
+    case append_outcome::fenced:
+      mFenced = true;
+      finish(write_outcome::fenced);
+      return;
+    case append_outcome::out_of_sequence:
+      // Only this object uses the name, so the number is ahead because an unanswered try was
+      // stored.
+      ++mSequence;
+      finish(mUncertain ? write_outcome::stored : write_outcome::refused);
+      return;
+    case append_outcome::conflict:
+    case append_outcome::refused:
+      if (!mOptions.mInsist && !mUncertain) {
+        finish(write_outcome::refused);
+        return;
+      }
+      break;
+    case append_outcome::unanswered:
+      mUncertain = true;
+      break;
+  }
+  mRetryAt = now + std::min<duration>(kRetryPause * (1 << std::min(mTries, 4U)), kMaxRetryPause);
+}
+
+void journal_writer::finish(write_outcome aOutcome)
+{
+  mOpenSince.reset();
+  mCurrentRecords.clear();
+  auto finished = std::exchange(mCurrent, {});
+  if (aOutcome == write_outcome::fenced) {
+    std::ranges::move(mWaiting, std::back_inserter(finished));
+    mWaiting.clear();
+  }
+  const auto alive = std::weak_ptr(mAlive);
+  for (auto& one : finished) {
+    one.mDone(aOutcome);
+    if (alive.expired()) {
+      return;
+    }
+  }
+  tick(mClock.now());
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/scheduler/src/job_book.cpp
@@ -0,0 +1,220 @@
+#include "endiveusher/scheduler/job_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveusher::scheduler {
+
+job* job_book::apply(const journal_record& aRecord, time_point aNow)
+{
+  return std::visit([this, aNow](const auto& aOne) { return apply(aOne, aNow); }, aRecord);
+}
+
+job* job_book::apply(const job_submitted& aRecord, time_point /*aNow*/)
+{
+  const auto [at, isNew] = mJobs.try_emplace(aRecord.mSpec.mId);
+  if (!isNew) {
+    return nullptr;
+  }
+  job& made = at->second;
+  made.mSpec = aRecord.mSpec;
+  if (made.mSpec.mRepeat == 0) {
+    openOccurrence(made, 0);
+  }
+  countWaiting(made, 1);
+  return &made;
+}
+
+job* job_book::apply(const job_cancelled& aRecord, time_point aNow)
+{
+  job* found = find(aRecord.mJob);
+  if (found == nullptr || found->mPhase != job_phase::active) {
+    return nullptr;
+  }
+  finish(*found, job_phase::cancelled, aNow);
+  return found;
+}
+
+job* job_book::apply(const run_started& aRecord, time_point /*aNow*/)
+{
+  job* found = find(aRecord.mTask.mStep.mJob);
+  if (found == nullptr) {
+    return nullptr;
+  }
+  openOccurrence(*found, aRecord.mTask.mStep.mOccurrence);
+  step_state* step = stepOf(*found, aRecord.mTask.mStep);
+  if (step == nullptr || aRecord.mTask.mIndex >= step->mTasks.size()) {
+    return nullptr;
+  }
+  auto& task = step->mTasks[aRecord.mTask.mIndex];
+  if (aRecord.mRun <= task.mRun) {
+    return nullptr;
+  }
+  step->mOpen += task.mOpen ? 0 : 1;
+  task.mRun = aRecord.mRun;
+  task.mOpen = aRecord.mAt;
+  if (!found->mStarted) {
+    countWaiting(*found, -1);
+    found->mStarted = true;
+  }
+  return found;
+}
+
+job* job_book::apply(const run_ended& aRecord, time_point aNow)
+{
+  job* found = find(aRecord.mTask.mStep.mJob);
+  step_state* step = found == nullptr ? nullptr : stepOf(*found, aRecord.mTask.mStep);
+  if (step == nullptr || aRecord.mTask.mIndex >= step->mTasks.size()) {
+    return nullptr;
+  }
+  auto& task = step->mTasks[aRecord.mTask.mIndex];
+  if (aRecord.mRun != task.mRun || !task.mOpen) {
+    return nullptr;
+  }
+  task.mOpen.reset();
+  --step->mOpen;
+  const bool gang = found->mSpec.mSteps[aRecord.mTask.mStep.mStep].mGang;
+  if (!aRecord.mCheckpoint.empty()) {
+    task.mCheckpoint = aRecord.mCheckpoint;
+    if (gang) {
+      // The members of a gang resume from one common checkpoint.
+      for (auto& member : step->mTasks) {
+        member.mCheckpoint = aRecord.mCheckpoint;
+      }
+    }
+  }
+  if (aRecord.mHow == run_end::done && !task.mDone) {
+    task.mDone = true;
+    ++step->mDone;
+    completeIfDone(*found, aRecord.mTask.mStep.mOccurrence, aNow);
+  } else if (aRecord.mHow == run_end::failed) {
+    ++task.mFailures;
+    step->mGangFailures += gang ? 1 : 0;
+  }
+  return found;
+}
+
+job* job_book::apply(const job_given_up& aRecord, time_point aNow)
+{
+  job* found = find(aRecord.mJob);
+  if (found == nullptr || found->mPhase != job_phase::active) {
+    return nullptr;
+  }
+  finish(*found, job_phase::failed, aNow);
+  return found;
+}
+
+job* job_book::apply(const job_snapshot& aRecord, time_point aNow)
+{
+  const auto [at, isNew] = mJobs.try_emplace(aRecord.mJob.mSpec.mId);
+  if (!isNew) {
+    return nullptr;
+  }
+  job& made = at->second;
+  made = aRecord.mJob;
+  if (made.mPhase != job_phase::active) {
+    made.mEndedAt = aNow.time_since_epoch();
+    mEnded.emplace_back(aNow, made.mSpec.mId);
+  } else if (!made.mStarted) {
+    countWaiting(made, 1);
+  }
+  return &made;
+}
+
+std::vector<step_state>* job_book::openOccurrence(job& aJob, std::uint32_t aOccurrence)
+{
+  if (aOccurrence >= aJob.mSpec.occurrences()) {
+    return nullptr;
+  }
+  const auto [at, isNew] = aJob.mOccurrences.try_emplace(aOccurrence);
+  if (isNew) {
+    for (const auto& step : aJob.mSpec.mSteps) {
+      at->second.push_back({ .mTasks = std::vector<task_state>(step.mCount) });
+    }
+  }
+  return &at->second;
+}
+
+step_state* job_book::stepOf(job& aJob, const step_key& aKey)
+{
+  return const_cast<step_state*>(std::as_const(aJob).find(aKey));
+}
+
+void job_book::completeIfDone(job& aJob, std::uint32_t aOccurrence, time_point aNow)
+{
+  const auto& steps = aJob.mOccurrences[aOccurrence];
+  if (!std::ranges::all_of(steps, &step_state::complete)) {
+    return;
+  }
+  ++aJob.mOccurrencesDone;
+  if (aJob.mOccurrencesDone == aJob.mSpec.occurrences() && aJob.mPhase == job_phase::active) {
+    finish(aJob, job_phase::completed, aNow);
+  }
+}
+
+void job_book::finish(job& aJob, job_phase aPhase, time_point aNow)
+{
+  if (!aJob.mStarted) {
+    countWaiting(aJob, -1);
+    // Not counted a second time by a start that was stored before the end was known.
+    aJob.mStarted = true;
+  }
+  aJob.mPhase = aPhase;
+  aJob.mEndedAt = aNow.time_since_epoch();
+  mEnded.emplace_back(aNow, aJob.mSpec.mId);
+}
+
+void job_book::countWaiting(const job& aJob, int aChange)
+{
+  if (aJob.mSpec.mRepeat == 0) {
+    mWaiting[aJob.mSpec.mRoute] += static_cast<std::uint32_t>(aChange);
+  }
+}
+
+job* job_book::find(job_id aId)
+{
+  const auto found = mJobs.find(aId);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+const job* job_book::find(job_id aId) const
+{
+  const auto found = mJobs.find(aId);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+std::uint32_t job_book::waiting(std::string_view aRoute) const
+{
+  const auto found = mWaiting.find(aRoute);
+  return found == mWaiting.end() ? 0 : found->second;
+}
+
+void job_book::forgetEnded(time_point aBefore)
+{
+  const auto firstKept =
+    std::ranges::find_if(mEnded, [aBefore](const auto& aEntry) { return aEntry.first >= aBefore; });
+  std::vector<std::pair<time_point, job_id>> kept;
+  for (auto at = mEnded.begin(); at != firstKept; ++at) {
+    const job* ended = find(at->second);
+    const bool open = ended != nullptr && std::ranges::any_of(ended->mOccurrences, [](auto& aOne) {
+                        return std::ranges::any_of(
+                          aOne.second, [](const step_state& aStep) { return aStep.mOpen > 0; });
+                      });
+    if (open) {
+      kept.push_back(*at);
+    } else {
+      mJobs.erase(at->second);
+    }
+  }
+  mEnded.erase(mEnded.begin(), firstKept);
+  mEnded.insert(mEnded.begin(), kept.begin(), kept.end());
+}
+
+void job_book::clear()
+{
+  mJobs.clear();
+  mWaiting.clear();
+  mEnded.clear();
+}
+
+} // namespace endiveusher::scheduler
--- /dev/null
+++ b/scheduler/src/journal.cpp
@@ -0,0 +1,261 @@
+#include "endiveusher/scheduler/journal.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace endiveusher::scheduler {
+
+namespace {
+
+using nlohmann::json;
+
+/// First element of a record. The numbers are part of the stored format.
+enum class record_kind : std::uint8_t
+{
+  submitted = 1,
+  cancelled = 2,
+  started = 3,
+  ended = 4,
+  given_up = 5,
+  snapshot = 6,
+};
+
+std::uint64_t number(job_id aId)
+{
+  return static_cast<std::uint64_t>(aId);
+}
+
+json toJson(const step_spec& aStep)
+{
+  return json::array({ aStep.mCount, aStep.mNeeds.mCpuMilli, aStep.mNeeds.mMemoryMb,
+                       aStep.mNeeds.mAccelerators, aStep.mEstimate.count(), aStep.mAfter,
+                       aStep.mCheckpointing, aStep.mGang, aStep.mRackLocal, aStep.mSpeculative,
+                       aStep.mLongRunning, aStep.mFills, aStep.mRequiredLabel, aStep.mDataRack,
+                       aStep.mMaxPerTarget, aStep.mMaxUnavailable });
+}
+
+step_spec stepFrom(const json& aValue)
+{
+  return { .mCount = aValue.at(0),
+           .mNeeds = { .mCpuMilli = aValue.at(1),
+                       .mMemoryMb = aValue.at(2),
+                       .mAccelerators = aValue.at(3) },
+           .mEstimate = std::chrono::milliseconds(aValue.at(4).get<std::int64_t>()),
+           .mAfter = aValue.at(5),
+           .mCheckpointing = aValue.at(6),
+           .mGang = aValue.at(7),
+           .mRackLocal = aValue.at(8),
+           .mSpeculative = aValue.at(9),
+           .mLongRunning = aValue.at(10),
+           .mFills = aValue.at(11),
+           .mRequiredLabel = aValue.at(12),
+           .mDataRack = aValue.at(13),
+           .mMaxPerTarget = aValue.at(14),
+           .mMaxUnavailable = aValue.at(15) };
+}
+
+json toJson(const job_spec& aSpec)
+{
+  json steps = json::array();
+  for (const auto& step : aSpec.mSteps) {
+    steps.push_back(toJson(step));
+  }
+  return json::array({ number(aSpec.mId), aSpec.mRoute, aSpec.mTeam,
+                       json::binary({ aSpec.mPayload.begin(), aSpec.mPayload.end() }),
+                       std::move(steps), aSpec.mFirstDue.count(), aSpec.mInterval.count(),
+                       aSpec.mRepeat, aSpec.mSubmitted.count() });
+}
+
+job_spec specFrom(const json& aValue)
+{
+  const auto& payload = aValue.at(3).get_binary();
+  job_spec spec{ .mId = static_cast<job_id>(aValue.at(0).get<std::uint64_t>()),
+                 .mRoute = aValue.at(1),
+                 .mTeam = aValue.at(2),
+                 .mPayload = std::string(payload.begin(), payload.end()),
+                 .mFirstDue = wall_time(aValue.at(5).get<std::int64_t>()),
+                 .mInterval = std::chrono::milliseconds(aValue.at(6).get<std::int64_t>()),
+                 .mRepeat = aValue.at(7),
+                 .mSubmitted = wall_time(aValue.at(8).get<std::int64_t>()) };
+  for (const auto& step : aValue.at(4)) {
+    spec.mSteps.push_back(stepFrom(step));
+  }
+  return spec;
+}
+
+json toJson(const task_state& aTask)
+{
+  json value = json::array({ aTask.mRun, aTask.mFailures, aTask.mDone, aTask.mCheckpoint });
+  if (aTask.mOpen) {
+    value.push_back(aTask.mOpen->mTarget);
+    value.push_back(aTask.mOpen->mBorn);
+  }
+  return value;
+}
+
+task_state taskFrom(const json& aValue)
+{
+  task_state task{ .mRun = aValue.at(0),
+                   .mFailures = aValue.at(1),
+                   .mDone = aValue.at(2),
+                   .mCheckpoint = aValue.at(3) };
+  if (aValue.size() > 4) {
+    task.mOpen = open_run{ .mTarget = aValue.at(4), .mBorn = aValue.at(5) };
+  }
+  return task;
+}
+
+json toJson(const job& aJob)
+{
+  json occurrences = json::array();
+  for (const auto& [index, steps] : aJob.mOccurrences) {
+    json states = json::array();
+    for (const auto& step : steps) {
+      json tasks = json::array();
+      for (const auto& task : step.mTasks) {
+        tasks.push_back(toJson(task));
+      }
+      states.push_back(json::array({ step.mGangFailures, std::move(tasks) }));
+    }
+    occurrences.push_back(json::array({ index, std::move(states) }));
+  }
+  return json::array({ toJson(aJob.mSpec), static_cast<int>(aJob.mPhase), aJob.mStarted,
+                       aJob.mOccurrencesDone, std::move(occurrences) });
+}
+
+job jobFrom(const json& aValue)
+{
+  job result{ .mSpec = specFrom(aValue.at(0)),
+              .mPhase = static_cast<job_phase>(aValue.at(1).get<int>()),
+              .mStarted = aValue.at(2),
+              .mOccurrencesDone = aValue.at(3) };
+  for (const auto& occurrence : aValue.at(4)) {
+    auto& steps = result.mOccurrences[occurrence.at(0).get<std::uint32_t>()];
+    for (const auto& state : occurrence.at(1)) {
+      step_state step{ .mGangFailures = state.at(0) };
+      for (const auto& value : state.at(1)) {
+        auto task = taskFrom(value);
+        step.mDone += task.mDone ? 1 : 0;
+        step.mOpen += task.mOpen ? 1 : 0;
+        step.mTasks.push_back(std::move(task));
+      }
+      steps.push_back(std::move(step));
+    }
+  }
+  return result;
+}
+
+void append(json& aValue, const task_key& aTask)
+{
+  aValue.push_back(number(aTask.mStep.mJob));
+  aValue.push_back(aTask.mStep.mOccurrence);
+  aValue.push_back(aTask.mStep.mStep);
+  aValue.push_back(aTask.mIndex);
+}
+
+task_key taskKeyFrom(const json& aValue)
+{
+  return { .mStep = { .mJob = static_cast<job_id>(aValue.at(1).get<std::uint64_t>()),
+                      .mOccurrence = aValue.at(2),
+                      .mStep = aValue.at(3) },
+           .mIndex = aValue.at(4) };
+}
+
+json start(record_kind aKind)
+{
+  return json::array({ static_cast<int>(aKind) });
+}
+
+struct encoder
+{
+  json operator()(const job_submitted& aRecord) const
+  {
+    auto value = start(record_kind::submitted);
+    value.push_back(toJson(aRecord.mSpec));
+    return value;
+  }
+  json operator()(const job_cancelled& aRecord) const
+  {
+    auto value = start(record_kind::cancelled);
+    value.push_back(number(aRecord.mJob));
+    return value;
+  }
+  json operator()(const run_started& aRecord) const
+  {
+    auto value = start(record_kind::started);
+    append(value, aRecord.mTask);
+    value.push_back(aRecord.mRun);
+    value.push_back(aRecord.mAt.mTarget);
+    value.push_back(aRecord.mAt.mBorn);
+    return value;
+  }
+  json operator()(const run_ended& aRecord) const
+  {
+    auto value = start(record_kind::ended);
+    append(value, aRecord.mTask);
+    value.push_back(aRecord.mRun);
+    value.push_back(static_cast<int>(aRecord.mHow));
+    value.push_back(aRecord.mCheckpoint);
+    return value;
+  }
+  json operator()(const job_given_up& aRecord) const
+  {
+    auto value = start(record_kind::given_up);
+    value.push_back(number(aRecord.mJob));
+    return value;
+  }
+  json operator()(const job_snapshot& aRecord) const
+  {
+    auto value = start(record_kind::snapshot);
+    value.push_back(toJson(aRecord.mJob));
+    return value;
+  }
+};
+
+journal_record recordFrom(const json& aValue)
+{
+  const auto jobOf = [&aValue] { return static_cast<job_id>(aValue.at(1).get<std::uint64_t>()); };
+  switch (static_cast<record_kind>(aValue.at(0).get<int>())) {
+    case record_kind::submitted:
+      return job_submitted{ .mSpec = specFrom(aValue.at(1)) };
+    case record_kind::cancelled:
+      return job_cancelled{ .mJob = jobOf() };
+    case record_kind::started:
+      return run_started{ .mTask = taskKeyFrom(aValue),
+                          .mRun = aValue.at(5),
+                          .mAt = { .mTarget = aValue.at(6), .mBorn = aValue.at(7) } };
+    case record_kind::ended:
+      return run_ended{ .mTask = taskKeyFrom(aValue),
+                        .mRun = aValue.at(5),
+                        .mHow = static_cast<run_end>(aValue.at(6).get<int>()),
+                        .mCheckpoint = aValue.at(7) };
+    case record_kind::given_up:
+      return job_given_up{ .mJob = jobOf() };
+    case record_kind::snapshot:
+      return job_snapshot{ .mJob = jobFrom(aValue.at(1)) };
+  }
+  throw std::invalid_argument("unknown kind of record");
+}
+
+} // namespace
+
+std::string encode(const journal_record& aRecord)
+{
+  std::string bytes;
+  json::to_msgpack(std::visit(encoder{}, aRecord), bytes);
+  return bytes;
+}
+
+absl::StatusOr<journal_record> decodeRecord(std::string_view aBytes)
+{
+  try {
+    return recordFrom(json::from_msgpack(aBytes.begin(), aBytes.end()));
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(absl::StrCat("journal record: ", error.what()));
+  }
+}
+
+} // namespace endiveusher::scheduler
--- /dev/null
+++ b/scheduler/src/owner_placement.cpp
@@ -0,0 +1,429 @@
+#include "owner_impl.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+#include <limits>
+
+namespace endiveusher::scheduler {
+
+namespace {
+
+/// Left of a ticket's time when its start is sent, for the journal and the way to the target.
+constexpr auto kTicketMargin = std::chrono::milliseconds(60);
+/// The platform's bound for one call.
+constexpr std::size_t kMaxNamedTargets = 100;
+/// A call names at least this many targets, so that some of them are good.
+constexpr std::size_t kMinNamedTargets = 12;
+/// Beyond its own time, for the queue at the service and the way there.
+constexpr auto kAdviceSlack = std::chrono::milliseconds(600);
+/// Pause of a step between two calls for advice.
+constexpr auto kAdvicePause = std::chrono::milliseconds(50);
+/// Room that waiting gangs may keep free from later steps, part of the whole.
+constexpr double kMaxHeldBack = 0.4;
+/// How long a step waits for room on the rack of its data before it takes any.
+constexpr auto kRackPatience = std::chrono::milliseconds(1500);
+
+std::int64_t timesIn(std::int64_t aPart, std::int64_t aWhole)
+{
+  return aPart <= 0 ? std::numeric_limits<std::int32_t>::max()
+                    : std::max<std::int64_t>(aWhole, 0) / aPart;
+}
+
+std::uint32_t fits(const resources& aNeeds, const resources& aRoom)
+{
+  if (aRoom.anyNegative()) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>(std::min(
+    { timesIn(aNeeds.mCpuMilli, aRoom.mCpuMilli), timesIn(aNeeds.mMemoryMb, aRoom.mMemoryMb),
+      timesIn(aNeeds.mAccelerators, aRoom.mAccelerators) }));
+}
+
+resources times(const resources& aNeeds, std::uint32_t aCount)
+{
+  const auto count = static_cast<std::int64_t>(aCount);
+  return { .mSlots = aNeeds.mSlots * count,
+           .mCpuMilli = aNeeds.mCpuMilli * count,
+           .mMemoryMb = aNeeds.mMemoryMb * count,
+           .mAccelerators = aNeeds.mAccelerators * count };
+}
+
+} // namespace
+
+bool owner::impl::usable(const target_state& aTarget, time_point aNow) const
+{
+  return aTarget.mListed && aTarget.mTaken && aTarget.mMissed == 0 && aTarget.mClock &&
+         !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
+         !mClosedZones.contains(aTarget.mEntry.mZone);
+}
+
+bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget) const
+{
+  const auto& spec = aStep.spec();
+  return aTarget.mEntry.mPool == aStep.mRoute.mPool &&
+         (spec.mRequiredLabel.empty() || aTarget.mEntry.hasLabel(spec.mRequiredLabel)) &&
+         (!aStep.mRoute.mAdvice || aStep.mAdvice.mayRun(aTarget.mEntry.mId));
+}
+
+std::uint32_t owner::impl::slotsAt(const waiting_step& aStep, const candidate& aWhere) const
+{
+  std::uint32_t slots = fits(aStep.mNeeds, aWhere.mRoom);
+  const auto most = aStep.spec().mMaxPerTarget;
+  if (slots > 0 && most > 0) {
+    std::uint32_t there = 0;
+    const auto& runs = aWhere.mTarget->mRuns;
+    for (auto at = runs.lower_bound(task_key{ .mStep = aStep.mKey });
+         at != runs.end() && at->first.mStep == aStep.mKey; ++at) {
+      ++there;
+    }
+    slots = std::min(slots, most > there ? most - there : 0);
+  }
+  return slots;
+}
+
+std::uint32_t owner::impl::teamSlots(const waiting_step& aStep) const
+{
+  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  if (team == nullptr) {
+    return std::numeric_limits<std::int32_t>::max();
+  }
+  resources left = team->mUpperLimit;
+  const auto used = mTeamUsed.find(team->mName);
+  const resources taken = used == mTeamUsed.end() ? resources{} : used->second;
+  const auto slots = [](std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
+    return aLimit <= 0 ? std::numeric_limits<std::int32_t>::max() : timesIn(aNeed, aLimit - aUsed);
+  };
+  // What fills counts against the limit in full.
+  const auto& needs = aStep.spec().mNeeds;
+  return static_cast<std::uint32_t>(
+    std::min({ slots(left.mCpuMilli, taken.mCpuMilli, needs.mCpuMilli),
+               slots(left.mMemoryMb, taken.mMemoryMb, needs.mMemoryMb),
+               slots(left.mAccelerators, taken.mAccelerators, needs.mAccelerators) }));
+}
+
+void owner::impl::plan(time_point aNow)
+{
+  if (!mConfig || mWaiting.empty()) {
+    return;
+  }
+  std::vector<candidate> rooms;
+  for (auto& [id, target] : mTargets) {
+    if (usable(target, aNow)) {
+      rooms.push_back({ .mTarget = &target, .mRoom = target.room() });
+    }
+  }
+  // Tight packing: what is small fills the fullest targets, so that wide gaps stay for gangs.
+  std::ranges::sort(rooms, {}, [](const candidate& aOne) { return aOne.mRoom.mCpuMilli; });
+  std::vector<std::pair<internal::step_rank, waiting_step*>> order;
+  for (auto& [key, step] : mWaiting) {
+    if (step.startable()) {
+      order.emplace_back(internal::rankOf(step, aNow), &step);
+    }
+  }
+  std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
+  mHeldBackCpu = 0;
+  for (auto& [rank, step] : order) {
+    if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
+      continue;
+    }
+    if (step->spec().mGang) {
+      placeGang(*step, rooms, aNow);
+    } else {
+      placeTasks(*step, rooms, aNow);
+    }
+  }
+}
+
+void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
+{
+  const auto team = teamSlots(aStep);
+  if (team == 0) {
+    return;
+  }
+  const bool ready = aStep.mNotBefore <= aNow;
+  const auto& rack = aStep.spec().mDataRack;
+  const bool anyRack = rack.empty() || aNow > aStep.mOnTimeUntil - aStep.mRemaining - kRackPatience;
+  std::vector<placement> placements;
+  std::size_t next = 0;
+  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
+  for (auto& room : aRooms) {
+    if (next == wanted) {
+      break;
+    }
+    const auto& entry = room.mTarget->mEntry;
+    if (!allowed(aStep, *room.mTarget) || (!anyRack && entry.mRack != rack)) {
+      continue;
+    }
+    if (aStep.mRoute.mAdvice &&
+        aStep.mAdvice.validTicket(entry.mId, aNow + kTicketMargin) == nullptr) {
+      continue;
+    }
+    for (auto slots = slotsAt(aStep, room); ready && slots > 0 && next < wanted; --slots, ++next) {
+      placements.push_back({ .mIndex = aStep.mPending[next], .mWhere = &room });
+      room.mRoom -= aStep.mNeeds;
+    }
+  }
+  const bool missing = next < wanted;
+  if (!placements.empty()) {
+    commit(aStep, placements, aNow);
+  }
+  if (missing && aStep.mRoute.mAdvice) {
+    askForAdvice(aStep, aRooms, aNow);
+  }
+}
+
+void owner::impl::placeGang(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
+{
+  const auto count = static_cast<std::uint32_t>(aStep.mPending.size());
+  if (teamSlots(aStep) < count) {
+    return;
+  }
+  const auto tryOn = [&](std::string_view aRack) {
+    std::vector<placement> placements;
+    for (auto& room : aRooms) {
+      const auto& entry = room.mTarget->mEntry;
+      if (!allowed(aStep, *room.mTarget) || (!aRack.empty() && entry.mRack != aRack)) {
+        continue;
+      }
+      if (aStep.mRoute.mAdvice &&
+          aStep.mAdvice.validTicket(entry.mId, aNow + kTicketMargin) == nullptr) {
+        continue;
+      }
+      for (auto slots = slotsAt(aStep, room); slots > 0 && placements.size() < count; --slots) {
+        placements.push_back({ .mIndex = aStep.mPending[placements.size()], .mWhere = &room });
+      }
+      if (placements.size() == count) {
+        return placements;
+      }
+    }
+    return std::vector<placement>{};
+  };
+  std::vector<placement> placements;
+  if (aStep.mNotBefore <= aNow) {
+    if (aStep.spec().mRackLocal) {
+      std::set<std::string> racks;
+      for (const auto& room : aRooms) {
+        racks.insert(room.mTarget->mEntry.mRack);
+      }
+      for (const auto& rack : racks) {
+        if (placements.empty()) {
+          placements = tryOn(rack);
+        }
+      }
+    }
+    if (placements.empty()) {
+      placements = tryOn({});
+    }
+  }
+  if (!placements.empty()) {
+    for (const auto& one : placements) {
+      one.mWhere->mRoom -= aStep.mNeeds;
+    }
+    commit(aStep, placements, aNow);
+    return;
+  }
+  if (aStep.mRoute.mAdvice) {
+    askForAdvice(aStep, aRooms, aNow);
+  }
+  holdBack(aStep, aRooms, aNow);
+}
+
+/// Load pattern: small tasks fill every gap that wide gangs wait for. A waiting gang keeps the room
+/// that it will need from the steps behind it, on those good targets that have most room already;
+/// all gangs together keep no more than a part of the pool.
+void owner::impl::holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point /*aNow*/)
+{
+  std::int64_t total = 0;
+  std::vector<candidate*> good;
+  for (auto& room : aRooms) {
+    total += room.mTarget->mEntry.mCapacity.mCpuMilli;
+    const bool known = !aStep.mRoute.mAdvice || aStep.mAdvice.knownGood(room.mTarget->mEntry.mId);
+    if (known && allowed(aStep, *room.mTarget)) {
+      good.push_back(&room);
+    }
+  }
+  const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
+  if (static_cast<double>(mHeldBackCpu + needed) > kMaxHeldBack * static_cast<double>(total)) {
+    return;
+  }
+  std::ranges::sort(good, std::greater<>{},
+                    [](const candidate* aOne) { return aOne->mRoom.mCpuMilli; });
+  auto left = static_cast<std::uint32_t>(aStep.mPending.size());
+  std::vector<std::pair<candidate*, std::uint32_t>> parts;
+  for (auto* room : good) {
+    const auto slots = std::min(left, fits(aStep.mNeeds, room->mTarget->mEntry.mCapacity));
+    if (slots > 0 && !room->mRoom.anyNegative()) {
+      parts.emplace_back(room, slots);
+      left -= slots;
+    }
+    if (left == 0) {
+      break;
+    }
+  }
+  if (left > 0) {
+    return;
+  }
+  mHeldBackCpu += needed;
+  for (auto& [room, slots] : parts) {
+    room->mRoom -= times(aStep.mNeeds, slots);
+  }
+}
+
+void owner::impl::commit(waiting_step& aStep, const std::vector<placement>& aPlacements,
+                         time_point aNow)
+{
+  const auto key = aStep.mKey;
+  const auto& spec = aStep.spec();
+  const auto* state = aStep.mJob->find(key);
+  std::uint32_t gangRun = 0;
+  if (spec.mGang) {
+    for (const auto& task : state->mTasks) {
+      gangRun = std::max(gangRun, task.mRun + 1);
+    }
+  }
+  for (const auto& one : aPlacements) {
+    auto& target = *one.mWhere->mTarget;
+    const task_key task{ .mStep = key, .mIndex = one.mIndex };
+    const auto run = spec.mGang ? gangRun : state->mTasks[one.mIndex].mRun + 1;
+    const run_started record{ .mTask = task,
+                              .mRun = run,
+                              .mAt = { .mTarget = target.mEntry.mId,
+                                       .mBorn = target.mEntry.mBorn } };
+    held_run held{ .mRun = run, .mNeeds = aStep.mNeeds, .mTeam = aStep.mJob->mSpec.mTeam };
+    if (aStep.mRoute.mAdvice) {
+      held.mTicket = *aStep.mAdvice.validTicket(target.mEntry.mId, aNow);
+    }
+    hold(target, task, std::move(held));
+    append(record, aNow);
+    mNextBatch.mStarts.push_back(record);
+    mPort.explain("start",
+                  fmt::format("task={} run={} target={} zone={} cpu={} room_cpu={} "
+                              "report_age_ms={} waited_ms={}",
+                              toText(task), run, target.mEntry.mId, target.mEntry.mZone,
+                              aStep.mNeeds.mCpuMilli, target.room().mCpuMilli,
+                              (aNow - target.mLastAnswer) / std::chrono::milliseconds(1),
+                              (aNow - mSubmittedAt[key.mJob]) / std::chrono::milliseconds(1)));
+  }
+  enqueueStep(*aStep.mJob, key, aNow);
+}
+
+std::vector<std::string> owner::impl::targetsToName(const waiting_step& aStep,
+                                                    std::vector<candidate>& aRooms,
+                                                    time_point aNow) const
+{
+  const auto& terms = *aStep.mRoute.mAdvice;
+  const auto pending = static_cast<std::uint32_t>(aStep.mPending.size());
+  // As many as take as long as the call itself: naming fewer saves little.
+  const auto paid = terms.mPerTarget.count() > 0
+                      ? static_cast<std::size_t>(terms.mPerCall / terms.mPerTarget)
+                      : kMaxNamedTargets;
+  const auto most = std::clamp(paid, kMinNamedTargets, kMaxNamedTargets);
+  std::vector<std::string> named;
+  std::uint32_t slots = 0;
+  std::vector<const candidate*> unknown;
+  for (const auto& room : aRooms) {
+    const auto& id = room.mTarget->mEntry.mId;
+    if (!allowed(aStep, *room.mTarget)) {
+      continue;
+    }
+    if (!aStep.mAdvice.mGood.contains(id)) {
+      unknown.push_back(&room);
+    } else if (slots < pending && named.size() < most) {
+      const auto here = slotsAt(aStep, room);
+      if (here > 0) {
+        slots += here;
+        if (aStep.mAdvice.validTicket(id, aNow + 4 * kTicketMargin) == nullptr) {
+          named.push_back(id);
+        }
+      }
+    }
+  }
+  if (slots >= pending || (!aStep.spec().mGang && slots > 0)) {
+    return named;
+  }
+  if (aStep.spec().mGang) {
+    // Tickets of a part of the gang would lapse unused.
+    named.clear();
+  }
+  // Those with room first; the others tell where room is worth waiting for.
+  std::ranges::stable_sort(unknown, std::greater<>{}, [this, &aStep](const candidate* aOne) {
+    return slotsAt(aStep, *aOne) > 0;
+  });
+  for (const auto* room : unknown) {
+    if (named.size() == most || (!aStep.spec().mGang && slotsAt(aStep, *room) == 0)) {
+      break;
+    }
+    named.push_back(room->mTarget->mEntry.mId);
+  }
+  return named;
+}
+
+void owner::impl::askForAdvice(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
+{
+  auto& advice = aStep.mAdvice;
+  if (advice.mCallsOpen > 0 || advice.mNextCall > aNow) {
+    return;
+  }
+  auto named = targetsToName(aStep, aRooms, aNow);
+  if (named.empty()) {
+    return;
+  }
+  const auto& terms = *aStep.mRoute.mAdvice;
+  const duration cost = terms.mPerCall + static_cast<int>(named.size()) * terms.mPerTarget;
+  const auto call = mLastAdviceCall + 1;
+  const auto helper = mDesk.reserve(cost, aNow, call);
+  if (!helper) {
+    return;
+  }
+  mLastAdviceCall = call;
+  ++advice.mCallsOpen;
+  mAdviceCalls[call] = { .mStep = aStep.mKey, .mTargets = named, .mSent = aNow };
+  mPort.advise(
+    { .mCall = call,
+      .mHelper = *helper,
+      .mStep = aStep.mKey,
+      .mTargets = std::move(named),
+      .mTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(2 * cost) + kAdviceSlack });
+}
+
+void owner::impl::advised(const advice_answer& aAnswer, time_point aNow)
+{
+  const auto found = mAdviceCalls.find(aAnswer.mCall);
+  if (found == mAdviceCalls.end()) {
+    return;
+  }
+  const auto call = std::move(found->second);
+  mAdviceCalls.erase(found);
+  mDesk.release(aAnswer.mCall, aAnswer.mOk, aNow);
+  mChanged = true;
+  const auto waiting = mWaiting.find(call.mStep);
+  if (waiting == mWaiting.end()) {
+    return;
+  }
+  auto& step = waiting->second;
+  --step.mAdvice.mCallsOpen;
+  step.mAdvice.mNextCall = aNow + kAdvicePause;
+  if (!aAnswer.mOk) {
+    mPort.explain("advice_failed", fmt::format("step={} targets={} after_ms={}", toText(call.mStep),
+                                               call.mTargets.size(),
+                                               (aNow - call.mSent) / std::chrono::milliseconds(1)));
+    return;
+  }
+  for (const auto& named : call.mTargets) {
+    step.mAdvice.mGood[named] = false;
+  }
+  // The service issued the tickets before the answer came; the sending time is a safe bound.
+  const auto& terms = step.mRoute.mAdvice;
+  const auto valid = terms ? terms->mValid : std::chrono::milliseconds(0);
+  const duration cost =
+    terms ? terms->mPerCall + static_cast<int>(call.mTargets.size()) * terms->mPerTarget
+          : duration{ 0 };
+  const auto issued = std::max(call.mSent + cost, aNow - std::chrono::milliseconds(50));
+  for (const auto& good : aAnswer.mGood) {
+    step.mAdvice.mGood[good.mTarget] = true;
+    step.mAdvice.mTickets[good.mTarget] = { .mToken = good.mToken, .mUntil = issued + valid };
+  }
+}
+
+} // namespace endiveusher::scheduler
