Count the room of cancelled jobs after a take-over, and let silent targets lapse

Cause: an owner adopted runs of active jobs only. Looks without an answer went on renewing a lease, so a lost target kept its tasks. Ruled out: late orders of the former owner; the first look's epoch rejects them. Change: runs of all jobs are adopted; a target that lists unknown runs gets no work; silent targets get looks without a lease. Tests: owner_take_over. countsTheRoomOfCancelledJobs and owner_runs.startsElsewhereOnlyAfterTheLease failed before.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -112,6 +112,7 @@
 
 void owner::impl::noticed(job& aJob, time_point aNow, wall_time aWall)
 {
+  adoptRuns(aJob);
   if (aJob.mPhase == job_phase::active) {
     registerJob(aJob, aNow, aWall);
   } else {
@@ -130,10 +131,22 @@
   }
   for (auto& [occurrence, steps] : aJob.mOccurrences) {
     for (std::uint32_t step = 0; step < steps.size(); ++step) {
-      const step_key key{ .mJob = id, .mOccurrence = occurrence, .mStep = step };
+      enqueueStep(aJob, { .mJob = id, .mOccurrence = occurrence, .mStep = step }, aNow);
+    }
+  }
+}
+
+void owner::impl::adoptRuns(const job& aJob)
+{
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
       for (std::uint32_t index = 0; index < steps[step].mTasks.size(); ++index) {
         const auto& task = steps[step].mTasks[index];
-        if (!task.mOpen) {
+        const task_key key{
+          .mStep = { .mJob = aJob.mSpec.mId, .mOccurrence = occurrence, .mStep = step },
+          .mIndex = index
+        };
+        if (!task.mOpen || findRun(task.mOpen->mTarget, key, task.mRun) != nullptr) {
           continue;
         }
         auto& target = mTargets[task.mOpen->mTarget];
@@ -146,9 +159,8 @@
                       .mPhase = internal::run_phase::confirmed,
                       .mSettledAt = mTakenOver };
         run.mNeeds.mCpuMilli = spec.mFills ? 0 : run.mNeeds.mCpuMilli;
-        hold(target, { .mStep = key, .mIndex = index }, std::move(run));
+        hold(target, key, std::move(run));
       }
-      enqueueStep(aJob, key, aNow);
     }
   }
 }
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -73,6 +73,8 @@
 
   // Steps and jobs.
   void registerJob(job& aJob, time_point aNow, wall_time aWall);
+  /// Takes over the runs that a former owner has started, also of jobs that have ended since.
+  void adoptRuns(const job& aJob);
   void openDueOccurrences(time_point aNow, wall_time aWall);
   void enqueueStep(job& aJob, const step_key& aKey, time_point aNow);
   void enqueueTask(job& aJob, const task_key& aTask, time_point aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -54,7 +54,7 @@
 bool owner::impl::usable(const target_state& aTarget, time_point aNow) const
 {
   return aTarget.mListed && aTarget.mTaken && aTarget.mMissed == 0 && aTarget.mClock &&
-         !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
+         !aTarget.mForeignRuns && !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
          !mClosedZones.contains(aTarget.mEntry.mZone);
 }
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -95,9 +95,11 @@
                     .mAddress = aTarget.mEntry.mAddress,
                     .mEpoch = mEpoch,
                     .mStoredEnds = aTarget.mStoredEnd };
-  if (aTarget.mClock && aTarget.mTaken) {
+  // A silent target gets no longer lease: what runs there could not be given up while looks without
+  // an answer might still renew it.
+  if (aTarget.mClock && aTarget.mTaken && aTarget.mMissed == 0) {
     order.mLeaseUntil = leaseFor(aTarget, aNow);
-    order.mWait = aTarget.mMissed == 0 ? kLookWait : std::chrono::milliseconds(0);
+    order.mWait = kLookWait;
   }
   aTarget.mLookOpen = true;
   mPort.look(order);
@@ -190,11 +192,13 @@
                               time_point aNow)
 {
   std::set<task_key> listed;
+  aTarget.mForeignRuns = false;
   for (const auto& running : aReport.mRunning) {
     const auto found = aTarget.mRuns.find(running.mTask);
     if (found == aTarget.mRuns.end() || found->second.mRun != running.mRun) {
       // A run that a former owner ordered after its start was withdrawn, or that a target carried
       // out late.
+      aTarget.mForeignRuns = true;
       mPort.explain("stop_unknown_run",
                     fmt::format("task={} run={} target={}", toText(running.mTask), running.mRun,
                                 aTarget.mEntry.mId));
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -57,6 +57,8 @@
   /// Has answered a look of this epoch in this incarnation, so late orders of former owners are
   /// rejected, and all it runs is known.
   bool mTaken = false;
+  /// The last look listed runs that nobody knows; their room is not known either.
+  bool mForeignRuns = false;
 
   bool mLookOpen = false;
   time_point mNextLook{};
--- /dev/null
+++ b/tests/scheduler/owner_fixture.h
@@ -0,0 +1,315 @@
+#pragma once
+
+// CppUTest's header defines `new`; the standard library comes first.
+#include "endiveusher/scheduler/owner.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiveusher::scheduler::testing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A target that starts what it is told, rejects lower epochs and lists what runs.
+struct fake_target
+{
+  target_entry mEntry;
+  std::uint64_t mEpoch = 0;
+  std::map<task_key, std::uint32_t> mRunning;
+  std::vector<ended_run> mEnded;
+  std::uint64_t mLastEnd = 0;
+  std::uint64_t mStoredEnds = 0;
+  bool mReachable = true;
+  /// Orders are carried out, their answers are lost.
+  bool mMute = false;
+  /// Every order to start is answered so, and not carried out.
+  std::optional<order_outcome> mRejectStarts;
+  target_time mClock{ 1000 };
+
+  resources used(const job_book& aBook) const
+  {
+    resources sum;
+    for (const auto& [task, run] : mRunning) {
+      sum += aBook.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mNeeds;
+    }
+    return sum;
+  }
+  void end(const task_key& aTask, listed_end aHow, std::string aCheckpoint = {})
+  {
+    const auto found = mRunning.find(aTask);
+    mEnded.push_back({ .mNumber = ++mLastEnd,
+                       .mTask = aTask,
+                       .mRun = found->second,
+                       .mHow = aHow,
+                       .mCheckpoint = std::move(aCheckpoint) });
+    mRunning.erase(found);
+  }
+};
+
+/// A cell with one owner, in which orders are answered after one step of the test's time.
+class owner_fixture : private owner_port
+{
+public:
+  owner_fixture()
+  {
+    mConfig.mRoutes.push_back({ .mName = "batch",
+                                .mHost = "h",
+                                .mPathPrefix = "/b/",
+                                .mPool = "pool",
+                                .mMaxAttempts = 2,
+                                .mStretch = 2.0,
+                                .mObjective = seconds(1) });
+    mConfig.mTeams.push_back({ .mName = "red" });
+    mConfig.mTeams.push_back({ .mName = "blue" });
+  }
+
+  fake_target& addTarget(const std::string& aId, std::int64_t aCpu = 8000,
+                         std::int64_t aMemory = 8000, const std::string& aZone = "a")
+  {
+    auto& target = mTargets[aId];
+    target.mEntry = { .mId = aId,
+                      .mAddress = "10.0.0.1:1",
+                      .mPool = "pool",
+                      .mZone = aZone,
+                      .mRack = "r1",
+                      .mLabels = { "k", "r1" },
+                      .mCapacity = { .mCpuMilli = aCpu, .mMemoryMb = aMemory },
+                      .mBorn = 1 };
+    if (mOwner) {
+      mOwner->setTarget(target.mEntry, mNow);
+    }
+    return target;
+  }
+
+  /// The next owner, as after the loss of the former one.
+  void takeOver()
+  {
+    ++mEpoch;
+    mOwner.reset();
+    mPending.clear();
+    mUnstored.clear();
+    mBook.clear();
+    for (const auto& record : mJournal) {
+      mBook.apply(record, mNow);
+    }
+    mConfig.index();
+    mOwner =
+      std::make_unique<owner>(mBook, static_cast<owner_port&>(*this), mOptions, mEpoch, mNow);
+    mOwner->configure(std::make_shared<cell_config>(mConfig));
+    mBook.forEach([this](job& aJob) { mOwner->noticed(aJob, mNow, wall()); });
+    for (const auto& [id, target] : mTargets) {
+      mOwner->setTarget(target.mEntry, mNow);
+    }
+  }
+
+  job_id submit(step_spec aStep, const std::string& aTeam = "red")
+  {
+    return submit(std::vector<step_spec>{ std::move(aStep) }, aTeam);
+  }
+  job_id submit(std::vector<step_spec> aSteps, const std::string& aTeam = "red")
+  {
+    job_spec spec{ .mId = static_cast<job_id>(++mLastJob),
+                   .mRoute = "batch",
+                   .mTeam = aTeam,
+                   .mPayload = "p",
+                   .mSteps = std::move(aSteps),
+                   .mSubmitted = wall() };
+    storeFromOutside(job_submitted{ .mSpec = std::move(spec) });
+    return static_cast<job_id>(mLastJob);
+  }
+  void cancel(job_id aJob) { storeFromOutside(job_cancelled{ .mJob = aJob }); }
+
+  /// Lets time pass in steps of 5 ms, in which calls are answered.
+  void run(milliseconds aTime)
+  {
+    for (auto left = aTime; left.count() > 0; left -= milliseconds(5)) {
+      mNow += milliseconds(5);
+      for (auto& [id, target] : mTargets) {
+        target.mClock += milliseconds(5);
+      }
+      answerAll();
+      mOwner->tick(mNow, wall());
+    }
+  }
+
+  fake_target& target(const std::string& aId) { return mTargets.at(aId); }
+  const job& find(job_id aJob) const { return *mBook.find(aJob); }
+  std::size_t running() const
+  {
+    std::size_t count = 0;
+    for (const auto& [id, target] : mTargets) {
+      count += target.mRunning.size();
+    }
+    return count;
+  }
+  /// The target that runs the task; empty if none does.
+  std::string whereIs(job_id aJob, std::uint32_t aStep = 0, std::uint32_t aIndex = 0) const
+  {
+    const task_key key{ .mStep = { .mJob = aJob, .mStep = aStep }, .mIndex = aIndex };
+    for (const auto& [id, target] : mTargets) {
+      if (target.mRunning.contains(key)) {
+        return id;
+      }
+    }
+    return {};
+  }
+  void endTask(job_id aJob, listed_end aHow, std::uint32_t aStep = 0, std::uint32_t aIndex = 0)
+  {
+    target(whereIs(aJob, aStep, aIndex))
+      .end({ .mStep = { .mJob = aJob, .mStep = aStep }, .mIndex = aIndex }, aHow);
+  }
+  wall_time wall() const { return std::chrono::duration_cast<wall_time>(mNow.time_since_epoch()); }
+
+  cell_config mConfig;
+  owner_options mOptions;
+  std::unique_ptr<owner> mOwner;
+  job_book mBook;
+  std::vector<journal_record> mJournal;
+  time_point mNow{ seconds(100) };
+  std::vector<std::string> mEvents;
+  std::vector<advice_request> mAdvice;
+  /// Targets that any step may run on, where advice is needed; answered at once.
+  std::vector<std::string> mGoodTargets;
+  bool mStoreDown = false;
+
+private:
+  struct pending_call
+  {
+    std::optional<look_order> mLook;
+    std::optional<start_order> mStart;
+    std::optional<stop_order> mStop;
+    std::optional<advice_request> mAdvice;
+    time_point mSent;
+  };
+
+  void storeFromOutside(journal_record aRecord)
+  {
+    mJournal.push_back(aRecord);
+    if (job* changed = mBook.apply(aRecord, mNow); changed != nullptr && mOwner) {
+      mOwner->noticed(*changed, mNow, wall());
+    }
+  }
+
+  void store(std::vector<journal_record> aRecords) override
+  {
+    mUnstored.push_back(std::move(aRecords));
+  }
+  void look(const look_order& aOrder) override
+  {
+    mPending.push_back({ .mLook = aOrder, .mSent = mNow });
+  }
+  void start(const start_order& aOrder) override
+  {
+    mPending.push_back({ .mStart = aOrder, .mSent = mNow });
+  }
+  void stop(const stop_order& aOrder) override
+  {
+    mPending.push_back({ .mStop = aOrder, .mSent = mNow });
+  }
+  void advise(const advice_request& aRequest) override
+  {
+    mAdvice.push_back(aRequest);
+    mPending.push_back({ .mAdvice = aRequest, .mSent = mNow });
+  }
+  void explain(std::string_view aEvent, std::string_view /*aDetail*/) override
+  {
+    mEvents.emplace_back(aEvent);
+  }
+
+  void answerAll()
+  {
+    if (!mStoreDown) {
+      for (auto& records : std::exchange(mUnstored, {})) {
+        std::ranges::move(records, std::back_inserter(mJournal));
+        mOwner->stored(mNow);
+      }
+    }
+    for (const auto& call : std::exchange(mPending, {})) {
+      answer(call);
+    }
+  }
+
+  void answer(const pending_call& aCall)
+  {
+    if (aCall.mLook) {
+      answerLook(*aCall.mLook, aCall.mSent);
+    } else if (aCall.mStart) {
+      mOwner->startAnswered(*aCall.mStart, carryOut(*aCall.mStart), mNow);
+    } else if (aCall.mStop) {
+      mOwner->stopAnswered(*aCall.mStop, carryOut(*aCall.mStop), mNow);
+    } else {
+      advice_answer answer{ .mCall = aCall.mAdvice->mCall, .mOk = true };
+      for (const auto& id : aCall.mAdvice->mTargets) {
+        if (std::ranges::find(mGoodTargets, id) != mGoodTargets.end()) {
+          answer.mGood.push_back({ .mTarget = id, .mToken = "t" });
+        }
+      }
+      mOwner->advised(answer, mNow);
+    }
+  }
+
+  void answerLook(const look_order& aOrder, time_point aSent)
+  {
+    auto& target = mTargets.at(aOrder.mTarget);
+    if (!target.mReachable) {
+      mOwner->looked(aOrder.mTarget, aSent, order_outcome::unanswered, {}, mNow);
+      return;
+    }
+    if (aOrder.mEpoch < target.mEpoch) {
+      mOwner->looked(aOrder.mTarget, aSent, order_outcome::fenced, {}, mNow);
+      return;
+    }
+    target.mEpoch = aOrder.mEpoch;
+    target.mStoredEnds = aOrder.mStoredEnds;
+    std::erase_if(target.mEnded,
+                  [&aOrder](const ended_run& aOne) { return aOne.mNumber <= aOrder.mStoredEnds; });
+    target_report report{ .mClock = target.mClock, .mBorn = target.mEntry.mBorn };
+    for (const auto& [task, run] : target.mRunning) {
+      report.mRunning.push_back({ .mTask = task, .mRun = run });
+    }
+    report.mEnded = target.mEnded;
+    mOwner->looked(aOrder.mTarget, aSent, order_outcome::accepted, report, mNow);
+  }
+
+  order_outcome carryOut(const start_order& aOrder)
+  {
+    auto& target = mTargets.at(aOrder.mTarget);
+    if (!target.mReachable) {
+      return order_outcome::unanswered;
+    }
+    if (aOrder.mEpoch < target.mEpoch) {
+      return order_outcome::fenced;
+    }
+    if (target.mRejectStarts) {
+      return *target.mRejectStarts;
+    }
+    target.mRunning[aOrder.mTask] = aOrder.mRun;
+    return target.mMute ? order_outcome::unanswered : order_outcome::accepted;
+  }
+
+  order_outcome carryOut(const stop_order& aOrder)
+  {
+    auto& target = mTargets.at(aOrder.mTarget);
+    if (!target.mReachable) {
+      return order_outcome::unanswered;
+    }
+    const auto found = target.mRunning.find(aOrder.mTask);
+    if (found != target.mRunning.end() && found->second == aOrder.mRun) {
+      target.end(aOrder.mTask, listed_end::stopped);
+    }
+    return order_outcome::accepted;
+  }
+
+  std::map<std::string, fake_target> mTargets;
+  std::vector<pending_call> mPending;
+  std::vector<std::vector<journal_record>> mUnstored;
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mLastJob = 0;
+};
+
+} // namespace endiveusher::scheduler::testing
--- /dev/null
+++ b/tests/scheduler/owner_test.cpp
@@ -0,0 +1,300 @@
+#include "owner_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::scheduler;
+using namespace endiveusher::scheduler::testing;
+
+namespace {
+
+step_spec tasks(std::uint32_t aCount, std::int64_t aCpu = 2000)
+{
+  return { .mCount = aCount,
+           .mNeeds = { .mCpuMilli = aCpu, .mMemoryMb = 100 },
+           .mEstimate = milliseconds(1000) };
+}
+
+} // namespace
+
+TEST_GROUP(owner_runs)
+{
+  owner_fixture cell;
+};
+
+TEST(owner_runs, startsAndCompletesAJob)
+{
+  cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(2));
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(2, cell.running());
+  cell.endTask(id, listed_end::done, 0, 0);
+  cell.endTask(id, listed_end::done, 0, 1);
+  cell.run(milliseconds(300));
+  CHECK(cell.find(id).mPhase == job_phase::completed);
+}
+
+// An end may only be acknowledged to the target when the journal holds it.
+TEST(owner_runs, acknowledgesEndsOnlyAfterTheyAreStored)
+{
+  auto& target = cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  cell.mStoreDown = true;
+  cell.endTask(id, listed_end::done);
+  cell.run(milliseconds(2000));
+  CHECK_EQUAL(0, target.mStoredEnds);
+  cell.mStoreDown = false;
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(1, target.mStoredEnds);
+}
+
+TEST(owner_runs, neverExceedsATarget)
+{
+  auto& target = cell.addTarget("t1", 5000);
+  cell.takeOver();
+  cell.submit(tasks(10));
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(2, target.mRunning.size());
+}
+
+TEST(owner_runs, startsNoMoreThanTheTeamsLimit)
+{
+  cell.addTarget("t1", 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 5000 };
+  cell.takeOver();
+  cell.submit(tasks(10), "red");
+  cell.submit(tasks(3), "blue");
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(2 + 3, cell.running());
+}
+
+TEST(owner_runs, waitsForEarlierSteps)
+{
+  cell.addTarget("t1");
+  cell.takeOver();
+  auto second = tasks(1);
+  second.mAfter = { 0 };
+  const auto id = cell.submit({ tasks(1), second });
+  cell.run(milliseconds(300));
+  CHECK_EQUAL("t1", cell.whereIs(id, 0));
+  CHECK_EQUAL("", cell.whereIs(id, 1));
+  cell.endTask(id, listed_end::done, 0);
+  cell.run(milliseconds(300));
+  CHECK_EQUAL("t1", cell.whereIs(id, 1));
+}
+
+TEST(owner_runs, givesAJobUpAfterItsAttempts)
+{
+  cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(1));
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    cell.run(milliseconds(300));
+    cell.endTask(id, listed_end::failed);
+  }
+  cell.run(milliseconds(300));
+  CHECK(cell.find(id).mPhase == job_phase::failed);
+  CHECK_EQUAL(0, cell.running());
+}
+
+TEST(owner_runs, stopsWhatIsCancelled)
+{
+  cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(2));
+  cell.run(milliseconds(300));
+  cell.cancel(id);
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(0, cell.running());
+}
+
+// A gang starts as a whole or not at all.
+TEST(owner_runs, startsAGangOnlyWhole)
+{
+  cell.addTarget("t1", 5000);
+  cell.takeOver();
+  auto gang = tasks(4);
+  gang.mGang = true;
+  cell.submit(gang);
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(0, cell.running());
+  cell.addTarget("t2", 5000);
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(4, cell.running());
+}
+
+// If a member of a gang is rejected, the others are stopped before they wait in vain.
+TEST(owner_runs, stopsAGangOfWhichAMemberIsRejected)
+{
+  cell.addTarget("t1", 4000);
+  cell.addTarget("t2", 4000).mRejectStarts = order_outcome::unhealthy;
+  cell.takeOver();
+  auto gang = tasks(4);
+  gang.mGang = true;
+  cell.submit(gang);
+  cell.run(milliseconds(200));
+  CHECK_EQUAL(0, cell.running());
+}
+
+// One end of a gang stands for all members, and no member is started again.
+TEST(owner_runs, oneEndCompletesAGang)
+{
+  cell.addTarget("t1");
+  cell.takeOver();
+  auto gang = tasks(3);
+  gang.mGang = true;
+  const auto id = cell.submit(gang);
+  cell.run(milliseconds(300));
+  cell.endTask(id, listed_end::done, 0, 1);
+  cell.target("t1").mRunning.clear();
+  cell.run(milliseconds(300));
+  CHECK(cell.find(id).mPhase == job_phase::completed);
+  CHECK_EQUAL(0, cell.running());
+}
+
+// A start without an answer may have been carried out: the task must not run elsewhere as well.
+TEST(owner_runs, doesNotStartTwiceAfterALostAnswer)
+{
+  cell.addTarget("t1").mMute = true;
+  cell.takeOver();
+  cell.submit(tasks(1));
+  cell.run(milliseconds(200));
+  cell.addTarget("t2");
+  cell.run(milliseconds(3000));
+  CHECK_EQUAL(1, cell.running());
+}
+
+// What runs on a silent target goes on until its lease is over, by the slowest clock allowed.
+TEST(owner_runs, startsElsewhereOnlyAfterTheLease)
+{
+  auto& lost = cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  lost.mReachable = false;
+  cell.addTarget("t2");
+  cell.run(milliseconds(5500));
+  CHECK_EQUAL("t1", cell.whereIs(id));
+  lost.mRunning.clear();
+  cell.run(milliseconds(1500));
+  CHECK_EQUAL("t2", cell.whereIs(id));
+}
+
+TEST(owner_runs, startsNothingOnLeavingTargetsAndInClosedZones)
+{
+  auto& leaving = cell.addTarget("t1");
+  cell.addTarget("t2", 8000, 8000, "b");
+  cell.takeOver();
+  cell.run(milliseconds(100));
+  leaving.mEntry.mDraining = true;
+  cell.mOwner->setTarget(leaving.mEntry, cell.mNow);
+  cell.mOwner->setClosedZones({ "b" });
+  cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(0, cell.running());
+  cell.mOwner->setClosedZones({});
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(1, cell.running());
+}
+
+TEST_GROUP(owner_take_over)
+{
+  owner_fixture cell;
+};
+
+TEST(owner_take_over, adoptsWhatRuns)
+{
+  cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(2));
+  cell.run(milliseconds(300));
+  cell.takeOver();
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(2, cell.running());
+  CHECK_EQUAL(1, cell.find(id).find({ .mJob = id })->mTasks[0].mRun);
+}
+
+// Guards against a start over the room of a target: the runs of a job that was cancelled just
+// before the former owner was lost still take room there.
+TEST(owner_take_over, countsTheRoomOfCancelledJobs)
+{
+  auto& target = cell.addTarget("t1", 4000);
+  cell.takeOver();
+  const auto first = cell.submit(tasks(2));
+  cell.run(milliseconds(300));
+  cell.mJournal.emplace_back(job_cancelled{ .mJob = first });
+  cell.takeOver();
+  const auto second = cell.submit(tasks(2));
+  for (int step = 0; step < 60; ++step) {
+    cell.run(milliseconds(5));
+    CHECK(target.used(cell.mBook).mCpuMilli <= 4000);
+  }
+  CHECK_EQUAL("t1", cell.whereIs(second));
+}
+
+// The order of a former owner that is carried out late is rejected by its epoch, so a run that the
+// first look does not list is gone.
+TEST(owner_take_over, startsAgainWhatNeverBegan)
+{
+  auto& target = cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  target.mRunning.clear();
+  cell.takeOver();
+  cell.run(milliseconds(300));
+  CHECK_EQUAL("t1", cell.whereIs(id));
+  CHECK_EQUAL(2, cell.find(id).find({ .mJob = id })->mTasks[0].mRun);
+}
+
+TEST(owner_take_over, givesUpWhenATargetHasSeenAHigherEpoch)
+{
+  cell.addTarget("t1").mEpoch = 9;
+  cell.takeOver();
+  cell.run(milliseconds(100));
+  CHECK(cell.mOwner->fenced());
+}
+
+TEST_GROUP(owner_advice)
+{
+  owner_fixture cell;
+
+  void setup() override
+  {
+    cell.mConfig.mRoutes[0].mAdvice = advice_terms{ .mPerCall = milliseconds(10),
+                                                    .mPerTarget = std::chrono::microseconds(100),
+                                                    .mValid = milliseconds(1500) };
+  }
+};
+
+TEST(owner_advice, startsOnlyOnGoodTargets)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.mGoodTargets = { "t2" };
+  cell.takeOver();
+  const auto id = cell.submit(tasks(2));
+  cell.run(milliseconds(300));
+  CHECK_EQUAL("t2", cell.whereIs(id, 0, 0));
+  CHECK_EQUAL("t2", cell.whereIs(id, 0, 1));
+}
+
+// Tickets lapse while a step waits for room; a new one is asked for when there is some.
+TEST(owner_advice, asksAgainWhenRoomComesAfterTheTicket)
+{
+  cell.addTarget("t1", 2000);
+  cell.mGoodTargets = { "t1" };
+  cell.takeOver();
+  const auto first = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  const auto second = cell.submit(tasks(1));
+  cell.run(milliseconds(4000));
+  const auto before = cell.mAdvice.size();
+  cell.endTask(first, listed_end::done);
+  cell.run(milliseconds(400));
+  CHECK_EQUAL("t1", cell.whereIs(second));
+  CHECK_EQUAL(before + 1, cell.mAdvice.size());
+}
