Hand callers' records to the owner, and doubt a silent owner sooner

After a loss of the owner the others waited 1.5 s for its renewals. Ruled out: several partitions, which need as many reads by every daemon. Change: the owner stores callers' records with its own (a job and its starts in one append), followers append only without it; states of live jobs are asked from the owner; refused or silent calls to the owner, and records of an earlier life of a daemon, let the next owner claim sooner.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -15,6 +15,8 @@
   /// HTTP status; absent without a complete answer, whatever the reason.
   std::optional<int> mStatus;
   std::string mBody;
+  /// No connection could be made because nothing listens there: nothing was sent.
+  bool mRefused = false;
   /// Why there is no answer; empty if there is one.
   std::string mError;
   std::chrono::microseconds mElapsed{ 0 };
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <cerrno>
 #include <map>
 #include <stdexcept>
 #include <utility>
@@ -157,6 +158,9 @@
         reply.mStatus = static_cast<int>(status);
         reply.mBody = std::move(active->mBody);
       } else {
+        long cause = 0;
+        curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &cause);
+        reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
         reply.mError = curl_easy_strerror(code);
       }
       giveHandle(handle);
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -9,7 +9,9 @@
 #include "event_log.h"
 #include "front_desk.h"
 #include "inbox.h"
+#include "job_intake.h"
 #include "log_tail.h"
+#include "owner_link.h"
 #include "peer_api.h"
 
 #include <fmt/format.h>
@@ -39,8 +41,9 @@
 /// Calls that wait for the loop; more are rejected at once.
 constexpr std::size_t kInboxCapacity = 2000;
 /// How often the journal is read: by the owner, which acts on it, and by others, which tell states.
-constexpr std::chrono::milliseconds kOwnerJournalInterval{ 20 };
-constexpr std::chrono::milliseconds kJournalInterval{ 80 };
+/// Callers' records reach the owner by itself, and states of live jobs are asked from it.
+constexpr std::chrono::milliseconds kOwnerJournalInterval{ 100 };
+constexpr std::chrono::milliseconds kJournalInterval{ 200 };
 /// How often the registry is read: the owner has to know leaving targets within a second or two.
 constexpr std::chrono::milliseconds kOwnerRegistryInterval{ 250 };
 constexpr std::chrono::milliseconds kRegistryInterval{ 8000 };
@@ -48,9 +51,12 @@
 /// How often the operator's records are read at least; bounds the age of keys.
 constexpr std::chrono::milliseconds kOperatorWait{ 700 };
 constexpr std::chrono::milliseconds kOperatorInterval{ 50 };
-/// A daemon tells the owner this often that it lives, and is forgotten after the longer time.
-constexpr std::chrono::milliseconds kHelloInterval{ 500 };
-constexpr std::chrono::milliseconds kHelloRetention{ 1600 };
+/// A daemon that has not said hello for this long gets no calls for advice.
+constexpr std::chrono::milliseconds kHelloRetention{ 1000 };
+/// How long a caller waits for the owner's view of a job before it gets this daemon's.
+constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
+/// An append of the owner without an answer for this long rejects new jobs at once.
+constexpr std::chrono::milliseconds kMaxStoreAge{ 1500 };
 /// Wait of the loop when nothing is due.
 constexpr std::chrono::milliseconds kLoopWait{ 50 };
 /// Without an answer of the store for this long a daemon is not ready: it could take nothing.
@@ -104,9 +110,18 @@
       mWriter(mStore, mClock,
               { .mTopic = kJournalTopic,
                 .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation) }),
-      mDesk(mClock, mBook, mWriter, mLog, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
+      mLink(mLoop, mClock, mPeerAddress),
+      mIntake(mClock, mLink, mWriter, mLog,
+              [this](const journal_record& aRecord, const job_intake::done& aDone) {
+                return acceptLocally(aRecord, aDone);
+              }),
+      mDesk(mClock, mBook, mIntake, mLog, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
             [this](const journal_record& aRecord) { applied(aRecord); })
   {
+    mDesk.setAskOwner([this](scheduler::job_id aId, const std::string& aTeam,
+                             std::function<void(std::optional<std::string>)> aDone) {
+      return askOwner(aId, aTeam, std::move(aDone));
+    });
     mDesk.setEndStored([this](scheduler::job_id aId) { return !mUnstoredEnds.contains(aId); });
     makeTails();
   }
@@ -216,6 +231,45 @@
                         });
   }
 
+  void accepted(std::uint64_t aToken) override
+  {
+    const auto found = mAccepting.find(aToken);
+    if (found != mAccepting.end()) {
+      const auto done = std::move(found->second);
+      mAccepting.erase(found);
+      done(write_outcome::stored);
+    }
+  }
+
+  /// False if this daemon is not the owner.
+  bool acceptLocally(const journal_record& aRecord, const job_intake::done& aDone)
+  {
+    const auto now = mClock.now();
+    if (!mOwner || !mElection.mayAct(now)) {
+      return false;
+    }
+    if (mOwnerWriter->openSince() && now - *mOwnerWriter->openSince() > kMaxStoreAge) {
+      aDone(write_outcome::refused);
+      return true;
+    }
+    mAccepting[++mLastToken] = aDone;
+    mOwner->accept(aRecord, mLastToken, now, wallNow());
+    return true;
+  }
+
+  bool askOwner(scheduler::job_id aId, const std::string& aTeam,
+                std::function<void(std::optional<std::string>)> aDone)
+  {
+    if (mOwner || !mLink.reachable(mClock.now())) {
+      return false;
+    }
+    mLink.call(kPeerStatusPath, toText(aId) + aTeam, kStatusTimeout,
+               [done = std::move(aDone)](edges::loop_reply&& aReply) {
+                 done(aReply.ok() ? std::optional(std::move(aReply.mBody)) : std::nullopt);
+               });
+    return true;
+  }
+
   void look(const scheduler::look_order& aOrder) override
   {
     ++mLooks;
@@ -539,6 +593,8 @@
       mElection.abandon();
       giveUp(reason);
     }
+    mLink.setOwner(mOwner ? std::nullopt : mElection.ownerAddress());
+    mElection.setOwnerDoubt(mLink.refused(), mLink.suspect(aNow));
     const bool eligible = mJournalTail->caughtUp() && mConfig && !mStoreLost;
     // What has ended is stored before others are let in.
     const bool handOver =
@@ -596,6 +652,8 @@
           return;
         }
         mFencedAt = mClock.now();
+        // A read on its way may be held open by the store.
+        mJournalTail->restart(mJournalTail->next());
         mFenceEnd = true;
       });
       mRegistryTail->setInterval(kOwnerRegistryInterval);
@@ -635,6 +693,9 @@
     mHelpers.clear();
     // What this owner had decided and not stored is forgotten with the rest.
     mUnstoredEnds.clear();
+    for (auto& [token, done] : std::exchange(mAccepting, {})) {
+      done(write_outcome::unknown);
+    }
     mBook.clear();
     mJournalTail->setInterval(kJournalInterval);
     mJournalTail->restart(0);
@@ -678,20 +739,53 @@
       mOwner->setHelpers(names);
       return;
     }
-    const auto owner = mElection.ownerAddress();
-    if (owner && mNextHello <= aNow && !mStopping && !mSettings.mAdviceAddress.empty()) {
-      mNextHello = aNow + kHelloInterval;
-      auto call = encodeHello(*owner, mPeerAddress);
-      call.mDone = [](edges::loop_reply&&) {};
-      mLoop.send(std::move(call));
+    mLink.tick(aNow);
+  }
+
+  void handleStore(const peer_request& aRequest)
+  {
+    auto record = scheduler::decodeRecord(aRequest.mBody);
+    const auto answer = [responder = aRequest.mResponder](write_outcome aOutcome) {
+      // 504: may be stored, 503: surely is not.
+      std::uint16_t status = 504;
+      if (aOutcome == write_outcome::stored) {
+        status = 200;
+      } else if (aOutcome == write_outcome::refused) {
+        status = 503;
+      }
+      responder.answer({ .mStatus = status });
+    };
+    if (!record.ok() || !acceptLocally(*record, answer)) {
+      answer(write_outcome::refused);
     }
   }
 
+  void handleStatus(const peer_request& aRequest)
+  {
+    // The id has a fixed length; the team follows, empty for callers of public routes.
+    const std::string_view body = aRequest.mBody;
+    const auto id = scheduler::parseJobId(body.substr(0, scheduler::kJobIdDigits));
+    const auto* found = id && mOwner ? mBook.find(*id) : nullptr;
+    const auto team = body.substr(std::min(body.size(), scheduler::kJobIdDigits));
+    if (found == nullptr || (!team.empty() && team != found->mSpec.mTeam)) {
+      aRequest.mResponder.answer({ .mStatus = 404 });
+      return;
+    }
+    aRequest.mResponder.answer(
+      { .mBody = platform::encodeJobState(*found, !mUnstoredEnds.contains(*id)) });
+  }
+
   void handlePeer(peer_request& aRequest)
   {
     if (aRequest.mPath == kPeerHelloPath) {
-      mHelpers[aRequest.mBody] = mClock.now();
-      aRequest.mResponder.answer({});
+      const auto now = mClock.now();
+      mHelpers[aRequest.mBody] = now;
+      aRequest.mResponder.answer(
+        { .mBody = std::to_string(mElection.renewalAge(now) / std::chrono::milliseconds(1)) });
+    } else if (aRequest.mPath == kPeerStorePath) {
+      handleStore(aRequest);
+    } else if (aRequest.mPath == kPeerStatusPath) {
+      handleStatus(aRequest);
     } else if (aRequest.mPath == kPeerAdvicePath) {
       const auto request = decodePeerAdvice(aRequest.mBody);
       if (!request.ok()) {
@@ -746,7 +840,8 @@
       mDesk.setView({ .mConfig = mConfig,
                       .mConfigAsOf = mOperatorTail->freshAsOf(),
                       .mJournalAsOf = mJournalTail->freshAsOf(),
-                      .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr });
+                      .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
+                      .mStoreLost = mStoreLost });
       for (auto& item : mInbox.takeAll()) {
         if (auto* front = std::get_if<front_request>(&item)) {
           handleFront(*front);
@@ -888,6 +983,8 @@
   scheduler::job_book mBook;
   election mElection;
   journal_writer mWriter;
+  owner_link mLink;
+  job_intake mIntake;
   front_desk mDesk;
   std::unique_ptr<log_tail> mOperatorTail;
   std::unique_ptr<log_tail> mRegistryTail;
@@ -907,11 +1004,13 @@
   std::unique_ptr<journal_writer> mOwnerWriter;
   std::unique_ptr<scheduler::owner> mOwner;
   std::optional<std::string> mLost;
+  /// Callers' records on their way into the journal with the owner's.
+  std::map<std::uint64_t, job_intake::done> mAccepting;
+  std::uint64_t mLastToken = 0;
   /// Jobs with ends that are on their way into the journal, and how many calls hold some.
   std::map<scheduler::job_id, std::uint32_t> mUnstoredEnds;
   /// Daemons that make calls for advice, and when each was last heard of.
   std::map<std::string, time_point> mHelpers;
-  time_point mNextHello{};
 
   time_point mLastContact{};
   bool mStoreLost = false;
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -100,9 +100,17 @@
   if (!aEligible || aStopping || !mContactSince) {
     return action::none;
   }
-  const bool vacant = !mAny || mLast.mKind == owner_record::kind::release;
+  // An earlier life of this daemon owns nothing any more.
+  const bool ownPast = mAny && mLast.mNode == mOptions.mNode && !isOwn(mLast);
+  if (ownPast) {
+    return action::claim;
+  }
+  const bool vacant = !mAny || mLast.mKind == owner_record::kind::release || mOwnerGone;
   const auto quietSince = std::max(mLastSeen, *mContactSince);
-  const auto patience = vacant ? mOptions.mStagger : mOptions.mSilence + mOptions.mStagger;
+  auto patience = mOptions.mStagger;
+  if (!vacant) {
+    patience += mOwnerSilent ? mOptions.mDoubtedSilence : mOptions.mSilence;
+  }
   return aNow - quietSince > patience ? action::claim : action::none;
 }
 
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -41,7 +41,9 @@
   std::chrono::milliseconds mRenewInterval{ 400 };
   /// Without a record for this long, while the store answers, the owner counts as lost. Three
   /// renewals and a slow answer of the store.
-  std::chrono::milliseconds mSilence{ 1500 };
+  std::chrono::milliseconds mSilence{ 1800 };
+  /// The same if calls to the owner have no answer either.
+  std::chrono::milliseconds mDoubtedSilence{ 700 };
   /// How much later this daemon claims than others would, so that one claim is enough.
   std::chrono::milliseconds mStagger{ 0 };
   /// Without an accepted renewal for this long an owner stops renewing leases.
@@ -78,6 +80,12 @@
 
   /// What to append now, with expectedEnd() as the condition. The answer has to be reported.
   action next(time_point aNow, bool aEligible, bool aStopping);
+  /// What calls to the owner show: its process has ended, or it has not answered for some time.
+  void setOwnerDoubt(bool aGone, bool aSilent)
+  {
+    mOwnerGone = aGone;
+    mOwnerSilent = aSilent;
+  }
   owner_record record(action aAction) const;
   std::uint64_t expectedEnd() const { return mEnd; }
   /// The answer to an append that was sent at aSent.
@@ -93,6 +101,8 @@
   {
     return mRole == role::owner && aNow - mRenewedAt < mOptions.mRenewalRight;
   }
+  /// Since the last accepted renewal was sent.
+  duration renewalAge(time_point aNow) const { return aNow - mRenewedAt; }
   /// Gives the ownership up without telling the others.
   void abandon();
   /// The present owner, if it is known and not this daemon.
@@ -115,6 +125,8 @@
   time_point mRenewedAt{};
   time_point mNextRenewal{};
   bool mAppendOpen = false;
+  bool mOwnerGone = false;
+  bool mOwnerSilent = false;
   time_point mRetryAt{};
 };
 
--- a/node/src/front_desk.cpp
+++ b/node/src/front_desk.cpp
@@ -25,10 +25,9 @@
 
 } // namespace
 
-front_desk::front_desk(const clock& aClock, const scheduler::job_book& aBook,
-                       journal_writer& aWriter, event_log& aLog, front_options aOptions,
-                       stored_callback aStored)
-  : mClock(aClock), mBook(aBook), mWriter(aWriter), mLog(aLog), mOptions(aOptions),
+front_desk::front_desk(const clock& aClock, const scheduler::job_book& aBook, job_intake& aIntake,
+                       event_log& aLog, front_options aOptions, stored_callback aStored)
+  : mClock(aClock), mBook(aBook), mIntake(aIntake), mLog(aLog), mOptions(aOptions),
     mStored(std::move(aStored))
 {
 }
@@ -38,11 +37,6 @@
   return (mClock.now() - aThen) / std::chrono::milliseconds(1);
 }
 
-bool front_desk::storeStuck(time_point aNow) const
-{
-  return mWriter.openSince() && aNow - *mWriter.openSince() > mOptions.mMaxWriteAge;
-}
-
 void front_desk::reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
                         std::string_view aSubject, std::string_view aReason)
 {
@@ -157,7 +151,7 @@
                        scheduler::journal_record aRecord, reply aReply)
 {
   const auto now = mClock.now();
-  if (storeStuck(now)) {
+  if (mView.mStoreLost || mIntake.stuck(now, mOptions.mMaxWriteAge)) {
     reject(aReply, 503, kComeBackSoon,
            fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel),
            "the store does not answer");
@@ -166,11 +160,8 @@
   auto& open = mWaiting[aKey];
   open.mSince = now;
   open.mCallers.push_back({ .mReply = std::move(aReply), .mUntil = now + patienceOf(aCall) });
-  auto bytes = encode(aRecord);
-  mWriter.write({ std::move(bytes) },
-                [this, aKey, record = std::move(aRecord)](write_outcome aOutcome) {
-                  written(aKey, record, aOutcome);
-                });
+  mIntake.store(
+    aRecord, [this, aKey, aRecord](write_outcome aOutcome) { written(aKey, aRecord, aOutcome); });
 }
 
 void front_desk::written(pending_key aKey, const scheduler::journal_record& aRecord,
@@ -191,7 +182,9 @@
     mLog.write("stored", fmt::format("{} after_ms={}", subject, ageMs(open.mSince)));
   }
   for (const auto& one : open.mCallers) {
-    if (aOutcome != write_outcome::stored) {
+    if (aOutcome == write_outcome::unknown) {
+      answerUnknown(one, subject, open.mSince);
+    } else if (aOutcome != write_outcome::stored) {
       reject(one.mReply, 503, kComeBackSoon, subject, "the store has refused it");
     } else {
       one.mReply({ .mBody = aKey.mCancel ? R"({"state":"cancelled"})" : R"({"state":"queued"})" });
@@ -202,6 +195,23 @@
 void front_desk::status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply)
 {
   ++mCounters.mStatus;
+  const auto* found = mBook.find(aId);
+  const bool ended = found != nullptr && found->mPhase != scheduler::job_phase::active;
+  if (!ended &&
+      mAskOwner(aId, aTeam, [this, aId, aTeam, aReply](std::optional<std::string> aState) {
+        if (aState) {
+          aReply({ .mBody = *std::move(aState) });
+        } else {
+          tellState(aId, aTeam, aReply);
+        }
+      })) {
+    return;
+  }
+  tellState(aId, aTeam, aReply);
+}
+
+void front_desk::tellState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply)
+{
   const auto* found = mBook.find(aId);
   if (found != nullptr && (found->mSpec.mTeam == aTeam || aTeam.empty())) {
     aReply({ .mBody = platform::encodeJobState(*found, mEndStored(aId)) });
@@ -235,6 +245,13 @@
         std::move(aReply));
 }
 
+void front_desk::answerUnknown(const caller& aCaller, std::string_view aSubject, time_point aSince)
+{
+  ++mCounters.mUnknown;
+  mLog.write("unknown_outcome", fmt::format("{} waited_ms={}", aSubject, ageMs(aSince)));
+  aCaller.mReply({ .mStatus = 504, .mBody = R"({"error":"the outcome is not known"})" });
+}
+
 void front_desk::tick(time_point aNow)
 {
   for (auto& [key, open] : mWaiting) {
@@ -242,10 +259,8 @@
       if (aOne.mUntil > aNow) {
         return false;
       }
-      ++mCounters.mUnknown;
-      mLog.write("unknown_outcome", fmt::format("job={} cancel={} waited_ms={}", toText(key.mJob),
-                                                key.mCancel, ageMs(open.mSince)));
-      aOne.mReply({ .mStatus = 504, .mBody = R"({"error":"the outcome is not known"})" });
+      answerUnknown(aOne, fmt::format("job={} cancel={}", toText(key.mJob), key.mCancel),
+                    open.mSince);
       return true;
     });
   }
--- a/node/src/front_desk.h
+++ b/node/src/front_desk.h
@@ -6,7 +6,7 @@
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job_book.h"
 #include "event_log.h"
-#include "journal_writer.h"
+#include "job_intake.h"
 
 #include <chrono>
 #include <cstdint>
@@ -37,6 +37,8 @@
   time_point mJournalAsOf{};
   /// Whether the journal has been read to its end once.
   bool mCaughtUp = false;
+  /// The store does not answer this daemon.
+  bool mStoreLost = false;
 };
 
 struct front_options
@@ -68,13 +70,18 @@
   /// A record that the journal holds now.
   using stored_callback = std::function<void(const scheduler::journal_record&)>;
 
-  front_desk(const clock& aClock, const scheduler::job_book& aBook, journal_writer& aWriter,
+  front_desk(const clock& aClock, const scheduler::job_book& aBook, job_intake& aIntake,
              event_log& aLog, front_options aOptions, stored_callback aStored);
 
   void setView(front_view aView) { mView = std::move(aView); }
   /// What the targets can take, for jobs that never fit.
   void setCapacity(cell_capacity aCapacity) { mCapacity = std::move(aCapacity); }
   /// Ends of jobs that the journal does not hold yet are not shown.
+  /// Asks the owner for the state of a job; false if it cannot be asked.
+  using ask_owner =
+    std::function<bool(scheduler::job_id aId, const std::string& aTeam,
+                       std::function<void(std::optional<std::string> aState)> aDone)>;
+  void setAskOwner(ask_owner aAsk) { mAskOwner = std::move(aAsk); }
   void setEndStored(std::function<bool(scheduler::job_id)> aEndStored)
   {
     mEndStored = std::move(aEndStored);
@@ -108,6 +115,8 @@
   void submit(const platform::front_call& aCall, scheduler::job_id aId, std::string_view aBody,
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
+  void tellState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
+  void answerUnknown(const caller& aCaller, std::string_view aSubject, time_point aSince);
   void cancel(const platform::front_call& aCall, scheduler::job_id aId, const std::string& aTeam,
               reply aReply);
   void store(const platform::front_call& aCall, pending_key aKey, scheduler::journal_record aRecord,
@@ -115,16 +124,16 @@
   void written(pending_key aKey, const scheduler::journal_record& aRecord, write_outcome aOutcome);
   void reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
               std::string_view aSubject, std::string_view aReason);
-  bool storeStuck(time_point aNow) const;
   std::int64_t ageMs(time_point aThen) const;
 
   const clock& mClock;
   const scheduler::job_book& mBook;
-  journal_writer& mWriter;
+  job_intake& mIntake;
   event_log& mLog;
   const front_options mOptions;
   stored_callback mStored;
   std::function<bool(scheduler::job_id)> mEndStored;
+  ask_owner mAskOwner;
   front_view mView;
   cell_capacity mCapacity;
   front_counters mCounters;
--- /dev/null
+++ b/node/src/job_intake.cpp
@@ -0,0 +1,67 @@
+#include "job_intake.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace endiveusher::node {
+
+namespace {
+
+/// The owner answers when the store has; a slow store takes a second.
+constexpr std::chrono::milliseconds kHandOverTimeout{ 1600 };
+
+} // namespace
+
+job_intake::job_intake(const clock& aClock, owner_link& aLink, journal_writer& aWriter,
+                       event_log& aLog, local_owner aLocal)
+  : mClock(aClock), mLink(aLink), mWriter(aWriter), mLog(aLog), mLocal(std::move(aLocal))
+{
+}
+
+bool job_intake::stuck(time_point aNow, duration aPeriod) const
+{
+  return mWriter.openSince() && aNow - *mWriter.openSince() > aPeriod;
+}
+
+void job_intake::store(const scheduler::journal_record& aRecord, done aDone)
+{
+  auto bytes = encode(aRecord);
+  const done local = [this, bytes, aDone](write_outcome aOutcome) {
+    if (aOutcome == write_outcome::stored) {
+      aDone(aOutcome);
+    } else {
+      append(bytes, aOutcome != write_outcome::refused, aDone);
+    }
+  };
+  if (mLocal(aRecord, local)) {
+    return;
+  }
+  if (!mLink.reachable(mClock.now())) {
+    append(bytes, false, std::move(aDone));
+    return;
+  }
+  mLink.call(kPeerStorePath, bytes, kHandOverTimeout,
+             [this, bytes, done = std::move(aDone)](edges::loop_reply&& aReply) {
+               if (aReply.ok()) {
+                 done(write_outcome::stored);
+                 return;
+               }
+               const bool refused = aReply.mRefused || aReply.mStatus == 503;
+               mLog.write("hand_over_failed",
+                          fmt::format("status={} error=\"{}\" after_ms={}",
+                                      aReply.mStatus.value_or(0), aReply.mError,
+                                      aReply.mElapsed / std::chrono::milliseconds(1)));
+               append(bytes, !refused, done);
+             });
+}
+
+void job_intake::append(const std::string& aBytes, bool aUncertain, done aDone)
+{
+  mWriter.write({ aBytes }, [aUncertain, done = std::move(aDone)](write_outcome aOutcome) {
+    // The owner may have stored what the direct way has refused.
+    done(aOutcome != write_outcome::stored && aUncertain ? write_outcome::unknown : aOutcome);
+  });
+}
+
+} // namespace endiveusher::node
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -9,8 +9,10 @@
 
 /// Of one append; the platform's bound is 2 MB.
 constexpr std::size_t kMaxCallBytes = std::size_t{ 1 } << 20U;
-/// First try of an append; a repetition is cheap and changes nothing.
-constexpr std::chrono::milliseconds kAppendTimeout{ 1000 };
+/// Of the first try of an append. A repetition changes nothing, but waits in the same queue of a
+/// slow store, so the later tries wait longer.
+constexpr std::chrono::milliseconds kAppendTimeout{ 800 };
+constexpr std::chrono::milliseconds kMaxAppendTimeout{ 3000 };
 constexpr auto kRetryPause = std::chrono::milliseconds(20);
 constexpr auto kMaxRetryPause = std::chrono::milliseconds(300);
 
@@ -66,7 +68,7 @@
                   .mProducer = platform::producer{ .mName = mOptions.mProducer,
                                                    .mEpoch = mOptions.mEpoch,
                                                    .mSequence = mSequence },
-                  .mTimeout = kAppendTimeout },
+                  .mTimeout = std::min(kAppendTimeout * mTries + 2 * mTypical, kMaxAppendTimeout) },
                 [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
                   if (!alive.expired()) {
                     answered(aReply);
@@ -79,6 +81,9 @@
   using platform::append_outcome;
   mInFlight = false;
   mLastElapsed = aReply.mElapsed;
+  if (aReply.mOutcome != append_outcome::unanswered) {
+    mTypical = std::chrono::duration_cast<std::chrono::milliseconds>(aReply.mElapsed);
+  }
   const auto now = mClock.now();
   switch (aReply.mOutcome) {
     case append_outcome::appended:
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -31,6 +31,8 @@
   refused,
   /// Another writer has taken over; nothing more can be stored.
   fenced,
+  /// May be stored.
+  unknown,
 };
 
 /// Appends records in order, one call at a time; what arrives meanwhile shares the next call. An
@@ -80,6 +82,8 @@
   std::uint32_t mTries = 0;
   std::uint64_t mRepeats = 0;
   duration mLastElapsed{ 0 };
+  /// How long the store took for the last answer.
+  std::chrono::milliseconds mTypical{ 0 };
 };
 
 } // namespace endiveusher::node
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -14,10 +14,15 @@
 /// Paths of the interface between daemons, on the first port of their range.
 inline constexpr std::string_view kPeerHelloPath = "/peer/hello";
 inline constexpr std::string_view kPeerAdvicePath = "/peer/advice";
+/// The owner stores a record of a caller; 503 if it surely has not.
+inline constexpr std::string_view kPeerStorePath = "/peer/store";
+/// The state of a job as the owner knows it.
+inline constexpr std::string_view kPeerStatusPath = "/peer/status";
 inline constexpr std::string_view kMetricsPath = "/metrics";
 inline constexpr std::string_view kStatePath = "/state";
 
-/// A daemon tells the owner that it can make calls for advice.
+/// A daemon tells the owner that it can make calls for advice; the answer is the age of the owner's
+/// last renewal, milliseconds.
 inline edges::loop_call encodeHello(const std::string& aOwner, const std::string& aOwnAddress)
 {
   return { .mMethod = "POST",
--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -22,6 +22,7 @@
 {
 };
 
+inline constexpr std::size_t kJobIdDigits = 16;
 std::optional<job_id> parseJobId(std::string_view aText);
 std::string toText(job_id aId);
 
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -62,6 +62,10 @@
   /// The journal holds a record of another daemon, which the book has applied to aJob.
   void noticed(job& aJob, time_point aNow, wall_time aWall);
 
+  /// Stores a caller's record with the owner's own; owner_port::accepted() tells when. The book has
+  /// the effect at once.
+  void accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
+              wall_time aWall);
   void stored(time_point aNow);
   /// aSent is when the look was sent.
   void looked(const std::string& aTarget, time_point aSent, order_outcome aOutcome,
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -102,6 +102,8 @@
   virtual ~owner_port() = default;
   /// Stores the records in order, all or none; answered by owner::stored() in the order of calls.
   virtual void store(std::vector<journal_record> aRecords) = 0;
+  /// The record that accept() was given with this token is stored.
+  virtual void accepted(std::uint64_t aToken) = 0;
   virtual void look(const look_order& aOrder) = 0;
   virtual void start(const start_order& aOrder) = 0;
   virtual void stop(const stop_order& aOrder) = 0;
--- a/scheduler/src/job.cpp
+++ b/scheduler/src/job.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kIdDigits = 16;
-
 template<typename Number>
 bool parseNumber(std::string_view aText, Number& aNumber, int aBase = 10)
 {
@@ -27,7 +25,7 @@
   const bool lowerHex = std::ranges::all_of(
     aText, [](char aOne) { return (aOne >= '0' && aOne <= '9') || (aOne >= 'a' && aOne <= 'f'); });
   std::uint64_t number = 0;
-  if (aText.size() != kIdDigits || !lowerHex || !parseNumber(aText, number, 16)) {
+  if (aText.size() != kJobIdDigits || !lowerHex || !parseNumber(aText, number, 16)) {
     return std::nullopt;
   }
   return static_cast<job_id>(number);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -331,6 +331,17 @@
   mPort.store(std::exchange(mRecords, {}));
 }
 
+void owner::impl::accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
+                         wall_time aWall)
+{
+  job* changed = mBook.apply(aRecord, aNow);
+  mRecords.push_back(aRecord);
+  mNextBatch.mTokens.push_back(aToken);
+  if (changed != nullptr) {
+    noticed(*changed, aNow, aWall);
+  }
+}
+
 void owner::impl::stored(time_point aNow)
 {
   if (mBatches.empty()) {
@@ -338,6 +349,9 @@
   }
   const batch done = std::move(mBatches.front());
   mBatches.pop_front();
+  for (const auto token : done.mTokens) {
+    mPort.accepted(token);
+  }
   for (const auto& end : done.mEnds) {
     const auto found = mTargets.find(end.mTarget);
     if (found != mTargets.end() && found->second.mEntry.mBorn == end.mBorn) {
@@ -475,6 +489,12 @@
   mImpl->noticed(aJob, aNow, aWall);
 }
 
+void owner::accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
+                   wall_time aWall)
+{
+  mImpl->accept(aRecord, aToken, aNow, aWall);
+}
+
 void owner::stored(time_point aNow)
 {
   mImpl->stored(aNow);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -26,6 +26,8 @@
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
   void noticed(job& aJob, time_point aNow, wall_time aWall);
+  void accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
+              wall_time aWall);
   void stored(time_point aNow);
   void looked(const std::string& aTarget, time_point aSent, order_outcome aOutcome,
               const target_report& aReport, time_point aNow);
@@ -58,6 +60,8 @@
       std::uint64_t mNumber = 0;
     };
     std::vector<stored_end> mEnds;
+    /// Of callers' records.
+    std::vector<std::uint64_t> mTokens;
   };
   /// A target's room during one planning pass.
   struct candidate
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -199,6 +199,7 @@
   {
     mUnstored.push_back(std::move(aRecords));
   }
+  void accepted(std::uint64_t /*aToken*/) override {}
   void look(const look_order& aOrder) override
   {
     mPending.push_back({ .mLook = aOrder, .mSent = mNow });
