Make calls to a slow store rarer, and store ends in larger batches

Cause: a slow store takes as much longer for every call, of the targets' too, so its queue grows while six daemons read at fixed intervals; and the owner's appends every 8 ms were most of the calls to the platform. Change: reads and repeated appends pause by a multiple of the store's present delay; records with starts are stored every 15 ms, ends alone every 35 ms.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -66,6 +66,8 @@
 /// After this much of a shutdown no new connections are expected any more: the platform needs two
 /// misses, a second apart, to take a daemon out.
 constexpr std::chrono::milliseconds kLeavePeriod{ 2800 };
+/// Appends that take longer are logged.
+constexpr std::chrono::milliseconds kSlowAppend{ 200 };
 constexpr std::chrono::milliseconds kForgetInterval{ 1000 };
 /// Claims of different daemons are spread over this time.
 constexpr int kMaxStaggerMs = 250;
@@ -211,24 +213,30 @@
     for (const auto id : ended) {
       ++mUnstoredEnds[id];
     }
-    mOwnerWriter->write(std::move(bytes),
-                        [this, ended = std::move(ended), epoch = mEpoch](write_outcome aOutcome) {
-                          if (epoch != mEpoch || !mOwner) {
-                            return;
-                          }
-                          if (aOutcome != write_outcome::stored) {
-                            mLost = "journal fenced";
-                            return;
-                          }
-                          mAppendTimes.record(mOwnerWriter->lastElapsed());
-                          for (const auto id : ended) {
-                            if (const auto found = mUnstoredEnds.find(id);
-                                found != mUnstoredEnds.end() && --found->second == 0) {
-                              mUnstoredEnds.erase(found);
-                            }
-                          }
-                          mOwner->stored(mClock.now());
-                        });
+    mOwnerWriter->write(
+      std::move(bytes), [this, ended = std::move(ended), epoch = mEpoch](write_outcome aOutcome) {
+        if (epoch != mEpoch || !mOwner) {
+          return;
+        }
+        if (aOutcome != write_outcome::stored) {
+          mLost = "journal fenced";
+          return;
+        }
+        mAppendTimes.record(mOwnerWriter->lastElapsed());
+        if (mOwnerWriter->lastElapsed() > kSlowAppend) {
+          mLog.write("slow_append",
+                     fmt::format("after_ms={} repeats={} waiting={}",
+                                 mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1),
+                                 mOwnerWriter->repeats(), mOwnerWriter->waiting()));
+        }
+        for (const auto id : ended) {
+          if (const auto found = mUnstoredEnds.find(id);
+              found != mUnstoredEnds.end() && --found->second == 0) {
+            mUnstoredEnds.erase(found);
+          }
+        }
+        mOwner->stored(mClock.now());
+      });
   }
 
   void accepted(std::uint64_t aToken) override
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -63,17 +63,18 @@
   mInFlight = true;
   mRepeats += mTries > 0 ? 1 : 0;
   ++mTries;
-  mStore.append({ .mTopic = mOptions.mTopic,
-                  .mRecords = mCurrentRecords,
-                  .mProducer = platform::producer{ .mName = mOptions.mProducer,
-                                                   .mEpoch = mOptions.mEpoch,
-                                                   .mSequence = mSequence },
-                  .mTimeout = std::min(kAppendTimeout * mTries + 2 * mTypical, kMaxAppendTimeout) },
-                [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
-                  if (!alive.expired()) {
-                    answered(aReply);
-                  }
-                });
+  mStore.append(
+    { .mTopic = mOptions.mTopic,
+      .mRecords = mCurrentRecords,
+      .mProducer = platform::producer{ .mName = mOptions.mProducer,
+                                       .mEpoch = mOptions.mEpoch,
+                                       .mSequence = mSequence },
+      .mTimeout = std::min(kAppendTimeout * mTries + 4 * mStore.delay(), kMaxAppendTimeout) },
+    [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
+      if (!alive.expired()) {
+        answered(aReply);
+      }
+    });
 }
 
 void journal_writer::answered(const platform::append_reply& aReply)
@@ -81,9 +82,6 @@
   using platform::append_outcome;
   mInFlight = false;
   mLastElapsed = aReply.mElapsed;
-  if (aReply.mOutcome != append_outcome::unanswered) {
-    mTypical = std::chrono::duration_cast<std::chrono::milliseconds>(aReply.mElapsed);
-  }
   const auto now = mClock.now();
   switch (aReply.mOutcome) {
     case append_outcome::appended:
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -82,8 +82,6 @@
   std::uint32_t mTries = 0;
   std::uint64_t mRepeats = 0;
   duration mLastElapsed{ 0 };
-  /// How long the store took for the last answer.
-  std::chrono::milliseconds mTypical{ 0 };
 };
 
 } // namespace endiveusher::node
--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -11,6 +11,10 @@
 constexpr auto kFailurePause = std::chrono::milliseconds(50);
 constexpr auto kMaxFailurePause = std::chrono::milliseconds(400);
 
+/// Load pattern: a slow store takes as much longer for each call, and the calls of all daemons
+/// together queue there. Reads become rarer by this many times its delay.
+constexpr int kDelayFactor = 3;
+
 } // namespace
 
 log_tail::log_tail(platform::store& aStore, const clock& aClock, log_tail_options aOptions,
@@ -121,7 +125,9 @@
                 mNext += aReply.mRecords.size();
                 mFreshAsOf = sent;
                 mCaughtUp = mCaughtUp || mNext >= aReply.mEnd;
-                mDue = mNext < aReply.mEnd ? time_point{} : sent + mOptions.mInterval;
+                mDue = mNext < aReply.mEnd
+                         ? time_point{}
+                         : sent + mOptions.mInterval + kDelayFactor * mStore.delay();
                 if (!aReply.mRecords.empty()) {
                   mCallbacks.mRecords(aReply.mRecords, offset);
                 }
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -17,8 +17,10 @@
 /// Most time that a long-running task may wait before it goes behind batch work that is on time.
 constexpr auto kLongRunningPatience = std::chrono::seconds(2);
 constexpr auto kForever = std::chrono::hours(24);
-/// Shortest time between two calls of store(), so that one call carries several records.
-constexpr auto kStoreInterval = std::chrono::milliseconds(8);
+/// Shortest time between two calls of store(), so that one call carries several records: starts and
+/// callers' records wait for the shorter, ends alone for the longer.
+constexpr auto kStoreInterval = std::chrono::milliseconds(15);
+constexpr auto kEndStoreInterval = std::chrono::milliseconds(35);
 /// Calls of store() that may be unanswered; more records wait here.
 constexpr std::size_t kStoresOpen = 2;
 /// A pass at least this often, for what only time changes.
@@ -406,9 +408,11 @@
       mNextPlan = aNow + mOptions.mPlanInterval;
     }
   }
-  if (mBatches.size() < kStoresOpen && mNextFlush <= aNow) {
+  const bool urgent = !mNextBatch.mStarts.empty() || !mNextBatch.mTokens.empty();
+  const auto interval = urgent ? kStoreInterval : kEndStoreInterval;
+  if (mBatches.size() < kStoresOpen && mLastFlush + interval <= aNow) {
     flush();
-    mNextFlush = aNow + kStoreInterval;
+    mLastFlush = aNow;
   }
   const bool busy = mChanged || !mRecords.empty();
   return aNow + (busy ? duration(kStoreInterval) : duration(kTickInterval));
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -157,7 +157,7 @@
   std::map<std::uint64_t, advice_call> mAdviceCalls;
   std::uint64_t mLastAdviceCall = 0;
   time_point mNextPlan{};
-  time_point mNextFlush{};
+  time_point mLastFlush{};
   /// Room that waiting gangs keep free in the present pass.
   std::int64_t mHeldBackCpu = 0;
 };
