--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -73,6 +73,9 @@
 constexpr int kMaxStaggerMs = 250;
 /// A lease is a little shorter than targets grant, so that they shorten none.
 constexpr std::chrono::milliseconds kLeaseReserve{ 200 };
+/// A longer lease keeps more work over a cut; a shorter one starts the tasks of lost targets sooner
+/// elsewhere. Covers a cut of some five seconds.
+constexpr std::chrono::milliseconds kLease{ 7000 };
 
 scheduler::wall_time wallNow()
 {
@@ -593,8 +596,14 @@
 
   void tickElection(time_point aNow)
   {
-    if (mOwner && !mElection.mayAct(aNow)) {
-      giveUp(mElection.state() == election::role::owner ? "no renewal" : "another owner");
+    if (mOwner && mElection.state() != election::role::owner) {
+      giveUp("another owner");
+    }
+    if (mOwner && mElection.mayAct(aNow) == mPaused) {
+      mPaused = !mPaused;
+      mLog.write(mPaused ? "owner_paused" : "owner_continues",
+                 fmt::format("epoch={} renewal_age_ms={}", mEpoch,
+                             mElection.renewalAge(aNow) / std::chrono::milliseconds(1)));
     }
     if (mLost) {
       const auto reason = *std::exchange(mLost, std::nullopt);
@@ -676,9 +685,10 @@
     mUnstoredEnds.clear();
     mOwner = std::make_unique<scheduler::owner>(
       mBook, static_cast<scheduler::owner_port&>(*this),
-      scheduler::owner_options{ .mMaxLease = mSettings.mMaxLease - kLeaseReserve,
-                                .mGangPeriod = mSettings.mGangPeriod },
+      scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease - kLeaseReserve, kLease),
+                                .mEpochs = mElection.epochs() },
       epoch, now);
+    mPaused = false;
     mOwner->configure(mConfig);
     mOwner->setClosedZones(mClosedZones);
     mBook.forEach([&](scheduler::job& aJob) { mOwner->noticed(aJob, now, wallNow()); });
@@ -1011,6 +1021,8 @@
   time_point mFencedAt{};
   std::unique_ptr<journal_writer> mOwnerWriter;
   std::unique_ptr<scheduler::owner> mOwner;
+  /// No renewal has been accepted for so long that nothing may be sent to targets.
+  bool mPaused = false;
   std::optional<std::string> mLost;
   /// Callers' records on their way into the journal with the owner's.
   std::map<std::uint64_t, job_intake::done> mAccepting;
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -53,6 +53,9 @@
   mLast = aRecord;
   mLastSeen = aNow;
   mAny = true;
+  if (aRecord.mKind == owner_record::kind::claim) {
+    mEpochs.try_emplace(aOffset + 1, aNow);
+  }
   if (isOwn(aRecord)) {
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < aOffset + 1) {
       mEpoch = aOffset + 1;
@@ -142,6 +145,7 @@
   if (aAction == action::claim) {
     mEpoch = aOffset + 1;
     mRole = role::owner;
+    mEpochs.try_emplace(mEpoch, aSent);
   }
   mRenewedAt = std::max(mRenewedAt, aSent);
   mNextRenewal = aSent + mOptions.mRenewInterval;
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -105,6 +106,8 @@
   duration renewalAge(time_point aNow) const { return aNow - mRenewedAt; }
   /// Gives the ownership up without telling the others.
   void abandon();
+  /// Epochs, and when this daemon saw their claims.
+  const std::map<std::uint64_t, time_point>& epochs() const { return mEpochs; }
   /// The present owner, if it is known and not this daemon.
   std::optional<std::string> ownerAddress() const;
   const std::string& ownerNode() const { return mLast.mNode; }
@@ -117,6 +120,7 @@
   role mRole = role::follower;
   std::uint64_t mEpoch = 0;
   std::uint64_t mEnd = 0;
+  std::map<std::uint64_t, time_point> mEpochs;
   bool mKnown = false;
   bool mAny = false;
   owner_record mLast;
--- a/scheduler/include/endiveusher/scheduler/job_book.h
+++ b/scheduler/include/endiveusher/scheduler/job_book.h
@@ -30,6 +30,8 @@
   std::uint32_t waiting(std::string_view aRoute) const;
   /// Drops jobs that ended before aBefore.
   void forgetEnded(time_point aBefore);
+  /// The last epoch in which leases at the target may have been renewed; 0 if there is none.
+  std::uint64_t lastEpochAt(std::string_view aTarget) const;
   void clear();
   std::size_t size() const { return mJobs.size(); }
 
@@ -48,6 +50,7 @@
   job* apply(const run_ended& aRecord, time_point aNow);
   job* apply(const job_given_up& aRecord, time_point aNow);
   job* apply(const job_snapshot& aRecord, time_point aNow);
+  job* apply(const target_taken& aRecord, time_point aNow);
   step_state* stepOf(job& aJob, const step_key& aKey);
   void finish(job& aJob, job_phase aPhase, time_point aNow);
   void completeIfDone(job& aJob, std::uint32_t aOccurrence, time_point aNow);
@@ -55,6 +58,7 @@
 
   std::unordered_map<job_id, job> mJobs;
   std::map<std::string, std::uint32_t, std::less<>> mWaiting;
+  std::map<std::string, std::uint64_t, std::less<>> mTakenIn;
   /// In the order of their ends.
   std::vector<std::pair<time_point, job_id>> mEnded;
 };
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -48,6 +48,13 @@
   job_id mJob{};
 };
 
+/// The owner of an epoch is about to renew leases at a target.
+struct target_taken
+{
+  std::string mTarget;
+  std::uint64_t mEpoch = 0;
+};
+
 /// State of a job as a whole, as part of a snapshot.
 struct job_snapshot
 {
@@ -56,8 +63,8 @@
 
 /// One record of the journal. Applied in the order of the journal, all daemons reach the same
 /// state.
-using journal_record =
-  std::variant<job_submitted, job_cancelled, run_started, run_ended, job_given_up, job_snapshot>;
+using journal_record = std::variant<job_submitted, job_cancelled, run_started, run_ended,
+                                    job_given_up, job_snapshot, target_taken>;
 
 /// MessagePack; the first element of each record names its kind.
 std::string encode(const journal_record& aRecord);
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -5,6 +5,7 @@
 #include "endiveusher/scheduler/owner_port.h"
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <set>
 #include <span>
@@ -15,12 +16,12 @@
 
 struct owner_options
 {
-  /// Largest lease that targets grant.
-  std::chrono::milliseconds mMaxLease{ 6000 };
+  /// How long what runs on a target goes on without a renewal.
+  std::chrono::milliseconds mLease{ 6000 };
   /// How long a former owner that has lost the store may still renew leases.
   std::chrono::milliseconds mRenewalRight{ 5000 };
-  /// Within which the members of a gang have to be there.
-  std::chrono::milliseconds mGangPeriod{ 3000 };
+  /// Epochs, and when this daemon saw them begin.
+  std::map<std::uint64_t, time_point> mEpochs{};
   /// Shortest time between two planning passes.
   std::chrono::milliseconds mPlanInterval{ 20 };
 };
--- a/scheduler/src/job_book.cpp
+++ b/scheduler/src/job_book.cpp
@@ -121,6 +121,19 @@
   return &made;
 }
 
+job* job_book::apply(const target_taken& aRecord, time_point /*aNow*/)
+{
+  auto& epoch = mTakenIn[aRecord.mTarget];
+  epoch = std::max(epoch, aRecord.mEpoch);
+  return nullptr;
+}
+
+std::uint64_t job_book::lastEpochAt(std::string_view aTarget) const
+{
+  const auto found = mTakenIn.find(aTarget);
+  return found == mTakenIn.end() ? 0 : found->second;
+}
+
 std::vector<step_state>* job_book::openOccurrence(job& aJob, std::uint32_t aOccurrence)
 {
   if (aOccurrence >= aJob.mSpec.occurrences()) {
@@ -214,6 +227,7 @@
 {
   mJobs.clear();
   mWaiting.clear();
+  mTakenIn.clear();
   mEnded.clear();
 }
 
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -21,6 +21,7 @@
   ended = 4,
   given_up = 5,
   snapshot = 6,
+  taken = 7,
 };
 
 std::uint64_t number(job_id aId)
@@ -213,6 +214,13 @@
     value.push_back(toJson(aRecord.mJob));
     return value;
   }
+  json operator()(const target_taken& aRecord) const
+  {
+    auto value = start(record_kind::taken);
+    value.push_back(aRecord.mTarget);
+    value.push_back(aRecord.mEpoch);
+    return value;
+  }
 };
 
 journal_record recordFrom(const json& aValue)
@@ -236,6 +244,8 @@
       return job_given_up{ .mJob = jobOf() };
     case record_kind::snapshot:
       return job_snapshot{ .mJob = jobFrom(aValue.at(1)) };
+    case record_kind::taken:
+      return target_taken{ .mTarget = aValue.at(1), .mEpoch = aValue.at(2) };
   }
   throw std::invalid_argument("unknown kind of record");
 }
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -351,6 +351,12 @@
   }
   const batch done = std::move(mBatches.front());
   mBatches.pop_front();
+  for (const auto& id : done.mTaken) {
+    if (const auto found = mTargets.find(id); found != mTargets.end() && found->second.mTaken) {
+      found->second.mTakingStored = true;
+      found->second.mNextLook = aNow;
+    }
+  }
   for (const auto token : done.mTokens) {
     mPort.accepted(token);
   }
@@ -368,8 +374,9 @@
     auto& target = mTargets.find(start.mAt.mTarget)->second;
     const job* owning = mBook.find(start.mTask.mStep.mJob);
     const bool wanted = owning != nullptr && owning->mPhase == job_phase::active;
-    if (!wanted || run->mStopWanted || !target.mTaken || target.mEntry.mBorn != start.mAt.mBorn ||
-        target.mEntry.mDraining || mClosedZones.contains(target.mEntry.mZone)) {
+    if (!wanted || run->mStopWanted || !target.mTakingStored ||
+        target.mEntry.mBorn != start.mAt.mBorn || target.mEntry.mDraining ||
+        mClosedZones.contains(target.mEntry.mZone)) {
       endRun(target, start.mTask, run_end::not_run, {}, aNow);
       release(target, start.mTask);
       continue;
@@ -391,10 +398,7 @@
     }
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
-      const auto over = target.leaseOver().value_or(
-        mTakenOver + mOptions.mRenewalRight + internal::kLeaseMargin +
-        std::chrono::duration_cast<duration>(mOptions.mMaxLease / (1.0 - internal::kMaxClockLag)));
-      if (over < aNow) {
+      if (target.leaseOver().value_or(formerLeasesOver(target)) < aNow) {
         loseRuns(target, "lease_over", aNow);
       }
     }
@@ -418,6 +422,16 @@
   return aNow + (busy ? duration(kStoreInterval) : duration(kTickInterval));
 }
 
+time_point owner::impl::formerLeasesOver(const target_state& aTarget) const
+{
+  // The owner that came after the last one there renewed nothing at the target, and when it claimed
+  // its epoch the former one had renewed its own right for the last time.
+  const auto successor = mOptions.mEpochs.upper_bound(mBook.lastEpochAt(aTarget.mEntry.mId));
+  const auto since = successor == mOptions.mEpochs.end() ? mTakenOver : successor->second;
+  return since + mOptions.mRenewalRight + internal::kLeaseMargin +
+         std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockLag));
+}
+
 owner_counts owner::impl::counts() const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -62,6 +62,8 @@
     std::vector<stored_end> mEnds;
     /// Of callers' records.
     std::vector<std::uint64_t> mTokens;
+    /// Targets at which leases may be renewed from now on.
+    std::vector<std::string> mTaken;
   };
   /// A target's room during one planning pass.
   struct candidate
@@ -106,6 +108,8 @@
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
   void judgeTarget(target_state& aTarget, const ended_run& aEnd, time_point aNow);
+  /// When all that former owners have allowed to run at the target has surely ended.
+  time_point formerLeasesOver(const target_state& aTarget) const;
   target_time leaseFor(target_state& aTarget, time_point aNow) const;
 
   // Orders.
@@ -117,7 +121,7 @@
   // Placement.
   void plan(time_point aNow);
   bool usable(const target_state& aTarget, time_point aNow) const;
-  bool allowed(const waiting_step& aStep, const target_state& aTarget) const;
+  bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate& aWhere) const;
   std::uint32_t teamSlots(const waiting_step& aStep) const;
   void placeTasks(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -53,13 +53,18 @@
 
 bool owner::impl::usable(const target_state& aTarget, time_point aNow) const
 {
-  return aTarget.mListed && aTarget.mTaken && aTarget.mMissed == 0 && aTarget.mClock &&
+  return aTarget.mListed && aTarget.mTakingStored && aTarget.mMissed == 0 && aTarget.mClock &&
          !aTarget.mForeignRuns && !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
          !mClosedZones.contains(aTarget.mEntry.mZone);
 }
 
-bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget) const
+bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget,
+                          time_point aNow) const
 {
+  const auto failed = aStep.mFailedAt.find(aTarget.mEntry.mId);
+  if (failed != aStep.mFailedAt.end() && failed->second > aNow) {
+    return false;
+  }
   const auto& spec = aStep.spec();
   return aTarget.mEntry.mPool == aStep.mRoute.mPool &&
          (spec.mRequiredLabel.empty() || aTarget.mEntry.hasLabel(spec.mRequiredLabel)) &&
@@ -152,7 +157,7 @@
       break;
     }
     const auto& entry = room.mTarget->mEntry;
-    if (!allowed(aStep, *room.mTarget) || (!anyRack && entry.mRack != rack)) {
+    if (!allowed(aStep, *room.mTarget, aNow) || (!anyRack && entry.mRack != rack)) {
       continue;
     }
     if (aStep.mRoute.mAdvice &&
@@ -183,7 +188,7 @@
     std::vector<placement> placements;
     for (auto& room : aRooms) {
       const auto& entry = room.mTarget->mEntry;
-      if (!allowed(aStep, *room.mTarget) || (!aRack.empty() && entry.mRack != aRack)) {
+      if (!allowed(aStep, *room.mTarget, aNow) || (!aRack.empty() && entry.mRack != aRack)) {
         continue;
       }
       if (aStep.mRoute.mAdvice &&
@@ -232,14 +237,14 @@
 /// Load pattern: small tasks fill every gap that wide gangs wait for. A waiting gang keeps the room
 /// that it will need from the steps behind it, on those good targets that have most room already;
 /// all gangs together keep no more than a part of the pool.
-void owner::impl::holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point /*aNow*/)
+void owner::impl::holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
 {
   std::int64_t total = 0;
   std::vector<candidate*> good;
   for (auto& room : aRooms) {
     total += room.mTarget->mEntry.mCapacity.mCpuMilli;
     const bool known = !aStep.mRoute.mAdvice || aStep.mAdvice.knownGood(room.mTarget->mEntry.mId);
-    if (known && allowed(aStep, *room.mTarget)) {
+    if (known && allowed(aStep, *room.mTarget, aNow)) {
       good.push_back(&room);
     }
   }
@@ -324,7 +329,7 @@
   std::vector<const candidate*> unknown;
   for (const auto& room : aRooms) {
     const auto& id = room.mTarget->mEntry.mId;
-    if (!allowed(aStep, *room.mTarget)) {
+    if (!allowed(aStep, *room.mTarget, aNow)) {
       continue;
     }
     if (!aStep.mAdvice.mGood.contains(id)) {
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -17,9 +17,13 @@
 /// Pause after the first look without an answer; doubles up to the second.
 constexpr auto kMissedPause = std::chrono::milliseconds(100);
 constexpr auto kMaxMissedPause = std::chrono::milliseconds(1000);
-/// Failures in a row, of any jobs, after which a target gets no new work for a while.
-constexpr std::uint32_t kFailuresToAvoid = 4;
-constexpr auto kAvoidPeriod = std::chrono::milliseconds(3000);
+/// Failures in a row after which a target gets no new work for a while.
+constexpr std::uint32_t kFailuresToAvoid = 2;
+/// The first such while; doubles with each further failure up to the longest.
+constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
+constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
+/// A failed task prefers other targets for this long.
+constexpr auto kFailedAtPeriod = std::chrono::milliseconds(3000);
 
 run_end toRunEnd(listed_end aHow)
 {
@@ -72,6 +76,7 @@
   loseRuns(aTarget, "target_restarted", aNow);
   aTarget.mEntry.mBorn = aBorn;
   aTarget.mTaken = false;
+  aTarget.mTakingStored = false;
   aTarget.mClock.reset();
   aTarget.mLeaseSent = target_time{ 0 };
   aTarget.mLastEnd = 0;
@@ -84,7 +89,7 @@
 
 target_time owner::impl::leaseFor(target_state& aTarget, time_point aNow) const
 {
-  const auto until = aTarget.clockAt(aNow) + mOptions.mMaxLease;
+  const auto until = aTarget.clockAt(aNow) + mOptions.mLease;
   aTarget.mLeaseSent = std::max(aTarget.mLeaseSent, until);
   return until;
 }
@@ -97,7 +102,7 @@
                     .mStoredEnds = aTarget.mStoredEnd };
   // A silent target gets no longer lease: what runs there could not be given up while looks without
   // an answer might still renew it.
-  if (aTarget.mClock && aTarget.mTaken && aTarget.mMissed == 0) {
+  if (aTarget.mClock && aTarget.mTaken && aTarget.mTakingStored && aTarget.mMissed == 0) {
     order.mLeaseUntil = leaseFor(aTarget, aNow);
     order.mWait = kLookWait;
   }
@@ -151,8 +156,10 @@
   readRunning(target, aReport, aSent, aNow);
   if (!target.mTaken) {
     target.mTaken = true;
-    // The lease of what runs there has to be renewed at once.
-    target.mNextLook = aNow;
+    append(target_taken{ .mTarget = aTarget, .mEpoch = mEpoch }, aNow);
+    mNextBatch.mTaken.push_back(aTarget);
+    // Renews the leases as soon as the journal tells that this epoch does so.
+    target.mNextLook = aNow + kLookPause;
   } else {
     target.mNextLook = aNow + kLookPause;
   }
@@ -247,8 +254,19 @@
   if (aEnd.mHow == listed_end::done) {
     aTarget.mFailuresInRow = 0;
   } else if (aEnd.mHow == listed_end::failed) {
+    const auto step = mWaiting.find(aEnd.mTask.mStep);
+    if (step != mWaiting.end() && mTargets.size() > 1) {
+      step->second.mFailedAt[aTarget.mEntry.mId] = aNow + kFailedAtPeriod;
+    }
+    if (aTarget.mLastFailed == aEnd.mTask.mStep.mJob) {
+      // A job that always fails says little about the target.
+      return;
+    }
+    aTarget.mLastFailed = aEnd.mTask.mStep.mJob;
     if (++aTarget.mFailuresInRow >= kFailuresToAvoid) {
-      aTarget.mAvoidUntil = aNow + kAvoidPeriod;
+      const auto doublings = std::min(aTarget.mFailuresInRow - kFailuresToAvoid, 4U);
+      aTarget.mAvoidUntil =
+        aNow + std::min<duration>(kAvoidPeriod * (1 << doublings), kMaxAvoidPeriod);
       mPort.explain("target_avoided", fmt::format("target={} failures_in_row={}",
                                                   aTarget.mEntry.mId, aTarget.mFailuresInRow));
     }
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -57,6 +57,8 @@
   /// Has answered a look of this epoch in this incarnation, so late orders of former owners are
   /// rejected, and all it runs is known.
   bool mTaken = false;
+  /// The journal tells that this epoch renews leases here.
+  bool mTakingStored = false;
   /// The last look listed runs that nobody knows; their room is not known either.
   bool mForeignRuns = false;
 
@@ -77,6 +79,7 @@
   /// No new work before this, after failures that point to the target.
   time_point mAvoidUntil{};
   std::uint32_t mFailuresInRow = 0;
+  job_id mLastFailed{};
 
   /// Lower bound of the target's clock at aNow.
   target_time clockAt(time_point aNow) const
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -62,6 +62,8 @@
   /// No start before this; backs off after starts that targets have rejected.
   time_point mNotBefore{};
   std::uint32_t mRejections = 0;
+  /// Targets at which a run of the step has failed, and until when others are preferred.
+  std::unordered_map<std::string, time_point> mFailedAt;
   step_advice mAdvice;
 
   const step_spec& spec() const { return mJob->mSpec.mSteps[mKey.mStep]; }
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -97,6 +97,7 @@
     for (const auto& record : mJournal) {
       mBook.apply(record, mNow);
     }
+    mOptions.mEpochs[mEpoch] = mNow;
     mConfig.index();
     mOwner =
       std::make_unique<owner>(mBook, static_cast<owner_port&>(*this), mOptions, mEpoch, mNow);
@@ -176,6 +177,7 @@
   /// Targets that any step may run on, where advice is needed; answered at once.
   std::vector<std::string> mGoodTargets;
   bool mStoreDown = false;
+  int mRenewals = 0;
 
 private:
   struct pending_call
@@ -266,6 +268,7 @@
       return;
     }
     target.mEpoch = aOrder.mEpoch;
+    mRenewals += aOrder.mLeaseUntil ? 1 : 0;
     target.mStoredEnds = aOrder.mStoredEnds;
     std::erase_if(target.mEnded,
                   [&aOrder](const ended_run& aOne) { return aOne.mNumber <= aOrder.mStoredEnds; });
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -250,6 +250,38 @@
   CHECK_EQUAL(2, cell.find(id).find({ .mJob = id })->mTasks[0].mRun);
 }
 
+// Guards against tasks of a lost target that wait anew after each change of the owner: an owner
+// that never reached the target has renewed nothing there.
+TEST(owner_take_over, doesNotWaitAnewForALostTarget)
+{
+  auto& lost = cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  lost.mReachable = false;
+  cell.addTarget("t2");
+  for (int owners = 0; owners < 3; ++owners) {
+    cell.takeOver();
+    cell.run(milliseconds(5000));
+  }
+  lost.mRunning.clear();
+  CHECK_EQUAL("t2", cell.whereIs(id));
+}
+
+// Leases may only be renewed when the journal tells of it; otherwise the next owner could give up
+// what still runs.
+TEST(owner_take_over, renewsNoLeaseBeforeTheTakingIsStored)
+{
+  cell.addTarget("t1");
+  cell.mStoreDown = true;
+  cell.takeOver();
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(0, cell.mRenewals);
+  cell.mStoreDown = false;
+  cell.run(milliseconds(200));
+  CHECK(cell.mRenewals > 0);
+}
+
 TEST(owner_take_over, givesUpWhenATargetHasSeenAHigherEpoch)
 {
   cell.addTarget("t1").mEpoch = 9;
