--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -13,6 +13,7 @@
 #include "log_tail.h"
 #include "owner_link.h"
 #include "peer_api.h"
+#include "snapshots.h"
 
 #include <fmt/format.h>
 
@@ -35,6 +36,7 @@
 
 constexpr const char* kJournalTopic = "journal";
 constexpr const char* kOwnerTopic = "owner";
+constexpr const char* kSnapshotTopic = "snapshot";
 /// Numbered appends of whoever owns the cell share this name, so that an epoch shuts out the lower.
 constexpr const char* kOwnerProducer = "owner";
 
@@ -68,6 +70,11 @@
 constexpr std::chrono::milliseconds kLeavePeriod{ 2800 };
 /// Appends that take longer are logged.
 constexpr std::chrono::milliseconds kSlowAppend{ 200 };
+/// A snapshot is written when the journal has grown by so many records, but not more often than
+/// this; and in time before the store deletes the last one.
+constexpr std::uint64_t kSnapshotRecords = 4000;
+constexpr std::chrono::seconds kSnapshotInterval{ 20 };
+constexpr int kSnapshotsPerRetention = 4;
 constexpr std::chrono::milliseconds kForgetInterval{ 1000 };
 /// Claims of different daemons are spread over this time.
 constexpr int kMaxStaggerMs = 250;
@@ -106,7 +113,7 @@
   explicit impl(platform::node_settings aSettings)
     : mSettings(std::move(aSettings)), mLog(mSettings.mNode),
       mInbox(kInboxCapacity, [this] { mLoop.wake(); }), mStore(mLoop, mSettings.mStoreAddress),
-      mIncarnation(std::random_device{}()),
+      mSnapshots(mStore, mClock, kSnapshotTopic), mIncarnation(std::random_device{}()),
       mPeerAddress(fmt::format("{}:{}", mSettings.mIp, mSettings.mPeerPort)),
       mElection({ .mNode = mSettings.mNode,
                   .mIncarnation = mIncarnation,
@@ -129,6 +136,7 @@
     });
     mDesk.setEndStored([this](scheduler::job_id aId) { return !mUnstoredEnds.contains(aId); });
     makeTails();
+    loadBook();
   }
 
   ~impl() override
@@ -418,6 +426,11 @@
         .mGap =
           [this](std::uint64_t aFirst) {
             mLog.write("journal_gap", fmt::format("first={}", aFirst));
+            if (mOwner) {
+              mLost = "records of the journal are gone";
+            } else {
+              loadBook();
+            }
           },
         .mAnswered = answered,
         .mFailed = failed });
@@ -640,10 +653,12 @@
                       if (aAction == election::action::release) {
                         giveUp("released");
                       }
-                    } else if (aReply.mOutcome == platform::append_outcome::unanswered) {
-                      mElection.unanswered(aAction, mClock.now());
-                    } else {
+                    } else if (aReply.mOutcome == platform::append_outcome::conflict) {
                       mElection.rejected(aAction);
+                      // A read on its way may be held open by the store.
+                      mOwnerTail->restart(mOwnerTail->next());
+                    } else {
+                      mElection.unanswered(aAction, mClock.now());
                     }
                   });
   }
@@ -673,6 +688,14 @@
         mJournalTail->restart(mJournalTail->next());
         mFenceEnd = true;
       });
+      mSnapshotWriter =
+        std::make_unique<journal_writer>(mStore, mClock,
+                                         journal_writer_options{ .mTopic = kSnapshotTopic,
+                                                                 .mProducer = kOwnerProducer,
+                                                                 .mEpoch = epoch,
+                                                                 .mInsist = true });
+      mSnapshotOpen = false;
+      mSnapshotAt = mClock.now();
       mRegistryTail->setInterval(kOwnerRegistryInterval);
       mRegistryTail->restart(0);
       mJournalTail->setInterval(kOwnerJournalInterval);
@@ -707,6 +730,7 @@
     mLog.write("owner_ends", fmt::format("epoch={} reason=\"{}\"", mEpoch, aReason));
     mOwner.reset();
     mOwnerWriter.reset();
+    mSnapshotWriter.reset();
     mEpoch = 0;
     mHelpers.clear();
     // What this owner had decided and not stored is forgotten with the rest.
@@ -714,13 +738,60 @@
     for (auto& [token, done] : std::exchange(mAccepting, {})) {
       done(write_outcome::unknown);
     }
-    mBook.clear();
     mJournalTail->setInterval(kJournalInterval);
-    mJournalTail->restart(0);
+    loadBook();
     mRegistryTail->setInterval(kRegistryInterval);
   }
 
-  // Journal.
+  // State of the cell.
+  void loadBook()
+  {
+    mBook.clear();
+    mJournalTail->restart(0);
+    mSnapshots.load([this](std::optional<snapshot> aFound) {
+      const auto now = mClock.now();
+      if (aFound) {
+        for (const auto& record : aFound->mRecords) {
+          mBook.apply(record, now);
+        }
+        mJournalTail->restart(aFound->mBase);
+        mSnapshotBase = aFound->mBase;
+      }
+      mLog.write("state_loaded", fmt::format("base={} jobs={}", mSnapshotBase, mBook.size()));
+    });
+  }
+
+  void tickSnapshot(time_point aNow)
+  {
+    if (!mOwner || mSnapshotOpen || !mOwner->allStored()) {
+      return;
+    }
+    const auto age = aNow - mSnapshotAt;
+    const auto next = mJournalTail->next();
+    const bool grown = next > mSnapshotBase + kSnapshotRecords && age > kSnapshotInterval;
+    if (!grown && age < mSettings.mRecordRetention / kSnapshotsPerRetention) {
+      return;
+    }
+    mSnapshotOpen = true;
+    mSnapshotAt = aNow;
+    auto records = encodeSnapshot({ .mBase = next, .mRecords = mBook.snapshot() });
+    mSnapshotWriter->write(std::move(records), [this, next, epoch = mEpoch,
+                                                before = mSnapshotBase](write_outcome aOutcome) {
+      if (epoch != mEpoch) {
+        return;
+      }
+      mSnapshotOpen = false;
+      mLog.write("snapshot", fmt::format("base={} stored={} jobs={}", next,
+                                         aOutcome == write_outcome::stored, mBook.size()));
+      if (aOutcome == write_outcome::stored) {
+        mSnapshotBase = next;
+        // Up to the former snapshot, so that daemons that are a little behind find no gap.
+        mStore.trim(kJournalTopic, before, [](bool /*aDeleted*/) {});
+        mStore.trim(kSnapshotTopic, mSnapshotWriter->lastOffset(), [](bool /*aDeleted*/) {});
+      }
+    });
+  }
+
   void readJournal(const std::vector<std::string>& aRecords)
   {
     for (const auto& bytes : aRecords) {
@@ -850,7 +921,10 @@
       applyReload();
       mOperatorTail->tick(now);
       mOwnerTail->tick(now);
-      mJournalTail->tick(now);
+      mSnapshots.tick(now);
+      if (!mSnapshots.active()) {
+        mJournalTail->tick(now);
+      }
       mRegistryTail->tick(now);
       if (mCapacityChanged) {
         updateCapacity();
@@ -872,7 +946,9 @@
       tickElection(now);
       if (mOwnerWriter) {
         mOwnerWriter->tick(now);
+        mSnapshotWriter->tick(now);
       }
+      tickSnapshot(now);
       tickPeers(now);
       auto next = now + kLoopWait;
       if (mOwner && mElection.mayAct(mClock.now())) {
@@ -996,6 +1072,7 @@
   edges::http_loop mLoop;
   inbox<inbox_item> mInbox;
   platform::store mStore;
+  snapshot_loader mSnapshots;
   const std::uint64_t mIncarnation;
   const std::string mPeerAddress;
   scheduler::job_book mBook;
@@ -1020,6 +1097,11 @@
   std::optional<bool> mFenceEnd;
   time_point mFencedAt{};
   std::unique_ptr<journal_writer> mOwnerWriter;
+  std::unique_ptr<journal_writer> mSnapshotWriter;
+  bool mSnapshotOpen = false;
+  time_point mSnapshotAt{};
+  /// Where the journal goes on after the newest snapshot known.
+  std::uint64_t mSnapshotBase = 0;
   std::unique_ptr<scheduler::owner> mOwner;
   /// No renewal has been accepted for so long that nothing may be sent to targets.
   bool mPaused = false;
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -71,6 +71,7 @@
 void election::sawEnd(std::uint64_t aEnd, time_point aNow)
 {
   mKnown = true;
+  mBehind = false;
   mEnd = std::max(mEnd, aEnd);
   if (!mContactSince) {
     mContactSince = aNow;
@@ -85,13 +86,13 @@
 election::action election::next(time_point aNow, bool aEligible, bool aStopping)
 {
   const auto chosen = choose(aNow, aEligible, aStopping);
-  mAppendOpen = chosen != action::none;
+  mAppendOpen = mAppendOpen || chosen != action::none;
   return chosen;
 }
 
 election::action election::choose(time_point aNow, bool aEligible, bool aStopping) const
 {
-  if (mAppendOpen || mRetryAt > aNow || !mKnown) {
+  if (mAppendOpen || mBehind || mRetryAt > aNow || !mKnown) {
     return action::none;
   }
   if (mRole == role::owner) {
@@ -153,8 +154,8 @@
 
 void election::rejected(action /*aAction*/)
 {
-  // The topic holds records that are still to be read.
   mAppendOpen = false;
+  mBehind = true;
 }
 
 void election::unanswered(action /*aAction*/, time_point aNow)
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -91,7 +91,9 @@
   std::uint64_t expectedEnd() const { return mEnd; }
   /// The answer to an append that was sent at aSent.
   void appended(action aAction, std::uint64_t aOffset, time_point aSent);
+  /// Nothing is appended before the topic has been read again.
   void rejected(action aAction);
+  bool behind() const { return mBehind; }
   void unanswered(action aAction, time_point aNow);
 
   role state() const { return mRole; }
@@ -129,6 +131,8 @@
   time_point mRenewedAt{};
   time_point mNextRenewal{};
   bool mAppendOpen = false;
+  /// A claim or renewal was rejected: the topic holds records that have not been read.
+  bool mBehind = false;
   bool mOwnerGone = false;
   bool mOwnerSilent = false;
   time_point mRetryAt{};
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -13,6 +13,8 @@
 /// slow store, so the later tries wait longer.
 constexpr std::chrono::milliseconds kAppendTimeout{ 800 };
 constexpr std::chrono::milliseconds kMaxAppendTimeout{ 3000 };
+/// Numbers of one epoch; more appends than a daemon makes in a year.
+constexpr unsigned kSequenceBits = 32;
 constexpr auto kRetryPause = std::chrono::milliseconds(20);
 constexpr auto kMaxRetryPause = std::chrono::milliseconds(300);
 
@@ -20,7 +22,8 @@
 
 journal_writer::journal_writer(platform::store& aStore, const clock& aClock,
                                journal_writer_options aOptions)
-  : mStore(aStore), mClock(aClock), mOptions(std::move(aOptions))
+  : mStore(aStore), mClock(aClock), mOptions(std::move(aOptions)),
+    mSequence((mOptions.mEpoch << kSequenceBits) + 1)
 {
 }
 
@@ -86,6 +89,14 @@
   switch (aReply.mOutcome) {
     case append_outcome::appended:
       ++mSequence;
+      if (!mCurrentRecords.empty() && aReply.mOffset < mNextOffset) {
+        // The answer to an older append: these records are not stored.
+        mFenced = true;
+        finish(write_outcome::fenced);
+        return;
+      }
+      mLastOffset = aReply.mOffset;
+      mNextOffset = aReply.mOffset + mCurrentRecords.size();
       finish(write_outcome::stored);
       return;
     case append_outcome::fenced:
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -51,6 +51,8 @@
   std::optional<time_point> openSince() const { return mOpenSince; }
   std::size_t waiting() const { return mWaiting.size(); }
   bool fenced() const { return mFenced; }
+  /// Of the first record of the newest append that was stored.
+  std::uint64_t lastOffset() const { return mLastOffset; }
   duration lastElapsed() const { return mLastElapsed; }
   std::uint64_t repeats() const { return mRepeats; }
 
@@ -72,7 +74,9 @@
   /// Entries of the append in progress.
   std::vector<entry> mCurrent;
   std::vector<std::string> mCurrentRecords;
-  std::uint64_t mSequence = 1;
+  /// Starts elsewhere in each epoch: the store answers a number that it has seen lately as a
+  /// repetition, also if that was in an earlier epoch.
+  std::uint64_t mSequence;
   bool mInFlight = false;
   /// A try had no answer: the records may be stored.
   bool mUncertain = false;
@@ -82,6 +86,9 @@
   std::uint32_t mTries = 0;
   std::uint64_t mRepeats = 0;
   duration mLastElapsed{ 0 };
+  std::uint64_t mLastOffset = 0;
+  /// No later append can start before this offset.
+  std::uint64_t mNextOffset = 0;
 };
 
 } // namespace endiveusher::node
--- a/scheduler/include/endiveusher/scheduler/job_book.h
+++ b/scheduler/include/endiveusher/scheduler/job_book.h
@@ -32,6 +32,8 @@
   void forgetEnded(time_point aBefore);
   /// The last epoch in which leases at the target may have been renewed; 0 if there is none.
   std::uint64_t lastEpochAt(std::string_view aTarget) const;
+  /// Records that lead an empty book to this state; of ended jobs only what callers may still ask.
+  std::vector<journal_record> snapshot() const;
   void clear();
   std::size_t size() const { return mJobs.size(); }
 
@@ -44,13 +46,13 @@
   }
 
 private:
-  job* apply(const job_submitted& aRecord, time_point aNow);
-  job* apply(const job_cancelled& aRecord, time_point aNow);
-  job* apply(const run_started& aRecord, time_point aNow);
-  job* apply(const run_ended& aRecord, time_point aNow);
-  job* apply(const job_given_up& aRecord, time_point aNow);
-  job* apply(const job_snapshot& aRecord, time_point aNow);
-  job* apply(const target_taken& aRecord, time_point aNow);
+  job* change(const job_submitted& aRecord, time_point aNow);
+  job* change(const job_cancelled& aRecord, time_point aNow);
+  job* change(const run_started& aRecord, time_point aNow);
+  job* change(const run_ended& aRecord, time_point aNow);
+  job* change(const job_given_up& aRecord, time_point aNow);
+  job* change(const job_snapshot& aRecord, time_point aNow);
+  job* change(const target_taken& aRecord, time_point aNow);
   step_state* stepOf(job& aJob, const step_key& aKey);
   void finish(job& aJob, job_phase aPhase, time_point aNow);
   void completeIfDone(job& aJob, std::uint32_t aOccurrence, time_point aNow);
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -79,6 +79,8 @@
   /// latest.
   time_point tick(time_point aNow, wall_time aWall);
 
+  /// Whether the journal holds all that this owner has decided.
+  bool allStored() const;
   /// A target has seen a higher epoch: this owner has to give up.
   bool fenced() const;
   owner_counts counts() const;
--- a/scheduler/src/job_book.cpp
+++ b/scheduler/src/job_book.cpp
@@ -5,12 +5,24 @@
 
 namespace endiveusher::scheduler {
 
+namespace {
+
+bool hasOpenRuns(const job& aJob)
+{
+  return std::ranges::any_of(aJob.mOccurrences, [](const auto& aOne) {
+    return std::ranges::any_of(aOne.second,
+                               [](const step_state& aStep) { return aStep.mOpen > 0; });
+  });
+}
+
+} // namespace
+
 job* job_book::apply(const journal_record& aRecord, time_point aNow)
 {
-  return std::visit([this, aNow](const auto& aOne) { return apply(aOne, aNow); }, aRecord);
+  return std::visit([this, aNow](const auto& aOne) { return change(aOne, aNow); }, aRecord);
 }
 
-job* job_book::apply(const job_submitted& aRecord, time_point /*aNow*/)
+job* job_book::change(const job_submitted& aRecord, time_point /*aNow*/)
 {
   const auto [at, isNew] = mJobs.try_emplace(aRecord.mSpec.mId);
   if (!isNew) {
@@ -25,7 +37,7 @@
   return &made;
 }
 
-job* job_book::apply(const job_cancelled& aRecord, time_point aNow)
+job* job_book::change(const job_cancelled& aRecord, time_point aNow)
 {
   job* found = find(aRecord.mJob);
   if (found == nullptr || found->mPhase != job_phase::active) {
@@ -35,7 +47,7 @@
   return found;
 }
 
-job* job_book::apply(const run_started& aRecord, time_point /*aNow*/)
+job* job_book::change(const run_started& aRecord, time_point /*aNow*/)
 {
   job* found = find(aRecord.mTask.mStep.mJob);
   if (found == nullptr) {
@@ -60,7 +72,7 @@
   return found;
 }
 
-job* job_book::apply(const run_ended& aRecord, time_point aNow)
+job* job_book::change(const run_ended& aRecord, time_point aNow)
 {
   job* found = find(aRecord.mTask.mStep.mJob);
   step_state* step = found == nullptr ? nullptr : stepOf(*found, aRecord.mTask.mStep);
@@ -94,7 +106,7 @@
   return found;
 }
 
-job* job_book::apply(const job_given_up& aRecord, time_point aNow)
+job* job_book::change(const job_given_up& aRecord, time_point aNow)
 {
   job* found = find(aRecord.mJob);
   if (found == nullptr || found->mPhase != job_phase::active) {
@@ -104,7 +116,7 @@
   return found;
 }
 
-job* job_book::apply(const job_snapshot& aRecord, time_point aNow)
+job* job_book::change(const job_snapshot& aRecord, time_point aNow)
 {
   const auto [at, isNew] = mJobs.try_emplace(aRecord.mJob.mSpec.mId);
   if (!isNew) {
@@ -121,7 +133,7 @@
   return &made;
 }
 
-job* job_book::apply(const target_taken& aRecord, time_point /*aNow*/)
+job* job_book::change(const target_taken& aRecord, time_point /*aNow*/)
 {
   auto& epoch = mTakenIn[aRecord.mTarget];
   epoch = std::max(epoch, aRecord.mEpoch);
@@ -209,11 +221,7 @@
   std::vector<std::pair<time_point, job_id>> kept;
   for (auto at = mEnded.begin(); at != firstKept; ++at) {
     const job* ended = find(at->second);
-    const bool open = ended != nullptr && std::ranges::any_of(ended->mOccurrences, [](auto& aOne) {
-                        return std::ranges::any_of(
-                          aOne.second, [](const step_state& aStep) { return aStep.mOpen > 0; });
-                      });
-    if (open) {
+    if (ended != nullptr && hasOpenRuns(*ended)) {
       kept.push_back(*at);
     } else {
       mJobs.erase(at->second);
@@ -223,6 +231,26 @@
   mEnded.insert(mEnded.begin(), kept.begin(), kept.end());
 }
 
+std::vector<journal_record> job_book::snapshot() const
+{
+  std::vector<journal_record> records;
+  records.reserve(mJobs.size() + mTakenIn.size());
+  for (const auto& [target, epoch] : mTakenIn) {
+    records.emplace_back(target_taken{ .mTarget = target, .mEpoch = epoch });
+  }
+  for (const auto& [id, one] : mJobs) {
+    if (one.mPhase == job_phase::active || hasOpenRuns(one)) {
+      records.emplace_back(job_snapshot{ .mJob = one });
+    } else {
+      records.emplace_back(job_snapshot{
+        .mJob = { .mSpec = { .mId = id, .mRoute = one.mSpec.mRoute, .mTeam = one.mSpec.mTeam },
+                  .mPhase = one.mPhase,
+                  .mStarted = true } });
+    }
+  }
+  return records;
+}
+
 void job_book::clear()
 {
   mJobs.clear();
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -549,6 +549,11 @@
   return mImpl->mFenced;
 }
 
+bool owner::allStored() const
+{
+  return mImpl->allStored();
+}
+
 owner_counts owner::counts() const
 {
   return mImpl->counts();
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -35,6 +35,7 @@
   void stopAnswered(const stop_order& aOrder, order_outcome aOutcome, time_point aNow);
   void advised(const advice_answer& aAnswer, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
+  bool allStored() const { return mRecords.empty() && mBatches.empty(); }
   owner_counts counts() const;
   std::string dump() const;
 
--- /dev/null
+++ b/tests/node/snapshots_test.cpp
@@ -0,0 +1,87 @@
+#include "snapshots.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::node;
+using namespace endiveusher::scheduler;
+
+namespace {
+
+job_book bookWithOneRun()
+{
+  job_book book;
+  const time_point now{};
+  job_spec spec{ .mId = static_cast<job_id>(5), .mRoute = "r", .mTeam = "t", .mPayload = "x" };
+  spec.mSteps.push_back({ .mCount = 2, .mNeeds = { .mCpuMilli = 100 } });
+  book.apply(job_submitted{ .mSpec = spec }, now);
+  const task_key task{ .mStep = { .mJob = spec.mId }, .mIndex = 1 };
+  book.apply(run_started{ .mTask = task, .mRun = 1, .mAt = { .mTarget = "w", .mBorn = 3 } }, now);
+  book.apply(target_taken{ .mTarget = "w", .mEpoch = 4 }, now);
+  return book;
+}
+
+} // namespace
+
+TEST_GROUP(snapshots){};
+
+TEST(snapshots, restoreTheBook)
+{
+  const auto found =
+    lastSnapshot(encodeSnapshot({ .mBase = 17, .mRecords = bookWithOneRun().snapshot() }));
+  CHECK(found.has_value());
+  CHECK_EQUAL(17, found->mBase);
+  job_book restored;
+  for (const auto& record : found->mRecords) {
+    restored.apply(record, time_point{});
+  }
+  const auto* one = restored.find(static_cast<job_id>(5));
+  CHECK(one != nullptr);
+  const auto& tasks = one->find({ .mJob = one->mSpec.mId })->mTasks;
+  CHECK_EQUAL("w", tasks[1].mOpen->mTarget);
+  CHECK_FALSE(tasks[0].mOpen.has_value());
+  CHECK_EQUAL(4, restored.lastEpochAt("w"));
+  CHECK_EQUAL("x", one->mSpec.mPayload);
+}
+
+// Records of the journal after the base may already be part of the snapshot.
+TEST(snapshots, repeatedRecordsChangeNothing)
+{
+  auto book = bookWithOneRun();
+  const task_key task{ .mStep = { .mJob = static_cast<job_id>(5) }, .mIndex = 1 };
+  book.apply(run_ended{ .mTask = task, .mRun = 1, .mHow = run_end::failed }, time_point{});
+  job_book restored;
+  for (const auto& record : book.snapshot()) {
+    restored.apply(record, time_point{});
+  }
+  restored.apply(run_started{ .mTask = task, .mRun = 1, .mAt = { .mTarget = "w", .mBorn = 3 } },
+                 time_point{});
+  restored.apply(run_ended{ .mTask = task, .mRun = 1, .mHow = run_end::failed }, time_point{});
+  const auto& state = restored.find(static_cast<job_id>(5))->find(task.mStep)->mTasks[1];
+  CHECK_EQUAL(1, state.mFailures);
+  CHECK_FALSE(state.mOpen.has_value());
+}
+
+TEST(snapshots, anIncompleteOneDoesNotCount)
+{
+  auto records = encodeSnapshot({ .mBase = 1, .mRecords = bookWithOneRun().snapshot() });
+  auto second = encodeSnapshot({ .mBase = 2, .mRecords = bookWithOneRun().snapshot() });
+  second.pop_back();
+  records.insert(records.end(), second.begin(), second.end());
+  CHECK_EQUAL(1, lastSnapshot(records)->mBase);
+  CHECK_FALSE(lastSnapshot({}).has_value());
+}
+
+TEST(snapshots, endedJobsKeepTheirState)
+{
+  auto book = bookWithOneRun();
+  const task_key task{ .mStep = { .mJob = static_cast<job_id>(5) }, .mIndex = 1 };
+  book.apply(run_ended{ .mTask = task, .mRun = 1, .mHow = run_end::interrupted }, time_point{});
+  book.apply(job_cancelled{ .mJob = static_cast<job_id>(5) }, time_point{});
+  job_book restored;
+  for (const auto& record : book.snapshot()) {
+    restored.apply(*decodeRecord(encode(record)), time_point{});
+  }
+  CHECK(restored.find(static_cast<job_id>(5))->mPhase == job_phase::cancelled);
+  CHECK_EQUAL("t", restored.find(static_cast<job_id>(5))->mSpec.mTeam);
+}
