--- /dev/null
+++ b/tests/node/journal_writer_test.cpp
@@ -0,0 +1,116 @@
+#include "journal_writer.h"
+#include "store_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+
+using namespace endiveusher;
+using namespace endiveusher::node;
+using namespace endiveusher::node::testing;
+
+TEST_GROUP(journal_writer)
+{
+  std::unique_ptr<store_fixture> store = std::make_unique<store_fixture>();
+  std::unique_ptr<journal_writer> writer;
+
+  void teardown() override
+  {
+    writer.reset();
+    store.reset();
+  }
+
+  void open(std::uint64_t aEpoch, bool aInsist = true)
+  {
+    writer = std::make_unique<journal_writer>(
+      store->mStore, store->mClock,
+      journal_writer_options{
+        .mTopic = "journal", .mProducer = "owner", .mEpoch = aEpoch, .mInsist = aInsist });
+  }
+
+  write_outcome write(std::vector<std::string> aRecords)
+  {
+    std::optional<write_outcome> outcome;
+    writer->write(std::move(aRecords), [&outcome](write_outcome aOne) { outcome = aOne; });
+    CHECK(store->runUntil([&outcome] { return outcome.has_value(); },
+                          [this] { writer->tick(store->mClock.now()); }));
+    return *outcome;
+  }
+
+  std::size_t stored()
+  {
+    const std::lock_guard lock(store->mMutex);
+    return store->mModel.end("journal");
+  }
+};
+
+TEST(journal_writer, storesInOrder)
+{
+  open(1);
+  CHECK(write({ "a", "b" }) == write_outcome::stored);
+  CHECK(write({ "c" }) == write_outcome::stored);
+  const std::lock_guard lock(store->mMutex);
+  CHECK_EQUAL("c", store->mModel.read("journal", 2)->front());
+}
+
+// Guards against an append that the store takes for a repetition of one of an earlier epoch: it
+// would be confirmed and not be stored.
+TEST(journal_writer, storesAfterABriefOwner)
+{
+  open(1);
+  CHECK(write({}) == write_outcome::stored);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  open(2);
+  CHECK(write({}) == write_outcome::stored);
+  CHECK(write({ "b" }) == write_outcome::stored);
+  CHECK_EQUAL(2, stored());
+}
+
+TEST(journal_writer, storesOnceIfTheAnswerIsLost)
+{
+  open(1);
+  store->mLoseAnswers = 1;
+  CHECK(write({ "a" }) == write_outcome::stored);
+  CHECK_EQUAL(1, stored());
+  CHECK(writer->repeats() > 0);
+}
+
+TEST(journal_writer, tellsThatNothingIsStored)
+{
+  open(1, false);
+  store->mRefuse = 1;
+  CHECK(write({ "a" }) == write_outcome::refused);
+  CHECK_EQUAL(0, stored());
+  CHECK(write({ "b" }) == write_outcome::stored);
+}
+
+// What may be stored is never called refused.
+TEST(journal_writer, insistsWhenTheOutcomeIsUncertain)
+{
+  open(1, false);
+  store->mLoseAnswers = 1;
+  std::optional<write_outcome> outcome;
+  writer->write({ "a" }, [&outcome](write_outcome aOne) { outcome = aOne; });
+  CHECK(store->runUntil([this] { return stored() == 1; }));
+  {
+    const std::lock_guard lock(store->mMutex);
+    store->mRefuse = 1;
+  }
+  CHECK(store->runUntil([&outcome] { return outcome.has_value(); },
+                        [this] { writer->tick(store->mClock.now()); }));
+  CHECK(*outcome == write_outcome::stored);
+  CHECK_EQUAL(1, stored());
+}
+
+TEST(journal_writer, stopsWhenAHigherEpochHasWritten)
+{
+  open(1);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  auto former = std::move(writer);
+  open(2);
+  CHECK(write({}) == write_outcome::stored);
+  writer = std::move(former);
+  CHECK(write({ "late" }) == write_outcome::fenced);
+  CHECK_EQUAL(1, stored());
+}
--- /dev/null
+++ b/tests/node/store_fixture.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "boot_clock.h"
+#include "endiveusher/edges/http_loop.h"
+#include "endiveusher/edges/http_server.h"
+#include "endiveusher/platform/store.h"
+#include "endiveusher/standins/store_model.h"
+
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace endiveusher::node::testing {
+
+/// The store's model behind its HTTP interface on loopback, and a client of it.
+class store_fixture
+{
+public:
+  store_fixture()
+    : mServer({}, [this](edges::http_request aRequest,
+                         edges::responder aResponder) { serve(aRequest, aResponder); }),
+      mStore(mLoop, "127.0.0.1:" + std::to_string(mServer.port()))
+  {
+  }
+
+  /// Runs the loop until aReady holds; false after a few seconds.
+  bool runUntil(const std::function<bool()>& aReady, const std::function<void()>& aTick = [] {})
+  {
+    for (int turn = 0; turn < 3000 && !aReady(); ++turn) {
+      aTick();
+      mLoop.run(std::chrono::milliseconds(1));
+    }
+    return aReady();
+  }
+
+  boot_clock mClock;
+  std::mutex mMutex;
+  standins::store_model mModel;
+  /// The next appends are carried out and not answered.
+  int mLoseAnswers = 0;
+  /// The next calls are answered with 503 and not carried out.
+  int mRefuse = 0;
+  edges::http_loop mLoop;
+
+private:
+  static std::uint64_t number(const edges::http_request& aRequest, const std::string& aName)
+  {
+    const auto found = aRequest.mQuery.find(aName);
+    return found == aRequest.mQuery.end() ? 0 : std::stoull(found->second);
+  }
+
+  static std::string bigEndian(std::uint64_t aNumber, int aBytes)
+  {
+    std::string bytes;
+    while (aBytes-- > 0) {
+      bytes.push_back(static_cast<char>(aNumber >> (8 * aBytes)));
+    }
+    return bytes;
+  }
+
+  static std::vector<std::string> records(std::string_view aBody)
+  {
+    std::vector<std::string> found;
+    while (aBody.size() >= 4) {
+      std::size_t length = 0;
+      for (const char one : aBody.substr(0, 4)) {
+        length = (length << 8U) | static_cast<unsigned char>(one);
+      }
+      found.emplace_back(aBody.substr(4, length));
+      aBody.remove_prefix(4 + length);
+    }
+    return found;
+  }
+
+  void serve(const edges::http_request& aRequest, const edges::responder& aResponder)
+  {
+    const std::lock_guard lock(mMutex);
+    if (mRefuse > 0) {
+      --mRefuse;
+      aResponder.answer({ .mStatus = 503 });
+      return;
+    }
+    const auto topic = aRequest.mQuery.at("topic");
+    if (aRequest.mPath == "/log-append") {
+      standins::store_append append{ .mTopic = topic,
+                                     .mRecords = records(aRequest.mBody),
+                                     .mEpoch = number(aRequest, "epoch"),
+                                     .mSequence = number(aRequest, "sequence") };
+      if (const auto found = aRequest.mQuery.find("producer"); found != aRequest.mQuery.end()) {
+        append.mProducer = found->second;
+      }
+      if (aRequest.mQuery.contains("timestamp")) {
+        append.mExpectedEnd = number(aRequest, "timestamp");
+      }
+      const auto answer = mModel.append(append);
+      if (mLoseAnswers > 0) {
+        --mLoseAnswers;
+        mUnanswered.push_back(aResponder);
+        return;
+      }
+      aResponder.answer(
+        { .mStatus = static_cast<std::uint16_t>(answer.mStatus),
+          .mBody = R"({"reason":")" + answer.mReason + R"(","offset":)" +
+                   std::to_string(answer.mOffset) + R"(,"end":)" + std::to_string(answer.mEnd) +
+                   "}" });
+      return;
+    }
+    if (aRequest.mPath == "/log-read") {
+      const auto found = mModel.read(topic, number(aRequest, "from"));
+      if (!found) {
+        aResponder.answer({ .mStatus = 410,
+                            .mBody = R"({"first":)" + std::to_string(mModel.first(topic)) + "}" });
+        return;
+      }
+      std::string body = bigEndian(mModel.end(topic), 8) + bigEndian(mModel.first(topic), 8);
+      for (const auto& record : *found) {
+        body += bigEndian(record.size(), 4) + record;
+      }
+      aResponder.answer({ .mBody = std::move(body) });
+      return;
+    }
+    if (aRequest.mPath == "/log-trim") {
+      mModel.trim(topic, number(aRequest, "before"));
+      aResponder.answer({});
+      return;
+    }
+    aResponder.answer({ .mStatus = 404 });
+  }
+
+  std::vector<edges::responder> mUnanswered;
+  edges::http_server mServer;
+
+public:
+  platform::store mStore;
+};
+
+} // namespace endiveusher::node::testing
