--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -16,6 +16,11 @@
 /// Transfer handles kept for reuse; each holds some tens of kB of buffers.
 constexpr std::size_t kIdleHandles = 64;
 constexpr long kReceiveBufferBytes = 16384;
+/// After a call without an answer the idle connections to that address may be silent for good: for
+/// the shorter time none of them is used, for the longer one only those used lately.
+constexpr auto kFreshPeriod = std::chrono::seconds(3);
+constexpr auto kDoubtPeriod = std::chrono::seconds(20);
+constexpr long kMaxIdleSeconds = 2;
 
 struct list_deleter
 {
@@ -107,6 +112,14 @@
                      static_cast<long>(mOptions.mConnectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
+    if (const auto trouble = mTrouble.find(call.mAddress); trouble != mTrouble.end()) {
+      const auto age = active->mSince - trouble->second;
+      curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, age < kFreshPeriod ? 1L : 0L);
+      curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+      if (age > kDoubtPeriod) {
+        mTrouble.erase(trouble);
+      }
+    }
     if (call.mMethod != "GET") {
       curl_easy_setopt(handle, CURLOPT_POST, 1L);
       curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.mBody.data());
@@ -162,6 +175,9 @@
         curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &cause);
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
         reply.mError = curl_easy_strerror(code);
+        if (code == CURLE_OPERATION_TIMEDOUT) {
+          mTrouble[active->mCall.mAddress] = steady::now();
+        }
       }
       giveHandle(handle);
       active->mCall.mDone(std::move(reply));
@@ -193,6 +209,8 @@
   CURLM* mMulti = nullptr;
   std::map<CURL*, std::unique_ptr<transfer>> mActive;
   std::vector<CURL*> mIdle;
+  /// When a call to the address last had no answer in time.
+  std::map<std::string, steady::time_point> mTrouble;
 };
 
 http_loop::http_loop(http_loop_options aOptions) : mImpl(std::make_unique<impl>(aOptions)) {}
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -78,8 +78,6 @@
 constexpr std::chrono::milliseconds kForgetInterval{ 1000 };
 /// Claims of different daemons are spread over this time.
 constexpr int kMaxStaggerMs = 250;
-/// A lease is a little shorter than targets grant, so that they shorten none.
-constexpr std::chrono::milliseconds kLeaseReserve{ 200 };
 /// A longer lease keeps more work over a cut; a shorter one starts the tasks of lost targets sooner
 /// elsewhere. Covers a cut of some five seconds.
 constexpr std::chrono::milliseconds kLease{ 7000 };
@@ -134,6 +132,10 @@
                              std::function<void(std::optional<std::string>)> aDone) {
       return askOwner(aId, aTeam, std::move(aDone));
     });
+    mDesk.setStored([this](const caller_record& aRecord) {
+      return std::ranges::none_of(
+        mAccepting, [&aRecord](const auto& aOne) { return aOne.second.mRecord == aRecord; });
+    });
     mDesk.setEndStored([this](scheduler::job_id aId) { return !mUnstoredEnds.contains(aId); });
     makeTails();
     loadBook();
@@ -254,7 +256,7 @@
   {
     const auto found = mAccepting.find(aToken);
     if (found != mAccepting.end()) {
-      const auto done = std::move(found->second);
+      const auto done = std::move(found->second.mDone);
       mAccepting.erase(found);
       done(write_outcome::stored);
     }
@@ -271,11 +273,20 @@
       aDone(write_outcome::refused);
       return true;
     }
-    mAccepting[++mLastToken] = aDone;
+    mAccepting[++mLastToken] = { .mDone = aDone, .mRecord = recordKey(aRecord) };
     mOwner->accept(aRecord, mLastToken, now, wallNow());
     return true;
   }
 
+  static caller_record recordKey(const journal_record& aRecord)
+  {
+    if (const auto* cancelled = std::get_if<scheduler::job_cancelled>(&aRecord)) {
+      return { .mJob = cancelled->mJob, .mCancel = true };
+    }
+    const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
+    return { .mJob = submitted == nullptr ? scheduler::job_id{} : submitted->mSpec.mId };
+  }
+
   bool askOwner(scheduler::job_id aId, const std::string& aTeam,
                 std::function<void(std::optional<std::string>)> aDone)
   {
@@ -449,6 +460,7 @@
   {
     if (!mStoreLost) {
       mStoreLost = true;
+      mStoreLostAt = mClock.now();
       mLog.write("store_lost", fmt::format("address={} error=\"{}\"", mStore.address(), aError));
     }
   }
@@ -624,7 +636,7 @@
       giveUp(reason);
     }
     mLink.setOwner(mOwner ? std::nullopt : mElection.ownerAddress());
-    mElection.setOwnerDoubt(mLink.refused(), mLink.suspect(aNow));
+    mElection.setOwnerDoubt(mLink.refused(), mLink.silent(aNow) || mLink.ownerLostStore());
     const bool eligible = mJournalTail->caughtUp() && mConfig && !mStoreLost;
     // What has ended is stored before others are let in.
     const bool handOver =
@@ -708,7 +720,7 @@
     mUnstoredEnds.clear();
     mOwner = std::make_unique<scheduler::owner>(
       mBook, static_cast<scheduler::owner_port&>(*this),
-      scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease - kLeaseReserve, kLease),
+      scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
                                 .mEpochs = mElection.epochs() },
       epoch, now);
     mPaused = false;
@@ -735,8 +747,8 @@
     mHelpers.clear();
     // What this owner had decided and not stored is forgotten with the rest.
     mUnstoredEnds.clear();
-    for (auto& [token, done] : std::exchange(mAccepting, {})) {
-      done(write_outcome::unknown);
+    for (auto& [token, accepting] : std::exchange(mAccepting, {})) {
+      accepting.mDone(write_outcome::unknown);
     }
     mJournalTail->setInterval(kJournalInterval);
     loadBook();
@@ -870,7 +882,8 @@
       const auto now = mClock.now();
       mHelpers[aRequest.mBody] = now;
       aRequest.mResponder.answer(
-        { .mBody = std::to_string(mElection.renewalAge(now) / std::chrono::milliseconds(1)) });
+        { .mBody =
+            std::to_string(mStoreLost ? (now - mStoreLostAt) / std::chrono::milliseconds(1) : 0) });
     } else if (aRequest.mPath == kPeerStorePath) {
       handleStore(aRequest);
     } else if (aRequest.mPath == kPeerStatusPath) {
@@ -1107,7 +1120,12 @@
   bool mPaused = false;
   std::optional<std::string> mLost;
   /// Callers' records on their way into the journal with the owner's.
-  std::map<std::uint64_t, job_intake::done> mAccepting;
+  struct accepting_record
+  {
+    job_intake::done mDone;
+    caller_record mRecord;
+  };
+  std::map<std::uint64_t, accepting_record> mAccepting;
   std::uint64_t mLastToken = 0;
   /// Jobs with ends that are on their way into the journal, and how many calls hold some.
   std::map<scheduler::job_id, std::uint32_t> mUnstoredEnds;
@@ -1116,6 +1134,7 @@
 
   time_point mLastContact{};
   bool mStoreLost = false;
+  time_point mStoreLostAt{};
   time_point mNextForget{};
   std::optional<time_point> mStopSince;
 
--- a/node/src/front_desk.cpp
+++ b/node/src/front_desk.cpp
@@ -116,16 +116,16 @@
 {
   ++mCounters.mSubmitted;
   const auto subject = fmt::format("job={} route={} team={}", toText(aId), aRoute.mName, aTeam);
-  if (const auto* known = mBook.find(aId)) {
-    mLog.write("repeated", subject);
-    aReply({ .mBody = platform::encodeJobState(*known, mEndStored(aId)) });
-    return;
-  }
   if (const auto open = mWaiting.find({ .mJob = aId }); open != mWaiting.end()) {
     open->second.mCallers.push_back(
       { .mReply = std::move(aReply), .mUntil = mClock.now() + patienceOf(aCall) });
     return;
   }
+  if (const auto* known = mBook.find(aId); known != nullptr && mIsStored({ .mJob = aId })) {
+    mLog.write("repeated", subject);
+    aReply({ .mBody = platform::encodeJobState(*known, mEndStored(aId)) });
+    return;
+  }
   auto spec = platform::decodeJob(aBody);
   if (!spec.ok()) {
     reject(aReply, 400, kComeBackLater, subject, "malformed job");
@@ -147,11 +147,11 @@
         std::move(aReply));
 }
 
-void front_desk::store(const platform::front_call& aCall, pending_key aKey,
+void front_desk::store(const platform::front_call& aCall, caller_record aKey,
                        scheduler::journal_record aRecord, reply aReply)
 {
   const auto now = mClock.now();
-  if (mView.mStoreLost || mIntake.stuck(now, mOptions.mMaxWriteAge)) {
+  if (mIntake.closed(now, mView.mStoreLost, mOptions.mMaxWriteAge)) {
     reject(aReply, 503, kComeBackSoon,
            fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel),
            "the store does not answer");
@@ -164,7 +164,7 @@
     aRecord, [this, aKey, aRecord](write_outcome aOutcome) { written(aKey, aRecord, aOutcome); });
 }
 
-void front_desk::written(pending_key aKey, const scheduler::journal_record& aRecord,
+void front_desk::written(caller_record aKey, const scheduler::journal_record& aRecord,
                          write_outcome aOutcome)
 {
   if (aOutcome == write_outcome::stored) {
@@ -232,7 +232,8 @@
     reject(aReply, current ? 410 : 503, kComeBackSoon, subject, "no such job");
     return;
   }
-  if (found->mPhase != scheduler::job_phase::active) {
+  if (found->mPhase != scheduler::job_phase::active &&
+      mIsStored({ .mJob = aId, .mCancel = true })) {
     aReply({ .mBody = platform::encodeJobState(*found, true) });
     return;
   }
--- a/node/src/front_desk.h
+++ b/node/src/front_desk.h
@@ -27,6 +27,14 @@
   std::optional<std::chrono::seconds> mRetryAfter;
 };
 
+/// Names a record of a caller: the submission or the cancellation of a job.
+struct caller_record
+{
+  scheduler::job_id mJob{};
+  bool mCancel = false;
+  auto operator<=>(const caller_record&) const = default;
+};
+
 /// What the desk knows of the cell besides the jobs.
 struct front_view
 {
@@ -82,6 +90,12 @@
     std::function<bool(scheduler::job_id aId, const std::string& aTeam,
                        std::function<void(std::optional<std::string> aState)> aDone)>;
   void setAskOwner(ask_owner aAsk) { mAskOwner = std::move(aAsk); }
+  /// Whether the journal holds a record of which the book has the effect. On the owner the book is
+  /// ahead of the journal, and a caller may repeat there what another daemon has handed over.
+  void setStored(std::function<bool(const caller_record& aRecord)> aStored)
+  {
+    mIsStored = std::move(aStored);
+  }
   void setEndStored(std::function<bool(scheduler::job_id)> aEndStored)
   {
     mEndStored = std::move(aEndStored);
@@ -104,13 +118,6 @@
     std::vector<caller> mCallers;
     time_point mSince;
   };
-  /// Submissions and cancellations on their way into the journal.
-  struct pending_key
-  {
-    scheduler::job_id mJob{};
-    bool mCancel = false;
-    auto operator<=>(const pending_key&) const = default;
-  };
 
   void submit(const platform::front_call& aCall, scheduler::job_id aId, std::string_view aBody,
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
@@ -119,9 +126,10 @@
   void answerUnknown(const caller& aCaller, std::string_view aSubject, time_point aSince);
   void cancel(const platform::front_call& aCall, scheduler::job_id aId, const std::string& aTeam,
               reply aReply);
-  void store(const platform::front_call& aCall, pending_key aKey, scheduler::journal_record aRecord,
-             reply aReply);
-  void written(pending_key aKey, const scheduler::journal_record& aRecord, write_outcome aOutcome);
+  void store(const platform::front_call& aCall, caller_record aKey,
+             scheduler::journal_record aRecord, reply aReply);
+  void written(caller_record aKey, const scheduler::journal_record& aRecord,
+               write_outcome aOutcome);
   void reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
               std::string_view aSubject, std::string_view aReason);
   std::int64_t ageMs(time_point aThen) const;
@@ -133,11 +141,13 @@
   const front_options mOptions;
   stored_callback mStored;
   std::function<bool(scheduler::job_id)> mEndStored;
+  std::function<bool(const caller_record&)> mIsStored;
   ask_owner mAskOwner;
   front_view mView;
   cell_capacity mCapacity;
   front_counters mCounters;
-  std::map<pending_key, pending> mWaiting;
+  /// Submissions and cancellations on their way into the journal.
+  std::map<caller_record, pending> mWaiting;
 };
 
 } // namespace endiveusher::node
--- a/node/src/job_intake.cpp
+++ b/node/src/job_intake.cpp
@@ -19,9 +19,12 @@
 {
 }
 
-bool job_intake::stuck(time_point aNow, duration aPeriod) const
+bool job_intake::closed(time_point aNow, bool aStoreLost, duration aPeriod) const
 {
-  return mWriter.openSince() && aNow - *mWriter.openSince() > aPeriod;
+  if (mLink.reachable(aNow) && !mLink.ownerLostStore()) {
+    return false;
+  }
+  return aStoreLost || (mWriter.openSince() && aNow - *mWriter.openSince() > aPeriod);
 }
 
 void job_intake::store(const scheduler::journal_record& aRecord, done aDone)
--- a/node/src/job_intake.h
+++ b/node/src/job_intake.h
@@ -31,8 +31,9 @@
 
   /// The outcome is never `fenced`.
   void store(const scheduler::journal_record& aRecord, done aDone);
-  /// The direct way has been without an answer for longer than aPeriod.
-  bool stuck(time_point aNow, duration aPeriod) const;
+  /// There is no way at present: the owner is not reached, and the store does not answer or has
+  /// left an append open for longer than aPeriod.
+  bool closed(time_point aNow, bool aStoreLost, duration aPeriod) const;
 
 private:
   void append(const std::string& aBytes, bool aUncertain, done aDone);
--- a/node/src/owner_link.cpp
+++ b/node/src/owner_link.cpp
@@ -14,8 +14,9 @@
 constexpr auto kSilence = std::chrono::milliseconds(700);
 /// Work is handed over only to an owner that has answered this recently.
 constexpr auto kReachable = std::chrono::milliseconds(600);
-/// Without a renewal for this long the owner itself cannot reach the store.
-constexpr auto kOwnerStoreAge = std::chrono::milliseconds(1200);
+/// Without an answer of the store for this long the owner cannot do its work; a slow store takes
+/// less than that for a single call.
+constexpr auto kOwnerStoreAge = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -77,13 +78,14 @@
   return mOwner && !mRefused && aNow - mLastAnswer < kReachable;
 }
 
-bool owner_link::suspect(time_point aNow) const
+bool owner_link::silent(time_point aNow) const
 {
-  if (!mOwner) {
-    return false;
-  }
-  const auto heard = std::max(mLastAnswer, mOwnerSince);
-  return aNow - heard > kSilence || (mStoreAge && *mStoreAge > kOwnerStoreAge);
+  return mOwner && aNow - std::max(mLastAnswer, mOwnerSince) > kSilence;
+}
+
+bool owner_link::ownerLostStore() const
+{
+  return mOwner && mStoreAge && *mStoreAge > kOwnerStoreAge;
 }
 
 void owner_link::call(std::string_view aPath, std::string aBody, std::chrono::milliseconds aTimeout,
--- a/node/src/owner_link.h
+++ b/node/src/owner_link.h
@@ -31,8 +31,10 @@
   bool reachable(time_point aNow) const;
   /// Its process has ended.
   bool refused() const { return mRefused; }
-  /// Has not answered for some time, or has itself lost the store.
-  bool suspect(time_point aNow) const;
+  /// Has not answered for some time.
+  bool silent(time_point aNow) const;
+  /// Says that the store does not answer it.
+  bool ownerLostStore() const;
 
   /// Calls the owner; only while reachable().
   void call(std::string_view aPath, std::string aBody, std::chrono::milliseconds aTimeout,
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kStoresOpen = 2;
 /// A pass at least this often, for what only time changes.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
+/// A step that waits is explained this often.
+constexpr auto kExplainInterval = std::chrono::milliseconds(3000);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 /// An occurrence is opened this much before it is due, so that advice can be asked for; none of its
 /// tasks starts earlier.
@@ -200,6 +202,10 @@
       step.mOfUseUntil = aNow + kForever;
     }
   }
+  if (step.mPending.empty()) {
+    step.mSince = aNow;
+    step.mNextExplanation = aNow + kExplainInterval;
+  }
   step.mPending.clear();
   for (std::uint32_t index = 0; index < state->mTasks.size(); ++index) {
     if (!state->mTasks[index].mDone && !state->mTasks[index].mOpen) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -127,6 +127,7 @@
   std::uint32_t teamSlots(const waiting_step& aStep) const;
   void placeTasks(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   void placeGang(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
+  void explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms, time_point aNow);
   void holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
   void askForAdvice(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMinNamedTargets = 12;
 /// Beyond its own time, for the queue at the service and the way there.
 constexpr auto kAdviceSlack = std::chrono::milliseconds(600);
+/// A step that waits is explained this often.
+constexpr auto kExplainInterval = std::chrono::milliseconds(3000);
 /// Pause of a step between two calls for advice.
 constexpr auto kAdvicePause = std::chrono::milliseconds(50);
 /// Room that waiting gangs may keep free from later steps, part of the whole.
@@ -137,9 +139,50 @@
     } else {
       placeTasks(*step, rooms, aNow);
     }
+    if (step->startable() && step->mNextExplanation <= aNow) {
+      explainWait(*step, rooms, aNow);
+    }
   }
 }
 
+void owner::impl::explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms,
+                              time_point aNow)
+{
+  aStep.mNextExplanation = aNow + kExplainInterval;
+  std::size_t allowedTargets = 0;
+  std::size_t tickets = 0;
+  std::uint32_t slots = 0;
+  for (const auto& room : aRooms) {
+    if (!allowed(aStep, *room.mTarget, aNow)) {
+      continue;
+    }
+    ++allowedTargets;
+    slots += std::min(slotsAt(aStep, room), aStep.spec().mCount);
+    const auto* ticket = aStep.mAdvice.validTicket(room.mTarget->mEntry.mId, aNow);
+    tickets += ticket != nullptr ? 1 : 0;
+  }
+  const char* reason = "no_ticket";
+  if (aStep.mNotBefore > aNow) {
+    reason = "not_before";
+  } else if (teamSlots(aStep) < (aStep.spec().mGang ? aStep.spec().mCount : 1)) {
+    reason = "team_limit";
+  } else if (allowedTargets == 0) {
+    reason = "no_target";
+  } else if (slots < (aStep.spec().mGang ? aStep.spec().mCount : 1)) {
+    reason = "no_room";
+  } else if (aStep.mAdvice.mCallsOpen > 0) {
+    reason = "advice_open";
+  }
+  mPort.explain("waits",
+                fmt::format("step={} route={} waited_ms={} pending={}/{} reason={} allowed={} "
+                            "slots={} tickets={} cpu={} mem={} band={}",
+                            toText(aStep.mKey), aStep.mRoute.mName,
+                            (aNow - aStep.mSince) / std::chrono::milliseconds(1),
+                            aStep.mPending.size(), aStep.spec().mCount, reason, allowedTargets,
+                            slots, tickets, aStep.mNeeds.mCpuMilli, aStep.mNeeds.mMemoryMb,
+                            internal::rankOf(aStep, aNow).mBand));
+}
+
 void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
 {
   const auto team = teamSlots(aStep);
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -14,9 +14,10 @@
 constexpr auto kLookWait = std::chrono::milliseconds(1000);
 /// Pause between two looks, so that one answer carries several ends.
 constexpr auto kLookPause = std::chrono::milliseconds(30);
-/// Pause after the first look without an answer; doubles up to the second.
-constexpr auto kMissedPause = std::chrono::milliseconds(100);
-constexpr auto kMaxMissedPause = std::chrono::milliseconds(1000);
+/// Pauses after looks without an answer. Short while runs may still be kept by a renewal in time,
+/// longer for targets without any.
+constexpr auto kMissedPause = std::chrono::milliseconds(30);
+constexpr auto kIdleMissedPause = std::chrono::milliseconds(1000);
 /// Failures in a row after which a target gets no new work for a while.
 constexpr std::uint32_t kFailuresToAvoid = 2;
 /// The first such while; doubles with each further failure up to the longest.
@@ -128,8 +129,8 @@
       mPort.explain("target_silent", fmt::format("target={} outcome={} runs={}", aTarget,
                                                  toText(aOutcome), target.mRuns.size()));
     }
-    const auto pause = kMissedPause * (1 << std::min(target.mMissed, 4U));
-    target.mNextLook = aNow + std::min<duration>(pause, kMaxMissedPause);
+    target.mNextLook =
+      aNow + (target.mRuns.empty() && target.mMissed > 3 ? kIdleMissedPause : kMissedPause);
     return;
   }
   if (target.mMissed > 0) {
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -62,6 +62,9 @@
   /// No start before this; backs off after starts that targets have rejected.
   time_point mNotBefore{};
   std::uint32_t mRejections = 0;
+  /// Since when some of its tasks wait, and when that is to be explained next.
+  time_point mSince{};
+  time_point mNextExplanation{};
   /// Targets at which a run of the step has failed, and until when others are preferred.
   std::unordered_map<std::string, time_point> mFailedAt;
   step_advice mAdvice;
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -25,7 +25,8 @@
   }
 
   /// Runs the loop until aReady holds; false after a few seconds.
-  bool runUntil(const std::function<bool()>& aReady, const std::function<void()>& aTick = [] {})
+  bool runUntil(
+    const std::function<bool()>& aReady, const std::function<void()>& aTick = [] {})
   {
     for (int turn = 0; turn < 3000 && !aReady(); ++turn) {
       aTick();
@@ -99,18 +100,17 @@
         mUnanswered.push_back(aResponder);
         return;
       }
-      aResponder.answer(
-        { .mStatus = static_cast<std::uint16_t>(answer.mStatus),
-          .mBody = R"({"reason":")" + answer.mReason + R"(","offset":)" +
-                   std::to_string(answer.mOffset) + R"(,"end":)" + std::to_string(answer.mEnd) +
-                   "}" });
+      aResponder.answer({ .mStatus = static_cast<std::uint16_t>(answer.mStatus),
+                          .mBody = R"({"reason":")" + answer.mReason + R"(","offset":)" +
+                                   std::to_string(answer.mOffset) + R"(,"end":)" +
+                                   std::to_string(answer.mEnd) + "}" });
       return;
     }
     if (aRequest.mPath == "/log-read") {
       const auto found = mModel.read(topic, number(aRequest, "from"));
       if (!found) {
-        aResponder.answer({ .mStatus = 410,
-                            .mBody = R"({"first":)" + std::to_string(mModel.first(topic)) + "}" });
+        aResponder.answer(
+          { .mStatus = 410, .mBody = R"({"first":)" + std::to_string(mModel.first(topic)) + "}" });
         return;
       }
       std::string body = bigEndian(mModel.end(topic), 8) + bigEndian(mModel.first(topic), 8);
