--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -68,6 +68,8 @@
 /// After this much of a shutdown no new connections are expected any more: the platform needs two
 /// misses, a second apart, to take a daemon out.
 constexpr std::chrono::milliseconds kLeavePeriod{ 2800 };
+/// A store that takes longer is slow for the owner as well.
+constexpr std::chrono::milliseconds kSlowStore{ 150 };
 /// Appends that take longer are logged.
 constexpr std::chrono::milliseconds kSlowAppend{ 200 };
 /// A snapshot is written when the journal has grown by so many records, but not more often than
@@ -636,7 +638,9 @@
       giveUp(reason);
     }
     mLink.setOwner(mOwner ? std::nullopt : mElection.ownerAddress());
-    mElection.setOwnerDoubt(mLink.refused(), mLink.silent(aNow) || mLink.ownerLostStore());
+    // While the store is slow for all, a change of the owner only costs more calls.
+    const bool ownerCutOff = mLink.ownerLostStore() && mStore.delay() < kSlowStore;
+    mElection.setOwnerDoubt(mLink.refused(), mLink.silent(aNow) || ownerCutOff);
     const bool eligible = mJournalTail->caughtUp() && mConfig && !mStoreLost;
     // What has ended is stored before others are let in.
     const bool handOver =
--- a/tests/node/front_desk_test.cpp
+++ b/tests/node/front_desk_test.cpp
@@ -53,8 +53,9 @@
                               book.apply(aRecord, time.now());
                               return true;
                             });
-    desk = new front_desk(time, book, *intake, *log, {},
-                          [this](const journal_record& aRecord) { book.apply(aRecord, time.now()); });
+    desk = new front_desk(time, book, *intake, *log, {}, [this](const journal_record& aRecord) {
+      book.apply(aRecord, time.now());
+    });
     desk->setAskOwner([](job_id, const std::string&, auto) { return false; });
     desk->setEndStored([](job_id) { return true; });
     desk->setStored([this](const caller_record& aRecord) { return !unstored.contains(aRecord); });
@@ -96,7 +97,10 @@
                  R"({"spec":"x","steps":[{"count":1,"cpu":100}]})",
                  [this](front_answer&& aAnswer) { answers.push_back(std::move(aAnswer)); });
   }
-  int lastStatus() const { return answers.empty() ? 0 : answers.back().mStatus; }
+  int lastStatus() const
+  {
+    return answers.empty() ? 0 : answers.back().mStatus;
+  }
 
   static constexpr auto kSubmit = platform::front_call::verb::submit;
   static constexpr auto kStatus = platform::front_call::verb::status;
@@ -114,8 +118,8 @@
   STRCMP_EQUAL(R"({"state":"queued"})", answers.back().mBody.c_str());
 }
 
-// Guards against an acknowledged job that is lost with the owner: the owner knows a job that another
-// daemon has handed over before the journal holds it.
+// Guards against an acknowledged job that is lost with the owner: the owner knows a job that
+// another daemon has handed over before the journal holds it.
 TEST(front_desk, doesNotConfirmARepetitionBeforeTheJobIsStored)
 {
   job_spec spec{ .mId = static_cast<job_id>(0xaa), .mRoute = "r", .mTeam = "red" };
