Wait for the leases of former owners at targets that fall silent; tell lost answers from a slow store

(2) Calls without an answer raised the store's estimated delay, so while answers were lost the daemons waited as if for a slow store; renewals with lost answers did not count, although the owner reads them in the topic. Ruled out for (1): late orders; the two runs were ordered by two owners. Tests: owner_take_over.waitsForFormerLeasesOfATargetThatFallsSilent, election.countsRenewalsWhoseAnswersWereLost.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -68,6 +68,8 @@
 /// After this much of a shutdown no new connections are expected any more: the platform needs two
 /// misses, a second apart, to take a daemon out.
 constexpr std::chrono::milliseconds kLeavePeriod{ 2800 };
+/// A failed call means that the store is lost only if none was answered for this long.
+constexpr std::chrono::milliseconds kLostContact{ 500 };
 /// A store that takes longer is slow for the owner as well.
 constexpr std::chrono::milliseconds kSlowStore{ 150 };
 /// Appends that take longer are logged.
@@ -460,7 +462,7 @@
 
   void contactFailed(const std::string& aError)
   {
-    if (!mStoreLost) {
+    if (!mStoreLost && mClock.now() - mLastContact > kLostContact) {
       mStoreLost = true;
       mStoreLostAt = mClock.now();
       mLog.write("store_lost", fmt::format("address={} error=\"{}\"", mStore.address(), aError));
@@ -674,7 +676,7 @@
                       // A read on its way may be held open by the store.
                       mOwnerTail->restart(mOwnerTail->next());
                     } else {
-                      mElection.unanswered(aAction, mClock.now());
+                      mElection.unanswered(aAction, sent, mClock.now());
                     }
                   });
   }
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 /// Pause after an append without an answer; a read tells what became of it.
-constexpr auto kUnansweredPause = std::chrono::milliseconds(200);
+constexpr auto kUnansweredPause = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -60,7 +60,13 @@
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < aOffset + 1) {
       mEpoch = aOffset + 1;
       mRole = role::owner;
-      mRenewedAt = std::max(mRenewedAt, aNow - kUnansweredPause);
+      mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(aNow));
+    } else if (aRecord.mKind == owner_record::kind::renewal && mRole == role::owner &&
+               mUncertainSince) {
+      // The lost answer was that of a stored renewal.
+      mRenewedAt = std::max(mRenewedAt, *mUncertainSince);
+      mNextRenewal = std::max(mNextRenewal, mRenewedAt + mOptions.mRenewInterval);
+      mUncertainSince.reset();
     }
   } else if (aRecord.mKind == owner_record::kind::claim && mRole == role::owner &&
              aOffset + 1 > mEpoch) {
@@ -149,6 +155,7 @@
     mEpochs.try_emplace(mEpoch, aSent);
   }
   mRenewedAt = std::max(mRenewedAt, aSent);
+  mUncertainSince.reset();
   mNextRenewal = aSent + mOptions.mRenewInterval;
 }
 
@@ -158,8 +165,9 @@
   mBehind = true;
 }
 
-void election::unanswered(action /*aAction*/, time_point aNow)
+void election::unanswered(action /*aAction*/, time_point aSent, time_point aNow)
 {
+  mUncertainSince = std::min(mUncertainSince.value_or(aSent), aSent);
   mAppendOpen = false;
   mRetryAt = aNow + kUnansweredPause;
 }
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -94,7 +94,7 @@
   /// Nothing is appended before the topic has been read again.
   void rejected(action aAction);
   bool behind() const { return mBehind; }
-  void unanswered(action aAction, time_point aNow);
+  void unanswered(action aAction, time_point aSent, time_point aNow);
 
   role state() const { return mRole; }
   /// Of the own ownership.
@@ -131,6 +131,8 @@
   time_point mRenewedAt{};
   time_point mNextRenewal{};
   bool mAppendOpen = false;
+  /// When the oldest renewal was sent of which the outcome is not known.
+  std::optional<time_point> mUncertainSince;
   /// A claim or renewal was rejected: the topic holds records that have not been read.
   bool mBehind = false;
   bool mOwnerGone = false;
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -9,10 +9,6 @@
 
 /// Of one append; the platform's bound is 2 MB.
 constexpr std::size_t kMaxCallBytes = std::size_t{ 1 } << 20U;
-/// Of the first try of an append. A repetition changes nothing, but waits in the same queue of a
-/// slow store, so the later tries wait longer.
-constexpr std::chrono::milliseconds kAppendTimeout{ 800 };
-constexpr std::chrono::milliseconds kMaxAppendTimeout{ 3000 };
 /// Numbers of one epoch; more appends than a daemon makes in a year.
 constexpr unsigned kSequenceBits = 32;
 constexpr auto kRetryPause = std::chrono::milliseconds(20);
@@ -66,18 +62,17 @@
   mInFlight = true;
   mRepeats += mTries > 0 ? 1 : 0;
   ++mTries;
-  mStore.append(
-    { .mTopic = mOptions.mTopic,
-      .mRecords = mCurrentRecords,
-      .mProducer = platform::producer{ .mName = mOptions.mProducer,
-                                       .mEpoch = mOptions.mEpoch,
-                                       .mSequence = mSequence },
-      .mTimeout = std::min(kAppendTimeout * mTries + 4 * mStore.delay(), kMaxAppendTimeout) },
-    [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
-      if (!alive.expired()) {
-        answered(aReply);
-      }
-    });
+  mStore.append({ .mTopic = mOptions.mTopic,
+                  .mRecords = mCurrentRecords,
+                  .mProducer = platform::producer{ .mName = mOptions.mProducer,
+                                                   .mEpoch = mOptions.mEpoch,
+                                                   .mSequence = mSequence },
+                  .mTimeout = mStore.appendTimeout(mTries) },
+                [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
+                  if (!alive.expired()) {
+                    answered(aReply);
+                  }
+                });
 }
 
 void journal_writer::answered(const platform::append_reply& aReply)
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -157,6 +157,8 @@
   readRunning(target, aReport, aSent, aNow);
   if (!target.mTaken) {
     target.mTaken = true;
+    // Former owners may have renewed a lease until this look; now their epochs are rejected.
+    target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + mOptions.mLease);
     append(target_taken{ .mTarget = aTarget, .mEpoch = mEpoch }, aNow);
     mNextBatch.mTaken.push_back(aTarget);
     // Renews the leases as soon as the journal tells that this epoch does so.
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -136,12 +136,26 @@
   one.sawEnd(0, now);
   now += milliseconds(1);
   CHECK(next() == election::action::claim);
-  one.unanswered(election::action::claim, now);
+  one.unanswered(election::action::claim, now, now);
   one.sawRecord(recordOf(owner_record::kind::claim, "a", 7), 0, now);
   CHECK(one.state() == election::role::owner);
   CHECK_EQUAL(1, one.epoch());
 }
 
+// Guards against an owner that pauses although its renewals are stored: their answers were lost.
+TEST(election, countsRenewalsWhoseAnswersWereLost)
+{
+  become();
+  const auto sent = now + milliseconds(400);
+  now = sent;
+  CHECK(next() == election::action::renew);
+  now += milliseconds(300);
+  one.unanswered(election::action::renew, sent, now);
+  one.sawRecord(recordOf(owner_record::kind::renewal, "a", 7), 1, now);
+  CHECK(one.mayAct(sent + milliseconds(4900)));
+  CHECK_FALSE(one.mayAct(sent + milliseconds(5100)));
+}
+
 TEST(election, actsOnlyWithARecentRenewal)
 {
   become();
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -268,6 +268,25 @@
   CHECK_EQUAL("t2", cell.whereIs(id));
 }
 
+// Guards against a task that starts elsewhere while a target that answered once still runs it under
+// the lease of the former owner.
+TEST(owner_take_over, waitsForFormerLeasesOfATargetThatFallsSilent)
+{
+  auto& target = cell.addTarget("t1");
+  cell.takeOver();
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  cell.mStoreDown = true;
+  cell.takeOver();
+  cell.run(milliseconds(30));
+  target.mReachable = false;
+  cell.mStoreDown = false;
+  cell.addTarget("t2");
+  cell.run(milliseconds(3000));
+  CHECK_EQUAL("t1", cell.whereIs(id));
+  CHECK_EQUAL(1, cell.running());
+}
+
 // Leases may only be renewed when the journal tells of it; otherwise the next owner could give up
 // what still runs.
 TEST(owner_take_over, renewsNoLeaseBeforeTheTakingIsStored)
