--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kMaxCallBytes = std::size_t{ 1 } << 20U;
 /// Numbers of one epoch; more appends than a daemon makes in a year.
 constexpr unsigned kSequenceBits = 32;
-constexpr auto kRetryPause = std::chrono::milliseconds(20);
+constexpr auto kRetryPause = std::chrono::milliseconds(10);
 constexpr auto kMaxRetryPause = std::chrono::milliseconds(300);
 
 } // namespace
@@ -115,7 +115,12 @@
       mUncertain = true;
       break;
   }
-  mRetryAt = now + std::min<duration>(kRetryPause * (1 << std::min(mTries, 4U)), kMaxRetryPause);
+  // A lost answer has cost its time already; a refusal asks for a pause.
+  const auto pause =
+    aReply.mOutcome == append_outcome::unanswered
+      ? duration(kRetryPause)
+      : std::min<duration>(kRetryPause * (1 << std::min(mTries, 4U)), kMaxRetryPause);
+  mRetryAt = now + pause;
 }
 
 void journal_writer::finish(write_outcome aOutcome)
