Bound the pauses of reads, and do not send starts with lapsed tickets

Starts that waited for the store over an outage were sent with lapsed tickets. Ruled out: the cancellation was stored (17 ms) and the owner was the same before and after. Change: the pause is at most 0.6 s; a start whose ticket has lapsed is withdrawn.

--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -12,8 +12,10 @@
 constexpr auto kMaxFailurePause = std::chrono::milliseconds(400);
 
 /// Load pattern: a slow store takes as much longer for each call, and the calls of all daemons
-/// together queue there. Reads become rarer by this many times its delay.
+/// together queue there. Reads become rarer by this many times its delay, but not so rare that a
+/// cancellation or a configuration is read too late.
 constexpr int kDelayFactor = 3;
+constexpr std::chrono::milliseconds kMaxDelayPause{ 600 };
 
 } // namespace
 
@@ -127,7 +129,8 @@
                 mCaughtUp = mCaughtUp || mNext >= aReply.mEnd;
                 mDue = mNext < aReply.mEnd
                          ? time_point{}
-                         : sent + mOptions.mInterval + kDelayFactor * mStore.delay();
+                         : sent + mOptions.mInterval +
+                             std::min(kDelayFactor * mStore.delay(), kMaxDelayPause);
                 if (!aReply.mRecords.empty()) {
                   mCallbacks.mRecords(aReply.mRecords, offset);
                 }
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -382,7 +382,7 @@
     const bool wanted = owning != nullptr && owning->mPhase == job_phase::active;
     if (!wanted || run->mStopWanted || !target.mTakingStored ||
         target.mEntry.mBorn != start.mAt.mBorn || target.mEntry.mDraining ||
-        mClosedZones.contains(target.mEntry.mZone)) {
+        mClosedZones.contains(target.mEntry.mZone) || run->mTicketUntil <= aNow) {
       endRun(target, start.mTask, run_end::not_run, {}, aNow);
       release(target, start.mTask);
       continue;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -340,7 +340,9 @@
                                        .mBorn = target.mEntry.mBorn } };
     held_run held{ .mRun = run, .mNeeds = aStep.mNeeds, .mTeam = aStep.mJob->mSpec.mTeam };
     if (aStep.mRoute.mAdvice) {
-      held.mTicket = *aStep.mAdvice.validTicket(target.mEntry.mId, aNow);
+      const auto& ticket = aStep.mAdvice.mTickets.at(target.mEntry.mId);
+      held.mTicket = ticket.mToken;
+      held.mTicketUntil = ticket.mUntil;
     }
     hold(target, task, std::move(held));
     append(record, aNow);
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -46,6 +46,8 @@
   time_point mStartedAt{};
   std::string mCheckpoint;
   std::string mTicket;
+  /// Until when the ticket is valid; without end if there is none.
+  time_point mTicketUntil = time_point::max();
 };
 
 /// A target and what the owner holds there.
