--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -11,8 +11,11 @@
 #include "inbox.h"
 #include "job_intake.h"
 #include "log_tail.h"
+#include "operator_view.h"
+#include "owner_calls.h"
 #include "owner_link.h"
 #include "peer_api.h"
+#include "registry_view.h"
 #include "snapshots.h"
 
 #include <fmt/format.h>
@@ -130,7 +133,21 @@
                 return acceptLocally(aRecord, aDone);
               }),
       mDesk(mClock, mBook, mIntake, mLog, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
-            [this](const journal_record& aRecord) { applied(aRecord); })
+            [this](const journal_record& aRecord) { applied(aRecord); }),
+      mRegistry(mLog, { .mListed =
+                          [this](const scheduler::target_entry& aEntry) {
+                            mCapacityChanged = true;
+                            if (mOwner) {
+                              mOwner->setTarget(aEntry, mClock.now());
+                            }
+                          },
+                        .mUnlisted =
+                          [this](const std::string& aId) {
+                            mCapacityChanged = true;
+                            if (mOwner) {
+                              mOwner->removeTarget(aId, mClock.now());
+                            }
+                          } })
   {
     mDesk.setAskOwner([this](scheduler::job_id aId, const std::string& aTeam,
                              std::function<void(std::optional<std::string>)> aDone) {
@@ -167,7 +184,7 @@
       edges::http_server_options{ .mAddress = mSettings.mFrontAddress,
                                   .mThreads = 1,
                                   .mMaxConnections = mSettings.mMaxConnections },
-      [this](edges::http_request aRequest, edges::responder aResponder) {
+      [this](edges::http_request aRequest, const edges::responder& aResponder) {
         inbox_item item = front_request{ .mCall = platform::decodeFrontCall(aRequest),
                                          .mBody = std::move(aRequest.mBody),
                                          .mResponder = aResponder };
@@ -184,7 +201,7 @@
       });
     mPeers = std::make_unique<edges::http_server>(
       edges::http_server_options{ .mAddress = mPeerAddress, .mThreads = 1 },
-      [this](edges::http_request aRequest, edges::responder aResponder) {
+      [this](edges::http_request aRequest, const edges::responder& aResponder) {
         inbox_item item = peer_request{ .mPath = aRequest.mPath,
                                         .mBody = std::move(aRequest.mBody),
                                         .mResponder = aResponder };
@@ -306,83 +323,46 @@
 
   void look(const scheduler::look_order& aOrder) override
   {
-    ++mLooks;
-    auto call = platform::encodeLook(aOrder);
-    call.mDone = [this, target = aOrder.mTarget, sent = mClock.now(),
-                  epoch = mEpoch](edges::loop_reply&& aReply) {
-      if (epoch != mEpoch || !mOwner) {
-        return;
-      }
-      auto outcome = platform::decodeOutcome(aReply);
-      scheduler::target_report report;
-      if (outcome == scheduler::order_outcome::accepted) {
-        auto decoded = platform::decodeReport(aReply.mBody);
-        if (decoded.ok()) {
-          report = *std::move(decoded);
-        } else {
-          mLog.write("bad_report", fmt::format("target={} error=\"{}\"", target,
-                                               std::string(decoded.status().message())));
-          outcome = scheduler::order_outcome::invalid;
-        }
-      }
-      mOwner->looked(target, sent, outcome, report, mClock.now());
-    };
-    mLoop.send(std::move(call));
+    mCalls.look(aOrder,
+                [this, target = aOrder.mTarget, sent = mClock.now(), epoch = mEpoch](
+                  scheduler::order_outcome aOutcome, const scheduler::target_report& aReport) {
+                  if (isOwner(epoch)) {
+                    mOwner->looked(target, sent, aOutcome, aReport, mClock.now());
+                  }
+                });
   }
 
   void start(const scheduler::start_order& aOrder) override
   {
-    ++mStarts;
-    auto call = platform::encodeStart(aOrder);
-    call.mDone = [this, aOrder, epoch = mEpoch](edges::loop_reply&& aReply) {
-      if (epoch == mEpoch && mOwner) {
-        mStartTimes.record(aReply.mElapsed);
-        mOwner->startAnswered(aOrder, platform::decodeOutcome(aReply), mClock.now());
+    mCalls.start(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
+      if (isOwner(epoch)) {
+        mOwner->startAnswered(aOrder, aOutcome, mClock.now());
       }
-    };
-    mLoop.send(std::move(call));
+    });
   }
 
   void stop(const scheduler::stop_order& aOrder) override
   {
-    auto call = platform::encodeStop(aOrder);
-    call.mDone = [this, aOrder, epoch = mEpoch](edges::loop_reply&& aReply) {
-      if (epoch == mEpoch && mOwner) {
-        mOwner->stopAnswered(aOrder, platform::decodeOutcome(aReply), mClock.now());
+    mCalls.stop(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
+      if (isOwner(epoch)) {
+        mOwner->stopAnswered(aOrder, aOutcome, mClock.now());
       }
-    };
-    mLoop.send(std::move(call));
+    });
   }
 
   void advise(const scheduler::advice_request& aRequest) override
   {
-    ++mAdviceCalls;
-    auto call = aRequest.mHelper.empty()
-                  ? platform::encodeAdvice(mSettings.mAdviceAddress, aRequest)
-                  : encodePeerAdvice(aRequest);
-    call.mDone = [this, number = aRequest.mCall, step = aRequest.mStep, helper = aRequest.mHelper,
-                  epoch = mEpoch](edges::loop_reply&& aReply) {
-      if (epoch != mEpoch || !mOwner) {
-        return;
-      }
-      mAdviceTimes.record(aReply.mElapsed);
-      scheduler::advice_answer answer{ .mCall = number };
-      if (aReply.ok()) {
-        auto good = platform::decodeAdvice(aReply.mBody);
-        answer.mOk = good.ok();
-        answer.mGood = good.ok() ? *std::move(good) : std::vector<scheduler::advice_ticket>{};
-      }
-      if (!answer.mOk) {
-        mLog.write("advice_unanswered",
-                   fmt::format("step={} helper={} status={} error=\"{}\" after_ms={}", toText(step),
-                               helper, aReply.mStatus.value_or(0), aReply.mError,
-                               aReply.mElapsed / std::chrono::milliseconds(1)));
-      }
-      mOwner->advised(answer, mClock.now());
-    };
-    mLoop.send(std::move(call));
+    mCalls.advise(aRequest, mSettings.mAdviceAddress,
+                  [this, epoch = mEpoch](const scheduler::advice_answer& aAnswer) {
+                    if (isOwner(epoch)) {
+                      mOwner->advised(aAnswer, mClock.now());
+                    }
+                  });
   }
 
+  /// Answers to an owner of another epoch have no meaning.
+  bool isOwner(std::uint64_t aEpoch) const { return aEpoch == mEpoch && mOwner != nullptr; }
+
   void explain(std::string_view aEvent, std::string_view aDetail) override
   {
     mLog.write(aEvent, aDetail);
@@ -398,12 +378,19 @@
                         .mKeyed = true,
                         .mWait = kOperatorWait,
                         .mInterval = kOperatorInterval },
-      log_tail::callbacks{
-        .mRecords = [this](const auto& aRecords, std::uint64_t) { readOperator(aRecords); },
-        .mNewest = [this](auto&& aRecords) { replaceOperator(aRecords); },
-        .mGap = [](std::uint64_t) {},
-        .mAnswered = answered,
-        .mFailed = failed });
+      log_tail::callbacks{ .mRecords =
+                             [this](const auto& aRecords, std::uint64_t) {
+                               mOperator.read(aRecords);
+                               operatorChanged();
+                             },
+                           .mNewest =
+                             [this](auto&& aRecords) {
+                               mOperator.replace(aRecords);
+                               operatorChanged();
+                             },
+                           .mGap = [](std::uint64_t) {},
+                           .mAnswered = answered,
+                           .mFailed = failed });
     mRegistryTail = std::make_unique<log_tail>(
       mStore, mClock,
       log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
@@ -411,8 +398,8 @@
                         .mWait = std::chrono::milliseconds(0),
                         .mInterval = kRegistryInterval },
       log_tail::callbacks{
-        .mRecords = [this](const auto& aRecords, std::uint64_t) { readRegistry(aRecords); },
-        .mNewest = [this](auto&& aRecords) { replaceRegistry(aRecords); },
+        .mRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
+        .mNewest = [this](auto&& aRecords) { mRegistry.replace(aRecords); },
         .mGap = [](std::uint64_t) {},
         .mAnswered = answered,
         .mFailed = failed });
@@ -469,143 +456,17 @@
     }
   }
 
-  // Operator's records.
-  void readOperator(const std::vector<std::string>& aRecords)
-  {
-    for (const auto& bytes : aRecords) {
-      if (const auto record = platform::decodeKeyed(bytes)) {
-        readOperatorRecord(*record);
-      } else {
-        mLog.write("bad_record", "topic=operator error=\"no key\"");
-      }
-    }
-    operatorChanged();
-  }
-
-  void replaceOperator(const std::vector<platform::keyed_record>& aRecords)
-  {
-    mClosedZones.clear();
-    for (const auto& record : aRecords) {
-      readOperatorRecord(record);
-    }
-    operatorChanged();
-  }
-
-  void readOperatorRecord(const platform::keyed_record& aRecord)
-  {
-    if (aRecord.mKey == platform::kConfigKey && aRecord.mValue) {
-      auto decoded = platform::decodeConfig(*aRecord.mValue);
-      if (!decoded.ok()) {
-        mLog.write("bad_config",
-                   fmt::format("error=\"{}\"", std::string(decoded.status().message())));
-        return;
-      }
-      if (mConfig && decoded->mVersion <= mConfig->mVersion) {
-        return;
-      }
-      mLog.write("config", fmt::format("version={} routes={} teams={}", decoded->mVersion,
-                                       decoded->mRoutes.size(), decoded->mTeams.size()));
-      mConfig = std::make_shared<const scheduler::cell_config>(*std::move(decoded));
-      if (mOwner) {
-        mOwner->configure(mConfig);
-      }
-    } else if (aRecord.mKey.starts_with(platform::kEvacuationPrefix)) {
-      const auto zone = aRecord.mKey.substr(platform::kEvacuationPrefix.size());
-      const bool closed = aRecord.mValue.has_value();
-      if (closed ? mClosedZones.insert(zone).second : mClosedZones.erase(zone) > 0) {
-        mLog.write(closed ? "zone_closed" : "zone_opened", fmt::format("zone={}", zone));
-      }
-    }
-  }
-
   void operatorChanged()
   {
     if (mOwner) {
-      mOwner->setClosedZones(mClosedZones);
-    }
-  }
-
-  // Registry of targets.
-  void readRegistry(const std::vector<std::string>& aRecords)
-  {
-    for (const auto& bytes : aRecords) {
-      if (const auto record = platform::decodeKeyed(bytes)) {
-        readRegistryRecord(*record);
+      if (mOwnerConfig != mOperator.config()) {
+        mOwnerConfig = mOperator.config();
+        mOwner->configure(mOwnerConfig);
       }
+      mOwner->setClosedZones(mOperator.closedZones());
     }
   }
 
-  void replaceRegistry(const std::vector<platform::keyed_record>& aRecords)
-  {
-    std::set<std::string> listed;
-    for (const auto& record : aRecords) {
-      listed.insert(record.mKey);
-    }
-    std::vector<std::string> gone;
-    for (const auto& [id, entry] : mTargets) {
-      if (!listed.contains(id)) {
-        gone.push_back(id);
-      }
-    }
-    for (const auto& id : gone) {
-      readRegistryRecord({ .mKey = id });
-    }
-    for (const auto& record : aRecords) {
-      readRegistryRecord(record);
-    }
-  }
-
-  void readRegistryRecord(const platform::keyed_record& aRecord)
-  {
-    const auto now = mClock.now();
-    std::optional<scheduler::target_entry> entry;
-    if (aRecord.mValue) {
-      auto decoded = platform::decodeTargetEntry(aRecord.mKey, *aRecord.mValue);
-      if (decoded.ok()) {
-        entry = *std::move(decoded);
-      } else if (mBadEntries.insert(aRecord.mKey).second) {
-        mLog.write("bad_entry", fmt::format("target={} error=\"{}\"", aRecord.mKey,
-                                            std::string(decoded.status().message())));
-      }
-    }
-    const auto known = mTargets.find(aRecord.mKey);
-    if (!entry) {
-      if (known != mTargets.end()) {
-        mLog.write("target_unlisted", fmt::format("target={}", aRecord.mKey));
-        mTargets.erase(known);
-        if (mOwner) {
-          mOwner->removeTarget(aRecord.mKey, now);
-        }
-        mCapacityChanged = true;
-      }
-      return;
-    }
-    if (known == mTargets.end() || known->second.mDraining != entry->mDraining) {
-      mLog.write("target_listed",
-                 fmt::format("target={} zone={} pool={} draining={} cpu={} mem={} born={}",
-                             entry->mId, entry->mZone, entry->mPool, entry->mDraining,
-                             entry->mCapacity.mCpuMilli, entry->mCapacity.mMemoryMb, entry->mBorn));
-      mCapacityChanged = true;
-    }
-    if (mOwner) {
-      mOwner->setTarget(*entry, now);
-    }
-    mTargets[aRecord.mKey] = *std::move(entry);
-  }
-
-  void updateCapacity()
-  {
-    cell_capacity capacity;
-    for (const auto& [id, entry] : mTargets) {
-      auto& pool = capacity.mPools[entry.mPool];
-      if (std::ranges::find(pool, entry.mCapacity) == pool.end()) {
-        pool.push_back(entry.mCapacity);
-      }
-    }
-    mDesk.setCapacity(std::move(capacity));
-    mCapacityChanged = false;
-  }
-
   // Ownership.
   void readOwners(const std::vector<std::string>& aRecords, std::uint64_t aOffset)
   {
@@ -643,7 +504,7 @@
     // While the store is slow for all, a change of the owner only costs more calls.
     const bool ownerCutOff = mLink.ownerLostStore() && mStore.delay() < kSlowStore;
     mElection.setOwnerDoubt(mLink.refused(), mLink.silent(aNow) || ownerCutOff);
-    const bool eligible = mJournalTail->caughtUp() && mConfig && !mStoreLost;
+    const bool eligible = mJournalTail->caughtUp() && mOperator.config() && !mStoreLost;
     // What has ended is stored before others are let in.
     const bool handOver =
       mStopping && (!mOwnerWriter || (!mOwnerWriter->openSince() && mOwnerWriter->waiting() == 0));
@@ -719,7 +580,7 @@
       mJournalTail->setInterval(kOwnerJournalInterval);
     }
     if (!mFenceEnd || !mJournalTail->caughtUp() || mJournalTail->freshAsOf() <= mFencedAt ||
-        !mRegistryTail->caughtUp() || !mConfig) {
+        !mRegistryTail->caughtUp() || !mOperator.config()) {
       return;
     }
     const auto now = mClock.now();
@@ -730,14 +591,14 @@
                                 .mEpochs = mElection.epochs() },
       epoch, now);
     mPaused = false;
-    mOwner->configure(mConfig);
-    mOwner->setClosedZones(mClosedZones);
+    mOwnerConfig.reset();
+    operatorChanged();
     mBook.forEach([&](scheduler::job& aJob) { mOwner->noticed(aJob, now, wallNow()); });
-    for (const auto& [id, entry] : mTargets) {
+    for (const auto& [id, entry] : mRegistry.targets()) {
       mOwner->setTarget(entry, now);
     }
-    mLog.write("owner",
-               fmt::format("epoch={} jobs={} targets={}", epoch, mBook.size(), mTargets.size()));
+    mLog.write("owner", fmt::format("epoch={} jobs={} targets={}", epoch, mBook.size(),
+                                    mRegistry.targets().size()));
   }
 
   void giveUp(std::string_view aReason)
@@ -840,6 +701,7 @@
       std::erase_if(mHelpers,
                     [aNow](const auto& aOne) { return aOne.second + kHelloRetention < aNow; });
       std::vector<std::string> names;
+      names.reserve(mHelpers.size());
       for (const auto& [name, seen] : mHelpers) {
         names.push_back(name);
       }
@@ -915,7 +777,7 @@
     }
   }
 
-  void handleFront(front_request& aRequest)
+  void handleFront(const front_request& aRequest)
   {
     mDesk.handle(
       aRequest.mCall, std::move(aRequest.mBody),
@@ -945,10 +807,10 @@
         mJournalTail->tick(now);
       }
       mRegistryTail->tick(now);
-      if (mCapacityChanged) {
-        updateCapacity();
+      if (std::exchange(mCapacityChanged, false)) {
+        mDesk.setCapacity(mRegistry.capacity());
       }
-      mDesk.setView({ .mConfig = mConfig,
+      mDesk.setView({ .mConfig = mOperator.config(),
                       .mConfigAsOf = mOperatorTail->freshAsOf(),
                       .mJournalAsOf = mJournalTail->freshAsOf(),
                       .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
@@ -980,8 +842,8 @@
         mNextForget = now + kForgetInterval;
         mBook.forgetEnded(now - mSettings.mStatusRetention - kForgetInterval);
       }
-      mReady =
-        !mStopping && mConfig && mJournalTail->caughtUp() && now - mLastContact < kReadyContact;
+      mReady = !mStopping && mOperator.config() && mJournalTail->caughtUp() &&
+               now - mLastContact < kReadyContact;
       if (mDump.exchange(false)) {
         mLog.write("state", state());
       }
@@ -1050,9 +912,6 @@
     add("jobs_cancelled_total", counters.mCancelled);
     add("jobs_known", mBook.size());
     add("store_calls_total", mStore.calls());
-    add("looks_total", mLooks);
-    add("starts_total", mStarts);
-    add("advice_calls_total", mAdviceCalls);
     add("log_lines_dropped_total", mLog.dropped());
     add("ready", mReady ? 1 : 0);
     add("owner", mOwner ? 1 : 0);
@@ -1067,22 +926,22 @@
     }
     text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
     text += mAppendTimes.render("endiveusher_append_seconds", "Appends of the owner.");
-    text += mStartTimes.render("endiveusher_start_seconds", "Orders to start a task.");
-    text += mAdviceTimes.render("endiveusher_advice_seconds", "Calls for advice.");
+    text += mCalls.metrics();
     return text;
   }
 
   std::string state() const
   {
     const auto now = mClock.now();
-    return fmt::format(
-      "node={} role={} epoch={} config={} config_age_ms={} journal_next={} "
-      "journal_age_ms={} jobs={} targets={} closed_zones={} owner={}\n{}",
-      mSettings.mNode, mOwner ? "owner" : "follower", mEpoch, mConfig ? mConfig->mVersion : 0,
-      (now - mOperatorTail->freshAsOf()) / std::chrono::milliseconds(1), mJournalTail->next(),
-      (now - mJournalTail->freshAsOf()) / std::chrono::milliseconds(1), mBook.size(),
-      mTargets.size(), mClosedZones.size(), mElection.ownerNode(),
-      mOwner ? mOwner->dump() : std::string());
+    return fmt::format("node={} role={} epoch={} config={} config_age_ms={} journal_next={} "
+                       "journal_age_ms={} jobs={} targets={} closed_zones={} owner={}\n{}",
+                       mSettings.mNode, mOwner ? "owner" : "follower", mEpoch,
+                       mOperator.config() ? mOperator.config()->mVersion : 0,
+                       (now - mOperatorTail->freshAsOf()) / std::chrono::milliseconds(1),
+                       mJournalTail->next(),
+                       (now - mJournalTail->freshAsOf()) / std::chrono::milliseconds(1),
+                       mBook.size(), mRegistry.targets().size(), mOperator.closedZones().size(),
+                       mElection.ownerNode(), mOwner ? mOwner->dump() : std::string());
   }
 
   platform::node_settings mSettings;
@@ -1105,10 +964,11 @@
   std::unique_ptr<log_tail> mOwnerTail;
   std::unique_ptr<log_tail> mJournalTail;
 
-  std::shared_ptr<const scheduler::cell_config> mConfig;
-  std::set<std::string> mClosedZones;
-  std::map<std::string, scheduler::target_entry, std::less<>> mTargets;
-  std::set<std::string> mBadEntries;
+  operator_view mOperator{ mLog };
+  registry_view mRegistry;
+  owner_calls mCalls{ mLoop, mLog };
+  /// The configuration that the owner has.
+  std::shared_ptr<const scheduler::cell_config> mOwnerConfig;
   bool mCapacityChanged = false;
 
   /// Of the own ownership; 0 if there is none.
@@ -1144,13 +1004,8 @@
   time_point mNextForget{};
   std::optional<time_point> mStopSince;
 
-  std::uint64_t mLooks = 0;
-  std::uint64_t mStarts = 0;
-  std::uint64_t mAdviceCalls = 0;
   daemon::quantile_summary mCallTimes;
   daemon::quantile_summary mAppendTimes;
-  daemon::quantile_summary mStartTimes;
-  daemon::quantile_summary mAdviceTimes;
 
   std::mutex mReloadMutex;
   std::optional<platform::node_settings> mReloaded;
--- a/node/src/front_desk.cpp
+++ b/node/src/front_desk.cpp
@@ -53,7 +53,7 @@
   aReply(std::move(answer));
 }
 
-void front_desk::handle(const platform::front_call& aCall, std::string aBody, reply aReply)
+void front_desk::handle(const platform::front_call& aCall, std::string_view aBody, reply aReply)
 {
   using verb = platform::front_call::verb;
   const auto now = mClock.now();
@@ -148,7 +148,7 @@
 }
 
 void front_desk::store(const platform::front_call& aCall, caller_record aKey,
-                       scheduler::journal_record aRecord, reply aReply)
+                       const scheduler::journal_record& aRecord, reply aReply)
 {
   const auto now = mClock.now();
   if (mIntake.closed(now, mView.mStoreLost, mOptions.mMaxWriteAge)) {
--- a/node/src/front_desk.h
+++ b/node/src/front_desk.h
@@ -101,7 +101,7 @@
     mEndStored = std::move(aEndStored);
   }
 
-  void handle(const platform::front_call& aCall, std::string aBody, reply aReply);
+  void handle(const platform::front_call& aCall, std::string_view aBody, reply aReply);
   /// Answers callers whose time is over.
   void tick(time_point aNow);
   const front_counters& counters() const { return mCounters; }
@@ -127,7 +127,7 @@
   void cancel(const platform::front_call& aCall, scheduler::job_id aId, const std::string& aTeam,
               reply aReply);
   void store(const platform::front_call& aCall, caller_record aKey,
-             scheduler::journal_record aRecord, reply aReply);
+             const scheduler::journal_record& aRecord, reply aReply);
   void written(caller_record aKey, const scheduler::journal_record& aRecord,
                write_outcome aOutcome);
   void reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
--- /dev/null
+++ b/node/src/owner_calls.cpp
@@ -0,0 +1,89 @@
+#include "owner_calls.h"
+
+#include "peer_api.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace endiveusher::node {
+
+void owner_calls::look(const scheduler::look_order& aOrder, report_callback aDone)
+{
+  ++mLooks;
+  auto call = platform::encodeLook(aOrder);
+  call.mDone = [this, target = aOrder.mTarget,
+                done = std::move(aDone)](edges::loop_reply&& aReply) {
+    auto outcome = platform::decodeOutcome(aReply);
+    scheduler::target_report report;
+    if (outcome == scheduler::order_outcome::accepted) {
+      auto decoded = platform::decodeReport(aReply.mBody);
+      if (decoded.ok()) {
+        report = *std::move(decoded);
+      } else {
+        mLog.write("bad_report", fmt::format("target={} error=\"{}\"", target,
+                                             std::string(decoded.status().message())));
+        outcome = scheduler::order_outcome::invalid;
+      }
+    }
+    done(outcome, report);
+  };
+  mLoop.send(std::move(call));
+}
+
+void owner_calls::start(const scheduler::start_order& aOrder, outcome_callback aDone)
+{
+  ++mStarts;
+  auto call = platform::encodeStart(aOrder);
+  call.mDone = [this, done = std::move(aDone)](edges::loop_reply&& aReply) {
+    mStartTimes.record(aReply.mElapsed);
+    done(platform::decodeOutcome(aReply));
+  };
+  mLoop.send(std::move(call));
+}
+
+void owner_calls::stop(const scheduler::stop_order& aOrder, outcome_callback aDone)
+{
+  auto call = platform::encodeStop(aOrder);
+  call.mDone = [done = std::move(aDone)](edges::loop_reply&& aReply) {
+    done(platform::decodeOutcome(aReply));
+  };
+  mLoop.send(std::move(call));
+}
+
+void owner_calls::advise(const scheduler::advice_request& aRequest, const std::string& aService,
+                         advice_callback aDone)
+{
+  ++mAdviceCalls;
+  auto call = aRequest.mHelper.empty() ? platform::encodeAdvice(aService, aRequest)
+                                       : encodePeerAdvice(aRequest);
+  call.mDone = [this, number = aRequest.mCall, step = aRequest.mStep, helper = aRequest.mHelper,
+                done = std::move(aDone)](edges::loop_reply&& aReply) {
+    mAdviceTimes.record(aReply.mElapsed);
+    scheduler::advice_answer answer{ .mCall = number };
+    if (aReply.ok()) {
+      auto good = platform::decodeAdvice(aReply.mBody);
+      answer.mOk = good.ok();
+      answer.mGood = good.ok() ? *std::move(good) : std::vector<scheduler::advice_ticket>{};
+    }
+    if (!answer.mOk) {
+      mLog.write("advice_unanswered",
+                 fmt::format("step={} helper={} status={} error=\"{}\" after_ms={}", toText(step),
+                             helper, aReply.mStatus.value_or(0), aReply.mError,
+                             aReply.mElapsed / std::chrono::milliseconds(1)));
+    }
+    done(answer);
+  };
+  mLoop.send(std::move(call));
+}
+
+std::string owner_calls::metrics() const
+{
+  return fmt::format("endiveusher_looks_total {}\nendiveusher_starts_total {}\n"
+                     "endiveusher_advice_calls_total {}\n",
+                     mLooks, mStarts, mAdviceCalls) +
+         mStartTimes.render("endiveusher_start_seconds", "Orders to start a task.") +
+         mAdviceTimes.render("endiveusher_advice_seconds", "Calls for advice.");
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/registry_view.cpp
@@ -0,0 +1,90 @@
+#include "registry_view.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveusher::node {
+
+registry_view::registry_view(event_log& aLog, callbacks aCallbacks)
+  : mLog(aLog), mCallbacks(std::move(aCallbacks))
+{
+}
+
+void registry_view::read(const std::vector<std::string>& aRecords)
+{
+  for (const auto& bytes : aRecords) {
+    if (const auto record = platform::decodeKeyed(bytes)) {
+      readRecord(*record);
+    }
+  }
+}
+
+void registry_view::replace(const std::vector<platform::keyed_record>& aRecords)
+{
+  std::set<std::string> listed;
+  for (const auto& record : aRecords) {
+    listed.insert(record.mKey);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : mTargets) {
+    if (!listed.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    unlist(id);
+  }
+  for (const auto& record : aRecords) {
+    readRecord(record);
+  }
+}
+
+void registry_view::readRecord(const platform::keyed_record& aRecord)
+{
+  if (!aRecord.mValue) {
+    unlist(aRecord.mKey);
+    return;
+  }
+  auto entry = platform::decodeTargetEntry(aRecord.mKey, *aRecord.mValue);
+  if (!entry.ok()) {
+    if (mUnusable.insert(aRecord.mKey).second) {
+      mLog.write("bad_entry", fmt::format("target={} error=\"{}\"", aRecord.mKey,
+                                          std::string(entry.status().message())));
+    }
+    unlist(aRecord.mKey);
+    return;
+  }
+  const auto known = mTargets.find(aRecord.mKey);
+  if (known == mTargets.end() || known->second.mDraining != entry->mDraining) {
+    mLog.write("target_listed",
+               fmt::format("target={} zone={} pool={} draining={} cpu={} mem={} born={}",
+                           entry->mId, entry->mZone, entry->mPool, entry->mDraining,
+                           entry->mCapacity.mCpuMilli, entry->mCapacity.mMemoryMb, entry->mBorn));
+  }
+  mCallbacks.mListed(*entry);
+  mTargets[aRecord.mKey] = *std::move(entry);
+}
+
+void registry_view::unlist(const std::string& aId)
+{
+  if (mTargets.erase(aId) > 0) {
+    mLog.write("target_unlisted", fmt::format("target={}", aId));
+    mCallbacks.mUnlisted(aId);
+  }
+}
+
+cell_capacity registry_view::capacity() const
+{
+  cell_capacity capacity;
+  for (const auto& [id, entry] : mTargets) {
+    auto& pool = capacity.mPools[entry.mPool];
+    if (std::ranges::find(pool, entry.mCapacity) == pool.end()) {
+      pool.push_back(entry.mCapacity);
+    }
+  }
+  return capacity;
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/registry_view.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "admission.h"
+#include "endiveusher/platform/messages.h"
+#include "endiveusher/platform/store.h"
+#include "endiveusher/scheduler/target.h"
+#include "event_log.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace endiveusher::node {
+
+/// The targets that the registry lists. Entries that cannot be used are set aside.
+class registry_view
+{
+public:
+  struct callbacks
+  {
+    std::function<void(const scheduler::target_entry& aEntry)> mListed;
+    std::function<void(const std::string& aId)> mUnlisted;
+  };
+
+  registry_view(event_log& aLog, callbacks aCallbacks);
+
+  void read(const std::vector<std::string>& aRecords);
+  /// The newest record of each key replaces what was known.
+  void replace(const std::vector<platform::keyed_record>& aRecords);
+
+  const std::map<std::string, scheduler::target_entry, std::less<>>& targets() const
+  {
+    return mTargets;
+  }
+  cell_capacity capacity() const;
+
+private:
+  void readRecord(const platform::keyed_record& aRecord);
+  void unlist(const std::string& aId);
+
+  event_log& mLog;
+  const callbacks mCallbacks;
+  std::map<std::string, scheduler::target_entry, std::less<>> mTargets;
+  /// Each is logged once.
+  std::set<std::string> mUnusable;
+};
+
+} // namespace endiveusher::node
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <ranges>
+#include <utility>
 
 namespace endiveusher::scheduler {
 
@@ -86,7 +86,7 @@
 
 owner::impl::impl(job_book& aBook, owner_port& aPort, owner_options aOptions, std::uint64_t aEpoch,
                   time_point aNow)
-  : mBook(aBook), mPort(aPort), mOptions(aOptions), mEpoch(aEpoch), mTakenOver(aNow)
+  : mBook(aBook), mPort(aPort), mOptions(std::move(aOptions)), mEpoch(aEpoch), mTakenOver(aNow)
 {
 }
 
@@ -476,7 +476,7 @@
 
 owner::owner(job_book& aBook, owner_port& aPort, owner_options aOptions, std::uint64_t aEpoch,
              time_point aNow)
-  : mImpl(std::make_unique<impl>(aBook, aPort, aOptions, aEpoch, aNow))
+  : mImpl(std::make_unique<impl>(aBook, aPort, std::move(aOptions), aEpoch, aNow))
 {
 }
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -340,6 +340,7 @@
 void owner::impl::loseRuns(target_state& aTarget, std::string_view aReason, time_point aNow)
 {
   std::vector<task_key> tasks;
+  tasks.reserve(aTarget.mRuns.size());
   for (const auto& [task, run] : aTarget.mRuns) {
     tasks.push_back(task);
   }
