--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -370,8 +370,15 @@
 
   void makeTails()
   {
-    const auto failed = [this](const std::string& aError) { contactFailed(aError); };
-    const auto answered = [this](std::uint64_t /*aEnd*/) { contact(); };
+    mStore.setListener([this](bool aAnswered, const std::string& aError) {
+      if (aAnswered) {
+        contact();
+      } else {
+        contactFailed(aError);
+      }
+    });
+    const auto failed = [](const std::string& /*aError*/) {};
+    const auto answered = [](std::uint64_t /*aEnd*/) {};
     mOperatorTail = std::make_unique<log_tail>(
       mStore, mClock,
       log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
@@ -410,16 +417,8 @@
                            std::uint64_t aOffset) { readOwners(aRecords, aOffset); },
         .mNewest = [](auto&&) {},
         .mGap = [](std::uint64_t) {},
-        .mAnswered =
-          [this](std::uint64_t aEnd) {
-            contact();
-            mElection.sawEnd(aEnd, mClock.now());
-          },
-        .mFailed =
-          [this](const std::string& aError) {
-            contactFailed(aError);
-            mElection.lostStore();
-          } });
+        .mAnswered = [this](std::uint64_t aEnd) { mElection.sawEnd(aEnd, mClock.now()); },
+        .mFailed = [this](const std::string& /*aError*/) { mElection.lostStore(); } });
     mJournalTail = std::make_unique<log_tail>(
       mStore, mClock, log_tail_options{ .mTopic = kJournalTopic, .mInterval = kJournalInterval },
       log_tail::callbacks{
@@ -451,7 +450,6 @@
   {
     if (!mStoreLost && mClock.now() - mLastContact > kLostContact) {
       mStoreLost = true;
-      mStoreLostAt = mClock.now();
       mLog.write("store_lost", fmt::format("address={} error=\"{}\"", mStore.address(), aError));
     }
   }
@@ -750,8 +748,7 @@
       const auto now = mClock.now();
       mHelpers[aRequest.mBody] = now;
       aRequest.mResponder.answer(
-        { .mBody =
-            std::to_string(mStoreLost ? (now - mStoreLostAt) / std::chrono::milliseconds(1) : 0) });
+        { .mBody = std::to_string((now - mLastContact) / std::chrono::milliseconds(1)) });
     } else if (aRequest.mPath == kPeerStorePath) {
       handleStore(aRequest);
     } else if (aRequest.mPath == kPeerStatusPath) {
@@ -1000,7 +997,6 @@
 
   time_point mLastContact{};
   bool mStoreLost = false;
-  time_point mStoreLostAt{};
   time_point mNextForget{};
   std::optional<time_point> mStopSince;
 
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -44,7 +44,7 @@
   /// renewals and a slow answer of the store.
   std::chrono::milliseconds mSilence{ 1800 };
   /// The same if calls to the owner have no answer either.
-  std::chrono::milliseconds mDoubtedSilence{ 900 };
+  std::chrono::milliseconds mDoubtedSilence{ 700 };
   /// How much later this daemon claims than others would, so that one claim is enough.
   std::chrono::milliseconds mStagger{ 0 };
   /// Without an accepted renewal for this long an owner stops renewing leases.
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -21,8 +21,8 @@
 inline constexpr std::string_view kMetricsPath = "/metrics";
 inline constexpr std::string_view kStatePath = "/state";
 
-/// A daemon tells the owner that it can make calls for advice; the answer is for how long
-/// the store has not answered the owner, milliseconds.
+/// A daemon tells the owner that it can make calls for advice; the answer is how long ago
+/// the store has last answered the owner, milliseconds.
 inline edges::loop_call encodeHello(const std::string& aOwner, const std::string& aOwnAddress)
 {
   return { .mMethod = "POST",
