Keep a team's limit for its waiting gangs while they can be on time

Ruled out: room and advice; targets had room all the time. Change: later steps of a team leave an on-time gang its part of the limit. Test: owner_runs.keepsTheTeamsLimitForAWaitingGang.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -125,6 +125,7 @@
   bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate& aWhere) const;
   std::uint32_t teamSlots(const waiting_step& aStep) const;
+  void holdBackLimit(const waiting_step& aStep, time_point aNow);
   void placeTasks(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   void placeGang(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   void explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms, time_point aNow);
@@ -164,6 +165,8 @@
   std::uint64_t mLastAdviceCall = 0;
   time_point mNextPlan{};
   time_point mLastFlush{};
+  /// What waiting gangs keep free of their teams' limits in the present pass.
+  std::map<std::string, resources> mTeamHeldBack;
   /// Room that waiting gangs keep free in the present pass.
   std::int64_t mHeldBackCpu = 0;
 };
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -97,7 +97,10 @@
   }
   resources left = team->mUpperLimit;
   const auto used = mTeamUsed.find(team->mName);
-  const resources taken = used == mTeamUsed.end() ? resources{} : used->second;
+  resources taken = used == mTeamUsed.end() ? resources{} : used->second;
+  if (const auto held = mTeamHeldBack.find(team->mName); held != mTeamHeldBack.end()) {
+    taken += held->second;
+  }
   const auto slots = [](std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
     return aLimit <= 0 ? std::numeric_limits<std::int32_t>::max() : timesIn(aNeed, aLimit - aUsed);
   };
@@ -130,6 +133,7 @@
   }
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mHeldBackCpu = 0;
+  mTeamHeldBack.clear();
   for (auto& [rank, step] : order) {
     if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
       continue;
@@ -225,6 +229,7 @@
 {
   const auto count = static_cast<std::uint32_t>(aStep.mPending.size());
   if (teamSlots(aStep) < count) {
+    holdBackLimit(aStep, aNow);
     return;
   }
   const auto tryOn = [&](std::string_view aRack) {
@@ -274,9 +279,22 @@
   if (aStep.mRoute.mAdvice) {
     askForAdvice(aStep, aRooms, aNow);
   }
+  holdBackLimit(aStep, aNow);
   holdBack(aStep, aRooms, aNow);
 }
 
+/// Load pattern: a team runs near its limit, and its small tasks take every piece that becomes free
+/// before there is enough for one of its gangs. Later steps of the team leave the gang its part
+/// while it can be on time.
+void owner::impl::holdBackLimit(const waiting_step& aStep, time_point aNow)
+{
+  if (internal::rankOf(aStep, aNow).mBand > internal::kLastOnTimeBand) {
+    return;
+  }
+  mTeamHeldBack[aStep.mJob->mSpec.mTeam] +=
+    times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
+}
+
 /// Load pattern: small tasks fill every gap that wide gangs wait for. A waiting gang keeps the room
 /// that it will need from the steps behind it, on those good targets that have most room already;
 /// all gangs together keep no more than a part of the pool.
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -77,6 +77,9 @@
   }
 };
 
+/// Steps of later bands are late already.
+inline constexpr int kLastOnTimeBand = 1;
+
 /// Order in which steps get room; smaller comes first.
 struct step_rank
 {
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -71,6 +71,30 @@
   CHECK_EQUAL(2 + 3, cell.running());
 }
 
+// Guards against a gang that starves beside the small tasks of its own team, which take every piece
+// of the limit that becomes free.
+TEST(owner_runs, keepsTheTeamsLimitForAWaitingGang)
+{
+  cell.addTarget("t1", 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 8000 };
+  cell.takeOver();
+  std::vector<job_id> small;
+  for (int job = 0; job < 4; ++job) {
+    small.push_back(cell.submit(tasks(1)));
+  }
+  cell.run(milliseconds(300));
+  auto gang = tasks(4);
+  gang.mGang = true;
+  const auto wide = cell.submit(gang);
+  cell.run(milliseconds(300));
+  for (const auto id : small) {
+    cell.submit(tasks(1));
+    cell.endTask(id, listed_end::done);
+    cell.run(milliseconds(300));
+  }
+  CHECK_EQUAL("t1", cell.whereIs(wide));
+}
+
 TEST(owner_runs, waitsForEarlierSteps)
 {
   cell.addTarget("t1");
