--- /dev/null
+++ b/node/src/cell_node_callers.cpp
@@ -0,0 +1,175 @@
+#include "cell_node_impl.h"
+
+namespace endiveusher::node {
+
+using namespace internal;
+
+namespace {
+
+/// A daemon that has not said hello for this long gets no calls for advice.
+constexpr std::chrono::milliseconds kHelloRetention{ 1000 };
+/// How long a caller waits for the owner's view of a job before it gets this daemon's.
+constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
+
+} // namespace
+
+bool cell_node::impl::askOwner(scheduler::job_id aId, const std::string& aTeam,
+                               std::function<void(std::optional<std::string>)> aDone)
+{
+  if (mOwner || !mLink.reachable(mClock.now())) {
+    return false;
+  }
+  mLink.call(kPeerStatusPath, toText(aId) + aTeam, kStatusTimeout,
+             [done = std::move(aDone)](edges::loop_reply&& aReply) {
+               done(aReply.ok() ? std::optional(std::move(aReply.mBody)) : std::nullopt);
+             });
+  return true;
+}
+
+void cell_node::impl::tickPeers(time_point aNow)
+{
+  if (mOwner) {
+    std::erase_if(mHelpers,
+                  [aNow](const auto& aOne) { return aOne.second + kHelloRetention < aNow; });
+    std::vector<std::string> names;
+    names.reserve(mHelpers.size());
+    for (const auto& [name, seen] : mHelpers) {
+      names.push_back(name);
+    }
+    mOwner->setHelpers(names);
+    return;
+  }
+  mLink.tick(aNow);
+}
+
+void cell_node::impl::handleStore(const peer_request& aRequest)
+{
+  auto record = scheduler::decodeRecord(aRequest.mBody);
+  const auto answer = [responder = aRequest.mResponder](write_outcome aOutcome) {
+    // 504: may be stored, 503: surely is not.
+    std::uint16_t status = 504;
+    if (aOutcome == write_outcome::stored) {
+      status = 200;
+    } else if (aOutcome == write_outcome::refused) {
+      status = 503;
+    }
+    responder.answer({ .mStatus = status });
+  };
+  if (!record.ok() || !acceptLocally(*record, answer)) {
+    answer(write_outcome::refused);
+  }
+}
+
+void cell_node::impl::handleStatus(const peer_request& aRequest)
+{
+  // The id has a fixed length; the team follows, empty for callers of public routes.
+  const std::string_view body = aRequest.mBody;
+  const auto id = scheduler::parseJobId(body.substr(0, scheduler::kJobIdDigits));
+  const auto* found = id && mOwner ? mBook.find(*id) : nullptr;
+  const auto team = body.substr(std::min(body.size(), scheduler::kJobIdDigits));
+  if (found == nullptr || (!team.empty() && team != found->mSpec.mTeam)) {
+    aRequest.mResponder.answer({ .mStatus = 404 });
+    return;
+  }
+  aRequest.mResponder.answer(
+    { .mBody = platform::encodeJobState(*found, !mUnstoredEnds.contains(*id)) });
+}
+
+void cell_node::impl::handlePeer(peer_request& aRequest)
+{
+  if (aRequest.mPath == kPeerHelloPath) {
+    const auto now = mClock.now();
+    mHelpers[aRequest.mBody] = now;
+    aRequest.mResponder.answer(
+      { .mBody = std::to_string((now - mLastContact) / std::chrono::milliseconds(1)) });
+  } else if (aRequest.mPath == kPeerStorePath) {
+    handleStore(aRequest);
+  } else if (aRequest.mPath == kPeerStatusPath) {
+    handleStatus(aRequest);
+  } else if (aRequest.mPath == kPeerAdvicePath) {
+    const auto request = decodePeerAdvice(aRequest.mBody);
+    if (!request.ok()) {
+      aRequest.mResponder.answer({ .mStatus = 400 });
+      return;
+    }
+    auto call = platform::encodeAdvice(mSettings.mAdviceAddress, *request);
+    call.mDone = [responder = aRequest.mResponder](edges::loop_reply&& aReply) {
+      responder.answer({ .mStatus = static_cast<std::uint16_t>(aReply.mStatus.value_or(504)),
+                         .mBody = std::move(aReply.mBody) });
+    };
+    mLoop.send(std::move(call));
+  } else if (aRequest.mPath == kMetricsPath) {
+    aRequest.mResponder.answer({ .mBody = metrics(), .mContentType = "text/plain" });
+  } else if (aRequest.mPath == kStatePath) {
+    aRequest.mResponder.answer({ .mBody = state(), .mContentType = "text/plain" });
+  } else {
+    aRequest.mResponder.answer({ .mStatus = 404 });
+  }
+}
+
+void cell_node::impl::handleFront(const front_request& aRequest)
+{
+  mDesk.handle(
+    aRequest.mCall, std::move(aRequest.mBody),
+    [this, responder = aRequest.mResponder, since = mClock.now()](front_answer&& aAnswer) {
+      mCallTimes.record(mClock.now() - since);
+      edges::http_answer answer{
+        .mStatus = static_cast<std::uint16_t>(aAnswer.mStatus),
+        .mBody = std::move(aAnswer.mBody),
+        .mClose = mStopping,
+      };
+      if (aAnswer.mRetryAfter) {
+        answer.mHeaders.emplace_back("Retry-After", std::to_string(aAnswer.mRetryAfter->count()));
+      }
+      responder.answer(std::move(answer));
+    });
+}
+
+std::string cell_node::impl::metrics() const
+{
+  const auto& counters = mDesk.counters();
+  std::string text;
+  const auto add = [&text](std::string_view aName, auto aValue) {
+    text += fmt::format("endiveusher_{} {}\n", aName, aValue);
+  };
+  add("jobs_submitted_total", counters.mSubmitted);
+  add("jobs_accepted_total", counters.mAccepted);
+  add("calls_rejected_total", counters.mRejected);
+  add("outcomes_unknown_total", counters.mUnknown);
+  add("status_calls_total", counters.mStatus);
+  add("jobs_cancelled_total", counters.mCancelled);
+  add("jobs_known", mBook.size());
+  add("store_calls_total", mStore.calls());
+  add("log_lines_dropped_total", mLog.dropped());
+  add("ready", mReady ? 1 : 0);
+  add("owner", mOwner ? 1 : 0);
+  if (mOwner) {
+    const auto counts = mOwner->counts();
+    add("targets", counts.mTargets);
+    add("targets_usable", counts.mUsableTargets);
+    add("runs_open", counts.mOpenRuns);
+    add("steps_waiting", counts.mWaitingSteps);
+    add("advice_calls_open", counts.mAdviceCalls);
+    add("advice_helpers", mHelpers.size());
+  }
+  text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
+  text += mAppendTimes.render("endiveusher_append_seconds", "Appends of the owner.");
+  text += mCalls.metrics();
+  return text;
+}
+
+std::string cell_node::impl::state() const
+{
+  const auto now = mClock.now();
+  return fmt::format("node={} role={} epoch={} config={} config_age_ms={} journal_next={} "
+                     "journal_age_ms={} jobs={} targets={} closed_zones={} owner={}\n{}",
+                     mSettings.mNode, mOwner ? "owner" : "follower", mEpoch,
+                     mOperator.config() ? mOperator.config()->mVersion : 0,
+                     (now - mOperatorTail->freshAsOf()) / std::chrono::milliseconds(1),
+                     mJournalTail->next(),
+                     (now - mJournalTail->freshAsOf()) / std::chrono::milliseconds(1), mBook.size(),
+                     mRegistry.targets().size(), mOperator.closedZones().size(),
+                     mElection.ownerNode(), mOwner ? mOwner->dump() : std::string());
+}
+
+} // namespace endiveusher::node
