--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -24,7 +24,7 @@
 {
   std::string lines;
   for (const auto& [name, value] : aAnswer.mHeaders) {
-    lines += "\r\n" + name + ": " + value;
+    lines.append("\r\n").append(name).append(": ").append(value);
   }
   return lines;
 }
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -110,7 +110,7 @@
 void cell_node::impl::handleFront(const front_request& aRequest)
 {
   mDesk.handle(
-    aRequest.mCall, std::move(aRequest.mBody),
+    aRequest.mCall, aRequest.mBody,
     [this, responder = aRequest.mResponder, since = mClock.now()](front_answer&& aAnswer) {
       mCallTimes.record(mClock.now() - since);
       edges::http_answer answer{
