Fold what the scheduler wrote twice, and drop what nothing uses

Change: step_spec::roomNeeds, admitted, answered, doubled (kernel/back_off.h, also behind the kernel's backOff); two unnamed times are constants.

--- /dev/null
+++ b/kernel/include/endiveusher/kernel/back_off.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "endiveusher/kernel/time.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace endiveusher {
+
+/// aBase doubled aDoublings times, at most aLargest.
+constexpr duration doubled(duration aBase, std::uint32_t aDoublings, duration aLargest)
+{
+  constexpr std::uint32_t kMaxDoublings = 20; // More would overflow.
+  return std::min(aLargest, aBase * (std::int64_t{ 1 } << std::min(aDoublings, kMaxDoublings)));
+}
+
+} // namespace endiveusher
--- a/kernel/src/retry_policy.cpp
+++ b/kernel/src/retry_policy.cpp
@@ -1,5 +1,7 @@
 #include "retry_policy.h"
 
+#include "endiveusher/kernel/back_off.h"
+
 #include <algorithm>
 
 namespace endiveusher::internal {
@@ -7,9 +9,7 @@
 duration backOff(std::uint32_t aFailures, duration aBase, duration aLargest,
                  std::mt19937_64& aRandom)
 {
-  constexpr std::uint32_t kMaxDoublings = 20;
-  const auto doublings = std::min(aFailures == 0 ? 0 : aFailures - 1, kMaxDoublings);
-  const auto whole = std::min(aLargest, aBase * (std::int64_t{ 1 } << doublings));
+  const auto whole = doubled(aBase, aFailures == 0 ? 0 : aFailures - 1, aLargest);
   std::uniform_int_distribution<duration::rep> jitter(0, whole.count() / 2);
   return whole / 2 + duration(jitter(aRandom));
 }
--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -53,6 +53,14 @@
   std::uint32_t mMaxPerTarget = 0;
   /// Most tasks that may be away by the scheduler's own doing; 0 if not stated.
   std::uint32_t mMaxUnavailable = 0;
+
+  /// What one task takes of a target's capacity.
+  resources roomNeeds() const
+  {
+    resources needs = mNeeds;
+    needs.mCpuMilli = mFills ? 0 : needs.mCpuMilli;
+    return needs;
+  }
 };
 
 struct job_spec
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -25,8 +25,6 @@
 constexpr std::size_t kStoresOpen = 2;
 /// A pass at least this often, for what only time changes.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
-/// A step that waits is explained this often.
-constexpr auto kExplainInterval = std::chrono::milliseconds(3000);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 /// An occurrence is opened this much before it is due, so that advice can be asked for; none of its
 /// tasks starts earlier.
@@ -108,12 +106,6 @@
   return found == mRoutes.end() ? route_config{ .mName = aName } : found->second;
 }
 
-const job_spec* owner::impl::specOf(const task_key& aTask) const
-{
-  const job* found = std::as_const(mBook).find(aTask.mStep.mJob);
-  return found == nullptr ? nullptr : &found->mSpec;
-}
-
 void owner::impl::noticed(job& aJob, time_point aNow, wall_time aWall)
 {
   adoptRuns(aJob);
@@ -156,14 +148,12 @@
         auto& target = mTargets[task.mOpen->mTarget];
         target.mEntry.mId = task.mOpen->mTarget;
         target.mEntry.mBorn = std::max(target.mEntry.mBorn, task.mOpen->mBorn);
-        const auto& spec = aJob.mSpec.mSteps[step];
-        held_run run{ .mRun = task.mRun,
-                      .mNeeds = spec.mNeeds,
-                      .mTeam = aJob.mSpec.mTeam,
-                      .mPhase = internal::run_phase::confirmed,
-                      .mSettledAt = mTakenOver };
-        run.mNeeds.mCpuMilli = spec.mFills ? 0 : run.mNeeds.mCpuMilli;
-        hold(target, key, std::move(run));
+        hold(target, key,
+             { .mRun = task.mRun,
+               .mNeeds = aJob.mSpec.mSteps[step].roomNeeds(),
+               .mTeam = aJob.mSpec.mTeam,
+               .mPhase = internal::run_phase::confirmed,
+               .mSettledAt = mTakenOver });
       }
     }
   }
@@ -182,8 +172,7 @@
     step.mKey = aKey;
     step.mJob = &aJob;
     step.mRoute = routeOf(aJob.mSpec.mRoute);
-    step.mNeeds = step.spec().mNeeds;
-    step.mNeeds.mCpuMilli = step.spec().mFills ? 0 : step.mNeeds.mCpuMilli;
+    step.mNeeds = step.spec().roomNeeds();
     const auto chains = chainsFrom(aJob.mSpec, step.mRoute);
     const auto longest = *std::ranges::max_element(chains);
     auto since = mSubmittedAt[aKey.mJob];
@@ -204,7 +193,7 @@
   }
   if (step.mPending.empty()) {
     step.mSince = aNow;
-    step.mNextExplanation = aNow + kExplainInterval;
+    step.mNextExplanation = aNow + internal::kExplainInterval;
   }
   step.mPending.clear();
   for (std::uint32_t index = 0; index < state->mTasks.size(); ++index) {
@@ -215,11 +204,6 @@
   mChanged = true;
 }
 
-void owner::impl::enqueueTask(job& aJob, const task_key& aTask, time_point aNow)
-{
-  enqueueStep(aJob, aTask.mStep, aNow);
-}
-
 void owner::impl::dropSteps(job_id aJob)
 {
   const auto first = mWaiting.lower_bound(step_key{ .mJob = aJob });
@@ -313,7 +297,7 @@
       }
     }
   } else if (aHow != run_end::done) {
-    enqueueTask(aJob, aTask, aNow);
+    enqueueStep(aJob, aTask.mStep, aNow);
   }
 }
 
@@ -324,13 +308,13 @@
   mRecords.push_back(std::move(aRecord));
 }
 
-void owner::impl::flush()
+void owner::impl::flush(time_point aNow)
 {
   if (mRecords.empty()) {
     if (!mNextBatch.mEnds.empty() && mBatches.empty()) {
       mBatches.push_back(std::move(mNextBatch));
       mNextBatch = {};
-      stored(mTakenOver);
+      stored(aNow);
     }
     return;
   }
@@ -421,7 +405,7 @@
   const bool urgent = !mNextBatch.mStarts.empty() || !mNextBatch.mTokens.empty();
   const auto interval = urgent ? kStoreInterval : kEndStoreInterval;
   if (mBatches.size() < kStoresOpen && mLastFlush + interval <= aNow) {
-    flush();
+    flush(aNow);
     mLastFlush = aNow;
   }
   const bool busy = mChanged || !mRecords.empty();
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -84,13 +84,11 @@
   void adoptRuns(const job& aJob);
   void openDueOccurrences(time_point aNow, wall_time aWall);
   void enqueueStep(job& aJob, const step_key& aKey, time_point aNow);
-  void enqueueTask(job& aJob, const task_key& aTask, time_point aNow);
   void dropSteps(job_id aJob);
   void stopRuns(job& aJob, time_point aNow);
   void stopStep(job& aJob, const step_key& aKey, time_point aNow);
   void afterEnd(job& aJob, const task_key& aTask, run_end aHow, time_point aNow);
   route_config routeOf(const std::string& aName) const;
-  const job_spec* specOf(const task_key& aTask) const;
 
   // Runs.
   void hold(target_state& aTarget, const task_key& aTask, held_run aRun);
@@ -100,7 +98,7 @@
   void endGang(const task_key& aTask, std::uint32_t aRun, time_point aNow);
   void loseRuns(target_state& aTarget, std::string_view aReason, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
-  void flush();
+  void flush(time_point aNow);
 
   // Looks.
   void sendLook(target_state& aTarget, time_point aNow);
@@ -116,13 +114,19 @@
   // Orders.
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, held_run& aRun, time_point aNow);
-  void sendStop(target_state& aTarget, const task_key& aTask, held_run& aRun, time_point aNow);
+  void sendStop(target_state& aTarget, const task_key& aTask, held_run& aRun);
+  /// The run that an answered order concerns, which has no order open any more; nullptr if the
+  /// answer tells nothing of a run that is still held.
+  template<typename Order>
+  held_run* answered(const Order& aOrder, order_outcome aOutcome);
   held_run* findRun(const std::string& aTarget, const task_key& aTask, std::uint32_t aRun);
 
   // Placement.
   void plan(time_point aNow);
   bool usable(const target_state& aTarget, time_point aNow) const;
   bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
+  /// Allowed, and with a ticket that lasts until the start arrives, if one is needed.
+  bool admitted(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate& aWhere) const;
   std::uint32_t teamSlots(const waiting_step& aStep) const;
   void holdBackLimit(const waiting_step& aStep, time_point aNow);
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -44,7 +44,7 @@
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
                (run.mStopWanted && !run.mEnded)) {
-      sendStop(aTarget, task, run, aNow);
+      sendStop(aTarget, task, run);
     }
   }
 }
@@ -55,7 +55,6 @@
   const job* owning = mBook.find(aTask.mStep.mJob);
   const auto& state = owning->find(aTask.mStep)->mTasks[aTask.mIndex];
   aRun.mOrderOpen = true;
-  aRun.mStartedAt = aNow;
   mPort.start({ .mTarget = aTarget.mEntry.mId,
                 .mAddress = aTarget.mEntry.mAddress,
                 .mTask = aTask,
@@ -67,8 +66,7 @@
                 .mTicket = aRun.mTicket });
 }
 
-void owner::impl::sendStop(target_state& aTarget, const task_key& aTask, held_run& aRun,
-                           time_point /*aNow*/)
+void owner::impl::sendStop(target_state& aTarget, const task_key& aTask, held_run& aRun)
 {
   if (aTarget.mEntry.mAddress.empty()) {
     return;
@@ -82,18 +80,27 @@
                .mEpoch = mEpoch });
 }
 
-void owner::impl::startAnswered(const start_order& aOrder, order_outcome aOutcome, time_point aNow)
+template<typename Order>
+owner::impl::held_run* owner::impl::answered(const Order& aOrder, order_outcome aOutcome)
 {
   if (aOutcome == order_outcome::fenced) {
     mFenced = true;
-    return;
+    return nullptr;
   }
   auto* run = findRun(aOrder.mTarget, aOrder.mTask, aOrder.mRun);
+  if (run != nullptr) {
+    run->mOrderOpen = false;
+  }
+  return run;
+}
+
+void owner::impl::startAnswered(const start_order& aOrder, order_outcome aOutcome, time_point aNow)
+{
+  auto* run = answered(aOrder, aOutcome);
   if (run == nullptr) {
     return;
   }
   auto& target = mTargets.find(aOrder.mTarget)->second;
-  run->mOrderOpen = false;
   if (aOutcome == order_outcome::accepted) {
     if (run->mPhase == run_phase::ordered) {
       run->mPhase = run_phase::confirmed;
@@ -145,15 +152,10 @@
 
 void owner::impl::stopAnswered(const stop_order& aOrder, order_outcome aOutcome, time_point aNow)
 {
-  if (aOutcome == order_outcome::fenced) {
-    mFenced = true;
-    return;
-  }
-  auto* run = findRun(aOrder.mTarget, aOrder.mTask, aOrder.mRun);
+  auto* run = answered(aOrder, aOutcome);
   if (run == nullptr) {
     return;
   }
-  run->mOrderOpen = false;
   if (aOutcome == order_outcome::accepted || aOutcome == order_outcome::outdated) {
     run->mPhase = run_phase::confirmed;
     run->mSettledAt = std::min(run->mSettledAt, aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -11,14 +11,16 @@
 
 /// Left of a ticket's time when its start is sent, for the journal and the way to the target.
 constexpr auto kTicketMargin = std::chrono::milliseconds(60);
+/// A ticket that lapses within this is asked for again.
+constexpr auto kTicketRenewal = 4 * kTicketMargin;
 /// The platform's bound for one call.
 constexpr std::size_t kMaxNamedTargets = 100;
 /// A call names at least this many targets, so that some of them are good.
 constexpr std::size_t kMinNamedTargets = 12;
 /// Beyond its own time, for the queue at the service and the way there.
 constexpr auto kAdviceSlack = std::chrono::milliseconds(600);
-/// A step that waits is explained this often.
-constexpr auto kExplainInterval = std::chrono::milliseconds(3000);
+/// An answer with tickets is on its way for no longer than this.
+constexpr auto kMaxAnswerTravel = std::chrono::milliseconds(50);
 /// Pause of a step between two calls for advice.
 constexpr auto kAdvicePause = std::chrono::milliseconds(50);
 /// Room that waiting gangs may keep free from later steps, part of the whole.
@@ -73,6 +75,14 @@
          (!aStep.mRoute.mAdvice || aStep.mAdvice.mayRun(aTarget.mEntry.mId));
 }
 
+bool owner::impl::admitted(const waiting_step& aStep, const target_state& aTarget,
+                           time_point aNow) const
+{
+  return allowed(aStep, aTarget, aNow) &&
+         (!aStep.mRoute.mAdvice ||
+          aStep.mAdvice.validTicket(aTarget.mEntry.mId, aNow + kTicketMargin) != nullptr);
+}
+
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep, const candidate& aWhere) const
 {
   std::uint32_t slots = fits(aStep.mNeeds, aWhere.mRoom);
@@ -95,7 +105,7 @@
   if (team == nullptr) {
     return std::numeric_limits<std::int32_t>::max();
   }
-  resources left = team->mUpperLimit;
+  const resources& limit = team->mUpperLimit;
   const auto used = mTeamUsed.find(team->mName);
   resources taken = used == mTeamUsed.end() ? resources{} : used->second;
   if (const auto held = mTeamHeldBack.find(team->mName); held != mTeamHeldBack.end()) {
@@ -107,9 +117,9 @@
   // What fills counts against the limit in full.
   const auto& needs = aStep.spec().mNeeds;
   return static_cast<std::uint32_t>(
-    std::min({ slots(left.mCpuMilli, taken.mCpuMilli, needs.mCpuMilli),
-               slots(left.mMemoryMb, taken.mMemoryMb, needs.mMemoryMb),
-               slots(left.mAccelerators, taken.mAccelerators, needs.mAccelerators) }));
+    std::min({ slots(limit.mCpuMilli, taken.mCpuMilli, needs.mCpuMilli),
+               slots(limit.mMemoryMb, taken.mMemoryMb, needs.mMemoryMb),
+               slots(limit.mAccelerators, taken.mAccelerators, needs.mAccelerators) }));
 }
 
 void owner::impl::plan(time_point aNow)
@@ -152,7 +162,7 @@
 void owner::impl::explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms,
                               time_point aNow)
 {
-  aStep.mNextExplanation = aNow + kExplainInterval;
+  aStep.mNextExplanation = aNow + internal::kExplainInterval;
   std::size_t allowedTargets = 0;
   std::size_t tickets = 0;
   std::uint32_t slots = 0;
@@ -203,12 +213,7 @@
     if (next == wanted) {
       break;
     }
-    const auto& entry = room.mTarget->mEntry;
-    if (!allowed(aStep, *room.mTarget, aNow) || (!anyRack && entry.mRack != rack)) {
-      continue;
-    }
-    if (aStep.mRoute.mAdvice &&
-        aStep.mAdvice.validTicket(entry.mId, aNow + kTicketMargin) == nullptr) {
+    if (!admitted(aStep, *room.mTarget, aNow) || (!anyRack && room.mTarget->mEntry.mRack != rack)) {
       continue;
     }
     for (auto slots = slotsAt(aStep, room); ready && slots > 0 && next < wanted; --slots, ++next) {
@@ -235,12 +240,8 @@
   const auto tryOn = [&](std::string_view aRack) {
     std::vector<placement> placements;
     for (auto& room : aRooms) {
-      const auto& entry = room.mTarget->mEntry;
-      if (!allowed(aStep, *room.mTarget, aNow) || (!aRack.empty() && entry.mRack != aRack)) {
-        continue;
-      }
-      if (aStep.mRoute.mAdvice &&
-          aStep.mAdvice.validTicket(entry.mId, aNow + kTicketMargin) == nullptr) {
+      if (!admitted(aStep, *room.mTarget, aNow) ||
+          (!aRack.empty() && room.mTarget->mEntry.mRack != aRack)) {
         continue;
       }
       for (auto slots = slotsAt(aStep, room); slots > 0 && placements.size() < count; --slots) {
@@ -401,7 +402,7 @@
       const auto here = slotsAt(aStep, room);
       if (here > 0) {
         slots += here;
-        if (aStep.mAdvice.validTicket(id, aNow + 4 * kTicketMargin) == nullptr) {
+        if (aStep.mAdvice.validTicket(id, aNow + kTicketRenewal) == nullptr) {
           named.push_back(id);
         }
       }
@@ -487,7 +488,7 @@
   const duration cost =
     terms ? terms->mPerCall + static_cast<int>(call.mTargets.size()) * terms->mPerTarget
           : duration{ 0 };
-  const auto issued = std::max(call.mSent + cost, aNow - std::chrono::milliseconds(50));
+  const auto issued = std::max(call.mSent + cost, aNow - kMaxAnswerTravel);
   for (const auto& good : aAnswer.mGood) {
     step.mAdvice.mGood[good.mTarget] = true;
     step.mAdvice.mTickets[good.mTarget] = { .mToken = good.mToken, .mUntil = issued + valid };
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -1,3 +1,4 @@
+#include "endiveusher/kernel/back_off.h"
 #include "owner_impl.h"
 
 #include <algorithm>
@@ -267,9 +268,8 @@
     }
     aTarget.mLastFailed = aEnd.mTask.mStep.mJob;
     if (++aTarget.mFailuresInRow >= kFailuresToAvoid) {
-      const auto doublings = std::min(aTarget.mFailuresInRow - kFailuresToAvoid, 4U);
       aTarget.mAvoidUntil =
-        aNow + std::min<duration>(kAvoidPeriod * (1 << doublings), kMaxAvoidPeriod);
+        aNow + doubled(kAvoidPeriod, aTarget.mFailuresInRow - kFailuresToAvoid, kMaxAvoidPeriod);
       mPort.explain("target_avoided", fmt::format("target={} failures_in_row={}",
                                                   aTarget.mEntry.mId, aTarget.mFailuresInRow));
     }
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -43,7 +43,6 @@
   time_point mNextTry{};
   /// Looks sent after this list the run, or it is gone.
   time_point mSettledAt = time_point::max();
-  time_point mStartedAt{};
   std::string mCheckpoint;
   std::string mTicket;
   /// Until when the ticket is valid; without end if there is none.
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -43,6 +43,9 @@
   }
 };
 
+/// A step that waits is explained this often.
+inline constexpr auto kExplainInterval = std::chrono::milliseconds(3000);
+
 /// A step of which tasks wait to be started.
 struct waiting_step
 {
