Fold what the daemon on the platform wrote twice

Found on reading the whole change: callers were joined to an open record, and denied an unknown job, in two places each; the team's right to see a job stood in three; tails took callbacks that did nothing; a flag and a time said the same; a caller's record was encoded for the owner that encodes it itself. Change: join, findFor, denyJob, visibleTo; default callbacks; one optional time; records are encoded where bytes are sent. No change of behaviour.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -162,8 +162,6 @@
       contactFailed(aError);
     }
   });
-  const auto failed = [](const std::string& /*aError*/) {};
-  const auto answered = [](std::uint64_t /*aEnd*/) {};
   mOperatorTail =
     std::make_unique<log_tail>(mStore, mClock,
                                log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
@@ -176,13 +174,10 @@
                                                         operatorChanged();
                                                       },
                                                     .mNewest =
-                                                      [this](auto&& aRecords) {
+                                                      [this](const auto& aRecords) {
                                                         mOperator.replace(aRecords);
                                                         operatorChanged();
-                                                      },
-                                                    .mGap = [](std::uint64_t) {},
-                                                    .mAnswered = answered,
-                                                    .mFailed = failed });
+                                                      } });
   mRegistryTail = std::make_unique<log_tail>(
     mStore, mClock,
     log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
@@ -191,24 +186,18 @@
                       .mInterval = kRegistryInterval },
     log_tail::callbacks{
       .mRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
-      .mNewest = [this](auto&& aRecords) { mRegistry.replace(aRecords); },
-      .mGap = [](std::uint64_t) {},
-      .mAnswered = answered,
-      .mFailed = failed });
+      .mNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); } });
   mOwnerTail = std::make_unique<log_tail>(
     mStore, mClock, log_tail_options{ .mTopic = kOwnerTopic, .mInterval = kOwnerTopicInterval },
     log_tail::callbacks{
       .mRecords = [this](const auto& aRecords,
                          std::uint64_t aOffset) { readOwners(aRecords, aOffset); },
-      .mNewest = [](auto&&) {},
-      .mGap = [](std::uint64_t) {},
       .mAnswered = [this](std::uint64_t aEnd) { mElection.sawEnd(aEnd, mClock.now()); },
-      .mFailed = [this](const std::string& /*aError*/) { mElection.lostStore(); } });
+      .mFailed = [this] { mElection.lostStore(); } });
   mJournalTail = std::make_unique<log_tail>(
     mStore, mClock, log_tail_options{ .mTopic = kJournalTopic, .mInterval = kJournalInterval },
     log_tail::callbacks{
       .mRecords = [this](const auto& aRecords, std::uint64_t) { readJournal(aRecords); },
-      .mNewest = [](auto&&) {},
       .mGap =
         [this](std::uint64_t aFirst) {
           mLog.write("journal_gap", fmt::format("first={}", aFirst));
@@ -217,9 +206,7 @@
           } else {
             loadBook();
           }
-        },
-      .mAnswered = answered,
-      .mFailed = failed });
+        } });
 }
 
 void cell_node::impl::contact()
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -67,7 +67,7 @@
   const auto id = scheduler::parseJobId(body.substr(0, scheduler::kJobIdDigits));
   const auto* found = id && mOwner ? mBook.find(*id) : nullptr;
   const auto team = body.substr(std::min(body.size(), scheduler::kJobIdDigits));
-  if (found == nullptr || (!team.empty() && team != found->mSpec.mTeam)) {
+  if (found == nullptr || !found->mSpec.visibleTo(team)) {
     aRequest.mResponder.answer({ .mStatus = 404 });
     return;
   }
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -204,8 +204,8 @@
 
   /// Of the own ownership; 0 if there is none.
   std::uint64_t mEpoch = 0;
-  std::optional<bool> mFenceEnd;
-  time_point mFencedAt{};
+  /// When the former owner was shut out of the journal.
+  std::optional<time_point> mFencedAt;
   std::unique_ptr<journal_writer> mOwnerWriter;
   std::unique_ptr<journal_writer> mSnapshotWriter;
   bool mSnapshotOpen = false;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -47,7 +47,7 @@
   }
   mOwnerWriter->write(
     std::move(bytes), [this, ended = std::move(ended), epoch = mEpoch](write_outcome aOutcome) {
-      if (epoch != mEpoch || !mOwner) {
+      if (!isOwner(epoch)) {
         return;
       }
       if (aOutcome != write_outcome::stored) {
@@ -239,7 +239,7 @@
   const auto epoch = mElection.epoch();
   if (mEpoch != epoch) {
     mEpoch = epoch;
-    mFenceEnd.reset();
+    mFencedAt.reset();
     mOwnerWriter = std::make_unique<journal_writer>(
       mStore, mClock,
       journal_writer_options{
@@ -256,7 +256,6 @@
       mFencedAt = mClock.now();
       // A read on its way may be held open by the store.
       mJournalTail->restart(mJournalTail->next());
-      mFenceEnd = true;
     });
     mSnapshotWriter = std::make_unique<journal_writer>(
       mStore, mClock,
@@ -268,7 +267,7 @@
     mRegistryTail->restart(0);
     mJournalTail->setInterval(kOwnerJournalInterval);
   }
-  if (!mFenceEnd || !mJournalTail->caughtUp() || mJournalTail->freshAsOf() <= mFencedAt ||
+  if (!mFencedAt || !mJournalTail->caughtUp() || mJournalTail->freshAsOf() <= *mFencedAt ||
       !mRegistryTail->caughtUp() || !mOperator.config()) {
     return;
   }
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -93,7 +93,6 @@
   void appended(action aAction, std::uint64_t aOffset, time_point aSent);
   /// Nothing is appended before the topic has been read again.
   void rejected(action aAction);
-  bool behind() const { return mBehind; }
   void unanswered(action aAction, time_point aSent, time_point aNow);
 
   role state() const { return mRole; }
--- a/node/src/front_desk.cpp
+++ b/node/src/front_desk.cpp
@@ -37,6 +37,33 @@
   return (mClock.now() - aThen) / std::chrono::milliseconds(1);
 }
 
+const scheduler::job* front_desk::findFor(scheduler::job_id aId, std::string_view aTeam) const
+{
+  const auto* found = mBook.find(aId);
+  return found != nullptr && found->mSpec.visibleTo(aTeam) ? found : nullptr;
+}
+
+front_desk::caller front_desk::callerOf(const platform::front_call& aCall, reply aReply) const
+{
+  return { .mReply = std::move(aReply), .mUntil = mClock.now() + patienceOf(aCall) };
+}
+
+bool front_desk::join(const platform::front_call& aCall, caller_record aKey, const reply& aReply)
+{
+  const auto open = mWaiting.find(aKey);
+  if (open == mWaiting.end()) {
+    return false;
+  }
+  open->second.mCallers.push_back(callerOf(aCall, aReply));
+  return true;
+}
+
+void front_desk::denyJob(const reply& aReply, std::string_view aSubject)
+{
+  const bool current = mClock.now() - mView.mJournalAsOf <= mOptions.mMaxDenialAge;
+  reject(aReply, current ? 410 : 503, kComeBackSoon, aSubject, "no such job");
+}
+
 void front_desk::reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
                         std::string_view aSubject, std::string_view aReason)
 {
@@ -116,9 +143,7 @@
 {
   ++mCounters.mSubmitted;
   const auto subject = fmt::format("job={} route={} team={}", toText(aId), aRoute.mName, aTeam);
-  if (const auto open = mWaiting.find({ .mJob = aId }); open != mWaiting.end()) {
-    open->second.mCallers.push_back(
-      { .mReply = std::move(aReply), .mUntil = mClock.now() + patienceOf(aCall) });
+  if (join(aCall, { .mJob = aId }, aReply)) {
     return;
   }
   if (const auto* known = mBook.find(aId); known != nullptr && mIsStored({ .mJob = aId })) {
@@ -159,7 +184,7 @@
   }
   auto& open = mWaiting[aKey];
   open.mSince = now;
-  open.mCallers.push_back({ .mReply = std::move(aReply), .mUntil = now + patienceOf(aCall) });
+  open.mCallers.push_back(callerOf(aCall, std::move(aReply)));
   mIntake.store(
     aRecord, [this, aKey, aRecord](write_outcome aOutcome) { written(aKey, aRecord, aOutcome); });
 }
@@ -212,24 +237,19 @@
 
 void front_desk::tellState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply)
 {
-  const auto* found = mBook.find(aId);
-  if (found != nullptr && (found->mSpec.mTeam == aTeam || aTeam.empty())) {
+  if (const auto* found = findFor(aId, aTeam)) {
     aReply({ .mBody = platform::encodeJobState(*found, mEndStored(aId)) });
-    return;
+  } else {
+    denyJob(aReply, fmt::format("job={}", toText(aId)));
   }
-  const bool current = mClock.now() - mView.mJournalAsOf <= mOptions.mMaxDenialAge;
-  reject(aReply, current ? 410 : 503, kComeBackSoon, fmt::format("job={}", toText(aId)),
-         "no such job");
 }
 
 void front_desk::cancel(const platform::front_call& aCall, scheduler::job_id aId,
                         const std::string& aTeam, reply aReply)
 {
-  const auto subject = fmt::format("job={} cancel=true", toText(aId));
-  const auto* found = mBook.find(aId);
-  if (found == nullptr || (found->mSpec.mTeam != aTeam && !aTeam.empty())) {
-    const bool current = mClock.now() - mView.mJournalAsOf <= mOptions.mMaxDenialAge;
-    reject(aReply, current ? 410 : 503, kComeBackSoon, subject, "no such job");
+  const auto* found = findFor(aId, aTeam);
+  if (found == nullptr) {
+    denyJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
     return;
   }
   if (found->mPhase != scheduler::job_phase::active &&
@@ -237,9 +257,7 @@
     aReply({ .mBody = platform::encodeJobState(*found, true) });
     return;
   }
-  if (const auto open = mWaiting.find({ .mJob = aId, .mCancel = true }); open != mWaiting.end()) {
-    open->second.mCallers.push_back(
-      { .mReply = std::move(aReply), .mUntil = mClock.now() + patienceOf(aCall) });
+  if (join(aCall, { .mJob = aId, .mCancel = true }, aReply)) {
     return;
   }
   store(aCall, { .mJob = aId, .mCancel = true }, scheduler::job_cancelled{ .mJob = aId },
--- a/node/src/front_desk.h
+++ b/node/src/front_desk.h
@@ -130,6 +130,12 @@
              const scheduler::journal_record& aRecord, reply aReply);
   void written(caller_record aKey, const scheduler::journal_record& aRecord,
                write_outcome aOutcome);
+  /// The job, if callers of the team may see it; of a public route they see all.
+  const scheduler::job* findFor(scheduler::job_id aId, std::string_view aTeam) const;
+  /// Adds the caller to those who wait for the record, if it is on its way.
+  bool join(const platform::front_call& aCall, caller_record aKey, const reply& aReply);
+  caller callerOf(const platform::front_call& aCall, reply aReply) const;
+  void denyJob(const reply& aReply, std::string_view aSubject);
   void reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
               std::string_view aSubject, std::string_view aReason);
   std::int64_t ageMs(time_point aThen) const;
--- a/node/src/job_intake.cpp
+++ b/node/src/job_intake.cpp
@@ -29,19 +29,19 @@
 
 void job_intake::store(const scheduler::journal_record& aRecord, done aDone)
 {
-  auto bytes = encode(aRecord);
-  const done local = [this, bytes, aDone](write_outcome aOutcome) {
+  const done local = [this, aRecord, aDone](write_outcome aOutcome) {
     if (aOutcome == write_outcome::stored) {
       aDone(aOutcome);
     } else {
-      append(bytes, aOutcome != write_outcome::refused, aDone);
+      append(encode(aRecord), aOutcome != write_outcome::refused, aDone);
     }
   };
   if (mLocal(aRecord, local)) {
     return;
   }
+  auto bytes = encode(aRecord);
   if (!mLink.reachable(mClock.now())) {
-    append(bytes, false, std::move(aDone));
+    append(std::move(bytes), false, std::move(aDone));
     return;
   }
   mLink.call(kPeerStorePath, bytes, kHandOverTimeout,
@@ -59,12 +59,13 @@
              });
 }
 
-void job_intake::append(const std::string& aBytes, bool aUncertain, done aDone)
+void job_intake::append(std::string aBytes, bool aUncertain, done aDone)
 {
-  mWriter.write({ aBytes }, [aUncertain, done = std::move(aDone)](write_outcome aOutcome) {
-    // The owner may have stored what the direct way has refused.
-    done(aOutcome != write_outcome::stored && aUncertain ? write_outcome::unknown : aOutcome);
-  });
+  mWriter.write(
+    { std::move(aBytes) }, [aUncertain, done = std::move(aDone)](write_outcome aOutcome) {
+      // The owner may have stored what the direct way has refused.
+      done(aOutcome != write_outcome::stored && aUncertain ? write_outcome::unknown : aOutcome);
+    });
 }
 
 } // namespace endiveusher::node
--- a/node/src/job_intake.h
+++ b/node/src/job_intake.h
@@ -36,7 +36,7 @@
   bool closed(time_point aNow, bool aStoreLost, duration aPeriod) const;
 
 private:
-  void append(const std::string& aBytes, bool aUncertain, done aDone);
+  void append(std::string aBytes, bool aUncertain, done aDone);
 
   const clock& mClock;
   owner_link& mLink;
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -1,5 +1,7 @@
 #include "journal_writer.h"
 
+#include "endiveusher/kernel/back_off.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,8 +13,10 @@
 constexpr std::size_t kMaxCallBytes = std::size_t{ 1 } << 20U;
 /// Numbers of one epoch; more appends than a daemon makes in a year.
 constexpr unsigned kSequenceBits = 32;
+/// Pause after an append without an answer, which has cost its time already; doubles with each try
+/// after a refusal, which asks for one.
 constexpr auto kRetryPause = std::chrono::milliseconds(10);
-constexpr auto kMaxRetryPause = std::chrono::milliseconds(300);
+constexpr auto kMaxRetryPause = std::chrono::milliseconds(160);
 
 } // namespace
 
@@ -53,11 +57,11 @@
     }
   }
   if (!mCurrent.empty() && mRetryAt <= aNow) {
-    send(aNow);
+    send();
   }
 }
 
-void journal_writer::send(time_point /*aNow*/)
+void journal_writer::send()
 {
   mInFlight = true;
   mRepeats += mTries > 0 ? 1 : 0;
@@ -80,7 +84,6 @@
   using platform::append_outcome;
   mInFlight = false;
   mLastElapsed = aReply.mElapsed;
-  const auto now = mClock.now();
   switch (aReply.mOutcome) {
     case append_outcome::appended:
       ++mSequence;
@@ -115,12 +118,8 @@
       mUncertain = true;
       break;
   }
-  // A lost answer has cost its time already; a refusal asks for a pause.
-  const auto pause =
-    aReply.mOutcome == append_outcome::unanswered
-      ? duration(kRetryPause)
-      : std::min<duration>(kRetryPause * (1 << std::min(mTries, 4U)), kMaxRetryPause);
-  mRetryAt = now + pause;
+  const auto doublings = aReply.mOutcome == append_outcome::unanswered ? 0 : mTries;
+  mRetryAt = mClock.now() + doubled(kRetryPause, doublings, kMaxRetryPause);
 }
 
 void journal_writer::finish(write_outcome aOutcome)
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -50,7 +50,6 @@
   /// Since when the oldest write on its way has had no answer.
   std::optional<time_point> openSince() const { return mOpenSince; }
   std::size_t waiting() const { return mWaiting.size(); }
-  bool fenced() const { return mFenced; }
   /// Of the first record of the newest append that was stored.
   std::uint64_t lastOffset() const { return mLastOffset; }
   duration lastElapsed() const { return mLastElapsed; }
@@ -62,7 +61,7 @@
     std::vector<std::string> mRecords;
     done mDone;
   };
-  void send(time_point aNow);
+  void send();
   void answered(const platform::append_reply& aReply);
   void finish(write_outcome aOutcome);
 
--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -1,5 +1,7 @@
 #include "log_tail.h"
 
+#include "endiveusher/kernel/back_off.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -50,14 +52,11 @@
   }
 }
 
-void log_tail::fail(const std::string& aError)
+void log_tail::fail()
 {
   mOpen = false;
-  const auto pause =
-    std::min<duration>(kFailurePause * (1 << std::min(mFailures, 4U)), kMaxFailurePause);
-  ++mFailures;
-  mDue = mClock.now() + pause;
-  mCallbacks.mFailed(aError);
+  mDue = mClock.now() + doubled(kFailurePause, mFailures++, kMaxFailurePause);
+  mCallbacks.mFailed();
 }
 
 void log_tail::sendNewest(time_point aNow, const std::string& aAfter)
@@ -72,7 +71,7 @@
                     return;
                   }
                   if (!aReply.mOk) {
-                    fail("newest failed");
+                    fail();
                     return;
                   }
                   if (first) {
@@ -118,7 +117,7 @@
                   return;
                 }
                 if (aReply.mOutcome == platform::read_reply::outcome::unanswered) {
-                  fail(aReply.mError);
+                  fail();
                   return;
                 }
                 mOpen = false;
--- a/node/src/log_tail.h
+++ b/node/src/log_tail.h
@@ -32,12 +32,12 @@
   {
     /// Records from aOffset on.
     std::function<void(const std::vector<std::string>& aRecords, std::uint64_t aOffset)> mRecords;
-    /// Newest value of each key, complete; replaces all that was known.
-    std::function<void(std::vector<platform::keyed_record>&& aRecords)> mNewest;
-    /// Records before aFirst are gone although they were not read; absent for keyed topics.
-    std::function<void(std::uint64_t aFirst)> mGap;
-    std::function<void(std::uint64_t aEnd)> mAnswered;
-    std::function<void(const std::string& aError)> mFailed;
+    /// Newest value of each key, complete; replaces all that was known. For keyed topics only.
+    std::function<void(const std::vector<platform::keyed_record>& aRecords)> mNewest = {};
+    /// Records before aFirst are gone although they were not read. For other topics only.
+    std::function<void(std::uint64_t aFirst)> mGap = [](std::uint64_t) {};
+    std::function<void(std::uint64_t aEnd)> mAnswered = [](std::uint64_t) {};
+    std::function<void()> mFailed = [] {};
   };
 
   log_tail(platform::store& aStore, const clock& aClock, log_tail_options aOptions,
@@ -57,7 +57,7 @@
 private:
   void sendNewest(time_point aNow, const std::string& aAfter);
   void sendRead(time_point aNow);
-  void fail(const std::string& aError);
+  void fail();
 
   platform::store& mStore;
   const clock& mClock;
--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -78,6 +78,8 @@
   wall_time mSubmitted{ 0 };
 
   std::uint32_t occurrences() const { return mRepeat == 0 ? 1 : mRepeat; }
+  /// Callers of public routes name no team and see every job.
+  bool visibleTo(std::string_view aTeam) const { return aTeam.empty() || aTeam == mTeam; }
   wall_time due(std::uint32_t aOccurrence) const
   {
     return mRepeat == 0 ? wall_time{ 0 } : mFirstDue + aOccurrence * mInterval;
