--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -104,12 +104,13 @@
   }
 }
 
-std::string readFile(const std::string& aPath)
+/// Absent if the file cannot be read.
+std::optional<std::string> readFile(const std::string& aPath)
 {
   std::ifstream file(aPath);
   std::ostringstream text;
   text << file.rdbuf();
-  return file ? text.str() : std::string();
+  return file ? std::optional(text.str()) : std::nullopt;
 }
 
 /// Serves a cell on the prepared platform, whose settings file may change at any time.
@@ -117,7 +118,7 @@
 {
   limitMemory();
   const auto path = platform::settingsPath();
-  auto text = readFile(path);
+  auto text = readFile(path).value_or("");
   const auto settings = platform::parseSettings(text);
   if (!settings.ok()) {
     fmt::print(stderr, "{}: {}\n", path, std::string(settings.status().message()));
@@ -139,7 +140,7 @@
       cell.stop();
     } else if (reason == wake_reason::dump) {
       cell.dumpState();
-    } else if (auto newText = readFile(path); newText != text) {
+    } else if (auto newText = readFile(path).value_or(""); newText != text) {
       text = std::move(newText);
       auto changed = platform::parseSettings(text);
       if (changed.ok()) {
@@ -172,14 +173,12 @@
   }
 
   const std::string& path = config.getValue();
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
+  const auto text = readFile(path);
+  if (!text) {
     fmt::print(stderr, "{}:0: cannot be read; accepted: a readable YAML file\n", path);
     return kExitSettings;
   }
-  const auto result = readSettings(text.str(), endiveusher::internal::policyNames());
+  const auto result = readSettings(*text, endiveusher::internal::policyNames());
   for (const auto& fault : result.mFaults) {
     fmt::print(check.getValue() ? stdout : stderr, "{}\n", describe(path, fault));
   }
--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -69,8 +69,6 @@
   void run(std::chrono::milliseconds aWait);
   /// Any thread: ends the wait of run().
   void wake();
-  /// Calls without a reply yet.
-  std::size_t open() const;
 
 private:
   class impl;
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -1,5 +1,7 @@
 #include "endiveusher/edges/http_loop.h"
 
+#include "easy_handles.h"
+
 #include <curl/curl.h>
 
 #include <cerrno>
@@ -13,7 +15,7 @@
 
 using steady = std::chrono::steady_clock;
 
-/// Transfer handles kept for reuse; each holds some tens of kB of buffers.
+/// As many as calls are open at a time on a busy daemon.
 constexpr std::size_t kIdleHandles = 64;
 constexpr long kReceiveBufferBytes = 16384;
 /// After a call without an answer the idle connections to that address may be silent for good: for
@@ -60,9 +62,7 @@
 public:
   explicit impl(http_loop_options aOptions) : mOptions(aOptions)
   {
-    // Without TLS: all channels are plain HTTP, and the TLS library's tables cost memory.
-    static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_NOTHING);
-    mMulti = kInitialised == CURLE_OK ? curl_multi_init() : nullptr;
+    mMulti = internal::curlReady() ? curl_multi_init() : nullptr;
     if (mMulti == nullptr) {
       throw std::runtime_error("http_loop: libcurl cannot be initialised");
     }
@@ -76,9 +76,6 @@
       curl_multi_remove_handle(mMulti, handle);
       curl_easy_cleanup(handle);
     }
-    for (auto* handle : mIdle) {
-      curl_easy_cleanup(handle);
-    }
     curl_multi_cleanup(mMulti);
   }
 
@@ -93,7 +90,7 @@
     active->mMaxBodyBytes = mOptions.mMaxBodyBytes;
     const auto& call = active->mCall;
     active->mUrl = "http://" + call.mAddress + call.mPath;
-    CURL* handle = takeHandle();
+    CURL* handle = mHandles.take();
     // An empty header removes what libcurl adds by itself.
     append(active->mHeaders, "Expect:");
     append(active->mHeaders, "Accept:");
@@ -144,8 +141,6 @@
 
   void wake() { curl_multi_wakeup(mMulti); }
 
-  std::size_t open() const { return mActive.size(); }
-
 private:
   /// Runs the callbacks of complete calls; false if there were none.
   bool finish()
@@ -179,36 +174,16 @@
           mTrouble[active->mCall.mAddress] = steady::now();
         }
       }
-      giveHandle(handle);
+      mHandles.give(handle);
       active->mCall.mDone(std::move(reply));
     }
     return any;
   }
 
-  CURL* takeHandle()
-  {
-    if (mIdle.empty()) {
-      return curl_easy_init();
-    }
-    CURL* handle = mIdle.back();
-    mIdle.pop_back();
-    return handle;
-  }
-
-  void giveHandle(CURL* aHandle)
-  {
-    if (mIdle.size() < kIdleHandles) {
-      curl_easy_reset(aHandle);
-      mIdle.push_back(aHandle);
-    } else {
-      curl_easy_cleanup(aHandle);
-    }
-  }
-
   const http_loop_options mOptions;
   CURLM* mMulti = nullptr;
   std::map<CURL*, std::unique_ptr<transfer>> mActive;
-  std::vector<CURL*> mIdle;
+  internal::easy_handles mHandles{ kIdleHandles };
   /// When a call to the address last had no answer in time.
   std::map<std::string, steady::time_point> mTrouble;
 };
@@ -231,9 +206,4 @@
   mImpl->wake();
 }
 
-std::size_t http_loop::open() const
-{
-  return mImpl->open();
-}
-
 } // namespace endiveusher::edges
--- a/edges/src/http_requests.cpp
+++ b/edges/src/http_requests.cpp
@@ -1,5 +1,7 @@
 #include "http_requests.h"
 
+#include "easy_handles.h"
+
 #include <curl/curl.h>
 #include <readerwriterqueue/readerwriterqueue.h>
 
@@ -7,7 +9,6 @@
 #include <atomic>
 #include <deque>
 #include <map>
-#include <mutex>
 #include <pthread.h>
 #include <string>
 #include <thread>
@@ -20,7 +21,7 @@
 
 using wall_clock = std::chrono::steady_clock;
 
-/// Transfer handles kept for reuse; each holds some tens of kB of buffers.
+/// One for each call that is usually open.
 constexpr std::size_t kIdleHandles = 4;
 /// Connections kept open over all lanes; enough for the targets of one zone.
 constexpr long kOpenConnections = 256;
@@ -28,13 +29,6 @@
 constexpr auto kLaneIdlePeriod = std::chrono::minutes(1);
 constexpr auto kLongestPoll = std::chrono::milliseconds(1000);
 
-void initialiseCurl()
-{
-  static std::once_flag once;
-  // Without TLS: all channels are plain HTTP, and the TLS library's tables cost memory.
-  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_NOTHING); });
-}
-
 } // namespace
 
 class http_requests::impl
@@ -43,8 +37,7 @@
   explicit impl(http_requests_options aOptions)
     : mOptions(std::move(aOptions)), mRing(mOptions.mQueueLimit)
   {
-    initialiseCurl();
-    mMulti = curl_multi_init();
+    mMulti = curlReady() ? curl_multi_init() : nullptr;
     curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, kOpenConnections);
     mHeaders = curl_slist_append(mHeaders, "Content-Type: application/json");
     // Without this, a large body waits for a 100-continue answer.
@@ -62,9 +55,6 @@
       curl_multi_remove_handle(mMulti, handle);
       curl_easy_cleanup(handle);
     }
-    for (auto* handle : mIdle) {
-      curl_easy_cleanup(handle);
-    }
     curl_multi_cleanup(mMulti);
     curl_slist_free_all(mHeaders);
   }
@@ -161,7 +151,7 @@
       return;
     }
     aLane.mBusy = true;
-    CURL* handle = takeHandle();
+    CURL* handle = mHandles.take();
     auto active = std::make_unique<transfer>();
     active->mPending = std::move(next);
     active->mBodyLimit = mOptions.mBodyLimit;
@@ -200,7 +190,7 @@
       const auto active = std::move(found->second);
       mActive.erase(found);
       const http_result result = evaluate(handle, code, *active);
-      giveHandle(handle);
+      mHandles.give(handle);
       auto& target = mLanes[active->mPending.mRequest.mLane];
       target.mBusy = false;
       target.mFreshConnection = code != CURLE_OK;
@@ -263,26 +253,6 @@
     return std::chrono::ceil<std::chrono::milliseconds>(next - aNow);
   }
 
-  CURL* takeHandle()
-  {
-    if (mIdle.empty()) {
-      return curl_easy_init();
-    }
-    CURL* handle = mIdle.back();
-    mIdle.pop_back();
-    return handle;
-  }
-
-  void giveHandle(CURL* aHandle)
-  {
-    if (mIdle.size() < kIdleHandles) {
-      curl_easy_reset(aHandle);
-      mIdle.push_back(aHandle);
-    } else {
-      curl_easy_cleanup(aHandle);
-    }
-  }
-
   const http_requests_options mOptions;
   moodycamel::ReaderWriterQueue<pending, 64> mRing;
   std::atomic<std::size_t> mOpen{ 0 };
@@ -291,7 +261,7 @@
   curl_slist* mHeaders = nullptr;
   std::map<std::string, lane> mLanes;
   std::map<CURL*, std::unique_ptr<transfer>> mActive;
-  std::vector<CURL*> mIdle;
+  easy_handles mHandles{ kIdleHandles };
   std::thread mThread;
 };
 
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -20,6 +20,7 @@
 #include "snapshots.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <deque>
 #include <fmt/format.h>
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -215,23 +215,23 @@
     mLog.write("claim", fmt::format("expected_end={} last_owner={}", mElection.expectedEnd(),
                                     mElection.ownerNode()));
   }
-  mStore.append({ .mTopic = kOwnerTopic,
-                  .mRecords = { encode(mElection.record(aAction)) },
-                  .mExpectedEnd = mElection.expectedEnd() },
-                [this, aAction, sent = aNow](platform::append_reply&& aReply) {
-                  if (aReply.mOutcome == platform::append_outcome::appended) {
-                    mElection.appended(aAction, aReply.mOffset, sent);
-                    if (aAction == election::action::release) {
-                      giveUp("released");
-                    }
-                  } else if (aReply.mOutcome == platform::append_outcome::conflict) {
-                    mElection.rejected(aAction);
-                    // A read on its way may be held open by the store.
-                    mOwnerTail->restart(mOwnerTail->next());
-                  } else {
-                    mElection.unanswered(aAction, sent, mClock.now());
-                  }
-                });
+  const std::array records{ encode(mElection.record(aAction)) };
+  mStore.append(
+    { .mTopic = kOwnerTopic, .mRecords = records, .mExpectedEnd = mElection.expectedEnd() },
+    [this, aAction, sent = aNow](platform::append_reply&& aReply) {
+      if (aReply.mOutcome == platform::append_outcome::appended) {
+        mElection.appended(aAction, aReply.mOffset, sent);
+        if (aAction == election::action::release) {
+          giveUp("released");
+        }
+      } else if (aReply.mOutcome == platform::append_outcome::conflict) {
+        mElection.rejected(aAction);
+        // A read on its way may be held open by the store.
+        mOwnerTail->restart(mOwnerTail->next());
+      } else {
+        mElection.unanswered(aAction, sent, mClock.now());
+      }
+    });
 }
 
 void cell_node::impl::takeOver()
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -123,6 +123,14 @@
     storeFromOutside(job_submitted{ .mSpec = std::move(spec) });
     return static_cast<job_id>(mLastJob);
   }
+  /// A first owner with a job that it has had the time to start.
+  job_id takeOverAndStart(step_spec aStep)
+  {
+    takeOver();
+    const auto id = submit(std::move(aStep));
+    run(milliseconds(300));
+    return id;
+  }
   void cancel(job_id aJob) { storeFromOutside(job_cancelled{ .mJob = aJob }); }
 
   /// Lets time pass in steps of 5 ms, in which calls are answered.
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -25,9 +25,7 @@
 TEST(owner_runs, startsAndCompletesAJob)
 {
   cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(2));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(2));
   CHECK_EQUAL(2, cell.running());
   cell.endTask(id, listed_end::done, 0, 0);
   cell.endTask(id, listed_end::done, 0, 1);
@@ -39,9 +37,7 @@
 TEST(owner_runs, acknowledgesEndsOnlyAfterTheyAreStored)
 {
   auto& target = cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(1));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(1));
   cell.mStoreDown = true;
   cell.endTask(id, listed_end::done);
   cell.run(milliseconds(2000));
@@ -127,9 +123,7 @@
 TEST(owner_runs, stopsWhatIsCancelled)
 {
   cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(2));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(2));
   cell.cancel(id);
   cell.run(milliseconds(300));
   CHECK_EQUAL(0, cell.running());
@@ -195,9 +189,7 @@
 TEST(owner_runs, startsElsewhereOnlyAfterTheLease)
 {
   auto& lost = cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(1));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(1));
   lost.mReachable = false;
   cell.addTarget("t2");
   cell.run(milliseconds(5500));
@@ -232,9 +224,7 @@
 TEST(owner_take_over, adoptsWhatRuns)
 {
   cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(2));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(2));
   cell.takeOver();
   cell.run(milliseconds(300));
   CHECK_EQUAL(2, cell.running());
@@ -246,9 +236,7 @@
 TEST(owner_take_over, countsTheRoomOfCancelledJobs)
 {
   auto& target = cell.addTarget("t1", 4000);
-  cell.takeOver();
-  const auto first = cell.submit(tasks(2));
-  cell.run(milliseconds(300));
+  const auto first = cell.takeOverAndStart(tasks(2));
   cell.mJournal.emplace_back(job_cancelled{ .mJob = first });
   cell.takeOver();
   const auto second = cell.submit(tasks(2));
@@ -264,9 +252,7 @@
 TEST(owner_take_over, startsAgainWhatNeverBegan)
 {
   auto& target = cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(1));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(1));
   target.mRunning.clear();
   cell.takeOver();
   cell.run(milliseconds(300));
@@ -279,9 +265,7 @@
 TEST(owner_take_over, doesNotWaitAnewForALostTarget)
 {
   auto& lost = cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(1));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(1));
   lost.mReachable = false;
   cell.addTarget("t2");
   for (int owners = 0; owners < 3; ++owners) {
@@ -297,9 +281,7 @@
 TEST(owner_take_over, waitsForFormerLeasesOfATargetThatFallsSilent)
 {
   auto& target = cell.addTarget("t1");
-  cell.takeOver();
-  const auto id = cell.submit(tasks(1));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(1));
   cell.mStoreDown = true;
   cell.takeOver();
   cell.run(milliseconds(30));
@@ -350,9 +332,7 @@
   cell.addTarget("t1");
   cell.addTarget("t2");
   cell.mGoodTargets = { "t2" };
-  cell.takeOver();
-  const auto id = cell.submit(tasks(2));
-  cell.run(milliseconds(300));
+  const auto id = cell.takeOverAndStart(tasks(2));
   CHECK_EQUAL("t2", cell.whereIs(id, 0, 0));
   CHECK_EQUAL("t2", cell.whereIs(id, 0, 1));
 }
@@ -362,9 +342,7 @@
 {
   cell.addTarget("t1", 2000);
   cell.mGoodTargets = { "t1" };
-  cell.takeOver();
-  const auto first = cell.submit(tasks(1));
-  cell.run(milliseconds(300));
+  const auto first = cell.takeOverAndStart(tasks(1));
   const auto second = cell.submit(tasks(1));
   cell.run(milliseconds(4000));
   const auto before = cell.mAdvice.size();
