Drive libcurl by ready sockets, and measure what the loop spends its time on

The new `load` line showed 67% of the loop in outgoing calls before any task ran: curl_multi_perform() and curl_multi_poll() visit every open call, and one look is held open at each of 350 targets, so each answer cost 350 visits.

Ruled out: decisions (9% then) and callers (1%).

Change: http_loop uses libcurl's socket interface with epoll, and keeps 2,000 connections instead of 600. loop_load attributes the loop's time to phases, for the log and the metrics.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -46,7 +46,7 @@
   /// Connections to one address; further calls to it wait for a free one.
   long mConnectionsPerAddress = 12;
   /// Open and idle connections kept over all addresses.
-  long mConnections = 600;
+  long mConnections = 2000;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   std::size_t mMaxBodyBytes = std::size_t{ 16 } << 20U;
 };
@@ -67,6 +67,11 @@
   void send(loop_call aCall);
   /// Makes progress, waits at most aWait for network activity or wake(), runs what is complete.
   void run(std::chrono::milliseconds aWait);
+  /// The two halves of run(), for callers that measure them. Progress without waiting; false if no
+  /// call has completed.
+  bool progress();
+  /// Waits at most aWait for network activity or wake().
+  void wait(std::chrono::milliseconds aWait);
   /// Any thread: ends the wait of run().
   void wake();
 
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -3,10 +3,18 @@
 #include "easy_handles.h"
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <map>
+#include <optional>
+#include <span>
 #include <stdexcept>
+#include <unordered_map>
 #include <utility>
 
 namespace endiveusher::edges {
@@ -18,6 +26,8 @@
 /// As many as calls are open at a time on a busy daemon.
 constexpr std::size_t kIdleHandles = 64;
 constexpr long kReceiveBufferBytes = 16384;
+/// Sockets handled in one pass; the others stay ready for the next.
+constexpr std::size_t kMaxEvents = 128;
 /// After a call without an answer the idle connections to that address may be silent for good: for
 /// the shorter time none of them is used, for the longer one only those used lately.
 constexpr auto kFreshPeriod = std::chrono::seconds(3);
@@ -57,6 +67,27 @@
 
 } // namespace
 
+class file_descriptor
+{
+public:
+  explicit file_descriptor(int aNumber) : mNumber(aNumber)
+  {
+    if (aNumber < 0) {
+      throw std::runtime_error("http_loop: no descriptor is left");
+    }
+  }
+  ~file_descriptor() { ::close(mNumber); }
+  file_descriptor(const file_descriptor&) = delete;
+  file_descriptor& operator=(const file_descriptor&) = delete;
+
+  int number() const { return mNumber; }
+
+private:
+  const int mNumber;
+};
+
+/// Drives libcurl by sockets that are ready: its other interface visits every open call in each
+/// pass, and hundreds are open that wait for a target.
 class http_loop::impl
 {
 public:
@@ -68,6 +99,12 @@
     }
     curl_multi_setopt(mMulti, CURLMOPT_MAX_HOST_CONNECTIONS, mOptions.mConnectionsPerAddress);
     curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, mOptions.mConnections);
+    curl_multi_setopt(mMulti, CURLMOPT_SOCKETFUNCTION, &impl::watchSocket);
+    curl_multi_setopt(mMulti, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(mMulti, CURLMOPT_TIMERFUNCTION, &impl::setTimer);
+    curl_multi_setopt(mMulti, CURLMOPT_TIMERDATA, this);
+    epoll_event event{ .events = EPOLLIN, .data = { .fd = mWake.number() } };
+    ::epoll_ctl(mEpoll.number(), EPOLL_CTL_ADD, mWake.number(), &event);
   }
 
   ~impl()
@@ -127,21 +164,83 @@
     mActive.emplace(handle, std::move(active));
   }
 
-  void run(std::chrono::milliseconds aWait)
+  bool progress()
   {
     int running = 0;
-    curl_multi_perform(mMulti, &running);
-    if (finish()) {
-      return;
+    for (const auto& event : std::span(mEvents).first(std::exchange(mReady, 0))) {
+      if (event.data.fd == mWake.number()) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto bytes = ::read(mWake.number(), &count, sizeof count);
+        continue;
+      }
+      // A socket that an earlier one of these has closed is unknown to libcurl by now.
+      curl_multi_socket_action(mMulti, event.data.fd, toCurl(event.events), &running);
+    }
+    if (mTimer && *mTimer <= steady::now()) {
+      mTimer.reset();
+      curl_multi_socket_action(mMulti, CURL_SOCKET_TIMEOUT, 0, &running);
     }
-    curl_multi_poll(mMulti, nullptr, 0, static_cast<int>(aWait.count()), nullptr);
-    curl_multi_perform(mMulti, &running);
-    finish();
+    return finish();
   }
 
-  void wake() { curl_multi_wakeup(mMulti); }
+  void wait(std::chrono::milliseconds aWait)
+  {
+    auto most = aWait;
+    if (mTimer) {
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(*mTimer - steady::now());
+      most = std::clamp(left, std::chrono::milliseconds(0), aWait);
+    }
+    const int count = ::epoll_wait(mEpoll.number(), mEvents.data(), static_cast<int>(kMaxEvents),
+                                   static_cast<int>(most.count()));
+    mReady = static_cast<std::size_t>(std::max(count, 0));
+  }
+
+  void wake()
+  {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto bytes = ::write(mWake.number(), &one, sizeof one);
+  }
 
 private:
+  static int toCurl(std::uint32_t aEvents)
+  {
+    return ((aEvents & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+           ((aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+           ((aEvents & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+  }
+
+  /// libcurl wants to know when the socket is ready, or no longer does.
+  static int watchSocket(CURL* /*aHandle*/, curl_socket_t aSocket, int aWhat, void* aSelf,
+                         void* /*aSocketData*/)
+  {
+    auto& self = *static_cast<impl*>(aSelf);
+    if (aWhat == CURL_POLL_REMOVE) {
+      ::epoll_ctl(self.mEpoll.number(), EPOLL_CTL_DEL, aSocket, nullptr);
+      self.mWatched.erase(aSocket);
+      return 0;
+    }
+    std::uint32_t events = 0;
+    events |= (aWhat & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
+    events |= (aWhat & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
+    const auto [at, isNew] = self.mWatched.try_emplace(aSocket, 0);
+    if (at->second != events) {
+      at->second = events;
+      epoll_event event{ .events = events, .data = { .fd = aSocket } };
+      ::epoll_ctl(self.mEpoll.number(), isNew ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, aSocket, &event);
+    }
+    return 0;
+  }
+
+  /// libcurl wants to be called when this time has passed; -1 for no longer.
+  static int setTimer(CURLM* /*aMulti*/, long aMilliseconds, void* aSelf)
+  {
+    auto& self = *static_cast<impl*>(aSelf);
+    self.mTimer = aMilliseconds < 0 ? std::nullopt
+                                    : std::optional(steady::now() +
+                                                    std::chrono::milliseconds(aMilliseconds));
+    return 0;
+  }
+
   /// Runs the callbacks of complete calls; false if there were none.
   bool finish()
   {
@@ -181,6 +280,15 @@
   }
 
   const http_loop_options mOptions;
+  const file_descriptor mEpoll{ ::epoll_create1(EPOLL_CLOEXEC) };
+  /// Ends a wait; any thread.
+  const file_descriptor mWake{ ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK) };
+  /// Sockets that libcurl waits for, and for what.
+  std::unordered_map<curl_socket_t, std::uint32_t> mWatched;
+  std::array<epoll_event, kMaxEvents> mEvents{};
+  /// Entries of mEvents that are not handled yet.
+  std::size_t mReady = 0;
+  std::optional<steady::time_point> mTimer;
   CURLM* mMulti = nullptr;
   std::map<CURL*, std::unique_ptr<transfer>> mActive;
   internal::easy_handles mHandles{ kIdleHandles };
@@ -198,7 +306,20 @@
 
 void http_loop::run(std::chrono::milliseconds aWait)
 {
-  mImpl->run(aWait);
+  if (!progress()) {
+    wait(aWait);
+    progress();
+  }
+}
+
+bool http_loop::progress()
+{
+  return mImpl->progress();
+}
+
+void http_loop::wait(std::chrono::milliseconds aWait)
+{
+  mImpl->wait(aWait);
 }
 
 void http_loop::wake()
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds kLeavePeriod{ 2800 };
 /// A failed call means that the store is lost only if none was answered for this long.
 constexpr std::chrono::milliseconds kLostContact{ 500 };
+/// How often the log tells what the loop spends its time on.
+constexpr std::chrono::milliseconds kLoadInterval{ 5000 };
 /// How often ended jobs are dropped whose state has been kept long enough.
 constexpr std::chrono::milliseconds kForgetInterval{ 1000 };
 /// Claims of different daemons are spread over this time.
@@ -231,13 +233,16 @@
   while (!mQuit) {
     const auto now = mClock.now();
     applyReload();
-    mOperatorTail->tick(now);
-    mOwnerTail->tick(now);
-    mSnapshots.tick(now);
-    if (!mSnapshots.active()) {
-      mJournalTail->tick(now);
+    {
+      const loop_load::scope storing(mLoad, loop_phase::store);
+      mOperatorTail->tick(now);
+      mOwnerTail->tick(now);
+      mSnapshots.tick(now);
+      if (!mSnapshots.active()) {
+        mJournalTail->tick(now);
+      }
+      mRegistryTail->tick(now);
     }
-    mRegistryTail->tick(now);
     if (std::exchange(mCapacityChanged, false)) {
       mDesk.setCapacity(mRegistry.capacity());
     }
@@ -253,17 +258,21 @@
         handlePeer(std::get<peer_request>(item));
       }
     }
-    mWriter.tick(now);
     mDesk.tick(now);
-    tickElection(now);
-    if (mOwnerWriter) {
-      mOwnerWriter->tick(now);
-      mSnapshotWriter->tick(now);
+    {
+      const loop_load::scope storing(mLoad, loop_phase::store);
+      mWriter.tick(now);
+      tickElection(now);
+      if (mOwnerWriter) {
+        mOwnerWriter->tick(now);
+        mSnapshotWriter->tick(now);
+      }
+      tickSnapshot(now);
     }
-    tickSnapshot(now);
     tickPeers(now);
     auto next = now + kLoopWait;
     if (mOwner && mElection.mayAct(mClock.now())) {
+      const loop_load::scope deciding(mLoad, loop_phase::decisions);
       next = std::min(next, mOwner->tick(mClock.now(), wallNow()));
       if (mOwner->fenced()) {
         mLost = "fenced by a target";
@@ -282,10 +291,26 @@
     if (tickShutdown(now)) {
       return;
     }
-    const auto wait =
-      std::chrono::ceil<std::chrono::milliseconds>(std::max(next - mClock.now(), duration{ 0 }));
-    mLoop.run(wait);
+    if (mNextLoadReport <= now) {
+      mNextLoadReport = now + kLoadInterval;
+      mLog.write("load", fmt::format("{} owner={}", mLoad.report(), mOwner != nullptr));
+    }
+    serveCalls(next);
+  }
+}
+
+void cell_node::impl::serveCalls(time_point aNext)
+{
+  const loop_load::scope calling(mLoad, loop_phase::calls);
+  if (mLoop.progress()) {
+    return;
+  }
+  {
+    const loop_load::scope waiting(mLoad, loop_phase::idle);
+    mLoop.wait(
+      std::chrono::ceil<std::chrono::milliseconds>(std::max(aNext - mClock.now(), duration{ 0 })));
   }
+  mLoop.progress();
 }
 
 bool cell_node::impl::tickShutdown(time_point aNow)
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -152,6 +152,7 @@
     add("advice_calls_open", counts.mAdviceCalls);
     add("advice_helpers", mHelpers.size());
   }
+  text += mLoad.metrics();
   text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
   text += mAppendTimes.render("endiveusher_append_seconds", "Appends of the owner.");
   text += mCalls.metrics();
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -12,6 +12,7 @@
 #include "inbox.h"
 #include "job_intake.h"
 #include "log_tail.h"
+#include "loop_load.h"
 #include "operator_view.h"
 #include "owner_calls.h"
 #include "owner_link.h"
@@ -167,6 +168,9 @@
 
   void run();
 
+  /// Makes calls and waits until the next deadline.
+  void serveCalls(time_point aNext);
+
   /// True when the loop has to end.
   bool tickShutdown(time_point aNow);
 
@@ -179,6 +183,8 @@
   platform::node_settings mSettings;
   boot_clock mClock;
   event_log mLog;
+  loop_load mLoad{ mClock };
+  time_point mNextLoadReport{};
   edges::http_loop mLoop;
   inbox<inbox_item> mInbox;
   platform::store mStore;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -67,6 +67,7 @@
           mUnstoredEnds.erase(found);
         }
       }
+      const loop_load::scope deciding(mLoad, loop_phase::decisions);
       mOwner->stored(mClock.now());
     });
 }
@@ -92,6 +93,7 @@
     return true;
   }
   mAccepting[++mLastToken] = { .mDone = aDone, .mRecord = recordKey(aRecord) };
+  const loop_load::scope deciding(mLoad, loop_phase::decisions);
   mOwner->accept(aRecord, mLastToken, now, wallNow());
   return true;
 }
@@ -111,6 +113,7 @@
               [this, target = aOrder.mTarget, sent = mClock.now(), epoch = mEpoch](
                 scheduler::order_outcome aOutcome, const scheduler::target_report& aReport) {
                 if (isOwner(epoch)) {
+                  const loop_load::scope deciding(mLoad, loop_phase::decisions);
                   mOwner->looked(target, sent, aOutcome, aReport, mClock.now());
                 }
               });
@@ -120,6 +123,7 @@
 {
   mCalls.start(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
     if (isOwner(epoch)) {
+      const loop_load::scope deciding(mLoad, loop_phase::decisions);
       mOwner->startAnswered(aOrder, aOutcome, mClock.now());
     }
   });
@@ -129,6 +133,7 @@
 {
   mCalls.stop(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
     if (isOwner(epoch)) {
+      const loop_load::scope deciding(mLoad, loop_phase::decisions);
       mOwner->stopAnswered(aOrder, aOutcome, mClock.now());
     }
   });
@@ -139,6 +144,7 @@
   mCalls.advise(aRequest, mSettings.mAdviceAddress,
                 [this, epoch = mEpoch](const scheduler::advice_answer& aAnswer) {
                   if (isOwner(epoch)) {
+                    const loop_load::scope deciding(mLoad, loop_phase::decisions);
                     mOwner->advised(aAnswer, mClock.now());
                   }
                 });
@@ -360,6 +366,7 @@
 
 void cell_node::impl::readJournal(const std::vector<std::string>& aRecords)
 {
+  const loop_load::scope storing(mLoad, loop_phase::store);
   for (const auto& bytes : aRecords) {
     auto record = scheduler::decodeRecord(bytes);
     if (!record.ok()) {
--- /dev/null
+++ b/node/src/loop_load.cpp
@@ -0,0 +1,54 @@
+#include "loop_load.h"
+
+#include <fmt/format.h>
+
+#include <string_view>
+#include <utility>
+
+namespace endiveusher::node {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> kNames{ "idle", "callers", "store", "decisions",
+                                                  "calls" };
+
+} // namespace
+
+loop_load::loop_load(const clock& aClock) : mClock(aClock), mSince(aClock.now()) {}
+
+loop_phase loop_load::change(loop_phase aPhase)
+{
+  const auto now = mClock.now();
+  mTotals[static_cast<std::size_t>(mPhase)] += now - mSince;
+  mSince = now;
+  return std::exchange(mPhase, aPhase);
+}
+
+std::string loop_load::report()
+{
+  change(mPhase);
+  duration whole{ 0 };
+  for (std::size_t phase = 0; phase < kPhases; ++phase) {
+    whole += mTotals[phase] - mReported[phase];
+  }
+  std::string text;
+  for (std::size_t phase = 0; phase < kPhases; ++phase) {
+    const auto part = mTotals[phase] - mReported[phase];
+    const auto percent = whole > duration{ 0 } ? 100 * part / whole : 0;
+    text += fmt::format("{}{}={}", text.empty() ? "" : " ", kNames[phase], percent);
+  }
+  mReported = mTotals;
+  return text;
+}
+
+std::string loop_load::metrics() const
+{
+  std::string text;
+  for (std::size_t phase = 0; phase < kPhases; ++phase) {
+    text += fmt::format("endiveusher_loop_seconds_total{{phase=\"{}\"}} {:.3f}\n", kNames[phase],
+                        std::chrono::duration<double>(mTotals[phase]).count());
+  }
+  return text;
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/tests/edges/http_loop_test.cpp
@@ -0,0 +1,164 @@
+#include "endiveusher/edges/http_loop.h"
+#include "endiveusher/edges/http_server.h"
+
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher::edges;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Answers `/echo` at once and holds every other call until release().
+class holding_server
+{
+public:
+  std::string address() const { return "127.0.0.1:" + std::to_string(mServer.port()); }
+
+  std::size_t held()
+  {
+    const std::lock_guard lock(mMutex);
+    return mHeld.size();
+  }
+
+  void release()
+  {
+    const std::lock_guard lock(mMutex);
+    for (const auto& one : mHeld) {
+      one.answer({ .mBody = "late" });
+    }
+    mHeld.clear();
+  }
+
+private:
+  std::mutex mMutex;
+  std::vector<responder> mHeld;
+  http_server mServer{ {}, [this](const http_request& aRequest, const responder& aResponder) {
+                        if (aRequest.mPath == "/echo") {
+                          aResponder.answer({ .mBody = aRequest.mBody });
+                        } else {
+                          const std::lock_guard lock(mMutex);
+                          mHeld.push_back(aResponder);
+                        }
+                      } };
+};
+
+/// Bounds a wait for what has to come; only a fault reaches it.
+constexpr int kMostPasses = 2000;
+
+template<typename Condition>
+bool runUntil(http_loop& aLoop, Condition&& aCondition)
+{
+  for (int pass = 0; pass < kMostPasses; ++pass) {
+    if (aCondition()) {
+      return true;
+    }
+    aLoop.run(milliseconds(10));
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_GROUP(http_loop){};
+
+// Load pattern: a look is held open at every target while orders go out. Guards against held calls
+// that block others, lose their answer, or are answered with that of another call.
+TEST(http_loop, completesCallsWhileHundredsAreHeldOpen)
+{
+  constexpr std::size_t kHeld = 200;
+  holding_server server;
+  http_loop loop({ .mConnectionsPerAddress = 400 });
+  std::size_t late = 0;
+  for (std::size_t i = 0; i < kHeld; ++i) {
+    loop.send({ .mMethod = "POST",
+                .mAddress = server.address(),
+                .mPath = "/hold",
+                .mTimeout = milliseconds(20'000),
+                .mDone = [&late](loop_reply&& aReply) { late += aReply.mBody == "late" ? 1 : 0; } });
+  }
+  CHECK(runUntil(loop, [&] { return server.held() == kHeld; }));
+  for (int i = 0; i < 50; ++i) {
+    std::string body;
+    loop.send({ .mMethod = "POST",
+                .mAddress = server.address(),
+                .mPath = "/echo",
+                .mBody = std::to_string(i),
+                .mTimeout = milliseconds(20'000),
+                .mDone = [&body](loop_reply&& aReply) { body = aReply.mBody; } });
+    CHECK(runUntil(loop, [&body] { return !body.empty(); }));
+    STRCMP_EQUAL(std::to_string(i).c_str(), body.c_str());
+  }
+  LONGS_EQUAL(0, late);
+  server.release();
+  CHECK(runUntil(loop, [&late] { return late == kHeld; }));
+}
+
+// Guards against a call that is never reported because its socket stays quiet.
+TEST(http_loop, reportsACallWithoutAnswerWhenItsTimeIsOver)
+{
+  holding_server server;
+  http_loop loop;
+  std::string error;
+  bool answered = true;
+  loop.send({ .mAddress = server.address(),
+              .mPath = "/hold",
+              .mTimeout = milliseconds(50),
+              .mDone = [&](loop_reply&& aReply) {
+                answered = aReply.mStatus.has_value();
+                error = aReply.mError;
+              } });
+  CHECK(runUntil(loop, [&error] { return !error.empty(); }));
+  CHECK_FALSE(answered);
+}
+
+// Guards against "nothing was sent" being unknown when nobody listens.
+TEST(http_loop, tellsRefusedConnections)
+{
+  std::string address;
+  {
+    holding_server server;
+    address = server.address();
+  }
+  http_loop loop;
+  bool refused = false;
+  loop.send({ .mAddress = address, .mPath = "/echo", .mDone = [&refused](loop_reply&& aReply) {
+               refused = aReply.mRefused;
+             } });
+  CHECK(runUntil(loop, [&refused] { return refused; }));
+}
+
+// Guards against a loop that sleeps on while another thread has handed it work.
+TEST(http_loop, isWokenByAnotherThread)
+{
+  http_loop loop;
+  std::thread waker([&loop] { loop.wake(); });
+  // Without the wake-up this would last for an hour.
+  loop.run(std::chrono::hours(1));
+  waker.join();
+}
+
+// Guards against calls from within a callback that wait for the next network activity.
+TEST(http_loop, startsCallsMadeWithinCallbacks)
+{
+  holding_server server;
+  http_loop loop;
+  std::string body;
+  loop.send({ .mMethod = "POST",
+              .mAddress = server.address(),
+              .mPath = "/echo",
+              .mBody = "first",
+              .mDone = [&](loop_reply&& aReply) {
+                loop.send({ .mMethod = "POST",
+                            .mAddress = server.address(),
+                            .mPath = "/echo",
+                            .mBody = aReply.mBody + " second",
+                            .mDone = [&body](loop_reply&& aNext) { body = aNext.mBody; } });
+              } });
+  CHECK(runUntil(loop, [&body] { return !body.empty(); }));
+  STRCMP_EQUAL("first second", body.c_str());
+}
