--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -235,9 +235,9 @@
   static int setTimer(CURLM* /*aMulti*/, long aMilliseconds, void* aSelf)
   {
     auto& self = *static_cast<impl*>(aSelf);
-    self.mTimer = aMilliseconds < 0 ? std::nullopt
-                                    : std::optional(steady::now() +
-                                                    std::chrono::milliseconds(aMilliseconds));
+    self.mTimer = aMilliseconds < 0
+                    ? std::nullopt
+                    : std::optional(steady::now() + std::chrono::milliseconds(aMilliseconds));
     return 0;
   }
 
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -75,11 +75,12 @@
   http_loop loop({ .mConnectionsPerAddress = 400 });
   std::size_t late = 0;
   for (std::size_t i = 0; i < kHeld; ++i) {
-    loop.send({ .mMethod = "POST",
-                .mAddress = server.address(),
-                .mPath = "/hold",
-                .mTimeout = milliseconds(20'000),
-                .mDone = [&late](loop_reply&& aReply) { late += aReply.mBody == "late" ? 1 : 0; } });
+    loop.send(
+      { .mMethod = "POST",
+        .mAddress = server.address(),
+        .mPath = "/hold",
+        .mTimeout = milliseconds(20'000),
+        .mDone = [&late](loop_reply&& aReply) { late += aReply.mBody == "late" ? 1 : 0; } });
   }
   CHECK(runUntil(loop, [&] { return server.held() == kHeld; }));
   for (int i = 0; i < 50; ++i) {
