Hand records to the owner in batches, and decide during an append what the next one stores

The log showed (1) hundreds of `hand_over_failed`: each record held one of 12 connections to the owner until it was stored, so hello calls found none, the owner counted as unreachable, and each daemon appended by itself, which held up the owner's appends; (2) 50 starts in each append: two appends were open or queued, and nothing was decided until the first was answered, so the second carried 15 ms of work.

Ruled out: size of the records (20 kB an append), the store's own delay of 0.54 s an append (0.36 s answer, 0.18 s slot), processor time (idle 73%).

The owner keeps one append open and plans meanwhile, for at most 0.7 s. Placement finds targets by number, skips steps that have no valid ticket, and scans runs for orders only where something has changed.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -56,7 +56,7 @@
             { .mTopic = kJournalTopic,
               .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation) }),
     mLink(mLoop, mClock, mPeerAddress),
-    mIntake(mClock, mLink, mWriter, mLog,
+    mIntake(mClock, mStore, mLink, mWriter, mLog,
             [this](const journal_record& aRecord, const job_intake::done& aDone) {
               return acceptLocally(aRecord, aDone);
             }),
@@ -258,6 +258,7 @@
         handlePeer(std::get<peer_request>(item));
       }
     }
+    mIntake.tick(now);
     mDesk.tick(now);
     {
       const loop_load::scope storing(mLoad, loop_phase::store);
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -44,19 +44,37 @@
 
 void cell_node::impl::handleStore(const peer_request& aRequest)
 {
-  auto record = scheduler::decodeRecord(aRequest.mBody);
-  const auto answer = [responder = aRequest.mResponder](write_outcome aOutcome) {
-    // 504: may be stored, 503: surely is not.
-    std::uint16_t status = 504;
-    if (aOutcome == write_outcome::stored) {
-      status = 200;
-    } else if (aOutcome == write_outcome::refused) {
-      status = 503;
-    }
-    responder.answer({ .mStatus = status });
+  const auto records = decodeHandOver(aRequest.mBody);
+  if (!records.ok()) {
+    mLog.write("malformed", fmt::format("path={} error=\"{}\"", aRequest.mPath,
+                                        std::string(records.status().message())));
+    aRequest.mResponder.answer({ .mStatus = 400 });
+    return;
+  }
+  struct progress
+  {
+    std::string mResults;
+    std::size_t mOpen = 0;
   };
-  if (!record.ok() || !acceptLocally(*record, answer)) {
-    answer(write_outcome::refused);
+  const auto all = std::make_shared<progress>(
+    progress{ .mResults = std::string(records->size(), '?'), .mOpen = records->size() });
+  for (std::size_t index = 0; index < records->size(); ++index) {
+    const auto finish = [all, index, responder = aRequest.mResponder](write_outcome aOutcome) {
+      auto result = hand_over_result::unknown;
+      if (aOutcome == write_outcome::stored) {
+        result = hand_over_result::stored;
+      } else if (aOutcome == write_outcome::refused) {
+        result = hand_over_result::refused;
+      }
+      all->mResults[index] = static_cast<char>(result);
+      if (--all->mOpen == 0) {
+        responder.answer({ .mBody = std::move(all->mResults) });
+      }
+    };
+    const auto record = scheduler::decodeRecord((*records)[index]);
+    if (!record.ok() || !acceptLocally(*record, finish)) {
+      finish(write_outcome::refused);
+    }
   }
 }
 
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -15,8 +15,6 @@
 constexpr std::chrono::milliseconds kOwnerRegistryInterval{ 250 };
 /// An append of the owner without an answer for this long rejects new jobs at once.
 constexpr std::chrono::milliseconds kMaxStoreAge{ 1500 };
-/// A store that takes longer is slow for the owner as well.
-constexpr std::chrono::milliseconds kSlowStore{ 150 };
 /// Appends that take longer are logged.
 constexpr std::chrono::milliseconds kSlowAppend{ 200 };
 /// A snapshot is written when the journal has grown by so many records, but not more often than
@@ -200,8 +198,7 @@
   }
   mLink.setOwner(mOwner ? std::nullopt : mElection.ownerAddress());
   // While the store is slow for all, a change of the owner only costs more calls.
-  const bool ownerCutOff = mLink.ownerLostStore() && mStore.delay() < kSlowStore;
-  mElection.setOwnerDoubt(mLink.refused(), mLink.silent(aNow) || ownerCutOff);
+  mElection.setOwnerDoubt(mLink.refused(), mLink.silent(aNow) || mLink.ownerCutOff(mStore.delay()));
   const bool eligible = mJournalTail->caughtUp() && mOperator.config() && !mStoreLost;
   // What has ended is stored before others are let in.
   const bool handOver =
--- a/node/src/owner_link.cpp
+++ b/node/src/owner_link.cpp
@@ -83,9 +83,9 @@
   return mOwner && aNow - std::max(mLastAnswer, mOwnerSince) > kSilence;
 }
 
-bool owner_link::ownerLostStore() const
+bool owner_link::ownerCutOff(std::chrono::milliseconds aStoreDelay) const
 {
-  return mOwner && mStoreAge && *mStoreAge > kOwnerStoreAge;
+  return mOwner && mStoreAge && *mStoreAge > kOwnerStoreAge && aStoreDelay < kSlowStore;
 }
 
 void owner_link::call(std::string_view aPath, std::string aBody, std::chrono::milliseconds aTimeout,
--- a/node/src/owner_link.h
+++ b/node/src/owner_link.h
@@ -13,6 +13,9 @@
 
 namespace endiveusher::node {
 
+/// A store that takes longer for an answer is slow for all daemons.
+inline constexpr std::chrono::milliseconds kSlowStore{ 150 };
+
 /// What a follower knows of the owner from talking to it, besides its records in the store.
 ///
 /// Load pattern: the owner dies under full load. Its records would be missed only after several
@@ -33,9 +36,12 @@
   bool refused() const { return mRefused; }
   /// Has not answered for some time.
   bool silent(time_point aNow) const;
-  /// Says that the store does not answer it.
-  bool ownerLostStore() const;
+  /// Says that the store does not answer it, and it is not only that the store takes aStoreDelay
+  /// for everybody.
+  bool ownerCutOff(std::chrono::milliseconds aStoreDelay) const;
 
+  /// Changes with the owner.
+  std::uint64_t generation() const { return mGeneration; }
   /// Calls the owner; only while reachable().
   void call(std::string_view aPath, std::string aBody, std::chrono::milliseconds aTimeout,
             std::function<void(edges::loop_reply&&)> aDone);
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -6,15 +6,17 @@
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endiveusher::node {
 
 /// Paths of the interface between daemons, on the first port of their range.
 inline constexpr std::string_view kPeerHelloPath = "/peer/hello";
 inline constexpr std::string_view kPeerAdvicePath = "/peer/advice";
-/// The owner stores a record of a caller; 503 if it surely has not.
+/// The owner stores records of callers; the answer has one letter for each, see hand_over_result.
 inline constexpr std::string_view kPeerStorePath = "/peer/store";
 /// The state of a job as the owner knows it.
 inline constexpr std::string_view kPeerStatusPath = "/peer/status";
@@ -32,6 +34,40 @@
            .mTimeout = std::chrono::milliseconds(500) };
 }
 
+/// What became of a record that was handed to the owner.
+enum class hand_over_result : char
+{
+  stored = 's',
+  /// Surely not stored.
+  refused = 'r',
+  unknown = 'u',
+};
+
+inline std::string encodeHandOver(std::span<const std::string> aRecords)
+{
+  auto records = nlohmann::json::array();
+  for (const auto& record : aRecords) {
+    records.push_back(nlohmann::json::binary({ record.begin(), record.end() }));
+  }
+  std::string bytes;
+  nlohmann::json::to_msgpack(records, bytes);
+  return bytes;
+}
+
+inline absl::StatusOr<std::vector<std::string>> decodeHandOver(std::string_view aBody)
+{
+  try {
+    std::vector<std::string> records;
+    for (const auto& one : nlohmann::json::from_msgpack(aBody.begin(), aBody.end())) {
+      const auto& bytes = one.get_binary();
+      records.emplace_back(bytes.begin(), bytes.end());
+    }
+    return records;
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(std::string("hand-over: ") + error.what());
+  }
+}
+
 /// The owner asks a daemon to make a call for advice; the answer is the one of the service.
 inline edges::loop_call encodePeerAdvice(const scheduler::advice_request& aRequest)
 {
--- a/scheduler/src/advice_desk.cpp
+++ b/scheduler/src/advice_desk.cpp
@@ -33,29 +33,37 @@
   return found == mHelpers.end() ? nullptr : &*found;
 }
 
-std::optional<std::string> advice_desk::reserve(duration aCost, time_point aNow,
-                                                std::uint64_t aCall)
+const advice_desk::helper* advice_desk::choose(duration aCost, time_point aNow) const
 {
   const bool isLong = aCost >= kLongCall;
   const auto busyLong = static_cast<std::size_t>(std::ranges::count_if(mHelpers, &helper::mLong));
   if (isLong && busyLong >= (mHelpers.size() + 1) / 2) {
-    return std::nullopt;
+    return nullptr;
   }
-  helper* best = nullptr;
-  for (auto& one : mHelpers) {
+  const helper* best = nullptr;
+  for (const auto& one : mHelpers) {
     const bool free = isLong ? one.mOpen == 0 : one.mOpen < kShortCallsOpen && !one.mLong;
     if (free && one.mAvoidUntil <= aNow && (best == nullptr || one.mLoad < best->mLoad)) {
       best = &one;
     }
   }
-  if (best == nullptr) {
+  return best;
+}
+
+std::optional<std::string> advice_desk::reserve(duration aCost, time_point aNow,
+                                                std::uint64_t aCall)
+{
+  const auto* chosen = choose(aCost, aNow);
+  if (chosen == nullptr) {
     return std::nullopt;
   }
-  ++best->mOpen;
-  best->mLoad += aCost;
-  best->mLong = best->mLong || isLong;
-  mCalls[aCall] = { .mHelper = best->mName, .mCost = aCost, .mLong = isLong };
-  return best->mName;
+  const bool isLong = aCost >= kLongCall;
+  auto& best = *find(chosen->mName);
+  ++best.mOpen;
+  best.mLoad += aCost;
+  best.mLong = best.mLong || isLong;
+  mCalls[aCall] = { .mHelper = best.mName, .mCost = aCost, .mLong = isLong };
+  return best.mName;
 }
 
 void advice_desk::release(std::uint64_t aCall, bool aOk, time_point aNow)
--- a/scheduler/src/advice_desk.h
+++ b/scheduler/src/advice_desk.h
@@ -20,6 +20,8 @@
 public:
   /// Daemons besides this one.
   void setHelpers(std::span<const std::string> aHelpers);
+  /// Whether a call that takes aCost would find a daemon.
+  bool hasFree(duration aCost, time_point aNow) const { return choose(aCost, aNow) != nullptr; }
   /// The daemon to make a call that takes aCost; absent if all that may are busy.
   std::optional<std::string> reserve(duration aCost, time_point aNow, std::uint64_t aCall);
   /// The call has been answered, or given up.
@@ -42,6 +44,7 @@
     bool mLong = false;
   };
   helper* find(const std::string& aName);
+  const helper* choose(duration aCost, time_point aNow) const;
 
   /// The empty name is this daemon.
   std::vector<helper> mHelpers{ helper{} };
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -21,8 +21,10 @@
 /// callers' records wait for the shorter, ends alone for the longer.
 constexpr auto kStoreInterval = std::chrono::milliseconds(15);
 constexpr auto kEndStoreInterval = std::chrono::milliseconds(35);
-/// Calls of store() that may be unanswered; more records wait here.
-constexpr std::size_t kStoresOpen = 2;
+/// Load pattern: a burst arrives while an append takes half a second. One append is open at a time,
+/// so that the next carries all that was decided meanwhile: jobs, their starts, ends. Without an
+/// answer for this long nothing more is decided, because tickets lapse and later needs are unknown.
+constexpr auto kAppendPatience = std::chrono::milliseconds(700);
 /// A pass at least this often, for what only time changes.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
@@ -145,8 +147,7 @@
         if (!task.mOpen || findRun(task.mOpen->mTarget, key, task.mRun) != nullptr) {
           continue;
         }
-        auto& target = mTargets[task.mOpen->mTarget];
-        target.mEntry.mId = task.mOpen->mTarget;
+        auto& target = targetOf(task.mOpen->mTarget);
         target.mEntry.mBorn = std::max(target.mEntry.mBorn, task.mOpen->mBorn);
         hold(target, key,
              { .mRun = task.mRun,
@@ -236,6 +237,7 @@
                             tasks[index].mRun)) {
       run->mStopWanted = true;
       run->mNextTry = aNow;
+      mTargets.find(tasks[index].mOpen->mTarget)->second.mNextOrders = time_point{};
     }
   }
 }
@@ -312,14 +314,13 @@
 {
   if (mRecords.empty()) {
     if (!mNextBatch.mEnds.empty() && mBatches.empty()) {
-      mBatches.push_back(std::move(mNextBatch));
-      mNextBatch = {};
+      mBatches.push_back(std::exchange(mNextBatch, {}));
       stored(aNow);
     }
     return;
   }
-  mBatches.push_back(std::move(mNextBatch));
-  mNextBatch = {};
+  mNextBatch.mSince = aNow;
+  mBatches.push_back(std::exchange(mNextBatch, {}));
   mPort.store(std::exchange(mRecords, {}));
 }
 
@@ -395,7 +396,8 @@
     const bool forgotten = !target.mListed && target.mRuns.empty() && !target.mLookOpen;
     at = forgotten ? mTargets.erase(at) : ++at;
   }
-  if (mNextPlan <= aNow && mBatches.size() < kStoresOpen) {
+  const bool overdue = !mBatches.empty() && aNow - mBatches.front().mSince > kAppendPatience;
+  if (mNextPlan <= aNow && !overdue) {
     if (mChanged || mNextPlan + kIdlePlanInterval <= aNow) {
       mChanged = false;
       plan(aNow);
@@ -404,7 +406,7 @@
   }
   const bool urgent = !mNextBatch.mStarts.empty() || !mNextBatch.mTokens.empty();
   const auto interval = urgent ? kStoreInterval : kEndStoreInterval;
-  if (mBatches.size() < kStoresOpen && mLastFlush + interval <= aNow) {
+  if (mBatches.empty() && mLastFlush + interval <= aNow) {
     flush(aNow);
     mLastFlush = aNow;
   }
@@ -453,7 +455,7 @@
     text +=
       fmt::format("step {} route={} pending={}/{} good={} tickets={} calls={}\n", toText(key),
                   step.mRoute.mName, step.mPending.size(), step.spec().mCount,
-                  step.mAdvice.mGood.size(), step.mAdvice.mTickets.size(), step.mAdvice.mCallsOpen);
+                  step.mAdvice.goodTargets(), step.mAdvice.tickets(), step.mAdvice.mCallsOpen);
   }
   return text;
 }
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -65,6 +65,8 @@
     std::vector<std::uint64_t> mTokens;
     /// Targets at which leases may be renewed from now on.
     std::vector<std::string> mTaken;
+    /// When it was handed to the store.
+    time_point mSince;
   };
   /// A target's room during one planning pass.
   struct candidate
@@ -91,6 +93,8 @@
   route_config routeOf(const std::string& aName) const;
 
   // Runs.
+  /// The target of this id, made if it is new.
+  target_state& targetOf(const std::string& aId);
   void hold(target_state& aTarget, const task_key& aTask, held_run aRun);
   void release(target_state& aTarget, const task_key& aTask);
   void endRun(target_state& aTarget, const task_key& aTask, run_end aHow,
@@ -149,6 +153,8 @@
   /// Also routes that the configuration has dropped while jobs of theirs are unfinished.
   std::map<std::string, route_config> mRoutes;
   std::map<std::string, target_state, std::less<>> mTargets;
+  /// Also of targets that are gone: steps remember their verdicts by number.
+  std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
   std::map<step_key, waiting_step> mWaiting;
   std::map<std::string, resources> mTeamUsed;
   /// Jobs with occurrences that are not due yet.
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -35,8 +35,17 @@
 
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
+  if (aTarget.mNextOrders > aNow) {
+    return;
+  }
+  aTarget.mNextOrders = time_point::max();
   for (auto& [task, run] : aTarget.mRuns) {
-    if (run.mOrderOpen || run.mNextTry > aNow || run.mPhase == run_phase::storing) {
+    const bool settled = run.mPhase == run_phase::confirmed && (!run.mStopWanted || run.mEnded);
+    if (run.mOrderOpen || settled || run.mPhase == run_phase::storing) {
+      continue;
+    }
+    if (run.mNextTry > aNow) {
+      aTarget.mNextOrders = std::min(aTarget.mNextOrders, run.mNextTry);
       continue;
     }
     const bool giveUp = run.mTries >= kMaxStartTries || run.mStopWanted;
@@ -69,6 +78,7 @@
 void owner::impl::sendStop(target_state& aTarget, const task_key& aTask, held_run& aRun)
 {
   if (aTarget.mEntry.mAddress.empty()) {
+    aTarget.mNextOrders = time_point{};
     return;
   }
   aRun.mPhase = run_phase::stopping;
@@ -90,6 +100,7 @@
   auto* run = findRun(aOrder.mTarget, aOrder.mTask, aOrder.mRun);
   if (run != nullptr) {
     run->mOrderOpen = false;
+    mTargets.find(aOrder.mTarget)->second.mNextOrders = time_point{};
   }
   return run;
 }
@@ -130,7 +141,7 @@
   }
   if (aOutcome == order_outcome::bad_ticket) {
     if (const auto step = mWaiting.find(aOrder.mTask.mStep); step != mWaiting.end()) {
-      step->second.mAdvice.mTickets.erase(aOrder.mTarget);
+      step->second.mAdvice.dropTicket(target.mNumber);
     }
   } else {
     target.mAvoidUntil = std::max<time_point>(target.mAvoidUntil, aNow + kRejectedPause);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -7,6 +7,8 @@
 
 namespace endiveusher::scheduler {
 
+using verdict = internal::step_advice::verdict;
+
 namespace {
 
 /// Left of a ticket's time when its start is sent, for the journal and the way to the target.
@@ -65,22 +67,27 @@
 bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget,
                           time_point aNow) const
 {
-  const auto failed = aStep.mFailedAt.find(aTarget.mEntry.mId);
-  if (failed != aStep.mFailedAt.end() && failed->second > aNow) {
+  if (aStep.mRoute.mAdvice && aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::bad) {
     return false;
   }
+  if (!aStep.mFailedAt.empty()) {
+    const auto failed = aStep.mFailedAt.find(aTarget.mNumber);
+    if (failed != aStep.mFailedAt.end() && failed->second > aNow) {
+      return false;
+    }
+  }
   const auto& spec = aStep.spec();
   return aTarget.mEntry.mPool == aStep.mRoute.mPool &&
-         (spec.mRequiredLabel.empty() || aTarget.mEntry.hasLabel(spec.mRequiredLabel)) &&
-         (!aStep.mRoute.mAdvice || aStep.mAdvice.mayRun(aTarget.mEntry.mId));
+         (spec.mRequiredLabel.empty() || aTarget.mEntry.hasLabel(spec.mRequiredLabel));
 }
 
 bool owner::impl::admitted(const waiting_step& aStep, const target_state& aTarget,
                            time_point aNow) const
 {
-  return allowed(aStep, aTarget, aNow) &&
-         (!aStep.mRoute.mAdvice ||
-          aStep.mAdvice.validTicket(aTarget.mEntry.mId, aNow + kTicketMargin) != nullptr);
+  return (!aStep.mRoute.mAdvice ||
+          (aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::good &&
+           aStep.mAdvice.validTicket(aTarget.mNumber, aNow + kTicketMargin) != nullptr)) &&
+         allowed(aStep, aTarget, aNow);
 }
 
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep, const candidate& aWhere) const
@@ -172,7 +179,7 @@
     }
     ++allowedTargets;
     slots += std::min(slotsAt(aStep, room), aStep.spec().mCount);
-    const auto* ticket = aStep.mAdvice.validTicket(room.mTarget->mEntry.mId, aNow);
+    const auto* ticket = aStep.mAdvice.validTicket(room.mTarget->mNumber, aNow);
     tickets += ticket != nullptr ? 1 : 0;
   }
   const char* reason = "no_ticket";
@@ -204,13 +211,14 @@
     return;
   }
   const bool ready = aStep.mNotBefore <= aNow;
+  const bool noTicket = aStep.mRoute.mAdvice && !aStep.mAdvice.anyTicket(aNow + kTicketMargin);
   const auto& rack = aStep.spec().mDataRack;
   const bool anyRack = rack.empty() || aNow > aStep.mOnTimeUntil - aStep.mRemaining - kRackPatience;
   std::vector<placement> placements;
   std::size_t next = 0;
   const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
   for (auto& room : aRooms) {
-    if (next == wanted) {
+    if (next == wanted || noTicket) {
       break;
     }
     if (!admitted(aStep, *room.mTarget, aNow) || (!anyRack && room.mTarget->mEntry.mRack != rack)) {
@@ -254,7 +262,8 @@
     return std::vector<placement>{};
   };
   std::vector<placement> placements;
-  if (aStep.mNotBefore <= aNow) {
+  const bool noTicket = aStep.mRoute.mAdvice && !aStep.mAdvice.anyTicket(aNow + kTicketMargin);
+  if (aStep.mNotBefore <= aNow && !noTicket) {
     if (aStep.spec().mRackLocal) {
       std::set<std::string> racks;
       for (const auto& room : aRooms) {
@@ -305,7 +314,8 @@
   std::vector<candidate*> good;
   for (auto& room : aRooms) {
     total += room.mTarget->mEntry.mCapacity.mCpuMilli;
-    const bool known = !aStep.mRoute.mAdvice || aStep.mAdvice.knownGood(room.mTarget->mEntry.mId);
+    const bool known =
+      !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(room.mTarget->mNumber) == verdict::good;
     if (known && allowed(aStep, *room.mTarget, aNow)) {
       good.push_back(&room);
     }
@@ -359,9 +369,9 @@
                                        .mBorn = target.mEntry.mBorn } };
     held_run held{ .mRun = run, .mNeeds = aStep.mNeeds, .mTeam = aStep.mJob->mSpec.mTeam };
     if (aStep.mRoute.mAdvice) {
-      const auto& ticket = aStep.mAdvice.mTickets.at(target.mEntry.mId);
-      held.mTicket = ticket.mToken;
-      held.mTicketUntil = ticket.mUntil;
+      const auto* ticket = aStep.mAdvice.validTicket(target.mNumber, aNow);
+      held.mTicket = ticket->mToken;
+      held.mTicketUntil = ticket->mUntil;
     }
     hold(target, task, std::move(held));
     append(record, aNow);
@@ -392,18 +402,18 @@
   std::uint32_t slots = 0;
   std::vector<const candidate*> unknown;
   for (const auto& room : aRooms) {
-    const auto& id = room.mTarget->mEntry.mId;
+    const auto number = room.mTarget->mNumber;
     if (!allowed(aStep, *room.mTarget, aNow)) {
       continue;
     }
-    if (!aStep.mAdvice.mGood.contains(id)) {
+    if (aStep.mAdvice.verdictOn(number) == verdict::unknown) {
       unknown.push_back(&room);
     } else if (slots < pending && named.size() < most) {
       const auto here = slotsAt(aStep, room);
       if (here > 0) {
         slots += here;
-        if (aStep.mAdvice.validTicket(id, aNow + kTicketRenewal) == nullptr) {
-          named.push_back(id);
+        if (aStep.mAdvice.validTicket(number, aNow + kTicketRenewal) == nullptr) {
+          named.push_back(room.mTarget->mEntry.mId);
         }
       }
     }
@@ -416,9 +426,8 @@
     named.clear();
   }
   // Those with room first; the others tell where room is worth waiting for.
-  std::ranges::stable_sort(unknown, std::greater<>{}, [this, &aStep](const candidate* aOne) {
-    return slotsAt(aStep, *aOne) > 0;
-  });
+  std::ranges::stable_partition(
+    unknown, [this, &aStep](const candidate* aOne) { return slotsAt(aStep, *aOne) > 0; });
   for (const auto* room : unknown) {
     if (named.size() == most || (!aStep.spec().mGang && slotsAt(aStep, *room) == 0)) {
       break;
@@ -431,14 +440,15 @@
 void owner::impl::askForAdvice(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
 {
   auto& advice = aStep.mAdvice;
-  if (advice.mCallsOpen > 0 || advice.mNextCall > aNow) {
+  const auto& terms = *aStep.mRoute.mAdvice;
+  if (advice.mCallsOpen > 0 || advice.mNextCall > aNow ||
+      !mDesk.hasFree(terms.mPerCall + terms.mPerTarget, aNow)) {
     return;
   }
   auto named = targetsToName(aStep, aRooms, aNow);
   if (named.empty()) {
     return;
   }
-  const auto& terms = *aStep.mRoute.mAdvice;
   const duration cost = terms.mPerCall + static_cast<int>(named.size()) * terms.mPerTarget;
   const auto call = mLastAdviceCall + 1;
   const auto helper = mDesk.reserve(cost, aNow, call);
@@ -480,7 +490,7 @@
     return;
   }
   for (const auto& named : call.mTargets) {
-    step.mAdvice.mGood[named] = false;
+    step.mAdvice.judge(mTargetNumbers.at(named), verdict::bad);
   }
   // The service issued the tickets before the answer came; the sending time is a safe bound.
   const auto& terms = step.mRoute.mAdvice;
@@ -490,8 +500,14 @@
           : duration{ 0 };
   const auto issued = std::max(call.mSent + cost, aNow - kMaxAnswerTravel);
   for (const auto& good : aAnswer.mGood) {
-    step.mAdvice.mGood[good.mTarget] = true;
-    step.mAdvice.mTickets[good.mTarget] = { .mToken = good.mToken, .mUntil = issued + valid };
+    const auto number = mTargetNumbers.find(good.mTarget);
+    if (number == mTargetNumbers.end()) {
+      mPort.explain("advice_unknown_target",
+                    fmt::format("step={} target={}", toText(call.mStep), good.mTarget));
+      continue;
+    }
+    step.mAdvice.judge(number->second, verdict::good);
+    step.mAdvice.admit(number->second, { .mToken = good.mToken, .mUntil = issued + valid });
   }
 }
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -41,9 +41,20 @@
 
 } // namespace
 
+owner::impl::target_state& owner::impl::targetOf(const std::string& aId)
+{
+  const auto [at, isNew] = mTargets.try_emplace(aId);
+  if (isNew) {
+    at->second.mEntry.mId = aId;
+    const auto next = static_cast<std::uint32_t>(mTargetNumbers.size());
+    at->second.mNumber = mTargetNumbers.try_emplace(aId, next).first->second;
+  }
+  return at->second;
+}
+
 void owner::impl::setTarget(const target_entry& aEntry, time_point aNow)
 {
-  auto& target = mTargets[aEntry.mId];
+  auto& target = targetOf(aEntry.mId);
   const bool otherLife =
     target.mEntry.mBorn != 0 && aEntry.mBorn != 0 && aEntry.mBorn > target.mEntry.mBorn;
   const auto born = std::max(target.mEntry.mBorn, aEntry.mBorn);
@@ -85,7 +96,7 @@
   aTarget.mStoredEnd = 0;
   aTarget.mFailuresInRow = 0;
   for (auto& [key, step] : mWaiting) {
-    step.mAdvice.mTickets.erase(aTarget.mEntry.mId);
+    step.mAdvice.dropTicket(aTarget.mNumber);
   }
 }
 
@@ -260,7 +271,7 @@
   } else if (aEnd.mHow == listed_end::failed) {
     const auto step = mWaiting.find(aEnd.mTask.mStep);
     if (step != mWaiting.end() && mTargets.size() > 1) {
-      step->second.mFailedAt[aTarget.mEntry.mId] = aNow + kFailedAtPeriod;
+      step->second.mFailedAt[aTarget.mNumber] = aNow + kFailedAtPeriod;
     }
     if (aTarget.mLastFailed == aEnd.mTask.mStep.mJob) {
       // A job that always fails says little about the target.
@@ -285,6 +296,7 @@
   aTarget.mUsed += aRun.mNeeds;
   mTeamUsed[aRun.mTeam] += aRun.mNeeds;
   aTarget.mRuns[aTask] = std::move(aRun);
+  aTarget.mNextOrders = time_point{};
 }
 
 void owner::impl::release(target_state& aTarget, const task_key& aTask)
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -53,6 +53,8 @@
 struct target_state
 {
   target_entry mEntry;
+  /// Dense; stays with the target's id over its incarnations.
+  std::uint32_t mNumber = 0;
   /// The registry lists it now.
   bool mListed = false;
   /// Has answered a look of this epoch in this incarnation, so late orders of former owners are
@@ -76,6 +78,8 @@
   std::uint64_t mLastEnd = 0;
   std::uint64_t mStoredEnd = 0;
   std::map<task_key, held_run> mRuns;
+  /// No run needs an order before this; the past after any change that may need one.
+  time_point mNextOrders{};
   resources mUsed;
   /// No new work before this, after failures that point to the target.
   time_point mAvoidUntil{};
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -4,13 +4,19 @@
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace endiveusher::scheduler::internal {
 
+/// Dense number of a target, given by the owner; stays with the target's id.
+using target_number = std::uint32_t;
+
 struct ticket
 {
   std::string mToken;
@@ -19,28 +25,59 @@
 
 /// What is known of the targets that may run one step. The set of good targets never changes;
 /// tickets lapse.
-struct step_advice
+class step_advice
 {
-  std::unordered_map<std::string, bool> mGood;
-  std::unordered_map<std::string, ticket> mTickets;
+public:
+  enum class verdict : std::uint8_t
+  {
+    unknown,
+    good,
+    bad,
+  };
+
   std::uint32_t mCallsOpen = 0;
   time_point mNextCall{};
 
-  bool mayRun(const std::string& aTarget) const
+  verdict verdictOn(target_number aTarget) const
   {
-    const auto found = mGood.find(aTarget);
-    return found == mGood.end() || found->second;
+    return aTarget < mVerdicts.size() ? mVerdicts[aTarget] : verdict::unknown;
   }
-  bool knownGood(const std::string& aTarget) const
+  void judge(target_number aTarget, verdict aVerdict)
   {
-    const auto found = mGood.find(aTarget);
-    return found != mGood.end() && found->second;
+    if (aTarget >= mVerdicts.size()) {
+      mVerdicts.resize(aTarget + 1, verdict::unknown);
+    }
+    mVerdicts[aTarget] = aVerdict;
   }
-  const std::string* validTicket(const std::string& aTarget, time_point aNow) const
+  std::size_t goodTargets() const
   {
+    return static_cast<std::size_t>(std::ranges::count(mVerdicts, verdict::good));
+  }
+
+  void admit(target_number aTarget, ticket aTicket)
+  {
+    mLastUntil = std::max(mLastUntil, aTicket.mUntil);
+    mTickets[aTarget] = std::move(aTicket);
+  }
+  void dropTicket(target_number aTarget) { mTickets.erase(aTarget); }
+  /// A ticket that is still valid at the time; nullptr if there is none.
+  const ticket* validTicket(target_number aTarget, time_point aTime) const
+  {
+    if (mLastUntil <= aTime) {
+      return nullptr;
+    }
     const auto found = mTickets.find(aTarget);
-    return found != mTickets.end() && found->second.mUntil > aNow ? &found->second.mToken : nullptr;
+    return found != mTickets.end() && found->second.mUntil > aTime ? &found->second : nullptr;
   }
+  /// Whether any ticket may be valid at the time.
+  bool anyTicket(time_point aTime) const { return mLastUntil > aTime; }
+  std::size_t tickets() const { return mTickets.size(); }
+
+private:
+  /// By the numbers of the targets.
+  std::vector<verdict> mVerdicts;
+  std::unordered_map<target_number, ticket> mTickets;
+  time_point mLastUntil{};
 };
 
 /// A step that waits is explained this often.
@@ -69,7 +106,7 @@
   time_point mSince{};
   time_point mNextExplanation{};
   /// Targets at which a run of the step has failed, and until when others are preferred.
-  std::unordered_map<std::string, time_point> mFailedAt;
+  std::unordered_map<target_number, time_point> mFailedAt;
   step_advice mAdvice;
 
   const step_spec& spec() const { return mJob->mSpec.mSteps[mKey.mStep]; }
--- a/tests/node/front_desk_test.cpp
+++ b/tests/node/front_desk_test.cpp
@@ -46,7 +46,7 @@
     log = new event_log("test");
     link = new owner_link(store->mLoop, time, "127.0.0.1:1");
     writer = new journal_writer(store->mStore, time, { .mTopic = "journal", .mProducer = "d" });
-    intake = new job_intake(time, *link, *writer, *log,
+    intake = new job_intake(time, store->mStore, *link, *writer, *log,
                             [this](const journal_record& aRecord, const job_intake::done& aDone) {
                               handed.push_back(aDone);
                               // As the owner does: the book is ahead of the journal.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -4,6 +4,7 @@
 #include "endiveusher/scheduler/owner.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -185,6 +186,8 @@
   /// Targets that any step may run on, where advice is needed; answered at once.
   std::vector<std::string> mGoodTargets;
   bool mStoreDown = false;
+  /// How long the store takes for one append; it carries them out one after the other.
+  milliseconds mStoreDelay{ 0 };
   int mRenewals = 0;
 
 private:
@@ -207,6 +210,9 @@
 
   void store(std::vector<journal_record> aRecords) override
   {
+    if (mUnstored.empty()) {
+      mAppendSince = mNow;
+    }
     mUnstored.push_back(std::move(aRecords));
   }
   void accepted(std::uint64_t /*aToken*/) override {}
@@ -234,11 +240,11 @@
 
   void answerAll()
   {
-    if (!mStoreDown) {
-      for (auto& records : std::exchange(mUnstored, {})) {
-        std::ranges::move(records, std::back_inserter(mJournal));
-        mOwner->stored(mNow);
-      }
+    while (!mStoreDown && !mUnstored.empty() && mNow - mAppendSince >= mStoreDelay) {
+      std::ranges::move(mUnstored.front(), std::back_inserter(mJournal));
+      mUnstored.pop_front();
+      mAppendSince = mNow;
+      mOwner->stored(mNow);
     }
     for (const auto& call : std::exchange(mPending, {})) {
       answer(call);
@@ -319,7 +325,8 @@
 
   std::map<std::string, fake_target> mTargets;
   std::vector<pending_call> mPending;
-  std::vector<std::vector<journal_record>> mUnstored;
+  std::deque<std::vector<journal_record>> mUnstored;
+  time_point mAppendSince{};
   std::uint64_t mEpoch = 0;
   std::uint64_t mLastJob = 0;
 };
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -91,6 +91,24 @@
   CHECK_EQUAL("t1", cell.whereIs(wide));
 }
 
+// Load pattern: a burst while the store takes half a second for an append. All that comes during
+// one append is decided and stored by the next, not a few jobs with each.
+TEST(owner_runs, decidesDuringAnAppendWhatTheNextOneStores)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.takeOver();
+  cell.run(milliseconds(300));
+  cell.mStoreDelay = milliseconds(500);
+  cell.submit(tasks(1));
+  for (int i = 0; i < 10; ++i) {
+    cell.run(milliseconds(45));
+    cell.submit(tasks(1));
+  }
+  // The first append is stored after 520 ms, the second one half a second later.
+  cell.run(milliseconds(650));
+  CHECK_EQUAL(11, cell.running());
+}
+
 TEST(owner_runs, waitsForEarlierSteps)
 {
   cell.addTarget("t1");
