Tell a refused connection from a request that was not sent

The first sending had reached the owner, whose append was on its way in the slow store.

Change: loop_reply tells mRefused (nothing listens any more) from mUnsent (nothing of the request has left), by the bytes of requests that libcurl issued.

Measured: doesNotCallARequestUnsentThatWasRepeated fails without it.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -15,8 +15,10 @@
   /// HTTP status; absent without a complete answer, whatever the reason.
   std::optional<int> mStatus;
   std::string mBody;
-  /// No connection could be made because nothing listens there: nothing was sent.
+  /// Nothing listens there any more.
   bool mRefused = false;
+  /// Nothing of the request has been sent, so it has surely had no effect.
+  bool mUnsent = false;
   /// Why there is no answer; empty if there is one.
   std::string mError;
   std::chrono::microseconds mElapsed{ 0 };
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -267,7 +267,11 @@
       } else {
         long cause = 0;
         curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &cause);
+        // libcurl repeats a request whose reused connection ends; only the repetition was refused.
+        long sentBytes = 0;
+        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
+        reply.mUnsent = reply.mRefused && sentBytes == 0;
         reply.mError = curl_easy_strerror(code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
           mTrouble[active->mCall.mAddress] = steady::now();
--- a/node/src/job_intake.cpp
+++ b/node/src/job_intake.cpp
@@ -110,8 +110,8 @@
                            aReply.mStatus.value_or(0), aReply.mError,
                            aReply.mElapsed / std::chrono::milliseconds(1), aNumbers.size()));
   }
-  const auto otherwise = aReply.mRefused || aReply.mStatus == 503 ? hand_over_result::refused
-                                                                  : hand_over_result::unknown;
+  const auto otherwise =
+    aReply.mUnsent || aReply.mStatus == 503 ? hand_over_result::refused : hand_over_result::unknown;
   for (std::size_t index = 0; index < aNumbers.size(); ++index) {
     const auto found = mHandOvers.find(aNumbers[index]);
     if (found == mHandOvers.end()) {
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -1,5 +1,6 @@
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/edges/http_server.h"
+#include "tests/clients/scripted_server.h"
 
 #include <mutex>
 #include <string>
@@ -9,6 +10,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace endiveusher::edges;
+using namespace endiveusher::testing;
 using std::chrono::milliseconds;
 
 namespace {
@@ -127,10 +129,47 @@
   }
   http_loop loop;
   bool refused = false;
-  loop.send({ .mAddress = address, .mPath = "/echo", .mDone = [&refused](loop_reply&& aReply) {
+  bool unsent = false;
+  loop.send({ .mAddress = address, .mPath = "/echo", .mDone = [&](loop_reply&& aReply) {
                refused = aReply.mRefused;
+               unsent = aReply.mUnsent;
              } });
   CHECK(runUntil(loop, [&refused] { return refused; }));
+  CHECK(unsent);
+}
+
+// Guards against "nothing was sent" being said of a request that a process received before it
+// ended: libcurl repeats a request whose reused connection ends, and the repetition is refused.
+TEST(http_loop, doesNotCallARequestUnsentThatWasRepeated)
+{
+  scripted_server* running = nullptr;
+  scripted_server server([&running](const seen_request& aRequest) {
+    if (aRequest.mTarget == "/last") {
+      running->stopListening();
+      return scripted_answer{ .mReaction = reaction::close };
+    }
+    return scripted_answer{ .mBody = "first" };
+  });
+  running = &server;
+  http_loop loop;
+  std::string body;
+  loop.send({ .mAddress = server.address(),
+              .mPath = "/first",
+              .mDone = [&body](loop_reply&& aReply) { body = aReply.mBody; } });
+  CHECK(runUntil(loop, [&body] { return !body.empty(); }));
+  bool ended = false;
+  bool unsent = true;
+  loop.send({ .mMethod = "POST",
+              .mAddress = server.address(),
+              .mPath = "/last",
+              .mBody = "record",
+              .mDone = [&](loop_reply&& aReply) {
+                ended = true;
+                unsent = aReply.mUnsent;
+              } });
+  CHECK(runUntil(loop, [&ended] { return ended; }));
+  LONGS_EQUAL(1, server.connections());
+  CHECK_FALSE(unsent);
 }
 
 // Guards against a loop that sleeps on while another thread has handed it work.
