Look at sockets in each pass, and reuse connections made after a silent call

Cause: calls that complete without waiting kept http_loop from looking at its sockets, so a call in flight could starve until its time limit.

Change: each pass looks at the sockets, without waiting if a call has completed. After a silent call, connections made since are used; two seconds of new ones remain, as libcurl compares ages in whole seconds.

Measured: servesSocketsWhileOtherCallsFailAtOnce fails before.

--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -28,11 +28,11 @@
 constexpr long kReceiveBufferBytes = 16384;
 /// Sockets handled in one pass; the others stay ready for the next.
 constexpr std::size_t kMaxEvents = 128;
-/// After a call without an answer the idle connections to that address may be silent for good: for
-/// the shorter time none of them is used, for the longer one only those used lately.
-constexpr auto kFreshPeriod = std::chrono::seconds(3);
+/// After a call without an answer the connections to that address may be silent for good. For the
+/// shorter time each call makes a new one, for the longer one only those made since are used;
+/// libcurl compares their ages in whole seconds.
+constexpr auto kFreshPeriod = std::chrono::seconds(2);
 constexpr auto kDoubtPeriod = std::chrono::seconds(20);
-constexpr long kMaxIdleSeconds = 2;
 
 struct list_deleter
 {
@@ -148,8 +148,9 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
     if (const auto trouble = mTrouble.find(call.mAddress); trouble != mTrouble.end()) {
       const auto age = active->mSince - trouble->second;
+      const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(age).count();
       curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, age < kFreshPeriod ? 1L : 0L);
-      curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+      curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN, std::max(seconds - 1, 1L));
       if (age > kDoubtPeriod) {
         mTrouble.erase(trouble);
       }
@@ -310,10 +311,9 @@
 
 void http_loop::run(std::chrono::milliseconds aWait)
 {
-  if (!progress()) {
-    wait(aWait);
-    progress();
-  }
+  // Sockets are looked at in each pass: calls that complete at once must not hold up the others.
+  wait(progress() ? std::chrono::milliseconds(0) : aWait);
+  progress();
 }
 
 bool http_loop::progress()
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -303,13 +303,11 @@
 void cell_node::impl::serveCalls(time_point aNext)
 {
   const loop_load::scope calling(mLoad, loop_phase::calls);
-  if (mLoop.progress()) {
-    return;
-  }
+  const bool completed = mLoop.progress();
   {
     const loop_load::scope waiting(mLoad, loop_phase::idle);
-    mLoop.wait(
-      std::chrono::ceil<std::chrono::milliseconds>(std::max(aNext - mClock.now(), duration{ 0 })));
+    const auto left = completed ? duration{ 0 } : std::max(aNext - mClock.now(), duration{ 0 });
+    mLoop.wait(std::chrono::ceil<std::chrono::milliseconds>(left));
   }
   mLoop.progress();
 }
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -2,6 +2,7 @@
 #include "endiveusher/edges/http_server.h"
 #include "tests/clients/scripted_server.h"
 
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -182,6 +183,38 @@
   waker.join();
 }
 
+// Load pattern: calls that fail at once, one after the other. Guards against sockets that are not
+// looked at while any call completes.
+TEST(http_loop, servesSocketsWhileOtherCallsFailAtOnce)
+{
+  holding_server server;
+  http_loop loop;
+  bool ended = false;
+  const std::function<void()> failAgain = [&] {
+    loop.send({ .mAddress = "no address", .mPath = "/", .mDone = [&](loop_reply&& aReply) {
+                 CHECK_FALSE(aReply.mStatus.has_value());
+                 if (!ended) {
+                   failAgain();
+                 }
+               } });
+  };
+  failAgain();
+  std::string body;
+  loop.send({ .mMethod = "POST",
+              .mAddress = server.address(),
+              .mPath = "/echo",
+              .mBody = "answer",
+              .mTimeout = milliseconds(60'000),
+              .mDone = [&body](loop_reply&& aReply) { body = aReply.mBody; } });
+  constexpr int kPasses = 200'000;
+  for (int pass = 0; pass < kPasses && body.empty(); ++pass) {
+    loop.run(milliseconds(10));
+  }
+  STRCMP_EQUAL("answer", body.c_str());
+  ended = true;
+  loop.run(milliseconds(0));
+}
+
 // Guards against calls from within a callback that wait for the next network activity.
 TEST(http_loop, startsCallsMadeWithinCallbacks)
 {
