Stop work that saves its progress for urgent jobs, and soak the real programs

Room that is being freed counts first. The order within a band keeps a fifth of the estimated work in reserve.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -73,6 +73,8 @@
   {
     target_state* mTarget = nullptr;
     resources mRoom;
+    /// Room that runs which are being stopped will free.
+    resources mComing;
   };
   struct placement
   {
@@ -138,6 +140,14 @@
   void placeGang(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   void explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms, time_point aNow);
   void holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
+  /// Stops work that waits better, for tasks that would be late otherwise.
+  void preempt(const waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
+  /// Fewest runs at the target that have to stop for a task of the step; empty if stopping does not
+  /// help.
+  std::vector<task_key> victimsAt(const waiting_step& aStep, const candidate& aWhere) const;
+  /// How long before its latest start a step has others stopped for it.
+  static duration preemptLead(const waiting_step& aStep);
+  bool mayBePreempted(const waiting_step& aStep, const task_key& aTask, const held_run& aRun) const;
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
   void askForAdvice(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   std::vector<std::string> targetsToName(const waiting_step& aStep, std::vector<candidate>& aRooms,
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -117,6 +117,9 @@
   }
 };
 
+/// Estimates are off by a fifth; what takes long has to start this part of it earlier to be on
+/// time.
+inline constexpr double kEstimateReserve = 0.2;
 /// Steps of later bands are late already.
 inline constexpr int kLastOnTimeBand = 1;
 
@@ -146,7 +149,9 @@
   }
   return { .mBand = band,
            .mPriority = band == 1 ? 0 : aStep.mRoute.mPriority,
-           .mLatestStart = aStep.mOnTimeUntil - aStep.mRemaining,
+           .mLatestStart =
+             aStep.mOnTimeUntil - aStep.mRemaining -
+             std::chrono::duration_cast<duration>(kEstimateReserve * aStep.mRemaining),
            .mKey = aStep.mKey };
 }
 
--- /dev/null
+++ b/tests/platform_soak/cell.py
@@ -0,0 +1,238 @@
+"""A cell of real daemons on loopback with stand-ins of store, targets and operator."""
+
+import http.client
+import json
+import os
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+import uuid
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "tests/process"))
+
+from checker import Checker, Job  # noqa: E402
+from programs import Ports, Program, wait_until  # noqa: E402
+from proxy import Proxy  # noqa: E402
+from store import Store  # noqa: E402
+from target import Target  # noqa: E402
+
+ZONES = ["a", "b"]
+TARGET_CPU = 8000
+TEAM_LIMIT_CPU = 24000
+REVOKE_S = 5.0
+# Until when the cell may be behind an acknowledgement, also under faults that overlap.
+VISIBLE_S = 5.0
+CALL_TIMEOUT_S = 4.0
+ATTEMPTS = 6
+
+
+class Daemon:
+    def __init__(self, name, zone, folder, ports, store_port):
+        self.name = name
+        self.front = f"127.0.0.1:{ports.take()}"
+        self.store = Proxy(ports.take(), ("127.0.0.1", store_port))
+        settings = folder / f"{name}.conf"
+        settings.write_text(
+            f"node={name}\nzone={zone}\nip=127.0.0.1\nlisten.front={self.front}\n"
+            f"listen.readiness=127.0.0.1:{ports.take()}\nport_range={ports.take()},0\n"
+            f"platform.addr={self.store.address}\nbounds.hold_max_ms=6000\n"
+            f"bounds.revoke_ms={int(REVOKE_S * 1000)}\nbounds.grace_s=6\nbounds.status_s=120\n"
+        )
+        binary = pathlib.Path(os.environ.get("ENDIVEUSHER_BUILD", ROOT / "build"))
+        self._command = [str(binary / "daemon/endiveusherd"), "--platform"]
+        self._folder = folder
+        self._environment = {"ENDIVEUSHER_BOOT": str(settings)}
+        self.start()
+
+    def start(self):
+        self.process = Program(self.name, self._command, self._folder, self._environment)
+
+    def close(self):
+        self.process.close()
+        self.store.close()
+
+
+class Cell:
+    def __init__(self, seed, daemons=4, targets=6):
+        self.random = random.Random(seed)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        ports = Ports(os.getpid() * 37)
+        store_port = ports.take()
+        self.checker = Checker(seed, TEAM_LIMIT_CPU)
+        self.store = Store(store_port, seed)
+        self.version = 0
+        self.spare_key_revoked_at = None
+        self.limit_cpu = TEAM_LIMIT_CPU
+        self.configure()
+        self.targets, self.target_proxies = [], []
+        for number in range(targets):
+            port = ports.take()
+            zone = ZONES[number % len(ZONES)]
+            one = Target(f"t{number}", port, zone, TARGET_CPU, self.store, self.checker)
+            proxy = Proxy(ports.take(), ("127.0.0.1", port))
+            one.advertised = proxy.address
+            self.targets.append(one)
+            self.target_proxies.append(proxy)
+        self.daemons = [
+            Daemon(f"d{number}", ZONES[number % len(ZONES)], self.folder, ports, store_port)
+            for number in range(daemons)
+        ]
+        self._stop = threading.Event()
+        self._clients = []
+
+    def configure(self):
+        """Publishes the next version of the configuration."""
+        self.version += 1
+        keys = {"red": ["kred"], "blue": ["kblue"]}
+        if self.spare_key_revoked_at is None:
+            keys["red"].append("kspare")
+        route = {"host": "h", "service": "pool", "max_attempts": 50, "stretch": 3.0, "slo_ms": 500}
+        config = {
+            "version": self.version,
+            "routes": [
+                {"name": "urgent", "path_prefix": "/u/", "priority": 0, **route},
+                {"name": "batch", "path_prefix": "/b/", "priority": 2, **route},
+            ],
+            "services": [{"name": "pool"}],
+            "tenants": [
+                {"name": name, "api_keys": keys[name], "weight": 1,
+                 "upper_limit": {"cpu": self.limit_cpu, "mem_mb": 0, "gpu": 0}}
+                for name in keys
+            ],
+            "limits": {"max_body_bytes": 262144},
+        }
+        self.store.put("keyed.op", "config", json.dumps(config).encode())
+
+    def evacuate(self, zone, out):
+        self.store.put("keyed.op", f"evacuate/{zone}", b"{}" if out else None)
+
+    def call(self, daemon, method, path, key, body=None):
+        """Status and body; None without a complete answer."""
+        connection = http.client.HTTPConnection(daemon.front, timeout=CALL_TIMEOUT_S)
+        try:
+            headers = {"Host": "h", "Credential": key, "Deadline-Ms": "3000"}
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            connection.close()
+
+    def wait_until_ready(self):
+        probe = f"/b/{uuid.uuid4().hex[:16]}"
+
+        def ready():
+            answers = [self.call(daemon, "GET", probe, "kred") for daemon in self.daemons]
+            return all(answer is not None and answer[0] == 410 for answer in answers)
+
+        wait_until(ready, "daemons have read the store")
+
+    def start_clients(self, count):
+        for number in range(count):
+            seed = self.random.random()
+            self._clients.append(threading.Thread(target=self._client, args=(number, seed)))
+        self._clients.append(threading.Thread(target=self._revoked_client))
+        for client in self._clients:
+            client.start()
+
+    def stop_clients(self):
+        self._stop.set()
+        for client in self._clients:
+            client.join()
+
+    def _client(self, number, seed):
+        chosen = random.Random(seed)
+        team = ["red", "blue"][number % 2]
+        while not self._stop.wait(chosen.uniform(0.05, 0.6)):
+            cpu = chosen.choice([500, 1000, 2000])
+            work_ms = chosen.choice([100, 300, 800])
+            steps = [{"count": chosen.randint(1, 4), "cpu": cpu, "mem_mb": 10,
+                      "estimate_ms": work_ms}]
+            if chosen.random() < 0.3:
+                steps[0]["gang"] = True
+            if chosen.random() < 0.3:
+                steps.append({**steps[0], "count": 2, "after": [0]})
+            job = Job(uuid.uuid4().hex[:16], team, steps, cpu)
+            self.checker.submitted(job)
+            route = chosen.choice(["u", "b"])
+            self._hand_in(job, route, work_ms, chosen)
+            if job.accepted_at and chosen.random() < 0.1:
+                self._cancel(job, route, chosen)
+            if job.accepted_at:
+                self._ask(job, route, chosen.choice(self.daemons))
+
+    def _hand_in(self, job, route, work_ms, chosen):
+        body = json.dumps({"spec": f"{work_ms}:{job.cpu}", "steps": job.steps})
+        rejected = 0
+        for _ in range(ATTEMPTS):
+            answer = self.call(
+                chosen.choice(self.daemons), "POST", f"/{route}/{job.name}", f"k{job.team}", body
+            )
+            if answer is not None and answer[0] == 200:
+                job.accepted_at = time.monotonic()
+                job.route = route
+                return
+            rejected += answer is not None and answer[0] in (429, 503)
+            time.sleep(0.3)
+        job.refused = rejected == ATTEMPTS
+
+    def _cancel(self, job, route, chosen):
+        answer = self.call(
+            chosen.choice(self.daemons), "DELETE", f"/{route}/{job.name}", f"k{job.team}"
+        )
+        # Without an answer it may have been cancelled or not; nothing is owed then.
+        job.cancelled = answer is not None and answer[0] == 200
+        job.accepted_at = None
+
+    def _ask(self, job, route, daemon):
+        """The state, as one daemon shows it."""
+        sent = time.monotonic()
+        answer = self.call(daemon, "GET", f"/{route}/{job.name}", f"k{job.team}")
+        if answer is None:
+            return None
+        if answer[0] == 410 and sent - job.accepted_at > VISIBLE_S:
+            self.checker.violate(f"accepted and not known: {job.name} at {daemon.name}")
+        if answer[0] != 200:
+            return None
+        state = json.loads(answer[1])["state"]
+        if state == "completed":
+            self.checker.shown_completed(job)
+        elif state in ("failed", "cancelled"):
+            self.checker.violate(f"accepted and {state}: {job.name} at {daemon.name}")
+        return state
+
+    def _revoked_client(self):
+        """A key that has been taken away must stop working within the bound."""
+        while not self._stop.wait(0.3):
+            daemon = random.choice(self.daemons)
+            job = Job(uuid.uuid4().hex[:16], "red", [{"count": 1, "cpu": 500}], 500)
+            self.checker.submitted(job)
+            sent = time.monotonic()
+            body = json.dumps({"spec": "100:500", "steps": job.steps})
+            answer = self.call(daemon, "POST", f"/b/{job.name}", "kspare", body)
+            accepted = answer is not None and answer[0] == 200
+            revoked = self.spare_key_revoked_at
+            if accepted and revoked is not None and sent - revoked > REVOKE_S:
+                self.checker.violate(f"accepted with a withdrawn key: {job.name} at {daemon.name}")
+
+    def unfinished(self):
+        """Accepted jobs that no daemon shows as completed."""
+        left = []
+        for job in self.checker.jobs():
+            if job.accepted_at is None:
+                continue
+            if self._ask(job, job.route, self.random.choice(self.daemons)) == "completed":
+                job.accepted_at = None
+            else:
+                left.append(job.name)
+        return left
+
+    def close(self):
+        for one in self.daemons + self.targets + self.target_proxies:
+            one.close()
+        self.store.close()
--- a/tests/process/programs.py
+++ b/tests/process/programs.py
@@ -1,5 +1,6 @@
 """Starts, signals and ends the programs of a test, each by its own process id."""
 
+import os
 import pathlib
 import signal
 import socket
@@ -57,13 +58,14 @@
 class Program:
     """One process with its output in a file."""
 
-    def __init__(self, name, command, folder):
+    def __init__(self, name, command, folder, environment=None):
         self.name = name
         self.path = pathlib.Path(folder) / f"{name}.log"
         self._file = open(self.path, "ab")
         self._process = subprocess.Popen(
             [str(part) for part in command], stdin=subprocess.DEVNULL, stdout=self._file,
             stderr=subprocess.STDOUT,
+            env={**os.environ, **(environment or {})},
         )
 
     @property
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -62,9 +62,17 @@
                                 .mHost = "h",
                                 .mPathPrefix = "/b/",
                                 .mPool = "pool",
+                                .mPriority = 2,
                                 .mMaxAttempts = 2,
                                 .mStretch = 2.0,
                                 .mObjective = seconds(1) });
+    mConfig.mRoutes.push_back({ .mName = "urgent",
+                                .mHost = "h",
+                                .mPathPrefix = "/u/",
+                                .mPool = "pool",
+                                .mMaxAttempts = 2,
+                                .mStretch = 1.5,
+                                .mObjective = milliseconds(200) });
     mConfig.mTeams.push_back({ .mName = "red" });
     mConfig.mTeams.push_back({ .mName = "blue" });
   }
@@ -113,10 +121,15 @@
   {
     return submit(std::vector<step_spec>{ std::move(aStep) }, aTeam);
   }
-  job_id submit(std::vector<step_spec> aSteps, const std::string& aTeam = "red")
+  job_id submitUrgent(step_spec aStep)
+  {
+    return submit(std::vector<step_spec>{ std::move(aStep) }, "blue", "urgent");
+  }
+  job_id submit(std::vector<step_spec> aSteps, const std::string& aTeam = "red",
+                const std::string& aRoute = "batch")
   {
     job_spec spec{ .mId = static_cast<job_id>(++mLastJob),
-                   .mRoute = "batch",
+                   .mRoute = aRoute,
                    .mTeam = aTeam,
                    .mPayload = "p",
                    .mSteps = std::move(aSteps),
@@ -318,7 +331,7 @@
     }
     const auto found = target.mRunning.find(aOrder.mTask);
     if (found != target.mRunning.end() && found->second == aOrder.mRun) {
-      target.end(aOrder.mTask, listed_end::stopped);
+      target.end(aOrder.mTask, listed_end::stopped, "saved");
     }
     return order_outcome::accepted;
   }
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -88,7 +88,7 @@
     cell.endTask(id, listed_end::done);
     cell.run(milliseconds(300));
   }
-  CHECK_EQUAL("t1", cell.whereIs(wide));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(wide));
 }
 
 // Load pattern: a burst while the store takes half a second for an append. All that comes during
@@ -109,6 +109,46 @@
   CHECK_EQUAL(11, cell.running());
 }
 
+// Load pattern: urgent jobs come while batch work fills the cell. Work that saves its progress
+// makes room, no more of it than needed, and goes on from its checkpoint afterwards.
+TEST(owner_runs, stopsSavedWorkForUrgentJobs)
+{
+  auto& target = cell.addTarget("t1");
+  auto saved = tasks(4);
+  saved.mCheckpointing = true;
+  saved.mEstimate = seconds(10);
+  const auto batch = cell.takeOverAndStart(saved);
+  CHECK_EQUAL(4, cell.running());
+  const auto urgent = cell.submitUrgent(tasks(2));
+  cell.run(milliseconds(400));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(urgent, 0, 0));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(urgent, 0, 1));
+  CHECK_EQUAL(4, target.mRunning.size());
+  cell.endTask(urgent, listed_end::done, 0, 0);
+  cell.endTask(urgent, listed_end::done, 0, 1);
+  cell.run(milliseconds(400));
+  CHECK_EQUAL(4, cell.running());
+  const auto& states = cell.find(batch).mOccurrences.at(0)[0].mTasks;
+  CHECK_EQUAL(2, std::ranges::count(states, "saved", &task_state::mCheckpoint));
+  CHECK_EQUAL(0, std::ranges::count_if(states, [](const auto& aOne) { return aOne.mFailures; }));
+}
+
+// What does not save its progress would lose it, and gangs would lose their other members.
+TEST(owner_runs, doesNotStopWorkThatWouldBeLost)
+{
+  cell.addTarget("t1");
+  auto gang = tasks(2);
+  gang.mGang = true;
+  gang.mCheckpointing = true;
+  cell.takeOverAndStart(tasks(2));
+  cell.submit(gang);
+  cell.run(milliseconds(300));
+  const auto urgent = cell.submitUrgent(tasks(1));
+  cell.run(milliseconds(600));
+  CHECK_EQUAL(std::string(), cell.whereIs(urgent));
+  CHECK_EQUAL(4, cell.running());
+}
+
 TEST(owner_runs, waitsForEarlierSteps)
 {
   cell.addTarget("t1");
@@ -117,11 +157,11 @@
   second.mAfter = { 0 };
   const auto id = cell.submit({ tasks(1), second });
   cell.run(milliseconds(300));
-  CHECK_EQUAL("t1", cell.whereIs(id, 0));
-  CHECK_EQUAL("", cell.whereIs(id, 1));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(id, 0));
+  CHECK_EQUAL(std::string(), cell.whereIs(id, 1));
   cell.endTask(id, listed_end::done, 0);
   cell.run(milliseconds(300));
-  CHECK_EQUAL("t1", cell.whereIs(id, 1));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(id, 1));
 }
 
 TEST(owner_runs, givesAJobUpAfterItsAttempts)
@@ -211,7 +251,7 @@
   lost.mReachable = false;
   cell.addTarget("t2");
   cell.run(milliseconds(5500));
-  CHECK_EQUAL("t1", cell.whereIs(id));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(id));
   lost.mRunning.clear();
   cell.run(milliseconds(1500));
   CHECK_EQUAL("t2", cell.whereIs(id));
@@ -262,7 +302,7 @@
     cell.run(milliseconds(5));
     CHECK(target.used(cell.mBook).mCpuMilli <= 4000);
   }
-  CHECK_EQUAL("t1", cell.whereIs(second));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(second));
 }
 
 // The order of a former owner that is carried out late is rejected by its epoch, so a run that the
@@ -274,7 +314,7 @@
   target.mRunning.clear();
   cell.takeOver();
   cell.run(milliseconds(300));
-  CHECK_EQUAL("t1", cell.whereIs(id));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(id));
   CHECK_EQUAL(2, cell.find(id).find({ .mJob = id })->mTasks[0].mRun);
 }
 
@@ -307,7 +347,7 @@
   cell.mStoreDown = false;
   cell.addTarget("t2");
   cell.run(milliseconds(3000));
-  CHECK_EQUAL("t1", cell.whereIs(id));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(id));
   CHECK_EQUAL(1, cell.running());
 }
 
@@ -366,6 +406,6 @@
   const auto before = cell.mAdvice.size();
   cell.endTask(first, listed_end::done);
   cell.run(milliseconds(400));
-  CHECK_EQUAL("t1", cell.whereIs(second));
+  CHECK_EQUAL(std::string("t1"), cell.whereIs(second));
   CHECK_EQUAL(before + 1, cell.mAdvice.size());
 }
