Count the end of one gang member for members that were lost after it

A member's run was known as lost (or failed), then the target of another member listed `done`. The book marked only members with open runs, so the step had one task done and one pending, and a gang starts only with all of its members.

Change: in job_book an end `done` of one member marks all members of that run. An occurrence is counted when its step becomes complete, not once a member.

Measured: oneEndCompletesAGangThatHasLostAMember fails before; aGangCompletesItsOccurrenceOnce fails without the guard against counting twice.

--- a/scheduler/src/job_book.cpp
+++ b/scheduler/src/job_book.cpp
@@ -95,10 +95,18 @@
       }
     }
   }
-  if (aRecord.mHow == run_end::done && !task.mDone) {
-    task.mDone = true;
-    ++step->mDone;
-    completeIfDone(*found, aRecord.mTask.mStep.mOccurrence, aNow);
+  if (aRecord.mHow == run_end::done) {
+    // Members of a gang end together, so one end stands for all, also for those that were lost
+    // after it.
+    const bool wasComplete = step->complete();
+    for (auto& member : step->mTasks) {
+      const bool ended = &member == &task || (gang && member.mRun == aRecord.mRun);
+      step->mDone += ended && !member.mDone ? 1 : 0;
+      member.mDone = member.mDone || ended;
+    }
+    if (!wasComplete && step->complete()) {
+      completeIfDone(*found, aRecord.mTask.mStep.mOccurrence, aNow);
+    }
   } else if (aRecord.mHow == run_end::failed) {
     ++task.mFailures;
     step->mGangFailures += gang ? 1 : 0;
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -109,6 +109,49 @@
   CHECK_EQUAL(11, cell.running());
 }
 
+// A gang ends as a whole, so the end of one member counts for one whose target was lost just after
+// it. Guards against a job that waits for ever: one member done, the other pending, and a gang only
+// starts with all of its members.
+TEST(owner_runs, oneEndCompletesAGangThatHasLostAMember)
+{
+  auto& lost = cell.addTarget("t1", 2000);
+  cell.addTarget("t2", 2000);
+  auto gang = tasks(2);
+  gang.mGang = true;
+  const auto id = cell.takeOverAndStart(gang);
+  CHECK_EQUAL(2, cell.running());
+  const auto left = cell.whereIs(id, 0, 0) == "t1" ? 1U : 0U;
+  lost.mRunning.clear();
+  lost.mEpoch = 0;
+  lost.mEntry.mBorn = 2;
+  cell.mOwner->setTarget(lost.mEntry, cell.mNow);
+  cell.run(milliseconds(200));
+  cell.endTask(id, listed_end::done, 0, left);
+  cell.run(milliseconds(300));
+  CHECK(cell.find(id).mPhase == job_phase::completed);
+}
+
+// Guards against an occurrence that is counted once for each member of its gang.
+TEST(owner_runs, aGangCompletesItsOccurrenceOnce)
+{
+  auto gang = tasks(3);
+  gang.mGang = true;
+  job_book book;
+  const auto id = static_cast<job_id>(7);
+  book.apply(job_submitted{ .mSpec = { .mId = id, .mSteps = { gang }, .mRepeat = 3 } }, {});
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    book.apply(run_started{ .mTask = { .mStep = { .mJob = id }, .mIndex = index }, .mRun = 1 }, {});
+  }
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    book.apply(run_ended{ .mTask = { .mStep = { .mJob = id }, .mIndex = index },
+                          .mRun = 1,
+                          .mHow = run_end::done },
+               {});
+  }
+  LONGS_EQUAL(1, book.find(id)->mOccurrencesDone);
+  CHECK(book.find(id)->mPhase == job_phase::active);
+}
+
 // Load pattern: urgent jobs come while batch work fills the cell. Work that saves its progress
 // makes room, no more of it than needed, and goes on from its checkpoint afterwards.
 TEST(owner_runs, stopsSavedWorkForUrgentJobs)
