Stop work of others at most every 1.5 s for one step, for several tasks at a target

A gang that has no tickets yet cannot take the room that was freed for it; others did, and the next pass, 20 ms later, stopped more. 6,109 runs were stopped, and route-plan and fleet-recon both lost by it.

Ruled out: urgent single tasks as the cause (69 preemptions by steps with eight or fewer).

Change: a step stops work of others once in 1.5 s, and then for all the tasks that a target can take, not one a target.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -141,10 +141,16 @@
   void explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms, time_point aNow);
   void holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   /// Stops work that waits better, for tasks that would be late otherwise.
-  void preempt(const waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
-  /// Fewest runs at the target that have to stop for a task of the step; empty if stopping does not
-  /// help.
-  std::vector<task_key> victimsAt(const waiting_step& aStep, const candidate& aWhere) const;
+  void preempt(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
+  /// Runs at a target that would have to stop, and for how many tasks that makes room.
+  struct preemption
+  {
+    candidate* mWhere = nullptr;
+    std::vector<task_key> mVictims;
+    std::uint32_t mTasks = 0;
+  };
+  /// For at most aMost tasks of the step; for none if stopping does not help.
+  preemption preemptionAt(const waiting_step& aStep, candidate& aWhere, std::uint32_t aMost) const;
   /// How long before its latest start a step has others stopped for it.
   static duration preemptLead(const waiting_step& aStep);
   bool mayBePreempted(const waiting_step& aStep, const task_key& aTask, const held_run& aRun) const;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -32,6 +32,9 @@
 constexpr auto kPreemptLead = std::chrono::milliseconds(800);
 /// Room becomes free by itself all the time; a step waits this long for it.
 constexpr auto kPreemptPatience = std::chrono::milliseconds(60);
+/// Between two preemptions for one step: a wide gang needs tickets for the room, and what it frees
+/// before it has them is taken by others again and again.
+constexpr auto kPreemptPause = std::chrono::milliseconds(1500);
 /// Targets at which one step stops work in one pass.
 constexpr std::size_t kMostPreemptions = 16;
 /// How long a step waits for room on the rack of its data before it takes any.
@@ -380,8 +383,8 @@
          !spec.mFills && route != mRoutes.end() && route->second.mPriority > aStep.mRoute.mPriority;
 }
 
-std::vector<task_key> owner::impl::victimsAt(const waiting_step& aStep,
-                                             const candidate& aWhere) const
+owner::impl::preemption owner::impl::preemptionAt(const waiting_step& aStep, candidate& aWhere,
+                                                  std::uint32_t aMost) const
 {
   std::vector<std::pair<std::int64_t, task_key>> found;
   for (const auto& [task, run] : aWhere.mTarget->mRuns) {
@@ -392,15 +395,20 @@
   // The largest first, so that few have to stop.
   std::ranges::sort(found, std::greater<>{});
   auto room = aWhere.mRoom + aWhere.mComing;
+  preemption result{ .mWhere = &aWhere };
   std::vector<task_key> victims;
   for (const auto& [cpu, task] : found) {
     room += aWhere.mTarget->mRuns.find(task)->second.mNeeds;
     victims.push_back(task);
-    if (fits(aStep.mNeeds, room) > 0) {
-      return victims;
+    if (const auto tasks = std::min(aMost, fits(aStep.mNeeds, room)); tasks > result.mTasks) {
+      result.mTasks = tasks;
+      result.mVictims = victims;
+    }
+    if (result.mTasks == aMost) {
+      break;
     }
   }
-  return {};
+  return result;
 }
 
 duration owner::impl::preemptLead(const waiting_step& aStep)
@@ -417,9 +425,11 @@
 /// Stopping such a task costs the time to resume it, which its job can afford; the urgent job,
 /// which has a fraction of a second to start, would be late. Room that is being freed already is
 /// counted first, and a step stops only what it needs.
-void owner::impl::preempt(const waiting_step& aStep, std::vector<candidate>& aRooms,
-                          time_point aNow)
+void owner::impl::preempt(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow)
 {
+  if (aStep.mNextPreemption > aNow) {
+    return;
+  }
   const bool gang = aStep.spec().mGang;
   auto missing = std::min<std::size_t>(aStep.mPending.size(), teamSlots(aStep));
   if (gang && missing < aStep.mPending.size()) {
@@ -439,26 +449,28 @@
     room->mComing -= times(aStep.mNeeds, coming);
     missing -= coming;
   }
-  std::vector<std::pair<candidate*, std::vector<task_key>>> stops;
+  std::vector<preemption> stops;
   for (auto* room : good) {
     if (missing == 0 || stops.size() == kMostPreemptions) {
       break;
     }
-    if (auto victims = victimsAt(aStep, *room); !victims.empty()) {
-      stops.emplace_back(room, std::move(victims));
-      --missing;
+    auto here = preemptionAt(aStep, *room, static_cast<std::uint32_t>(missing));
+    if (here.mTasks > 0) {
+      missing -= here.mTasks;
+      stops.push_back(std::move(here));
     }
   }
   if (gang && missing > 0) {
     return;
   }
-  for (const auto& [room, victims] : stops) {
-    auto& target = *room->mTarget;
-    for (const auto& task : victims) {
+  aStep.mNextPreemption = stops.empty() ? aNow : aNow + kPreemptPause;
+  for (const auto& stop : stops) {
+    auto& target = *stop.mWhere->mTarget;
+    for (const auto& task : stop.mVictims) {
       auto& run = target.mRuns.find(task)->second;
       run.mStopWanted = true;
       run.mNextTry = aNow;
-      room->mComing += run.mNeeds;
+      stop.mWhere->mComing += run.mNeeds;
       mPort.explain(
         "preempt",
         fmt::format("task={} run={} target={} for={} on_time_left_ms={}", toText(task), run.mRun,
@@ -466,7 +478,7 @@
                     (aStep.mOnTimeUntil - aStep.mRemaining - aNow) / std::chrono::milliseconds(1)));
     }
     target.mNextOrders = time_point{};
-    room->mComing -= aStep.mNeeds;
+    stop.mWhere->mComing -= times(aStep.mNeeds, stop.mTasks);
   }
 }
 
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -102,6 +102,8 @@
   /// No start before this; backs off after starts that targets have rejected.
   time_point mNotBefore{};
   std::uint32_t mRejections = 0;
+  /// Stops no work of others before this.
+  time_point mNextPreemption{};
   /// Since when some of its tasks wait, and when that is to be explained next.
   time_point mSince{};
   time_point mNextExplanation{};
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -176,6 +176,26 @@
   CHECK_EQUAL(0, std::ranges::count_if(states, [](const auto& aOne) { return aOne.mFailures; }));
 }
 
+// Load pattern: a gang finds room freed for it, but its tickets come later. Guards against batch
+// work that is stopped in each planning pass.
+TEST(owner_runs, stopsWorkOnceForAStepThatCannotStartYet)
+{
+  cell.addTarget("t1");
+  cell.mGoodTargets = { "t1" };
+  // Tickets that have lapsed when they arrive.
+  cell.mConfig.mRoutes[1].mAdvice = advice_terms{ .mValid = milliseconds(0) };
+  auto saved = tasks(4);
+  saved.mCheckpointing = true;
+  saved.mEstimate = seconds(10);
+  cell.takeOverAndStart(saved);
+  auto gang = tasks(2);
+  gang.mGang = true;
+  const auto urgent = cell.submitUrgent(gang);
+  cell.run(milliseconds(600));
+  CHECK_EQUAL(std::string(), cell.whereIs(urgent));
+  CHECK_EQUAL(2, std::ranges::count(cell.mEvents, "preempt"));
+}
+
 // What does not save its progress would lose it, and gangs would lose their other members.
 TEST(owner_runs, doesNotStopWorkThatWouldBeLost)
 {
