--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -81,6 +81,13 @@
     std::uint32_t mIndex = 0;
     candidate* mWhere = nullptr;
   };
+  /// Runs at a target that would have to stop, and for how many tasks that makes room.
+  struct preemption
+  {
+    candidate* mWhere = nullptr;
+    std::vector<task_key> mVictims;
+    std::uint32_t mTasks = 0;
+  };
 
   // Steps and jobs.
   void registerJob(job& aJob, time_point aNow, wall_time aWall);
@@ -140,24 +147,20 @@
   void placeGang(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
   void explainWait(waiting_step& aStep, const std::vector<candidate>& aRooms, time_point aNow);
   void holdBack(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
-  /// Stops work that waits better, for tasks that would be late otherwise.
-  void preempt(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
-  /// Runs at a target that would have to stop, and for how many tasks that makes room.
-  struct preemption
-  {
-    candidate* mWhere = nullptr;
-    std::vector<task_key> mVictims;
-    std::uint32_t mTasks = 0;
-  };
+  void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
+  void askForAdvice(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
+  std::vector<std::string> targetsToName(const waiting_step& aStep, std::vector<candidate>& aRooms,
+                                         time_point aNow) const;
+
+  // Preemption.
+  /// Stops runs of less urgent work for a step that would be late otherwise.
+  void preempt(waiting_step& aStep, const internal::step_rank& aRank,
+               std::vector<candidate>& aRooms, time_point aNow);
   /// For at most aMost tasks of the step; for none if stopping does not help.
   preemption preemptionAt(const waiting_step& aStep, candidate& aWhere, std::uint32_t aMost) const;
   /// How long before its latest start a step has others stopped for it.
   static duration preemptLead(const waiting_step& aStep);
   bool mayBePreempted(const waiting_step& aStep, const task_key& aTask, const held_run& aRun) const;
-  void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
-  void askForAdvice(waiting_step& aStep, std::vector<candidate>& aRooms, time_point aNow);
-  std::vector<std::string> targetsToName(const waiting_step& aStep, std::vector<candidate>& aRooms,
-                                         time_point aNow) const;
 
   job_book& mBook;
   owner_port& mPort;
