Do not owe ends that are acknowledged after the target's lease has lapsed

Ruled out: a start before the lease was over (run_lost follows the last renewal by more than the lease in each case), and an end that the owner had read.

Change: the stand-in of the target does not report as noted what it listed when its lease lapsed.

--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -67,6 +67,7 @@
         self._over = {}  # Task to the highest run that ended or was stopped here.
         self._ends = []
         self._last_end = 0
+        self._lapsed = 0  # The last end that was listed when the lease lapsed.
         self._beats = 0
 
     def _clock(self):
@@ -89,6 +90,9 @@
         while not self._stop.wait(0.01):
             with self._lock:
                 now = self._clock()
+                if self._lease <= now and self._ends:
+                    # Whoever gave the runs up after the lease owes nothing to these ends.
+                    self._lapsed = self._ends[-1][0]
                 for task, run in list(self._runs.items()):
                     if self._lease <= now:
                         self._end(task, "lapsed")
@@ -158,7 +162,7 @@
             self._extend(fields)
         acked = fields["acked_upto"]
         for end in self._ends:
-            if end[0] <= acked:
+            if self._lapsed < end[0] <= acked:
                 self._checker.end_noted(end[1], end[3])
         self._ends = [end for end in self._ends if end[0] > acked]
         until = time.monotonic() + fields.get("wait_ms", 0) / 1000
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -1,7 +1,11 @@
 """The soak of the daemon on the platform: its checker, and short runs with fixed seeds."""
 
+import json
+import os
 import pathlib
 import sys
+import time
+import types
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform_soak"))
@@ -9,10 +13,16 @@
 from main import run_tests  # noqa: E402
 import soak  # noqa: E402
 from checker import Checker, Job  # noqa: E402
+from programs import Ports  # noqa: E402
+from target import Target  # noqa: E402
 
-SECONDS = 10
+SECONDS = 14
 # Seeds that ever failed join these, with a line on the cause.
-SEEDS = [1]
+SEEDS = [
+    1,
+    612,  # The checker owed ends that were acknowledged only after the target's lease had lapsed.
+    710,  # The same, behind a connection that was silent one way.
+]
 
 
 class PlatformSoak(unittest.TestCase):
@@ -97,5 +107,32 @@
         self.assert_reports("unasked")
 
 
+class SoakTarget(unittest.TestCase):
+    """Which ends the cell owes something once it has acknowledged them."""
+
+    def acknowledge(self, lease_ms, pause_s):
+        """Runs a task of 20 ms, acknowledges its end after the pause; the ends noted."""
+        checker = Checker(1, team_limit_cpu=4000)
+        checker.submitted(Job("j", "red", [{"count": 1, "cpu": 500}], 500))
+        noted = []
+        checker.end_noted = lambda task, how: noted.append((task, how))
+        store = types.SimpleNamespace(down=True)
+        one = Target("t", Ports(os.getpid() * 41).take(), "a", 8000, store, checker)
+        try:
+            start = {"task": "j.0.0.0", "run": 1, "spec": "20:500:0", "deadline_ms": lease_ms}
+            one._serve("POST", "/run-start", {}, json.dumps(start).encode())
+            time.sleep(pause_s)
+            one._serve("POST", "/hold", {}, json.dumps({"acked_upto": 1}).encode())
+        finally:
+            one.close()
+        return noted
+
+    def test_an_end_acknowledged_under_the_lease_is_noted(self):
+        self.assertEqual([("j.0.0.0", "done")], self.acknowledge(5000, 0.3))
+
+    def test_an_end_is_not_noted_once_the_lease_has_lapsed(self):
+        self.assertEqual([], self.acknowledge(100, 0.3))
+
+
 if __name__ == "__main__":
     run_tests()
