--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -201,6 +201,7 @@
   if (step.mPending.empty()) {
     step.mWaitingSince = aNow;
     step.mNextWaitLog = aNow + internal::kWaitLogInterval;
+    step.mAdvice.mReplies = 0;
   }
   step.mPending.clear();
   for (std::uint32_t index = 0; index < state->mTasks.size(); ++index) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -153,6 +153,9 @@
   void placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
   void logWait(waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
                time_point aNow);
+  /// Returns the number of tasks of the step that fit now on the targets with a valid ticket,
+  /// without regard to capacity reserved for other steps.
+  std::uint32_t ticketSlots(const waiting_step& aStep, time_point aNow) const;
   void reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                        time_point aNow);
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
@@ -201,8 +204,12 @@
   struct advice_call
   {
     step_key mStep;
+    std::string mDaemon;
     std::vector<std::string> mTargets;
     time_point mSent;
+    duration mCost{ 0 };
+    /// Number of tasks that fit on the queried targets when the call was made.
+    std::uint32_t mSlots = 0;
   };
   std::map<std::uint64_t, advice_call> mAdviceCalls;
   std::uint64_t mLastAdviceCall = 0;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -162,12 +162,15 @@
   std::size_t allowedTargets = 0;
   std::size_t tickets = 0;
   std::uint32_t slots = 0;
+  std::uint32_t goodSlots = 0;
   for (const auto& candidate : aCandidates) {
     if (!allowed(aStep, *candidate.mTarget, aNow)) {
       continue;
     }
     ++allowedTargets;
-    slots += std::min(slotsAt(aStep, candidate), aStep.spec().mCount);
+    const auto here = std::min(slotsAt(aStep, candidate), aStep.spec().mCount);
+    slots += here;
+    goodSlots += aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good ? here : 0;
     const auto* ticket = aStep.mAdvice.validTicket(candidate.mTarget->mNumber, aNow);
     tickets += ticket != nullptr ? 1 : 0;
   }
@@ -182,17 +185,33 @@
     reason = "no_room";
   } else if (aStep.mAdvice.mCallsOpen > 0) {
     reason = "advice_open";
+  } else if (aStep.mRoute.mAdvice &&
+             !mAdviceDispatcher.hasFreeHelper(aStep.mRoute.mAdvice->mPerCall, aNow)) {
+    reason = "advice_busy";
   }
   mPort.logDecision(
     "step_waiting",
     fmt::format("step={} route={} waited_ms={} pending={}/{} reason={} allowed_targets={} "
-                "slots={} tickets={} cpu={} mem={} band={}",
+                "slots={} good_slots={} tickets={} ticket_slots={} replies={} cpu={} mem={} "
+                "band={}",
                 toText(aStep.mKey), aStep.mRoute.mName,
                 (aNow - aStep.mWaitingSince) / std::chrono::milliseconds(1), aStep.mPending.size(),
-                aStep.spec().mCount, reason, allowedTargets, slots, tickets, aStep.mNeeds.mCpuMilli,
+                aStep.spec().mCount, reason, allowedTargets, slots, goodSlots, tickets,
+                ticketSlots(aStep, aNow), aStep.mAdvice.mReplies, aStep.mNeeds.mCpuMilli,
                 aStep.mNeeds.mMemoryMb, internal::rankOf(aStep, aNow).mBand));
 }
 
+std::uint32_t owner::impl::ticketSlots(const waiting_step& aStep, time_point aNow) const
+{
+  std::uint32_t slots = 0;
+  for (const auto& [id, target] : mTargets) {
+    if (aStep.mAdvice.validTicket(target.mNumber, aNow) != nullptr && usable(target, aNow)) {
+      slots += maxTasksIn(aStep.mNeeds, target.freeCapacity());
+    }
+  }
+  return slots;
+}
+
 void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                              time_point aNow)
 {
@@ -458,7 +477,16 @@
   }
   mLastAdviceCall = call;
   ++advice.mCallsOpen;
-  mAdviceCalls[call] = { .mStep = aStep.mKey, .mTargets = queried, .mSent = aNow };
+  std::uint32_t slots = 0;
+  for (const auto& id : queried) {
+    slots += maxTasksIn(aStep.mNeeds, mTargets.find(id)->second.freeCapacity());
+  }
+  mAdviceCalls[call] = { .mStep = aStep.mKey,
+                         .mDaemon = *helper,
+                         .mTargets = queried,
+                         .mSent = aNow,
+                         .mCost = cost,
+                         .mSlots = slots };
   mPort.requestAdvice(
     { .mCall = call,
       .mDaemon = *helper,
@@ -514,6 +542,21 @@
     step.mAdvice.addTicket(number->second,
                            { .mToken = ticket.mToken, .mExpiry = issued + lifetime });
   }
+  ++step.mAdvice.mReplies;
+  std::uint32_t slots = 0;
+  for (const auto& queried : call.mTargets) {
+    if (const auto target = mTargets.find(queried); target != mTargets.end()) {
+      slots += maxTasksIn(step.mNeeds, target->second.freeCapacity());
+    }
+  }
+  mPort.logDecision("advice",
+                    fmt::format("step={} helper={} targets={} good={} slots_at_call={} slots={} "
+                                "ticket_slots={} pending={} replies={} after_ms={} cost_ms={}",
+                                toText(call.mStep), call.mDaemon, call.mTargets.size(),
+                                aReply.mTickets.size(), call.mSlots, slots, ticketSlots(step, aNow),
+                                step.mPending.size(), step.mAdvice.mReplies,
+                                (aNow - call.mSent) / std::chrono::milliseconds(1),
+                                call.mCost / std::chrono::milliseconds(1)));
 }
 
 } // namespace endiveusher::scheduler
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -38,6 +38,8 @@
   };
 
   std::uint32_t mCallsOpen = 0;
+  /// Number of replies since the step began to wait.
+  std::uint32_t mReplies = 0;
   time_point mNextCall{};
 
   verdict verdictOn(target_number aTarget) const
