--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,50 @@
   }
 };
 
+/// An advice service that handles one call at a time for each calling daemon, in order, and issues
+/// tickets that expire.
+struct fake_advice_service
+{
+  /// Percentage of the targets that may run a step, by route.
+  std::map<std::string, unsigned> mGoodPercent;
+  std::map<std::string, time_point> mBusyUntil;
+  /// Daemons whose calls get no reply.
+  std::set<std::string> mUnreachable;
+  std::map<std::string, time_point> mTicketExpiry;
+
+  /// Returns a constant verdict, independent of the order of calls.
+  bool good(const std::string& aRoute, const step_key& aStep, const std::string& aTarget) const
+  {
+    std::uint64_t hash = 14695981039346656037U;
+    for (const char byte : toText(aStep) + aTarget) {
+      hash = (hash ^ static_cast<unsigned char>(byte)) * 1099511628211U;
+    }
+    return (hash >> 32U) % 100 < mGoodPercent.at(aRoute);
+  }
+  /// Queues a call and returns the time of its reply.
+  time_point enqueue(const advice_request& aRequest, const advice_terms& aTerms, time_point aNow)
+  {
+    if (mUnreachable.contains(aRequest.mDaemon)) {
+      return aNow + aRequest.mTimeout;
+    }
+    auto& busyUntil = mBusyUntil[aRequest.mDaemon];
+    busyUntil = std::max(busyUntil, aNow) + aTerms.mPerCall +
+                static_cast<int>(aRequest.mTargets.size()) * aTerms.mPerTarget;
+    return busyUntil;
+  }
+  advice_ticket issue(const std::string& aTarget, time_point aExpiry)
+  {
+    auto token = "ticket-" + std::to_string(mTicketExpiry.size());
+    mTicketExpiry[token] = aExpiry;
+    return { .mTarget = aTarget, .mToken = std::move(token) };
+  }
+  bool valid(const std::string& aToken, time_point aNow) const
+  {
+    const auto found = mTicketExpiry.find(aToken);
+    return found != mTicketExpiry.end() && aNow < found->second;
+  }
+};
+
 /// A cell with one owner. Calls are answered after one step of the simulated time.
 class owner_fixture : private owner_port
 {
@@ -95,6 +140,21 @@
     return target;
   }
 
+  /// Starts a new incarnation of the target: its runs are lost, and the gangs of these break.
+  void restartTarget(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    const auto lost = std::exchange(target.mRunning, {});
+    target = { .mEntry = target.mEntry };
+    ++target.mEntry.mIncarnationStart;
+    for (const auto& [task, run] : lost) {
+      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
+        breakGang(task.mStep);
+      }
+    }
+    mOwner->setTarget(target.mEntry, mNow);
+  }
+
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
   void startNextOwner()
   {
@@ -155,12 +215,22 @@
       for (auto& [id, target] : mTargets) {
         target.mClock += milliseconds(5);
       }
+      endDueTasks();
       deliverReplies();
       mOwner->tick(mNow, wall());
     }
   }
 
   fake_target& target(const std::string& aId) { return mTargets.at(aId); }
+  const std::map<std::string, fake_target>& targets() const { return mTargets; }
+  std::vector<job_id> submitted() const
+  {
+    std::vector<job_id> ids;
+    for (std::uint64_t id = 1; id <= mLastJob; ++id) {
+      ids.push_back(static_cast<job_id>(id));
+    }
+    return ids;
+  }
   const job& find(job_id aJob) const { return *mJobTable.find(aJob); }
   std::size_t running() const
   {
@@ -199,6 +269,10 @@
   std::vector<advice_request> mAdvice;
   /// Targets on which any step may run, returned by advice calls.
   std::vector<std::string> mGoodTargets;
+  /// If set, decides about advice calls instead of mGoodTargets.
+  std::optional<fake_advice_service> mAdviceService;
+  /// Whether tasks end as done after their estimate.
+  bool mTasksEnd = false;
   bool mStoreDown = false;
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
@@ -212,6 +286,13 @@
     std::optional<stop_order> mStop;
     std::optional<advice_request> mAdvice;
     time_point mSent;
+    time_point mReplyAt{};
+  };
+  struct task_end
+  {
+    std::string mTarget;
+    task_key mTask;
+    std::uint32_t mRun = 0;
   };
 
   void storeFromOtherDaemon(journal_record aRecord)
@@ -246,6 +327,10 @@
   {
     mAdvice.push_back(aRequest);
     mPending.push_back({ .mAdvice = aRequest, .mSent = mNow });
+    if (mAdviceService) {
+      mPending.back().mReplyAt =
+        mAdviceService->enqueue(aRequest, termsOf(aRequest.mStep.mJob), mNow);
+    }
   }
   void logDecision(std::string_view aEvent, std::string_view /*aDetail*/) override
   {
@@ -260,11 +345,65 @@
       mAppendSince = mNow;
       mOwner->onStored(mNow);
     }
-    for (const auto& call : std::exchange(mPending, {})) {
-      answer(call);
+    for (auto& call : std::exchange(mPending, {})) {
+      if (call.mReplyAt > mNow) {
+        mPending.push_back(std::move(call));
+      } else {
+        answer(call);
+      }
     }
   }
 
+  void breakGang(const step_key& aStep)
+  {
+    for (auto& [id, target] : mTargets) {
+      auto at = target.mRunning.lower_bound({ .mStep = aStep });
+      while (at != target.mRunning.end() && at->first.mStep == aStep) {
+        const auto task = (at++)->first;
+        target.end(task, reported_end::gang_broken);
+      }
+    }
+  }
+
+  void endDueTasks()
+  {
+    while (!mTaskEnds.empty() && mTaskEnds.begin()->first <= mNow) {
+      const auto due = std::move(mTaskEnds.extract(mTaskEnds.begin()).mapped());
+      auto& target = mTargets.at(due.mTarget);
+      const auto found = target.mRunning.find(due.mTask);
+      if (found != target.mRunning.end() && found->second == due.mRun) {
+        target.end(due.mTask, reported_end::done);
+      }
+    }
+  }
+
+  const advice_terms& termsOf(job_id aJob) const
+  {
+    return *mConfig.route(mJobTable.find(aJob)->mSpec.mRoute)->mAdvice;
+  }
+
+  void replyToAdvice(const advice_request& aRequest)
+  {
+    advice_reply reply{ .mCall = aRequest.mCall, .mOk = true };
+    if (mAdviceService && mAdviceService->mUnreachable.contains(aRequest.mDaemon)) {
+      reply.mOk = false;
+      mOwner->onAdviceReply(reply, mNow);
+      return;
+    }
+    const auto& route = mJobTable.find(aRequest.mStep.mJob)->mSpec.mRoute;
+    for (const auto& id : aRequest.mTargets) {
+      if (mAdviceService) {
+        if (mAdviceService->good(route, aRequest.mStep, id)) {
+          reply.mTickets.push_back(
+            mAdviceService->issue(id, mNow + termsOf(aRequest.mStep.mJob).mTicketLifetime));
+        }
+      } else if (std::ranges::find(mGoodTargets, id) != mGoodTargets.end()) {
+        reply.mTickets.push_back({ .mTarget = id, .mToken = "t" });
+      }
+    }
+    mOwner->onAdviceReply(reply, mNow);
+  }
+
   void answer(const pending_call& aCall)
   {
     if (aCall.mHeartbeat) {
@@ -274,13 +413,7 @@
     } else if (aCall.mStop) {
       mOwner->onStopReply(*aCall.mStop, execute(*aCall.mStop), mNow);
     } else {
-      advice_reply reply{ .mCall = aCall.mAdvice->mCall, .mOk = true };
-      for (const auto& id : aCall.mAdvice->mTargets) {
-        if (std::ranges::find(mGoodTargets, id) != mGoodTargets.end()) {
-          reply.mTickets.push_back({ .mTarget = id, .mToken = "t" });
-        }
-      }
-      mOwner->onAdviceReply(reply, mNow);
+      replyToAdvice(*aCall.mAdvice);
     }
   }
 
@@ -322,7 +455,16 @@
     if (target.mRejectStarts) {
       return *target.mRejectStarts;
     }
+    if (mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow)) {
+      return order_outcome::bad_ticket;
+    }
     target.mRunning[aOrder.mTask] = aOrder.mRun;
+    if (mTasksEnd) {
+      const auto& step = mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps;
+      mTaskEnds.emplace(
+        mNow + step[aOrder.mTask.mStep.mStep].mEstimate,
+        task_end{ .mTarget = aOrder.mTarget, .mTask = aOrder.mTask, .mRun = aOrder.mRun });
+    }
     return target.mLosesReplies ? order_outcome::unanswered : order_outcome::accepted;
   }
 
@@ -341,6 +483,7 @@
 
   std::map<std::string, fake_target> mTargets;
   std::vector<pending_call> mPending;
+  std::multimap<time_point, task_end> mTaskEnds;
   std::deque<std::vector<journal_record>> mUnstored;
   time_point mAppendSince{};
   std::uint64_t mEpoch = 0;
