--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -14,6 +14,10 @@
 
 namespace endiveusher::scheduler::internal {
 
+/// Minimum remaining lifetime of a ticket when a start is decided, for storing the record and
+/// sending the order.
+inline constexpr auto kTicketMargin = std::chrono::milliseconds(60);
+
 /// Dense number of a target, assigned by the owner and bound to the target's id.
 using target_number = std::uint32_t;
 
