Query all targets of a gang in one round of advice calls

Cause: a gang starts only if its tickets are valid at the same time (1.5 s). Its calls took 0.6 to 1.2 s, one after another, and renewed only tickets that expired within 240 ms, so one part expired while the next was fetched. In a trial an otherwise idle cell gave a gang of 76 tasks 13 replies in 13 s, with tickets for 46 to 86 tasks. The repeated calls took the long calls to their limit for 10 s after each change of the owner, which has no advice at all. The tickets were for the fullest targets, where other steps start first, while the gang reserved capacity on the emptiest. Change: one round of calls, through several daemons at once if there are more than 100 targets, queries every target that the gang will use, those with the most free capacity first, with room to spare. The number of targets follows the fraction of good ones seen on the route. The gang reserves the free capacity of the targets it has queried. Without room it asks on only until it knows where to reserve, and only while daemons are idle.

--- a/scheduler/src/advice_dispatcher.cpp
+++ b/scheduler/src/advice_dispatcher.cpp
@@ -35,12 +35,20 @@
   return found == mHelpers.end() ? nullptr : &*found;
 }
 
+std::size_t advice_dispatcher::longCalls() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(mHelpers, &helper::mHasLongCall));
+}
+
+bool advice_dispatcher::hasSpareHelpers() const
+{
+  return 2 * longCalls() < maxLongCalls();
+}
+
 const advice_dispatcher::helper* advice_dispatcher::choose(duration aCost, time_point aNow) const
 {
   const bool isLong = aCost >= kLongCallThreshold;
-  const auto busyLong =
-    static_cast<std::size_t>(std::ranges::count_if(mHelpers, &helper::mHasLongCall));
-  if (isLong && busyLong >= (mHelpers.size() + 1) / 2) {
+  if (isLong && longCalls() >= maxLongCalls()) {
     return nullptr;
   }
   const helper* best = nullptr;
--- a/scheduler/src/advice_dispatcher.h
+++ b/scheduler/src/advice_dispatcher.h
@@ -25,6 +25,8 @@
   {
     return choose(aCost, aNow) != nullptr;
   }
+  /// Whether fewer than half of the daemons that may make long calls do so.
+  bool hasSpareHelpers() const;
   /// Chooses a daemon for a call of duration aCost and records the call as open; absent if no
   /// daemon is free.
   std::optional<std::string> reserve(duration aCost, time_point aNow, std::uint64_t aCall);
@@ -50,6 +52,8 @@
   };
   helper* find(const std::string& aName);
   const helper* choose(duration aCost, time_point aNow) const;
+  std::size_t maxLongCalls() const { return (mHelpers.size() + 1) / 2; }
+  std::size_t longCalls() const;
 
   /// All daemons; the local one has an empty name.
   std::vector<helper> mHelpers{ helper{} };
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -24,6 +24,20 @@
 constexpr auto kMaxReplyDelay = std::chrono::milliseconds(50);
 /// Pause of a step between two advice calls.
 constexpr auto kAdvicePause = std::chrono::milliseconds(50);
+/// A gang queries targets with capacity for this many times its tasks, because others may use some
+/// of it during the call.
+constexpr double kGangSpareFactor = 1.25;
+/// Discount on the expected capacity of targets without a verdict, because the number of good ones
+/// varies.
+constexpr double kUnknownDiscount = 0.6;
+/// A gang without room queries more targets until the total capacity of the good ones is this many
+/// times its needs.
+constexpr std::uint64_t kReservableFactor = 2;
+/// Fraction of good targets that is assumed before there are verdicts for a route, and the number
+/// of verdicts that weigh as much as the assumption.
+constexpr double kAssumedGoodFraction = 0.25;
+constexpr double kAssumedVerdicts = 8;
+
 } // namespace
 
 std::uint32_t owner::impl::ticketSlots(const waiting_step& aStep, time_point aNow) const
@@ -68,25 +82,86 @@
       }
     }
   }
-  if (slots >= pending || (!aStep.spec().mGang && slots > 0)) {
+  if (slots > 0) {
     return queried;
   }
-  if (aStep.spec().mGang) {
-    // Tickets for only a part of the gang would expire unused.
-    queried.clear();
-  }
-  // Targets with free capacity first; verdicts on the others show where it is worth waiting for.
-  std::ranges::stable_partition(
-    unknown, [this, &aStep](const candidate_target* aOne) { return slotsAt(aStep, *aOne) > 0; });
   for (const auto* candidate : unknown) {
-    if (queried.size() == most || (!aStep.spec().mGang && slotsAt(aStep, *candidate) == 0)) {
+    if (queried.size() == most) {
+      break;
+    }
+    if (slotsAt(aStep, *candidate) > 0) {
+      queried.push_back(candidate->mTarget->mEntry.mId);
+    }
+  }
+  return queried;
+}
+
+/// Load pattern: wide gangs wait while advice is slow and the capacity of the targets changes. A
+/// gang starts only if its tickets are valid at the same time, and a call may take nearly as long
+/// as a ticket lives. One round of calls therefore queries every target that the gang will use,
+/// also those with a valid ticket: tickets that arrive in several rounds expire one part after the
+/// other.
+std::vector<std::string> owner::impl::gangTargetsToQuery(
+  const waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
+  time_point aNow) const
+{
+  struct option
+  {
+    const candidate_target* mCandidate;
+    std::uint32_t mSlots;
+    bool mIsGood;
+  };
+  std::vector<option> options;
+  std::uint64_t goodCapacity = 0;
+  for (const auto& candidate : aCandidates) {
+    if (allowed(aStep, *candidate.mTarget, aNow)) {
+      const bool isGood = aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
+      goodCapacity += isGood ? maxTasksIn(aStep.mNeeds, candidate.mTarget->mEntry.mCapacity) : 0;
+      options.push_back(
+        { .mCandidate = &candidate, .mSlots = slotsAt(aStep, candidate), .mIsGood = isGood });
+    }
+  }
+  // Targets with the most free capacity first: fewer are needed, and other steps fill the fullest
+  // targets first.
+  std::ranges::stable_sort(options, std::greater<>{}, [](const option& aOne) {
+    return std::pair(aOne.mIsGood && aOne.mSlots > 0, aOne.mSlots);
+  });
+  const double goodFraction = expectedGoodFraction(aStep.mRoute.mName);
+  const auto pending = static_cast<double>(aStep.mPending.size());
+  double expected = 0;
+  std::vector<std::string> queried;
+  for (const auto& one : options) {
+    if (one.mSlots == 0 || expected >= kGangSpareFactor * pending) {
       break;
     }
-    queried.push_back(candidate->mTarget->mEntry.mId);
+    expected += one.mSlots * (one.mIsGood ? 1.0 : kUnknownDiscount * goodFraction);
+    queried.push_back(one.mCandidate->mTarget->mEntry.mId);
+  }
+  if (expected >= pending) {
+    return queried;
+  }
+  // The gang cannot start now. Verdicts on more targets show where capacity is worth reserving.
+  queried.clear();
+  if (goodCapacity >= kReservableFactor * aStep.mPending.size() ||
+      !mAdviceDispatcher.hasSpareHelpers()) {
+    return queried;
+  }
+  for (const auto& one : options) {
+    if (!one.mIsGood && queried.size() < kMaxQueriedTargets) {
+      queried.push_back(one.mCandidate->mTarget->mEntry.mId);
+    }
   }
   return queried;
 }
 
+double owner::impl::expectedGoodFraction(const std::string& aRoute) const
+{
+  const auto found = mVerdictCounts.find(aRoute);
+  const auto counts = found == mVerdictCounts.end() ? verdict_counts{} : found->second;
+  return (static_cast<double>(counts.mGood) + kAssumedGoodFraction * kAssumedVerdicts) /
+         (static_cast<double>(counts.mQueried) + kAssumedVerdicts);
+}
+
 void owner::impl::requestAdvice(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                                 time_point aNow)
 {
@@ -96,35 +171,61 @@
       !mAdviceDispatcher.hasFreeHelper(terms.mPerCall + terms.mPerTarget, aNow)) {
     return;
   }
-  auto queried = targetsToQuery(aStep, aCandidates, aNow);
-  if (queried.empty()) {
-    return;
+  const auto queried = aStep.spec().mGang ? gangTargetsToQuery(aStep, aCandidates, aNow)
+                                          : targetsToQuery(aStep, aCandidates, aNow);
+  // Calls through several daemons run in parallel, so that their tickets arrive together.
+  const auto calls = (queried.size() + kMaxQueriedTargets - 1) / kMaxQueriedTargets;
+  for (std::size_t call = 0; call < calls; ++call) {
+    const auto first = call * queried.size() / calls;
+    const auto last = (call + 1) * queried.size() / calls;
+    if (!callAdvice(aStep, std::span(queried).subspan(first, last - first), aNow)) {
+      return;
+    }
   }
-  const duration cost = terms.mPerCall + static_cast<int>(queried.size()) * terms.mPerTarget;
+}
+
+bool owner::impl::callAdvice(waiting_step& aStep, std::span<const std::string> aTargets,
+                             time_point aNow)
+{
+  const auto& terms = *aStep.mRoute.mAdvice;
+  const duration cost = terms.mPerCall + static_cast<int>(aTargets.size()) * terms.mPerTarget;
   const auto call = mLastAdviceCall + 1;
   const auto helper = mAdviceDispatcher.reserve(cost, aNow, call);
   if (!helper) {
-    return;
+    return false;
   }
   mLastAdviceCall = call;
-  ++advice.mCallsOpen;
-  std::uint32_t slots = 0;
-  for (const auto& id : queried) {
-    slots += maxTasksIn(aStep.mNeeds, mTargets.find(id)->second.freeCapacity());
+  ++aStep.mAdvice.mCallsOpen;
+  for (const auto& id : aTargets) {
+    aStep.mAdvice.mQueried.insert(mTargetNumbers.at(id));
   }
+  std::vector<std::string> targets(aTargets.begin(), aTargets.end());
   mAdviceCalls[call] = { .mStep = aStep.mKey,
                          .mDaemon = *helper,
-                         .mTargets = queried,
+                         .mTargets = targets,
                          .mSent = aNow,
                          .mCost = cost,
-                         .mSlots = slots };
+                         .mSlots = slotsOn(aStep, targets) };
   mPort.requestAdvice(
     { .mCall = call,
       .mDaemon = *helper,
       .mStep = aStep.mKey,
-      .mTargets = std::move(queried),
+      .mTargets = std::move(targets),
       .mTimeout =
         std::chrono::duration_cast<std::chrono::milliseconds>(2 * cost) + kAdviceTimeoutMargin });
+  return true;
+}
+
+std::uint32_t owner::impl::slotsOn(const waiting_step& aStep,
+                                   std::span<const std::string> aTargets) const
+{
+  std::uint32_t slots = 0;
+  for (const auto& id : aTargets) {
+    if (const auto target = mTargets.find(id); target != mTargets.end()) {
+      slots += maxTasksIn(aStep.mNeeds, target->second.freeCapacity());
+    }
+  }
+  return slots;
 }
 
 void owner::impl::onAdviceReply(const advice_reply& aReply, time_point aNow)
@@ -142,7 +243,9 @@
     return;
   }
   auto& step = waiting->second;
-  --step.mAdvice.mCallsOpen;
+  if (--step.mAdvice.mCallsOpen == 0) {
+    step.mAdvice.mQueried.clear();
+  }
   step.mAdvice.mNextCall = aNow + kAdvicePause;
   if (!aReply.mOk) {
     mPort.logDecision("advice_failed",
@@ -151,6 +254,9 @@
                                   (aNow - call.mSent) / std::chrono::milliseconds(1)));
     return;
   }
+  auto& counts = mVerdictCounts[step.mRoute.mName];
+  counts.mQueried += call.mTargets.size();
+  counts.mGood += aReply.mTickets.size();
   for (const auto& queried : call.mTargets) {
     step.mAdvice.setVerdict(mTargetNumbers.at(queried), verdict::bad);
   }
@@ -158,10 +264,7 @@
   // plus the duration of the call, but not earlier than kMaxReplyDelay ago.
   const auto& terms = step.mRoute.mAdvice;
   const auto lifetime = terms ? terms->mTicketLifetime : std::chrono::milliseconds(0);
-  const duration cost =
-    terms ? terms->mPerCall + static_cast<int>(call.mTargets.size()) * terms->mPerTarget
-          : duration{ 0 };
-  const auto issued = std::max(call.mSent + cost, aNow - kMaxReplyDelay);
+  const auto issued = std::max(call.mSent + call.mCost, aNow - kMaxReplyDelay);
   for (const auto& ticket : aReply.mTickets) {
     const auto number = mTargetNumbers.find(ticket.mTarget);
     if (number == mTargetNumbers.end()) {
@@ -174,20 +277,14 @@
                            { .mToken = ticket.mToken, .mExpiry = issued + lifetime });
   }
   ++step.mAdvice.mReplies;
-  std::uint32_t slots = 0;
-  for (const auto& queried : call.mTargets) {
-    if (const auto target = mTargets.find(queried); target != mTargets.end()) {
-      slots += maxTasksIn(step.mNeeds, target->second.freeCapacity());
-    }
-  }
-  mPort.logDecision("advice",
-                    fmt::format("step={} helper={} targets={} good={} slots_at_call={} slots={} "
-                                "ticket_slots={} pending={} replies={} after_ms={} cost_ms={}",
-                                toText(call.mStep), call.mDaemon, call.mTargets.size(),
-                                aReply.mTickets.size(), call.mSlots, slots, ticketSlots(step, aNow),
-                                step.mPending.size(), step.mAdvice.mReplies,
-                                (aNow - call.mSent) / std::chrono::milliseconds(1),
-                                call.mCost / std::chrono::milliseconds(1)));
+  mPort.logDecision(
+    "advice", fmt::format("step={} helper={} targets={} good={} slots_at_call={} slots={} "
+                          "ticket_slots={} pending={} replies={} after_ms={} cost_ms={}",
+                          toText(call.mStep), call.mDaemon, call.mTargets.size(),
+                          aReply.mTickets.size(), call.mSlots, slotsOn(step, call.mTargets),
+                          ticketSlots(step, aNow), step.mPending.size(), step.mAdvice.mReplies,
+                          (aNow - call.mSent) / std::chrono::milliseconds(1),
+                          call.mCost / std::chrono::milliseconds(1)));
 }
 
 } // namespace endiveusher::scheduler
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -161,9 +162,18 @@
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
   void requestAdvice(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                      time_point aNow);
+  /// Makes one call for the targets; false if no daemon is free for it.
+  bool callAdvice(waiting_step& aStep, std::span<const std::string> aTargets, time_point aNow);
   std::vector<std::string> targetsToQuery(const waiting_step& aStep,
                                           std::vector<candidate_target>& aCandidates,
                                           time_point aNow) const;
+  std::vector<std::string> gangTargetsToQuery(const waiting_step& aStep,
+                                              const std::vector<candidate_target>& aCandidates,
+                                              time_point aNow) const;
+  /// Returns the fraction of targets that is expected to be good for a step of the route.
+  double expectedGoodFraction(const std::string& aRoute) const;
+  /// Returns the number of tasks of the step that fit now on the targets.
+  std::uint32_t slotsOn(const waiting_step& aStep, std::span<const std::string> aTargets) const;
 
   // Preemption.
   /// Stops runs of routes with lower priority for a step that would be late otherwise.
@@ -212,6 +222,13 @@
     std::uint32_t mSlots = 0;
   };
   std::map<std::uint64_t, advice_call> mAdviceCalls;
+  struct verdict_counts
+  {
+    std::uint64_t mQueried = 0;
+    std::uint64_t mGood = 0;
+  };
+  /// Verdicts received, by route.
+  std::map<std::string, verdict_counts> mVerdictCounts;
   std::uint64_t mLastAdviceCall = 0;
   time_point mNextPlan{};
   time_point mLastFlush{};
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -295,8 +295,9 @@
 }
 
 /// Reserves capacity for a waiting gang. Load pattern: small tasks fill every gap that wide gangs
-/// wait for. The capacity that the gang needs is withheld from the steps behind it, on the good
-/// targets with the most free CPU; all gangs together reserve at most kMaxReservedFraction.
+/// wait for. The capacity that the gang needs is withheld from the steps behind it: first the free
+/// capacity of the good targets for which it has tickets or waits for them, then any on the good
+/// targets with the most free CPU. All gangs together reserve at most kMaxReservedFraction.
 void owner::impl::reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                                   time_point aNow)
 {
@@ -315,13 +316,18 @@
       kMaxReservedFraction * static_cast<double>(total)) {
     return;
   }
-  std::ranges::sort(good, std::greater<>{},
-                    [](const candidate_target* aOne) { return aOne->mFree.mCpuMilli; });
+  const auto requested = [&aStep, aNow](const candidate_target* aOne) {
+    return aStep.mAdvice.requested(aOne->mTarget->mNumber, aNow + kTicketMargin);
+  };
+  std::ranges::sort(good, std::greater<>{}, [&requested](const candidate_target* aOne) {
+    return std::pair(requested(aOne), aOne->mFree.mCpuMilli);
+  });
   auto left = static_cast<std::uint32_t>(aStep.mPending.size());
   std::vector<std::pair<candidate_target*, std::uint32_t>> parts;
   for (auto* candidate : good) {
-    const auto slots =
-      std::min(left, maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity));
+    const auto slots = std::min(
+      left, requested(candidate) ? slotsAt(aStep, *candidate)
+                                 : maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity));
     if (slots > 0 && !candidate->mFree.anyNegative()) {
       parts.emplace_back(candidate, slots);
       left -= slots;
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -42,6 +43,8 @@
   };
 
   std::uint32_t mCallsOpen = 0;
+  /// Targets of the open calls.
+  std::unordered_set<target_number> mQueried;
   /// Number of replies since the step began to wait.
   std::uint32_t mReplies = 0;
   time_point mNextCall{};
@@ -77,6 +80,11 @@
     const auto found = mTickets.find(aTarget);
     return found != mTickets.end() && found->second.mExpiry > aTime ? &found->second : nullptr;
   }
+  /// Whether the step has queried the target and waits for the reply, or has a valid ticket for it.
+  bool requested(target_number aTarget, time_point aTime) const
+  {
+    return mQueried.contains(aTarget) || validTicket(aTarget, aTime) != nullptr;
+  }
   /// Whether any ticket may be valid at aTime.
   bool mayHaveTicket(time_point aTime) const { return mLatestExpiry > aTime; }
   std::size_t tickets() const { return mTickets.size(); }
