Give up advice calls soon after their expected end

A daemon whose calls fail is avoided for 1 s, doubled with each further failure up to 8 s. Ruled out: a higher limit of long calls.

--- a/scheduler/src/advice_dispatcher.cpp
+++ b/scheduler/src/advice_dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "advice_dispatcher.h"
 
+#include "endiveusher/kernel/back_off.h"
+
 #include <algorithm>
 
 namespace endiveusher::scheduler::internal {
@@ -12,8 +14,10 @@
 /// Maximum number of open short calls per daemon; more than one, so that the service is not idle
 /// for a round trip between them.
 constexpr std::uint32_t kMaxOpenShortCalls = 3;
-/// Time for which a daemon gets no calls after one has failed.
+/// Time for which a daemon gets no calls after one has failed, doubled with each further failure,
+/// and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
+constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
 
 } // namespace
 
@@ -62,8 +66,9 @@
   return best;
 }
 
-std::optional<std::string> advice_dispatcher::reserve(duration aCost, time_point aNow,
-                                                      std::uint64_t aCall)
+std::optional<advice_dispatcher::reservation> advice_dispatcher::reserve(duration aCost,
+                                                                         time_point aNow,
+                                                                         std::uint64_t aCall)
 {
   const auto* chosen = choose(aCost, aNow);
   if (chosen == nullptr) {
@@ -75,7 +80,7 @@
   best.mLoad += aCost;
   best.mHasLongCall = best.mHasLongCall || isLong;
   mCalls[aCall] = { .mHelper = best.mName, .mCost = aCost, .mIsLong = isLong };
-  return best.mName;
+  return reservation{ .mHelper = best.mName, .mExpected = best.mLoad };
 }
 
 void advice_dispatcher::release(std::uint64_t aCall, bool aOk, time_point aNow)
@@ -88,8 +93,10 @@
     --used->mOpenCalls;
     used->mLoad -= found->second.mCost;
     used->mHasLongCall = used->mHasLongCall && !found->second.mIsLong;
-    if (!aOk) {
-      used->mAvoidUntil = aNow + kAvoidPeriod;
+    if (aOk) {
+      used->mFailures = 0;
+    } else {
+      used->mAvoidUntil = aNow + doubled(kAvoidPeriod, used->mFailures++, kMaxAvoidPeriod);
     }
   }
   mCalls.erase(found);
--- a/scheduler/src/advice_dispatcher.h
+++ b/scheduler/src/advice_dispatcher.h
@@ -27,11 +27,18 @@
   }
   /// Whether fewer than half of the daemons that may make long calls do so.
   bool hasSpareHelpers() const;
+  /// A daemon that makes a call, and the time by which the service has handled the calls of this
+  /// daemon that are open then.
+  struct reservation
+  {
+    std::string mHelper;
+    duration mExpected{ 0 };
+  };
   /// Chooses a daemon for a call of duration aCost and records the call as open; absent if no
   /// daemon is free.
-  std::optional<std::string> reserve(duration aCost, time_point aNow, std::uint64_t aCall);
+  std::optional<reservation> reserve(duration aCost, time_point aNow, std::uint64_t aCall);
   /// Removes a call that was answered or has failed. After a failure its daemon is avoided for a
-  /// while.
+  /// while, longer with each failure in a row.
   void release(std::uint64_t aCall, bool aOk, time_point aNow);
   std::size_t openCalls() const { return mCalls.size(); }
 
@@ -42,6 +49,7 @@
     std::uint32_t mOpenCalls = 0;
     duration mLoad{ 0 };
     bool mHasLongCall = false;
+    std::uint32_t mFailures = 0;
     time_point mAvoidUntil{};
   };
   struct call
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -18,8 +18,9 @@
 constexpr std::size_t kMaxQueriedTargets = 100;
 /// A call may query at least this many targets, so that some of them are good.
 constexpr std::size_t kMinQueriedTargets = 12;
-/// Added to the timeout of an advice call, for the queue at the service and the network.
-constexpr auto kAdviceTimeoutMargin = std::chrono::milliseconds(600);
+/// Added to the expected duration of an advice call, for the network and a busy daemon. A call
+/// without a reply keeps its step from asking elsewhere.
+constexpr auto kAdviceTimeoutMargin = std::chrono::milliseconds(400);
 /// Maximum time that a reply with tickets is in flight.
 constexpr auto kMaxReplyDelay = std::chrono::milliseconds(50);
 /// Pause of a step between two advice calls.
@@ -201,18 +202,18 @@
   }
   std::vector<std::string> targets(aTargets.begin(), aTargets.end());
   mAdviceCalls[call] = { .mStep = aStep.mKey,
-                         .mDaemon = *helper,
+                         .mDaemon = helper->mHelper,
                          .mTargets = targets,
                          .mSent = aNow,
                          .mCost = cost,
                          .mSlots = slotsOn(aStep, targets) };
   mPort.requestAdvice(
     { .mCall = call,
-      .mDaemon = *helper,
+      .mDaemon = helper->mHelper,
       .mStep = aStep.mKey,
       .mTargets = std::move(targets),
-      .mTimeout =
-        std::chrono::duration_cast<std::chrono::milliseconds>(2 * cost) + kAdviceTimeoutMargin });
+      .mTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(helper->mExpected) +
+                  kAdviceTimeoutMargin });
   return true;
 }
 
