End the runs of a target whose VM has restarted as another target

Cause: targets that restart behind a cut come back under a new id. Their former runs counted as possibly executing until the leases of former owners had expired, 12.3 s after each change of the owner, and a gang with one such member cannot start again. Change: entries name the VM, which hosts one target at a time. Once a later incarnation on the same VM has answered a heartbeat, the runs of the former target are over. `target_acquired` records the VM, so that the next owner knows it for targets that are no longer listed. Records without the field are read as before.

--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -34,6 +34,8 @@
   /// Returns the last epoch in which leases at the target may have been renewed; 0 if there is
   /// none.
   std::uint64_t lastEpochAt(std::string_view aTarget) const;
+  /// Returns the VM of the target; empty if it is unknown.
+  std::string vmOf(std::string_view aTarget) const;
   /// Returns records that rebuild this state in an empty table. Ended jobs without open runs are
   /// reduced to what callers may still query.
   std::vector<journal_record> snapshot() const;
@@ -63,7 +65,13 @@
 
   std::unordered_map<job_id, job> mJobs;
   std::map<std::string, std::uint32_t, std::less<>> mWaiting;
-  std::map<std::string, std::uint64_t, std::less<>> mLastEpochByTarget;
+  struct acquisition
+  {
+    std::uint64_t mEpoch = 0;
+    std::string mVm;
+  };
+  /// Latest acquisition of each target.
+  std::map<std::string, acquisition, std::less<>> mAcquisitions;
   /// Ended jobs by the time of their end, ascending.
   std::vector<std::pair<time_point, job_id>> mEnded;
 };
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -53,6 +53,8 @@
 {
   std::string mTarget;
   std::uint64_t mEpoch = 0;
+  /// The target's VM; empty if it is unknown.
+  std::string mVm;
 };
 
 /// Complete state of a job, part of a snapshot.
--- a/scheduler/include/endiveusher/scheduler/target.h
+++ b/scheduler/include/endiveusher/scheduler/target.h
@@ -23,6 +23,8 @@
   std::string mPool;
   std::string mZone;
   std::string mRack;
+  /// The VM, which hosts one target at a time; empty if it is unknown.
+  std::string mVm;
   std::vector<std::string> mLabels;
   resources mCapacity;
   bool mDraining = false;
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -143,15 +143,23 @@
 
 job* job_table::applyRecord(const target_acquired& aRecord, time_point /*aNow*/)
 {
-  auto& epoch = mLastEpochByTarget[aRecord.mTarget];
-  epoch = std::max(epoch, aRecord.mEpoch);
+  auto& latest = mAcquisitions[aRecord.mTarget];
+  if (aRecord.mEpoch >= latest.mEpoch) {
+    latest = { .mEpoch = aRecord.mEpoch, .mVm = aRecord.mVm };
+  }
   return nullptr;
 }
 
 std::uint64_t job_table::lastEpochAt(std::string_view aTarget) const
 {
-  const auto found = mLastEpochByTarget.find(aTarget);
-  return found == mLastEpochByTarget.end() ? 0 : found->second;
+  const auto found = mAcquisitions.find(aTarget);
+  return found == mAcquisitions.end() ? 0 : found->second.mEpoch;
+}
+
+std::string job_table::vmOf(std::string_view aTarget) const
+{
+  const auto found = mAcquisitions.find(aTarget);
+  return found == mAcquisitions.end() ? std::string() : found->second.mVm;
 }
 
 std::vector<step_state>* job_table::openOccurrence(job& aJob, std::uint32_t aOccurrence)
@@ -243,9 +251,10 @@
 std::vector<journal_record> job_table::snapshot() const
 {
   std::vector<journal_record> records;
-  records.reserve(mJobs.size() + mLastEpochByTarget.size());
-  for (const auto& [target, epoch] : mLastEpochByTarget) {
-    records.emplace_back(target_acquired{ .mTarget = target, .mEpoch = epoch });
+  records.reserve(mJobs.size() + mAcquisitions.size());
+  for (const auto& [target, latest] : mAcquisitions) {
+    records.emplace_back(
+      target_acquired{ .mTarget = target, .mEpoch = latest.mEpoch, .mVm = latest.mVm });
   }
   for (const auto& [id, one] : mJobs) {
     if (one.mPhase == job_phase::active || hasOpenRuns(one)) {
@@ -264,7 +273,7 @@
 {
   mJobs.clear();
   mWaiting.clear();
-  mLastEpochByTarget.clear();
+  mAcquisitions.clear();
   mEnded.clear();
 }
 
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -219,6 +219,7 @@
     auto value = start(record_kind::target_acquired);
     value.push_back(aRecord.mTarget);
     value.push_back(aRecord.mEpoch);
+    value.push_back(aRecord.mVm);
     return value;
   }
 };
@@ -245,7 +246,10 @@
     case record_kind::snapshot:
       return job_snapshot{ .mJob = jobFrom(aValue.at(1)) };
     case record_kind::target_acquired:
-      return target_acquired{ .mTarget = aValue.at(1), .mEpoch = aValue.at(2) };
+      // Records of earlier versions have no VM.
+      return target_acquired{ .mTarget = aValue.at(1),
+                              .mEpoch = aValue.at(2),
+                              .mVm = aValue.size() > 3 ? aValue.at(3) : json("") };
   }
   throw std::invalid_argument(absl::StrCat("unknown record kind ", aValue.at(0).get<int>()));
 }
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -111,6 +111,9 @@
   void endRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
               const std::string& aCheckpoint, time_point aNow);
   void completeGang(const task_key& aTask, std::uint32_t aRun, time_point aNow);
+  /// Ends the runs of targets that were on the same VM before aTarget, which has answered: a VM
+  /// hosts one target at a time, so that these runs are over before their lease expires.
+  void endRunsOfFormerTargets(const target_state& aTarget, time_point aNow);
   void endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -46,6 +46,7 @@
   const auto [at, isNew] = mTargets.try_emplace(aId);
   if (isNew) {
     at->second.mEntry.mId = aId;
+    at->second.mEntry.mVm = mJobTable.vmOf(aId);
     const auto next = static_cast<std::uint32_t>(mTargetNumbers.size());
     at->second.mNumber = mTargetNumbers.try_emplace(aId, next).first->second;
   }
@@ -103,6 +104,19 @@
   }
 }
 
+void owner::impl::endRunsOfFormerTargets(const target_state& aTarget, time_point aNow)
+{
+  if (aTarget.mEntry.mVm.empty()) {
+    return;
+  }
+  for (auto& [id, former] : mTargets) {
+    if (&former != &aTarget && !former.mRuns.empty() && former.mEntry.mVm == aTarget.mEntry.mVm &&
+        former.mEntry.mIncarnationStart < aTarget.mEntry.mIncarnationStart) {
+      endLostRuns(former, "vm_restarted", aNow);
+    }
+  }
+}
+
 target_time owner::impl::extendLease(target_state& aTarget, time_point aNow) const
 {
   const auto until = aTarget.clockAt(aNow) + mOptions.mLease;
@@ -179,13 +193,11 @@
     // Former owners may have renewed a lease up to this heartbeat; from now on the target rejects
     // their epochs.
     target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + mOptions.mLease);
-    append(target_acquired{ .mTarget = aTarget, .mEpoch = mEpoch }, aNow);
+    append(target_acquired{ .mTarget = aTarget, .mEpoch = mEpoch, .mVm = target.mEntry.mVm }, aNow);
     mNextBatch.mAcquired.push_back(aTarget);
-    // Leases are renewed only after the journal records that this epoch does so.
-    target.mNextHeartbeat = aNow + kHeartbeatPause;
-  } else {
-    target.mNextHeartbeat = aNow + kHeartbeatPause;
+    endRunsOfFormerTargets(target, aNow);
   }
+  target.mNextHeartbeat = aNow + kHeartbeatPause;
   mPlanNeeded = true;
 }
 
--- a/tests/node/snapshots_test.cpp
+++ b/tests/node/snapshots_test.cpp
@@ -19,7 +19,7 @@
   table.apply(
     run_started{ .mTask = task, .mRun = 1, .mAt = { .mTarget = "w", .mIncarnationStart = 3 } },
     now);
-  table.apply(target_acquired{ .mTarget = "w", .mEpoch = 4 }, now);
+  table.apply(target_acquired{ .mTarget = "w", .mEpoch = 4, .mVm = "vm" }, now);
   return table;
 }
 
@@ -43,6 +43,7 @@
   CHECK_EQUAL("w", tasks[1].mOpen->mTarget);
   CHECK_FALSE(tasks[0].mOpen.has_value());
   CHECK_EQUAL(4, restored.lastEpochAt("w"));
+  CHECK_EQUAL("vm", restored.vmOf("w"));
   CHECK_EQUAL("x", one->mSpec.mPayload);
 }
 
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -69,8 +69,10 @@
   const auto entry = decodeTargetEntry(
     "i-1", R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":8,
                "state":"draining","capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
-               "labels":["a","r1-3"],"born":1768871666056,"sequence":4})");
+               "labels":["a","r1-3"],"born":1768871666056,"sequence":4,
+               "machine":"m-0a3f1"})");
   CHECK(entry.ok());
+  CHECK_EQUAL("m-0a3f1", entry->mVm);
   CHECK(entry->mDraining);
   CHECK_EQUAL("r1-3", entry->mRack);
   CHECK_EQUAL(16000, entry->mCapacity.mCpuMilli);
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -27,6 +27,7 @@
   std::uint64_t mLastEndNumber = 0;
   std::uint64_t mStoredEndNumber = 0;
   bool mReachable = true;
+  bool mListed = true;
   /// Whether start orders are executed but their replies are lost.
   bool mLosesReplies = false;
   /// If set, start orders are rejected with this outcome.
@@ -131,6 +132,7 @@
                       .mPool = "pool",
                       .mZone = aZone,
                       .mRack = "r1",
+                      .mVm = "vm-" + aId,
                       .mLabels = { "k", "r1" },
                       .mCapacity = { .mCpuMilli = aCpu, .mMemoryMb = aMemory },
                       .mIncarnationStart = 1 };
@@ -140,6 +142,21 @@
     return target;
   }
 
+  /// Restarts the VM of a target, which comes back as the new target aNew.
+  void restartVm(const std::string& aOld, const std::string& aNew)
+  {
+    auto& old = mTargets.at(aOld);
+    old.mRunning.clear();
+    old.mReachable = false;
+    old.mListed = false;
+    auto& restarted = mTargets[aNew];
+    restarted.mEntry = old.mEntry;
+    restarted.mEntry.mId = aNew;
+    ++restarted.mEntry.mIncarnationStart;
+    mOwner->removeTarget(aOld, mNow);
+    mOwner->setTarget(restarted.mEntry, mNow);
+  }
+
   /// Starts a new incarnation of the target: its runs are lost, and the gangs of these break.
   void restartTarget(const std::string& aId)
   {
@@ -173,7 +190,9 @@
     mOwner->configure(std::make_shared<cell_config>(mConfig));
     mJobTable.forEach([this](job& aJob) { mOwner->onRecordApplied(aJob, mNow, wall()); });
     for (const auto& [id, target] : mTargets) {
-      mOwner->setTarget(target.mEntry, mNow);
+      if (target.mListed) {
+        mOwner->setTarget(target.mEntry, mNow);
+      }
     }
   }
 
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -321,6 +321,16 @@
   CHECK_EQUAL("t2", cell.targetRunning(id));
 }
 
+// Guards against tasks that wait for the lease of a target whose VM has restarted as another one.
+TEST(owner_runs, startsElsewhereOnceTheVmHasRestarted)
+{
+  cell.addTarget("t1");
+  const auto id = cell.startOwnerAndJob(tasks(1));
+  cell.restartVm("t1", "t2");
+  cell.run(milliseconds(500));
+  CHECK_EQUAL("t2", cell.targetRunning(id));
+}
+
 TEST(owner_runs, startsNothingOnDrainingTargetsOrInClosedZones)
 {
   auto& leaving = cell.addTarget("t1");
@@ -398,6 +408,18 @@
   CHECK_EQUAL("t2", cell.targetRunning(id));
 }
 
+// Guards against tasks that wait for former leases of a target that only the journal knows,
+// although its VM has restarted before the change of owner.
+TEST(owner_failover, knowsTheVmsOfTargetsThatAreNoLongerListed)
+{
+  cell.addTarget("t1");
+  const auto id = cell.startOwnerAndJob(tasks(1));
+  cell.restartVm("t1", "t2");
+  cell.startNextOwner();
+  cell.run(milliseconds(500));
+  CHECK_EQUAL("t2", cell.targetRunning(id));
+}
+
 // Guards against starting a task elsewhere while a target that replied only once still runs it
 // under the lease of the former owner.
 TEST(owner_failover, waitsForFormerLeasesOfATargetThatBecomesUnresponsive)
