Show steps that wait although there is room

Change: tests only. fake_target can take a while to stop a run, and the fixture submits recurring jobs.

--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -31,6 +31,10 @@
   bool mLosesReplies = false;
   /// If set, start orders are rejected with this outcome.
   std::optional<order_outcome> mRejectStarts;
+  /// Time that a run takes to end after a stop order.
+  milliseconds mStopDelay{ 0 };
+  /// Runs that are being stopped, and the time of their end.
+  std::map<task_key, time_point> mStopping;
   target_time mClock{ 1000 };
 
   resources used(const job_table& aJobTable) const
@@ -197,6 +201,22 @@
     storeFromOtherDaemon(job_submitted{ .mSpec = std::move(spec) });
     return static_cast<job_id>(mLastJob);
   }
+  /// Submits a job of the route batch whose first occurrence is due now.
+  job_id submitRecurring(step_spec aStep, std::chrono::milliseconds aInterval,
+                         std::uint32_t aRepeat)
+  {
+    job_spec spec{ .mId = static_cast<job_id>(++mLastJob),
+                   .mRoute = "batch",
+                   .mTeam = "red",
+                   .mPayload = "p",
+                   .mSteps = { std::move(aStep) },
+                   .mFirstDue = wall(),
+                   .mInterval = aInterval,
+                   .mRepeat = aRepeat,
+                   .mSubmitted = wall() };
+    storeFromOtherDaemon(job_submitted{ .mSpec = std::move(spec) });
+    return static_cast<job_id>(mLastJob);
+  }
   /// Starts the first owner, submits a job and gives the owner time to start it.
   job_id startOwnerAndJob(step_spec aStep)
   {
@@ -216,6 +236,7 @@
         target.mClock += milliseconds(5);
       }
       endDueTasks();
+      endStoppedRuns();
       deliverReplies();
       mOwner->tick(mNow, wall());
     }
@@ -377,6 +398,22 @@
     }
   }
 
+  void endStoppedRuns()
+  {
+    for (auto& [id, target] : mTargets) {
+      for (auto at = target.mStopping.begin(); at != target.mStopping.end();) {
+        if (at->second > mNow) {
+          ++at;
+          continue;
+        }
+        if (target.mRunning.contains(at->first)) {
+          target.end(at->first, reported_end::stopped, "saved");
+        }
+        at = target.mStopping.erase(at);
+      }
+    }
+  }
+
   const advice_terms& termsOf(job_id aJob) const
   {
     return *mConfig.route(mJobTable.find(aJob)->mSpec.mRoute)->mAdvice;
@@ -476,7 +513,11 @@
     }
     const auto found = target.mRunning.find(aOrder.mTask);
     if (found != target.mRunning.end() && found->second == aOrder.mRun) {
-      target.end(aOrder.mTask, reported_end::stopped, "saved");
+      if (target.mStopDelay.count() > 0) {
+        target.mStopping.try_emplace(aOrder.mTask, mNow + target.mStopDelay);
+      } else {
+        target.end(aOrder.mTask, reported_end::stopped, "saved");
+      }
     }
     return order_outcome::accepted;
   }
--- /dev/null
+++ b/tests/scheduler/starvation_test.cpp
@@ -0,0 +1,357 @@
+#include "owner_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::scheduler;
+using namespace endiveusher::scheduler::testing;
+
+namespace {
+
+/// A step whose turn has come has to run within this time while there is capacity for it twice
+/// over and at least half of the cell is free.
+constexpr milliseconds kMaxStarvation{ 3000 };
+/// The same for a task of a long-running step, from the end of its last run.
+constexpr milliseconds kMaxLongRunningPause{ 6000 };
+constexpr milliseconds kLimit{ 20000 };
+
+step_spec tasks(std::uint32_t aCount, std::int64_t aCpu = 2000)
+{
+  return { .mCount = aCount,
+           .mNeeds = { .mCpuMilli = aCpu, .mMemoryMb = 100 },
+           .mEstimate = milliseconds(20000) };
+}
+
+step_spec gang(std::uint32_t aCount, std::int64_t aCpu = 2000)
+{
+  auto step = tasks(aCount, aCpu);
+  step.mGang = true;
+  return step;
+}
+
+step_spec labelled(step_spec aStep, const std::string& aLabel)
+{
+  aStep.mRequiredLabel = aLabel;
+  return aStep;
+}
+
+step_spec longRunning(step_spec aStep)
+{
+  aStep.mLongRunning = true;
+  return aStep;
+}
+
+} // namespace
+
+/// Steps whose turn has come in a cell with room for them.
+TEST_GROUP(starvation)
+{
+  owner_fixture cell;
+
+  /// Runs until a number of tasks of the job's step run; returns the time that it took.
+  milliseconds timeUntilRunning(job_id aJob, std::size_t aCount = 1, std::uint32_t aOccurrence = 0)
+  {
+    const step_key key{ .mJob = aJob, .mOccurrence = aOccurrence };
+    milliseconds waited{ 0 };
+    while (running(key) < aCount && waited < kLimit) {
+      cell.run(milliseconds(5));
+      waited += milliseconds(5);
+    }
+    return waited;
+  }
+  std::size_t running(const step_key& aKey) const
+  {
+    std::size_t count = 0;
+    for (const auto& [id, target] : cell.targets()) {
+      for (const auto& [task, run] : target.mRunning) {
+        count += task.mStep == aKey ? 1 : 0;
+      }
+    }
+    return count;
+  }
+  /// Starts the next owner and gives it time to acquire the targets.
+  void changeOwner()
+  {
+    cell.startNextOwner();
+    cell.run(milliseconds(200));
+  }
+  void addLabel(const std::string& aTarget, const std::string& aLabel)
+  {
+    auto& target = cell.target(aTarget);
+    target.mEntry.mLabels.push_back(aLabel);
+    cell.mOwner->setTarget(target.mEntry, cell.mNow);
+  }
+};
+
+// Guards against an occurrence that never starts: the former owner has opened it, but no run of it
+// is in the journal, while a later occurrence has started.
+TEST(starvation, anOccurrenceStartsThatTheFormerOwnerHadOpened)
+{
+  cell.mConfig.mRoutes[0].mAdvice = { .mPerCall = milliseconds(10),
+                                      .mPerTarget = milliseconds(1),
+                                      .mTicketLifetime = milliseconds(1500) };
+  cell.mAdviceService = fake_advice_service{ .mGoodPercent = { { "batch", 50 } } };
+  const job_id id{ 1 };
+  const auto goodFor = [this, id](std::uint32_t aOccurrence, const std::string& aTarget) {
+    return cell.mAdviceService->good("batch", { .mJob = id, .mOccurrence = aOccurrence }, aTarget);
+  };
+  std::string first;
+  std::string second;
+  for (int index = 0; index < 100; ++index) {
+    const auto target = "t" + std::to_string(index);
+    if (goodFor(0, target)) {
+      first = target;
+    } else if (goodFor(1, target)) {
+      second = target;
+    }
+  }
+  cell.addTarget(second);
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  CHECK(cell.submitRecurring(tasks(1), milliseconds(500), 2) == id);
+  CHECK(timeUntilRunning(id, 1, 1) < kMaxStarvation);
+  CHECK_EQUAL(0, running({ .mJob = id }));
+  cell.addTarget(first);
+  changeOwner();
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+}
+
+// Guards against a step that avoids the only target with its label for the whole 3 s.
+TEST(starvation, aFailedTaskRestartsOnTheOnlyTargetWithItsLabel)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.startNextOwner();
+  addLabel("t1", "only");
+  const auto id = cell.submit(labelled(tasks(1), "only"));
+  cell.run(milliseconds(300));
+  cell.endTask(id, reported_end::failed);
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+}
+
+// Guards against a step that avoids all targets at once, because one of its tasks has failed at
+// each of them.
+TEST(starvation, aStepRestartsThatHasFailedOnAllTargets)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.addTarget("t3");
+  auto step = tasks(3);
+  step.mMaxPerTarget = 1;
+  const auto id = cell.startOwnerAndJob(step);
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    cell.endTask(id, reported_end::failed, 0, index);
+  }
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+}
+
+// Guards against a pause of up to 8 s, after failures of several jobs, of the only target that can
+// run a step.
+TEST(starvation, theOnlyTargetWithALabelDoesNotRestAfterFailures)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.mConfig.mRoutes[0].mMaxAttempts = 10;
+  cell.startNextOwner();
+  addLabel("t1", "only");
+  std::vector<job_id> ids;
+  for (int job = 0; job < 2; ++job) {
+    ids.push_back(cell.submit(labelled(tasks(1), "only")));
+  }
+  cell.run(milliseconds(300));
+  for (int failure = 0; failure < 3; ++failure) {
+    for (const auto id : ids) {
+      CHECK(timeUntilRunning(id) < kMaxStarvation);
+      cell.endTask(id, reported_end::failed);
+      cell.run(milliseconds(100));
+    }
+  }
+}
+
+// Guards against long-running tasks whose failures, with no end in success between them, add up to
+// ever longer pauses of all targets of the pool.
+TEST(starvation, longRunningTasksRestartHoweverOftenTheyFail)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.startNextOwner();
+  std::vector<job_id> ids;
+  for (int job = 0; job < 4; ++job) {
+    ids.push_back(cell.submit(longRunning(tasks(1))));
+  }
+  cell.run(milliseconds(300));
+  for (int failure = 0; failure < 6; ++failure) {
+    for (const auto id : ids) {
+      CHECK(timeUntilRunning(id) < kMaxLongRunningPause);
+      cell.endTask(id, reported_end::failed);
+      cell.run(milliseconds(100));
+    }
+  }
+}
+
+// Guards against a part of a gang that starts alone: one member cannot start any more when the
+// records of the starts are stored.
+TEST(starvation, noMemberStartsOfAGangThatLosesOneBeforeItsOrder)
+{
+  cell.addTarget("t1", 2000);
+  cell.addTarget("t2", 2000);
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  cell.mStoreDelay = milliseconds(300);
+  const auto id = cell.submit(gang(2));
+  cell.run(milliseconds(100));
+  cell.target("t1").mEntry.mDraining = true;
+  cell.mOwner->setTarget(cell.target("t1").mEntry, cell.mNow);
+  cell.run(milliseconds(600));
+  CHECK_EQUAL(0, cell.running());
+  cell.mStoreDelay = milliseconds(0);
+  cell.addTarget("t3", 2000);
+  CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
+}
+
+// The same for a target that restarts while the records are stored.
+TEST(starvation, noMemberStartsOfAGangWhoseTargetRestartsBeforeItsOrder)
+{
+  cell.addTarget("t1", 2000);
+  cell.addTarget("t2", 2000);
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  cell.mStoreDelay = milliseconds(300);
+  const auto id = cell.submit(gang(2));
+  cell.run(milliseconds(100));
+  cell.restartTarget("t1");
+  cell.target("t1").mReachable = false;
+  cell.run(milliseconds(600));
+  CHECK_EQUAL(0, cell.running());
+  cell.mStoreDelay = milliseconds(0);
+  cell.target("t1").mReachable = true;
+  CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
+}
+
+// Guards against a gang that waits for members whose start orders the former owner did not get
+// out: those that did start wait alone, and the gang can only start again as a whole.
+TEST(starvation, aGangStartsAgainOfWhichTheFormerOwnerStartedAPart)
+{
+  cell.addTarget("t1", 2000);
+  cell.addTarget("t2", 2000);
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  cell.target("t1").mReachable = false;
+  const auto id = cell.submit(gang(2));
+  cell.run(milliseconds(30));
+  CHECK_EQUAL(1, cell.running());
+  cell.target("t1").mReachable = true;
+  cell.startNextOwner();
+  CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
+}
+
+// Guards against a gang that takes a target that rejects its starts again and again, because its
+// other members take longer to stop than the target is avoided.
+TEST(starvation, aGangStartsBesideATargetThatRejectsStarts)
+{
+  for (const auto* id : { "t1", "t2", "t3" }) {
+    cell.addTarget(id, 2000).mStopDelay = milliseconds(900);
+  }
+  cell.target("t1").mRejectStarts = order_outcome::unhealthy;
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  const auto id = cell.submit(gang(2));
+  CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
+}
+
+// Guards against a gang that needs more than the rest of its team's limit and withholds all of the
+// rest from the team's other jobs for as long as it can be on time.
+TEST(starvation, aGangThatCannotStartDoesNotBlockItsTeam)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  cell.submit(tasks(4));
+  cell.run(milliseconds(300));
+  cell.submit(gang(7));
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
+}
+
+// The same for a gang that is wider than its team's whole limit and therefore never starts.
+TEST(starvation, aGangWiderThanItsTeamsLimitDoesNotBlockTheTeam)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  cell.submit(gang(11));
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
+}
+
+// Guards against capacity that is reserved for good for a gang that can never start: it needs more
+// targets than there are, because only one of its tasks may run on each.
+TEST(starvation, aGangThatCanNeverStartReservesNothing)
+{
+  for (int index = 0; index < 10; ++index) {
+    cell.addTarget("t" + std::to_string(index));
+  }
+  cell.startNextOwner();
+  addLabel("t0", "only");
+  auto wide = gang(12, 2000);
+  wide.mMaxPerTarget = 1;
+  cell.submit(wide);
+  cell.run(milliseconds(300));
+  // The fullest targets are t1 to t9, so the reserved capacity is at t0.
+  for (int index = 1; index < 10; ++index) {
+    cell.submit(tasks(1));
+  }
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(labelled(tasks(1), "only"))) < kMaxStarvation);
+}
+
+// Guards against a step that waits for its data's rack, which is full, until it would be late.
+TEST(starvation, aStepStartsOutsideTheFullRackOfItsData)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.addTarget("t3");
+  cell.target("t1").mEntry.mRack = "r2";
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  auto near = tasks(4);
+  near.mDataRack = "r2";
+  cell.submit(near);
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(near)) < kMaxStarvation);
+}
+
+// Guards against a long-running task that fails late in its life and ranks behind gangs that wait
+// with time to spare, which reserve the capacity that it needs.
+TEST(starvation, aLongRunningTaskRestartsBesideAWaitingGang)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.addTarget("t3");
+  cell.startNextOwner();
+  addLabel("t1", "only");
+  const auto id = cell.submit(longRunning(labelled(tasks(1), "only")));
+  cell.submit(longRunning(labelled(tasks(1, 1000), "only")));
+  cell.run(milliseconds(300));
+  cell.submit(longRunning(tasks(2, 7000)));
+  cell.run(milliseconds(20000));
+  // It fits on t1 only when the second long-running task has ended.
+  cell.submit(labelled(gang(1, 8000), "only"));
+  cell.run(milliseconds(100));
+  cell.endTask(id, reported_end::failed);
+  CHECK(timeUntilRunning(id) < kMaxLongRunningPause);
+}
+
+// Guards against accepted jobs that never start because their route was removed before a new owner
+// took over.
+TEST(starvation, aJobOfARemovedRouteStartsAfterAChangeOfOwner)
+{
+  cell.startNextOwner();
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(300));
+  std::erase_if(cell.mConfig.mRoutes,
+                [](const route_config& aRoute) { return aRoute.mName == "batch"; });
+  cell.addTarget("t1");
+  changeOwner();
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+}
