Open occurrences that are missing before a started one

If an earlier occurrence still waited while a later one had started, the next owner continued after the later one; the earlier one never started and the job never ended.

Evidence: starvation.anOccurrenceStartsThatTheFormerOwnerHadOpened failed: nothing had started 20 s after the change of owner.

Change: openDueOccurrences opens the first occurrence that is not open.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -59,6 +59,22 @@
   return paths;
 }
 
+/// Returns the first occurrence that is not open. Opening is not in the journal: after a change of
+/// owner, an occurrence without a run may be missing before one that has started.
+std::uint32_t firstUnopened(const job& aJob)
+{
+  const auto& open = aJob.mOccurrences;
+  const auto count = static_cast<std::uint32_t>(open.size());
+  if (open.empty() || open.rbegin()->first + 1 == count) {
+    return count;
+  }
+  std::uint32_t next = 0;
+  while (open.contains(next)) {
+    ++next;
+  }
+  return next;
+}
+
 } // namespace
 
 std::string_view toText(order_outcome aOutcome)
@@ -258,7 +274,7 @@
       finished.push_back(id);
       continue;
     }
-    const auto next = found->mOccurrences.empty() ? 0 : found->mOccurrences.rbegin()->first + 1;
+    const auto next = firstUnopened(*found);
     if (next >= found->mSpec.mRepeat) {
       finished.push_back(id);
     } else if (found->mSpec.due(next) <= aWall + kOccurrenceOpenLead) {
