Let a step return to a target of a failed run in time

Cause: after a failed run, a step avoided that target for 3 s, also if no other target may run it or if it has failed on all of them. The step had nothing running for 3 s in a free cell, which is the bound of the rule.

Evidence: starvation.aFailedTaskRestartsOnTheOnlyTargetWithItsLabel and aStepRestartsThatHasFailedOnAllTargets failed with restarts after 3,040 ms.

Change: a step avoids a target only if another usable one may run it, and for 1.5 s, because an advice call of up to 1.2 s may follow.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -120,6 +120,9 @@
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
+  /// Whether a usable target other than aTarget may run the step.
+  bool hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
+                      time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -24,8 +24,10 @@
 /// Duration of the first such pause, doubled with each further failure, and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
 constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
-/// Time for which a step avoids a target at which one of its tasks has failed.
-constexpr auto kAvoidFailedTargetPeriod = std::chrono::milliseconds(3000);
+/// Time for which a step avoids a target at which one of its tasks has failed. If that leaves no
+/// target with room, the step still has to run again within 3 s, of which an advice call takes up
+/// to 1.2 s.
+constexpr auto kAvoidFailedTargetPeriod = std::chrono::milliseconds(1500);
 
 run_end toRunEnd(reported_end aOutcome)
 {
@@ -274,13 +276,22 @@
   }
 }
 
+bool owner::impl::hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
+                                 time_point aNow) const
+{
+  return std::ranges::any_of(mTargets, [&](const auto& aOne) {
+    return &aOne.second != &aTarget && usable(aOne.second, aNow) &&
+           allowed(aStep, aOne.second, aNow);
+  });
+}
+
 void owner::impl::updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow)
 {
   if (aEnd.mOutcome == reported_end::done) {
     aTarget.mConsecutiveFailures = 0;
   } else if (aEnd.mOutcome == reported_end::failed) {
     const auto step = mWaiting.find(aEnd.mTask.mStep);
-    if (step != mWaiting.end() && mTargets.size() > 1) {
+    if (step != mWaiting.end() && hasOtherTarget(step->second, aTarget, aNow)) {
       step->second.mAvoidedTargets[aTarget.mNumber] = aNow + kAvoidFailedTargetPeriod;
     }
     if (aTarget.mLastFailedJob == aEnd.mTask.mStep.mJob) {
