Order no member of a gang that lost one while its starts were stored

Cause: onStored decided for each start by itself. If a target drained or restarted, its zone was closed or a ticket expired during the append, the other members were ordered, waited alone for 3 to 5 s and kept the gang from starting as a whole.

Evidence: starvation.noMemberStartsOfAGangThatLosesOneBeforeItsOrder and noMemberStartsOfAGangWhoseTargetRestartsBeforeItsOrder failed: one of two members ran.

Change: the starts of a gang are withdrawn if one cannot be ordered any more.

Measured: both tests pass.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -381,17 +381,14 @@
       found->second.mStoredEndNumber = std::max(found->second.mStoredEndNumber, end.mNumber);
     }
   }
+  stopIncompleteGangs(done.mStarts, aNow);
   for (const auto& start : done.mStarts) {
     auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun);
     if (run == nullptr || run->mPhase != internal::run_phase::storing) {
       continue;
     }
     auto& target = mTargets.find(start.mAt.mTarget)->second;
-    const job* owning = mJobTable.find(start.mTask.mStep.mJob);
-    const bool wanted = owning != nullptr && owning->mPhase == job_phase::active;
-    if (!wanted || run->mStopWanted || !target.mAcquisitionStored ||
-        target.mEntry.mIncarnationStart != start.mAt.mIncarnationStart || target.mEntry.mDraining ||
-        mClosedZones.contains(target.mEntry.mZone) || run->mTicketExpiry <= aNow) {
+    if (!orderable(start, aNow)) {
       endRun(target, start.mTask, run_end::not_run, {}, aNow);
       release(target, start.mTask);
       continue;
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -132,6 +133,11 @@
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
+  /// Whether the run, whose start is stored now, can still be ordered at its target.
+  bool orderable(const run_started& aStart, time_point aNow);
+  /// Withdraws the starts of gangs of which a member cannot be ordered any more: the other members
+  /// would wait for it in vain.
+  void stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow);
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                  time_point aNow);
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
+#include <span>
 
 namespace endiveusher::scheduler {
 
@@ -35,6 +37,38 @@
   return run != target->second.mRuns.end() && run->second.mRun == aRun ? &run->second : nullptr;
 }
 
+bool owner::impl::orderable(const run_started& aStart, time_point aNow)
+{
+  const auto* run = findRun(aStart.mAt.mTarget, aStart.mTask, aStart.mRun);
+  const job* owning = mJobTable.find(aStart.mTask.mStep.mJob);
+  if (run == nullptr || run->mStopWanted || run->mTicketExpiry <= aNow || owning == nullptr ||
+      owning->mPhase != job_phase::active) {
+    return false;
+  }
+  const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
+  return target.mAcquisitionStored &&
+         target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
+         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone);
+}
+
+void owner::impl::stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow)
+{
+  std::optional<step_key> stopped;
+  for (const auto& start : aStarts) {
+    const auto& key = start.mTask.mStep;
+    job* owning = mJobTable.find(key.mJob);
+    if (stopped == key || owning == nullptr || !owning->mSpec.mSteps[key.mStep].mGang ||
+        orderable(start, aNow)) {
+      continue;
+    }
+    // The gang may have lost all members of this run and be part of a later batch.
+    if (owning->find(key)->mTasks[start.mTask.mIndex].mRun == start.mRun) {
+      stopStep(*owning, key, aNow);
+      stopped = key;
+    }
+  }
+}
+
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
   if (aTarget.mNextOrders > aNow) {
