Stop the rest of a gang after a run that may never have begun

Cause: if the former owner did not get the order of one member out, or a target restarted before it had carried it out, the members that had started waited alone for 3 to 5 s, and the gang could not start as a whole.

Change: the other members are stopped when a target does not list a run that it should, or is lost before it has confirmed one. After the loss of a confirmed run they are left alone, because the gang may just have ended.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -111,6 +111,9 @@
   void endRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
               const std::string& aCheckpoint, time_point aNow);
   void completeGang(const task_key& aTask, std::uint32_t aRun, time_point aNow);
+  /// Stops the other members of the gang, if the task belongs to one, after a run that may never
+  /// have begun: its target does not make them end.
+  void stopGangOf(const task_key& aTask, time_point aNow);
   void endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -189,12 +189,8 @@
     const auto pause = kStepRejectionPause * std::min(++step->second.mRejectedStarts, 50U);
     step->second.mNotBefore =
       std::max(step->second.mNotBefore, aNow + std::min<duration>(pause, kMaxStepRejectionPause));
-    if (step->second.spec().mGang) {
-      // The gang cannot start without this member, so the others are stopped.
-      if (job* owning = mJobTable.find(aOrder.mTask.mStep.mJob)) {
-        stopStep(*owning, aOrder.mTask.mStep, aNow);
-      }
-    }
+    // The gang cannot start without this member, so the others are stopped.
+    stopGangOf(aOrder.mTask, aNow);
   }
 }
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -271,6 +271,7 @@
       mPort.logDecision("run_gone", fmt::format("task={} run={} target={}", toText(task),
                                                 found->second.mRun, aTarget.mEntry.mId));
       endRun(aTarget, task, run_end::interrupted, found->second.mCheckpoint, aNow);
+      stopGangOf(task, aNow);
     }
     release(aTarget, task);
   }
@@ -389,6 +390,14 @@
   }
 }
 
+void owner::impl::stopGangOf(const task_key& aTask, time_point aNow)
+{
+  job* owning = mJobTable.find(aTask.mStep.mJob);
+  if (owning != nullptr && owning->mSpec.mSteps[aTask.mStep.mStep].mGang) {
+    stopStep(*owning, aTask.mStep, aNow);
+  }
+}
+
 void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow)
 {
   std::vector<task_key> tasks;
@@ -405,7 +414,11 @@
       mPort.logDecision("run_lost", fmt::format("task={} run={} target={} reason={}", toText(task),
                                                 found->second.mRun, aTarget.mEntry.mId, aReason));
       const auto checkpoint = found->second.mCheckpoint;
+      const bool hasBegun = found->second.mPhase == run_phase::confirmed;
       endRun(aTarget, task, run_end::interrupted, checkpoint, aNow);
+      if (!hasBegun) {
+        stopGangOf(task, aNow);
+      }
     }
     release(aTarget, task);
   }
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -283,6 +283,21 @@
   CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
 }
 
+// The same for a target that restarts between its order and the order's reply.
+TEST(starvation, aGangStartsAgainWhoseTargetRestartsBeforeItsReply)
+{
+  cell.addTarget("t1", 2000);
+  cell.addTarget("t2", 2000);
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  cell.target("t1").mReachable = false;
+  const auto id = cell.submit(gang(2));
+  cell.run(milliseconds(60));
+  CHECK_EQUAL(1, cell.running());
+  cell.restartTarget("t1");
+  CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
+}
+
 // Guards against a gang that takes a target that rejects its starts again and again, because its
 // other members take longer to stop than the target is avoided.
 TEST(starvation, aGangStartsBesideATargetThatRejectsStarts)
