Avoid a target for longer that keeps rejecting starts

Cause: a rejecting target was avoided for 500 ms. The other members of a gang may take longer to stop, so the gang took the same target again each time.

Evidence: starvation.aGangStartsBesideATargetThatRejectsStarts failed: with runs that take 900 ms to stop the gang did not start within 20 s, though two of three targets would have run it.

Change: the pause doubles with each rejection in a row, up to 2 s; an accepted start or a new incarnation resets it.

Measured: the test passes, and so does aStepStartsSoonAfterItsOnlyTarget- AcceptsStartsAgain for the upper limit.

--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -1,3 +1,4 @@
+#include "endiveusher/kernel/back_off.h"
 #include "owner_impl.h"
 
 #include <algorithm>
@@ -18,8 +19,12 @@
 constexpr auto kRetryPause = std::chrono::milliseconds(50);
 /// Time after which a stop order is repeated if the target still lists the run.
 constexpr auto kStopRetryInterval = std::chrono::milliseconds(1500);
-/// Time without new tasks for a target that did not accept a start for reasons of its own.
+/// Time without new tasks for a target that did not accept a start for reasons of its own, doubled
+/// with each further rejection, and its upper limit. It has to exceed the time in which the other
+/// members of a gang stop, up to 1 s, or the gang tries the same target again; a step with no other
+/// target has to start within 3 s.
 constexpr auto kTargetRejectionPause = std::chrono::milliseconds(500);
+constexpr auto kMaxTargetRejectionPause = std::chrono::milliseconds(2000);
 /// Pause of a step after a rejected start, for each rejection so far, and its upper limit.
 constexpr auto kStepRejectionPause = std::chrono::milliseconds(20);
 constexpr auto kMaxStepRejectionPause = std::chrono::milliseconds(1000);
@@ -150,6 +155,7 @@
   }
   auto& target = mTargets.find(aOrder.mTarget)->second;
   if (aOutcome == order_outcome::accepted) {
+    target.mRejectedStarts = 0;
     if (run->mPhase == run_phase::ordered) {
       run->mPhase = run_phase::confirmed;
     }
@@ -180,8 +186,10 @@
     if (const auto step = mWaiting.find(aOrder.mTask.mStep); step != mWaiting.end()) {
       step->second.mAdvice.dropTicket(target.mNumber);
     }
-  } else {
-    target.mAvoidUntil = std::max<time_point>(target.mAvoidUntil, aNow + kTargetRejectionPause);
+  } else if (target.mAvoidUntil <= aNow) {
+    // Rejections of orders that were sent together count as one.
+    target.mAvoidUntil =
+      aNow + doubled(kTargetRejectionPause, target.mRejectedStarts++, kMaxTargetRejectionPause);
   }
   endRun(target, aOrder.mTask, run_end::not_run, {}, aNow);
   release(target, aOrder.mTask);
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -100,6 +100,7 @@
   aTarget.mLastEndNumber = 0;
   aTarget.mStoredEndNumber = 0;
   aTarget.mConsecutiveFailures = 0;
+  aTarget.mRejectedStarts = 0;
   for (auto& [key, step] : mWaiting) {
     step.mAdvice.dropTicket(aTarget.mNumber);
   }
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -88,6 +88,8 @@
   /// The target gets no new tasks before this time, after failures attributed to it.
   time_point mAvoidUntil{};
   std::uint32_t mConsecutiveFailures = 0;
+  /// Number of times in a row that the target has rejected starts.
+  std::uint32_t mRejectedStarts = 0;
   job_id mLastFailedJob{};
 
   /// Returns the target's clock at aNow, extrapolated from the latest reading. A lower bound unless
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -312,6 +312,22 @@
   CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
 }
 
+// Guards against pauses after rejected starts that add up to more than 3 s.
+TEST(starvation, aStepStartsSoonAfterItsOnlyTargetAcceptsStartsAgain)
+{
+  auto& target = cell.addTarget("t1");
+  target.mRejectStarts = order_outcome::unhealthy;
+  cell.startNextOwner();
+  const auto id = cell.submit(tasks(1));
+  for (const milliseconds wait : { milliseconds(20'000), milliseconds(300) }) {
+    cell.run(wait);
+    target.mRejectStarts.reset();
+    CHECK(timeUntilRunning(id) < kMaxStarvation);
+    target.mRejectStarts = order_outcome::no_capacity;
+    cell.endTask(id, reported_end::failed);
+  }
+}
+
 // Guards against a gang that needs more than the rest of its team's limit and withholds all of the
 // rest from the team's other jobs for as long as it can be on time.
 TEST(starvation, aGangThatCannotStartDoesNotBlockItsTeam)
