Count a long-running step as on time after each end of a run

Cause: the deadline of a long-running step was set once, 2 s after the job was known. Each later restart was late and ranked behind all on-time steps and what they reserve.

Evidence: starvation.aLongRunningTaskRestartsBesideAWaitingGang failed: the task did not restart within 20 s, because a gang with time to spare reserved its only target.

Change: the deadline is set anew when a task of the step begins to wait.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -14,10 +14,10 @@
 constexpr int kAssumedTargetsPerAdviceCall = 30;
 /// Value deadline of a job, as a multiple of the period in which it is on time.
 constexpr int kValuePeriods = 3;
-/// Time for which a waiting long-running step is on time; afterwards it ranks behind batch work
-/// that is on time.
+/// Time for which a waiting long-running step is on time after a task of it began to wait;
+/// afterwards it ranks behind batch work that is on time.
 constexpr auto kLongRunningWaitLimit = std::chrono::seconds(2);
-/// Time from a long-running step's start of waiting to its value deadline.
+/// Time from the same moment to the step's value deadline.
 constexpr auto kLongRunningValuePeriod = std::chrono::hours(24);
 /// Minimum time between two store() calls, so that one call carries several records.
 constexpr auto kStoreInterval = std::chrono::milliseconds(15);
@@ -208,23 +208,25 @@
     step.mDeadline = since + period;
     step.mValueDeadline = since + kValuePeriods * period;
     step.mRemainingWork = paths[aKey.mStep];
-    if (step.spec().mLongRunning) {
-      step.mRemainingWork = duration{ 0 };
-      step.mDeadline = aNow + kLongRunningWaitLimit;
-      step.mValueDeadline = aNow + kLongRunningValuePeriod;
-    }
   }
   if (step.mPending.empty()) {
     step.mWaitingSince = aNow;
     step.mNextWaitLog = aNow + internal::kWaitLogInterval;
     step.mAdvice.mReplies = 0;
   }
+  const auto waitingBefore = step.mPending.size();
   step.mPending.clear();
   for (std::uint32_t index = 0; index < state->mTasks.size(); ++index) {
     if (!state->mTasks[index].mDone && !state->mTasks[index].mOpen) {
       step.mPending.push_back(index);
     }
   }
+  if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
+    // Each restart is on time, also if the step has run for hours.
+    step.mRemainingWork = duration{ 0 };
+    step.mDeadline = aNow + kLongRunningWaitLimit;
+    step.mValueDeadline = aNow + kLongRunningValuePeriod;
+  }
   mPlanNeeded = true;
 }
 
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -411,6 +411,22 @@
   CHECK(timeUntilRunning(id) < kMaxLongRunningPause);
 }
 
+// The same for a gang that has to start earlier than the long-running task.
+TEST(starvation, aLongRunningTaskRestartsBesideAPressingGang)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.addTarget("t3");
+  cell.startNextOwner();
+  addLabel("t1", "only");
+  const auto id = cell.submit(longRunning(labelled(tasks(1), "only")));
+  cell.submit(longRunning(labelled(tasks(1, 1000), "only")));
+  cell.submit(labelled(gang(1, 8000), "only"));
+  cell.run(milliseconds(16'500));
+  cell.endTask(id, reported_end::failed);
+  CHECK(timeUntilRunning(id) < kMaxLongRunningPause);
+}
+
 // Guards against accepted jobs that never start because their route was removed before a new owner
 // took over.
 TEST(starvation, aJobOfARemovedRouteStartsAfterAChangeOfOwner)
