Test restarts after changes of owner and of the registry

Cause: the search for steps that wait although there is room covers removed routes, clocks that are set back, later steps, targets that leave and return, unknown runs and steps that use idle CPU.

Evidence: two of seven tests fail: a job whose route is removed is abandoned after its first failure, and a started occurrence waits for its due time again when the new owner's clock is behind.

Change: tests only; the fixture's wall clock can differ from the true time.

--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -278,7 +278,10 @@
     target(targetRunning(aJob, aStep, aIndex))
       .end({ .mStep = { .mJob = aJob, .mStep = aStep }, .mIndex = aIndex }, aOutcome);
   }
-  wall_time wall() const { return std::chrono::duration_cast<wall_time>(mNow.time_since_epoch()); }
+  wall_time wall() const
+  {
+    return std::chrono::duration_cast<wall_time>(mNow.time_since_epoch()) + mWallOffset;
+  }
 
   cell_config mConfig;
   owner_options mOptions;
@@ -298,6 +301,8 @@
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
   int mRenewals = 0;
+  /// Difference of the daemons' wall clock from the true time.
+  milliseconds mWallOffset{ 0 };
 
 private:
   struct pending_call
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -440,3 +440,108 @@
   changeOwner();
   CHECK(timeUntilRunning(id) < kMaxStarvation);
 }
+
+// Guards against a job that is abandoned after one failed run because its route's number of
+// attempts is unknown to the new owner.
+TEST(starvation, aJobOfARemovedRouteKeepsItsAttempts)
+{
+  cell.addTarget("t1");
+  const auto id = cell.startOwnerAndJob(tasks(1));
+  const auto routes = cell.mConfig.mRoutes;
+  std::erase_if(cell.mConfig.mRoutes,
+                [](const route_config& aRoute) { return aRoute.mName == "batch"; });
+  changeOwner();
+  cell.endTask(id, reported_end::failed);
+  cell.run(milliseconds(300));
+  CHECK(cell.find(id).mPhase == job_phase::active);
+  cell.mConfig.mRoutes = routes;
+  changeOwner();
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+}
+
+// Guards against a step of a started occurrence that waits for the due time by the clock of a new
+// owner that is behind the former one's.
+TEST(starvation, aStartedOccurrenceGoesOnAfterAStepBackOfTheClock)
+{
+  cell.addTarget("t1");
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  const auto id = cell.submitRecurring(tasks(1), milliseconds(1000), 1);
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+  cell.mWallOffset = milliseconds(-5000);
+  changeOwner();
+  cell.endTask(id, reported_end::stopped);
+  cell.run(milliseconds(100));
+  CHECK(timeUntilRunning(id) < kMaxStarvation);
+}
+
+// Guards against a step that waits although the steps before it are complete, also if the owner
+// changes between them.
+TEST(starvation, aLaterStepStartsAfterAChangeOfOwner)
+{
+  cell.addTarget("t1");
+  cell.startNextOwner();
+  auto later = tasks(1);
+  later.mAfter = { 0 };
+  const auto id = cell.submit({ gang(2), later });
+  CHECK(timeUntilRunning(id, 2) < kMaxStarvation);
+  cell.endTask(id, reported_end::done, 0, 0);
+  cell.endTask(id, reported_end::done, 0, 1);
+  cell.startNextOwner();
+  cell.run(kMaxStarvation);
+  CHECK_EQUAL(std::string("t1"), cell.targetRunning(id, 1));
+}
+
+// Guards against a task that stays bound to a target that answers heartbeats but no start orders.
+TEST(starvation, aTaskStartsElsewhereThanOnATargetThatDoesNotAnswerStarts)
+{
+  cell.addTarget("t1", 4000).mRejectStarts = order_outcome::unanswered;
+  cell.addTarget("t2");
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
+  CHECK(timeUntilRunning(cell.submit(gang(3)), 3) < kMaxStarvation);
+}
+
+// Guards against a target that stays unusable after it has left the registry and come back, with a
+// run and without one.
+TEST(starvation, aTargetIsUsedThatLeavesAndComesBack)
+{
+  auto& target = cell.addTarget("t1");
+  const auto first = cell.startOwnerAndJob(tasks(1));
+  for (int round = 0; round < 2; ++round) {
+    cell.mOwner->removeTarget("t1", cell.mNow);
+    cell.run(milliseconds(2000));
+    cell.mOwner->setTarget(target.mEntry, cell.mNow);
+    CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
+    for (const auto id : cell.submitted()) {
+      if (!cell.targetRunning(id).empty()) {
+        cell.endTask(id, reported_end::done);
+      }
+    }
+    cell.run(milliseconds(300));
+  }
+  CHECK(cell.find(first).mPhase == job_phase::completed);
+}
+
+// Guards against a target that stays unusable after it has listed a run that the owner does not
+// know.
+TEST(starvation, aTargetIsUsedAfterAnUnknownRunHasEnded)
+{
+  auto& target = cell.addTarget("t1");
+  target.mStopDelay = milliseconds(900);
+  const auto id = cell.startOwnerAndJob(tasks(1));
+  target.mRunning[{ .mStep = { .mJob = id }, .mIndex = 7 }] = 3;
+  cell.run(milliseconds(100));
+  CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
+}
+
+// Guards against a task that uses idle CPU but waits for unreserved CPU.
+TEST(starvation, aStepThatUsesIdleCpuStartsOnABusyTarget)
+{
+  cell.addTarget("t1");
+  cell.startOwnerAndJob(tasks(4));
+  auto step = tasks(1);
+  step.mUsesIdleCpu = true;
+  CHECK(timeUntilRunning(cell.submit(step)) < kMaxStarvation);
+}
