Keep the attempts of jobs whose route was removed

Cause: an owner that took over after a route was removed counted one attempt for its tasks, so that a job failed after its first failed run.

Evidence: starvation.aJobOfARemovedRouteKeepsItsAttempts failed: the job was abandoned, though its route allows two attempts.

Change: while the route is unknown, no job of it is abandoned.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -115,7 +115,7 @@
 {
   mConfig = std::move(aConfig);
   for (const auto& route : mConfig->mRoutes) {
-    mRoutes[route.mName] = route;
+    mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
   }
   for (auto& [key, step] : mWaiting) {
     step.mRoute = routeOf(step.mJob->mSpec.mRoute);
@@ -294,24 +294,14 @@
 
 void owner::impl::onRunEnded(job& aJob, const task_key& aTask, run_end aOutcome, time_point aNow)
 {
-  const auto& spec = aJob.mSpec.mSteps[aTask.mStep.mStep];
   const step_state* state = aJob.find(aTask.mStep);
   if (aJob.mPhase != job_phase::active) {
     dropSteps(aJob.mSpec.mId);
     return;
   }
-  if (aOutcome == run_end::failed && !spec.mLongRunning) {
-    const auto failures = spec.mGang ? state->mGangFailures : state->mTasks[aTask.mIndex].mFailures;
-    const auto attempts = routeOf(aJob.mSpec.mRoute).mMaxAttempts;
-    if (failures >= attempts) {
-      mPort.logDecision("job_failed",
-                        fmt::format("job={} task={} failures={} max_attempts={}",
-                                    toText(aJob.mSpec.mId), toText(aTask), failures, attempts));
-      append(job_abandoned{ .mJob = aJob.mSpec.mId }, aNow);
-      stopRuns(aJob, aNow);
-      dropSteps(aJob.mSpec.mId);
-      return;
-    }
+  if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask)) {
+    abandon(aJob, aTask, aNow);
+    return;
   }
   if (state->complete()) {
     mWaiting.erase(aTask.mStep);
@@ -405,6 +395,9 @@
 time_point owner::impl::tick(time_point aNow, wall_time aWall)
 {
   openDueOccurrences(aNow, aWall);
+  if (std::exchange(mRouteAdded, false)) {
+    abandonAfterLastAttempts(aNow);
+  }
   for (auto at = mTargets.begin(); at != mTargets.end();) {
     auto& target = at->second;
     if (!target.mHeartbeatInFlight && target.mNextHeartbeat <= aNow &&
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -101,6 +101,14 @@
   void stopRuns(job& aJob, time_point aNow);
   void stopStep(job& aJob, const step_key& aKey, time_point aNow);
   void onRunEnded(job& aJob, const task_key& aTask, run_end aOutcome, time_point aNow);
+  /// Number of failed runs of the task, or of its gang.
+  static std::uint32_t failuresOf(const job& aJob, const task_key& aTask);
+  /// Whether the task has failed as often as its route permits.
+  bool attemptsUsedUp(const job& aJob, const task_key& aTask) const;
+  /// Records the failure of the job after the last attempt of aTask and stops its runs.
+  void abandon(job& aJob, const task_key& aTask, time_point aNow);
+  /// Abandons waiting jobs that used up their attempts while their route was unknown.
+  void abandonAfterLastAttempts(time_point aNow);
   route_config routeOf(const std::string& aName) const;
 
   // Runs.
@@ -203,6 +211,8 @@
   /// Latest known configuration by name, including routes that have been removed: their jobs may be
   /// unfinished.
   std::map<std::string, route_config> mRoutes;
+  /// Whether a route has become known since the last tick.
+  bool mRouteAdded = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
   std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -278,6 +278,49 @@
   }
 }
 
+std::uint32_t owner::impl::failuresOf(const job& aJob, const task_key& aTask)
+{
+  const auto* state = aJob.find(aTask.mStep);
+  return aJob.mSpec.mSteps[aTask.mStep.mStep].mGang ? state->mGangFailures
+                                                    : state->mTasks[aTask.mIndex].mFailures;
+}
+
+bool owner::impl::attemptsUsedUp(const job& aJob, const task_key& aTask) const
+{
+  // The attempts of a route that was removed before this epoch are unknown. No task of it starts
+  // until the route is back.
+  const auto route = mRoutes.find(aJob.mSpec.mRoute);
+  return route != mRoutes.end() && !aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning &&
+         failuresOf(aJob, aTask) >= route->second.mMaxAttempts;
+}
+
+void owner::impl::abandon(job& aJob, const task_key& aTask, time_point aNow)
+{
+  const auto id = aJob.mSpec.mId;
+  mPort.logDecision("job_failed", fmt::format("job={} task={} failures={} max_attempts={}",
+                                              toText(id), toText(aTask), failuresOf(aJob, aTask),
+                                              routeOf(aJob.mSpec.mRoute).mMaxAttempts));
+  append(job_abandoned{ .mJob = id }, aNow);
+  stopRuns(aJob, aNow);
+  dropSteps(id);
+}
+
+void owner::impl::abandonAfterLastAttempts(time_point aNow)
+{
+  std::map<job_id, task_key> failed;
+  for (const auto& [key, step] : mWaiting) {
+    for (const auto index : step.mPending) {
+      const task_key task{ .mStep = key, .mIndex = index };
+      if (attemptsUsedUp(*step.mJob, task)) {
+        failed.try_emplace(key.mJob, task);
+      }
+    }
+  }
+  for (const auto& [id, task] : failed) {
+    abandon(*mJobTable.find(id), task, aNow);
+  }
+}
+
 bool owner::impl::hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
                                  time_point aNow) const
 {
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -442,21 +442,26 @@
 }
 
 // Guards against a job that is abandoned after one failed run because its route's number of
-// attempts is unknown to the new owner.
+// attempts is unknown to the new owner. After its last attempt it must not start again either.
 TEST(starvation, aJobOfARemovedRouteKeepsItsAttempts)
 {
   cell.addTarget("t1");
   const auto id = cell.startOwnerAndJob(tasks(1));
   const auto routes = cell.mConfig.mRoutes;
-  std::erase_if(cell.mConfig.mRoutes,
-                [](const route_config& aRoute) { return aRoute.mName == "batch"; });
-  changeOwner();
-  cell.endTask(id, reported_end::failed);
-  cell.run(milliseconds(300));
-  CHECK(cell.find(id).mPhase == job_phase::active);
-  cell.mConfig.mRoutes = routes;
-  changeOwner();
-  CHECK(timeUntilRunning(id) < kMaxStarvation);
+  for (const auto after : { job_phase::active, job_phase::failed }) {
+    std::erase_if(cell.mConfig.mRoutes,
+                  [](const route_config& aRoute) { return aRoute.mName == "batch"; });
+    changeOwner();
+    cell.endTask(id, reported_end::failed);
+    cell.run(milliseconds(300));
+    CHECK(cell.find(id).mPhase == job_phase::active);
+    cell.mConfig.mRoutes = routes;
+    cell.mConfig.index();
+    cell.mOwner->configure(std::make_shared<cell_config>(cell.mConfig));
+    cell.run(kMaxStarvation);
+    CHECK(cell.find(id).mPhase == after);
+    CHECK_EQUAL(after == job_phase::active ? 1 : 0, cell.running());
+  }
 }
 
 // Guards against a step of a started occurrence that waits for the due time by the clock of a new
