Continue a started occurrence also if the clock is behind

Cause: a new owner computes the due time of an occurrence by its own wall clock. If that is behind the former owner's, the steps of an occurrence that had started waited for the due time again.

Evidence: starvation.aStartedOccurrenceGoesOnAfterAStepBackOfTheClock failed with a clock that is 5 s behind: the task did not restart within 3 s.

Change: an occurrence with a started task is due.

Measured: the test passes.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -59,6 +59,15 @@
   return paths;
 }
 
+/// Whether any task of the occurrence has ever been started.
+bool hasStarted(const job& aJob, std::uint32_t aOccurrence)
+{
+  return std::ranges::any_of(aJob.mOccurrences.at(aOccurrence), [](const step_state& aStep) {
+    return std::ranges::any_of(aStep.mTasks,
+                               [](const task_state& aTask) { return aTask.mRun > 0; });
+  });
+}
+
 /// Returns the first occurrence that is not open. Opening is not in the journal: after a change of
 /// owner, an occurrence without a run may be missing before one that has started.
 std::uint32_t firstUnopened(const job& aJob)
@@ -201,7 +210,8 @@
     auto since = mSubmittedAt[aKey.mJob];
     if (aJob.mSpec.mRepeat != 0) {
       since += aJob.mSpec.due(aKey.mOccurrence) - aJob.mSpec.mSubmitted;
-      step.mNotBefore = since;
+      // An occurrence that has started is due, also if this daemon's clock is behind.
+      step.mNotBefore = hasStarted(aJob, aKey.mOccurrence) ? aNow : since;
     }
     const auto period =
       std::chrono::duration_cast<duration>(longest * step.mRoute.mStretch) + step.mRoute.mObjective;
