--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -295,7 +295,7 @@
   std::vector<std::string> mGoodTargets;
   /// If set, decides about advice calls instead of mGoodTargets.
   std::optional<fake_advice_service> mAdviceService;
-  /// Whether tasks end as done after their estimate.
+  /// Whether tasks end as done after their estimate, except long-running ones.
   bool mTasksEnd = false;
   bool mStoreDown = false;
   /// Duration of one append; the store executes appends sequentially.
@@ -501,10 +501,11 @@
       return order_outcome::bad_ticket;
     }
     target.mRunning[aOrder.mTask] = aOrder.mRun;
-    if (mTasksEnd) {
-      const auto& step = mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps;
+    const auto& step =
+      mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps[aOrder.mTask.mStep.mStep];
+    if (mTasksEnd && !step.mLongRunning) {
       mTaskEnds.emplace(
-        mNow + step[aOrder.mTask.mStep.mStep].mEstimate,
+        mNow + step.mEstimate,
         task_end{ .mTarget = aOrder.mTarget, .mTask = aOrder.mTask, .mRun = aOrder.mRun });
     }
     return target.mLosesReplies ? order_outcome::unanswered : order_outcome::accepted;
