--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -14,10 +14,10 @@
 constexpr int kAssumedTargetsPerAdviceCall = 30;
 /// Value deadline of a job, as a multiple of the period in which it is on time.
 constexpr int kValuePeriods = 3;
-/// Time for which a waiting long-running step is on time; afterwards it ranks behind batch work
-/// that is on time.
+/// Time for which a waiting long-running step is on time after a task of it began to wait;
+/// afterwards it ranks behind batch work that is on time.
 constexpr auto kLongRunningWaitLimit = std::chrono::seconds(2);
-/// Time from a long-running step's start of waiting to its value deadline.
+/// Time from the same moment to the step's value deadline.
 constexpr auto kLongRunningValuePeriod = std::chrono::hours(24);
 /// Minimum time between two store() calls, so that one call carries several records.
 constexpr auto kStoreInterval = std::chrono::milliseconds(15);
@@ -59,6 +59,31 @@
   return paths;
 }
 
+/// Whether any task of the occurrence has ever been started.
+bool hasStarted(const job& aJob, std::uint32_t aOccurrence)
+{
+  return std::ranges::any_of(aJob.mOccurrences.at(aOccurrence), [](const step_state& aStep) {
+    return std::ranges::any_of(aStep.mTasks,
+                               [](const task_state& aTask) { return aTask.mRun > 0; });
+  });
+}
+
+/// Returns the first occurrence that is not open. Opening is not in the journal: after a change of
+/// owner, an occurrence without a run may be missing before one that has started.
+std::uint32_t firstUnopened(const job& aJob)
+{
+  const auto& open = aJob.mOccurrences;
+  const auto count = static_cast<std::uint32_t>(open.size());
+  if (open.empty() || open.rbegin()->first + 1 == count) {
+    return count;
+  }
+  std::uint32_t next = 0;
+  while (open.contains(next)) {
+    ++next;
+  }
+  return next;
+}
+
 } // namespace
 
 std::string_view toText(order_outcome aOutcome)
@@ -99,7 +124,7 @@
 {
   mConfig = std::move(aConfig);
   for (const auto& route : mConfig->mRoutes) {
-    mRoutes[route.mName] = route;
+    mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
   }
   for (auto& [key, step] : mWaiting) {
     step.mRoute = routeOf(step.mJob->mSpec.mRoute);
@@ -185,30 +210,33 @@
     auto since = mSubmittedAt[aKey.mJob];
     if (aJob.mSpec.mRepeat != 0) {
       since += aJob.mSpec.due(aKey.mOccurrence) - aJob.mSpec.mSubmitted;
-      step.mNotBefore = since;
+      // An occurrence that has started is due, also if this daemon's clock is behind.
+      step.mNotBefore = hasStarted(aJob, aKey.mOccurrence) ? aNow : since;
     }
     const auto period =
       std::chrono::duration_cast<duration>(longest * step.mRoute.mStretch) + step.mRoute.mObjective;
     step.mDeadline = since + period;
     step.mValueDeadline = since + kValuePeriods * period;
     step.mRemainingWork = paths[aKey.mStep];
-    if (step.spec().mLongRunning) {
-      step.mRemainingWork = duration{ 0 };
-      step.mDeadline = aNow + kLongRunningWaitLimit;
-      step.mValueDeadline = aNow + kLongRunningValuePeriod;
-    }
   }
   if (step.mPending.empty()) {
     step.mWaitingSince = aNow;
     step.mNextWaitLog = aNow + internal::kWaitLogInterval;
     step.mAdvice.mReplies = 0;
   }
+  const auto waitingBefore = step.mPending.size();
   step.mPending.clear();
   for (std::uint32_t index = 0; index < state->mTasks.size(); ++index) {
     if (!state->mTasks[index].mDone && !state->mTasks[index].mOpen) {
       step.mPending.push_back(index);
     }
   }
+  if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
+    // Each restart is on time, also if the step has run for hours.
+    step.mRemainingWork = duration{ 0 };
+    step.mDeadline = aNow + kLongRunningWaitLimit;
+    step.mValueDeadline = aNow + kLongRunningValuePeriod;
+  }
   mPlanNeeded = true;
 }
 
@@ -258,7 +286,7 @@
       finished.push_back(id);
       continue;
     }
-    const auto next = found->mOccurrences.empty() ? 0 : found->mOccurrences.rbegin()->first + 1;
+    const auto next = firstUnopened(*found);
     if (next >= found->mSpec.mRepeat) {
       finished.push_back(id);
     } else if (found->mSpec.due(next) <= aWall + kOccurrenceOpenLead) {
@@ -276,24 +304,14 @@
 
 void owner::impl::onRunEnded(job& aJob, const task_key& aTask, run_end aOutcome, time_point aNow)
 {
-  const auto& spec = aJob.mSpec.mSteps[aTask.mStep.mStep];
   const step_state* state = aJob.find(aTask.mStep);
   if (aJob.mPhase != job_phase::active) {
     dropSteps(aJob.mSpec.mId);
     return;
   }
-  if (aOutcome == run_end::failed && !spec.mLongRunning) {
-    const auto failures = spec.mGang ? state->mGangFailures : state->mTasks[aTask.mIndex].mFailures;
-    const auto attempts = routeOf(aJob.mSpec.mRoute).mMaxAttempts;
-    if (failures >= attempts) {
-      mPort.logDecision("job_failed",
-                        fmt::format("job={} task={} failures={} max_attempts={}",
-                                    toText(aJob.mSpec.mId), toText(aTask), failures, attempts));
-      append(job_abandoned{ .mJob = aJob.mSpec.mId }, aNow);
-      stopRuns(aJob, aNow);
-      dropSteps(aJob.mSpec.mId);
-      return;
-    }
+  if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask)) {
+    abandon(aJob, aTask, aNow);
+    return;
   }
   if (state->complete()) {
     mWaiting.erase(aTask.mStep);
@@ -365,17 +383,14 @@
       found->second.mStoredEndNumber = std::max(found->second.mStoredEndNumber, end.mNumber);
     }
   }
+  stopIncompleteGangs(done.mStarts, aNow);
   for (const auto& start : done.mStarts) {
     auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun);
     if (run == nullptr || run->mPhase != internal::run_phase::storing) {
       continue;
     }
     auto& target = mTargets.find(start.mAt.mTarget)->second;
-    const job* owning = mJobTable.find(start.mTask.mStep.mJob);
-    const bool wanted = owning != nullptr && owning->mPhase == job_phase::active;
-    if (!wanted || run->mStopWanted || !target.mAcquisitionStored ||
-        target.mEntry.mIncarnationStart != start.mAt.mIncarnationStart || target.mEntry.mDraining ||
-        mClosedZones.contains(target.mEntry.mZone) || run->mTicketExpiry <= aNow) {
+    if (!orderable(start, aNow)) {
       endRun(target, start.mTask, run_end::not_run, {}, aNow);
       release(target, start.mTask);
       continue;
@@ -390,6 +405,9 @@
 time_point owner::impl::tick(time_point aNow, wall_time aWall)
 {
   openDueOccurrences(aNow, aWall);
+  if (std::exchange(mRouteAdded, false)) {
+    abandonAfterLastAttempts(aNow);
+  }
   for (auto at = mTargets.begin(); at != mTargets.end();) {
     auto& target = at->second;
     if (!target.mHeartbeatInFlight && target.mNextHeartbeat <= aNow &&
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -101,6 +101,14 @@
   void stopRuns(job& aJob, time_point aNow);
   void stopStep(job& aJob, const step_key& aKey, time_point aNow);
   void onRunEnded(job& aJob, const task_key& aTask, run_end aOutcome, time_point aNow);
+  /// Number of failed runs of the task, or of its gang.
+  static std::uint32_t failuresOf(const job& aJob, const task_key& aTask);
+  /// Whether the task has failed as often as its route permits.
+  bool attemptsUsedUp(const job& aJob, const task_key& aTask) const;
+  /// Records the failure of the job after the last attempt of aTask and stops its runs.
+  void abandon(job& aJob, const task_key& aTask, time_point aNow);
+  /// Abandons waiting jobs that used up their attempts while their route was unknown.
+  void abandonAfterLastAttempts(time_point aNow);
   route_config routeOf(const std::string& aName) const;
 
   // Runs.
@@ -114,6 +122,9 @@
   /// Ends the runs of targets that were on the same VM before aTarget, which has answered: a VM
   /// hosts one target at a time, so that these runs are over before their lease expires.
   void endRunsOfFormerTargets(const target_state& aTarget, time_point aNow);
+  /// Stops the other members of the gang, if the task belongs to one, after a run that may never
+  /// have begun: its target does not make them end.
+  void stopGangOf(const task_key& aTask, time_point aNow);
   void endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
@@ -124,12 +135,23 @@
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
+  /// Whether a usable target other than aTarget may run the step.
+  bool hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
+                      time_point aNow) const;
+  /// Whether other usable targets of the pool have each of the target's labels, so that steps do
+  /// not depend on this target.
+  bool isReplaceable(const target_state& aTarget, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
+  /// Whether the run, whose start is stored now, can still be ordered at its target.
+  bool orderable(const run_started& aStart, time_point aNow);
+  /// Withdraws the starts of gangs of which a member cannot be ordered any more: the other members
+  /// would wait for it in vain.
+  void stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow);
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                  time_point aNow);
@@ -201,6 +223,8 @@
   /// Latest known configuration by name, including routes that have been removed: their jobs may be
   /// unfinished.
   std::map<std::string, route_config> mRoutes;
+  /// Whether a route has become known since the last tick.
+  bool mRouteAdded = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
   std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -1,7 +1,10 @@
+#include "endiveusher/kernel/back_off.h"
 #include "owner_impl.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
+#include <span>
 
 namespace endiveusher::scheduler {
 
@@ -16,8 +19,12 @@
 constexpr auto kRetryPause = std::chrono::milliseconds(50);
 /// Time after which a stop order is repeated if the target still lists the run.
 constexpr auto kStopRetryInterval = std::chrono::milliseconds(1500);
-/// Time without new tasks for a target that did not accept a start for reasons of its own.
+/// Time without new tasks for a target that did not accept a start for reasons of its own, doubled
+/// with each further rejection, and its upper limit. It has to exceed the time in which the other
+/// members of a gang stop, up to 1 s, or the gang tries the same target again; a step with no other
+/// target has to start within 3 s.
 constexpr auto kTargetRejectionPause = std::chrono::milliseconds(500);
+constexpr auto kMaxTargetRejectionPause = std::chrono::milliseconds(2000);
 /// Pause of a step after a rejected start, for each rejection so far, and its upper limit.
 constexpr auto kStepRejectionPause = std::chrono::milliseconds(20);
 constexpr auto kMaxStepRejectionPause = std::chrono::milliseconds(1000);
@@ -35,6 +42,38 @@
   return run != target->second.mRuns.end() && run->second.mRun == aRun ? &run->second : nullptr;
 }
 
+bool owner::impl::orderable(const run_started& aStart, time_point aNow)
+{
+  const auto* run = findRun(aStart.mAt.mTarget, aStart.mTask, aStart.mRun);
+  const job* owning = mJobTable.find(aStart.mTask.mStep.mJob);
+  if (run == nullptr || run->mStopWanted || run->mTicketExpiry <= aNow || owning == nullptr ||
+      owning->mPhase != job_phase::active) {
+    return false;
+  }
+  const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
+  return target.mAcquisitionStored &&
+         target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
+         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone);
+}
+
+void owner::impl::stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow)
+{
+  std::optional<step_key> stopped;
+  for (const auto& start : aStarts) {
+    const auto& key = start.mTask.mStep;
+    job* owning = mJobTable.find(key.mJob);
+    if (stopped == key || owning == nullptr || !owning->mSpec.mSteps[key.mStep].mGang ||
+        orderable(start, aNow)) {
+      continue;
+    }
+    // The gang may have lost all members of this run and be part of a later batch.
+    if (owning->find(key)->mTasks[start.mTask.mIndex].mRun == start.mRun) {
+      stopStep(*owning, key, aNow);
+      stopped = key;
+    }
+  }
+}
+
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
   if (aTarget.mNextOrders > aNow) {
@@ -116,6 +155,7 @@
   }
   auto& target = mTargets.find(aOrder.mTarget)->second;
   if (aOutcome == order_outcome::accepted) {
+    target.mRejectedStarts = 0;
     if (run->mPhase == run_phase::ordered) {
       run->mPhase = run_phase::confirmed;
     }
@@ -146,8 +186,10 @@
     if (const auto step = mWaiting.find(aOrder.mTask.mStep); step != mWaiting.end()) {
       step->second.mAdvice.dropTicket(target.mNumber);
     }
-  } else {
-    target.mAvoidUntil = std::max<time_point>(target.mAvoidUntil, aNow + kTargetRejectionPause);
+  } else if (target.mAvoidUntil <= aNow) {
+    // Rejections of orders that were sent together count as one.
+    target.mAvoidUntil =
+      aNow + doubled(kTargetRejectionPause, target.mRejectedStarts++, kMaxTargetRejectionPause);
   }
   endRun(target, aOrder.mTask, run_end::not_run, {}, aNow);
   release(target, aOrder.mTask);
@@ -155,12 +197,8 @@
     const auto pause = kStepRejectionPause * std::min(++step->second.mRejectedStarts, 50U);
     step->second.mNotBefore =
       std::max(step->second.mNotBefore, aNow + std::min<duration>(pause, kMaxStepRejectionPause));
-    if (step->second.spec().mGang) {
-      // The gang cannot start without this member, so the others are stopped.
-      if (job* owning = mJobTable.find(aOrder.mTask.mStep.mJob)) {
-        stopStep(*owning, aOrder.mTask.mStep, aNow);
-      }
-    }
+    // The gang cannot start without this member, so the others are stopped.
+    stopGangOf(aOrder.mTask, aNow);
   }
 }
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -24,8 +24,10 @@
 /// Duration of the first such pause, doubled with each further failure, and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
 constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
-/// Time for which a step avoids a target at which one of its tasks has failed.
-constexpr auto kAvoidFailedTargetPeriod = std::chrono::milliseconds(3000);
+/// Time for which a step avoids a target at which one of its tasks has failed. If that leaves no
+/// target with room, the step still has to run again within 3 s, of which an advice call takes up
+/// to 1.2 s.
+constexpr auto kAvoidFailedTargetPeriod = std::chrono::milliseconds(1500);
 
 run_end toRunEnd(reported_end aOutcome)
 {
@@ -99,6 +101,7 @@
   aTarget.mLastEndNumber = 0;
   aTarget.mStoredEndNumber = 0;
   aTarget.mConsecutiveFailures = 0;
+  aTarget.mRejectedStarts = 0;
   for (auto& [key, step] : mWaiting) {
     step.mAdvice.dropTicket(aTarget.mNumber);
   }
@@ -281,18 +284,83 @@
       mPort.logDecision("run_gone", fmt::format("task={} run={} target={}", toText(task),
                                                 found->second.mRun, aTarget.mEntry.mId));
       endRun(aTarget, task, run_end::interrupted, found->second.mCheckpoint, aNow);
+      stopGangOf(task, aNow);
     }
     release(aTarget, task);
   }
 }
 
+std::uint32_t owner::impl::failuresOf(const job& aJob, const task_key& aTask)
+{
+  const auto* state = aJob.find(aTask.mStep);
+  return aJob.mSpec.mSteps[aTask.mStep.mStep].mGang ? state->mGangFailures
+                                                    : state->mTasks[aTask.mIndex].mFailures;
+}
+
+bool owner::impl::attemptsUsedUp(const job& aJob, const task_key& aTask) const
+{
+  // The attempts of a route that was removed before this epoch are unknown. No task of it starts
+  // until the route is back.
+  const auto route = mRoutes.find(aJob.mSpec.mRoute);
+  return route != mRoutes.end() && !aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning &&
+         failuresOf(aJob, aTask) >= route->second.mMaxAttempts;
+}
+
+void owner::impl::abandon(job& aJob, const task_key& aTask, time_point aNow)
+{
+  const auto id = aJob.mSpec.mId;
+  mPort.logDecision("job_failed", fmt::format("job={} task={} failures={} max_attempts={}",
+                                              toText(id), toText(aTask), failuresOf(aJob, aTask),
+                                              routeOf(aJob.mSpec.mRoute).mMaxAttempts));
+  append(job_abandoned{ .mJob = id }, aNow);
+  stopRuns(aJob, aNow);
+  dropSteps(id);
+}
+
+void owner::impl::abandonAfterLastAttempts(time_point aNow)
+{
+  std::map<job_id, task_key> failed;
+  for (const auto& [key, step] : mWaiting) {
+    for (const auto index : step.mPending) {
+      const task_key task{ .mStep = key, .mIndex = index };
+      if (attemptsUsedUp(*step.mJob, task)) {
+        failed.try_emplace(key.mJob, task);
+      }
+    }
+  }
+  for (const auto& [id, task] : failed) {
+    abandon(*mJobTable.find(id), task, aNow);
+  }
+}
+
+bool owner::impl::hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
+                                 time_point aNow) const
+{
+  return std::ranges::any_of(mTargets, [&](const auto& aOne) {
+    return &aOne.second != &aTarget && usable(aOne.second, aNow) &&
+           allowed(aStep, aOne.second, aNow);
+  });
+}
+
+bool owner::impl::isReplaceable(const target_state& aTarget, time_point aNow) const
+{
+  const auto otherExists = [&](std::string_view aLabel) {
+    return std::ranges::any_of(mTargets, [&](const auto& aOne) {
+      const auto& other = aOne.second;
+      return &other != &aTarget && other.mEntry.mPool == aTarget.mEntry.mPool &&
+             (aLabel.empty() || other.mEntry.hasLabel(aLabel)) && usable(other, aNow);
+    });
+  };
+  return otherExists({}) && std::ranges::all_of(aTarget.mEntry.mLabels, otherExists);
+}
+
 void owner::impl::updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow)
 {
   if (aEnd.mOutcome == reported_end::done) {
     aTarget.mConsecutiveFailures = 0;
   } else if (aEnd.mOutcome == reported_end::failed) {
     const auto step = mWaiting.find(aEnd.mTask.mStep);
-    if (step != mWaiting.end() && mTargets.size() > 1) {
+    if (step != mWaiting.end() && hasOtherTarget(step->second, aTarget, aNow)) {
       step->second.mAvoidedTargets[aTarget.mNumber] = aNow + kAvoidFailedTargetPeriod;
     }
     if (aTarget.mLastFailedJob == aEnd.mTask.mStep.mJob) {
@@ -300,7 +368,7 @@
       return;
     }
     aTarget.mLastFailedJob = aEnd.mTask.mStep.mJob;
-    if (++aTarget.mConsecutiveFailures >= kFailuresToAvoid) {
+    if (++aTarget.mConsecutiveFailures >= kFailuresToAvoid && isReplaceable(aTarget, aNow)) {
       aTarget.mAvoidUntil =
         aNow +
         doubled(kAvoidPeriod, aTarget.mConsecutiveFailures - kFailuresToAvoid, kMaxAvoidPeriod);
@@ -378,6 +446,14 @@
   }
 }
 
+void owner::impl::stopGangOf(const task_key& aTask, time_point aNow)
+{
+  job* owning = mJobTable.find(aTask.mStep.mJob);
+  if (owning != nullptr && owning->mSpec.mSteps[aTask.mStep.mStep].mGang) {
+    stopStep(*owning, aTask.mStep, aNow);
+  }
+}
+
 void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow)
 {
   std::vector<task_key> tasks;
@@ -394,7 +470,11 @@
       mPort.logDecision("run_lost", fmt::format("task={} run={} target={} reason={}", toText(task),
                                                 found->second.mRun, aTarget.mEntry.mId, aReason));
       const auto checkpoint = found->second.mCheckpoint;
+      const bool hasBegun = found->second.mPhase == run_phase::confirmed;
       endRun(aTarget, task, run_end::interrupted, checkpoint, aNow);
+      if (!hasBegun) {
+        stopGangOf(task, aNow);
+      }
     }
     release(aTarget, task);
   }
