Start waiting long-running tasks before all others

Cause: 2 s after its end a long-running step ranked behind batch work that is on time, and behind what this reserves. Change: long-running steps rank first, in the order of waiting.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -14,11 +14,9 @@
 constexpr int kAssumedTargetsPerAdviceCall = 30;
 /// Value deadline of a job, as a multiple of the period in which it is on time.
 constexpr int kValuePeriods = 3;
-/// Time for which a waiting long-running step is on time after a task of it began to wait;
-/// afterwards it ranks behind batch work that is on time.
+/// Deadline of a long-running step after a task of it began to wait. Shortly before it, the task
+/// may start on any rack.
 constexpr auto kLongRunningWaitLimit = std::chrono::seconds(2);
-/// Time from the same moment to the step's value deadline.
-constexpr auto kLongRunningValuePeriod = std::chrono::hours(24);
 /// Minimum time between two store() calls, so that one call carries several records.
 constexpr auto kStoreInterval = std::chrono::milliseconds(15);
 /// The same, if there are only ends of runs to store: neither starts nor callers' records.
@@ -232,10 +230,9 @@
     }
   }
   if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
-    // Each restart is on time, also if the step has run for hours.
+    // Each restart has its own deadline, also if the step has run for hours.
     step.mRemainingWork = duration{ 0 };
     step.mDeadline = aNow + kLongRunningWaitLimit;
-    step.mValueDeadline = aNow + kLongRunningValuePeriod;
   }
   mPlanNeeded = true;
 }
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -144,8 +144,8 @@
 /// Order in which steps are placed; smaller ranks first.
 struct step_rank
 {
-  /// 0: highest priority and on time, 1: on time, 2: late, but before the value deadline, 3: past
-  /// the value deadline.
+  /// 0: highest priority and on time, or long-running, 1: on time, 2: late, but before the value
+  /// deadline, 3: past the value deadline.
   int mBand = 0;
   int mPriority = 0;
   time_point mLatestStart;
@@ -159,6 +159,11 @@
 /// steps do not delay others past their deadlines.
 inline step_rank rankOf(const waiting_step& aStep, time_point aNow)
 {
+  if (aStep.spec().mLongRunning) {
+    // Before all others, in the order of waiting: every second without its tasks is lost to their
+    // callers, however full the cell is.
+    return { .mBand = 0, .mPriority = -1, .mLatestStart = aStep.mWaitingSince, .mKey = aStep.mKey };
+  }
   const auto end = aNow + aStep.mRemainingWork;
   int band = 3;
   if (end <= aStep.mDeadline) {
