Reserve nothing for gangs that can never start

Cause: reserveCapacity ignored the maximum of tasks for each target, and reserveTeamLimit reserved for gangs that need more than the whole limit of their team. Change: both count only what the gang can use. Measured: starvation.aGangWiderThanItsTeamsLimitDoesNotBlockTheTeam and aGangThatCanNeverStartReservesNothing failed before (20 s) and pass. The latter's other tasks now have a label of their own: without the reservation they filled the target that the test watches, so that it had no room.

--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -284,14 +284,17 @@
 
 /// Reserves a part of the team's limit for a waiting gang. Load pattern: a team runs near its
 /// limit, and its small tasks take every part that becomes free before there is enough for one of
-/// its gangs. Later steps of the team may not use the reserved part while the gang can be on time.
+/// its gangs. Later steps of the team may not use the reserved part while the gang can be on time,
+/// unless it needs more than the whole limit.
 void owner::impl::reserveTeamLimit(const waiting_step& aStep, time_point aNow)
 {
-  if (internal::rankOf(aStep, aNow).mBand > internal::kLastOnTimeBand) {
+  const auto needs = times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
+  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  if (internal::rankOf(aStep, aNow).mBand > internal::kLastOnTimeBand ||
+      (team != nullptr && !withinLimit(needs, team->mUpperLimit))) {
     return;
   }
-  mTeamReserved[aStep.mJob->mSpec.mTeam] +=
-    times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
+  mTeamReserved[aStep.mJob->mSpec.mTeam] += needs;
 }
 
 /// Reserves capacity for a waiting gang. Load pattern: small tasks fill every gap that wide gangs
@@ -322,12 +325,15 @@
   std::ranges::sort(good, std::greater<>{}, [&requested](const candidate_target* aOne) {
     return std::pair(requested(aOne), aOne->mFree.mCpuMilli);
   });
+  const auto most = aStep.spec().mMaxPerTarget > 0 ? aStep.spec().mMaxPerTarget
+                                                   : std::numeric_limits<std::uint32_t>::max();
   auto left = static_cast<std::uint32_t>(aStep.mPending.size());
   std::vector<std::pair<candidate_target*, std::uint32_t>> parts;
   for (auto* candidate : good) {
-    const auto slots = std::min(
-      left, requested(candidate) ? slotsAt(aStep, *candidate)
-                                 : maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity));
+    const auto fitting = requested(candidate)
+                           ? slotsAt(aStep, *candidate)
+                           : maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity);
+    const auto slots = std::min({ left, most, fitting });
     if (slots > 0 && !candidate->mFree.anyNegative()) {
       parts.emplace_back(candidate, slots);
       left -= slots;
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -361,14 +361,18 @@
     cell.addTarget("t" + std::to_string(index));
   }
   cell.startNextOwner();
-  addLabel("t0", "only");
+  for (int index = 0; index < 10; ++index) {
+    addLabel("t" + std::to_string(index), index == 0 ? "only" : "others");
+  }
   auto wide = gang(12, 2000);
   wide.mMaxPerTarget = 1;
   cell.submit(wide);
   cell.run(milliseconds(300));
-  // The fullest targets are t1 to t9, so the reserved capacity is at t0.
+  // t0 has the most free capacity, so capacity that is reserved for the gang is there.
   for (int index = 1; index < 10; ++index) {
-    cell.submit(tasks(1));
+    auto other = labelled(tasks(1), "others");
+    other.mMaxPerTarget = 1;
+    cell.submit(other);
   }
   cell.run(milliseconds(300));
   CHECK(timeUntilRunning(cell.submit(labelled(tasks(1), "only"))) < kMaxStarvation);
