Keep a daemon that makes advice calls while these are open

Cause: a daemon that sent no hello for 1 s was dropped with its count of open calls. If it came back before these had ended, their release made the new count negative (2^32 - 1), and the owner never used the daemon for advice again. Change: the entry stays until its calls are released; it gets no calls while the daemon is away.

--- a/scheduler/src/advice_dispatcher.cpp
+++ b/scheduler/src/advice_dispatcher.cpp
@@ -23,9 +23,12 @@
 
 void advice_dispatcher::setHelpers(std::span<const std::string> aHelpers)
 {
-  std::erase_if(mHelpers, [aHelpers](const helper& aOne) {
-    return !aOne.mName.empty() && std::ranges::find(aHelpers, aOne.mName) == aHelpers.end();
-  });
+  for (auto& one : mHelpers) {
+    one.mIsPresent = one.mName.empty() || std::ranges::find(aHelpers, one.mName) != aHelpers.end();
+  }
+  // A daemon with open calls is kept, because these are released later.
+  std::erase_if(mHelpers,
+                [](const helper& aOne) { return !aOne.mIsPresent && aOne.mOpenCalls == 0; });
   for (const auto& name : aHelpers) {
     if (find(name) == nullptr) {
       mHelpers.push_back({ .mName = name });
@@ -59,7 +62,8 @@
   for (const auto& one : mHelpers) {
     const bool free =
       isLong ? one.mOpenCalls == 0 : one.mOpenCalls < kMaxOpenShortCalls && !one.mHasLongCall;
-    if (free && one.mAvoidUntil <= aNow && (best == nullptr || one.mLoad < best->mLoad)) {
+    if (free && one.mIsPresent && one.mAvoidUntil <= aNow &&
+        (best == nullptr || one.mLoad < best->mLoad)) {
       best = &one;
     }
   }
--- a/scheduler/src/advice_dispatcher.h
+++ b/scheduler/src/advice_dispatcher.h
@@ -46,6 +46,7 @@
   struct helper
   {
     std::string mName;
+    bool mIsPresent = true;
     std::uint32_t mOpenCalls = 0;
     duration mLoad{ 0 };
     bool mHasLongCall = false;
