Answer the open requests before a stopped daemon closes its connections

Cause: cell_node::tickShutdown() stopped the caller server on the thread of the event loop, after the loop's last pass. Status requests that waited for the owner (up to 300 ms), requests in the inbox, and at the end of the shutdown period callers whose record had no outcome could not be answered any more: 200 ms later their connections were closed. request_handler::waiting() counts records only. Change: a thread of its own stops the server while the loop goes on for up to 400 ms; callers that still wait for a record after 200 ms of it get 504.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -22,6 +22,11 @@
 /// Time into a shutdown after which no new connections are expected: the platform removes a daemon
 /// after two failed readiness checks, a second apart.
 constexpr std::chrono::milliseconds kDeregistrationPeriod{ 2800 };
+/// Time in which the open requests are answered before all connections are closed. Exceeds the
+/// timeout of a status query to the owner, the longest wait of an answer that is not for a record.
+constexpr std::chrono::milliseconds kServerStopPeriod{ 400 };
+/// Time into kServerStopPeriod after which callers are answered that the outcome is not known.
+constexpr std::chrono::milliseconds kRecordStopPeriod{ 200 };
 /// Minimum time between two wake-ups of the event loop. Load pattern: thousands of replies a
 /// second, each of which would wake the loop; with the minimum, one pass handles several.
 constexpr std::chrono::microseconds kMinWakeInterval{ 2000 };
@@ -333,16 +338,29 @@
     mLog.write("stop",
                fmt::format("waiting={} owner={}", mRequestHandler.waiting(), mOwner != nullptr));
   }
-  const auto elapsed = aNow - *mStopSince;
-  const bool idle = mRequestHandler.waiting() == 0 && mElection.state() != election::role::owner;
-  if ((elapsed > kDeregistrationPeriod && idle) ||
-      elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
+  if (mServerStopSince) {
+    if (aNow - *mServerStopSince > kRecordStopPeriod) {
+      mRequestHandler.answerWaiting();
+    }
+    if (!mServerStopped) {
+      return false;
+    }
     mLog.write("stopped", fmt::format("waiting={}", mRequestHandler.waiting()));
     mLog.flush();
-    mCallerServer->stop(std::chrono::milliseconds(200));
     mStopped();
     return true;
   }
+  const auto elapsed = aNow - *mStopSince;
+  const bool idle = mRequestHandler.waiting() == 0 && mElection.state() != election::role::owner;
+  if ((elapsed > kDeregistrationPeriod && idle) ||
+      elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
+    mServerStopSince = aNow;
+    mServerStop = std::jthread([this] {
+      mCallerServer->stop(kServerStopPeriod);
+      mServerStopped = true;
+      mLoop.wake();
+    });
+  }
   return false;
 }
 
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -266,6 +266,10 @@
   std::unique_ptr<edges::http_server> mReadinessServer;
   std::unique_ptr<edges::http_server> mPeerServer;
   std::thread mThread;
+  /// Stops mCallerServer, while the event loop answers the requests that are open.
+  std::jthread mServerStop;
+  std::optional<time_point> mServerStopSince;
+  std::atomic<bool> mServerStopped{ false };
 };
 
 } // namespace endiveusher::node
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -282,10 +282,20 @@
 }
 
 void request_handler::tick(time_point aNow)
+{
+  answerIf([aNow](const caller& aOne) { return aOne.mUntil <= aNow; });
+}
+
+void request_handler::answerWaiting()
+{
+  answerIf([](const caller& /*aOne*/) { return true; });
+}
+
+void request_handler::answerIf(const std::function<bool(const caller& aCaller)>& aChosen)
 {
   for (auto& [key, pending] : mPending) {
     std::erase_if(pending.mCallers, [&](const caller& aOne) {
-      if (aOne.mUntil > aNow) {
+      if (!aChosen(aOne)) {
         return false;
       }
       replyUnknownOutcome(aOne, fmt::format("job={} cancel={}", toText(key.mJob), key.mCancel),
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -108,6 +108,8 @@
   void handle(const platform::caller_request& aCall, std::string_view aBody, reply aReply);
   /// Answers callers whose timeout has passed.
   void tick(time_point aNow);
+  /// Answers all callers that wait for a record that its outcome is not known.
+  void answerWaiting();
   const request_counters& counters() const { return mCounters; }
   /// Number of submissions and cancellations that are being stored.
   std::size_t waiting() const { return mPending.size(); }
@@ -128,6 +130,8 @@
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
   void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
+  /// Answers the callers for which aChosen returns true that the outcome is not known.
+  void answerIf(const std::function<bool(const caller& aCaller)>& aChosen);
   void replyUnknownOutcome(const caller& aCaller, std::string_view aSubject, time_point aSince);
   void cancel(const platform::caller_request& aCall, scheduler::job_id aId,
               const std::string& aTeam, reply aReply);
--- /dev/null
+++ b/tests/node/cell_node_test.cpp
@@ -0,0 +1,183 @@
+#include "election.h"
+#include "endiveusher/node/cell_node.h"
+#include "endiveusher/platform/messages.h"
+#include "peer_api.h"
+#include "store_fixture.h"
+#include "tests/edges/raw_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <poll.h>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace endiveusher;
+using namespace endiveusher::node;
+using namespace endiveusher::node::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// An owner that answers hellos at once, and no other call.
+class silent_owner
+{
+public:
+  std::string address() const { return "127.0.0.1:" + std::to_string(mServer.port()); }
+
+private:
+  std::mutex mMutex;
+  std::vector<edges::responder> mUnanswered;
+  edges::http_server mServer{ {},
+                              [this](const edges::http_request& aRequest,
+                                     const edges::responder& aResponder) {
+                                if (aRequest.mPath == kPeerHelloPath) {
+                                  aResponder.answer({ .mBody = "0" });
+                                  return;
+                                }
+                                const std::lock_guard lock(mMutex);
+                                mUnanswered.push_back(aResponder);
+                              } };
+};
+
+std::uint16_t unusedPort()
+{
+  const edges::http_server server({}, [](auto, auto) {});
+  return server.port();
+}
+
+} // namespace
+
+/// A follower of an owner that does not answer its calls.
+TEST_GROUP(cell_node)
+{
+  store_fixture* store = nullptr;
+  silent_owner* owner = nullptr;
+  cell_node* follower = nullptr;
+  std::uint16_t port = 0;
+  std::atomic<bool> stopped = false;
+  std::atomic<bool> deleted = false;
+
+  void setup() override
+  {
+    store = new store_fixture;
+    owner = new silent_owner;
+    appendToStore(std::string(platform::kOperatorTopic),
+                  platform::encodeKeyed("config", R"({"version":1,"services":[{"name":"p"}],
+      "routes":[{"name":"r","host":"h","path_prefix":"/r/","service":"p","public":true}]})"));
+    appendOwnerRecord(owner_record::kind::claim);
+    port = unusedPort();
+    follower =
+      new cell_node({ .mNode = "follower",
+                      .mIp = "127.0.0.1",
+                      .mCallerAddress = "127.0.0.1:" + std::to_string(port),
+                      .mReadinessAddress = "127.0.0.1:0",
+                      .mStoreAddress = "127.0.0.1:" + std::to_string(store->mServer.port()) });
+    follower->start([this] { stopped = true; });
+  }
+  void teardown() override
+  {
+    delete follower;
+    delete owner;
+    delete store;
+  }
+
+  void appendToStore(const std::string& aTopic, const std::string& aRecord)
+  {
+    const std::lock_guard lock(store->mMutex);
+    store->mModel.append({ .mTopic = aTopic, .mRecords = { aRecord } });
+  }
+  void appendOwnerRecord(owner_record::kind aKind)
+  {
+    appendToStore(
+      "owner",
+      encode(owner_record{
+        .mKind = aKind, .mNode = "owner", .mIncarnation = 1, .mPeerAddress = owner->address() }));
+  }
+  /// Renews the ownership until aDone returns true; returns false if it does not within 10 s.
+  bool renewUntil(const std::function<bool()>& aDone)
+  {
+    for (int turn = 0; turn < 100 && !aDone(); ++turn) {
+      appendOwnerRecord(owner_record::kind::renewal);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    return aDone();
+  }
+  /// Sends a request on a new connection; returns the status of the answer, 0 if the connection
+  /// ended without one, and -1 if no request could be sent.
+  int call(const std::string& aMethod) const
+  {
+    edges::raw_client client(port);
+    if (!client.send(aMethod + " /r/00000000000000aa HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 8000\r\n"
+                               "Content-Length: 33\r\nConnection: close\r\n\r\n"
+                               R"({"steps":[{"count":1,"cpu":100}]})")) {
+      return -1;
+    }
+    pollfd waiting{ .fd = client.socket(), .events = POLLIN, .revents = 0 };
+    while (::poll(&waiting, 1, 20) == 0) {
+      if (deleted) {
+        return -1; // The connection was never accepted.
+      }
+    }
+    client.receiveAnswer();
+    return client.status();
+  }
+  /// Stops the follower while three callers send requests, and returns the number of requests whose
+  /// connections ended without an answer, not at once.
+  int stopUnderRequests(const std::string& aMethod)
+  {
+    std::atomic<int> unanswered = 0;
+    std::array<std::jthread, 3> callers;
+    for (auto& caller : callers) {
+      caller = std::jthread([&] {
+        for (;;) {
+          // The rule allows a connection to end within 200 ms of the request's last byte.
+          constexpr milliseconds kSlack{ 200 };
+          const auto sent = std::chrono::steady_clock::now();
+          const int status = call(aMethod);
+          if (status < 0) {
+            return;
+          }
+          const auto took = std::chrono::steady_clock::now() - sent;
+          unanswered += status == 0 && took > kSlack ? 1 : 0;
+        }
+      });
+    }
+    follower->stop();
+    CHECK(renewUntil([this] { return stopped.load(); }));
+    delete std::exchange(follower, nullptr);
+    deleted = true;
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    return unanswered;
+  }
+};
+
+// Guards against requests whose connections end without an answer because the event loop ends while
+// the owner is queried for the state of a job.
+TEST(cell_node, aStopAnswersStatusRequestsThatWaitForTheOwner)
+{
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  const int unanswered = stopUnderRequests("GET");
+  CHECK_EQUAL(0, unanswered);
+}
+
+// Guards against requests whose connections end without an answer at the end of the shutdown
+// period. Load pattern: the store does not answer appends, so the outcome of a job is not known.
+TEST(cell_node, aStopAnswersJobsWhoseOutcomeIsNotKnown)
+{
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  {
+    const std::lock_guard lock(store->mMutex);
+    store->mLoseAnswers = 1'000'000;
+  }
+  const int unanswered = stopUnderRequests("POST");
+  CHECK_EQUAL(0, unanswered);
+}
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -6,8 +6,11 @@
 #include "endiveusher/platform/store.h"
 #include "endiveusher/standins/store_model.h"
 
+#include <absl/strings/escaping.h>
+
 #include <chrono>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -113,6 +116,22 @@
                                    std::to_string(answer.mEnd) + "}" });
       return;
     }
+    if (aRequest.mPath == "/log-newest") {
+      std::map<std::string, std::string> newest;
+      const auto records = mModel.read(topic, mModel.first(topic));
+      for (const auto& bytes : *records) {
+        if (const auto record = platform::decodeKeyed(bytes)) {
+          newest[record->mKey] = record->mValue.value_or("");
+        }
+      }
+      auto items = nlohmann::json::array();
+      for (const auto& [key, value] : newest) {
+        items.push_back({ { "key", key }, { "value", absl::Base64Escape(value) } });
+      }
+      aResponder.answer(
+        { .mBody = nlohmann::json{ { "items", items }, { "end", mModel.end(topic) } }.dump() });
+      return;
+    }
     if (aRequest.mPath == "/log-read") {
       const auto found = mModel.read(topic, number(aRequest, "from"));
       if (!found) {
@@ -131,9 +150,9 @@
   }
 
   std::vector<edges::responder> mUnanswered;
-  edges::http_server mServer;
 
 public:
+  edges::http_server mServer;
   platform::store mStore;
 };
 
