Confirm a cancellation by the end of a job only if the end is stored

Cause: request_handler::cancel() answered 200 at once for a job that has ended in the job table. If the owner is lost then, the next one may start the job's tasks again although its cancellation was confirmed. Evidence: request_handler.doesNotConfirmACancellationByAnEndThatIsNotStored fails on the code before: 2 answers instead of 1. Change: while the end is not stored, the cancellation is stored and then answered.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -261,7 +261,7 @@
     rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
     return;
   }
-  if (found->mPhase != scheduler::job_phase::active &&
+  if (found->mPhase != scheduler::job_phase::active && mIsEndStored(aId) &&
       mIsStored({ .mJob = aId, .mCancel = true })) {
     aReply({ .mBody = platform::encodeJobState(*found, true) });
     return;
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -3,9 +3,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace endiveusher;
 using namespace endiveusher::node;
@@ -40,6 +43,11 @@
   std::set<caller_record> unstored;
   std::vector<caller_response> answers;
   bool storeLost = false;
+  bool caughtUp = true;
+  bool endStored = true;
+  /// Replies to the queries to the owner; used if queriesOwner is set.
+  bool queriesOwner = false;
+  std::vector<std::function<void(std::optional<std::string>)>> ownerReplies;
 
   void setup() override
   {
@@ -58,8 +66,13 @@
     handler = new request_handler(
       time, jobTable, *recordWriter, *log, {},
       [this](const journal_record& aRecord) { jobTable.apply(aRecord, time.now()); });
-    handler->setQueryOwner([](job_id, const std::string&, auto) { return false; });
-    handler->setIsEndStored([](job_id) { return true; });
+    handler->setQueryOwner([this](job_id, const std::string&, auto aDone) {
+      if (queriesOwner) {
+        ownerReplies.push_back(std::move(aDone));
+      }
+      return queriesOwner;
+    });
+    handler->setIsEndStored([this](job_id) { return endStored; });
     handler->setIsStored(
       [this](const caller_record& aRecord) { return !unstored.contains(aRecord); });
     setCellStatus();
@@ -85,7 +98,7 @@
     handler->setCellStatus({ .mConfig = config,
                              .mConfigAsOf = time.now() - aAge,
                              .mJournalAsOf = time.now() - aAge,
-                             .mCaughtUp = true,
+                             .mCaughtUp = caughtUp,
                              .mStoreLost = storeLost });
   }
 
@@ -149,6 +162,21 @@
   CHECK_EQUAL(200, lastStatus());
 }
 
+// Guards against a confirmed cancellation that is lost with the owner: the owner's table includes
+// the end of a job before the journal holds it, and the next owner may start its task again.
+TEST(request_handler, doesNotConfirmACancellationByAnEndThatIsNotStored)
+{
+  call(kSubmit, kPath);
+  pendingStores[0](write_outcome::stored);
+  jobTable.apply(job_abandoned{ .mJob = static_cast<job_id>(0xaa) }, time.now());
+  endStored = false;
+  call(kCancel, kPath);
+  CHECK_EQUAL(1, answers.size());
+  pendingStores[1](write_outcome::stored);
+  CHECK_EQUAL(2, answers.size());
+  CHECK_EQUAL(200, lastStatus());
+}
+
 TEST(request_handler, answersARepetitionOfAStoredJobAtOnce)
 {
   call(kSubmit, kPath);
