Ask the owner before a cancellation is answered with 410

A caller that cancels a job right after its submission, at another daemon, was answered 410, which confirms a cancellation, and the job went on. Queries of states ask the owner in this case. Evidence: request_handler.storesTheCancellationOfAJobThatOnlyTheOwnerKnows fails on the code before (410 at once). Change: a job that is not in the table is looked up at the owner, and its cancellation stored if the owner knows it. Without an answer of the owner nothing changes.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -256,8 +256,12 @@
 void request_handler::cancel(const platform::caller_request& aCall, scheduler::job_id aId,
                              const std::string& aTeam, reply aReply)
 {
-  const auto* found = findVisible(aId, aTeam);
+  const auto* found = mJobTable.find(aId);
   if (found == nullptr) {
+    cancelAtOwner(aCall, aId, aTeam, aReply);
+    return;
+  }
+  if (!found->mSpec.visibleTo(aTeam)) {
     rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
     return;
   }
@@ -266,6 +270,32 @@
     aReply({ .mBody = platform::encodeJobState(*found, true) });
     return;
   }
+  storeCancellation(aCall, aId, std::move(aReply));
+}
+
+void request_handler::cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
+                                    const std::string& aTeam, const reply& aReply)
+{
+  const auto rejectUnknown = [this, aId, aReply] {
+    rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
+  };
+  const bool queried = mQueryOwner(
+    aId, aTeam,
+    [this, aCall, aId, aReply, rejectUnknown](const std::optional<std::string>& aState) {
+      if (aState) {
+        storeCancellation(aCall, aId, aReply);
+      } else {
+        rejectUnknown();
+      }
+    });
+  if (!queried) {
+    rejectUnknown();
+  }
+}
+
+void request_handler::storeCancellation(const platform::caller_request& aCall,
+                                        scheduler::job_id aId, reply aReply)
+{
   if (joinPending(aCall, { .mJob = aId, .mCancel = true }, aReply)) {
     return;
   }
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -135,6 +135,11 @@
   void replyUnknownOutcome(const caller& aCaller, std::string_view aSubject, time_point aSince);
   void cancel(const platform::caller_request& aCall, scheduler::job_id aId,
               const std::string& aTeam, reply aReply);
+  /// Cancels a job that this daemon has not read of, if the owner knows it.
+  void cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
+                     const std::string& aTeam, const reply& aReply);
+  void storeCancellation(const platform::caller_request& aCall, scheduler::job_id aId,
+                         reply aReply);
   void store(const platform::caller_request& aCall, caller_record aKey,
              const scheduler::journal_record& aRecord, reply aReply);
   void onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -177,6 +177,30 @@
   CHECK_EQUAL(200, lastStatus());
 }
 
+// Guards against a cancellation that is answered with 410, which confirms it, while the job goes
+// on: the owner knows a job before this daemon has read of it.
+TEST(request_handler, storesTheCancellationOfAJobThatOnlyTheOwnerKnows)
+{
+  queriesOwner = true;
+  call(kCancel, kPath);
+  CHECK_EQUAL(0, answers.size());
+  CHECK_EQUAL(1, ownerReplies.size());
+  ownerReplies[0](R"({"state":"queued"})");
+  CHECK_EQUAL(1, pendingStores.size());
+  pendingStores[0](write_outcome::stored);
+  CHECK_EQUAL(200, lastStatus());
+}
+
+TEST(request_handler, answersTheCancellationOfAJobThatNobodyKnows)
+{
+  queriesOwner = true;
+  call(kCancel, kPath);
+  CHECK_EQUAL(1, ownerReplies.size());
+  ownerReplies[0](std::nullopt);
+  CHECK_EQUAL(410, lastStatus());
+  CHECK_EQUAL(0, pendingStores.size());
+}
+
 TEST(request_handler, answersARepetitionOfAStoredJobAtOnce)
 {
   call(kSubmit, kPath);
