Report no job as unknown while the job table is loaded anew

A query of a job's state that was open at the owner then, and failed, answered 410 for an accepted job. Evidence: request_handler.reportsNoUnknownJobWhileTheJournalIsRead fails on the code before (410 instead of 503).

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -239,6 +239,15 @@
   return mStoreLost && (mOwner ? mAdviceHelpers.empty() : !mOwnerClient.reachable(aNow));
 }
 
+void cell_node::impl::updateCellStatus()
+{
+  mRequestHandler.setCellStatus({ .mConfig = mOperator.config(),
+                                  .mConfigAsOf = mOperatorTail->freshAsOf(),
+                                  .mJournalAsOf = mJournalTail->freshAsOf(),
+                                  .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
+                                  .mStoreLost = mStoreLost });
+}
+
 void cell_node::impl::run()
 {
   while (!mQuit) {
@@ -258,11 +267,7 @@
     if (std::exchange(mCapacityChanged, false)) {
       mRequestHandler.setCapacity(mRegistry.capacity());
     }
-    mRequestHandler.setCellStatus({ .mConfig = mOperator.config(),
-                                    .mConfigAsOf = mOperatorTail->freshAsOf(),
-                                    .mJournalAsOf = mJournalTail->freshAsOf(),
-                                    .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
-                                    .mStoreLost = mStoreLost });
+    updateCellStatus();
     for (auto& item : mInbox.takeAll()) {
       if (auto* request = std::get_if<queued_caller_request>(&item)) {
         handleCaller(*request);
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -138,6 +138,8 @@
   /// callers.
   bool partitioned(time_point aNow) const;
 
+  void updateCellStatus();
+
   void onOperatorChange();
 
   // Election and ownership.
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -323,6 +323,8 @@
 {
   mJobTable.clear();
   mJournalTail->restart(0);
+  // Replies of the owner that arrive in this pass of the loop find the table empty.
+  updateCellStatus();
   mSnapshots.load([this](std::optional<snapshot> aFound) {
     const auto now = mClock.now();
     if (aFound) {
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -64,7 +64,8 @@
 
 void request_handler::rejectUnknownJob(const reply& aReply, std::string_view aSubject)
 {
-  const bool current = mClock.now() - mCellStatus.mJournalAsOf <= mOptions.mMaxDenialAge;
+  const bool current =
+    mCellStatus.mCaughtUp && mClock.now() - mCellStatus.mJournalAsOf <= mOptions.mMaxDenialAge;
   reject(aReply, current ? 410 : 503, kRetryAfterTransient, aSubject, "no such job");
 }
 
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -201,6 +201,19 @@
   CHECK_EQUAL(0, pendingStores.size());
 }
 
+// Guards against a job that is reported as unknown because the job table is being loaded anew when
+// a query to the owner fails.
+TEST(request_handler, reportsNoUnknownJobWhileTheJournalIsRead)
+{
+  queriesOwner = true;
+  call(kStatus, kPath);
+  caughtUp = false;
+  setCellStatus();
+  CHECK_EQUAL(1, ownerReplies.size());
+  ownerReplies[0](std::nullopt);
+  CHECK_EQUAL(503, lastStatus());
+}
+
 TEST(request_handler, answersARepetitionOfAStoredJobAtOnce)
 {
   call(kSubmit, kPath);
