Forward to the new owner what the former one has not answered

Cause: after a change of the owner caller_record_writer::tick() directly appends the records sent to the former one only if it sees the new owner as not reachable. The new owner's first reply may arrive before the next tick. Then records that a frozen owner holds wait for a second, or, while the store is slow, for the call's timeout of 4 s, longer than callers wait; their callers get 504. Change: a change of the owner sends these records anew; of a former owner only `stored` counts, and a refusal by the new one is reported as unknown.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -69,11 +69,21 @@
   flush(mClock.now());
 }
 
+void caller_record_writer::onOwnerChanged()
+{
+  mGeneration = mOwnerClient.generation();
+  mOpenCalls = 0;
+  // The former owner may be frozen; nothing would end the wait for it before kForwardTimeout.
+  for (auto& [number, one] : mForwarded) {
+    one.mUncertain = one.mUncertain || one.mSent;
+    one.mSent = false;
+  }
+}
+
 void caller_record_writer::flush(time_point aNow)
 {
   if (mGeneration != mOwnerClient.generation()) {
-    mGeneration = mOwnerClient.generation();
-    mOpenCalls = 0;
+    onOwnerChanged();
   }
   const bool pause = mOpenCalls >= kMaxUnbatchedCalls && aNow - mLastSent < kBatchInterval;
   if (mOpenCalls >= kMaxOpenCalls || pause || !mOwnerClient.reachable(aNow)) {
@@ -97,12 +107,13 @@
     kPeerStorePath, encodeForwardedRecords(records), kForwardTimeout,
     [this, numbers = std::move(numbers), generation = mGeneration](edges::loop_reply&& aReply) {
       mOpenCalls -= generation == mGeneration ? 1 : 0;
-      onForwardReply(numbers, aReply);
+      onForwardReply(numbers, generation, aReply);
       flush(mClock.now());
     });
 }
 
 void caller_record_writer::onForwardReply(const std::vector<std::uint64_t>& aNumbers,
+                                          std::uint64_t aGeneration,
                                           const edges::loop_reply& aReply)
 {
   const bool complete = aReply.ok() && aReply.mBody.size() == aNumbers.size();
@@ -119,13 +130,17 @@
     if (found == mForwarded.end()) {
       continue;
     }
+    const auto result = complete ? static_cast<forward_result>(aReply.mBody[index]) : fallback;
+    if (aGeneration != mGeneration && result != forward_result::stored) {
+      continue; // The record is, or will be, sent to the new owner.
+    }
     auto one = std::move(found->second);
     mForwarded.erase(found);
-    const auto result = complete ? static_cast<forward_result>(aReply.mBody[index]) : fallback;
     if (result == forward_result::stored) {
       one.mDone(write_outcome::stored);
     } else {
-      append(std::move(one.mBytes), result != forward_result::refused, std::move(one.mDone));
+      append(std::move(one.mBytes), one.mUncertain || result != forward_result::refused,
+             std::move(one.mDone));
     }
   }
 }
@@ -146,7 +161,7 @@
                fmt::format("owner_usable={} store_delay_ms={} after_ms={}", usable,
                            mStore.latency().count(),
                            (aNow - one.mSince) / std::chrono::milliseconds(1)));
-    append(std::move(one.mBytes), one.mSent, std::move(one.mDone));
+    append(std::move(one.mBytes), one.mUncertain || one.mSent, std::move(one.mDone));
   }
   flush(aNow);
 }
--- a/node/src/caller_record_writer.h
+++ b/node/src/caller_record_writer.h
@@ -53,12 +53,18 @@
     done_callback mDone;
     time_point mSince;
     bool mSent = false;
+    /// Whether the record was sent to a former owner, which may have stored it.
+    bool mUncertain = false;
   };
 
   bool ownerUsable(time_point aNow) const;
+  /// Prepares the records that a former owner has not answered for being sent to the new one.
+  void onOwnerChanged();
   /// Forwards records that have not been sent, unless too many calls are open.
   void flush(time_point aNow);
-  void onForwardReply(const std::vector<std::uint64_t>& aNumbers, const edges::loop_reply& aReply);
+  /// Processes the reply to a call that was sent to the owner of aGeneration.
+  void onForwardReply(const std::vector<std::uint64_t>& aNumbers, std::uint64_t aGeneration,
+                      const edges::loop_reply& aReply);
   void append(std::string aBytes, bool aUncertain, done_callback aDone);
 
   const clock& mClock;
--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -166,3 +166,59 @@
   CHECK(runUntil([this] { return outcomes.size() == 2; }));
   CHECK_EQUAL(0, std::ranges::count(outcomes, write_outcome::refused));
 }
+
+// Guards against records that wait for a former owner, which may be frozen, until their callers'
+// timeouts. Load pattern: the store is slow, so that nothing is appended directly after a second.
+TEST(caller_record_writer, forwardsToTheNewOwnerWhatTheFormerOneHasNotAnswered)
+{
+  forward(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  delaying_owner newOwner;
+  newOwner.release('s');
+  ownerClient->setOwner(newOwner.address());
+  const auto since = store->mClock.now();
+  // The new owner's first reply may arrive before the next tick.
+  CHECK(store->runUntil([this] { return ownerClient->reachable(store->mClock.now()); },
+                        [this] { ownerClient->tick(store->mClock.now()); }));
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK(store->mClock.now() - since < milliseconds(900));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(3, newOwner.records());
+}
+
+// Guards against a record that is reported as refused by the new owner although the former owner
+// may have stored it.
+TEST(caller_record_writer, reportsNoRefusalIfTheFormerOwnerMayHaveStored)
+{
+  forward(2);
+  CHECK(runUntil([this] { return owner->records() == 2; }));
+  delaying_owner newOwner;
+  newOwner.release('r');
+  ownerClient->setOwner(newOwner.address());
+  CHECK(store->runUntil([this] { return ownerClient->reachable(store->mClock.now()); },
+                        [this] { ownerClient->tick(store->mClock.now()); }));
+  store->mRefuse = 2;
+  CHECK(runUntil([this] { return outcomes.size() == 2; }));
+  CHECK_EQUAL(0, std::ranges::count(outcomes, write_outcome::refused));
+}
+
+// Guards against a late answer of the former owner that takes back a record that the new owner has
+// been sent.
+TEST(caller_record_writer, acceptsOnlyAStoredResultFromAFormerOwner)
+{
+  forward(2);
+  CHECK(runUntil([this] { return owner->records() == 2; }));
+  delaying_owner newOwner;
+  ownerClient->setOwner(newOwner.address());
+  CHECK(store->runUntil([this] { return ownerClient->reachable(store->mClock.now()); },
+                        [this] { ownerClient->tick(store->mClock.now()); }));
+  CHECK(runUntil([&newOwner] { return newOwner.records() == 2; }));
+  owner->release('u');
+  int turns = 0;
+  CHECK(runUntil([&turns] { return ++turns > 100; }));
+  CHECK_EQUAL(0, outcomes.size());
+  newOwner.release('s');
+  CHECK(runUntil([this] { return outcomes.size() == 2; }));
+  CHECK_EQUAL(2, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(0, stored());
+}
