Answer a call for advice before the owner's timeout

Cause: a daemon that calls the advice service for the owner waited as long as the owner does. If the service did not answer, the owner's call timed out first; its HTTP loop then takes the daemon as unresponsive and opens a new connection for each call to it for 2 s. Evidence: cell_node.anAdviceCallIsAnsweredBeforeItsTimeout fails on the code before (answer after 1 s). Change: the daemon's call times out 100 ms earlier.

--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -10,6 +10,9 @@
 constexpr std::chrono::milliseconds kAdviceHelperTimeout{ 1000 };
 /// Timeout of a status query to the owner; after it callers get the state known to this daemon.
 constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
+/// Time before the owner's timeout at which a call for advice on its behalf times out, so that the
+/// owner hears of the failure instead of taking this daemon as unresponsive.
+constexpr std::chrono::milliseconds kAdviceReplyMargin{ 100 };
 
 } // namespace
 
@@ -111,6 +114,7 @@
       return;
     }
     auto call = platform::encodeAdvice(mSettings.mAdviceAddress, *request);
+    call.mTimeout -= std::min(kAdviceReplyMargin, call.mTimeout / 2);
     call.mDone = [responder = aRequest.mResponder](edges::loop_reply&& aReply) {
       responder.answer({ .mStatus = static_cast<std::uint16_t>(aReply.mStatus.value_or(504)),
                          .mBody = std::move(aReply.mBody) });
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -25,23 +26,30 @@
 
 namespace {
 
-/// An owner that answers hellos at once, and no other call.
+/// An owner and advice service that answers hellos at once, and no other call.
 class silent_owner
 {
 public:
   std::string address() const { return "127.0.0.1:" + std::to_string(mServer.port()); }
+  std::optional<std::string> lastHello()
+  {
+    const std::lock_guard lock(mMutex);
+    return mLastHello;
+  }
 
 private:
   std::mutex mMutex;
   std::vector<edges::responder> mUnanswered;
+  std::optional<std::string> mLastHello;
   edges::http_server mServer{ {},
                               [this](const edges::http_request& aRequest,
                                      const edges::responder& aResponder) {
+                                const std::lock_guard lock(mMutex);
                                 if (aRequest.mPath == kPeerHelloPath) {
+                                  mLastHello = aRequest.mBody;
                                   aResponder.answer({ .mBody = "0" });
                                   return;
                                 }
-                                const std::lock_guard lock(mMutex);
                                 mUnanswered.push_back(aResponder);
                               } };
 };
@@ -61,6 +69,7 @@
   silent_owner* owner = nullptr;
   cell_node* follower = nullptr;
   std::uint16_t port = 0;
+  std::uint16_t peerPort = 0;
   std::atomic<bool> stopped = false;
   std::atomic<bool> deleted = false;
 
@@ -73,12 +82,15 @@
       "routes":[{"name":"r","host":"h","path_prefix":"/r/","service":"p","public":true}]})"));
     appendOwnerRecord(owner_record::kind::claim);
     port = unusedPort();
+    peerPort = unusedPort();
     follower =
       new cell_node({ .mNode = "follower",
                       .mIp = "127.0.0.1",
                       .mCallerAddress = "127.0.0.1:" + std::to_string(port),
                       .mReadinessAddress = "127.0.0.1:0",
-                      .mStoreAddress = "127.0.0.1:" + std::to_string(store->mServer.port()) });
+                      .mPeerPort = peerPort,
+                      .mStoreAddress = "127.0.0.1:" + std::to_string(store->mServer.port()),
+                      .mAdviceAddress = owner->address() });
     follower->start([this] { stopped = true; });
   }
   void teardown() override
@@ -181,3 +193,18 @@
   const int unanswered = stopUnderRequests("POST");
   CHECK_EQUAL(0, unanswered);
 }
+
+// Guards against a call for advice whose caller gives up before it is told that the service does
+// not answer, and then takes the daemon that made the call as unresponsive.
+TEST(cell_node, anAdviceCallIsAnsweredBeforeItsTimeout)
+{
+  constexpr milliseconds kTimeout{ 1000 };
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  edges::raw_client peer(peerPort);
+  const auto sent = std::chrono::steady_clock::now();
+  const auto request = encodePeerAdvice({ .mTargets = { "t" }, .mTimeout = kTimeout });
+  CHECK(peer.send(edges::postRequest(request.mPath, request.mBody)));
+  peer.receiveAnswer();
+  CHECK_EQUAL(504, peer.status());
+  CHECK(std::chrono::steady_clock::now() - sent < kTimeout);
+}
