Resume a paused daemon that the platform soak stops

Cause: restart() waits for the daemon's end before the pause is healed, and a stopped process does not receive SIGTERM. The run ended with an AssertionError after 60 s. Change: SIGCONT before the signal.

--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -27,6 +27,8 @@
 
 
 def restart(daemon, signal_number):
+    # A process that a pause has stopped receives SIGTERM only when it continues.
+    daemon.process.send(signal.SIGCONT)
     daemon.process.send(signal_number)
     daemon.process.wait()
     daemon.process.close()
