Offer no calls for advice while a daemon stops

Cause: a stopping follower went on to offer advice calls in its hellos until its process ended, 2.8 s after SIGTERM. Calls that were open then, of 1.2 s and more, ended without an answer, and the waiting gang had to ask again. Evidence: cell_node.aStoppingDaemonOffersNoAdviceCalls fails on the code before.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -340,6 +340,8 @@
   }
   if (!mStopSince) {
     mStopSince = aNow;
+    // A call for advice may take longer than the rest of the shutdown.
+    mOwnerClient.endAdviceOffer();
     mLog.write("stop",
                fmt::format("waiting={} owner={}", mRequestHandler.waiting(), mOwner != nullptr));
   }
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -100,7 +100,9 @@
 {
   if (aRequest.mPath == kPeerHelloPath) {
     const auto now = mClock.now();
-    mAdviceHelpers[aRequest.mBody] = now;
+    if (!aRequest.mBody.empty()) {
+      mAdviceHelpers[aRequest.mBody] = now;
+    }
     aRequest.mResponder.answer({ .mBody = std::to_string(mStoreConnectivity.timeSinceReply(now) /
                                                          std::chrono::milliseconds(1)) });
   } else if (aRequest.mPath == kPeerStorePath) {
--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -47,7 +47,7 @@
   }
   mHelloInFlight = true;
   mNextHello = aNow + kHelloInterval;
-  auto hello = encodeHello(*mOwner, mOwnAddress);
+  auto hello = encodeHello(*mOwner, mOffersAdvice ? mOwnAddress : std::string());
   hello.mTimeout = kHelloTimeout;
   hello.mDone = [this, generation = mGeneration](edges::loop_reply&& aReply) {
     if (generation == mGeneration) {
--- a/node/src/owner_client.h
+++ b/node/src/owner_client.h
@@ -28,6 +28,8 @@
 
   /// Sets the owner's address; absent if no owner is known or this daemon is the owner.
   void setOwner(const std::optional<std::string>& aAddress);
+  /// Ends the offer to make calls for advice on the owner's behalf.
+  void endAdviceOffer() { mOffersAdvice = false; }
   /// Sends the next hello if it is due.
   void tick(time_point aNow);
 
@@ -58,6 +60,7 @@
   time_point mLastReply{};
   time_point mNextHello{};
   bool mHelloInFlight = false;
+  bool mOffersAdvice = true;
   bool mConnectionRefused = false;
   std::uint64_t mGeneration = 0;
   /// Time since the store last answered the owner, from the owner's last reply to a hello.
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -24,14 +24,15 @@
 inline constexpr std::string_view kMetricsPath = "/metrics";
 inline constexpr std::string_view kStatePath = "/state";
 
-/// Encodes a follower's heartbeat, which offers the owner to make calls for advice. The reply is
-/// the time since the store last answered the owner, in milliseconds.
-inline edges::loop_call encodeHello(const std::string& aOwner, const std::string& aOwnAddress)
+/// Encodes a follower's heartbeat, which offers the owner to make calls for advice at
+/// aAdviceAddress, unless that is empty. The reply is the time since the store last answered the
+/// owner, in milliseconds.
+inline edges::loop_call encodeHello(const std::string& aOwner, const std::string& aAdviceAddress)
 {
   return { .mMethod = "POST",
            .mAddress = aOwner,
            .mPath = std::string(kPeerHelloPath),
-           .mBody = aOwnAddress,
+           .mBody = aAdviceAddress,
            .mTimeout = std::chrono::milliseconds(500) };
 }
 
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -208,3 +208,14 @@
   CHECK_EQUAL(504, peer.status());
   CHECK(std::chrono::steady_clock::now() - sent < kTimeout);
 }
+
+// Guards against calls for advice that end without an answer because the owner still sends them
+// through a daemon that is about to end.
+TEST(cell_node, aStoppingDaemonOffersNoAdviceCalls)
+{
+  const auto ownAddress = "127.0.0.1:" + std::to_string(peerPort);
+  CHECK(renewUntil([&] { return owner->lastHello() == ownAddress; }));
+  follower->stop();
+  CHECK(renewUntil([&] { return owner->lastHello() != ownAddress || stopped; }));
+  CHECK(owner->lastHello() == "");
+}
