--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -29,6 +29,10 @@
 
 void journal_writer::write(std::vector<std::string> aRecords, done_callback aDone)
 {
+  if (mFenced) {
+    aDone(write_outcome::fenced);
+    return;
+  }
   mWaiting.push_back({ .mRecords = std::move(aRecords), .mDone = std::move(aDone) });
   tick(mClock.now());
 }
--- a/tests/node/journal_writer_test.cpp
+++ b/tests/node/journal_writer_test.cpp
@@ -117,6 +117,19 @@
   CHECK_EQUAL(1, stored());
 }
 
+// Guards against a caller that waits for its timeout because its record is never sent.
+TEST(journal_writer, answersWritesAfterItIsFenced)
+{
+  open(1);
+  auto former = std::move(writer);
+  open(2);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  writer = std::move(former);
+  CHECK(write({ "late" }) == write_outcome::fenced);
+  CHECK(write({ "later" }) == write_outcome::fenced);
+  CHECK_EQUAL(1, stored());
+}
+
 // Guards against a malformed trim call, with which the journal would grow until the store is full.
 TEST(journal_writer, trimmedRecordsAreGone)
 {
