--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -22,6 +22,11 @@
 /// Time into a shutdown after which no new connections are expected: the platform removes a daemon
 /// after two failed readiness checks, a second apart.
 constexpr std::chrono::milliseconds kDeregistrationPeriod{ 2800 };
+/// Time in which the open requests are answered before all connections are closed. Exceeds the
+/// timeout of a status query to the owner, the longest wait of an answer that is not for a record.
+constexpr std::chrono::milliseconds kServerStopPeriod{ 400 };
+/// Time into kServerStopPeriod after which callers are answered that the outcome is not known.
+constexpr std::chrono::milliseconds kRecordStopPeriod{ 200 };
 /// Minimum time between two wake-ups of the event loop. Load pattern: thousands of replies a
 /// second, each of which would wake the loop; with the minimum, one pass handles several.
 constexpr std::chrono::microseconds kMinWakeInterval{ 2000 };
@@ -234,6 +239,15 @@
   return mStoreLost && (mOwner ? mAdviceHelpers.empty() : !mOwnerClient.reachable(aNow));
 }
 
+void cell_node::impl::updateCellStatus()
+{
+  mRequestHandler.setCellStatus({ .mConfig = mOperator.config(),
+                                  .mConfigAsOf = mOperatorTail->freshAsOf(),
+                                  .mJournalAsOf = mJournalTail->freshAsOf(),
+                                  .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
+                                  .mStoreLost = mStoreLost });
+}
+
 void cell_node::impl::run()
 {
   while (!mQuit) {
@@ -253,11 +267,7 @@
     if (std::exchange(mCapacityChanged, false)) {
       mRequestHandler.setCapacity(mRegistry.capacity());
     }
-    mRequestHandler.setCellStatus({ .mConfig = mOperator.config(),
-                                    .mConfigAsOf = mOperatorTail->freshAsOf(),
-                                    .mJournalAsOf = mJournalTail->freshAsOf(),
-                                    .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
-                                    .mStoreLost = mStoreLost });
+    updateCellStatus();
     for (auto& item : mInbox.takeAll()) {
       if (auto* request = std::get_if<queued_caller_request>(&item)) {
         handleCaller(*request);
@@ -330,19 +340,34 @@
   }
   if (!mStopSince) {
     mStopSince = aNow;
+    // A call for advice may take longer than the rest of the shutdown.
+    mOwnerClient.endAdviceOffer();
     mLog.write("stop",
                fmt::format("waiting={} owner={}", mRequestHandler.waiting(), mOwner != nullptr));
   }
-  const auto elapsed = aNow - *mStopSince;
-  const bool idle = mRequestHandler.waiting() == 0 && mElection.state() != election::role::owner;
-  if ((elapsed > kDeregistrationPeriod && idle) ||
-      elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
+  if (mServerStopSince) {
+    if (aNow - *mServerStopSince > kRecordStopPeriod) {
+      mRequestHandler.answerWaiting();
+    }
+    if (!mServerStopped) {
+      return false;
+    }
     mLog.write("stopped", fmt::format("waiting={}", mRequestHandler.waiting()));
     mLog.flush();
-    mCallerServer->stop(std::chrono::milliseconds(200));
     mStopped();
     return true;
   }
+  const auto elapsed = aNow - *mStopSince;
+  const bool idle = mRequestHandler.waiting() == 0 && mElection.state() != election::role::owner;
+  if ((elapsed > kDeregistrationPeriod && idle) ||
+      elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
+    mServerStopSince = aNow;
+    mServerStop = std::jthread([this] {
+      mCallerServer->stop(kServerStopPeriod);
+      mServerStopped = true;
+      mLoop.wake();
+    });
+  }
   return false;
 }
 
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -138,6 +138,8 @@
   /// callers.
   bool partitioned(time_point aNow) const;
 
+  void updateCellStatus();
+
   void onOperatorChange();
 
   // Election and ownership.
@@ -266,6 +268,10 @@
   std::unique_ptr<edges::http_server> mReadinessServer;
   std::unique_ptr<edges::http_server> mPeerServer;
   std::thread mThread;
+  /// Stops mCallerServer, while the event loop answers the requests that are open.
+  std::jthread mServerStop;
+  std::optional<time_point> mServerStopSince;
+  std::atomic<bool> mServerStopped{ false };
 };
 
 } // namespace endiveusher::node
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -64,7 +64,8 @@
 
 void request_handler::rejectUnknownJob(const reply& aReply, std::string_view aSubject)
 {
-  const bool current = mClock.now() - mCellStatus.mJournalAsOf <= mOptions.mMaxDenialAge;
+  const bool current =
+    mCellStatus.mCaughtUp && mClock.now() - mCellStatus.mJournalAsOf <= mOptions.mMaxDenialAge;
   reject(aReply, current ? 410 : 503, kRetryAfterTransient, aSubject, "no such job");
 }
 
@@ -256,16 +257,46 @@
 void request_handler::cancel(const platform::caller_request& aCall, scheduler::job_id aId,
                              const std::string& aTeam, reply aReply)
 {
-  const auto* found = findVisible(aId, aTeam);
+  const auto* found = mJobTable.find(aId);
   if (found == nullptr) {
+    cancelAtOwner(aCall, aId, aTeam, aReply);
+    return;
+  }
+  if (!found->mSpec.visibleTo(aTeam)) {
     rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
     return;
   }
-  if (found->mPhase != scheduler::job_phase::active &&
+  if (found->mPhase != scheduler::job_phase::active && mIsEndStored(aId) &&
       mIsStored({ .mJob = aId, .mCancel = true })) {
     aReply({ .mBody = platform::encodeJobState(*found, true) });
     return;
   }
+  storeCancellation(aCall, aId, std::move(aReply));
+}
+
+void request_handler::cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
+                                    const std::string& aTeam, const reply& aReply)
+{
+  const auto rejectUnknown = [this, aId, aReply] {
+    rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
+  };
+  const bool queried = mQueryOwner(
+    aId, aTeam,
+    [this, aCall, aId, aReply, rejectUnknown](const std::optional<std::string>& aState) {
+      if (aState) {
+        storeCancellation(aCall, aId, aReply);
+      } else {
+        rejectUnknown();
+      }
+    });
+  if (!queried) {
+    rejectUnknown();
+  }
+}
+
+void request_handler::storeCancellation(const platform::caller_request& aCall,
+                                        scheduler::job_id aId, reply aReply)
+{
   if (joinPending(aCall, { .mJob = aId, .mCancel = true }, aReply)) {
     return;
   }
@@ -282,10 +313,20 @@
 }
 
 void request_handler::tick(time_point aNow)
+{
+  answerIf([aNow](const caller& aOne) { return aOne.mUntil <= aNow; });
+}
+
+void request_handler::answerWaiting()
+{
+  answerIf([](const caller& /*aOne*/) { return true; });
+}
+
+void request_handler::answerIf(const std::function<bool(const caller& aCaller)>& aChosen)
 {
   for (auto& [key, pending] : mPending) {
     std::erase_if(pending.mCallers, [&](const caller& aOne) {
-      if (aOne.mUntil > aNow) {
+      if (!aChosen(aOne)) {
         return false;
       }
       replyUnknownOutcome(aOne, fmt::format("job={} cancel={}", toText(key.mJob), key.mCancel),
