Let long advice calls use the daemons that short calls do not need

Cause: long calls (0.2 s and more) took at most half of the daemons, also without any short call. Renewed verdicts on good targets also counted as news, so that the expected fraction of good targets rose and too few were queried. Change: daemons kept free follow the load of short calls in the last second, twice over and one more, at most half as before. Only first verdicts count.

--- a/scheduler/src/advice_dispatcher.cpp
+++ b/scheduler/src/advice_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/back_off.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace endiveusher::scheduler::internal {
 
@@ -14,6 +15,11 @@
 /// Maximum number of open short calls per daemon; more than one, so that the service is not idle
 /// for a round trip between them.
 constexpr std::uint32_t kMaxOpenShortCalls = 3;
+/// Period over which the load of short calls is averaged.
+constexpr auto kShortLoadPeriod = std::chrono::duration<double>(1.0);
+/// Daemons kept free of long calls, as a multiple of the load of short calls: bursts reach about
+/// twice the mean load.
+constexpr double kShortLoadHeadroom = 2;
 /// Time for which a daemon gets no calls after one has failed, doubled with each further failure,
 /// and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
@@ -47,15 +53,29 @@
   return static_cast<std::size_t>(std::ranges::count_if(mHelpers, &helper::mHasLongCall));
 }
 
-bool advice_dispatcher::hasSpareHelpers() const
+bool advice_dispatcher::hasSpareHelpers(time_point aNow) const
 {
-  return 2 * longCalls() < maxLongCalls();
+  return 2 * longCalls() < maxLongCalls(aNow);
+}
+
+double advice_dispatcher::shortLoad(time_point aNow) const
+{
+  return mShortLoad *
+         std::exp(-std::chrono::duration<double>(aNow - mShortLoadAt) / kShortLoadPeriod);
+}
+
+std::size_t advice_dispatcher::maxLongCalls(time_point aNow) const
+{
+  const auto present =
+    static_cast<std::size_t>(std::ranges::count_if(mHelpers, &helper::mIsPresent));
+  const auto needed = static_cast<std::size_t>(std::ceil(kShortLoadHeadroom * shortLoad(aNow))) + 1;
+  return present - std::min(present / 2, needed);
 }
 
 const advice_dispatcher::helper* advice_dispatcher::choose(duration aCost, time_point aNow) const
 {
   const bool isLong = aCost >= kLongCallThreshold;
-  if (isLong && longCalls() >= maxLongCalls()) {
+  if (isLong && longCalls() >= maxLongCalls(aNow)) {
     return nullptr;
   }
   const helper* best = nullptr;
@@ -83,6 +103,10 @@
   ++best.mOpenCalls;
   best.mLoad += aCost;
   best.mHasLongCall = best.mHasLongCall || isLong;
+  if (!isLong) {
+    mShortLoad = shortLoad(aNow) + std::chrono::duration<double>(aCost) / kShortLoadPeriod;
+    mShortLoadAt = aNow;
+  }
   mCalls[aCall] = { .mHelper = best.mName, .mCost = aCost, .mIsLong = isLong };
   return reservation{ .mHelper = best.mName, .mExpected = best.mLoad };
 }
--- a/scheduler/src/advice_dispatcher.h
+++ b/scheduler/src/advice_dispatcher.h
@@ -13,8 +13,9 @@
 namespace endiveusher::scheduler::internal {
 
 /// Distributes advice calls over the daemons. The advice service handles one call at a time for
-/// each calling daemon, so calls through different daemons run in parallel. Long calls occupy at
-/// most half of the daemons, so that the short calls of urgent steps find a free one.
+/// each calling daemon, so calls through different daemons run in parallel. Long calls leave as
+/// many daemons free as recent short calls have needed, at most half, so that the short calls of
+/// urgent steps find a free one.
 class advice_dispatcher
 {
 public:
@@ -26,7 +27,7 @@
     return choose(aCost, aNow) != nullptr;
   }
   /// Whether fewer than half of the daemons that may make long calls do so.
-  bool hasSpareHelpers() const;
+  bool hasSpareHelpers(time_point aNow) const;
   /// A daemon that makes a call, and the time by which the service has handled the calls of this
   /// daemon that are open then.
   struct reservation
@@ -61,12 +62,17 @@
   };
   helper* find(const std::string& aName);
   const helper* choose(duration aCost, time_point aNow) const;
-  std::size_t maxLongCalls() const { return (mHelpers.size() + 1) / 2; }
+  std::size_t maxLongCalls(time_point aNow) const;
   std::size_t longCalls() const;
+  /// Returns the average number of daemons that short calls have occupied lately.
+  double shortLoad(time_point aNow) const;
 
   /// All daemons; the local one has an empty name.
   std::vector<helper> mHelpers{ helper{} };
   std::map<std::uint64_t, call> mCalls;
+  /// shortLoad() at the time of the last short call.
+  double mShortLoad = 0;
+  time_point mShortLoadAt{};
 };
 
 } // namespace endiveusher::scheduler::internal
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace endiveusher::scheduler {
 
@@ -144,7 +145,7 @@
   // The gang cannot start now. Verdicts on more targets show where capacity is worth reserving.
   queried.clear();
   if (goodCapacity >= kReservableFactor * aStep.mPending.size() ||
-      !mAdviceDispatcher.hasSpareHelpers()) {
+      !mAdviceDispatcher.hasSpareHelpers(aNow)) {
     return queried;
   }
   for (const auto& one : options) {
@@ -256,11 +257,15 @@
     return;
   }
   auto& counts = mVerdictCounts[step.mRoute.mName];
-  counts.mQueried += call.mTargets.size();
-  counts.mGood += aReply.mTickets.size();
+  std::set<internal::target_number> firstVerdicts;
   for (const auto& queried : call.mTargets) {
-    step.mAdvice.setVerdict(mTargetNumbers.at(queried), verdict::bad);
+    const auto number = mTargetNumbers.at(queried);
+    if (step.mAdvice.verdictOn(number) == verdict::unknown) {
+      firstVerdicts.insert(number);
+    }
+    step.mAdvice.setVerdict(number, verdict::bad);
   }
+  counts.mQueried += firstVerdicts.size();
   // The service issued the tickets before the reply arrived: at the earliest at the sending time
   // plus the duration of the call, but not earlier than kMaxReplyDelay ago.
   const auto& terms = step.mRoute.mAdvice;
@@ -273,6 +278,7 @@
                         fmt::format("step={} target={}", toText(call.mStep), ticket.mTarget));
       continue;
     }
+    counts.mGood += firstVerdicts.contains(number->second) ? 1 : 0;
     step.mAdvice.setVerdict(number->second, verdict::good);
     step.mAdvice.addTicket(number->second,
                            { .mToken = ticket.mToken, .mExpiry = issued + lifetime });
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -254,7 +254,7 @@
     std::uint64_t mQueried = 0;
     std::uint64_t mGood = 0;
   };
-  /// Verdicts received, by route.
+  /// First verdicts on targets, by route.
   std::map<std::string, verdict_counts> mVerdictCounts;
   std::uint64_t mLastAdviceCall = 0;
   time_point mNextPlan{};
--- a/tests/scheduler/advice_dispatcher_test.cpp
+++ b/tests/scheduler/advice_dispatcher_test.cpp
@@ -62,3 +62,35 @@
   }
   CHECK_FALSE(call(kShortCall));
 }
+
+// Guards against gangs that wait for advice while daemons stay idle for short calls that do not
+// come.
+TEST(advice_dispatcher, longCallsUseDaemonsThatShortCallsDoNotNeed)
+{
+  setHelpers(33);
+  LONGS_EQUAL(33, longCalls());
+}
+
+// Guards against urgent steps that wait for the end of long calls.
+TEST(advice_dispatcher, longCallsLeaveTwiceTheDaemonsThatShortCallsNeed)
+{
+  setHelpers(33);
+  for (int index = 0; index < 500; ++index) {
+    CHECK(call(kShortCall));
+    now += milliseconds(10);
+    dispatcher.release(lastCall, true, now);
+  }
+  // Two seconds of short calls each second: four daemons and a spare one stay free.
+  LONGS_EQUAL(29, longCalls());
+}
+
+TEST(advice_dispatcher, longCallsTakeAtLeastHalfOfTheDaemons)
+{
+  setHelpers(5);
+  for (int index = 0; index < 500; ++index) {
+    CHECK(call(milliseconds(100)));
+    now += milliseconds(10);
+    dispatcher.release(lastCall, true, now);
+  }
+  LONGS_EQUAL(3, longCalls());
+}
