Plan a gang's next round without the capacity that was refused

Cause: gang_coordinator::plan picks the first member whose summed free capacity holds the gang. The sum ignores fragmentation and targets that take no tasks, so a member can refuse every round while another one is empty. Separately, member_capacity subtracts the tasks that wait for a team limit from the free capacity unless the limit is on the number of tasks; a queue that waits for a limit on cpu hides all free capacity.

Evidence: two tests in core_gangs on the previous code. A gang of 3 does not start within 30 s although d2 is empty; a gang of 8 in a cell with one running task starts after 5.01 s, when it drains.

Waiting tasks count only as far as the unused slice lets them start.

--- a/kernel/src/gang_coordinator.h
+++ b/kernel/src/gang_coordinator.h
@@ -41,6 +41,8 @@
   static constexpr duration kDrainingBackOff = std::chrono::milliseconds(500);
   static constexpr duration kDrainAfter = std::chrono::seconds(5);
   static constexpr duration kReserveTimeout = std::chrono::seconds(1);
+  /// Covers one back-off, so that the round after a refusal differs from the refused one.
+  static constexpr duration kKeepRefusal = 2 * kBackOffLargest;
   static constexpr duration kRepeatCommit = std::chrono::milliseconds(200);
   static constexpr std::size_t kMaxTriesPerTick = 50;
   static constexpr std::size_t kFailingTargets = 3;
@@ -68,6 +70,19 @@
     std::vector<std::uint32_t> mTasks;
     bool mReserved = false;
   };
+  /// What a plan assumes about a member's capacity.
+  enum class basis
+  {
+    free_less_refusals, ///< Its free capacity, but less than it has refused recently.
+    free,
+    total,
+  };
+  /// A placer refused a part or did not answer; it gets at most mMost tasks until mUntil.
+  struct refusal
+  {
+    std::int64_t mMost = 0;
+    time_point mUntil{};
+  };
   struct gang
   {
     phase mPhase = phase::waiting;
@@ -77,6 +92,7 @@
     std::set<target_id> mFailedOn;
     std::uint64_t mReservation = 0;
     std::map<incarnation_id, part> mParts;
+    std::map<incarnation_id, refusal> mRefusals;
     time_point mDeadline{};
     time_point mCommitSentAt{};
     std::vector<result> mResults;
@@ -86,7 +102,8 @@
   static result classify(const placed_task& aPlaced);
   void scheduleTry(const request_id& aRequest, gang& aGang, duration aDelay);
   void tryReserve(coordinated_job& aJob, gang& aGang);
-  bool plan(const coordinated_job& aJob, gang& aGang, bool aTotal);
+  bool plan(const coordinated_job& aJob, gang& aGang, basis aBasis);
+  void recordRefusal(gang& aGang, const incarnation_id& aPlacer, std::int64_t aMost);
   void commitAll(coordinated_job& aJob, gang& aGang);
   void releaseAll(const request_id& aRequest, gang& aGang);
   void abandonRound(const request_id& aRequest, gang& aGang);
--- a/kernel/src/gang_coordinator_impl.h
+++ b/kernel/src/gang_coordinator_impl.h
@@ -49,13 +49,18 @@
 /// Distributes the tasks over placers: a single one if it has capacity for all of them, otherwise
 /// this daemon first, then the others by decreasing capacity.
 template<guard_policy Guards>
-bool gang_coordinator<Guards>::plan(const coordinated_job& aJob, gang& aGang, bool aTotal)
+bool gang_coordinator<Guards>::plan(const coordinated_job& aJob, gang& aGang, basis aBasis)
 {
   aGang.mParts.clear();
   const auto count = static_cast<std::int64_t>(aJob.mTasks.size());
   std::vector<std::pair<std::int64_t, incarnation_id>> capacities;
   for (auto& member : mMemberCapacity.allowed(aJob.mSpec)) {
-    const auto capacity = mMemberCapacity.capacity(member, aJob.mSpec, aTotal);
+    auto capacity = mMemberCapacity.capacity(member, aJob.mSpec, aBasis == basis::total);
+    const auto refused = aGang.mRefusals.find(member);
+    if (aBasis == basis::free_less_refusals && refused != aGang.mRefusals.end() &&
+        mContext.mNow < refused->second.mUntil) {
+      capacity = std::min(capacity, refused->second.mMost);
+    }
     if (capacity > 0) {
       capacities.emplace_back(capacity, std::move(member));
     }
@@ -79,13 +84,24 @@
   return next == aJob.mTasks.size();
 }
 
+/// The sums that plan() uses ignore fragmentation, failing targets and lost messages, so a placer
+/// may refuse again and again although other members have room. Fewer tasks for it make the next
+/// plan a different one.
+template<guard_policy Guards>
+void gang_coordinator<Guards>::recordRefusal(gang& aGang, const incarnation_id& aPlacer,
+                                             std::int64_t aMost)
+{
+  aGang.mRefusals[aPlacer] = { .mMost = aMost, .mUntil = mContext.mNow + kKeepRefusal };
+}
+
 template<guard_policy Guards>
 void gang_coordinator<Guards>::tryReserve(coordinated_job& aJob, gang& aGang)
 {
   const auto& request = aJob.mSpec.mRequest;
   ++aGang.mTries;
   const bool draining = isDraining(request, aGang);
-  if (!plan(aJob, aGang, false) && !(draining && plan(aJob, aGang, true))) {
+  if (!plan(aJob, aGang, basis::free_less_refusals) && !plan(aJob, aGang, basis::free) &&
+      !(draining && plan(aJob, aGang, basis::total))) {
     if (draining) {
       // The gang would not fit even into empty targets; the next gang drains meanwhile.
       removeWaiting(request, aGang);
@@ -131,6 +147,7 @@
   }
   if (gang.mPhase == phase::reserving) {
     if (!aAnswer.mReserved) {
+      recordRefusal(gang, aFrom, static_cast<std::int64_t>(part->second.mTasks.size()) / 2);
       releaseAll(aAnswer.mRequest, gang);
       abandonRound(aAnswer.mRequest, gang);
       return;
@@ -405,6 +422,11 @@
     auto* job = mContext.mJobs.find(request);
     if (gang.mPhase == phase::reserving) {
       if (mContext.mNow >= gang.mDeadline) {
+        for (const auto& [placer, part] : gang.mParts) {
+          if (!part.mReserved) {
+            recordRefusal(gang, placer, 0);
+          }
+        }
         releaseAll(request, gang);
         abandonRound(request, gang);
       }
--- a/kernel/src/member_capacity.h
+++ b/kernel/src/member_capacity.h
@@ -70,6 +70,9 @@
     bool mIsLive = false;
   };
   void readSelf();
+  /// Resources of the waiting tasks of a team that its unused slice allows to start. Tasks that
+  /// wait because any component of the slice is used up do not occupy free capacity.
+  static resources startable(const team_usage& aTeam);
   bool mayRun(const entry& aEntry, const job_spec& aJob) const;
   static bool sliceAllows(const entry& aEntry, const job_spec& aJob);
   bool fits(const entry& aEntry, const job_spec& aJob) const;
@@ -91,13 +94,34 @@
   self.mUnusedSlices.clear();
   for (const auto& team : summary.mTeams) {
     self.mUnusedSlices[team.mTeam] = team.mUnusedSlice;
-    // Tasks that wait because the slice is used up do not occupy free capacity.
-    if (team.mUnusedSlice.mTasks > 0) {
-      self.mFree -= team.mWaiting;
-    }
+    self.mFree -= startable(team);
   }
 }
 
+template<guard_policy Guards>
+resources member_capacity<Guards>::startable(const team_usage& aTeam)
+{
+  const resources& waiting = aTeam.mWaiting;
+  const limit_vector& unused = aTeam.mUnusedSlice;
+  double part = 1.0;
+  const auto bound = [&part](std::int64_t aWaiting, std::int64_t aUnused) {
+    if (aWaiting > 0) {
+      part = std::min(part, static_cast<double>(aUnused) / static_cast<double>(aWaiting));
+    }
+  };
+  bound(waiting.mSlots, unused.mTasks);
+  bound(waiting.mCpuMilli, unused.mCpuMilli);
+  bound(waiting.mMemoryMb, unused.mMemoryMb);
+  bound(waiting.mAccelerators, unused.mAccelerators);
+  const auto scaled = [part](std::int64_t aAmount) {
+    return static_cast<std::int64_t>(static_cast<double>(aAmount) * std::max(0.0, part));
+  };
+  return { .mSlots = scaled(waiting.mSlots),
+           .mCpuMilli = scaled(waiting.mCpuMilli),
+           .mMemoryMb = scaled(waiting.mMemoryMb),
+           .mAccelerators = scaled(waiting.mAccelerators) };
+}
+
 template<guard_policy Guards>
 void member_capacity<Guards>::refresh()
 {
@@ -125,9 +149,7 @@
     resources waiting{ .mSlots = 0 };
     for (const auto& team : gossip->mTeams) {
       entry.mUnusedSlices[team.mTeam] = team.mUnusedSlice;
-      if (team.mUnusedSlice.mTasks > 0) {
-        waiting += team.mWaiting;
-      }
+      waiting += startable(team);
     }
     entry.mFree -= waiting;
     const bool hasFreeCapacity = entry.mFree.mSlots > 0 && entry.mLargestFree.mSlots > 0;
