Let a placer borrow and keep the slice that a waiting gang needs

Cause: a gang needs its part of a team's limit as a whole, but it was collected in parts that others took again between two rounds: - The coordinator borrowed for itself, also when its zone may not run the gang, and so took the slice of the only daemon that may. It borrowed for its longest waiting gang only, and not while its queue of the same team was short too, because a team has one request per 300 ms. - Lenders gave half of their unused slice each time, also when a gang of their own needed it. Two gangs of a team traded the same part for ever. - Batch tasks of the team took each freed part. Draining did not begin, because the plan for it was bound by the unused slice.

Evidence: six tests in core_gangs on the previous code.

Change: the gang that has waited longest of each team is also offered to a placer beyond its unused slice. A placer that refuses for its slice asks for the missing amount itself, all at once, and lends none of it to queued tasks or to a gang that has waited less, for 10 s of every 20 s. Batch tasks of the team of a draining gang leave it the slice it needs. A gang that lacks only its slice holds no targets. slice_request carries the wait in a new field; a daemon without the field sends and reads 0, which is a request for queued tasks.

--- a/kernel/include/endiveusher/kernel/messages/peer.h
+++ b/kernel/include/endiveusher/kernel/messages/peer.h
@@ -169,6 +169,9 @@
 {
   team_name mTeam;
   limit_vector mWanted;
+  /// Time for which a gang has waited that needs the amount as a whole; zero if queued tasks need
+  /// it.
+  std::chrono::milliseconds mWaited{ 0 };
 };
 
 /// Control records for a peer that is behind, consecutive from mFrom.
--- a/kernel/include/endiveusher/kernel/placer.h
+++ b/kernel/include/endiveusher/kernel/placer.h
@@ -94,8 +94,13 @@
   placer_summary summary() const;
   /// Amount charged to this daemon's slice of aTeam.
   limit_vector charged(const team_name& aTeam) const;
-  /// Returns the teams with tasks that wait only for a larger slice, and the missing amounts.
-  std::vector<slice_request> shortages() const;
+  /// Returns the teams with gangs or queued tasks that wait for a larger slice, and the missing
+  /// amounts; gangs first.
+  std::vector<slice_request> shortages(time_point aNow) const;
+  /// Returns the part of the unused slice that is not lent for aRequest: what a gang needs here
+  /// that has waited longer than the one of aBorrower.
+  limit_vector keptFromLending(const incarnation_id& aBorrower, const slice_request& aRequest,
+                               time_point aNow) const;
   /// Whether the reconciliation of aDead, a member that this daemon succeeds, is complete: every
   /// target has been read since aSince or is in aElsewhere, or all leases that aDead could have
   /// renewed have ended. aElsewhere contains the targets that other live members own and have
--- a/kernel/src/daemon_core_impl.h
+++ b/kernel/src/daemon_core_impl.h
@@ -63,11 +63,7 @@
     if (hasStopped()) {
       return;
     }
-    auto shortages = mContext.mPlacer.shortages();
-    for (auto& request : mGangs.shortages()) {
-      shortages.push_back(std::move(request));
-    }
-    mContext.mMembership.tick(mContext.mPlacer.summary(), shortages, aNow);
+    mContext.mMembership.tick(mContext.mPlacer.summary(), mContext.mPlacer.shortages(aNow), aNow);
     mReplicator.tick();
     mFailover.tick();
     mPort.tick();
@@ -159,8 +155,9 @@
   }
   void receive(const incarnation_id& aFrom, const slice_request& aBody)
   {
-    mContext.mMembership.handleSliceRequest(aFrom, aBody, mContext.mPlacer.charged(aBody.mTeam),
-                                            mContext.mNow);
+    const auto taken = internal::sum(mContext.mPlacer.charged(aBody.mTeam),
+                                     mContext.mPlacer.keptFromLending(aFrom, aBody, mContext.mNow));
+    mContext.mMembership.handleSliceRequest(aFrom, aBody, taken, mContext.mNow);
     // The placer must not start tasks on the part of the slice that was just transferred.
     updateView();
   }
--- a/kernel/src/fair_queue.cpp
+++ b/kernel/src/fair_queue.cpp
@@ -17,7 +17,7 @@
     case job_kind::batch:
       break;
   }
-  return 3;
+  return team_queue::kBatchLane;
 }
 
 queue_rank rankOf(const held_attempt& aAttempt)
--- a/kernel/src/fair_queue.h
+++ b/kernel/src/fair_queue.h
@@ -53,6 +53,7 @@
 struct team_queue
 {
   static constexpr std::size_t kUrgentLane = 0;
+  static constexpr std::size_t kBatchLane = 3;
 
   std::string mTeam;
   std::array<queue_lane, 4> mLanes;
--- a/kernel/src/gang_coordinator.h
+++ b/kernel/src/gang_coordinator.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "delegation.h"
+#include "limit_math.h"
+#include "slice_account.h"
 
 #include <map>
 #include <set>
@@ -28,8 +30,6 @@
   void onTaskEnded(coordinated_job& aJob, std::uint32_t aIndex, const placed_task& aPlaced);
   void handle(const incarnation_id& aFrom, const reserve_answer& aAnswer);
   void forget(const request_id& aRequest);
-  /// Returns the amounts that this daemon's slices lack for the gang that has waited longest.
-  std::vector<slice_request> shortages();
   /// Tries the gangs that are due and repeats commits.
   void tick();
 
@@ -75,7 +75,8 @@
   {
     free_less_refusals, ///< Its free capacity, but less than it has refused recently.
     free,
-    total,
+    free_beyond_slice, ///< Its free capacity; it borrows the slice that it lacks.
+    total,             ///< The capacity of its targets when empty.
   };
   /// A placer refused a part or did not answer; it gets at most mMost tasks until mUntil.
   struct refusal
@@ -86,6 +87,7 @@
   struct gang
   {
     phase mPhase = phase::waiting;
+    team_name mTeam;
     time_point mWaitingSince{};
     std::uint32_t mTries = 0;
     std::uint32_t mFailures = 0;
@@ -114,6 +116,9 @@
   void endAll(coordinated_job& aJob, const gang& aGang);
   void retry(coordinated_job& aJob, gang& aGang);
   bool isDraining(const request_id& aRequest, const gang& aGang) const;
+  bool withinLimit(const coordinated_job& aJob) const;
+  bool mayBorrow(const coordinated_job& aJob, const gang& aGang) const;
+  void addWaiting(const coordinated_job& aJob, gang& aGang);
   void removeWaiting(const request_id& aRequest, const gang& aGang);
 
   core_context<Guards>& mContext;
@@ -125,6 +130,8 @@
   std::set<std::pair<time_point, request_id>> mDue;
   /// Gangs that have not been committed, longest waiting first.
   std::set<std::pair<time_point, request_id>> mWaiting;
+  /// The same gangs by team.
+  std::map<team_name, std::set<std::pair<time_point, request_id>>> mWaitingOfTeam;
   /// Gangs with an unanswered reserve or commit.
   std::set<request_id> mUnanswered;
 };
--- a/kernel/src/gang_coordinator_impl.h
+++ b/kernel/src/gang_coordinator_impl.h
@@ -9,12 +9,11 @@
 {
   const auto& request = aJob.mSpec.mRequest;
   auto& gang = mGangs[request];
-  gang.mWaitingSince = mContext.mNow;
   gang.mResults.assign(aJob.mTasks.size(), result::none);
   for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
     mContext.mBudget.countFirstAttempt(aJob.mSpec.mTeam, mContext.mNow);
   }
-  mWaiting.emplace(gang.mWaitingSince, request);
+  addWaiting(aJob, gang);
   scheduleTry(request, gang, duration(0));
 }
 
@@ -33,10 +32,26 @@
   mDue.emplace(mContext.mNow + aDelay, aRequest);
 }
 
+template<guard_policy Guards>
+void gang_coordinator<Guards>::addWaiting(const coordinated_job& aJob, gang& aGang)
+{
+  aGang.mTeam = aJob.mSpec.mTeam;
+  aGang.mWaitingSince = mContext.mNow;
+  mWaiting.emplace(aGang.mWaitingSince, aJob.mSpec.mRequest);
+  mWaitingOfTeam[aGang.mTeam].emplace(aGang.mWaitingSince, aJob.mSpec.mRequest);
+}
+
 template<guard_policy Guards>
 void gang_coordinator<Guards>::removeWaiting(const request_id& aRequest, const gang& aGang)
 {
   mWaiting.erase({ aGang.mWaitingSince, aRequest });
+  const auto ofTeam = mWaitingOfTeam.find(aGang.mTeam);
+  if (ofTeam != mWaitingOfTeam.end()) {
+    ofTeam->second.erase({ aGang.mWaitingSince, aRequest });
+    if (ofTeam->second.empty()) {
+      mWaitingOfTeam.erase(ofTeam);
+    }
+  }
 }
 
 template<guard_policy Guards>
@@ -55,7 +70,9 @@
   const auto count = static_cast<std::int64_t>(aJob.mTasks.size());
   std::vector<std::pair<std::int64_t, incarnation_id>> capacities;
   for (auto& member : mMemberCapacity.allowed(aJob.mSpec)) {
-    auto capacity = mMemberCapacity.capacity(member, aJob.mSpec, aBasis == basis::total);
+    const bool withinSlice = aBasis == basis::free_less_refusals || aBasis == basis::free;
+    auto capacity =
+      mMemberCapacity.capacity(member, aJob.mSpec, aBasis == basis::total, withinSlice);
     const auto refused = aGang.mRefusals.find(member);
     if (aBasis == basis::free_less_refusals && refused != aGang.mRefusals.end() &&
         mContext.mNow < refused->second.mUntil) {
@@ -94,6 +111,28 @@
   aGang.mRefusals[aPlacer] = { .mMost = aMost, .mUntil = mContext.mNow + kKeepRefusal };
 }
 
+template<guard_policy Guards>
+bool gang_coordinator<Guards>::withinLimit(const coordinated_job& aJob) const
+{
+  const auto& teams = mContext.control().teams();
+  const auto team = teams.find(aJob.mSpec.mTeam);
+  limit_vector need = kZeroLimits;
+  for (std::uint32_t i = 0; i < aJob.mSpec.mTaskCount; ++i) {
+    need = sum(need, chargeOf(aJob.mSpec.mPerTask));
+  }
+  return team != teams.end() && within(need, team->second.mTeam.mLimit);
+}
+
+/// One gang of each team borrows at a time, the one that has waited longest.
+template<guard_policy Guards>
+bool gang_coordinator<Guards>::mayBorrow(const coordinated_job& aJob, const gang& aGang) const
+{
+  const auto waiting = mWaitingOfTeam.find(aJob.mSpec.mTeam);
+  return waiting != mWaitingOfTeam.end() && !waiting->second.empty() &&
+         *waiting->second.begin() == std::pair(aGang.mWaitingSince, aJob.mSpec.mRequest) &&
+         withinLimit(aJob);
+}
+
 template<guard_policy Guards>
 void gang_coordinator<Guards>::tryReserve(coordinated_job& aJob, gang& aGang)
 {
@@ -101,12 +140,12 @@
   ++aGang.mTries;
   const bool draining = isDraining(request, aGang);
   if (!plan(aJob, aGang, basis::free_less_refusals) && !plan(aJob, aGang, basis::free) &&
-      !(draining && plan(aJob, aGang, basis::total))) {
+      !(mayBorrow(aJob, aGang) && plan(aJob, aGang, basis::free_beyond_slice)) &&
+      !(draining && withinLimit(aJob) && plan(aJob, aGang, basis::total))) {
     if (draining) {
       // The gang would not fit even into empty targets; the next gang drains meanwhile.
       removeWaiting(request, aGang);
-      aGang.mWaitingSince = mContext.mNow;
-      mWaiting.emplace(aGang.mWaitingSince, request);
+      addWaiting(aJob, aGang);
     }
     abandonRound(request, aGang);
     return;
@@ -363,8 +402,7 @@
   aGang.mTries = 0;
   aGang.mReservation = 0;
   aGang.mParts.clear();
-  aGang.mWaitingSince = mContext.mNow;
-  mWaiting.emplace(aGang.mWaitingSince, aJob.mSpec.mRequest);
+  addWaiting(aJob, aGang);
   auto delay = backOff(1, kBackOffBase, kBackOffLargest, mContext.mRandom);
   if (failed) {
     ++aGang.mFailures;
@@ -376,32 +414,6 @@
   scheduleTry(aJob.mSpec.mRequest, aGang, delay);
 }
 
-template<guard_policy Guards>
-std::vector<slice_request> gang_coordinator<Guards>::shortages()
-{
-  std::vector<slice_request> requests;
-  auto* job = mWaiting.empty() ? nullptr : mContext.mJobs.find(mWaiting.begin()->second);
-  if (job == nullptr) {
-    return requests;
-  }
-  const auto& spec = job->mSpec;
-  const auto unused = mMemberCapacity.unusedSlice(spec.mTeam);
-  const auto missing = [&spec](std::int64_t aPerTask, std::int64_t aUnused) {
-    return aUnused == limit_vector::kUnlimited
-             ? 0
-             : std::max<std::int64_t>(0, aPerTask * spec.mTaskCount - aUnused);
-  };
-  const limit_vector wanted{ .mTasks = missing(1, unused.mTasks),
-                             .mCpuMilli = missing(spec.mPerTask.mCpuMilli, unused.mCpuMilli),
-                             .mMemoryMb = missing(spec.mPerTask.mMemoryMb, unused.mMemoryMb),
-                             .mAccelerators =
-                               missing(spec.mPerTask.mAccelerators, unused.mAccelerators) };
-  if (wanted != limit_vector{ .mTasks = 0, .mCpuMilli = 0, .mMemoryMb = 0, .mAccelerators = 0 }) {
-    requests.push_back({ .mTeam = spec.mTeam, .mWanted = wanted });
-  }
-  return requests;
-}
-
 template<guard_policy Guards>
 void gang_coordinator<Guards>::forget(const request_id& aRequest)
 {
--- a/kernel/src/member_capacity.h
+++ b/kernel/src/member_capacity.h
@@ -34,19 +34,10 @@
   bool hasFreeCapacity(const incarnation_id& aMember, const job_spec& aJob) const;
   void deduct(const incarnation_id& aMember, const job_spec& aJob, std::int64_t aTasks = 1);
 
-  /// Number of tasks of aJob that fit into aMember's free (with aTotal: total) capacity and its
-  /// unused slice. Sums over all its targets, so fragmentation is ignored.
-  std::int64_t capacity(const incarnation_id& aMember, const job_spec& aJob, bool aTotal) const;
-  /// Part of this daemon's slice of aTeam that is not charged; unlimited if the team is unknown.
-  limit_vector unusedSlice(const team_name& aTeam) const
-  {
-    const auto self = mEntries.find(mContext.self());
-    if (self == mEntries.end()) {
-      return {};
-    }
-    const auto found = self->second.mUnusedSlices.find(aTeam);
-    return found == self->second.mUnusedSlices.end() ? limit_vector{} : found->second;
-  }
+  /// Number of tasks of aJob that fit into aMember's free (with aTotal: total) capacity and, with
+  /// aWithinSlice, its unused slice. Sums over all its targets, so fragmentation is ignored.
+  std::int64_t capacity(const incarnation_id& aMember, const job_spec& aJob, bool aTotal,
+                        bool aWithinSlice) const;
   /// Members that may run aJob, this daemon first.
   std::vector<incarnation_id> allowed(const job_spec& aJob) const;
   /// Other members that have had free capacity for at least kSustainedCapacityPeriod.
@@ -275,7 +266,7 @@
 
 template<guard_policy Guards>
 std::int64_t member_capacity<Guards>::capacity(const incarnation_id& aMember, const job_spec& aJob,
-                                               bool aTotal) const
+                                               bool aTotal, bool aWithinSlice) const
 {
   const auto found = mEntries.find(aMember);
   if (found == mEntries.end() || !mayRun(found->second, aJob)) {
@@ -296,7 +287,7 @@
   bound(sums.mMemoryMb, aJob.mPerTask.mMemoryMb);
   bound(sums.mAccelerators, aJob.mPerTask.mAccelerators);
   const auto slice = entry.mUnusedSlices.find(aJob.mTeam);
-  if (slice != entry.mUnusedSlices.end()) {
+  if (aWithinSlice && slice != entry.mUnusedSlices.end()) {
     bound(slice->second.mTasks, 1);
     bound(slice->second.mCpuMilli, aJob.mPerTask.mCpuMilli);
     bound(slice->second.mMemoryMb, aJob.mPerTask.mMemoryMb);
--- a/kernel/src/membership_state.h
+++ b/kernel/src/membership_state.h
@@ -463,7 +463,7 @@
   void advanceShortages(std::span<const slice_request> aShortages, time_point aNow)
   {
     for (const slice_request& request : aShortages) {
-      time_point& nextAt = mNextSliceRequestAt[request.mTeam];
+      time_point& nextAt = mNextSliceRequestAt[{ request.mTeam, request.mWaited.count() > 0 }];
       if (aNow < nextAt) {
         continue;
       }
@@ -813,7 +813,8 @@
   std::vector<failed_over_member> mFailedOverMembers;
   std::set<incarnation_id> mRecordedFailovers;
   std::map<incarnation_id, std::string> mFailoverRecordIds;
-  std::map<team_name, time_point> mNextSliceRequestAt;
+  /// By team and whether a gang needs the slice: requests of the queue don't delay those of a gang.
+  std::map<std::pair<team_name, bool>, time_point> mNextSliceRequestAt;
   /// The latest kRecordsKept applied records, for peers that are behind.
   std::deque<stored_record<control_record>> mRecent;
   /// Offsets and the times at which they were applied, until settlePeriod() has passed.
--- a/kernel/src/placer_definitions.h
+++ b/kernel/src/placer_definitions.h
@@ -113,9 +113,16 @@
   return mImpl->charged(aTeam);
 }
 template<guard_policy Guards>
-std::vector<slice_request> basic_placer<Guards>::shortages() const
+std::vector<slice_request> basic_placer<Guards>::shortages(time_point aNow) const
 {
-  return mImpl->shortages();
+  return mImpl->shortages(aNow);
+}
+template<guard_policy Guards>
+limit_vector basic_placer<Guards>::keptFromLending(const incarnation_id& aBorrower,
+                                                   const slice_request& aRequest,
+                                                   time_point aNow) const
+{
+  return mImpl->keptFromLending(aBorrower, aRequest, aNow);
 }
 template<guard_policy Guards>
 bool basic_placer<Guards>::reconciled(const incarnation_id&, const std::set<target_id>& aElsewhere,
--- a/kernel/src/placer_gangs.h
+++ b/kernel/src/placer_gangs.h
@@ -3,6 +3,7 @@
 #include "placer_impl.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace endiveusher {
 
@@ -26,11 +27,14 @@
     const held_attempt* held = mAttempts.find(task.mKey);
     const bool mayHold = held == nullptr || held->mState == placed_state::queued ||
                          (held->final() && held->mTask.mAttempt <= task.mAttempt);
-    target_state* target =
-      mayHold && fitsSlice(task.mTeam, task.mSize) ? choose(task.mSize, drains, aNow) : nullptr;
+    const bool inSlice = fitsSlice(task.mTeam, task.mSize);
+    target_state* target = mayHold && inSlice ? choose(task.mSize, drains, aNow) : nullptr;
     if (target == nullptr) {
       freeReservation(made);
-      recordWaitingGang(aTasks, aWaited, aNow);
+      if (!inSlice) {
+        recordSliceWaiter(aTasks, aWaited, aNow);
+      }
+      recordWaitingGang(aTasks, aWaited, inSlice, aNow);
       return false;
     }
     target->mAccount.addPending(task.mSize);
@@ -42,6 +46,10 @@
       internal::within(mSlices.of(task.mTeam).mCharged, mView.mTeams.at(task.mTeam).mSlice),
       "a reservation keeps the team's charge within its slice");
   }
+  const auto waiter = mSliceWaiters.find(aTasks.front().mTeam);
+  if (waiter != mSliceWaiters.end() && waiter->second.mRequest == aTasks.front().mKey.mRequest) {
+    mSliceWaiters.erase(waiter);
+  }
   mReservations.add(id, std::move(made));
   if (drains) {
     // Other placers of the gang may still lack capacity, so draining continues until the commit.
@@ -122,14 +130,66 @@
 }
 
 template<guard_policy Guards>
-void basic_placer<Guards>::impl::recordWaitingGang(std::span<const task_attempt> aTasks,
+limit_vector basic_placer<Guards>::impl::needOf(std::span<const task_attempt> aTasks)
+{
+  limit_vector need = internal::slice_account::kZero;
+  for (const task_attempt& task : aTasks) {
+    need = internal::sum(need, internal::chargeOf(task.mSize));
+  }
+  return need;
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::recordSliceWaiter(std::span<const task_attempt> aTasks,
                                                    duration aWaited, time_point aNow)
+{
+  const request_id& request = aTasks.front().mKey.mRequest;
+  const auto [entry, isNew] = mSliceWaiters.try_emplace(aTasks.front().mTeam);
+  internal::slice_waiter& waiter = entry->second;
+  const bool same = waiter.mRequest == request;
+  if (!isNew && !same && waiter.asks(aNow) && aWaited <= waiter.waited(aNow)) {
+    return;
+  }
+  waiter = { .mRequest = request,
+             .mNeed = needOf(aTasks),
+             .mWaited = aWaited,
+             .mSince = same ? waiter.mSince : aNow,
+             .mLastAsked = aNow };
+}
+
+template<guard_policy Guards>
+limit_vector basic_placer<Guards>::impl::keptFromLending(const incarnation_id& aBorrower,
+                                                         const slice_request& aRequest,
+                                                         time_point aNow) const
+{
+  const auto found = mSliceWaiters.find(aRequest.mTeam);
+  if (found == mSliceWaiters.end() || !found->second.collects(aNow)) {
+    return internal::slice_account::kZero;
+  }
+  // Compares powers of two, because a stated wait is late by the time of its message: with exact
+  // values both daemons could take their own gang for the older one and lend nothing for ever.
+  const auto rank = [](duration aWaited) {
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(aWaited).count();
+    return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(0, waited)));
+  };
+  const auto own = rank(found->second.waited(aNow));
+  const auto other = rank(aRequest.mWaited);
+  const bool yields =
+    aRequest.mWaited.count() > 0 && (other > own || (other == own && aBorrower < self()));
+  return yields ? internal::slice_account::kZero : found->second.mNeed;
+}
+
+template<guard_policy Guards>
+void basic_placer<Guards>::impl::recordWaitingGang(std::span<const task_attempt> aTasks,
+                                                   duration aWaited, bool aLacksTargets,
+                                                   time_point aNow)
 {
   constexpr duration kDrainAfter = std::chrono::seconds(5);
   const request_id& request = aTasks.front().mKey.mRequest;
   if (mDraining && mDraining->mRequest == request) {
     mDraining->mWaited = aWaited;
     mDraining->mLastAsked = aNow;
+    mDraining->mLacksTargets = mDraining->mLacksTargets || aLacksTargets;
     return;
   }
   if (aWaited < kDrainAfter ||
@@ -138,6 +198,9 @@
   }
   // A gang that replaces another one gets only the remainder of its draining time.
   internal::draining_gang gang{ .mRequest = request,
+                                .mTeam = aTasks.front().mTeam,
+                                .mNeed = needOf(aTasks),
+                                .mLacksTargets = aLacksTargets,
                                 .mWaited = aWaited,
                                 .mSince = mDraining ? mDraining->mSince : aNow,
                                 .mLastAsked = aNow };
@@ -165,7 +228,7 @@
     wasDraining = wasDraining || target->mDraining;
     target->mDraining = false;
   }
-  if (!mDraining) {
+  if (!mDraining || !mDraining->mLacksTargets) {
     if (wasDraining) {
       onCapacityFreed();
     }
--- a/kernel/src/placer_impl.h
+++ b/kernel/src/placer_impl.h
@@ -39,6 +39,8 @@
                std::span<const task_attempt> aTasks, duration aWaited, time_point aNow);
   bool commit(const incarnation_id& aCoordinator, std::uint64_t aReservation, time_point aNow);
   void release(const incarnation_id& aCoordinator, std::uint64_t aReservation);
+  limit_vector keptFromLending(const incarnation_id& aBorrower, const slice_request& aRequest,
+                               time_point aNow) const;
 
   // placer_answers.h
   void handle(const exchange_event& aEvent, time_point aNow);
@@ -54,7 +56,7 @@
   task_report reportFor(const incarnation_id& aCoordinator) const;
   placer_summary summary() const;
   limit_vector charged(const team_name& aTeam) const { return mSlices.of(aTeam).mCharged; }
-  std::vector<slice_request> shortages() const;
+  std::vector<slice_request> shortages(time_point aNow) const;
   bool reconciled(const std::set<target_id>& aElsewhere, bool aConfirmedDead, time_point aSince,
                   time_point aNow) const;
   bool couldEverFit(const resources& aSize) const;
@@ -107,7 +109,9 @@
   // placer_schedule.h
   bool mayStart(time_point aNow) const;
   bool placeable(const target_state& aTarget, time_point aNow, bool aUrgent) const;
-  bool fitsSlice(const team_name& aTeam, const resources& aSize) const;
+  /// Whether a task fits beside the charge of its team and aKept.
+  bool fitsSlice(const team_name& aTeam, const resources& aSize,
+                 const limit_vector& aKept = internal::slice_account::kZero) const;
   void schedule(time_point aNow);
   bool startNext(team_queue& aTeam, time_point aNow);
   target_state* choose(const resources& aSize, bool aUrgent, time_point aNow);
@@ -125,7 +129,10 @@
 
   // placer_gangs.h
   void freeReservation(const internal::reservation& aReservation);
-  void recordWaitingGang(std::span<const task_attempt> aTasks, duration aWaited, time_point aNow);
+  static limit_vector needOf(std::span<const task_attempt> aTasks);
+  void recordSliceWaiter(std::span<const task_attempt> aTasks, duration aWaited, time_point aNow);
+  void recordWaitingGang(std::span<const task_attempt> aTasks, duration aWaited, bool aLacksTargets,
+                         time_point aNow);
   void updateDraining(time_point aNow);
 
   // placer_exchanges.h
@@ -175,6 +182,7 @@
   internal::reservation_table mReservations;
   std::optional<internal::draining_gang> mDraining;
   time_point mNextDrainFrom{};
+  std::map<team_name, internal::slice_waiter> mSliceWaiters;
   std::map<task_key, urgent_hold> mHolds;
   /// Queued attempts whose earlier attempt was found running; queued again after its end.
   std::map<task_key, held_attempt> mDeferred;
--- a/kernel/src/placer_report.h
+++ b/kernel/src/placer_report.h
@@ -107,9 +107,25 @@
 }
 
 template<guard_policy Guards>
-std::vector<slice_request> basic_placer<Guards>::impl::shortages() const
+std::vector<slice_request> basic_placer<Guards>::impl::shortages(time_point aNow) const
 {
   std::vector<slice_request> requests;
+  for (const auto& [name, waiter] : mSliceWaiters) {
+    const auto info = mView.mTeams.find(name);
+    if (info == mView.mTeams.end() || !waiter.collects(aNow)) {
+      continue;
+    }
+    const limit_vector unused = internal::unusedOf(info->second.mSlice, mSlices.of(name).mCharged);
+    // An unlimited unused amount exceeds every need.
+    const limit_vector wanted = internal::unusedOf(waiter.mNeed, unused);
+    if (wanted != internal::slice_account::kZero) {
+      const auto waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(waiter.waited(aNow));
+      requests.push_back({ .mTeam = name,
+                           .mWanted = wanted,
+                           .mWaited = std::max(waited, std::chrono::milliseconds(1)) });
+    }
+  }
   const resources free = summary().mFree;
   for (const auto& [name, queued] : mQueue.teams()) {
     const auto info = mView.mTeams.find(name);
--- a/kernel/src/placer_schedule.h
+++ b/kernel/src/placer_schedule.h
@@ -32,15 +32,16 @@
 }
 
 template<guard_policy Guards>
-bool basic_placer<Guards>::impl::fitsSlice(const team_name& aTeam, const resources& aSize) const
+bool basic_placer<Guards>::impl::fitsSlice(const team_name& aTeam, const resources& aSize,
+                                           const limit_vector& aKept) const
 {
   const auto info = mView.mTeams.find(aTeam);
   if (info == mView.mTeams.end()) {
     return false;
   }
   if constexpr (Guards::kChecksSlices) {
-    return internal::within(internal::sum(mSlices.of(aTeam).mCharged, internal::chargeOf(aSize)),
-                            info->second.mSlice);
+    const limit_vector charge = internal::sum(mSlices.of(aTeam).mCharged, aKept);
+    return internal::within(internal::sum(charge, internal::chargeOf(aSize)), info->second.mSlice);
   }
   return true;
 }
@@ -79,10 +80,14 @@
   }
   for (std::size_t lane = 0; lane < aTeam.mLanes.size(); ++lane) {
     const bool urgent = lane == team_queue::kUrgentLane;
+    // Batch tasks leave the freed slice to a gang of their team that drains.
+    const bool yields =
+      lane == team_queue::kBatchLane && mDraining && mDraining->mTeam == aTeam.mTeam;
+    const limit_vector kept = yields ? mDraining->mNeed : internal::slice_account::kZero;
     for (const auto& [rank, head] : aTeam.mLanes.at(lane).heads()) {
       held_attempt& attempt = *head;
       const resources& size = attempt.mTask.mSize;
-      if (!fitsSlice(aTeam.mTeam, size)) {
+      if (!fitsSlice(aTeam.mTeam, size, kept)) {
         aTeam.mLimitedBySlice = aTeam.mLimitedBySlice ||
                                 std::any_of(mOrder.begin(), mOrder.end(), [&](const auto* aTarget) {
                                   return size.fitsIn(aTarget->mAccount.freeCapacity()) &&
@@ -196,6 +201,7 @@
   for (target_state* target : mOrder) {
     expireLeases(*target, aNow);
   }
+  std::erase_if(mSliceWaiters, [&](const auto& aEntry) { return !aEntry.second.asks(aNow); });
   updateDraining(aNow);
   evictFromLeaving();
   enforceSlices(aNow);
--- a/kernel/src/reservation_table.h
+++ b/kernel/src/reservation_table.h
@@ -2,6 +2,7 @@
 
 #include "endiveusher/kernel/job.h"
 #include "endiveusher/kernel/time.h"
+#include "slice_account.h"
 
 #include <cstdint>
 #include <map>
@@ -27,12 +28,39 @@
 struct draining_gang
 {
   request_id mRequest;
+  team_name mTeam;
   std::vector<resources> mSizes;
+  /// Slice that its tasks need together.
+  limit_vector mNeed = slice_account::kZero;
+  /// Whether the targets had no room for it; if not, it lacks only its team's slice.
+  bool mLacksTargets = false;
   duration mWaited{};
   time_point mSince{};
   time_point mLastAsked{};
 };
 
+/// The gang of a team that has waited longest for a larger slice of this daemon.
+struct slice_waiter
+{
+  request_id mRequest;
+  limit_vector mNeed = slice_account::kZero;
+  /// Time waited at mLastAsked.
+  duration mWaited{};
+  time_point mSince{};
+  time_point mLastAsked{};
+
+  duration waited(time_point aNow) const { return mWaited + (aNow - mLastAsked); }
+  /// Whether its coordinator still asks; the largest back-off between two rounds is 5 s.
+  bool asks(time_point aNow) const { return aNow - mLastAsked < std::chrono::seconds(6); }
+  /// Whether the slice is collected for it now: 10 s of every 20 s, as for draining, so that a gang
+  /// that cannot start does not keep the slice from other tasks for ever.
+  bool collects(time_point aNow) const
+  {
+    return asks(aNow) &&
+           (aNow - mSince) % std::chrono::seconds(20) < duration(std::chrono::seconds(10));
+  }
+};
+
 /// Reservations by coordinator and number, and the ids of recently committed ones.
 class reservation_table
 {
--- a/kernel/src/slice_transfers.h
+++ b/kernel/src/slice_transfers.h
@@ -42,8 +42,9 @@
 
   void markReconciled(const incarnation_id& aDead) { mReconciled.insert(aDead); }
 
-  /// Returns the amount to transfer for a request: half of the unused amount, rounded up, at most
-  /// the wanted amount; zero for a component that is unlimited on either side.
+  /// Returns the amount to transfer for a request, at most the wanted amount; zero for a component
+  /// that is unlimited on either side. Queued tasks get half of the unused amount, rounded up. A
+  /// gang gets all of it, because halves of halves reach the whole only after many requests.
   limit_vector offer(const control_state& aControl, const slice_request& aRequest,
                      const limit_vector& aCharged) const
   {
@@ -55,8 +56,8 @@
         continue;
       }
       const std::int64_t unused = std::max<std::int64_t>(0, own.*component - aCharged.*component);
-      amount.*component =
-        std::clamp<std::int64_t>(aRequest.mWanted.*component, 0, (unused + 1) / 2);
+      const std::int64_t most = aRequest.mWaited.count() > 0 ? unused : (unused + 1) / 2;
+      amount.*component = std::clamp<std::int64_t>(aRequest.mWanted.*component, 0, most);
     }
     return amount;
   }
--- a/protocol/schema/endiveusher.capnp
+++ b/protocol/schema/endiveusher.capnp
@@ -592,6 +592,7 @@
 struct SliceRequest {
   team @0 :Text;
   wanted @1 :Limit;
+  waitedMs @2 :Int64;
 }
 
 struct Records {
--- a/protocol/src/codec_peer.h
+++ b/protocol/src/codec_peer.h
@@ -197,6 +197,7 @@
   {
     aArchive(aValue.mTeam, ENDIVEUSHER_FIELD(Team));
     aArchive(aValue.mWanted, ENDIVEUSHER_FIELD(Wanted));
+    aArchive(aValue.mWaited, ENDIVEUSHER_FIELD(WaitedMs));
   }
 };
 template<>
--- a/tests/kernel/core_gangs_test.cpp
+++ b/tests/kernel/core_gangs_test.cpp
@@ -83,3 +83,137 @@
   const auto waited = startTime(cell, gang, seconds(30));
   CHECK_COMPARE(waited.count(), <, duration(seconds(2)).count());
 }
+
+// Guards against batch tasks of the gang's own team that take each freed part of the limit.
+TEST(core_gangs, batchTasksOfTheTeamDoNotTakeTheLimitFromAWaitingGang)
+{
+  core_cell cell;
+  cell.add("d1");
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.start();
+  cell.publish({ set_team{ .mTeam = "a", .mLimit = { .mTasks = 8 } } });
+  cell.run(seconds(4));
+  for (const auto* command : { "run=700ms", "run=900ms", "run=1100ms" }) {
+    auto small = jobOf(cell.ticket("d1"), job_kind::batch, 150);
+    small.mCommand = command;
+    cell.submit("d1", small);
+  }
+  cell.run(seconds(2));
+  const auto gang = gangOf(cell, "d1", 6);
+  cell.submit("d1", gang);
+  const auto waited = startTime(cell, gang, seconds(30));
+  CHECK_COMPARE(waited.count(), <, duration(seconds(12)).count());
+}
+
+// Guards against two gangs of a team whose daemons lend each other's missing part of the limit, so
+// that neither holds enough of it at once.
+TEST(core_gangs, gangsOfTwoDaemonsDoNotTradeTheLimitForEver)
+{
+  core_cell cell;
+  cell.add("d1", "z1");
+  cell.add("d2", "z2");
+  cell.addTarget("t1", "z1");
+  cell.addTarget("t2", "z2");
+  cell.start();
+  cell.publish({ set_team{ .mTeam = "a", .mLimit = { .mTasks = 10 } } });
+  cell.run(seconds(4));
+  const auto first = gangOf(cell, "d1", 8, { "z1" });
+  const auto second = gangOf(cell, "d2", 8, { "z2" });
+  cell.call("d1", submit_call{ .mKey = kKey, .mJob = first });
+  cell.call("d2", submit_call{ .mKey = kKey, .mJob = second });
+  cell.run(seconds(20));
+  CHECK_EQUAL(8, cell.starts(first.mRequest, 8));
+  CHECK_EQUAL(8, cell.starts(second.mRequest, 8));
+}
+
+// Guards against a limit that is collected in halves, one lender after the other.
+TEST(core_gangs, aGangCollectsTheLimitOfIdleDaemonsInTime)
+{
+  core_cell cell;
+  for (const auto* name : { "d1", "d2", "d3", "d4", "d5", "d6" }) {
+    cell.add(name, "z" + std::string(name).substr(1));
+    cell.addTarget("t" + std::string(name), "z" + std::string(name).substr(1));
+  }
+  cell.start();
+  cell.publish({ set_team{ .mTeam = "a", .mLimit = { .mCpuMilli = 24'000 } } });
+  cell.run(seconds(4));
+  auto gang = gangOf(cell, "d1", 8, { "z1" });
+  gang.mPerTask.mCpuMilli = 3'000;
+  cell.submit("d1", gang);
+  const auto waited = startTime(cell, gang, seconds(60));
+  CHECK_COMPARE(waited.count(), <, duration(seconds(6)).count());
+}
+
+// Guards against a slice request of a gang that is never sent because the queue of the same team
+// lacks some of its limit too.
+TEST(core_gangs, aGangBorrowsLimitBesideQueuedTasksOfItsTeam)
+{
+  core_cell cell;
+  cell.add("d1", "z1");
+  cell.add("d2", "z2");
+  cell.addTarget("t1", "z1", 24);
+  cell.addTarget("t2", "z2", 24);
+  cell.start();
+  cell.publish({ set_team{ .mTeam = "a", .mLimit = { .mTasks = 16 } } });
+  cell.run(seconds(4));
+  auto small = jobOf(cell.ticket("d1"), job_kind::batch, 400);
+  small.mZones = { "z1" };
+  small.mCommand = "run=900ms";
+  cell.submit("d1", small);
+  cell.run(seconds(2));
+  const auto gang = gangOf(cell, "d1", 12, { "z1" });
+  cell.submit("d1", gang);
+  const auto waited = startTime(cell, gang, seconds(60));
+  CHECK_COMPARE(waited.count(), <, duration(seconds(15)).count());
+}
+
+// Guards against a coordinator outside the zones of its gang that borrows the limit of the only
+// daemon that may run it.
+TEST(core_gangs, aCoordinatorInAnotherZoneDoesNotTakeTheLimitItsGangNeeds)
+{
+  core_cell cell;
+  cell.add("d1", "z1");
+  cell.add("d2", "z2");
+  cell.addTarget("t1", "z1");
+  cell.addTarget("t2", "z2");
+  cell.start();
+  cell.publish({ set_team{ .mTeam = "a", .mLimit = { .mTasks = 10 } } });
+  cell.run(seconds(4));
+  const auto gang = gangOf(cell, "d1", 8, { "z2" });
+  cell.submit("d1", gang);
+  const auto waited = startTime(cell, gang, seconds(60));
+  CHECK_COMPARE(waited.count(), <, duration(seconds(6)).count());
+}
+
+// Guards against a gang that waits for capacity and keeps the gangs of other teams from asking for
+// the limit that they lack.
+TEST(core_gangs, aGangThatWaitsForCapacityDoesNotKeepOthersFromBorrowing)
+{
+  core_cell cell;
+  cell.add("d1", "z1");
+  cell.add("d2", "z2");
+  for (const auto* name : { "a1", "a2", "a3", "a4" }) {
+    cell.addTarget(name, "z1");
+  }
+  cell.addTarget("b1", "z2");
+  cell.start();
+  cell.publish({ set_team{ .mTeam = "b", .mLimit = { .mTasks = 10 } },
+                 grant_key{ .mTeam = "b", .mKeyDigest = internal::keyDigest(kKeyOfB) } });
+  cell.run(seconds(4));
+  auto fill = jobOf(cell.ticket("d1"), job_kind::batch, 3);
+  fill.mZones = { "z1" };
+  fill.mPerTask.mCpuMilli = 20'000;
+  fill.mCommand = "run=100000ms";
+  cell.submit("d1", fill);
+  cell.run(seconds(3));
+  auto blocked = gangOf(cell, "d1", 4, { "z1" });
+  blocked.mPerTask.mCpuMilli = 20'000;
+  cell.submit("d1", blocked);
+  cell.run(seconds(1));
+  auto gang = gangOf(cell, "d1", 8, { "z1" });
+  gang.mTeam = "b";
+  cell.ask("d1", submit_call{ .mKey = kKeyOfB, .mJob = gang });
+  const auto waited = startTime(cell, gang, seconds(60));
+  CHECK_COMPARE(waited.count(), <, duration(seconds(6)).count());
+}
--- a/tests/kernel/placer_limits_test.cpp
+++ b/tests/kernel/placer_limits_test.cpp
@@ -30,7 +30,7 @@
   cell.setView();
   cell.enqueueMany(5);
   cell.run(1s);
-  const std::vector<slice_request> shortages = cell.mPlacer.shortages();
+  const std::vector<slice_request> shortages = cell.mPlacer.shortages(cell.mNow);
   UNSIGNED_LONGS_EQUAL(1, shortages.size());
   LONGS_EQUAL(2, shortages.at(0).mWanted.mTasks);
   LONGS_EQUAL(0, cell.mPlacer.summary().mTeams.at(0).mUnusedSlice.mTasks);
