Drain all placers of a gang in the same part of its wait

Cause: a placer holds freed capacity for a draining gang for 10 s of every 20 s, counted from its own last draining. Two placers of one gang can drain at opposite times: the first gives its part to batch tasks before the second has the other part, in every period.

Change: a gang drains in the first 10 s of each 20 s of its own wait, which its coordinator states to all placers. A placer that begins late ends with the others. A placer still drains for at most 10 s and then for 10 s not.

--- a/kernel/src/placer_gangs.h
+++ b/kernel/src/placer_gangs.h
@@ -192,23 +192,28 @@
     mDraining->mLacksTargets = mDraining->mLacksTargets || aLacksTargets;
     return;
   }
-  if (aWaited < kDrainAfter ||
+  // A gang drains in the first half of each period of its own wait. All of its placers are told the
+  // same wait, so that they hold capacity at the same time.
+  constexpr duration kDrainPeriod = std::chrono::seconds(20);
+  constexpr duration kMaxDrainTime = kDrainPeriod / 2;
+  const duration sincePeriodBegan = (aWaited - kDrainAfter) % kDrainPeriod;
+  if (aWaited < kDrainAfter || sincePeriodBegan >= kMaxDrainTime ||
       (mDraining ? aWaited <= mDraining->mWaited : aNow < mNextDrainFrom)) {
     return;
   }
   // A gang that replaces another one gets only the remainder of its draining time.
+  const time_point end = aNow + (kMaxDrainTime - sincePeriodBegan);
   internal::draining_gang gang{ .mRequest = request,
                                 .mTeam = aTasks.front().mTeam,
                                 .mNeed = needOf(aTasks),
                                 .mLacksTargets = aLacksTargets,
                                 .mWaited = aWaited,
-                                .mSince = mDraining ? mDraining->mSince : aNow,
+                                .mUntil = mDraining ? std::min(end, mDraining->mUntil) : end,
                                 .mLastAsked = aNow };
   for (const task_attempt& task : aTasks) {
     gang.mSizes.push_back(task.mSize);
   }
-  constexpr duration kMinDrainPeriod = std::chrono::seconds(20);
-  mNextDrainFrom = gang.mSince + kMinDrainPeriod;
+  mNextDrainFrom = gang.mUntil + (kDrainPeriod - kMaxDrainTime);
   mDraining = std::move(gang);
   updateDraining(aNow);
 }
@@ -216,11 +221,10 @@
 template<guard_policy Guards>
 void basic_placer<Guards>::impl::updateDraining(time_point aNow)
 {
-  constexpr duration kMaxDrainTime = std::chrono::seconds(10);
   // A coordinator that has stopped asking has abandoned the gang.
   constexpr duration kDrainRequestTimeout = std::chrono::seconds(5);
-  if (mDraining && (aNow - mDraining->mSince >= kMaxDrainTime ||
-                    aNow - mDraining->mLastAsked >= kDrainRequestTimeout)) {
+  if (mDraining &&
+      (aNow >= mDraining->mUntil || aNow - mDraining->mLastAsked >= kDrainRequestTimeout)) {
     mDraining.reset();
   }
   bool wasDraining = false;
--- a/kernel/src/reservation_table.h
+++ b/kernel/src/reservation_table.h
@@ -35,7 +35,8 @@
   /// Whether the targets had no room for it; if not, it lacks only its team's slice.
   bool mLacksTargets = false;
   duration mWaited{};
-  time_point mSince{};
+  /// End of the draining.
+  time_point mUntil{};
   time_point mLastAsked{};
 };
 
--- a/tests/kernel/core_gangs_test.cpp
+++ b/tests/kernel/core_gangs_test.cpp
@@ -217,3 +217,85 @@
   const auto waited = startTime(cell, gang, seconds(60));
   CHECK_COMPARE(waited.count(), <, duration(seconds(6)).count());
 }
+
+// Guards against a gang that asks a member in every round whose answers never arrive.
+TEST(core_gangs, aMemberThatDoesNotAnswerDoesNotStopAGangThatFitsElsewhere)
+{
+  core_cell cell;
+  cell.add("d1", "z1");
+  cell.add("d2", "z2");
+  cell.add("d3", "z3");
+  cell.addTarget("t2", "z2");
+  cell.addTarget("t3", "z3");
+  cell.start();
+  cell.mPasses = [](const peer_message& aMessage) {
+    return aMessage.mTo != "d2" || !std::holds_alternative<reserve>(aMessage.mBody);
+  };
+  const auto gang = gangOf(cell, "d1", 6);
+  cell.submit("d1", gang);
+  const auto waited = startTime(cell, gang, seconds(60));
+  CHECK_COMPARE(waited.count(), <, duration(seconds(3)).count());
+}
+
+// Guards against gangs of three daemons that trade the limit, whatever the time between their
+// submissions; the waits that they state then differ by less than a message takes, or by more.
+TEST(core_gangs, gangsOfThreeDaemonsStartOneAfterTheOther)
+{
+  for (const auto apart :
+       { milliseconds(0), milliseconds(10), milliseconds(300), milliseconds(2000) }) {
+    core_cell cell;
+    std::vector<job_spec> gangs;
+    for (const auto* number : { "1", "2", "3" }) {
+      cell.add(std::string("d") + number, std::string("z") + number);
+      cell.addTarget(std::string("t") + number, std::string("z") + number);
+    }
+    cell.start();
+    cell.publish({ set_team{ .mTeam = "a", .mLimit = { .mTasks = 9, .mCpuMilli = 10'000 } } });
+    cell.run(seconds(4));
+    for (const auto* number : { "3", "1", "2" }) {
+      auto gang = gangOf(cell, std::string("d") + number, 8, { std::string("z") + number });
+      gang.mRunTime = milliseconds(1500);
+      gang.mCommand = "run=1500ms";
+      cell.call(std::string("d") + number, submit_call{ .mKey = kKey, .mJob = gang });
+      gangs.push_back(gang);
+      cell.run(apart);
+    }
+    cell.run(seconds(25));
+    for (const auto& gang : gangs) {
+      CHECK_EQUAL(8, cell.starts(gang.mRequest, 8));
+    }
+  }
+}
+
+// Guards against a gang on two placers that hold freed capacity for it at different times, so that
+// one loses it to small tasks before the other has it. An earlier gang has moved the time at which
+// d2 may hold capacity again.
+TEST(core_gangs, placersHoldFreedCapacityForAGangAtTheSameTime)
+{
+  for (const auto apart : { seconds(0), seconds(4), seconds(8), seconds(12), seconds(16) }) {
+    core_cell cell;
+    cell.add("d1", "z1");
+    cell.add("d2", "z2");
+    cell.addTarget("t1", "z1");
+    cell.addTarget("t2", "z2");
+    cell.start();
+    for (const auto* zone : { "z1", "z2" }) {
+      for (const auto* command : { "run=6000ms", "run=7000ms", "run=8000ms", "run=9000ms" }) {
+        auto small = jobOf(cell.ticket("d1"), job_kind::batch, 60);
+        small.mZones = { zone };
+        small.mCommand = command;
+        cell.submit(zone == std::string("z1") ? "d1" : "d2", small);
+      }
+    }
+    cell.run(seconds(5));
+    CHECK_EQUAL(16, cell.running());
+    const auto earlier = gangOf(cell, "d2", 8, { "z2" });
+    cell.submit("d2", earlier);
+    cell.run(apart);
+    const auto gang = gangOf(cell, "d1", 16);
+    cell.submit("d1", gang);
+    const auto waited = startTime(cell, gang, seconds(120));
+    CHECK_EQUAL(8, cell.starts(earlier.mRequest, 8));
+    CHECK_COMPARE(waited.count(), <, duration(seconds(40)).count());
+  }
+}
