Free the reservation of an earlier round when a gang reserves again

Cause: a reservation is freed by a release message or after 3 s. If the release is lost, or arrives before a delayed reserve, the gang's own earlier reservation takes the capacity that its next round asks for.

Evidence: placer_limits.aLaterRoundReplacesTheReservationOfAnEarlierOne on the previous code: the second round is refused on an empty target.

Change: reserve() frees reservations of earlier rounds of the same gang and coordinator, and refuses a late copy of an earlier round.

--- a/kernel/src/placer_gangs.h
+++ b/kernel/src/placer_gangs.h
@@ -20,6 +20,14 @@
   if (!mayStart(aNow) || aTasks.empty()) {
     return false;
   }
+  // A coordinator has given up the earlier rounds of a gang when it begins a later one. Their
+  // release may have been lost, and they would take the capacity that this round needs.
+  for (const auto& other : mReservations.otherRounds(id, aTasks.front().mKey.mRequest)) {
+    if (other.second > aReservation) {
+      return false;
+    }
+    freeReservation(mReservations.take(other));
+  }
   // Capacity reserved by draining is available to the draining gang.
   const bool drains = mDraining && mDraining->mRequest == aTasks.front().mKey.mRequest;
   internal::reservation made{ .mExpires = aNow + mOptions.mTiming.mReservationPeriod };
--- a/kernel/src/reservation_table.h
+++ b/kernel/src/reservation_table.h
@@ -77,6 +77,18 @@
   {
     mHeld.insert_or_assign(aId, std::move(aReservation));
   }
+  /// Reservations of other rounds of the gang aRequest by the same coordinator.
+  std::vector<id> otherRounds(const id& aId, const request_id& aRequest) const
+  {
+    std::vector<id> ids;
+    for (auto entry = mHeld.lower_bound({ aId.first, 0 });
+         entry != mHeld.end() && entry->first.first == aId.first; ++entry) {
+      if (entry->first != aId && entry->second.mParts.front().mTask.mKey.mRequest == aRequest) {
+        ids.push_back(entry->first);
+      }
+    }
+    return ids;
+  }
   reservation take(const id& aId) { return std::move(mHeld.extract(aId).mapped()); }
   std::vector<id> expired(time_point aNow) const
   {
--- a/tests/kernel/placer_limits_test.cpp
+++ b/tests/kernel/placer_limits_test.cpp
@@ -131,3 +131,20 @@
   cell.run(1s);
   CHECK(cell.placed(0).mState == placed_state::running);
 }
+
+// Guards against a gang whose own earlier reservation takes the capacity of its next round because
+// the message that releases it was lost.
+TEST(placer_limits, aLaterRoundReplacesTheReservationOfAnEarlierOne)
+{
+  placer_harness<> cell(1);
+  cell.run(1s);
+  CHECK(cell.mPlacer.reserve("home", 1, gangOf(cell, 8), 0s, cell.mNow));
+  CHECK(cell.mPlacer.reserve("home", 2, gangOf(cell, 8), 0s, cell.mNow));
+  LONGS_EQUAL(8, cell.mPlacer.charged("team").mTasks);
+  // A late copy of the earlier round doesn't replace the later one.
+  CHECK_FALSE(cell.mPlacer.reserve("home", 1, gangOf(cell, 8), 0s, cell.mNow));
+  CHECK_FALSE(cell.mPlacer.commit("home", 1, cell.mNow));
+  CHECK(cell.mPlacer.commit("home", 2, cell.mNow));
+  cell.run(500ms);
+  UNSIGNED_LONGS_EQUAL(8, cell.running());
+}
