--- a/kernel/src/gang_coordinator.h
+++ b/kernel/src/gang_coordinator.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "delegation.h"
+#include "limit_math.h"
+#include "slice_account.h"
 
 #include <map>
 #include <set>
@@ -28,8 +30,6 @@
   void onTaskEnded(coordinated_job& aJob, std::uint32_t aIndex, const placed_task& aPlaced);
   void handle(const incarnation_id& aFrom, const reserve_answer& aAnswer);
   void forget(const request_id& aRequest);
-  /// Returns the amounts that this daemon's slices lack for the gang that has waited longest.
-  std::vector<slice_request> shortages();
   /// Tries the gangs that are due and repeats commits.
   void tick();
 
@@ -41,6 +41,8 @@
   static constexpr duration kDrainingBackOff = std::chrono::milliseconds(500);
   static constexpr duration kDrainAfter = std::chrono::seconds(5);
   static constexpr duration kReserveTimeout = std::chrono::seconds(1);
+  /// Covers one back-off, so that the round after a refusal differs from the refused one.
+  static constexpr duration kKeepRefusal = 2 * kBackOffLargest;
   static constexpr duration kRepeatCommit = std::chrono::milliseconds(200);
   static constexpr std::size_t kMaxTriesPerTick = 50;
   static constexpr std::size_t kFailingTargets = 3;
@@ -68,15 +70,31 @@
     std::vector<std::uint32_t> mTasks;
     bool mReserved = false;
   };
+  /// What a plan assumes about a member's capacity.
+  enum class basis
+  {
+    free_less_refusals, ///< Its free capacity, but less than it has refused recently.
+    free,
+    free_beyond_slice, ///< Its free capacity; it borrows the slice that it lacks.
+    total,             ///< The capacity of its targets when empty.
+  };
+  /// A placer refused a part or did not answer; it gets at most mMost tasks until mUntil.
+  struct refusal
+  {
+    std::int64_t mMost = 0;
+    time_point mUntil{};
+  };
   struct gang
   {
     phase mPhase = phase::waiting;
+    team_name mTeam;
     time_point mWaitingSince{};
     std::uint32_t mTries = 0;
     std::uint32_t mFailures = 0;
     std::set<target_id> mFailedOn;
     std::uint64_t mReservation = 0;
     std::map<incarnation_id, part> mParts;
+    std::map<incarnation_id, refusal> mRefusals;
     time_point mDeadline{};
     time_point mCommitSentAt{};
     std::vector<result> mResults;
@@ -86,7 +104,8 @@
   static result classify(const placed_task& aPlaced);
   void scheduleTry(const request_id& aRequest, gang& aGang, duration aDelay);
   void tryReserve(coordinated_job& aJob, gang& aGang);
-  bool plan(const coordinated_job& aJob, gang& aGang, bool aTotal);
+  bool plan(const coordinated_job& aJob, gang& aGang, basis aBasis);
+  void recordRefusal(gang& aGang, const incarnation_id& aPlacer, std::int64_t aMost);
   void commitAll(coordinated_job& aJob, gang& aGang);
   void releaseAll(const request_id& aRequest, gang& aGang);
   void abandonRound(const request_id& aRequest, gang& aGang);
@@ -97,6 +116,9 @@
   void endAll(coordinated_job& aJob, const gang& aGang);
   void retry(coordinated_job& aJob, gang& aGang);
   bool isDraining(const request_id& aRequest, const gang& aGang) const;
+  bool withinLimit(const coordinated_job& aJob) const;
+  bool mayBorrow(const coordinated_job& aJob, const gang& aGang) const;
+  void addWaiting(const coordinated_job& aJob, gang& aGang);
   void removeWaiting(const request_id& aRequest, const gang& aGang);
 
   core_context<Guards>& mContext;
@@ -108,6 +130,8 @@
   std::set<std::pair<time_point, request_id>> mDue;
   /// Gangs that have not been committed, longest waiting first.
   std::set<std::pair<time_point, request_id>> mWaiting;
+  /// The same gangs by team.
+  std::map<team_name, std::set<std::pair<time_point, request_id>>> mWaitingOfTeam;
   /// Gangs with an unanswered reserve or commit.
   std::set<request_id> mUnanswered;
 };
--- a/kernel/src/member_capacity.h
+++ b/kernel/src/member_capacity.h
@@ -34,19 +34,10 @@
   bool hasFreeCapacity(const incarnation_id& aMember, const job_spec& aJob) const;
   void deduct(const incarnation_id& aMember, const job_spec& aJob, std::int64_t aTasks = 1);
 
-  /// Number of tasks of aJob that fit into aMember's free (with aTotal: total) capacity and its
-  /// unused slice. Sums over all its targets, so fragmentation is ignored.
-  std::int64_t capacity(const incarnation_id& aMember, const job_spec& aJob, bool aTotal) const;
-  /// Part of this daemon's slice of aTeam that is not charged; unlimited if the team is unknown.
-  limit_vector unusedSlice(const team_name& aTeam) const
-  {
-    const auto self = mEntries.find(mContext.self());
-    if (self == mEntries.end()) {
-      return {};
-    }
-    const auto found = self->second.mUnusedSlices.find(aTeam);
-    return found == self->second.mUnusedSlices.end() ? limit_vector{} : found->second;
-  }
+  /// Number of tasks of aJob that fit into aMember's free (with aTotal: total) capacity and, with
+  /// aWithinSlice, its unused slice. Sums over all its targets, so fragmentation is ignored.
+  std::int64_t capacity(const incarnation_id& aMember, const job_spec& aJob, bool aTotal,
+                        bool aWithinSlice) const;
   /// Members that may run aJob, this daemon first.
   std::vector<incarnation_id> allowed(const job_spec& aJob) const;
   /// Other members that have had free capacity for at least kSustainedCapacityPeriod.
@@ -70,6 +61,9 @@
     bool mIsLive = false;
   };
   void readSelf();
+  /// Resources of the waiting tasks of a team that its unused slice allows to start. Tasks that
+  /// wait because any component of the slice is used up do not occupy free capacity.
+  static resources startable(const team_usage& aTeam);
   bool mayRun(const entry& aEntry, const job_spec& aJob) const;
   static bool sliceAllows(const entry& aEntry, const job_spec& aJob);
   bool fits(const entry& aEntry, const job_spec& aJob) const;
@@ -91,13 +85,34 @@
   self.mUnusedSlices.clear();
   for (const auto& team : summary.mTeams) {
     self.mUnusedSlices[team.mTeam] = team.mUnusedSlice;
-    // Tasks that wait because the slice is used up do not occupy free capacity.
-    if (team.mUnusedSlice.mTasks > 0) {
-      self.mFree -= team.mWaiting;
-    }
+    self.mFree -= startable(team);
   }
 }
 
+template<guard_policy Guards>
+resources member_capacity<Guards>::startable(const team_usage& aTeam)
+{
+  const resources& waiting = aTeam.mWaiting;
+  const limit_vector& unused = aTeam.mUnusedSlice;
+  double part = 1.0;
+  const auto bound = [&part](std::int64_t aWaiting, std::int64_t aUnused) {
+    if (aWaiting > 0) {
+      part = std::min(part, static_cast<double>(aUnused) / static_cast<double>(aWaiting));
+    }
+  };
+  bound(waiting.mSlots, unused.mTasks);
+  bound(waiting.mCpuMilli, unused.mCpuMilli);
+  bound(waiting.mMemoryMb, unused.mMemoryMb);
+  bound(waiting.mAccelerators, unused.mAccelerators);
+  const auto scaled = [part](std::int64_t aAmount) {
+    return static_cast<std::int64_t>(static_cast<double>(aAmount) * std::max(0.0, part));
+  };
+  return { .mSlots = scaled(waiting.mSlots),
+           .mCpuMilli = scaled(waiting.mCpuMilli),
+           .mMemoryMb = scaled(waiting.mMemoryMb),
+           .mAccelerators = scaled(waiting.mAccelerators) };
+}
+
 template<guard_policy Guards>
 void member_capacity<Guards>::refresh()
 {
@@ -125,9 +140,7 @@
     resources waiting{ .mSlots = 0 };
     for (const auto& team : gossip->mTeams) {
       entry.mUnusedSlices[team.mTeam] = team.mUnusedSlice;
-      if (team.mUnusedSlice.mTasks > 0) {
-        waiting += team.mWaiting;
-      }
+      waiting += startable(team);
     }
     entry.mFree -= waiting;
     const bool hasFreeCapacity = entry.mFree.mSlots > 0 && entry.mLargestFree.mSlots > 0;
@@ -253,7 +266,7 @@
 
 template<guard_policy Guards>
 std::int64_t member_capacity<Guards>::capacity(const incarnation_id& aMember, const job_spec& aJob,
-                                               bool aTotal) const
+                                               bool aTotal, bool aWithinSlice) const
 {
   const auto found = mEntries.find(aMember);
   if (found == mEntries.end() || !mayRun(found->second, aJob)) {
@@ -274,7 +287,7 @@
   bound(sums.mMemoryMb, aJob.mPerTask.mMemoryMb);
   bound(sums.mAccelerators, aJob.mPerTask.mAccelerators);
   const auto slice = entry.mUnusedSlices.find(aJob.mTeam);
-  if (slice != entry.mUnusedSlices.end()) {
+  if (aWithinSlice && slice != entry.mUnusedSlices.end()) {
     bound(slice->second.mTasks, 1);
     bound(slice->second.mCpuMilli, aJob.mPerTask.mCpuMilli);
     bound(slice->second.mMemoryMb, aJob.mPerTask.mMemoryMb);
