--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -27,6 +27,8 @@
   std::uint64_t mLastEndNumber = 0;
   std::uint64_t mStoredEndNumber = 0;
   bool mReachable = true;
+  /// Whether calls stay open without a reply.
+  bool mIsSilent = false;
   bool mListed = true;
   /// Whether start orders are executed but their replies are lost.
   bool mLosesReplies = false;
@@ -64,6 +66,11 @@
   /// Daemons whose calls get no reply.
   std::set<std::string> mUnreachable;
   std::map<std::string, time_point> mTicketExpiry;
+  /// Whether calls fail whose reply would arrive after their timeout. The service still handles
+  /// them.
+  bool mCallsTimeOut = false;
+  /// Calls that have failed so.
+  std::set<std::uint64_t> mTimedOut;
 
   /// Returns a constant verdict, independent of the order of calls.
   bool good(const std::string& aRoute, const step_key& aStep, const std::string& aTarget) const
@@ -83,6 +90,11 @@
     auto& busyUntil = mBusyUntil[aRequest.mDaemon];
     busyUntil = std::max(busyUntil, aNow) + aTerms.mPerCall +
                 static_cast<int>(aRequest.mTargets.size()) * aTerms.mPerTarget;
+    mTimedOut.erase(aRequest.mCall);
+    if (mCallsTimeOut && busyUntil > aNow + aRequest.mTimeout) {
+      mTimedOut.insert(aRequest.mCall);
+      return aNow + aRequest.mTimeout;
+    }
     return busyUntil;
   }
   advice_ticket issue(const std::string& aTarget, time_point aExpiry)
@@ -365,7 +377,7 @@
       mOwner->onStored(mNow);
     }
     for (auto& call : std::exchange(mPending, {})) {
-      if (call.mReplyAt > mNow) {
+      if (call.mReplyAt > mNow || isHeldOpen(call)) {
         mPending.push_back(std::move(call));
       } else {
         answer(call);
@@ -373,6 +385,12 @@
     }
   }
 
+  bool isHeldOpen(const pending_call& aCall) const
+  {
+    return (aCall.mHeartbeat && mTargets.at(aCall.mHeartbeat->mTarget).mIsSilent) ||
+           (aCall.mStart && mTargets.at(aCall.mStart->mTarget).mIsSilent);
+  }
+
   void breakGang(const step_key& aStep)
   {
     for (auto& [id, target] : mTargets) {
@@ -404,7 +422,8 @@
   void replyToAdvice(const advice_request& aRequest)
   {
     advice_reply reply{ .mCall = aRequest.mCall, .mOk = true };
-    if (mAdviceService && mAdviceService->mUnreachable.contains(aRequest.mDaemon)) {
+    if (mAdviceService && (mAdviceService->mUnreachable.contains(aRequest.mDaemon) ||
+                           mAdviceService->mTimedOut.contains(aRequest.mCall))) {
       reply.mOk = false;
       mOwner->onAdviceReply(reply, mNow);
       return;
