--- a/tests/scheduler/advice_review_test.cpp
+++ b/tests/scheduler/advice_review_test.cpp
@@ -275,7 +275,7 @@
   cell.mAdviceService->mUnreachable.insert(daemonAddress(0));
   std::vector<job_id> jobs(3);
   std::ranges::generate(jobs, [this] { return cell.submitUrgent(small()); });
-  cell.run(milliseconds(600));
+  cell.run(milliseconds(700));
   cell.mAdviceService->mUnreachable.clear();
   checkStartsWithin(jobs, milliseconds(2000));
 }
