--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -101,8 +101,8 @@
 /// Load pattern: wide gangs wait while advice is slow and the capacity of the targets changes. A
 /// gang starts only if its tickets are valid at the same time, and a call may take nearly as long
 /// as a ticket lives. One round of calls therefore queries every target that the gang will use,
-/// also those with a valid ticket: tickets that arrive in several rounds expire one part after the
-/// other.
+/// unless its ticket outlives the round: tickets that arrive in several rounds expire one part
+/// after the other.
 std::vector<std::string> owner::impl::gangTargetsToQuery(
   const waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
   time_point aNow) const
@@ -130,6 +130,9 @@
   });
   const double goodFraction = expectedGoodFraction(aStep.mRoute.mName);
   const auto pending = static_cast<double>(aStep.mPending.size());
+  const auto& terms = *aStep.mRoute.mAdvice;
+  const auto roundEnd =
+    aNow + terms.mPerCall + static_cast<int>(kMaxQueriedTargets) * terms.mPerTarget;
   double expected = 0;
   std::vector<std::string> queried;
   for (const auto& one : options) {
@@ -137,7 +140,10 @@
       break;
     }
     expected += one.mSlots * (one.mIsGood ? 1.0 : kUnknownDiscount * goodFraction);
-    queried.push_back(one.mCandidate->mTarget->mEntry.mId);
+    const auto& target = *one.mCandidate->mTarget;
+    if (aStep.mAdvice.validTicket(target.mNumber, roundEnd + kTicketRenewalMargin) == nullptr) {
+      queried.push_back(target.mEntry.mId);
+    }
   }
   if (expected >= pending) {
     return queried;
