Avoid a daemon once for advice calls that fail together

Change: a failure counts if its call was made after the last failure; if all daemons are avoided, those avoided for the shortest time are tried. Measured: advice_review.callsThatFailTogetherCountAsOneFailure (3,830 ms) and adviceResumesSoonAfterTheServiceWasUnreachable (5,150 ms) failed and pass.

--- a/scheduler/src/advice_dispatcher.cpp
+++ b/scheduler/src/advice_dispatcher.cpp
@@ -78,11 +78,18 @@
   if (isLong && longCalls() >= maxLongCalls(aNow)) {
     return nullptr;
   }
+  // If all daemons are avoided, the service itself may have been unreachable: those that are
+  // avoided for the shortest time are tried again.
+  auto usableFrom = time_point::max();
+  for (const auto& one : mHelpers) {
+    usableFrom = one.mIsPresent ? std::min(usableFrom, one.mAvoidUntil) : usableFrom;
+  }
+  usableFrom = std::max(usableFrom, aNow);
   const helper* best = nullptr;
   for (const auto& one : mHelpers) {
     const bool free =
       isLong ? one.mOpenCalls == 0 : one.mOpenCalls < kMaxOpenShortCalls && !one.mHasLongCall;
-    if (free && one.mIsPresent && one.mAvoidUntil <= aNow &&
+    if (free && one.mIsPresent && one.mAvoidUntil <= usableFrom &&
         (best == nullptr || one.mLoad < best->mLoad)) {
       best = &one;
     }
@@ -107,7 +114,7 @@
     mShortLoad = shortLoad(aNow) + std::chrono::duration<double>(aCost) / kShortLoadPeriod;
     mShortLoadAt = aNow;
   }
-  mCalls[aCall] = { .mHelper = best.mName, .mCost = aCost, .mIsLong = isLong };
+  mCalls[aCall] = { .mHelper = best.mName, .mCost = aCost, .mSent = aNow, .mIsLong = isLong };
   return reservation{ .mHelper = best.mName, .mExpected = best.mLoad };
 }
 
@@ -123,7 +130,8 @@
     used->mHasLongCall = used->mHasLongCall && !found->second.mIsLong;
     if (aOk) {
       used->mFailures = 0;
-    } else {
+    } else if (found->second.mSent >= used->mLastFailure) {
+      used->mLastFailure = aNow;
       used->mAvoidUntil = aNow + doubled(kAvoidPeriod, used->mFailures++, kMaxAvoidPeriod);
     }
   }
--- a/scheduler/src/advice_dispatcher.h
+++ b/scheduler/src/advice_dispatcher.h
@@ -51,13 +51,16 @@
     std::uint32_t mOpenCalls = 0;
     duration mLoad{ 0 };
     bool mHasLongCall = false;
+    /// Number of failures in a row; calls that were open at the same time fail as one.
     std::uint32_t mFailures = 0;
+    time_point mLastFailure{};
     time_point mAvoidUntil{};
   };
   struct call
   {
     std::string mHelper;
     duration mCost{ 0 };
+    time_point mSent{};
     bool mIsLong = false;
   };
   helper* find(const std::string& aName);
