--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -113,8 +113,10 @@
     return;
   }
   for (auto& [id, former] : mTargets) {
-    if (&former != &aTarget && !former.mRuns.empty() && former.mEntry.mVm == aTarget.mEntry.mVm &&
+    if (&former != &aTarget && former.mEntry.mVm == aTarget.mEntry.mVm &&
+        former.mEntry.mIncarnationStart != 0 &&
         former.mEntry.mIncarnationStart < aTarget.mEntry.mIncarnationStart) {
+      former.mListed = false;
       endLostRuns(former, "vm_restarted", aNow);
     }
   }
