--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -199,6 +199,7 @@
     // their epochs.
     target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + mOptions.mLease);
     append(target_acquired{ .mTarget = aTarget, .mEpoch = mEpoch, .mVm = target.mEntry.mVm }, aNow);
+    // Leases are renewed only after the journal records that this epoch does so.
     mNextBatch.mAcquired.push_back(aTarget);
     endRunsOfFormerTargets(target, aNow);
   }
