--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -405,6 +405,9 @@
   if (std::exchange(mRouteAdded, false)) {
     abandonAfterLastAttempts(aNow);
   }
+  if (!std::exchange(mUnlistedTargetsLogged, true)) {
+    logUnlistedTargets(aNow);
+  }
   for (auto at = mTargets.begin(); at != mTargets.end();) {
     auto& target = at->second;
     if (!target.mHeartbeatInFlight && target.mNextHeartbeat <= aNow &&
@@ -449,6 +452,25 @@
          std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
 }
 
+std::string owner::impl::describeLease(const target_state& aTarget, time_point aNow) const
+{
+  const auto known = aTarget.leaseExpiry();
+  return fmt::format("lease_left_ms={} lease_known_from={}",
+                     (known.value_or(formerLeaseExpiry(aTarget)) - aNow) /
+                       std::chrono::milliseconds(1),
+                     known ? "own_renewals" : "epochs");
+}
+
+void owner::impl::logUnlistedTargets(time_point aNow)
+{
+  for (const auto& [id, target] : mTargets) {
+    if (target.mEntry.mAddress.empty()) {
+      mPort.logDecision("target_gone", fmt::format("target={} runs={} {}", id, target.mRuns.size(),
+                                                   describeLease(target, aNow)));
+    }
+  }
+}
+
 owner_counts owner::impl::counts() const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -144,6 +144,11 @@
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
+  /// Returns the time until all leases at the target have expired and where that is known from, for
+  /// the log.
+  std::string describeLease(const target_state& aTarget, time_point aNow) const;
+  /// Logs how long the runs at targets without an address stay open: these get no heartbeat.
+  void logUnlistedTargets(time_point aNow);
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
@@ -225,6 +230,7 @@
   std::map<std::string, route_config> mRoutes;
   /// Whether a route has become known since the last tick.
   bool mRouteAdded = false;
+  bool mUnlistedTargetsLogged = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
   std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -162,8 +162,9 @@
   }
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
-      mPort.logDecision("target_unresponsive", fmt::format("target={} outcome={} runs={}", aTarget,
-                                                           toText(aOutcome), target.mRuns.size()));
+      mPort.logDecision("target_unresponsive",
+                        fmt::format("target={} outcome={} runs={} {}", aTarget, toText(aOutcome),
+                                    target.mRuns.size(), describeLease(target, aNow)));
     }
     target.mNextHeartbeat =
       aNow + (target.mRuns.empty() && target.mMissedHeartbeats > 3 ? kIdleMissedHeartbeatPause
