--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -196,8 +196,10 @@
     mPending.clear();
     mUnstored.clear();
     mJobTable.clear();
-    for (const auto& record : mJournal) {
-      mJobTable.apply(record, mNow);
+    // A follower has read each record soon after it was stored.
+    mStoredAt.resize(mJournal.size(), mNow);
+    for (std::size_t at = 0; at < mJournal.size(); ++at) {
+      mJobTable.apply(mJournal[at], mStoredAt[at]);
     }
     mOptions.mEpochs[mEpoch] = mNow;
     mConfig.index();
@@ -319,6 +321,8 @@
   std::unique_ptr<owner> mOwner;
   job_table mJobTable;
   std::vector<journal_record> mJournal;
+  /// Time at which each record of mJournal was stored.
+  std::vector<time_point> mStoredAt;
   time_point mNow{ seconds(100) };
   std::vector<std::string> mEvents;
   std::vector<advice_request> mAdvice;
@@ -355,6 +359,7 @@
   void storeFromOtherDaemon(journal_record aRecord)
   {
     mJournal.push_back(aRecord);
+    mStoredAt.resize(mJournal.size(), mNow);
     if (job* changed = mJobTable.apply(aRecord, mNow); changed != nullptr && mOwner) {
       mOwner->onRecordApplied(*changed, mNow, wall());
     }
@@ -398,6 +403,7 @@
   {
     while (!mStoreDown && !mUnstored.empty() && mNow - mAppendSince >= mStoreDelay) {
       std::ranges::move(mUnstored.front(), std::back_inserter(mJournal));
+      mStoredAt.resize(mJournal.size(), mNow);
       mUnstored.pop_front();
       mAppendSince = mNow;
       mOwner->onStored(mNow);
