Record when leases at an unresponsive target are no longer renewed

Cause: the next owner did not know when the former one had renewed the leases last, and assumed 5 s after the claim. The run stayed open for 12.3 s from the claim, however long ago the target was lost. Class of fault: a wait for the worst case that begins anew, because what ends it was known only in memory.

An owner now stores renewals_stopped, with the time until the leases have expired, for a target with runs that has not answered for 0.5 s, and acquires it again before it renews any. The bound on two runs of a task holds, because no lease is renewed and no start repeated after the record. None is made while appends have no answer: targets that come back could not be acquired.

Ruled out: a shorter longest renewal age, which costs runs in every outage of the store; taking a target as gone when its registry entry is removed or its port refuses, because a cut does the same while the runs go on.

--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -349,7 +349,7 @@
   }
   mSnapshotInFlight = true;
   mSnapshotSchedule->onWriteStarted(aNow);
-  auto records = encodeSnapshot({ .mBase = next, .mRecords = mJobTable.snapshot() });
+  auto records = encodeSnapshot({ .mBase = next, .mRecords = mJobTable.snapshot(mClock.now()) });
   mSnapshotWriter->write(std::move(records), [this, next, epoch = mEpoch,
                                               before = mSnapshotBase](write_outcome aOutcome) {
     if (epoch != mEpoch) {
--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,11 +35,14 @@
   /// Returns the last epoch in which leases at the target may have been renewed; 0 if there is
   /// none.
   std::uint64_t lastEpochAt(std::string_view aTarget) const;
+  /// Returns the time by which all leases at the target have expired, if the last epoch that
+  /// acquired it has stopped renewing them.
+  std::optional<time_point> leaseExpiryAt(std::string_view aTarget) const;
   /// Returns the VM of the target; empty if it is unknown.
   std::string vmOf(std::string_view aTarget) const;
   /// Returns records that rebuild this state in an empty table. Ended jobs without open runs are
   /// reduced to what callers may still query.
-  std::vector<journal_record> snapshot() const;
+  std::vector<journal_record> snapshot(time_point aNow) const;
   void clear();
   std::size_t size() const { return mJobs.size(); }
 
@@ -58,6 +62,7 @@
   job* applyRecord(const job_abandoned& aRecord, time_point aNow);
   job* applyRecord(const job_snapshot& aRecord, time_point aNow);
   job* applyRecord(const target_acquired& aRecord, time_point aNow);
+  job* applyRecord(const renewals_stopped& aRecord, time_point aNow);
   step_state* stepOf(job& aJob, const step_key& aKey);
   void finish(job& aJob, job_phase aPhase, time_point aNow);
   void completeIfDone(job& aJob, std::uint32_t aOccurrence, time_point aNow);
@@ -69,6 +74,8 @@
   {
     std::uint64_t mEpoch = 0;
     std::string mVm;
+    /// Set while no lease is renewed there, see leaseExpiryAt().
+    std::optional<time_point> mLeaseExpiry;
   };
   /// Latest acquisition of each target.
   std::map<std::string, acquisition, std::less<>> mAcquisitions;
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -4,6 +4,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -57,6 +58,16 @@
   std::string mVm;
 };
 
+/// The owner of an epoch renews no lease at a target until it acquires it again. Tells later owners
+/// when the runs at an unresponsive target are over.
+struct renewals_stopped
+{
+  std::string mTarget;
+  std::uint64_t mEpoch = 0;
+  /// Time until all leases at the target have expired, from the moment of this record.
+  std::chrono::milliseconds mLeaseLeft{ 0 };
+};
+
 /// Complete state of a job, part of a snapshot.
 struct job_snapshot
 {
@@ -66,7 +77,7 @@
 /// A journal record. Daemons that apply the records in the order of the journal reach the same
 /// state.
 using journal_record = std::variant<job_submitted, job_cancelled, run_started, run_ended,
-                                    job_abandoned, job_snapshot, target_acquired>;
+                                    job_abandoned, job_snapshot, target_acquired, renewals_stopped>;
 
 /// Encodes a record as a MessagePack array whose first element is the kind of record.
 std::string encode(const journal_record& aRecord);
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -150,6 +150,21 @@
   return nullptr;
 }
 
+job* job_table::applyRecord(const renewals_stopped& aRecord, time_point aNow)
+{
+  const auto found = mAcquisitions.find(aRecord.mTarget);
+  if (found != mAcquisitions.end() && found->second.mEpoch == aRecord.mEpoch) {
+    found->second.mLeaseExpiry = aNow + aRecord.mLeaseLeft;
+  }
+  return nullptr;
+}
+
+std::optional<time_point> job_table::leaseExpiryAt(std::string_view aTarget) const
+{
+  const auto found = mAcquisitions.find(aTarget);
+  return found == mAcquisitions.end() ? std::nullopt : found->second.mLeaseExpiry;
+}
+
 std::uint64_t job_table::lastEpochAt(std::string_view aTarget) const
 {
   const auto found = mAcquisitions.find(aTarget);
@@ -248,13 +263,20 @@
   mEnded.insert(mEnded.begin(), kept.begin(), kept.end());
 }
 
-std::vector<journal_record> job_table::snapshot() const
+std::vector<journal_record> job_table::snapshot(time_point aNow) const
 {
   std::vector<journal_record> records;
   records.reserve(mJobs.size() + mAcquisitions.size());
   for (const auto& [target, latest] : mAcquisitions) {
     records.emplace_back(
       target_acquired{ .mTarget = target, .mEpoch = latest.mEpoch, .mVm = latest.mVm });
+    if (latest.mLeaseExpiry) {
+      const auto left = std::max(*latest.mLeaseExpiry - aNow, duration{ 0 });
+      records.emplace_back(
+        renewals_stopped{ .mTarget = target,
+                          .mEpoch = latest.mEpoch,
+                          .mLeaseLeft = std::chrono::ceil<std::chrono::milliseconds>(left) });
+    }
   }
   for (const auto& [id, one] : mJobs) {
     if (one.mPhase == job_phase::active || hasOpenRuns(one)) {
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -22,6 +22,7 @@
   abandoned = 5,
   snapshot = 6,
   target_acquired = 7,
+  renewals_stopped = 8,
 };
 
 std::uint64_t number(job_id aId)
@@ -222,6 +223,14 @@
     value.push_back(aRecord.mVm);
     return value;
   }
+  json operator()(const renewals_stopped& aRecord) const
+  {
+    auto value = start(record_kind::renewals_stopped);
+    value.push_back(aRecord.mTarget);
+    value.push_back(aRecord.mEpoch);
+    value.push_back(aRecord.mLeaseLeft.count());
+    return value;
+  }
 };
 
 journal_record recordFrom(const json& aValue)
@@ -250,6 +259,11 @@
       return target_acquired{ .mTarget = aValue.at(1),
                               .mEpoch = aValue.at(2),
                               .mVm = aValue.size() > 3 ? aValue.at(3) : json("") };
+    case record_kind::renewals_stopped:
+      return renewals_stopped{ .mTarget = aValue.at(1),
+                               .mEpoch = aValue.at(2),
+                               .mLeaseLeft =
+                                 std::chrono::milliseconds(aValue.at(3).get<std::int64_t>()) };
   }
   throw std::invalid_argument(absl::StrCat("unknown record kind ", aValue.at(0).get<int>()));
 }
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -408,12 +408,18 @@
   if (!std::exchange(mUnlistedTargetsLogged, true)) {
     logUnlistedTargets(aNow);
   }
+  const bool overdue =
+    !mBatchesInFlight.empty() && aNow - mBatchesInFlight.front().mSentAt > kAppendWaitLimit;
   for (auto at = mTargets.begin(); at != mTargets.end();) {
     auto& target = at->second;
     if (!target.mHeartbeatInFlight && target.mNextHeartbeat <= aNow &&
         !target.mEntry.mAddress.empty()) {
       sendHeartbeat(target, aNow);
     }
+    if (!overdue) {
+      // While the store does not answer, a target that comes back could not be acquired again.
+      stopRenewals(target, aNow);
+    }
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
       if (target.leaseExpiry().value_or(formerLeaseExpiry(target)) < aNow) {
@@ -423,8 +429,6 @@
     const bool removable = !target.mListed && target.mRuns.empty() && !target.mHeartbeatInFlight;
     at = removable ? mTargets.erase(at) : ++at;
   }
-  const bool overdue =
-    !mBatchesInFlight.empty() && aNow - mBatchesInFlight.front().mSentAt > kAppendWaitLimit;
   if (mNextPlan <= aNow && !overdue) {
     if (mPlanNeeded || mNextPlan + kIdlePlanInterval <= aNow) {
       mPlanNeeded = false;
@@ -448,17 +452,25 @@
   // successor claimed its epoch, its predecessor had renewed its ownership for the last time.
   const auto successor = mOptions.mEpochs.upper_bound(mJobTable.lastEpochAt(aTarget.mEntry.mId));
   const auto since = successor == mOptions.mEpochs.end() ? mEpochStart : successor->second;
-  return since + mOptions.mMaxRenewalAge + internal::kLeaseMargin +
-         std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
+  const auto assumed =
+    since + mOptions.mMaxRenewalAge + internal::kLeaseMargin +
+    std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
+  const auto recorded = mJobTable.leaseExpiryAt(aTarget.mEntry.mId);
+  return recorded ? std::min(*recorded, assumed) : assumed;
 }
 
 std::string owner::impl::describeLease(const target_state& aTarget, time_point aNow) const
 {
   const auto known = aTarget.leaseExpiry();
-  return fmt::format("lease_left_ms={} lease_known_from={}",
-                     (known.value_or(formerLeaseExpiry(aTarget)) - aNow) /
-                       std::chrono::milliseconds(1),
-                     known ? "own_renewals" : "epochs");
+  const char* source = "epochs";
+  if (known) {
+    source = "own_renewals";
+  } else if (mJobTable.leaseExpiryAt(aTarget.mEntry.mId)) {
+    source = "journal";
+  }
+  return fmt::format(
+    "lease_left_ms={} lease_known_from={}",
+    (known.value_or(formerLeaseExpiry(aTarget)) - aNow) / std::chrono::milliseconds(1), source);
 }
 
 void owner::impl::logUnlistedTargets(time_point aNow)
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -90,7 +90,9 @@
       aTarget.mNextOrders = std::min(aTarget.mNextOrders, run.mNextTry);
       continue;
     }
-    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted;
+    // A start order extends the lease, so it is not repeated once renewals have been stopped.
+    const bool abandonStart =
+      run.mTries >= kMaxStartTries || run.mStopWanted || !aTarget.mAcquisitionStored;
     if (run.mPhase == run_phase::ordered && !abandonStart) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -24,6 +24,10 @@
 /// Duration of the first such pause, doubled with each further failure, and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
 constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
+/// Time for which a target has to be unresponsive before the journal records that its leases are
+/// not renewed. Targets that a busy or paused daemon takes as unresponsive answer sooner, and each
+/// record costs another one before leases are renewed again.
+constexpr auto kStopRenewalsDelay = std::chrono::milliseconds(500);
 /// Time for which a step avoids a target at which one of its tasks has failed. If that leaves no
 /// target with room, the step still has to run again within 3 s, of which an advice call takes up
 /// to 1.2 s.
@@ -162,6 +166,7 @@
   }
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
+      target.mUnresponsiveSince = aNow;
       mPort.logDecision("target_unresponsive",
                         fmt::format("target={} outcome={} runs={} {}", aTarget, toText(aOutcome),
                                     target.mRuns.size(), describeLease(target, aNow)));
@@ -208,6 +213,23 @@
   mPlanNeeded = true;
 }
 
+void owner::impl::stopRenewals(target_state& aTarget, time_point aNow)
+{
+  const auto expiry = aTarget.leaseExpiry();
+  if (!aTarget.mAcquisitionStored || aTarget.mMissedHeartbeats == 0 || aTarget.mRuns.empty() ||
+      !expiry || aNow - aTarget.mUnresponsiveSince < kStopRenewalsDelay) {
+    return;
+  }
+  aTarget.mAcquired = false;
+  aTarget.mAcquisitionStored = false;
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(*expiry - aNow);
+  mPort.logDecision("renewals_stopped",
+                    fmt::format("target={} runs={} lease_left_ms={}", aTarget.mEntry.mId,
+                                aTarget.mRuns.size(), left.count()));
+  append(renewals_stopped{ .mTarget = aTarget.mEntry.mId, .mEpoch = mEpoch, .mLeaseLeft = left },
+         aNow);
+}
+
 void owner::impl::readEnds(target_state& aTarget, const target_report& aReport, time_point aNow)
 {
   const auto before = aTarget.mLastEndNumber;
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -71,6 +71,8 @@
   time_point mNextHeartbeat{};
   time_point mLastReply{};
   std::uint32_t mMissedHeartbeats = 0;
+  /// Time of the first of the missed heartbeats.
+  time_point mUnresponsiveSince{};
   /// Latest reading of the target's clock, and its time of arrival on the local clock.
   std::optional<target_time> mClock;
   time_point mClockAt{};
--- a/tests/node/snapshots_test.cpp
+++ b/tests/node/snapshots_test.cpp
@@ -29,8 +29,8 @@
 
 TEST(snapshots, restoreTheJobTable)
 {
-  const auto found =
-    lastSnapshot(encodeSnapshot({ .mBase = 17, .mRecords = tableWithOneRun().snapshot() }));
+  const auto found = lastSnapshot(
+    encodeSnapshot({ .mBase = 17, .mRecords = tableWithOneRun().snapshot(time_point{}) }));
   CHECK(found.has_value());
   CHECK_EQUAL(17, found->mBase);
   job_table restored;
@@ -55,7 +55,7 @@
   const task_key task{ .mStep = { .mJob = static_cast<job_id>(5) }, .mIndex = 1 };
   table.apply(run_ended{ .mTask = task, .mRun = 1, .mOutcome = run_end::failed }, time_point{});
   job_table restored;
-  for (const auto& record : table.snapshot()) {
+  for (const auto& record : table.snapshot(time_point{})) {
     restored.apply(record, time_point{});
   }
   restored.apply(
@@ -67,10 +67,32 @@
   CHECK_FALSE(state.mOpen.has_value());
 }
 
+// Guards against a lease that begins anew with each snapshot, and against one that ends too soon at
+// a daemon whose clock shows another time.
+TEST(snapshots, keepTheTimeLeftOfLeases)
+{
+  auto table = tableWithOneRun();
+  const time_point stopped{ std::chrono::seconds(100) };
+  table.apply(
+    renewals_stopped{ .mTarget = "w", .mEpoch = 4, .mLeaseLeft = std::chrono::milliseconds(6000) },
+    stopped);
+  const auto records = table.snapshot(stopped + std::chrono::milliseconds(2000));
+  job_table restored;
+  const time_point restoredAt{ std::chrono::seconds(7) };
+  for (const auto& record : records) {
+    restored.apply(*decodeRecord(encode(record)), restoredAt);
+  }
+  CHECK(restored.leaseExpiryAt("w") == restoredAt + std::chrono::milliseconds(4000));
+  restored.apply(target_acquired{ .mTarget = "w", .mEpoch = 5, .mVm = "vm" }, restoredAt);
+  CHECK_FALSE(restored.leaseExpiryAt("w").has_value());
+}
+
 TEST(snapshots, incompleteSnapshotsAreIgnored)
 {
-  auto records = encodeSnapshot({ .mBase = 1, .mRecords = tableWithOneRun().snapshot() });
-  auto second = encodeSnapshot({ .mBase = 2, .mRecords = tableWithOneRun().snapshot() });
+  auto records =
+    encodeSnapshot({ .mBase = 1, .mRecords = tableWithOneRun().snapshot(time_point{}) });
+  auto second =
+    encodeSnapshot({ .mBase = 2, .mRecords = tableWithOneRun().snapshot(time_point{}) });
   second.pop_back();
   records.insert(records.end(), second.begin(), second.end());
   CHECK_EQUAL(1, lastSnapshot(records)->mBase);
@@ -85,7 +107,7 @@
               time_point{});
   table.apply(job_cancelled{ .mJob = static_cast<job_id>(5) }, time_point{});
   job_table restored;
-  for (const auto& record : table.snapshot()) {
+  for (const auto& record : table.snapshot(time_point{})) {
     restored.apply(*decodeRecord(encode(record)), time_point{});
   }
   CHECK(restored.find(static_cast<job_id>(5))->mPhase == job_phase::cancelled);
--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -56,3 +56,64 @@
   CHECK(restarted >= cell.mOptions.mLease);
   CHECK(restarted <= longestLease(cell.mOptions) + kRestartTime);
 }
+
+// Guards against a wait that begins anew with each owner that does not reach the target.
+TEST(lost_targets, severalChangesOfTheOwnerDoNotProlongTheWait)
+{
+  for (int change = 0; change < 3; ++change) {
+    cell.run(milliseconds(1500));
+    cell.startNextOwner();
+  }
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= cell.mOptions.mLease);
+  CHECK(restarted <= longestLease(cell.mOptions) + kRestartTime);
+}
+
+// Guards against two runs of a task at a time: the owner changes before the journal says that the
+// leases at the target are not renewed.
+TEST(lost_targets, theNextOwnerAssumesRenewalsWithoutARecord)
+{
+  cell.run(milliseconds(100));
+  cell.startNextOwner();
+  const auto changed = cell.mNow - lostAt;
+  CHECK(timeUntilRestarted() >= changed + cell.mOptions.mMaxRenewalAge + cell.mOptions.mLease);
+}
+
+// Guards against two runs of a task at a time: the target comes back, and its lease is renewed
+// although the journal says that it is not.
+TEST(lost_targets, leasesAreRenewedAgainOnlyAfterTheRecordIsStored)
+{
+  cell.run(milliseconds(2000));
+  cell.mStoreDown = true;
+  cell.target("a").mReachable = true;
+  const auto before = cell.mRenewalsOf["a"];
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(before, cell.mRenewalsOf["a"]);
+  cell.mStoreDown = false;
+  cell.run(milliseconds(500));
+  CHECK(cell.mRenewalsOf["a"] > before);
+  CHECK(cell.targetRunning(job) == "a");
+  // The next owner assumes renewals again.
+  cell.target("a").mReachable = false;
+  lostAt = cell.mNow;
+  cell.run(milliseconds(100));
+  cell.startNextOwner();
+  CHECK(timeUntilRestarted() >= cell.mOptions.mMaxRenewalAge + cell.mOptions.mLease);
+}
+
+// Guards against a store outage in which targets lose their leases because each of them would have
+// to be acquired again.
+TEST(lost_targets, renewalsGoOnWhileTheStoreDoesNotAnswer)
+{
+  cell.target("a").mReachable = true;
+  cell.run(milliseconds(200));
+  cell.mStoreDown = true;
+  cell.submit(step_spec{ .mNeeds = { .mCpuMilli = 100, .mMemoryMb = 100 } });
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = false;
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = true;
+  const auto before = cell.mRenewalsOf["a"];
+  cell.run(milliseconds(500));
+  CHECK(cell.mRenewalsOf["a"] > before);
+}
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -336,6 +336,8 @@
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
   int mRenewals = 0;
+  /// Number of heartbeats with a lease that each target was sent.
+  std::map<std::string, int> mRenewalsOf;
   /// Difference of the daemons' wall clock from the true time.
   milliseconds mWallOffset{ 0 };
 
@@ -375,6 +377,7 @@
   void onRecordStored(std::uint64_t /*aToken*/) override {}
   void sendHeartbeat(const heartbeat_order& aOrder) override
   {
+    mRenewalsOf[aOrder.mTarget] += aOrder.mLeaseUntil ? 1 : 0;
     mPending.push_back({ .mHeartbeat = aOrder, .mSent = mNow });
   }
   void start(const start_order& aOrder) override
