--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -196,8 +196,10 @@
     mPending.clear();
     mUnstored.clear();
     mJobTable.clear();
-    for (const auto& record : mJournal) {
-      mJobTable.apply(record, mNow);
+    // A follower has read each record soon after it was stored.
+    mStoredAt.resize(mJournal.size(), mNow);
+    for (std::size_t at = 0; at < mJournal.size(); ++at) {
+      mJobTable.apply(mJournal[at], mStoredAt[at]);
     }
     mOptions.mEpochs[mEpoch] = mNow;
     mConfig.index();
@@ -319,6 +321,8 @@
   std::unique_ptr<owner> mOwner;
   job_table mJobTable;
   std::vector<journal_record> mJournal;
+  /// Time at which each record of mJournal was stored.
+  std::vector<time_point> mStoredAt;
   time_point mNow{ seconds(100) };
   std::vector<std::string> mEvents;
   std::vector<advice_request> mAdvice;
@@ -332,6 +336,8 @@
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
   int mRenewals = 0;
+  /// Number of heartbeats with a lease that each target was sent.
+  std::map<std::string, int> mRenewalsOf;
   /// Difference of the daemons' wall clock from the true time.
   milliseconds mWallOffset{ 0 };
 
@@ -355,6 +361,7 @@
   void storeFromOtherDaemon(journal_record aRecord)
   {
     mJournal.push_back(aRecord);
+    mStoredAt.resize(mJournal.size(), mNow);
     if (job* changed = mJobTable.apply(aRecord, mNow); changed != nullptr && mOwner) {
       mOwner->onRecordApplied(*changed, mNow, wall());
     }
@@ -370,6 +377,7 @@
   void onRecordStored(std::uint64_t /*aToken*/) override {}
   void sendHeartbeat(const heartbeat_order& aOrder) override
   {
+    mRenewalsOf[aOrder.mTarget] += aOrder.mLeaseUntil ? 1 : 0;
     mPending.push_back({ .mHeartbeat = aOrder, .mSent = mNow });
   }
   void start(const start_order& aOrder) override
@@ -398,6 +406,7 @@
   {
     while (!mStoreDown && !mUnstored.empty() && mNow - mAppendSince >= mStoreDelay) {
       std::ranges::move(mUnstored.front(), std::back_inserter(mJournal));
+      mStoredAt.resize(mJournal.size(), mNow);
       mUnstored.pop_front();
       mAppendSince = mNow;
       mOwner->onStored(mNow);
