--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -117,3 +117,19 @@
   cell.run(milliseconds(500));
   CHECK(cell.mRenewalsOf["a"] > before);
 }
+
+// Guards against the same on a cell in which nothing is stored when the outage begins: no append of
+// the owner is open then, and the store's state shows only in the renewals of the ownership.
+TEST(lost_targets, renewalsGoOnWhileTheStoreOfAnIdleCellDoesNotAnswer)
+{
+  cell.target("a").mReachable = true;
+  cell.run(milliseconds(2000));
+  cell.mStoreDown = true;
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = false;
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = true;
+  const auto before = cell.mRenewalsOf["a"];
+  cell.run(milliseconds(500));
+  CHECK(cell.mRenewalsOf["a"] > before);
+}
