--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -133,3 +133,36 @@
   cell.run(milliseconds(500));
   CHECK(cell.mRenewalsOf["a"] > before);
 }
+
+// Guards against leases that lapse though their target answers: after a cut of 2.5 s its renewals
+// wait for two appends of 2 s, although the store has been slow for seconds before.
+TEST(lost_targets, aCutDuringSlowAppendsCostsNoLease)
+{
+  cell.target("a").mReachable = true;
+  cell.mStoreDelay = milliseconds(2000);
+  auto count = cell.mRenewalsOf["a"];
+  auto renewedAt = cell.mNow;
+  duration longest{ 0 };
+  const auto runAndWatch = [&](milliseconds aTime) {
+    for (const auto until = cell.mNow + aTime; cell.mNow < until;) {
+      cell.run(milliseconds(5));
+      if (cell.mRenewalsOf["a"] != count) {
+        count = cell.mRenewalsOf["a"];
+        longest = std::max(longest, cell.mNow - renewedAt);
+        renewedAt = cell.mNow;
+      }
+    }
+  };
+  // The cuts begin at different times within an append.
+  for (int cut = 0; cut < 10; ++cut) {
+    for (int second = 0; second < 8; ++second) {
+      cell.submit(step_spec{ .mNeeds = { .mCpuMilli = 10, .mMemoryMb = 10 } });
+      runAndWatch(milliseconds(1000));
+    }
+    runAndWatch(milliseconds(300));
+    cell.target("a").mReachable = false;
+    runAndWatch(milliseconds(2500));
+    cell.target("a").mReachable = true;
+  }
+  CHECK(longest < cell.mOptions.mLease);
+}
