--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -166,3 +166,18 @@
   }
   CHECK(longest < cell.mOptions.mLease);
 }
+
+// Guards against a wait that begins anew at a daemon that reads the state again: the former owner
+// learns that it has been replaced, discards its state, loads it and becomes owner once more.
+TEST(lost_targets, aDaemonThatIsElectedAgainDoesNotProlongTheWait)
+{
+  cell.run(milliseconds(4000));
+  cell.startNextOwner();
+  cell.run(milliseconds(1000));
+  cell.mStoredAt.assign(cell.mJournal.size(), cell.mNow);
+  cell.startNextOwner();
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= cell.mOptions.mLease);
+  // A record that is repeated every second may be read a second late.
+  CHECK(restarted <= longestLease(cell.mOptions) + kRestartTime + milliseconds(1000));
+}
