--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -181,3 +181,21 @@
   // A record that is repeated every second may be read a second late.
   CHECK(restarted <= longestLease(cell.mOptions) + kRestartTime + milliseconds(1000));
 }
+
+// Guards against the same after a restart of all daemons, which date the claims by the time at
+// which they read them: the next owner has known when the leases end, but does not record it.
+TEST(lost_targets, aRestartOfAllDaemonsDoesNotProlongTheWait)
+{
+  cell.run(milliseconds(100));
+  cell.startNextOwner();
+  const auto ends = cell.mNow - lostAt + cell.mOptions.mMaxRenewalAge + longestLease(cell.mOptions);
+  cell.run(milliseconds(6000));
+  cell.mStoredAt.assign(cell.mJournal.size(), cell.mNow);
+  for (auto& [epoch, readAt] : cell.mOptions.mEpochs) {
+    readAt = cell.mNow;
+  }
+  cell.startNextOwner();
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= cell.mOptions.mLease);
+  CHECK(restarted <= ends + kRestartTime + milliseconds(1000));
+}
