--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -271,7 +271,9 @@
       endDueTasks();
       endStoppedRuns();
       deliverReplies();
-      mOwner->tick(mNow, wall());
+      if (!mPaused) {
+        mOwner->tick(mNow, wall());
+      }
     }
   }
 
@@ -333,6 +335,8 @@
   /// Whether tasks end as done after their estimate, except long-running ones.
   bool mTasksEnd = false;
   bool mStoreDown = false;
+  /// Whether the owner is not ticked, as long as its last accepted renewal is too old.
+  bool mPaused = false;
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
   int mRenewals = 0;
