--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -495,3 +495,30 @@
   CHECK_EQUAL(std::string("t1"), cell.targetRunning(second));
   CHECK_EQUAL(before + 1, cell.mAdvice.size());
 }
+
+// Guards against two runs of a task at a time: a target restarts under its id, and the new
+// incarnation executes a start before the owner learns of the restart.
+TEST(owner_runs, keepsARunThatTheNewIncarnationOfItsTargetHasStarted)
+{
+  std::size_t most = 0;
+  for (milliseconds restartedAfter{ 0 }; restartedAfter < milliseconds(100);
+       restartedAfter += milliseconds(5)) {
+    owner_fixture restarting;
+    restarting.addTarget("a");
+    restarting.startNextOwner();
+    restarting.run(milliseconds(300));
+    restarting.submit(step_spec{ .mNeeds = { .mCpuMilli = 100, .mMemoryMb = 100 } });
+    restarting.addTarget("b");
+    restarting.run(restartedAfter);
+    auto& target = restarting.target("a");
+    target = { .mEntry = target.mEntry };
+    ++target.mEntry.mIncarnationStart;
+    target.mStopDelay = milliseconds(400);
+    for (int turn = 0; turn < 200; ++turn) {
+      restarting.run(milliseconds(5));
+      most = std::max(most, restarting.running());
+    }
+    CHECK_EQUAL(1, restarting.running());
+  }
+  CHECK_EQUAL(1, most);
+}
