Collect the preemptible runs of a target once per planning pass

Cause: every urgent step that waits and could still be on time looked at all runs of all targets in every planning pass, 50 times a second, with a search for the job and its route for each run. In a burst hundreds of such steps wait.

The runs that may be preempted are now collected once for each target and pass, when the first step needs them.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -69,6 +70,13 @@
     /// Time of the store() call.
     time_point mSentAt;
   };
+  /// A run that steps of higher priority may stop.
+  struct preemptible_run
+  {
+    std::int64_t mCpuMilli = 0;
+    task_key mTask;
+    int mPriority = 0;
+  };
   /// A target and its free capacity during one planning pass.
   struct candidate_target
   {
@@ -76,6 +84,9 @@
     resources mFree;
     /// Capacity that runs will free which are being stopped.
     resources mBeingFreed;
+    /// Runs that could be stopped at the start of the pass, largest first; collected when a step
+    /// needs them.
+    std::optional<std::vector<preemptible_run>> mPreemptible{};
   };
   struct placement
   {
@@ -218,8 +229,8 @@
                           std::uint32_t aMost) const;
   /// Time before its latest start at which a step may preempt other runs.
   static duration preemptLead(const waiting_step& aStep);
-  bool mayBePreempted(const waiting_step& aStep, const task_key& aTask,
-                      const allocated_run& aRun) const;
+  /// Returns the runs at the target that may be preempted, largest first, so that few have to stop.
+  std::vector<preemptible_run> preemptibleRuns(const target_state& aTarget) const;
 
   job_table& mJobTable;
   owner_port& mPort;
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -27,41 +27,50 @@
 
 } // namespace
 
-bool owner::impl::mayBePreempted(const waiting_step& aStep, const task_key& aTask,
-                                 const allocated_run& aRun) const
+std::vector<owner::impl::preemptible_run> owner::impl::preemptibleRuns(
+  const target_state& aTarget) const
 {
-  if (aRun.mPhase != internal::run_phase::confirmed || aRun.mEnded || aRun.mStopWanted) {
-    return false;
-  }
-  const job* owning = mJobTable.find(aTask.mStep.mJob);
-  if (owning == nullptr || owning->mPhase != job_phase::active) {
-    return false;
+  std::vector<preemptible_run> found;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (run.mPhase != internal::run_phase::confirmed || run.mEnded || run.mStopWanted) {
+      continue;
+    }
+    const job* owning = mJobTable.find(task.mStep.mJob);
+    if (owning == nullptr || owning->mPhase != job_phase::active) {
+      continue;
+    }
+    const auto& spec = owning->mSpec.mSteps[task.mStep.mStep];
+    const auto route = mRoutes.find(owning->mSpec.mRoute);
+    if (spec.mCheckpointing && !spec.mGang && !spec.mLongRunning && spec.mMaxUnavailable == 0 &&
+        !spec.mUsesIdleCpu && route != mRoutes.end()) {
+      found.push_back(
+        { .mCpuMilli = run.mNeeds.mCpuMilli, .mTask = task, .mPriority = route->second.mPriority });
+    }
   }
-  const auto& spec = owning->mSpec.mSteps[aTask.mStep.mStep];
-  const auto route = mRoutes.find(owning->mSpec.mRoute);
-  return spec.mCheckpointing && !spec.mGang && !spec.mLongRunning && spec.mMaxUnavailable == 0 &&
-         !spec.mUsesIdleCpu && route != mRoutes.end() &&
-         route->second.mPriority > aStep.mRoute.mPriority;
+  std::ranges::sort(found, std::greater<>{}, [](const preemptible_run& aOne) {
+    return std::pair(aOne.mCpuMilli, aOne.mTask);
+  });
+  return found;
 }
 
 owner::impl::preemption owner::impl::preemptionAt(const waiting_step& aStep,
                                                   candidate_target& aCandidate,
                                                   std::uint32_t aMost) const
 {
-  std::vector<std::pair<std::int64_t, task_key>> found;
-  for (const auto& [task, run] : aCandidate.mTarget->mRuns) {
-    if (mayBePreempted(aStep, task, run)) {
-      found.emplace_back(run.mNeeds.mCpuMilli, task);
-    }
+  if (!aCandidate.mPreemptible) {
+    aCandidate.mPreemptible = preemptibleRuns(*aCandidate.mTarget);
   }
-  // Largest runs first, so that few have to stop.
-  std::ranges::sort(found, std::greater<>{});
   auto free = aCandidate.mFree + aCandidate.mBeingFreed;
   preemption result{ .mCandidate = &aCandidate };
   std::vector<task_key> victims;
-  for (const auto& [cpu, task] : found) {
-    free += aCandidate.mTarget->mRuns.find(task)->second.mNeeds;
-    victims.push_back(task);
+  for (const auto& one : *aCandidate.mPreemptible) {
+    const auto& run = aCandidate.mTarget->mRuns.find(one.mTask)->second;
+    // Steps before this one may have had it stopped in the same pass.
+    if (one.mPriority <= aStep.mRoute.mPriority || run.mStopWanted) {
+      continue;
+    }
+    free += run.mNeeds;
+    victims.push_back(one.mTask);
     if (const auto tasks = std::min(aMost, maxTasksIn(aStep.mNeeds, free)); tasks > result.mTasks) {
       result.mTasks = tasks;
       result.mVictims = victims;
