Order starts only while the owner may act

An owner without an accepted renewal for 5 s sent the starts whose records were stored then, with a new lease.

Cause: onStored() sent the orders itself, also while the owner is paused. It now marks them as due, and tick(), which runs in the same pass of the loop if the owner may act, sends them.

paused_owner.ordersNoStartWhenItsRecordIsStored failed before.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -392,9 +392,10 @@
       release(target, start.mTask);
       continue;
     }
+    // tick() sends the order: an owner that may not act at present is not ticked.
     run->mPhase = internal::run_phase::ordered;
     run->mNextTry = aNow;
-    sendStart(target, start.mTask, *run, aNow);
+    target.mNextOrders = time_point{};
   }
   mPlanNeeded = true;
 }
