Stop no renewals while the store is slow or does not answer

Cause: the way back needs the record of the acquisition. Only an open append of the owner showed that the store does not answer.

The daemon now tells the owner whether the store answers within 0.5 s, from the latency of its calls and the time since the last reply.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -32,6 +32,10 @@
 constexpr std::chrono::microseconds kMinWakeInterval{ 2000 };
 /// Interval at which the loop's time by phase is logged.
 constexpr std::chrono::milliseconds kProfileLogInterval{ 5000 };
+/// Latency of the store, and time since its last reply, up to which a target that comes back can be
+/// acquired again well before its leases end: the owner renews its ownership every 400 ms.
+constexpr std::chrono::milliseconds kMaxResponsiveLatency{ 500 };
+constexpr std::chrono::milliseconds kMaxResponsiveAge{ 700 };
 /// Interval at which ended jobs are removed whose retention period has passed.
 constexpr std::chrono::milliseconds kPurgeInterval{ 1000 };
 /// Period over which the claims of different daemons are spread, in milliseconds.
@@ -291,6 +295,8 @@
     auto next = now + kMaxLoopWait;
     if (mOwner && mElection.mayAct(mClock.now())) {
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
+      mOwner->setStoreResponsive(!mStoreLost && mStore.latency() < kMaxResponsiveLatency &&
+                                 mStoreConnectivity.timeSinceReply(now) < kMaxResponsiveAge);
       next = std::min(next, mOwner->tick(mClock.now(), wallNow()));
       if (mOwner->fenced()) {
         mStepDownReason = "fenced by a target";
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -56,6 +56,9 @@
 
   void configure(std::shared_ptr<const cell_config> aConfig);
   void setClosedZones(std::set<std::string> aZones);
+  /// Sets whether the store answers appends soon enough for records that delay the renewal of
+  /// leases.
+  void setStoreResponsive(bool aResponsive);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
   /// Sets the other daemons that can make advice calls.
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -417,8 +417,8 @@
         !target.mEntry.mAddress.empty()) {
       sendHeartbeat(target, aNow);
     }
-    if (!overdue) {
-      // While the store does not answer, a target that comes back could not be acquired again.
+    if (mStoreResponsive && !overdue) {
+      // Otherwise a target that comes back could not be acquired again before its leases end.
       stopRenewals(target, aNow);
     }
     sendOrders(target, aNow);
@@ -539,6 +539,11 @@
   mImpl->mPlanNeeded = true;
 }
 
+void owner::setStoreResponsive(bool aResponsive)
+{
+  mImpl->mStoreResponsive = aResponsive;
+}
+
 void owner::setTarget(const target_entry& aEntry, time_point aNow)
 {
   mImpl->setTarget(aEntry, aNow);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -45,6 +45,8 @@
   bool mFenced = false;
   internal::advice_dispatcher mAdviceDispatcher;
   bool mPlanNeeded = true;
+  /// See owner::setStoreResponsive().
+  bool mStoreResponsive = true;
 
 private:
   using target_state = internal::target_state;
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -271,6 +271,8 @@
       endDueTasks();
       endStoppedRuns();
       deliverReplies();
+      // As cell_node does, from the latency of its own calls.
+      mOwner->setStoreResponsive(!mStoreDown && mStoreDelay <= milliseconds(500));
       if (!mPaused) {
         mOwner->tick(mNow, wall());
       }
