Repeat the record of when leases end while a target is unresponsive

Cause: a daemon counts the time left from when it reads the record, and an owner that never reached the target recorded nothing, although it knew a bound.

Every owner now records the time left each second for each unresponsive target with runs, also for targets without an address, and a job table keeps the earliest of the bounds. While the acquisition of a target that came back is being stored, its heartbeats pause for 200 ms instead of 30 ms: they renew nothing yet and are answered at once.

--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -154,7 +154,10 @@
 {
   const auto found = mAcquisitions.find(aRecord.mTarget);
   if (found != mAcquisitions.end() && found->second.mEpoch == aRecord.mEpoch) {
-    found->second.mLeaseExpiry = aNow + aRecord.mLeaseLeft;
+    // Each record gives an upper bound; those that are read late give later ones.
+    auto& expiry = found->second.mLeaseExpiry;
+    const time_point bound = aNow + aRecord.mLeaseLeft;
+    expiry = expiry ? std::min(*expiry, bound) : bound;
   }
   return nullptr;
 }
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -419,7 +419,7 @@
     }
     if (mStoreResponsive && !overdue) {
       // Otherwise a target that comes back could not be acquired again before its leases end.
-      stopRenewals(target, aNow);
+      recordLeaseEnd(target, aNow);
     }
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -162,9 +162,9 @@
   std::string describeLease(const target_state& aTarget, time_point aNow) const;
   /// Logs how long the runs at targets without an address stay open: these get no heartbeat.
   void logUnlistedTargets(time_point aNow);
-  /// Records that no lease is renewed at a target that has been unresponsive for a while, so that a
-  /// next owner need not assume later renewals. The target has to be acquired again.
-  void stopRenewals(target_state& aTarget, time_point aNow);
+  /// Records when the leases at a target with runs end that has been unresponsive for a while, so
+  /// that a next owner need not assume later renewals. None is sent until it is acquired again.
+  void recordLeaseEnd(target_state& aTarget, time_point aNow);
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -28,6 +28,12 @@
 /// not renewed. Targets that a busy or paused daemon takes as unresponsive answer sooner, and each
 /// record costs another one before leases are renewed again.
 constexpr auto kStopRenewalsDelay = std::chrono::milliseconds(500);
+/// Interval at which the record is repeated, so that a daemon that reads the journal anew counts
+/// the time left from a recent one.
+constexpr auto kLeaseRecordInterval = std::chrono::milliseconds(1000);
+/// Pause between two heartbeats to a target whose acquisition is being stored: they cannot renew
+/// its lease yet, and it answers them at once.
+constexpr auto kAcquisitionPause = std::chrono::milliseconds(200);
 /// Time for which a step avoids a target at which one of its tasks has failed. If that leaves no
 /// target with room, the step still has to run again within 3 s, of which an advice call takes up
 /// to 1.2 s.
@@ -209,24 +215,31 @@
     mNextBatch.mAcquired.push_back(aTarget);
     endRunsOfFormerTargets(target, aNow);
   }
-  target.mNextHeartbeat = aNow + kHeartbeatPause;
+  target.mNextHeartbeat = aNow + (target.mAcquisitionStored ? kHeartbeatPause : kAcquisitionPause);
   mPlanNeeded = true;
 }
 
-void owner::impl::stopRenewals(target_state& aTarget, time_point aNow)
+void owner::impl::recordLeaseEnd(target_state& aTarget, time_point aNow)
 {
-  const auto expiry = aTarget.leaseExpiry();
-  if (!aTarget.mAcquisitionStored || aTarget.mMissedHeartbeats == 0 || aTarget.mRuns.empty() ||
-      !expiry || aNow - aTarget.mUnresponsiveSince < kStopRenewalsDelay) {
+  const bool silent =
+    aTarget.mEntry.mAddress.empty() ||
+    (aTarget.mMissedHeartbeats > 0 && aNow - aTarget.mUnresponsiveSince >= kStopRenewalsDelay);
+  if (!silent || aTarget.mRuns.empty() || aTarget.mNextLeaseRecord > aNow ||
+      (aTarget.mAcquired && !aTarget.mAcquisitionStored)) {
     return;
   }
   aTarget.mAcquired = false;
   aTarget.mAcquisitionStored = false;
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(*expiry - aNow);
+  aTarget.mNextLeaseRecord = aNow + kLeaseRecordInterval;
+  const auto expiry = aTarget.leaseExpiry().value_or(formerLeaseExpiry(aTarget));
+  const auto left =
+    std::chrono::ceil<std::chrono::milliseconds>(std::max(expiry - aNow, duration{ 0 }));
   mPort.logDecision("renewals_stopped",
                     fmt::format("target={} runs={} lease_left_ms={}", aTarget.mEntry.mId,
                                 aTarget.mRuns.size(), left.count()));
-  append(renewals_stopped{ .mTarget = aTarget.mEntry.mId, .mEpoch = mEpoch, .mLeaseLeft = left },
+  append(renewals_stopped{ .mTarget = aTarget.mEntry.mId,
+                           .mEpoch = mJobTable.lastEpochAt(aTarget.mEntry.mId),
+                           .mLeaseLeft = left },
          aNow);
 }
 
