--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -392,9 +392,10 @@
       release(target, start.mTask);
       continue;
     }
+    // tick() sends the order: an owner that may not act at present is not ticked.
     run->mPhase = internal::run_phase::ordered;
     run->mNextTry = aNow;
-    sendStart(target, start.mTask, *run, aNow);
+    target.mNextOrders = time_point{};
   }
   mPlanNeeded = true;
 }
@@ -416,9 +417,9 @@
         !target.mEntry.mAddress.empty()) {
       sendHeartbeat(target, aNow);
     }
-    if (!overdue) {
-      // While the store does not answer, a target that comes back could not be acquired again.
-      stopRenewals(target, aNow);
+    if (mStoreResponsive && !overdue) {
+      // Otherwise a target that comes back could not be acquired again before its leases end.
+      recordLeaseEnd(target, aNow);
     }
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
@@ -538,6 +539,11 @@
   mImpl->mPlanNeeded = true;
 }
 
+void owner::setStoreResponsive(bool aResponsive)
+{
+  mImpl->mStoreResponsive = aResponsive;
+}
+
 void owner::setTarget(const target_entry& aEntry, time_point aNow)
 {
   mImpl->setTarget(aEntry, aNow);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -44,6 +45,8 @@
   bool mFenced = false;
   internal::advice_dispatcher mAdviceDispatcher;
   bool mPlanNeeded = true;
+  /// See owner::setStoreResponsive().
+  bool mStoreResponsive = true;
 
 private:
   using target_state = internal::target_state;
@@ -69,6 +72,13 @@
     /// Time of the store() call.
     time_point mSentAt;
   };
+  /// A run that steps of higher priority may stop.
+  struct preemptible_run
+  {
+    std::int64_t mCpuMilli = 0;
+    task_key mTask;
+    int mPriority = 0;
+  };
   /// A target and its free capacity during one planning pass.
   struct candidate_target
   {
@@ -76,6 +86,9 @@
     resources mFree;
     /// Capacity that runs will free which are being stopped.
     resources mBeingFreed;
+    /// Runs that could be stopped at the start of the pass, largest first; collected when a step
+    /// needs them.
+    std::optional<std::vector<preemptible_run>> mPreemptible{};
   };
   struct placement
   {
@@ -149,9 +162,9 @@
   std::string describeLease(const target_state& aTarget, time_point aNow) const;
   /// Logs how long the runs at targets without an address stay open: these get no heartbeat.
   void logUnlistedTargets(time_point aNow);
-  /// Records that no lease is renewed at a target that has been unresponsive for a while, so that a
-  /// next owner need not assume later renewals. The target has to be acquired again.
-  void stopRenewals(target_state& aTarget, time_point aNow);
+  /// Records when the leases at a target with runs end that has been unresponsive for a while, so
+  /// that a next owner need not assume later renewals. None is sent until it is acquired again.
+  void recordLeaseEnd(target_state& aTarget, time_point aNow);
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
@@ -218,8 +231,8 @@
                           std::uint32_t aMost) const;
   /// Time before its latest start at which a step may preempt other runs.
   static duration preemptLead(const waiting_step& aStep);
-  bool mayBePreempted(const waiting_step& aStep, const task_key& aTask,
-                      const allocated_run& aRun) const;
+  /// Returns the runs at the target that may be preempted, largest first, so that few have to stop.
+  std::vector<preemptible_run> preemptibleRuns(const target_state& aTarget) const;
 
   job_table& mJobTable;
   owner_port& mPort;
--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -117,3 +117,85 @@
   cell.run(milliseconds(500));
   CHECK(cell.mRenewalsOf["a"] > before);
 }
+
+// Guards against the same on a cell in which nothing is stored when the outage begins: no append of
+// the owner is open then, and the store's state shows only in the renewals of the ownership.
+TEST(lost_targets, renewalsGoOnWhileTheStoreOfAnIdleCellDoesNotAnswer)
+{
+  cell.target("a").mReachable = true;
+  cell.run(milliseconds(2000));
+  cell.mStoreDown = true;
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = false;
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = true;
+  const auto before = cell.mRenewalsOf["a"];
+  cell.run(milliseconds(500));
+  CHECK(cell.mRenewalsOf["a"] > before);
+}
+
+// Guards against leases that lapse though their target answers: after a cut of 2.5 s its renewals
+// wait for two appends of 2 s, although the store has been slow for seconds before.
+TEST(lost_targets, aCutDuringSlowAppendsCostsNoLease)
+{
+  cell.target("a").mReachable = true;
+  cell.mStoreDelay = milliseconds(2000);
+  auto count = cell.mRenewalsOf["a"];
+  auto renewedAt = cell.mNow;
+  duration longest{ 0 };
+  const auto runAndWatch = [&](milliseconds aTime) {
+    for (const auto until = cell.mNow + aTime; cell.mNow < until;) {
+      cell.run(milliseconds(5));
+      if (cell.mRenewalsOf["a"] != count) {
+        count = cell.mRenewalsOf["a"];
+        longest = std::max(longest, cell.mNow - renewedAt);
+        renewedAt = cell.mNow;
+      }
+    }
+  };
+  // The cuts begin at different times within an append.
+  for (int cut = 0; cut < 10; ++cut) {
+    for (int second = 0; second < 8; ++second) {
+      cell.submit(step_spec{ .mNeeds = { .mCpuMilli = 10, .mMemoryMb = 10 } });
+      runAndWatch(milliseconds(1000));
+    }
+    runAndWatch(milliseconds(300));
+    cell.target("a").mReachable = false;
+    runAndWatch(milliseconds(2500));
+    cell.target("a").mReachable = true;
+  }
+  CHECK(longest < cell.mOptions.mLease);
+}
+
+// Guards against a wait that begins anew at a daemon that reads the state again: the former owner
+// learns that it has been replaced, discards its state, loads it and becomes owner once more.
+TEST(lost_targets, aDaemonThatIsElectedAgainDoesNotProlongTheWait)
+{
+  cell.run(milliseconds(4000));
+  cell.startNextOwner();
+  cell.run(milliseconds(1000));
+  cell.mStoredAt.assign(cell.mJournal.size(), cell.mNow);
+  cell.startNextOwner();
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= cell.mOptions.mLease);
+  // A record that is repeated every second may be read a second late.
+  CHECK(restarted <= longestLease(cell.mOptions) + kRestartTime + milliseconds(1000));
+}
+
+// Guards against the same after a restart of all daemons, which date the claims by the time at
+// which they read them: the next owner has known when the leases end, but does not record it.
+TEST(lost_targets, aRestartOfAllDaemonsDoesNotProlongTheWait)
+{
+  cell.run(milliseconds(100));
+  cell.startNextOwner();
+  const auto ends = cell.mNow - lostAt + cell.mOptions.mMaxRenewalAge + longestLease(cell.mOptions);
+  cell.run(milliseconds(6000));
+  cell.mStoredAt.assign(cell.mJournal.size(), cell.mNow);
+  for (auto& [epoch, readAt] : cell.mOptions.mEpochs) {
+    readAt = cell.mNow;
+  }
+  cell.startNextOwner();
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= cell.mOptions.mLease);
+  CHECK(restarted <= ends + kRestartTime + milliseconds(1000));
+}
