Lengthen the pause between heartbeats while the event loop is behind

Cause: the pause between two heartbeats to a target is 30 ms at any load, so that under load each reply carries one end or none, while orders and replies queue.

The pause now grows by six times the mean time by which ticks are late, up to 250 ms. With an idle loop it is 30 ms as before.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -29,6 +29,8 @@
 /// Maximum time between two planning passes, for decisions that depend only on time.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
+/// Weight of earlier ticks in the mean time by which ticks are late.
+constexpr int kTickLagWeight = 8;
 /// Time before its due time at which an occurrence is opened, so that advice can be requested. Its
 /// tasks do not start before the due time.
 constexpr auto kOccurrenceOpenLead = std::chrono::milliseconds(100);
@@ -401,6 +403,7 @@
 
 time_point owner::impl::tick(time_point aNow, wall_time aWall)
 {
+  mTickLag += (std::max(aNow - mNextTick, duration{ 0 }) - mTickLag) / kTickLagWeight;
   openDueOccurrences(aNow, aWall);
   if (std::exchange(mRouteAdded, false)) {
     abandonAfterLastAttempts(aNow);
@@ -443,7 +446,8 @@
     mLastFlush = aNow;
   }
   const bool busy = mPlanNeeded || !mPendingRecords.empty();
-  return aNow + (busy ? duration(kStoreInterval) : duration(kTickInterval));
+  mNextTick = aNow + (busy ? duration(kStoreInterval) : duration(kTickInterval));
+  return mNextTick;
 }
 
 time_point owner::impl::formerLeaseExpiry(const target_state& aTarget) const
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -131,6 +131,7 @@
 
   // Heartbeats.
   void sendHeartbeat(target_state& aTarget, time_point aNow);
+  duration heartbeatPause() const;
   void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart, time_point aNow);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
@@ -267,6 +268,9 @@
   std::map<std::string, verdict_counts> mVerdictCounts;
   std::uint64_t mLastAdviceCall = 0;
   time_point mNextPlan{};
+  /// Time by which the next tick is due, and the mean time by which ticks are late.
+  time_point mNextTick = time_point::max();
+  std::chrono::duration<double, duration::period> mTickLag{ 0 };
   time_point mLastFlush{};
   /// Resources reserved for waiting gangs within their teams' limits, in the current pass.
   std::map<std::string, resources> mTeamReserved;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -13,8 +13,12 @@
 /// Time for which a target delays its reply to a heartbeat while no run ends. An unresponsive
 /// target is detected after this time plus the timeout of the call.
 constexpr auto kHeartbeatWait = std::chrono::milliseconds(1000);
-/// Pause between two heartbeats, so that one reply carries several ends.
+/// Pause between two heartbeats, so that one reply carries several ends, and its upper limit while
+/// the event loop is behind.
 constexpr auto kHeartbeatPause = std::chrono::milliseconds(30);
+constexpr auto kMaxHeartbeatPause = std::chrono::milliseconds(250);
+/// Increase of the pause as a multiple of the time by which the event loop is behind.
+constexpr int kPauseLagFactor = 6;
 /// Pause after a missed heartbeat. Short, because a renewal may still arrive before the lease of
 /// the runs expires; longer for targets without runs.
 constexpr auto kMissedHeartbeatPause = std::chrono::milliseconds(30);
@@ -133,6 +137,15 @@
   return until;
 }
 
+/// Load pattern: a burst saturates the event loop. Heartbeats are half of its calls; with a longer
+/// pause each reply carries more ends, so that orders are sent sooner.
+duration owner::impl::heartbeatPause() const
+{
+  return std::min<duration>(kHeartbeatPause +
+                              std::chrono::duration_cast<duration>(kPauseLagFactor * mTickLag),
+                            kMaxHeartbeatPause);
+}
+
 void owner::impl::sendHeartbeat(target_state& aTarget, time_point aNow)
 {
   heartbeat_order order{ .mTarget = aTarget.mEntry.mId,
@@ -183,7 +196,7 @@
   target.mMissedHeartbeats = 0;
   if (aReport.mIncarnationStart < target.mEntry.mIncarnationStart) {
     // A late reply of an earlier incarnation.
-    target.mNextHeartbeat = aNow + kHeartbeatPause;
+    target.mNextHeartbeat = aNow + heartbeatPause();
     return;
   }
   if (aReport.mIncarnationStart > target.mEntry.mIncarnationStart) {
@@ -209,7 +222,7 @@
     mNextBatch.mAcquired.push_back(aTarget);
     endRunsOfFormerTargets(target, aNow);
   }
-  target.mNextHeartbeat = aNow + kHeartbeatPause;
+  target.mNextHeartbeat = aNow + heartbeatPause();
   mPlanNeeded = true;
 }
 
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -260,13 +260,13 @@
   }
   void cancel(job_id aJob) { storeFromOtherDaemon(job_cancelled{ .mJob = aJob }); }
 
-  /// Advances the simulated time in steps of 5 ms; calls are answered at each step.
-  void run(milliseconds aTime)
+  /// Advances the simulated time in steps; calls are answered at each step.
+  void run(milliseconds aTime, milliseconds aStep = milliseconds(5))
   {
-    for (auto left = aTime; left.count() > 0; left -= milliseconds(5)) {
-      mNow += milliseconds(5);
+    for (auto left = aTime; left.count() > 0; left -= aStep) {
+      mNow += aStep;
       for (auto& [id, target] : mTargets) {
-        target.mClock += milliseconds(5);
+        target.mClock += aStep;
       }
       endDueTasks();
       endStoppedRuns();
