--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // Standard library headers come first, because CppUTest's header defines `new` as a macro.
+#include "capacity_history.h"
 #include "endiveusher/scheduler/owner.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endiveusher::scheduler::testing {
@@ -32,6 +34,8 @@
   bool mListed = true;
   /// Whether start orders are executed but their replies are lost.
   bool mLosesReplies = false;
+  /// Whether start orders are lost before they are executed.
+  bool mLosesStarts = false;
   /// If set, start orders are rejected with this outcome.
   std::optional<order_outcome> mRejectStarts;
   /// Time that a run takes to end after a stop order.
@@ -39,6 +43,9 @@
   /// Runs that are being stopped, and the time of their end.
   std::map<task_key, time_point> mStopping;
   target_time mClock{ 1000 };
+  capacity_history mFormerCapacities;
+  /// Time at which the owner reads a change of the entry; time_point::max() if there is none.
+  time_point mEntryReadAt = time_point::max();
 
   resources used(const job_table& aJobTable) const
   {
@@ -188,6 +195,17 @@
     mOwner->setTarget(target.mEntry, mNow);
   }
 
+  /// Changes the capacity that the target states; the owner reads it after aDelay.
+  void setCapacity(const std::string& aId, const resources& aCapacity,
+                   milliseconds aDelay = milliseconds(0))
+  {
+    auto& target = mTargets.at(aId);
+    target.mFormerCapacities.add(target.mEntry.mCapacity, mNow);
+    target.mEntry.mCapacity = aCapacity;
+    target.mEntryReadAt = std::min<time_point>(target.mEntryReadAt, mNow + aDelay);
+    readChangedEntries();
+  }
+
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
   void startNextOwner()
   {
@@ -268,6 +286,7 @@
       for (auto& [id, target] : mTargets) {
         target.mClock += milliseconds(5);
       }
+      readChangedEntries();
       endDueTasks();
       endStoppedRuns();
       deliverReplies();
@@ -340,6 +359,11 @@
   std::map<std::string, int> mRenewalsOf;
   /// Difference of the daemons' wall clock from the true time.
   milliseconds mWallOffset{ 0 };
+  /// Time after a change of a target's capacity in which starts may still be executed that fit into
+  /// the former one. One step of the simulated time, for orders that are on their way.
+  milliseconds mCapacityGrace{ 5 };
+  /// Starts that brought their target over its capacity.
+  std::vector<std::string> mStartsOverCapacity;
 
 private:
   struct pending_call
@@ -402,6 +426,27 @@
     mEvents.emplace_back(aEvent);
   }
 
+  void readChangedEntries()
+  {
+    for (auto& [id, target] : mTargets) {
+      if (target.mEntryReadAt <= mNow && target.mListed && mOwner) {
+        target.mEntryReadAt = time_point::max();
+        mOwner->setTarget(target.mEntry, mNow);
+      }
+    }
+  }
+
+  void checkCapacity(const fake_target& aTarget, const task_key& aStarted)
+  {
+    resources used;
+    for (const auto& [task, run] : aTarget.mRunning) {
+      used += mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].capacityNeeds();
+    }
+    if (!aTarget.mFormerCapacities.holds(used, aTarget.mEntry.mCapacity, mNow - mCapacityGrace)) {
+      mStartsOverCapacity.push_back(toText(aStarted) + " on " + aTarget.mEntry.mId);
+    }
+  }
+
   void deliverReplies()
   {
     while (!mStoreDown && !mUnstored.empty() && mNow - mAppendSince >= mStoreDelay) {
@@ -535,7 +580,7 @@
   order_outcome execute(const start_order& aOrder)
   {
     auto& target = mTargets.at(aOrder.mTarget);
-    if (!target.mReachable) {
+    if (!target.mReachable || target.mLosesStarts) {
       return order_outcome::unanswered;
     }
     if (aOrder.mEpoch < target.mEpoch) {
@@ -547,7 +592,9 @@
     if (mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow)) {
       return order_outcome::bad_ticket;
     }
-    target.mRunning[aOrder.mTask] = aOrder.mRun;
+    if (std::exchange(target.mRunning[aOrder.mTask], aOrder.mRun) != aOrder.mRun) {
+      checkCapacity(target, aOrder.mTask);
+    }
     const auto& step =
       mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps[aOrder.mTask.mStep.mStep];
     if (mTasksEnd && !step.mLongRunning) {
