Withdraw stored starts that no longer fit at a target that has shrunk

Operators saw starts that brought a target over the capacity it stated: a start was sent once it was stored, although the capacity had shrunk between the decision and the append, which takes half a second at a slow store.

Cause: orderable() looks at incarnation, draining, zone and ticket, but not at the capacity. Now the starts of a batch are kept in the order of their decision as far as they fit beside the runs that are ordered; runs that are being stopped count until the target no longer lists them. A gang that does not fit whole is withdrawn whole and leaves its capacity to other starts of the batch. Starts that are decided but not stored yet do not count: they are looked at when they are stored.

Ruled out: withdrawing all starts of the target. The ones that fit would start later for no reason.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -381,6 +381,7 @@
     }
   }
   stopIncompleteGangs(done.mStarts, aNow);
+  withdrawUnfittingStarts(done.mStarts, aNow);
   for (const auto& start : done.mStarts) {
     auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun);
     if (run == nullptr || run->mPhase != internal::run_phase::storing) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -160,6 +160,9 @@
   /// Withdraws the starts of gangs of which a member cannot be ordered any more: the other members
   /// would wait for it in vain.
   void stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow);
+  /// Withdraws stored starts that do not fit any more because the capacity of their target has
+  /// shrunk since they were decided. Those decided first are kept; gangs are withdrawn whole.
+  void withdrawUnfittingStarts(std::span<const run_started> aStarts, time_point aNow);
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                  time_point aNow);
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace endiveusher::scheduler {
 
@@ -74,6 +76,54 @@
   }
 }
 
+void owner::impl::withdrawUnfittingStarts(std::span<const run_started> aStarts, time_point aNow)
+{
+  // Needs at targets with too little capacity for all runs: of the ordered runs and of the starts
+  // that are kept.
+  std::map<std::string, resources> kept;
+  while (!aStarts.empty()) {
+    const auto& key = aStarts.front().mTask.mStep;
+    const job* owning = mJobTable.find(key.mJob);
+    const bool gang = owning != nullptr && owning->mSpec.mSteps[key.mStep].mGang;
+    // The starts of a gang are decided together.
+    const auto other = std::ranges::find_if(
+      aStarts, [&key](const run_started& aOne) { return aOne.mTask.mStep != key; });
+    const auto count = gang ? static_cast<std::size_t>(other - aStarts.begin()) : 1;
+    const auto group = aStarts.first(count);
+    aStarts = aStarts.subspan(count);
+    auto withGroup = kept;
+    bool fits = true;
+    for (const auto& start : group) {
+      if (!orderable(start, aNow)) {
+        continue;
+      }
+      const auto& target = mTargets.find(start.mAt.mTarget)->second;
+      if (target.mUsed.fitsIn(target.mEntry.mCapacity)) {
+        continue;
+      }
+      const auto [needs, isNew] = withGroup.try_emplace(start.mAt.mTarget);
+      if (isNew) {
+        needs->second = target.orderedNeeds();
+      }
+      needs->second += target.mRuns.at(start.mTask).mNeeds;
+      fits = fits && needs->second.fitsIn(target.mEntry.mCapacity);
+    }
+    if (fits) {
+      kept = std::move(withGroup);
+      continue;
+    }
+    mPort.logDecision("starts_withdrawn",
+                      fmt::format("task={} run={} target={} tasks={} reason=capacity",
+                                  toText(group.front().mTask), group.front().mRun,
+                                  group.front().mAt.mTarget, group.size()));
+    for (const auto& start : group) {
+      if (auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun)) {
+        run->mStopWanted = true;
+      }
+    }
+  }
+}
+
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
   if (aTarget.mNextOrders > aNow) {
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -112,6 +112,17 @@
     return mClockAt + std::chrono::duration_cast<duration>(left) + kLeaseMargin;
   }
   resources freeCapacity() const { return mEntry.mCapacity - mUsed; }
+  /// Returns the needs of the runs whose start orders may have been sent.
+  resources orderedNeeds() const
+  {
+    resources needs;
+    for (const auto& [task, run] : mRuns) {
+      if (run.mPhase != run_phase::storing) {
+        needs += run.mNeeds;
+      }
+    }
+    return needs;
+  }
 };
 
 } // namespace endiveusher::scheduler::internal
