Stop a start without an answer instead of repeating it at a shrunk target

Operators saw a start over the capacity of a target: a start order that was lost on its way was repeated up to three times, also after the owner had read that the target has less capacity than the runs there need.

Cause: sendOrders repeats an order because it is carried out once, but a repetition starts the run if the first order was lost. Now such a run is stopped if the ordered runs do not fit into the capacity: it counts until the target does not list it after the stop, and its task starts elsewhere or once there is capacity.

Ruled out: waiting for the next heartbeat without a stop. The lost order may still arrive after that heartbeat; only a stop makes the target reject it.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -157,6 +157,9 @@
   // Orders.
   /// Whether the run, whose start is stored now, can still be ordered at its target.
   bool orderable(const run_started& aStart, time_point aNow);
+  /// Whether a start order may be repeated that had no answer: if the first was not executed, the
+  /// repetition starts the run.
+  static bool repeatable(const target_state& aTarget);
   /// Withdraws the starts of gangs of which a member cannot be ordered any more: the other members
   /// would wait for it in vain.
   void stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow);
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -58,6 +58,12 @@
          !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone);
 }
 
+bool owner::impl::repeatable(const target_state& aTarget)
+{
+  const auto& capacity = aTarget.mEntry.mCapacity;
+  return aTarget.mUsed.fitsIn(capacity) || aTarget.orderedNeeds().fitsIn(capacity);
+}
+
 void owner::impl::stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow)
 {
   std::optional<step_key> stopped;
@@ -143,7 +149,7 @@
     // A start order extends the lease, so it is not repeated once renewals have been stopped.
     const bool abandonStart =
       run.mTries >= kMaxStartTries || run.mStopWanted || !aTarget.mAcquisitionStored;
-    if (run.mPhase == run_phase::ordered && !abandonStart) {
+    if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget)) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
                (run.mStopWanted && !run.mEnded)) {
