Preempt runs at shrunk targets last

Callers saw all saving runs of a target stopped for one urgent task after its capacity had shrunk, although one stopped run made room at another target.

Cause: preempt takes the candidates in the order of best fit, least free CPU first. A target whose capacity has shrunk below its runs has negative free CPU, so it came first, and the stopped runs made up its deficit. Such targets come last now; if no other target helps, they are still used, and enough runs are stopped there for the task to fit.

Evidence: capacity_changes.preemptionPrefersTargetsThatHoldTheirRuns (task started on the shrunk target t1 before; on t2 with one stopped run now). preemptionAtAShrunkTargetStopsEnoughRuns passes before and after.

Ruled out: leaving such targets out. An urgent step would be late if all targets have shrunk.

--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -110,6 +110,11 @@
       good.push_back(&candidate);
     }
   }
+  // Candidates are in the order of their free CPU. At a target whose capacity has shrunk below its
+  // runs, stopped runs make up the deficit first, so it comes last.
+  std::ranges::stable_partition(good, [](const candidate_target* aOne) {
+    return !aOne->mTarget->freeCapacity().anyNegative();
+  });
   for (auto* candidate : good) {
     const auto beingFreed = static_cast<std::uint32_t>(std::min<std::size_t>(
       missing, maxTasksIn(aStep.mNeeds, candidate->mFree + candidate->mBeingFreed)));
