Do not count targets without the capacity for a run as a replacement

Callers saw tasks wait for 1 to 8 s beside a free target. After failures a target rests, and a step avoids it for 1.5 s, while others are usable. Others counted with any capacity, also one that has shrunk to zero or is too small for the task.

Now a target counts as another one only if its stated capacity holds a task of the step, or the run that has failed.

Evidence: capacity_changes.anEmptyTargetReplacesNoOther (the repetition of a failed task had not started after 300 ms before; it starts now).

Ruled out: comparing the free capacity. It changes all the time, and a full target is free again when its runs end.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -135,12 +135,12 @@
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
-  /// Whether a usable target other than aTarget may run the step.
+  /// Whether a usable target other than aTarget may run the step and has the capacity for a task.
   bool hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
                       time_point aNow) const;
-  /// Whether other usable targets of the pool have each of the target's labels, so that steps do
-  /// not depend on this target.
-  bool isReplaceable(const target_state& aTarget, time_point aNow) const;
+  /// Whether other usable targets of the pool have each of the target's labels and the capacity for
+  /// aNeeds, so that steps do not depend on this target.
+  bool isReplaceable(const target_state& aTarget, const resources& aNeeds, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -364,17 +364,19 @@
 {
   return std::ranges::any_of(mTargets, [&](const auto& aOne) {
     return &aOne.second != &aTarget && usable(aOne.second, aNow) &&
-           allowed(aStep, aOne.second, aNow);
+           allowed(aStep, aOne.second, aNow) && aStep.mNeeds.fitsIn(aOne.second.mEntry.mCapacity);
   });
 }
 
-bool owner::impl::isReplaceable(const target_state& aTarget, time_point aNow) const
+bool owner::impl::isReplaceable(const target_state& aTarget, const resources& aNeeds,
+                                time_point aNow) const
 {
   const auto otherExists = [&](std::string_view aLabel) {
     return std::ranges::any_of(mTargets, [&](const auto& aOne) {
       const auto& other = aOne.second;
       return &other != &aTarget && other.mEntry.mPool == aTarget.mEntry.mPool &&
-             (aLabel.empty() || other.mEntry.hasLabel(aLabel)) && usable(other, aNow);
+             (aLabel.empty() || other.mEntry.hasLabel(aLabel)) &&
+             aNeeds.fitsIn(other.mEntry.mCapacity) && usable(other, aNow);
     });
   };
   return otherExists({}) && std::ranges::all_of(aTarget.mEntry.mLabels, otherExists);
@@ -394,7 +396,8 @@
       return;
     }
     aTarget.mLastFailedJob = aEnd.mTask.mStep.mJob;
-    if (++aTarget.mConsecutiveFailures >= kFailuresToAvoid && isReplaceable(aTarget, aNow)) {
+    if (++aTarget.mConsecutiveFailures >= kFailuresToAvoid &&
+        isReplaceable(aTarget, aTarget.mRuns.at(aEnd.mTask).mNeeds, aNow)) {
       aTarget.mAvoidUntil =
         aNow +
         doubled(kAvoidPeriod, aTarget.mConsecutiveFailures - kFailuresToAvoid, kMaxAvoidPeriod);
