Send no start to a target that has left the pool or lost the label

Operators saw a task on a target outside its route's pool, or without the label that its step requires: the target had changed its entry while the start was being stored, or before an order without an answer was repeated.

Cause: pool and label are looked at when a start is decided only. orderable() now looks at them when the start is stored, and a repetition becomes a stop, as at a target that has shrunk. Runs that have begun go on and still count.

Evidence: entry_changes.storedStartsAreNotSentToTargetsOfAnotherPool, storedStartsAreNotSentToTargetsWithoutTheLabel and startsAreNotRepeatedAtTargetsWithoutTheLabel (one run there before, none now). runsGoOnAndStillCount passes before and after.

Ruled out: rack and address, which no rule binds a start to (a gang only prefers one rack; orders use the newest address), and the zone, which orderable() has always looked at. A change of the pool by the configuration takes the same path.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -159,7 +159,7 @@
   bool orderable(const run_started& aStart, time_point aNow);
   /// Whether a start order may be repeated that had no answer: if the first was not executed, the
   /// repetition starts the run.
-  static bool repeatable(const target_state& aTarget);
+  bool repeatable(const target_state& aTarget, const task_key& aTask) const;
   /// Withdraws the starts of gangs of which a member cannot be ordered any more: the other members
   /// would wait for it in vain.
   void stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow);
@@ -180,6 +180,9 @@
   void plan(time_point aNow);
   /// Whether the target can be given new tasks.
   bool usable(const target_state& aTarget, time_point aNow) const;
+  /// Whether the target is in the route's pool and has the label that the step requires.
+  static bool isSuitable(const target_state& aTarget, const route_config& aRoute,
+                         const step_spec& aStep);
   /// Whether the step may run on the target by its verdict, recent failures, pool and label.
   bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
   /// Whether the target is allowed and, if the route needs tickets, there is one that stays valid
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -55,13 +55,18 @@
   const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
   return target.mAcquisitionStored &&
          target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
-         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone);
+         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone) &&
+         isSuitable(target, routeOf(owning->mSpec.mRoute),
+                    owning->mSpec.mSteps[aStart.mTask.mStep.mStep]);
 }
 
-bool owner::impl::repeatable(const target_state& aTarget)
+bool owner::impl::repeatable(const target_state& aTarget, const task_key& aTask) const
 {
   const auto& capacity = aTarget.mEntry.mCapacity;
-  return aTarget.mUsed.fitsIn(capacity) || aTarget.orderedNeeds().fitsIn(capacity);
+  const job& owning = *mJobTable.find(aTask.mStep.mJob);
+  return isSuitable(aTarget, routeOf(owning.mSpec.mRoute),
+                    owning.mSpec.mSteps[aTask.mStep.mStep]) &&
+         (aTarget.mUsed.fitsIn(capacity) || aTarget.orderedNeeds().fitsIn(capacity));
 }
 
 void owner::impl::stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow)
@@ -149,7 +154,7 @@
     // A start order extends the lease, so it is not repeated once renewals have been stopped.
     const bool abandonStart =
       run.mTries >= kMaxStartTries || run.mStopWanted || !aTarget.mAcquisitionStored;
-    if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget)) {
+    if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget, task)) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
                (run.mStopWanted && !run.mEnded)) {
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -31,6 +31,13 @@
          aTarget.mAvoidUntil <= aNow && !mClosedZones.contains(aTarget.mEntry.mZone);
 }
 
+bool owner::impl::isSuitable(const target_state& aTarget, const route_config& aRoute,
+                             const step_spec& aStep)
+{
+  return aTarget.mEntry.mPool == aRoute.mPool &&
+         (aStep.mRequiredLabel.empty() || aTarget.mEntry.hasLabel(aStep.mRequiredLabel));
+}
+
 bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget,
                           time_point aNow) const
 {
@@ -43,9 +50,7 @@
       return false;
     }
   }
-  const auto& spec = aStep.spec();
-  return aTarget.mEntry.mPool == aStep.mRoute.mPool &&
-         (spec.mRequiredLabel.empty() || aTarget.mEntry.hasLabel(spec.mRequiredLabel));
+  return isSuitable(aTarget, aStep.mRoute, aStep.spec());
 }
 
 bool owner::impl::allowedWithTicket(const waiting_step& aStep, const target_state& aTarget,
