Log changes of a target's capacity

Operators could not see why a start went elsewhere or did not happen: the log had a target's capacity only from its first entry or a change of draining, although each decision uses the newest one.

registry_view now writes target_capacity with the old and the new values, at most once a second for each target. A change within that second is logged with one of the next entries, which targets rewrite about every second. All daemons write it, so that the log of a next owner is complete.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -70,20 +70,21 @@
     mRequestHandler(mClock, mJobTable, mRecordWriter, mLog,
                     { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
                     [this](const journal_record& aRecord) { applyRecord(aRecord); }),
-    mRegistry(mLog, { .mOnListed =
-                        [this](const scheduler::target_entry& aEntry) {
-                          mCapacityChanged = true;
-                          if (mOwner) {
-                            mOwner->setTarget(aEntry, mClock.now());
-                          }
-                        },
-                      .mOnUnlisted =
-                        [this](const std::string& aId) {
-                          mCapacityChanged = true;
-                          if (mOwner) {
-                            mOwner->removeTarget(aId, mClock.now());
-                          }
-                        } })
+    mRegistry(mLog, mClock,
+              { .mOnListed =
+                  [this](const scheduler::target_entry& aEntry) {
+                    mCapacityChanged = true;
+                    if (mOwner) {
+                      mOwner->setTarget(aEntry, mClock.now());
+                    }
+                  },
+                .mOnUnlisted =
+                  [this](const std::string& aId) {
+                    mCapacityChanged = true;
+                    if (mOwner) {
+                      mOwner->removeTarget(aId, mClock.now());
+                    }
+                  } })
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(std::optional<std::string>)> aDone) {
--- a/node/src/registry_view.cpp
+++ b/node/src/registry_view.cpp
@@ -7,8 +7,16 @@
 
 namespace endiveusher::node {
 
-registry_view::registry_view(event_log& aLog, callbacks aCallbacks)
-  : mLog(aLog), mCallbacks(std::move(aCallbacks))
+namespace {
+
+/// Minimum time between two log lines on the capacity of one target; targets write their entries
+/// about once a second.
+constexpr std::chrono::milliseconds kCapacityLogInterval{ 1000 };
+
+} // namespace
+
+registry_view::registry_view(event_log& aLog, const clock& aClock, callbacks aCallbacks)
+  : mLog(aLog), mClock(aClock), mCallbacks(std::move(aCallbacks))
 {
 }
 
@@ -64,12 +72,31 @@
                            entry->mCapacity.mCpuMilli, entry->mCapacity.mMemoryMb,
                            entry->mIncarnationStart));
   }
+  logCapacity(*entry);
   mCallbacks.mOnListed(*entry);
   mTargets[aRecord.mKey] = *std::move(entry);
 }
 
+void registry_view::logCapacity(const scheduler::target_entry& aEntry)
+{
+  const auto [at, isNew] =
+    mLoggedCapacity.try_emplace(aEntry.mId, logged_capacity{ .mCapacity = aEntry.mCapacity });
+  auto& logged = at->second;
+  const auto now = mClock.now();
+  if (isNew || logged.mCapacity == aEntry.mCapacity || logged.mNextLog > now) {
+    return;
+  }
+  mLog.write("target_capacity",
+             fmt::format("target={} old_cpu={} cpu={} old_mem={} mem={} old_gpu={} gpu={}",
+                         aEntry.mId, logged.mCapacity.mCpuMilli, aEntry.mCapacity.mCpuMilli,
+                         logged.mCapacity.mMemoryMb, aEntry.mCapacity.mMemoryMb,
+                         logged.mCapacity.mAccelerators, aEntry.mCapacity.mAccelerators));
+  logged = { .mCapacity = aEntry.mCapacity, .mNextLog = now + kCapacityLogInterval };
+}
+
 void registry_view::unlist(const std::string& aId)
 {
+  mLoggedCapacity.erase(aId);
   if (mTargets.erase(aId) > 0) {
     mLog.write("target_unlisted", fmt::format("target={}", aId));
     mCallbacks.mOnUnlisted(aId);
--- a/node/src/registry_view.h
+++ b/node/src/registry_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission.h"
+#include "endiveusher/kernel/time.h"
 #include "endiveusher/platform/messages.h"
 #include "endiveusher/platform/store.h"
 #include "endiveusher/scheduler/target.h"
@@ -24,7 +25,7 @@
     std::function<void(const std::string& aId)> mOnUnlisted;
   };
 
-  registry_view(event_log& aLog, callbacks aCallbacks);
+  registry_view(event_log& aLog, const clock& aClock, callbacks aCallbacks);
 
   void read(const std::vector<std::string>& aRecords);
   /// Replaces all known targets by those of aRecords, the newest record of each key.
@@ -40,9 +41,19 @@
   void readRecord(const platform::keyed_record& aRecord);
   void unlist(const std::string& aId);
 
+  void logCapacity(const scheduler::target_entry& aEntry);
+
   event_log& mLog;
+  const clock& mClock;
   const callbacks mCallbacks;
   std::map<std::string, scheduler::target_entry, std::less<>> mTargets;
+  /// Capacity of each target that was logged last, and the time from which a change is logged.
+  struct logged_capacity
+  {
+    resources mCapacity;
+    time_point mNextLog{};
+  };
+  std::map<std::string, logged_capacity, std::less<>> mLoggedCapacity;
   /// Ids of malformed entries, each of which is logged once.
   std::set<std::string> mUnusable;
 };
