Admit jobs that fit into a capacity that has shrunk

Callers saw a job rejected with 429 and Retry-After 60 as larger than every target, although it could have run seconds later: all targets that hold a task of it had shrunk for a while.

Cause: registry_view::capacity() counted the newest entry of each target. Now it counts, for each target, the largest amount of each resource that its incarnation has stated since the daemon first read its entry. A new incarnation and an entry that is gone or malformed begin anew. Such a job waits in the queue until a target has grown.

Ruled out: keeping each capacity that was stated, which grows without bound. The largest amounts may never have been stated together; a job that needs them together waits instead of being rejected. A daemon that starts while a target is small does not know its former capacity.

--- a/node/src/admission.h
+++ b/node/src/admission.h
@@ -11,7 +11,8 @@
 
 namespace endiveusher::node {
 
-/// Distinct sizes of the targets of each pool; empty while they are unknown.
+/// Distinct sizes of the targets of each pool, each the largest that the target has stated; empty
+/// while they are unknown.
 struct cell_capacity
 {
   std::map<std::string, std::vector<resources>> mPools;
--- a/node/src/registry_view.cpp
+++ b/node/src/registry_view.cpp
@@ -73,6 +73,7 @@
                            entry->mIncarnationStart));
   }
   logCapacity(*entry);
+  updateLargestCapacity(*entry);
   mCallbacks.mOnListed(*entry);
   mTargets[aRecord.mKey] = *std::move(entry);
 }
@@ -94,9 +95,22 @@
   logged = { .mCapacity = aEntry.mCapacity, .mNextLog = now + kCapacityLogInterval };
 }
 
+void registry_view::updateLargestCapacity(const scheduler::target_entry& aEntry)
+{
+  auto& largest = mLargestCapacity[aEntry.mId];
+  if (largest.mIncarnationStart != aEntry.mIncarnationStart) {
+    largest = { .mIncarnationStart = aEntry.mIncarnationStart, .mCapacity = {} };
+  }
+  auto& most = largest.mCapacity;
+  most.mCpuMilli = std::max(most.mCpuMilli, aEntry.mCapacity.mCpuMilli);
+  most.mMemoryMb = std::max(most.mMemoryMb, aEntry.mCapacity.mMemoryMb);
+  most.mAccelerators = std::max(most.mAccelerators, aEntry.mCapacity.mAccelerators);
+}
+
 void registry_view::unlist(const std::string& aId)
 {
   mLoggedCapacity.erase(aId);
+  mLargestCapacity.erase(aId);
   if (mTargets.erase(aId) > 0) {
     mLog.write("target_unlisted", fmt::format("target={}", aId));
     mCallbacks.mOnUnlisted(aId);
@@ -108,8 +122,9 @@
   cell_capacity capacity;
   for (const auto& [id, entry] : mTargets) {
     auto& pool = capacity.mPools[entry.mPool];
-    if (std::ranges::find(pool, entry.mCapacity) == pool.end()) {
-      pool.push_back(entry.mCapacity);
+    const auto& largest = mLargestCapacity.at(id).mCapacity;
+    if (std::ranges::find(pool, largest) == pool.end()) {
+      pool.push_back(largest);
     }
   }
   return capacity;
--- a/node/src/registry_view.h
+++ b/node/src/registry_view.h
@@ -7,6 +7,7 @@
 #include "endiveusher/scheduler/target.h"
 #include "event_log.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -35,6 +36,8 @@
   {
     return mTargets;
   }
+  /// Returns, for each target, the largest capacity that its incarnation has stated since this
+  /// daemon first read its entry: one that has shrunk may grow again.
   cell_capacity capacity() const;
 
 private:
@@ -42,11 +45,19 @@
   void unlist(const std::string& aId);
 
   void logCapacity(const scheduler::target_entry& aEntry);
+  void updateLargestCapacity(const scheduler::target_entry& aEntry);
 
   event_log& mLog;
   const clock& mClock;
   const callbacks mCallbacks;
   std::map<std::string, scheduler::target_entry, std::less<>> mTargets;
+  /// Largest amount of each resource that a target's incarnation has stated.
+  struct largest_capacity
+  {
+    std::int64_t mIncarnationStart = 0;
+    resources mCapacity;
+  };
+  std::map<std::string, largest_capacity, std::less<>> mLargestCapacity;
   /// Capacity of each target that was logged last, and the time from which a change is logged.
   struct logged_capacity
   {
