Add targets whose capacity shrinks and grows to the platform soak

The fault target_shrinks lowers what a target states to 0, 1, 2 or 4 of its 8 cores for 1 to 8 s. A start is judged by the largest capacity that the target has stated in the last 3.5 s: the shortest contact time of the rule and one heartbeat, counted from the entry that states the smaller one.

No soak has run with this commit yet.

--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from cell import Cell, ZONES
+from cell import Cell, TARGET_CPU_MILLI, ZONES
 
 # Time limit after the last fault for all accepted jobs to end.
 SETTLE_S = 40.0
@@ -20,7 +20,7 @@
 # Kinds of planned work. Every request is answered if nothing else happens.
 PLANNED = {"stop", "reload", "evacuate", "revoke", "quota"}
 # Kinds that are injected only if named, so that the seeds of former failures draw the same faults.
-ONLY_IF_NAMED = {"reload"}
+ONLY_IF_NAMED = {"reload", "target_shrinks"}
 
 
 class Fault:
@@ -73,6 +73,15 @@
         target = rng.choice(cell.targets)
         return Fault(rng.uniform(0.5, 8), target.crash, target.restart)
 
+    def shrink():
+        target = rng.choice(cell.targets)
+        cpu_milli = rng.choice([0, 1000, 2000, 4000])
+        return Fault(
+            rng.uniform(1, 8),
+            lambda: set_fields(target, cpu_milli=cpu_milli),
+            lambda: set_fields(target, cpu_milli=TARGET_CPU_MILLI),
+        )
+
     def evacuate():
         zone = rng.choice(ZONES)
         return Fault(
@@ -121,6 +130,7 @@
         "target_reset": lambda: Fault(0, path().reset),
         "target_lost": lambda: toggled(target(), seconds(), loss_probability=0.4),
         "target_fails": lambda: toggled(target(), seconds(), fails_tasks=True),
+        "target_shrinks": shrink,
         "target_drains": lambda: toggled(target(), seconds(), draining=True),
         "evacuate": evacuate,
         "revoke": revoke,
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -8,6 +8,9 @@
 
 MAX_LEASE_MS = 6000
 REGISTRY_INTERVAL_S = 0.5
+# Time after the entry with a smaller capacity is written in which starts may still arrive that fit
+# into the former one: the platform's shortest time for a change to be known, and one heartbeat.
+SHRINK_GRACE_S = 3.0 + REGISTRY_INTERVAL_S
 
 
 class Run:
@@ -28,6 +31,8 @@
         self.draining = False
         self.loss_probability = 0.0  # Of the answer to an order that was carried out.
         self.fails_tasks = False
+        self._former = []  # Former capacities and the time until which starts may count on each.
+        self._stated_cpu_milli = cpu_milli  # In the entry that was written last.
         self._store, self._checker = store, checker
         self._lock = threading.Condition()
         self._stop = threading.Event()
@@ -87,6 +92,18 @@
                 "capacity": {"cpu": self.cpu_milli, "mem_mb": 100000, "gpu": 0},
             }
             self._store.put("keyed.servers", self.name, json.dumps(entry).encode())
+            stated = entry["capacity"]["cpu"]
+            with self._lock:
+                if stated != self._stated_cpu_milli:
+                    until = time.monotonic() + SHRINK_GRACE_S
+                    self._former.append((self._stated_cpu_milli, until))
+                    self._stated_cpu_milli = stated
+
+    def _permitted_cpu_milli(self):
+        """The largest capacity that the owner may count on."""
+        now = time.monotonic()
+        self._former = [one for one in self._former if one[1] > now]
+        return max([self._stated_cpu_milli] + [cpu_milli for cpu_milli, _ in self._former])
 
     def _run_tasks(self):
         while not self._stop.wait(0.01):
@@ -153,7 +170,7 @@
         ends_at = time.monotonic() + work_ms / 1000
         self._runs[task] = Run(number, ends_at, cpu_milli, bool(gang))
         used = sum(run.cpu_milli for run in self._runs.values())
-        self._checker.run_started(self.name, task, number, used, self.cpu_milli)
+        self._checker.run_started(self.name, task, number, used, self._permitted_cpu_milli())
         return self._answer(200)
 
     def _stop_run(self, fields):
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -7,11 +7,13 @@
 import time
 import types
 import unittest
+import unittest.mock
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform_soak"))
 
 from main import run_tests  # noqa: E402
 import soak  # noqa: E402
+import target as target_module  # noqa: E402
 from checker import Checker, Job  # noqa: E402
 from programs import Ports  # noqa: E402
 from target import Target  # noqa: E402
@@ -108,7 +110,7 @@
 
 
 class SoakTarget(unittest.TestCase):
-    """Which acknowledged ends are passed to the checker."""
+    """Which acknowledged ends and which capacities are passed to the checker."""
 
     def acknowledge(self, lease_ms, pause_s):
         """Runs a task of 20 ms, acknowledges its end after the pause; returns the reported ends."""
@@ -133,6 +135,32 @@
     def test_an_end_acknowledged_after_the_lease_is_not_reported(self):
         self.assertEqual([], self.acknowledge(100, 0.3))
 
+    def capacities_after_shrinking(self, grace_s):
+        """Shrinks a target from 8000 to 1000 between two starts; returns the capacities reported."""
+        checker = Checker(1, team_limit_cpu_milli=4000)
+        reported = []
+        checker.run_started = lambda *fields: reported.append(fields[4])
+        checker.run_ended = lambda *fields: None
+        store = types.SimpleNamespace(down=False, put=lambda *fields: None)
+        with unittest.mock.patch.object(target_module, "SHRINK_GRACE_S", grace_s):
+            target = Target("t", Ports(os.getpid() * 41).take(), "a", 8000, store, checker)
+            try:
+                for index, cpu_milli in enumerate([8000, 1000]):
+                    target.cpu_milli = cpu_milli
+                    time.sleep(3 * target_module.REGISTRY_INTERVAL_S)
+                    start = {"task": f"j.0.0.{index}", "run": 1, "spec": "5000:500:0",
+                             "deadline_ms": 6000}
+                    target._serve("POST", "/run-start", {}, json.dumps(start).encode())
+            finally:
+                target.close()
+        return reported
+
+    def test_a_start_soon_after_a_shrink_may_count_on_the_former_capacity(self):
+        self.assertEqual([8000, 8000], self.capacities_after_shrinking(5))
+
+    def test_a_later_start_may_not(self):
+        self.assertEqual([8000, 1000], self.capacities_after_shrinking(0.2))
+
 
 if __name__ == "__main__":
     run_tests()
