Do not repeat starts at draining targets or in closed zones

Operators saw a task begin on a target that was leaving, or in a zone that was being evacuated: a start order that was lost was repeated there. Stored starts were withdrawn already.

Cause: as for capacity and labels, sendOrders did not look at the target again. orderable() and repeatable() now ask the same function, mayStartAt; a repetition becomes a stop.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -155,6 +155,9 @@
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
+  /// Whether the target still accepts a start that was decided earlier: its entry and the closed
+  /// zones may have changed since.
+  bool mayStartAt(const target_state& aTarget, const job& aJob, const step_key& aStep) const;
   /// Whether the run, whose start is stored now, can still be ordered at its target.
   bool orderable(const run_started& aStart, time_point aNow);
   /// Whether a start order may be repeated that had no answer: if the first was not executed, the
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -44,6 +44,13 @@
   return run != target->second.mRuns.end() && run->second.mRun == aRun ? &run->second : nullptr;
 }
 
+bool owner::impl::mayStartAt(const target_state& aTarget, const job& aJob,
+                             const step_key& aStep) const
+{
+  return !aTarget.mEntry.mDraining && !mClosedZones.contains(aTarget.mEntry.mZone) &&
+         isSuitable(aTarget, routeOf(aJob.mSpec.mRoute), aJob.mSpec.mSteps[aStep.mStep]);
+}
+
 bool owner::impl::orderable(const run_started& aStart, time_point aNow)
 {
   const auto* run = findRun(aStart.mAt.mTarget, aStart.mTask, aStart.mRun);
@@ -55,17 +62,13 @@
   const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
   return target.mAcquisitionStored &&
          target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
-         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone) &&
-         isSuitable(target, routeOf(owning->mSpec.mRoute),
-                    owning->mSpec.mSteps[aStart.mTask.mStep.mStep]);
+         mayStartAt(target, *owning, aStart.mTask.mStep);
 }
 
 bool owner::impl::repeatable(const target_state& aTarget, const task_key& aTask) const
 {
   const auto& capacity = aTarget.mEntry.mCapacity;
-  const job& owning = *mJobTable.find(aTask.mStep.mJob);
-  return isSuitable(aTarget, routeOf(owning.mSpec.mRoute),
-                    owning.mSpec.mSteps[aTask.mStep.mStep]) &&
+  return mayStartAt(aTarget, *mJobTable.find(aTask.mStep.mJob), aTask.mStep) &&
          (aTarget.mUsed.fitsIn(capacity) || aTarget.orderedNeeds().fitsIn(capacity));
 }
 
--- a/tests/scheduler/target_entry_change_test.cpp
+++ b/tests/scheduler/target_entry_change_test.cpp
@@ -94,6 +94,39 @@
   CHECK_EQUAL(0, cell.running());
 }
 
+// Guards against a repeated start order that is executed at a target that is leaving.
+TEST(entry_changes, startsAreNotRepeatedAtDrainingTargets)
+{
+  auto& target = cell.addTarget("t1");
+  cell.startNextOwner();
+  cell.run(kStartTime);
+  target.mLosesStarts = true;
+  cell.submit(task());
+  cell.run(milliseconds(60));
+  CHECK_EQUAL(1, std::ranges::count(cell.mEvents, "start_rejected"));
+  target.mEntry.mDraining = true;
+  change("pool", { "k", "r1" });
+  target.mLosesStarts = false;
+  cell.run(milliseconds(1000));
+  CHECK_EQUAL(0, cell.running());
+}
+
+// Guards against a repeated start order that is executed in a closed zone.
+TEST(entry_changes, startsAreNotRepeatedInClosedZones)
+{
+  auto& target = cell.addTarget("t1");
+  cell.startNextOwner();
+  cell.run(kStartTime);
+  target.mLosesStarts = true;
+  cell.submit(task());
+  cell.run(milliseconds(60));
+  CHECK_EQUAL(1, std::ranges::count(cell.mEvents, "start_rejected"));
+  cell.mOwner->setClosedZones({ "a" });
+  target.mLosesStarts = false;
+  cell.run(milliseconds(1000));
+  CHECK_EQUAL(0, cell.running());
+}
+
 // Guards against runs that end, or stop counting, because their target changes its entry.
 TEST(entry_changes, runsGoOnAndStillCount)
 {
