Send no start to a target that the registry does not list any more

Operators saw a task begin on a target whose entry was removed, or malformed and so without a known capacity, while the start was being stored.

Cause: orderable() looked at draining, but not at whether the target is listed, as placement does. mayStartAt does now, also for repetitions. Runs that have begun there go on under their leases.

Evidence: entry_changes.storedStartsAreNotSentToUnlistedTargets (one run before, none now; it starts once the target is listed again).

--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -47,7 +47,8 @@
 bool owner::impl::mayStartAt(const target_state& aTarget, const job& aJob,
                              const step_key& aStep) const
 {
-  return !aTarget.mEntry.mDraining && !mClosedZones.contains(aTarget.mEntry.mZone) &&
+  return aTarget.mListed && !aTarget.mEntry.mDraining &&
+         !mClosedZones.contains(aTarget.mEntry.mZone) &&
          isSuitable(aTarget, routeOf(aJob.mSpec.mRoute), aJob.mSpec.mSteps[aStep.mStep]);
 }
 
--- a/tests/scheduler/target_entry_change_test.cpp
+++ b/tests/scheduler/target_entry_change_test.cpp
@@ -94,6 +94,22 @@
   CHECK_EQUAL(0, cell.running());
 }
 
+// Guards against a stored start that is sent to a target that the registry does not list any more,
+// whose capacity is therefore unknown.
+TEST(entry_changes, storedStartsAreNotSentToUnlistedTargets)
+{
+  cell.addTarget("t1");
+  cell.startNextOwner();
+  cell.run(kStartTime);
+  const auto id = submitToSlowStore(task());
+  cell.mOwner->removeTarget("t1", cell.mNow);
+  cell.run(milliseconds(1500));
+  CHECK_EQUAL(0, cell.running());
+  change("pool", { "k", "r1" });
+  cell.run(milliseconds(1500));
+  CHECK_EQUAL(std::string("t1"), cell.targetRunning(id));
+}
+
 // Guards against a repeated start order that is executed at a target that is leaving.
 TEST(entry_changes, startsAreNotRepeatedAtDrainingTargets)
 {
