--- a/node/src/registry_view.h
+++ b/node/src/registry_view.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "admission.h"
+#include "endiveusher/kernel/time.h"
 #include "endiveusher/platform/messages.h"
 #include "endiveusher/platform/store.h"
 #include "endiveusher/scheduler/target.h"
 #include "event_log.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -24,7 +26,7 @@
     std::function<void(const std::string& aId)> mOnUnlisted;
   };
 
-  registry_view(event_log& aLog, callbacks aCallbacks);
+  registry_view(event_log& aLog, const clock& aClock, callbacks aCallbacks);
 
   void read(const std::vector<std::string>& aRecords);
   /// Replaces all known targets by those of aRecords, the newest record of each key.
@@ -34,15 +36,35 @@
   {
     return mTargets;
   }
+  /// Returns, for each target, the largest capacity that its incarnation has stated since this
+  /// daemon first read its entry: one that has shrunk may grow again.
   cell_capacity capacity() const;
 
 private:
   void readRecord(const platform::keyed_record& aRecord);
   void unlist(const std::string& aId);
 
+  void logCapacity(const scheduler::target_entry& aEntry);
+  void updateLargestCapacity(const scheduler::target_entry& aEntry);
+
   event_log& mLog;
+  const clock& mClock;
   const callbacks mCallbacks;
   std::map<std::string, scheduler::target_entry, std::less<>> mTargets;
+  /// Largest amount of each resource that a target's incarnation has stated.
+  struct largest_capacity
+  {
+    std::int64_t mIncarnationStart = 0;
+    resources mCapacity;
+  };
+  std::map<std::string, largest_capacity, std::less<>> mLargestCapacity;
+  /// Capacity of each target that was logged last, and the time from which a change is logged.
+  struct logged_capacity
+  {
+    resources mCapacity;
+    time_point mNextLog{};
+  };
+  std::map<std::string, logged_capacity, std::less<>> mLoggedCapacity;
   /// Ids of malformed entries, each of which is logged once.
   std::set<std::string> mUnusable;
 };
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -149,12 +149,12 @@
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
-  /// Whether a usable target other than aTarget may run the step.
+  /// Whether a usable target other than aTarget may run the step and has the capacity for a task.
   bool hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
                       time_point aNow) const;
-  /// Whether other usable targets of the pool have each of the target's labels, so that steps do
-  /// not depend on this target.
-  bool isReplaceable(const target_state& aTarget, time_point aNow) const;
+  /// Whether other usable targets of the pool have each of the target's labels and the capacity for
+  /// aNeeds, so that steps do not depend on this target.
+  bool isReplaceable(const target_state& aTarget, const resources& aNeeds, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
@@ -169,11 +169,20 @@
   target_time extendLease(target_state& aTarget, time_point aNow) const;
 
   // Orders.
+  /// Whether the target still accepts a start that was decided earlier: its entry and the closed
+  /// zones may have changed since.
+  bool mayStartAt(const target_state& aTarget, const job& aJob, const step_key& aStep) const;
   /// Whether the run, whose start is stored now, can still be ordered at its target.
   bool orderable(const run_started& aStart, time_point aNow);
+  /// Whether a start order may be repeated that had no answer: if the first was not executed, the
+  /// repetition starts the run.
+  bool repeatable(const target_state& aTarget, const task_key& aTask) const;
   /// Withdraws the starts of gangs of which a member cannot be ordered any more: the other members
   /// would wait for it in vain.
   void stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow);
+  /// Withdraws stored starts that do not fit any more because the capacity of their target has
+  /// shrunk since they were decided. Those decided first are kept; gangs are withdrawn whole.
+  void withdrawUnfittingStarts(std::span<const run_started> aStarts, time_point aNow);
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                  time_point aNow);
@@ -188,6 +197,9 @@
   void plan(time_point aNow);
   /// Whether the target can be given new tasks.
   bool usable(const target_state& aTarget, time_point aNow) const;
+  /// Whether the target is in the route's pool and has the label that the step requires.
+  static bool isSuitable(const target_state& aTarget, const route_config& aRoute,
+                         const step_spec& aStep);
   /// Whether the step may run on the target by its verdict, recent failures, pool and label.
   bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
   /// Whether the target is allowed and, if the route needs tickets, there is one that stays valid
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace endiveusher::scheduler {
 
@@ -42,6 +44,14 @@
   return run != target->second.mRuns.end() && run->second.mRun == aRun ? &run->second : nullptr;
 }
 
+bool owner::impl::mayStartAt(const target_state& aTarget, const job& aJob,
+                             const step_key& aStep) const
+{
+  return aTarget.mListed && !aTarget.mEntry.mDraining &&
+         !mClosedZones.contains(aTarget.mEntry.mZone) &&
+         isSuitable(aTarget, routeOf(aJob.mSpec.mRoute), aJob.mSpec.mSteps[aStep.mStep]);
+}
+
 bool owner::impl::orderable(const run_started& aStart, time_point aNow)
 {
   const auto* run = findRun(aStart.mAt.mTarget, aStart.mTask, aStart.mRun);
@@ -53,7 +63,14 @@
   const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
   return target.mAcquisitionStored &&
          target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
-         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone);
+         mayStartAt(target, *owning, aStart.mTask.mStep);
+}
+
+bool owner::impl::repeatable(const target_state& aTarget, const task_key& aTask) const
+{
+  const auto& capacity = aTarget.mEntry.mCapacity;
+  return mayStartAt(aTarget, *mJobTable.find(aTask.mStep.mJob), aTask.mStep) &&
+         (aTarget.mUsed.fitsIn(capacity) || aTarget.orderedNeeds().fitsIn(capacity));
 }
 
 void owner::impl::stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow)
@@ -74,6 +91,54 @@
   }
 }
 
+void owner::impl::withdrawUnfittingStarts(std::span<const run_started> aStarts, time_point aNow)
+{
+  // Needs at targets with too little capacity for all runs: of the ordered runs and of the starts
+  // that are kept.
+  std::map<std::string, resources> kept;
+  while (!aStarts.empty()) {
+    const auto& key = aStarts.front().mTask.mStep;
+    const job* owning = mJobTable.find(key.mJob);
+    const bool gang = owning != nullptr && owning->mSpec.mSteps[key.mStep].mGang;
+    // The starts of a gang are decided together.
+    const auto other = std::ranges::find_if(
+      aStarts, [&key](const run_started& aOne) { return aOne.mTask.mStep != key; });
+    const auto count = gang ? static_cast<std::size_t>(other - aStarts.begin()) : 1;
+    const auto group = aStarts.first(count);
+    aStarts = aStarts.subspan(count);
+    auto withGroup = kept;
+    bool fits = true;
+    for (const auto& start : group) {
+      if (!orderable(start, aNow)) {
+        continue;
+      }
+      const auto& target = mTargets.find(start.mAt.mTarget)->second;
+      if (target.mUsed.fitsIn(target.mEntry.mCapacity)) {
+        continue;
+      }
+      const auto [needs, isNew] = withGroup.try_emplace(start.mAt.mTarget);
+      if (isNew) {
+        needs->second = target.orderedNeeds();
+      }
+      needs->second += target.mRuns.at(start.mTask).mNeeds;
+      fits = fits && needs->second.fitsIn(target.mEntry.mCapacity);
+    }
+    if (fits) {
+      kept = std::move(withGroup);
+      continue;
+    }
+    mPort.logDecision("starts_withdrawn",
+                      fmt::format("task={} run={} target={} tasks={} reason=capacity",
+                                  toText(group.front().mTask), group.front().mRun,
+                                  group.front().mAt.mTarget, group.size()));
+    for (const auto& start : group) {
+      if (auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun)) {
+        run->mStopWanted = true;
+      }
+    }
+  }
+}
+
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
   if (aTarget.mNextOrders > aNow) {
@@ -93,7 +158,7 @@
     // A start order extends the lease, so it is not repeated once renewals have been stopped.
     const bool abandonStart =
       run.mTries >= kMaxStartTries || run.mStopWanted || !aTarget.mAcquisitionStored;
-    if (run.mPhase == run_phase::ordered && !abandonStart) {
+    if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget, task)) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
                (run.mStopWanted && !run.mEnded)) {
