--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -114,6 +114,13 @@
   }
 };
 
+/// What became of a task that crashes the targets that start it.
+struct deadly_task
+{
+  unsigned mCrashes = 0;
+  unsigned mStartsAfterThirdCrash = 0;
+};
+
 /// A cell with one owner. Calls are answered after one step of the simulated time.
 class owner_fixture : private owner_port
 {
@@ -188,6 +195,20 @@
     mOwner->setTarget(target.mEntry, mNow);
   }
 
+  /// Loses a target and all its runs; it comes back as a new incarnation after mRestartDelay.
+  void crashTarget(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    const auto lost = std::exchange(target.mRunning, {});
+    target.mReachable = false;
+    mRestarts[aId] = mNow + mRestartDelay;
+    for (const auto& [task, run] : lost) {
+      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
+        breakGang(task.mStep);
+      }
+    }
+  }
+
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
   void startNextOwner()
   {
@@ -268,6 +289,7 @@
       for (auto& [id, target] : mTargets) {
         target.mClock += milliseconds(5);
       }
+      restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
       deliverReplies();
@@ -335,6 +357,12 @@
   bool mStoreDown = false;
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
+  /// Jobs whose tasks crash the targets that start them.
+  std::set<job_id> mDeadlyJobs;
+  std::map<task_key, deadly_task> mDeadlyTasks;
+  /// Time after which crashed targets are back, and whether the registry tells so at once.
+  milliseconds mRestartDelay{ 2000 };
+  bool mRestartsAreListed = true;
   int mRenewals = 0;
   /// Number of heartbeats with a lease that each target was sent.
   std::map<std::string, int> mRenewalsOf;
@@ -449,6 +477,23 @@
     }
   }
 
+  void restartCrashedTargets()
+  {
+    for (auto at = mRestarts.begin(); at != mRestarts.end();) {
+      if (at->second > mNow) {
+        ++at;
+        continue;
+      }
+      auto& target = mTargets.at(at->first);
+      target = { .mEntry = target.mEntry };
+      ++target.mEntry.mIncarnationStart;
+      if (mRestartsAreListed) {
+        mOwner->setTarget(target.mEntry, mNow);
+      }
+      at = mRestarts.erase(at);
+    }
+  }
+
   void endStoppedRuns()
   {
     for (auto& [id, target] : mTargets) {
@@ -547,6 +592,13 @@
     if (mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow)) {
       return order_outcome::bad_ticket;
     }
+    if (mDeadlyJobs.contains(aOrder.mTask.mStep.mJob)) {
+      auto& deadly = mDeadlyTasks[aOrder.mTask];
+      deadly.mStartsAfterThirdCrash += deadly.mCrashes >= 3 ? 1 : 0;
+      ++deadly.mCrashes;
+      crashTarget(aOrder.mTarget);
+      return order_outcome::unanswered;
+    }
     target.mRunning[aOrder.mTask] = aOrder.mRun;
     const auto& step =
       mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps[aOrder.mTask.mStep.mStep];
@@ -578,6 +630,8 @@
   std::map<std::string, fake_target> mTargets;
   std::vector<pending_call> mPending;
   std::multimap<time_point, task_end> mTaskEnds;
+  /// Crashed targets and the times at which they are back.
+  std::map<std::string, time_point> mRestarts;
   std::deque<std::vector<journal_record>> mUnstored;
   time_point mAppendSince{};
   std::uint64_t mEpoch = 0;
