Give up jobs whose tasks crash target after target

Cause: nothing counted the targets lost under a task.

They are now recorded as target_lost, before the next start is ordered, so that the count holds across changes of the owner: a restarted target, a later target on its VM, leases that expire at a target that is not heard of. Planned leaves and starts that were not ordered are not counted. A job is given up after three losses of one task if nothing of other jobs ran on the last target, otherwise after five: the users' rule allows two further starts after three crashes. A loss more than 10 min after the one before restarts the count, for services.

Ruled out: giving up at two losses, which hits tasks of a rack that loses power twice; counting in the owner's memory, which each next owner forgets.

--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/kernel/resources.h"
+#include "endiveusher/kernel/time.h"
 
 #include <chrono>
 #include <compare>
@@ -111,15 +112,18 @@
 std::string toText(const task_key& aKey);
 std::optional<task_key> parseTaskKey(std::string_view aText);
 
-/// How a run of a task ended.
+/// How a run of a task ended. The values are part of the stored format.
 enum class run_end : std::uint8_t
 {
   done,
   failed,
-  /// Ended by an order, an expired lease, another member of its gang or the loss of its target.
+  /// Ended by an order, an expired lease, another member of its gang or a planned leave of its
+  /// target.
   interrupted,
   /// Did not start and cannot start any more.
   not_run,
+  /// Its target was lost, without a planned leave, while the run may have been executing.
+  target_lost,
 };
 
 /// Location of a run that may still be executing.
@@ -138,6 +142,10 @@
   bool mDone = false;
   std::optional<open_run> mOpen;
   std::string mCheckpoint;
+  /// Number of targets lost under the task, each within kTargetLossMemory of the one before, and
+  /// the time of the last loss on the local clock.
+  std::uint32_t mTargetLosses = 0;
+  time_point mLastTargetLoss{};
 };
 
 struct step_state
--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -13,6 +13,10 @@
 
 namespace endiveusher::scheduler {
 
+/// A loss of a target under a task is unrelated to one that is longer ago: a task that crashes its
+/// targets does so within minutes, while a long-running one meets unrelated losses for months.
+inline constexpr auto kTargetLossMemory = std::chrono::minutes(10);
+
 /// Table of all jobs, built by applying the journal. Deterministic: inapplicable records, such as
 /// the second submission of a job, change nothing.
 class job_table
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -43,7 +43,7 @@
   std::string mCheckpoint;
 };
 
-/// The owner abandoned a job because a task has used up its attempts.
+/// The owner abandoned a job because a task has used up its attempts or crashes its targets.
 struct job_abandoned
 {
   job_id mJob{};
@@ -72,6 +72,8 @@
 struct job_snapshot
 {
   job mJob;
+  /// Time of the snapshot, on the clock to which the times in mJob refer.
+  time_point mTakenAt{};
 };
 
 /// A journal record. Daemons that apply the records in the order of the journal reach the same
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -15,6 +15,15 @@
   });
 }
 
+void countTargetLoss(task_state& aTask, time_point aNow)
+{
+  if (aNow - aTask.mLastTargetLoss > kTargetLossMemory) {
+    aTask.mTargetLosses = 0;
+  }
+  ++aTask.mTargetLosses;
+  aTask.mLastTargetLoss = aNow;
+}
+
 } // namespace
 
 job* job_table::apply(const journal_record& aRecord, time_point aNow)
@@ -110,6 +119,8 @@
   } else if (aRecord.mOutcome == run_end::failed) {
     ++task.mFailures;
     step->mGangFailures += gang ? 1 : 0;
+  } else if (aRecord.mOutcome == run_end::target_lost) {
+    countTargetLoss(task, aNow);
   }
   return found;
 }
@@ -132,6 +143,13 @@
   }
   job& made = at->second;
   made = aRecord.mJob;
+  for (auto& [occurrence, steps] : made.mOccurrences) {
+    for (auto& step : steps) {
+      for (auto& task : step.mTasks) {
+        task.mLastTargetLoss += aNow - aRecord.mTakenAt;
+      }
+    }
+  }
   if (made.mPhase != job_phase::active) {
     made.mEndedAt = aNow.time_since_epoch();
     mEnded.emplace_back(aNow, made.mSpec.mId);
@@ -280,7 +298,7 @@
   }
   for (const auto& [id, one] : mJobs) {
     if (one.mPhase == job_phase::active || hasOpenRuns(one)) {
-      records.emplace_back(job_snapshot{ .mJob = one });
+      records.emplace_back(job_snapshot{ .mJob = one, .mTakenAt = aNow });
     } else {
       records.emplace_back(job_snapshot{
         .mJob = { .mSpec = { .mId = id, .mRoute = one.mSpec.mRoute, .mTeam = one.mSpec.mTeam },
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -110,7 +110,32 @@
   return task;
 }
 
-json toJson(const job& aJob)
+/// Returns the target losses of a step's tasks: index, number, and age of the last one in ms.
+json lossesToJson(const step_state& aStep, time_point aTakenAt)
+{
+  json losses = json::array();
+  for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
+    const auto& task = aStep.mTasks[index];
+    if (task.mTargetLosses > 0) {
+      losses.push_back(
+        json::array({ index, task.mTargetLosses,
+                      std::chrono::floor<std::chrono::milliseconds>(aTakenAt - task.mLastTargetLoss)
+                        .count() }));
+    }
+  }
+  return losses;
+}
+
+void readLosses(const json& aLosses, step_state& aStep)
+{
+  for (const auto& loss : aLosses) {
+    auto& task = aStep.mTasks.at(loss.at(0).get<std::size_t>());
+    task.mTargetLosses = loss.at(1);
+    task.mLastTargetLoss = time_point{} - std::chrono::milliseconds(loss.at(2).get<std::int64_t>());
+  }
+}
+
+json toJson(const job& aJob, time_point aTakenAt)
 {
   json occurrences = json::array();
   for (const auto& [index, steps] : aJob.mOccurrences) {
@@ -120,7 +145,12 @@
       for (const auto& task : step.mTasks) {
         tasks.push_back(toJson(task));
       }
-      states.push_back(json::array({ step.mGangFailures, std::move(tasks) }));
+      auto state = json::array({ step.mGangFailures, std::move(tasks) });
+      // Earlier versions ignore further elements of a step's row, but not of a task's.
+      if (auto losses = lossesToJson(step, aTakenAt); !losses.empty()) {
+        state.push_back(std::move(losses));
+      }
+      states.push_back(std::move(state));
     }
     occurrences.push_back(json::array({ index, std::move(states) }));
   }
@@ -144,6 +174,9 @@
         step.mOpen += task.mOpen ? 1 : 0;
         step.mTasks.push_back(std::move(task));
       }
+      if (state.size() > 2) {
+        readLosses(state.at(2), step);
+      }
       steps.push_back(std::move(step));
     }
   }
@@ -212,7 +245,7 @@
   json operator()(const job_snapshot& aRecord) const
   {
     auto value = start(record_kind::snapshot);
-    value.push_back(toJson(aRecord.mJob));
+    value.push_back(toJson(aRecord.mJob, aRecord.mTakenAt));
     return value;
   }
   json operator()(const target_acquired& aRecord) const
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -307,7 +307,7 @@
     return;
   }
   if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask)) {
-    abandon(aJob, aTask, aNow);
+    abandon(aJob, aTask, "attempts", aNow);
     return;
   }
   if (state->complete()) {
@@ -423,7 +423,8 @@
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
       if (target.leaseExpiry().value_or(formerLeaseExpiry(target)) < aNow) {
-        endLostRuns(target, "lease_expired", aNow);
+        const bool isHeardOf = target.mClock && target.mMissedHeartbeats == 0;
+        endLostRuns(target, "lease_expired", target.mEntry.mDraining || isHeardOf, aNow);
       }
     }
     const bool removable = !target.mListed && target.mRuns.empty() && !target.mHeartbeatInFlight;
--- /dev/null
+++ b/scheduler/src/owner_abandonment.cpp
@@ -0,0 +1,136 @@
+#include "owner_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endiveusher::scheduler {
+
+using internal::run_phase;
+
+namespace {
+
+/// Number of targets lost under a task after which its job is given up if nothing of other jobs ran
+/// on the last of them. The users' rule allows two further starts after three crashes.
+constexpr std::uint32_t kMaxTargetLossesAlone = 3;
+/// The same if other jobs may be at fault: the two further starts have been made.
+constexpr std::uint32_t kMaxTargetLosses = 5;
+
+std::uint32_t targetLossesOf(const job& aJob, const task_key& aTask)
+{
+  return aJob.find(aTask.mStep)->mTasks[aTask.mIndex].mTargetLosses;
+}
+
+/// Returns the job of all runs that may be executing at the target, also of those that are being
+/// stopped; nothing if there are several.
+std::optional<job_id> onlyJobAt(const internal::target_state& aTarget)
+{
+  std::optional<job_id> only;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (run.mPhase == run_phase::storing) {
+      continue;
+    }
+    if (aTarget.mHasUnknownRuns || (only && *only != task.mStep.mJob)) {
+      return std::nullopt;
+    }
+    only = task.mStep.mJob;
+  }
+  return only;
+}
+
+} // namespace
+
+std::uint32_t owner::impl::failuresOf(const job& aJob, const task_key& aTask)
+{
+  const auto* state = aJob.find(aTask.mStep);
+  return aJob.mSpec.mSteps[aTask.mStep.mStep].mGang ? state->mGangFailures
+                                                    : state->mTasks[aTask.mIndex].mFailures;
+}
+
+bool owner::impl::attemptsUsedUp(const job& aJob, const task_key& aTask) const
+{
+  // The attempts of a route that was removed before this epoch are unknown. No task of it starts
+  // until the route is back.
+  const auto route = mRoutes.find(aJob.mSpec.mRoute);
+  return route != mRoutes.end() && !aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning &&
+         failuresOf(aJob, aTask) >= route->second.mMaxAttempts;
+}
+
+void owner::impl::abandon(job& aJob, const task_key& aTask, std::string_view aReason,
+                          time_point aNow)
+{
+  const auto id = aJob.mSpec.mId;
+  mPort.logDecision("job_failed",
+                    fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={}",
+                                toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
+                                routeOf(aJob.mSpec.mRoute).mMaxAttempts,
+                                targetLossesOf(aJob, aTask)));
+  append(job_abandoned{ .mJob = id }, aNow);
+  stopRuns(aJob, aNow);
+  dropSteps(id);
+}
+
+void owner::impl::abandonAfterLastAttempts(time_point aNow)
+{
+  std::map<job_id, std::pair<task_key, const char*>> failed;
+  for (const auto& [key, step] : mWaiting) {
+    for (const auto index : step.mPending) {
+      const task_key task{ .mStep = key, .mIndex = index };
+      if (attemptsUsedUp(*step.mJob, task)) {
+        failed.try_emplace(key.mJob, task, "attempts");
+      } else if (targetLossesOf(*step.mJob, task) >= kMaxTargetLosses) {
+        failed.try_emplace(key.mJob, task, "targets_lost");
+      }
+    }
+  }
+  for (const auto& [id, cause] : failed) {
+    abandon(*mJobTable.find(id), cause.first, cause.second, aNow);
+  }
+}
+
+void owner::impl::abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone,
+                                         time_point aNow)
+{
+  const auto most = aWasAlone ? kMaxTargetLossesAlone : kMaxTargetLosses;
+  if (aJob.mPhase == job_phase::active && targetLossesOf(aJob, aTask) >= most) {
+    abandon(aJob, aTask, "targets_lost", aNow);
+  }
+}
+
+void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
+                              time_point aNow)
+{
+  const auto onlyJob = onlyJobAt(aTarget);
+  std::vector<task_key> tasks;
+  tasks.reserve(aTarget.mRuns.size());
+  for (const auto& [task, run] : aTarget.mRuns) {
+    tasks.push_back(task);
+  }
+  for (const auto& task : tasks) {
+    const auto found = aTarget.mRuns.find(task);
+    if (found == aTarget.mRuns.end()) {
+      continue;
+    }
+    if (!found->second.mEnded) {
+      const auto run = found->second.mRun;
+      const auto checkpoint = found->second.mCheckpoint;
+      const bool hasBegun = found->second.mPhase == run_phase::confirmed;
+      const bool isCounted = !aIsPlanned && found->second.mPhase != run_phase::storing;
+      endRun(aTarget, task, isCounted ? run_end::target_lost : run_end::interrupted, checkpoint,
+             aNow);
+      job* owning = mJobTable.find(task.mStep.mJob);
+      mPort.logDecision("run_lost",
+                        fmt::format("task={} run={} target={} reason={} losses={}", toText(task),
+                                    run, aTarget.mEntry.mId, aReason,
+                                    owning == nullptr ? 0 : targetLossesOf(*owning, task)));
+      if (!hasBegun) {
+        stopGangOf(task, aNow);
+      }
+      if (isCounted && owning != nullptr) {
+        abandonAfterTargetLoss(*owning, task, onlyJob == task.mStep.mJob, aNow);
+      }
+    }
+    release(aTarget, task);
+  }
+}
+
+} // namespace endiveusher::scheduler
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -105,9 +105,10 @@
   static std::uint32_t failuresOf(const job& aJob, const task_key& aTask);
   /// Whether the task has failed as often as its route permits.
   bool attemptsUsedUp(const job& aJob, const task_key& aTask) const;
-  /// Records the failure of the job after the last attempt of aTask and stops its runs.
-  void abandon(job& aJob, const task_key& aTask, time_point aNow);
-  /// Abandons waiting jobs that used up their attempts while their route was unknown.
+  /// Records the failure of the job because of aTask and stops its runs.
+  void abandon(job& aJob, const task_key& aTask, std::string_view aReason, time_point aNow);
+  /// Abandons waiting jobs that used up their attempts while their route was unknown, or whose
+  /// tasks had lost as many targets as permitted when a former owner ended.
   void abandonAfterLastAttempts(time_point aNow);
   route_config routeOf(const std::string& aName) const;
 
@@ -125,13 +126,20 @@
   /// Stops the other members of the gang, if the task belongs to one, after a run that may never
   /// have begun: its target does not make them end.
   void stopGangOf(const task_key& aTask, time_point aNow);
-  void endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow);
+  /// Ends all runs of a target that is lost. A planned leave is not counted as a loss under them.
+  void endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
+                   time_point aNow);
+  /// Abandons the job if the task, whose target is lost, has lost as many as it may.
+  /// @param aWasAlone whether no task of another job may have been executing on the last one
+  void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
 
   // Heartbeats.
   void sendHeartbeat(target_state& aTarget, time_point aNow);
-  void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart, time_point aNow);
+  /// @param aIsPlanned whether the former incarnation was draining
+  void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart, bool aIsPlanned,
+                        time_point aNow);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
@@ -231,8 +239,8 @@
   /// Latest known configuration by name, including routes that have been removed: their jobs may be
   /// unfinished.
   std::map<std::string, route_config> mRoutes;
-  /// Whether a route has become known since the last tick.
-  bool mRouteAdded = false;
+  /// Whether a route has become known since the last tick, or there was no tick yet.
+  bool mRouteAdded = true;
   bool mUnlistedTargetsLogged = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -66,12 +66,13 @@
                               aEntry.mIncarnationStart != 0 &&
                               aEntry.mIncarnationStart > target.mEntry.mIncarnationStart;
   const auto incarnationStart = std::max(target.mEntry.mIncarnationStart, aEntry.mIncarnationStart);
+  const bool wasDraining = target.mEntry.mDraining;
   const bool isNew = target.mEntry.mAddress.empty();
   target.mListed = true;
   target.mEntry = aEntry;
   target.mEntry.mIncarnationStart = incarnationStart;
   if (newIncarnation) {
-    beginIncarnation(target, incarnationStart, aNow);
+    beginIncarnation(target, incarnationStart, wasDraining, aNow);
   }
   if (isNew || newIncarnation) {
     target.mNextHeartbeat = aNow;
@@ -91,12 +92,12 @@
 }
 
 void owner::impl::beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart,
-                                   time_point aNow)
+                                   bool aIsPlanned, time_point aNow)
 {
   mPort.logDecision("target_restarted",
                     fmt::format("target={} born={} runs_lost={}", aTarget.mEntry.mId,
                                 aIncarnationStart, aTarget.mRuns.size()));
-  endLostRuns(aTarget, "target_restarted", aNow);
+  endLostRuns(aTarget, "target_restarted", aIsPlanned, aNow);
   aTarget.mEntry.mIncarnationStart = aIncarnationStart;
   aTarget.mAcquired = false;
   aTarget.mAcquisitionStored = false;
@@ -121,7 +122,7 @@
         former.mEntry.mIncarnationStart != 0 &&
         former.mEntry.mIncarnationStart < aTarget.mEntry.mIncarnationStart) {
       former.mListed = false;
-      endLostRuns(former, "vm_restarted", aNow);
+      endLostRuns(former, "vm_restarted", former.mEntry.mDraining, aNow);
     }
   }
 }
@@ -188,7 +189,7 @@
   }
   if (aReport.mIncarnationStart > target.mEntry.mIncarnationStart) {
     if (target.mEntry.mIncarnationStart != 0) {
-      beginIncarnation(target, aReport.mIncarnationStart, aNow);
+      beginIncarnation(target, aReport.mIncarnationStart, target.mEntry.mDraining, aNow);
     }
     target.mEntry.mIncarnationStart = aReport.mIncarnationStart;
   }
@@ -316,49 +317,6 @@
   }
 }
 
-std::uint32_t owner::impl::failuresOf(const job& aJob, const task_key& aTask)
-{
-  const auto* state = aJob.find(aTask.mStep);
-  return aJob.mSpec.mSteps[aTask.mStep.mStep].mGang ? state->mGangFailures
-                                                    : state->mTasks[aTask.mIndex].mFailures;
-}
-
-bool owner::impl::attemptsUsedUp(const job& aJob, const task_key& aTask) const
-{
-  // The attempts of a route that was removed before this epoch are unknown. No task of it starts
-  // until the route is back.
-  const auto route = mRoutes.find(aJob.mSpec.mRoute);
-  return route != mRoutes.end() && !aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning &&
-         failuresOf(aJob, aTask) >= route->second.mMaxAttempts;
-}
-
-void owner::impl::abandon(job& aJob, const task_key& aTask, time_point aNow)
-{
-  const auto id = aJob.mSpec.mId;
-  mPort.logDecision("job_failed", fmt::format("job={} task={} failures={} max_attempts={}",
-                                              toText(id), toText(aTask), failuresOf(aJob, aTask),
-                                              routeOf(aJob.mSpec.mRoute).mMaxAttempts));
-  append(job_abandoned{ .mJob = id }, aNow);
-  stopRuns(aJob, aNow);
-  dropSteps(id);
-}
-
-void owner::impl::abandonAfterLastAttempts(time_point aNow)
-{
-  std::map<job_id, task_key> failed;
-  for (const auto& [key, step] : mWaiting) {
-    for (const auto index : step.mPending) {
-      const task_key task{ .mStep = key, .mIndex = index };
-      if (attemptsUsedUp(*step.mJob, task)) {
-        failed.try_emplace(key.mJob, task);
-      }
-    }
-  }
-  for (const auto& [id, task] : failed) {
-    abandon(*mJobTable.find(id), task, aNow);
-  }
-}
-
 bool owner::impl::hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
                                  time_point aNow) const
 {
@@ -480,30 +438,4 @@
   }
 }
 
-void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow)
-{
-  std::vector<task_key> tasks;
-  tasks.reserve(aTarget.mRuns.size());
-  for (const auto& [task, run] : aTarget.mRuns) {
-    tasks.push_back(task);
-  }
-  for (const auto& task : tasks) {
-    const auto found = aTarget.mRuns.find(task);
-    if (found == aTarget.mRuns.end()) {
-      continue;
-    }
-    if (!found->second.mEnded) {
-      mPort.logDecision("run_lost", fmt::format("task={} run={} target={} reason={}", toText(task),
-                                                found->second.mRun, aTarget.mEntry.mId, aReason));
-      const auto checkpoint = found->second.mCheckpoint;
-      const bool hasBegun = found->second.mPhase == run_phase::confirmed;
-      endRun(aTarget, task, run_end::interrupted, checkpoint, aNow);
-      if (!hasBegun) {
-        stopGangOf(task, aNow);
-      }
-    }
-    release(aTarget, task);
-  }
-}
-
 } // namespace endiveusher::scheduler
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -42,6 +42,20 @@
     cell.mDeadlyJobs.insert(id);
     return cell.submit(std::move(aStep));
   }
+  std::uint32_t losses(job_id aJob, std::uint32_t aIndex = 0, std::uint32_t aOccurrence = 0) const
+  {
+    const auto* step = cell.find(aJob).find({ .mJob = aJob, .mOccurrence = aOccurrence });
+    return step->mTasks[aIndex].mTargetLosses;
+  }
+  /// Crashes the target that runs the task, as a loss of power does, and waits for the next start.
+  void losePowerUnder(job_id aJob)
+  {
+    cell.crashTarget(cell.targetRunning(aJob));
+    for (int wait = 0; wait < 200 && cell.targetRunning(aJob).empty(); ++wait) {
+      cell.run(milliseconds(50));
+    }
+    CHECK_FALSE(cell.targetRunning(aJob).empty());
+  }
   void checkDeadlyStarts() const
   {
     for (const auto& [task, deadly] : cell.mDeadlyTasks) {
@@ -112,6 +126,199 @@
   CHECK_EQUAL(started, cell.mDeadlyTasks.begin()->second.mCrashes);
 }
 
+// Guards against an innocent task that is given up because its rack has lost power twice.
+TEST(target_losses, twoLossesDoNotGiveUpATask)
+{
+  addTargets(3);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(6)));
+  losePowerUnder(id);
+  losePowerUnder(id);
+  CHECK_EQUAL(2, losses(id));
+  cell.run(seconds(8));
+  CHECK(cell.find(id).mPhase == job_phase::completed);
+}
+
+// Guards against a service that is given up because of unrelated losses.
+TEST(target_losses, lossesThatAreFarApartAreUnrelated)
+{
+  addTargets(3);
+  step_spec service = tasks(1);
+  service.mLongRunning = true;
+  const auto id = cell.startOwnerAndJob(service);
+  for (int loss = 0; loss < 6; ++loss) {
+    losePowerUnder(id);
+    CHECK_EQUAL(1, losses(id));
+    cell.mNow += kTargetLossMemory;
+    cell.run(seconds(1));
+  }
+  CHECK(cell.find(id).mPhase == job_phase::active);
+}
+
+// Guards against a service without a limit: attempts do not count for it.
+TEST(target_losses, aLongRunningTaskThatCrashesItsTargetsIsGivenUp)
+{
+  addTargets(4);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  step_spec service = tasks(1);
+  service.mLongRunning = true;
+  const auto id = submitDeadly(service);
+  cell.run(seconds(30));
+  CHECK(cell.find(id).mPhase == job_phase::failed);
+  checkDeadlyStarts();
+}
+
+// Guards against tasks that are blamed for targets that leave as planned.
+TEST(target_losses, plannedLeavesDoNotCount)
+{
+  addTargets(2);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(30)));
+  for (int leave = 0; leave < 3; ++leave) {
+    const auto at = cell.targetRunning(id);
+    auto& target = cell.target(at);
+    target.mEntry.mDraining = true;
+    cell.mOwner->setTarget(target.mEntry, cell.mNow);
+    cell.run(milliseconds(100));
+    target.mEntry.mDraining = false;
+    cell.restartTarget(at);
+    cell.run(seconds(1));
+  }
+  CHECK_EQUAL(0, losses(id));
+  CHECK(cell.find(id).mPhase == job_phase::active);
+}
+
+// Guards against losses that only the owner knows which saw the target: the run is open when the
+// next one finds the target in a later incarnation.
+TEST(target_losses, theNextOwnerCountsARunAtAnEarlierIncarnation)
+{
+  addTargets(2);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(30)));
+  cell.mRestartDelay = milliseconds(5);
+  cell.mRestartsAreListed = false;
+  cell.mStoreDown = true;
+  cell.crashTarget(cell.targetRunning(id));
+  cell.run(milliseconds(100));
+  cell.mStoreDown = false;
+  cell.startNextOwner();
+  cell.run(seconds(1));
+  CHECK_EQUAL(1, losses(id));
+  CHECK_FALSE(cell.targetRunning(id).empty());
+}
+
+// Guards against uncounted losses of targets that are never heard of again.
+TEST(target_losses, aTargetThatIsNotHeardOfAgainCounts)
+{
+  addTargets(2);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(30)));
+  cell.mRestartDelay = std::chrono::hours(1);
+  cell.crashTarget(cell.targetRunning(id));
+  cell.run(seconds(9));
+  CHECK_EQUAL(1, losses(id));
+  CHECK_FALSE(cell.targetRunning(id).empty());
+}
+
+// Guards against uncounted losses of targets that are replaced by another one on the same VM.
+TEST(target_losses, aLaterTargetOnTheVmCounts)
+{
+  addTargets(1);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(30)));
+  cell.restartVm("t0", "t0-again");
+  cell.run(seconds(1));
+  CHECK_EQUAL(1, losses(id));
+}
+
+// Guards against a job that a former owner left with as many losses as permitted.
+TEST(target_losses, theNextOwnerGivesUpATaskWithTooManyLosses)
+{
+  const auto id = cell.submit(tasks(1));
+  const task_key task{ .mStep = { .mJob = id } };
+  for (std::uint32_t run = 1; run <= 5; ++run) {
+    cell.mJournal.emplace_back(run_started{
+      .mTask = task, .mRun = run, .mAt = { .mTarget = "former", .mIncarnationStart = run } });
+    cell.mJournal.emplace_back(
+      run_ended{ .mTask = task, .mRun = run, .mOutcome = run_end::target_lost });
+  }
+  addTargets(1);
+  cell.startNextOwner();
+  cell.run(seconds(1));
+  CHECK(cell.find(id).mPhase == job_phase::failed);
+  CHECK(std::ranges::any_of(cell.mJournal, [](const journal_record& aRecord) {
+    return std::holds_alternative<job_abandoned>(aRecord);
+  }));
+}
+
+// Guards against a cancelled job that is shown as failed.
+TEST(target_losses, aCancelledJobStaysCancelled)
+{
+  addTargets(1);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  const auto id = submitDeadly(tasks(1));
+  while (cell.mDeadlyTasks.empty() || cell.mDeadlyTasks.begin()->second.mCrashes < 3) {
+    cell.run(milliseconds(50));
+  }
+  cell.cancel(id);
+  cell.run(seconds(10));
+  CHECK(cell.find(id).mPhase == job_phase::cancelled);
+  CHECK_EQUAL(3, cell.mDeadlyTasks.begin()->second.mCrashes);
+}
+
+// Guards against tasks and occurrences that are blamed for each other's losses.
+TEST(target_losses, eachTaskOfEachOccurrenceIsCountedByItself)
+{
+  cell.addTarget("t0", 2000);
+  cell.addTarget("t1", 2000);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  const auto id = cell.submitRecurring(tasks(2, milliseconds(4000)), seconds(10), 2);
+  cell.run(milliseconds(500));
+  cell.crashTarget(cell.targetRunning(id, 0, 1));
+  cell.run(seconds(11));
+  CHECK_EQUAL(0, losses(id, 0));
+  CHECK_EQUAL(1, losses(id, 1));
+  CHECK_EQUAL(0, losses(id, 0, 1));
+  CHECK_EQUAL(0, losses(id, 1, 1));
+}
+
+// Guards against a task that loses its progress with its target.
+TEST(target_losses, aTaskKeepsItsCheckpoint)
+{
+  job_table table;
+  const task_key task{ .mStep = { .mJob = static_cast<job_id>(1) } };
+  table.apply(
+    job_submitted{ .mSpec = { .mId = task.mStep.mJob, .mRoute = "batch", .mSteps = { tasks(1) } } },
+    time_point{});
+  table.apply(run_started{ .mTask = task, .mRun = 1, .mAt = { .mTarget = "t" } }, time_point{});
+  table.apply(
+    run_ended{ .mTask = task, .mRun = 1, .mOutcome = run_end::target_lost, .mCheckpoint = "half" },
+    time_point{});
+  CHECK_EQUAL("half", table.find(task.mStep.mJob)->find(task.mStep)->mTasks[0].mCheckpoint);
+}
+
+// Guards against a count that is lost with a snapshot, or that lasts longer because of it.
+TEST(target_losses, snapshotsKeepTheCountAndItsAge)
+{
+  job_table table;
+  const task_key task{ .mStep = { .mJob = static_cast<job_id>(1) }, .mIndex = 1 };
+  const time_point lost{ seconds(1000) };
+  table.apply(
+    job_submitted{ .mSpec = { .mId = task.mStep.mJob, .mRoute = "batch", .mSteps = { tasks(2) } } },
+    lost);
+  for (std::uint32_t run = 1; run <= 2; ++run) {
+    table.apply(run_started{ .mTask = task, .mRun = run, .mAt = { .mTarget = "t" } }, lost);
+    table.apply(run_ended{ .mTask = task, .mRun = run, .mOutcome = run_end::target_lost }, lost);
+  }
+  job_table restored;
+  const time_point restoredAt{ seconds(7) };
+  for (const auto& record : table.snapshot(lost + seconds(5))) {
+    restored.apply(*decodeRecord(encode(record)), restoredAt);
+  }
+  const auto& tasksAfter = restored.find(task.mStep.mJob)->find(task.mStep)->mTasks;
+  CHECK_EQUAL(0, tasksAfter[0].mTargetLosses);
+  CHECK_EQUAL(2, tasksAfter[1].mTargetLosses);
+  CHECK(tasksAfter[1].mLastTargetLoss == restoredAt - seconds(5));
+}
+
 // Load pattern: every tenth job crashes all targets that start it, for 10 s, while the cell runs
 // at an eighth of its cores. Guards against deadly tasks that are started on, and against innocent
 // jobs that are given up with them or never finish.
