Do not repeat a start order that may reach the next incarnation of its target

An unanswered start is now repeated only while no heartbeat is missed, and either within 1 s of the first order, which is less than a restart takes, or after a heartbeat reply of the same incarnation. Otherwise it is stopped, as after four tries, and the next heartbeat frees the task.

Ruled out: the incarnation in the order, which the targets' wire does not have.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -171,6 +171,10 @@
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                  time_point aNow);
+  /// Whether a further start order reaches no later incarnation of the target than the first one.
+  /// A run that crashes its target would crash both, but count once.
+  static bool mayOrderStart(const target_state& aTarget, const allocated_run& aRun,
+                            time_point aNow);
   void sendStop(target_state& aTarget, const task_key& aTask, allocated_run& aRun);
   /// Marks the order of a run as no longer in flight. Returns the run; nullptr if it is not
   /// allocated any more or the target rejected this epoch.
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -15,6 +15,8 @@
 /// Number of unanswered start orders after which the run is stopped, so that the task can start
 /// elsewhere.
 constexpr std::uint32_t kMaxStartTries = 4;
+/// Minimum time in which a crashed target restarts; the users' pages say some seconds.
+constexpr auto kMinRestartTime = std::chrono::milliseconds(1000);
 /// Pause before an unanswered or rejected order is sent again.
 constexpr auto kRetryPause = std::chrono::milliseconds(50);
 /// Time after which a stop order is repeated if the target still lists the run.
@@ -91,8 +93,8 @@
       continue;
     }
     // A start order extends the lease, so it is not repeated once renewals have been stopped.
-    const bool abandonStart =
-      run.mTries >= kMaxStartTries || run.mStopWanted || !aTarget.mAcquisitionStored;
+    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted ||
+                              !aTarget.mAcquisitionStored || !mayOrderStart(aTarget, run, aNow);
     if (run.mPhase == run_phase::ordered && !abandonStart) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
@@ -102,12 +104,23 @@
   }
 }
 
+bool owner::impl::mayOrderStart(const target_state& aTarget, const allocated_run& aRun,
+                                time_point aNow)
+{
+  return aRun.mTries == 0 ||
+         (aTarget.mMissedHeartbeats == 0 && (aTarget.mLastReply >= aRun.mUnansweredAt ||
+                                             aNow - aRun.mFirstOrderAt < kMinRestartTime));
+}
+
 void owner::impl::sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                             time_point aNow)
 {
   const job* owning = mJobTable.find(aTask.mStep.mJob);
   const auto& state = owning->find(aTask.mStep)->mTasks[aTask.mIndex];
   aRun.mOrderOpen = true;
+  if (aRun.mTries == 0) {
+    aRun.mFirstOrderAt = aNow;
+  }
   mPort.start({ .mTarget = aTarget.mEntry.mId,
                 .mAddress = aTarget.mEntry.mAddress,
                 .mTask = aTask,
@@ -169,6 +182,7 @@
                                                   toText(aOutcome), run->mTries));
   if (aOutcome == order_outcome::unanswered) {
     ++run->mTries;
+    run->mUnansweredAt = aNow;
     run->mNextTry = aNow + kRetryPause;
     target.mAvoidUntil = std::max<time_point>(target.mAvoidUntil, aNow + kTargetRejectionPause);
     return;
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -40,7 +40,11 @@
   bool mEnded = false;
   bool mStopWanted = false;
   bool mOrderOpen = false;
+  /// Number of start orders without an answer, and the time at which the last of them was given up.
   std::uint32_t mTries = 0;
+  time_point mUnansweredAt{};
+  /// Time of the first start order.
+  time_point mFirstOrderAt{};
   time_point mNextTry{};
   /// Replies to heartbeats sent from this time on list the run unless it has ended.
   time_point mMustBeListedFrom = time_point::max();
