Start steps that may crash their targets on targets of their own

A step with a waiting task under which two targets were lost is suspect. It starts only on targets that run nothing of other jobs, stopped and stored runs included, and for 5 s nothing of other jobs starts there: a task that crashes its target does so alone and is given up at the third loss, and the others finish. Gangs are placed whole, and reserve the whole of the targets they wait for. Advice is requested for targets that isolation rules out only if no other has room. The isolation is soft: after a wait of 1 s a suspect step starts like any other, so that it does not starve in a full cell, and after 5 s a service no longer holds a target for itself. A next owner isolates adopted runs anew.

Logs: step_suspect, losses= in run_lost and job_failed, reason=isolation in step_waiting.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -183,7 +183,8 @@
                    .mNeeds = aJob.mSpec.mSteps[step].capacityNeeds(),
                    .mTeam = aJob.mSpec.mTeam,
                    .mPhase = internal::run_phase::confirmed,
-                   .mMustBeListedFrom = mEpochStart });
+                   .mMustBeListedFrom = mEpochStart,
+                   .mIsolatedUntil = isolationEnd(steps[step], mEpochStart) });
       }
     }
   }
@@ -229,6 +230,7 @@
       step.mPending.push_back(index);
     }
   }
+  updateSuspicion(step, *state, aNow);
   if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
     // Each restart has its own deadline, also if the step has run for hours.
     step.mRemainingWork = duration{ 0 };
--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -20,21 +20,17 @@
   return aJob.find(aTask.mStep)->mTasks[aTask.mIndex].mTargetLosses;
 }
 
-/// Returns the job of all runs that may be executing at the target, also of those that are being
-/// stopped; nothing if there are several.
-std::optional<job_id> onlyJobAt(const internal::target_state& aTarget)
+/// Returns the jobs of all runs that may be executing at the target, also of those that are being
+/// stopped.
+internal::occupants occupantsOf(const internal::target_state& aTarget)
 {
-  std::optional<job_id> only;
+  internal::occupants jobs;
   for (const auto& [task, run] : aTarget.mRuns) {
-    if (run.mPhase == run_phase::storing) {
-      continue;
-    }
-    if (aTarget.mHasUnknownRuns || (only && *only != task.mStep.mJob)) {
-      return std::nullopt;
+    if (run.mPhase != run_phase::storing) {
+      jobs.add(task.mStep.mJob);
     }
-    only = task.mStep.mJob;
   }
-  return only;
+  return jobs;
 }
 
 } // namespace
@@ -99,7 +95,7 @@
 void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
                               time_point aNow)
 {
-  const auto onlyJob = onlyJobAt(aTarget);
+  const auto jobs = occupantsOf(aTarget);
   std::vector<task_key> tasks;
   tasks.reserve(aTarget.mRuns.size());
   for (const auto& [task, run] : aTarget.mRuns) {
@@ -126,7 +122,8 @@
         stopGangOf(task, aNow);
       }
       if (isCounted && owning != nullptr) {
-        abandonAfterTargetLoss(*owning, task, onlyJob == task.mStep.mJob, aNow);
+        const bool wasAlone = !aTarget.mHasUnknownRuns && jobs.onlyOf(task.mStep.mJob);
+        abandonAfterTargetLoss(*owning, task, wasAlone, aNow);
       }
     }
     release(aTarget, task);
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -65,6 +65,10 @@
                       : kMaxQueriedTargets;
   const auto most = std::clamp(paid, kMinQueriedTargets, kMaxQueriedTargets);
   std::vector<std::string> queried;
+  const bool isolated = queriesInIsolation(aStep, aCandidates, aNow);
+  const auto slotsOf = [this, &aStep, isolated](const candidate_target& aOne) {
+    return isolated ? slotsAt(aStep, aOne) : freeSlotsAt(aStep, aOne);
+  };
   std::uint32_t slots = 0;
   std::vector<const candidate_target*> unknown;
   for (const auto& candidate : aCandidates) {
@@ -75,7 +79,7 @@
     if (aStep.mAdvice.verdictOn(number) == verdict::unknown) {
       unknown.push_back(&candidate);
     } else if (slots < pending && queried.size() < most) {
-      const auto here = slotsAt(aStep, candidate);
+      const auto here = slotsOf(candidate);
       if (here > 0) {
         slots += here;
         if (aStep.mAdvice.validTicket(number, aNow + kTicketRenewalMargin) == nullptr) {
@@ -91,7 +95,7 @@
     if (queried.size() == most) {
       break;
     }
-    if (slotsAt(aStep, *candidate) > 0) {
+    if (slotsOf(*candidate) > 0) {
       queried.push_back(candidate->mTarget->mEntry.mId);
     }
   }
@@ -113,14 +117,15 @@
     std::uint32_t mSlots;
     bool mIsGood;
   };
+  const bool isolated = queriesInIsolation(aStep, aCandidates, aNow);
   std::vector<option> options;
   std::uint64_t goodCapacity = 0;
   for (const auto& candidate : aCandidates) {
     if (allowed(aStep, *candidate.mTarget, aNow)) {
       const bool isGood = aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
       goodCapacity += isGood ? maxTasksIn(aStep.mNeeds, candidate.mTarget->mEntry.mCapacity) : 0;
-      options.push_back(
-        { .mCandidate = &candidate, .mSlots = slotsAt(aStep, candidate), .mIsGood = isGood });
+      const auto slots = isolated ? slotsAt(aStep, candidate) : freeSlotsAt(aStep, candidate);
+      options.push_back({ .mCandidate = &candidate, .mSlots = slots, .mIsGood = isGood });
     }
   }
   // Targets with the most free capacity first: fewer are needed, and other steps fill the fullest
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -76,6 +76,9 @@
     resources mFree;
     /// Capacity that runs will free which are being stopped.
     resources mBeingFreed;
+    /// Jobs of all runs there, and of those beside which no task of another job may start.
+    internal::occupants mOccupants;
+    internal::occupants mIsolated;
   };
   struct placement
   {
@@ -192,7 +195,11 @@
   /// until the start order arrives.
   bool allowedWithTicket(const waiting_step& aStep, const target_state& aTarget,
                          time_point aNow) const;
+  /// Returns the number of tasks of the step that fit now on the target; 0 if isolation rules it
+  /// out.
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
+  /// The same without regard to isolation.
+  std::uint32_t freeSlotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
   std::uint32_t teamSlots(const waiting_step& aStep) const;
   void reserveTeamLimit(const waiting_step& aStep, time_point aNow);
   void placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
@@ -220,6 +227,21 @@
   /// Returns the number of tasks of the step that fit now on the targets.
   std::uint32_t slotsOn(const waiting_step& aStep, std::span<const std::string> aTargets) const;
 
+  // Isolation of steps that may crash their targets. It tells them from those that ran beside them.
+  /// Updates whether the step is suspect, after a change of its waiting tasks.
+  void updateSuspicion(waiting_step& aStep, const step_state& aState, time_point aNow);
+  /// Decides whether the step needs isolation in this planning pass.
+  static void updateIsolation(waiting_step& aStep, time_point aNow);
+  /// Returns the end of the isolation of a run that starts at aStart; in the past if none of the
+  /// step's unfinished tasks is suspect.
+  static time_point isolationEnd(const step_state& aStep, time_point aStart);
+  /// Whether isolation permits tasks of the step on the target.
+  static bool mayShare(const waiting_step& aStep, const candidate_target& aCandidate);
+  /// Whether advice queries for the step are limited to targets that isolation permits: some of
+  /// them have room.
+  bool queriesInIsolation(const waiting_step& aStep, std::span<const candidate_target> aCandidates,
+                          time_point aNow) const;
+
   // Preemption.
   /// Stops runs of routes with lower priority for a step that would be late otherwise.
   void preempt(waiting_step& aStep, const internal::step_rank& aRank,
--- /dev/null
+++ b/scheduler/src/owner_isolation.cpp
@@ -0,0 +1,82 @@
+#include "owner_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endiveusher::scheduler {
+
+namespace {
+
+/// Number of targets lost under a task from which it is suspected of crashing them. It has one
+/// further start before it may be given up.
+constexpr std::uint32_t kSuspectTargetLosses = 2;
+/// Longest time that a suspect step waits for isolation. A step that has room has to start within
+/// 3 s, of which an advice call takes up to 1.2 s.
+constexpr auto kMaxIsolationWait = std::chrono::milliseconds(1000);
+/// Time after the start of a run up to which nothing of other jobs is started beside it. Tasks that
+/// crash their targets do so soon; a service that is innocent would hold a whole target for good.
+constexpr auto kMaxIsolationPeriod = std::chrono::seconds(5);
+
+/// Returns the time until which the task is suspect.
+time_point suspectUntil(const task_state& aTask)
+{
+  return aTask.mTargetLosses >= kSuspectTargetLosses && !aTask.mDone
+           ? aTask.mLastTargetLoss + kTargetLossMemory
+           : time_point{};
+}
+
+} // namespace
+
+void owner::impl::updateSuspicion(waiting_step& aStep, const step_state& aState, time_point aNow)
+{
+  const bool wasSuspect = aStep.mSuspectUntil > aNow;
+  aStep.mSuspectUntil = time_point{};
+  for (const auto index : aStep.mPending) {
+    const auto& task = aState.mTasks[index];
+    aStep.mSuspectUntil = std::max(aStep.mSuspectUntil, suspectUntil(task));
+    if (!wasSuspect && suspectUntil(task) > aNow) {
+      mPort.logDecision("step_suspect",
+                        fmt::format("task={} losses={}",
+                                    toText(task_key{ .mStep = aStep.mKey, .mIndex = index }),
+                                    task.mTargetLosses));
+    }
+  }
+}
+
+void owner::impl::updateIsolation(waiting_step& aStep, time_point aNow)
+{
+  if (aStep.mSuspectUntil <= aNow) {
+    aStep.mIsolationSince.reset();
+    aStep.mNeedsIsolation = false;
+    return;
+  }
+  if (!aStep.mIsolationSince) {
+    aStep.mIsolationSince = aNow;
+  }
+  aStep.mNeedsIsolation = aNow - *aStep.mIsolationSince <= kMaxIsolationWait;
+}
+
+time_point owner::impl::isolationEnd(const step_state& aStep, time_point aStart)
+{
+  const bool isSuspect = std::ranges::any_of(
+    aStep.mTasks, [aStart](const task_state& aTask) { return suspectUntil(aTask) > aStart; });
+  return isSuspect ? aStart + kMaxIsolationPeriod : time_point{};
+}
+
+bool owner::impl::mayShare(const waiting_step& aStep, const candidate_target& aCandidate)
+{
+  const auto job = aStep.mKey.mJob;
+  return aCandidate.mIsolated.onlyOf(job) &&
+         (!aStep.mNeedsIsolation || aCandidate.mOccupants.onlyOf(job));
+}
+
+bool owner::impl::queriesInIsolation(const waiting_step& aStep,
+                                     std::span<const candidate_target> aCandidates,
+                                     time_point aNow) const
+{
+  return std::ranges::any_of(aCandidates, [&](const candidate_target& aOne) {
+    return allowed(aStep, *aOne.mTarget, aNow) && slotsAt(aStep, aOne) > 0;
+  });
+}
+
+} // namespace endiveusher::scheduler
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -59,6 +59,12 @@
 
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep,
                                    const candidate_target& aCandidate) const
+{
+  return mayShare(aStep, aCandidate) ? freeSlotsAt(aStep, aCandidate) : 0;
+}
+
+std::uint32_t owner::impl::freeSlotsAt(const waiting_step& aStep,
+                                       const candidate_target& aCandidate) const
 {
   std::uint32_t slots = maxTasksIn(aStep.mNeeds, aCandidate.mFree);
   const auto most = aStep.spec().mMaxPerTarget;
@@ -106,9 +112,14 @@
   for (auto& [id, target] : mTargets) {
     if (usable(target, aNow)) {
       candidates.push_back({ .mTarget = &target, .mFree = target.freeCapacity() });
+      auto& candidate = candidates.back();
       for (const auto& [task, run] : target.mRuns) {
+        candidate.mOccupants.add(task.mStep.mJob);
+        if (run.mIsolatedUntil > aNow) {
+          candidate.mIsolated.add(task.mStep.mJob);
+        }
         if (run.mStopWanted) {
-          candidates.back().mBeingFreed += run.mNeeds;
+          candidate.mBeingFreed += run.mNeeds;
         }
       }
     }
@@ -129,6 +140,7 @@
     if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
       continue;
     }
+    updateIsolation(*step, aNow);
     if (step->spec().mGang) {
       placeGang(*step, candidates, aNow);
     } else {
@@ -148,6 +160,7 @@
   std::size_t allowedTargets = 0;
   std::size_t tickets = 0;
   std::uint32_t slots = 0;
+  std::uint32_t freeSlots = 0;
   std::uint32_t goodSlots = 0;
   for (const auto& candidate : aCandidates) {
     if (!allowed(aStep, *candidate.mTarget, aNow)) {
@@ -156,19 +169,21 @@
     ++allowedTargets;
     const auto here = std::min(slotsAt(aStep, candidate), aStep.spec().mCount);
     slots += here;
+    freeSlots += std::min(freeSlotsAt(aStep, candidate), aStep.spec().mCount);
     goodSlots += aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good ? here : 0;
     const auto* ticket = aStep.mAdvice.validTicket(candidate.mTarget->mNumber, aNow);
     tickets += ticket != nullptr ? 1 : 0;
   }
+  const auto neededSlots = aStep.spec().mGang ? aStep.spec().mCount : 1;
   const char* reason = "no_ticket";
   if (aStep.mNotBefore > aNow) {
     reason = "not_before";
-  } else if (teamSlots(aStep) < (aStep.spec().mGang ? aStep.spec().mCount : 1)) {
+  } else if (teamSlots(aStep) < neededSlots) {
     reason = "team_limit";
   } else if (allowedTargets == 0) {
     reason = "no_target";
-  } else if (slots < (aStep.spec().mGang ? aStep.spec().mCount : 1)) {
-    reason = "no_room";
+  } else if (slots < neededSlots) {
+    reason = freeSlots < neededSlots ? "no_room" : "isolation";
   } else if (aStep.mAdvice.mCallsOpen > 0) {
     reason = "advice_open";
   } else if (aStep.mRoute.mAdvice &&
@@ -310,7 +325,9 @@
     total += candidate.mTarget->mEntry.mCapacity.mCpuMilli;
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
-    if (known && allowed(aStep, *candidate.mTarget, aNow)) {
+    // Other jobs may still run where a gang waits for isolation; they end there.
+    if (known && candidate.mIsolated.onlyOf(aStep.mKey.mJob) &&
+        allowed(aStep, *candidate.mTarget, aNow)) {
       good.push_back(&candidate);
     }
   }
@@ -330,7 +347,7 @@
   auto left = static_cast<std::uint32_t>(aStep.mPending.size());
   std::vector<std::pair<candidate_target*, std::uint32_t>> parts;
   for (auto* candidate : good) {
-    const auto fitting = requested(candidate)
+    const auto fitting = requested(candidate) && mayShare(aStep, *candidate)
                            ? slotsAt(aStep, *candidate)
                            : maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity);
     const auto slots = std::min({ left, most, fitting });
@@ -347,7 +364,9 @@
   }
   mReservedCpuMilli += needed;
   for (auto& [candidate, slots] : parts) {
-    candidate->mFree -= times(aStep.mNeeds, slots);
+    // Nothing of other jobs may start where a gang waits for isolation. That wait is short, so that
+    // the limit on reservations counts only what the gang needs.
+    candidate->mFree -= aStep.mNeedsIsolation ? candidate->mFree : times(aStep.mNeeds, slots);
   }
 }
 
@@ -357,6 +376,8 @@
   const auto key = aStep.mKey;
   const auto& spec = aStep.spec();
   const auto* state = aStep.mJob->find(key);
+  const auto isolatedUntil = isolationEnd(*state, aNow);
+  aStep.mIsolationSince.reset();
   std::uint32_t gangRun = 0;
   if (spec.mGang) {
     for (const auto& task : state->mTasks) {
@@ -373,7 +394,12 @@
                                        .mIncarnationStart = target.mEntry.mIncarnationStart } };
     allocated_run allocated{ .mRun = run,
                              .mNeeds = aStep.mNeeds,
-                             .mTeam = aStep.mJob->mSpec.mTeam };
+                             .mTeam = aStep.mJob->mSpec.mTeam,
+                             .mIsolatedUntil = isolatedUntil };
+    one.mCandidate->mOccupants.add(key.mJob);
+    if (isolatedUntil > aNow) {
+      one.mCandidate->mIsolated.add(key.mJob);
+    }
     if (aStep.mRoute.mAdvice) {
       const auto* ticket = aStep.mAdvice.validTicket(target.mNumber, aNow);
       allocated.mTicket = ticket->mToken;
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -106,7 +106,7 @@
   for (auto& candidate : aCandidates) {
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
-    if (known && allowed(aStep, *candidate.mTarget, aNow)) {
+    if (known && mayShare(aStep, candidate) && allowed(aStep, *candidate.mTarget, aNow)) {
       good.push_back(&candidate);
     }
   }
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -48,12 +48,31 @@
   time_point mNextTry{};
   /// Replies to heartbeats sent from this time on list the run unless it has ended.
   time_point mMustBeListedFrom = time_point::max();
+  /// No task of another job is started beside the run before this time.
+  time_point mIsolatedUntil{};
   std::string mCheckpoint;
   std::string mTicket;
   /// Expiry of the ticket; time_point::max() if the run has none.
   time_point mTicketExpiry = time_point::max();
 };
 
+/// The jobs of some runs, as far as it matters whether there is more than one.
+class occupants
+{
+public:
+  void add(job_id aJob)
+  {
+    mHasSeveral = mHasSeveral || (mJob && *mJob != aJob);
+    mJob = aJob;
+  }
+  /// Whether there is no run of another job.
+  bool onlyOf(job_id aJob) const { return !mJob || (!mHasSeveral && *mJob == aJob); }
+
+private:
+  std::optional<job_id> mJob;
+  bool mHasSeveral = false;
+};
+
 /// The owner's view of a target and of the runs there.
 struct target_state
 {
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -126,6 +127,12 @@
   /// Targets at which a run of the step has failed, and the time up to which they are avoided.
   std::unordered_map<target_number, time_point> mAvoidedTargets;
   step_advice mAdvice;
+  /// Until this time the step is suspected of crashing its targets, and starts in isolation.
+  time_point mSuspectUntil{};
+  /// Time since which the suspect step waits for targets that run nothing of other jobs.
+  std::optional<time_point> mIsolationSince;
+  /// Whether the step may start only on such targets, in the current planning pass.
+  bool mNeedsIsolation = false;
 
   const step_spec& spec() const { return mJob->mSpec.mSteps[mKey.mStep]; }
   /// Whether enough tasks wait: a gang starts as a whole.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -347,6 +347,8 @@
   std::vector<time_point> mStoredAt;
   time_point mNow{ seconds(100) };
   std::vector<std::string> mEvents;
+  /// The same with their details.
+  std::vector<std::string> mLog;
   std::vector<advice_request> mAdvice;
   /// Targets on which any step may run, returned by advice calls.
   std::vector<std::string> mGoodTargets;
@@ -425,9 +427,10 @@
         mAdviceService->enqueue(aRequest, termsOf(aRequest.mStep.mJob), mNow);
     }
   }
-  void logDecision(std::string_view aEvent, std::string_view /*aDetail*/) override
+  void logDecision(std::string_view aEvent, std::string_view aDetail) override
   {
     mEvents.emplace_back(aEvent);
+    mLog.push_back(std::string(aEvent) + " " + std::string(aDetail));
   }
 
   void deliverReplies()
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -74,6 +74,16 @@
   cell.run(seconds(30));
   CHECK(cell.find(id).mPhase == job_phase::failed);
   checkDeadlyStarts();
+  // The log tells why.
+  const auto logged = [this](std::string_view aEvent, std::string_view aDetail) {
+    return std::ranges::any_of(cell.mLog, [=](const std::string& aLine) {
+      return aLine.starts_with(aEvent) && aLine.find(aDetail) != std::string::npos;
+    });
+  };
+  CHECK(logged("run_lost", "losses=1"));
+  CHECK(logged("step_suspect", "losses=2"));
+  CHECK(logged("job_failed", "reason=targets_lost"));
+  CHECK(logged("job_failed", "losses=3"));
 }
 
 // Guards against a job that never ends because a task of another job crashes the targets it runs
@@ -168,6 +178,38 @@
   checkDeadlyStarts();
 }
 
+// Guards against members of a gang that are blamed for the target of another one.
+TEST(target_losses, onlyMembersOnTheLostTargetCount)
+{
+  addTargets(3);
+  step_spec gang = tasks(2, seconds(30));
+  gang.mGang = true;
+  gang.mMaxPerTarget = 1;
+  const auto id = cell.startOwnerAndJob(gang);
+  cell.crashTarget(cell.targetRunning(id, 0, 1));
+  cell.run(seconds(3));
+  CHECK_EQUAL(0, losses(id, 0));
+  CHECK_EQUAL(1, losses(id, 1));
+  CHECK_FALSE(cell.targetRunning(id, 0, 0).empty());
+  CHECK_FALSE(cell.targetRunning(id, 0, 1).empty());
+}
+
+// Guards against a gang that crashes its targets without end.
+TEST(target_losses, aGangThatCrashesItsTargetsIsGivenUp)
+{
+  addTargets(6);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  step_spec gang = tasks(3);
+  gang.mGang = true;
+  gang.mMaxPerTarget = 1;
+  const auto id = submitDeadly(gang);
+  cell.run(seconds(30));
+  CHECK(cell.find(id).mPhase == job_phase::failed);
+  checkDeadlyStarts();
+  CHECK_EQUAL(0, cell.running());
+}
+
 // Guards against tasks that are blamed for targets that leave as planned.
 TEST(target_losses, plannedLeavesDoNotCount)
 {
