--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -185,7 +185,8 @@
                    .mNeeds = aJob.mSpec.mSteps[step].capacityNeeds(),
                    .mTeam = aJob.mSpec.mTeam,
                    .mPhase = internal::run_phase::confirmed,
-                   .mMustBeListedFrom = mEpochStart });
+                   .mMustBeListedFrom = mEpochStart,
+                   .mIsolatedUntil = isolationEnd(steps[step], mEpochStart) });
       }
     }
   }
@@ -231,6 +232,7 @@
       step.mPending.push_back(index);
     }
   }
+  updateSuspicion(step, *state, aNow);
   if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
     // Each restart has its own deadline, also if the step has run for hours.
     step.mRemainingWork = duration{ 0 };
@@ -309,7 +311,7 @@
     return;
   }
   if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask)) {
-    abandon(aJob, aTask, aNow);
+    abandon(aJob, aTask, "attempts", aNow);
     return;
   }
   if (state->complete()) {
@@ -428,7 +430,8 @@
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
       if (target.leaseExpiry().value_or(formerLeaseExpiry(target)) < aNow) {
-        endLostRuns(target, "lease_expired", aNow);
+        const bool isHeardOf = target.mClock && target.mMissedHeartbeats == 0;
+        endLostRuns(target, "lease_expired", target.mEntry.mDraining || isHeardOf, aNow);
       }
     }
     const bool removable = !target.mListed && target.mRuns.empty() && !target.mHeartbeatInFlight;
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -89,6 +89,9 @@
     /// Runs that could be stopped at the start of the pass, largest first; collected when a step
     /// needs them.
     std::optional<std::vector<preemptible_run>> mPreemptible{};
+    /// Jobs of all runs there, and of those beside which no task of another job may start.
+    internal::occupants mOccupants;
+    internal::occupants mIsolated;
   };
   struct placement
   {
@@ -118,9 +121,10 @@
   static std::uint32_t failuresOf(const job& aJob, const task_key& aTask);
   /// Whether the task has failed as often as its route permits.
   bool attemptsUsedUp(const job& aJob, const task_key& aTask) const;
-  /// Records the failure of the job after the last attempt of aTask and stops its runs.
-  void abandon(job& aJob, const task_key& aTask, time_point aNow);
-  /// Abandons waiting jobs that used up their attempts while their route was unknown.
+  /// Records the failure of the job because of aTask and stops its runs.
+  void abandon(job& aJob, const task_key& aTask, std::string_view aReason, time_point aNow);
+  /// Abandons waiting jobs that used up their attempts while their route was unknown, or whose
+  /// tasks had lost as many targets as permitted when a former owner ended.
   void abandonAfterLastAttempts(time_point aNow);
   route_config routeOf(const std::string& aName) const;
 
@@ -138,14 +142,21 @@
   /// Stops the other members of the gang, if the task belongs to one, after a run that may never
   /// have begun: its target does not make them end.
   void stopGangOf(const task_key& aTask, time_point aNow);
-  void endLostRuns(target_state& aTarget, std::string_view aReason, time_point aNow);
+  /// Ends all runs of a target that is lost. A planned leave is not counted as a loss under them.
+  void endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
+                   time_point aNow);
+  /// Abandons the job if the task, whose target is lost, has lost as many as it may.
+  /// @param aWasAlone whether no task of another job may have been executing on the last one
+  void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
 
   // Heartbeats.
   void sendHeartbeat(target_state& aTarget, time_point aNow);
   duration heartbeatPause() const;
-  void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart, time_point aNow);
+  /// @param aIsPlanned whether the former incarnation was draining
+  void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart, bool aIsPlanned,
+                        time_point aNow);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
@@ -186,6 +197,10 @@
   void sendOrders(target_state& aTarget, time_point aNow);
   void sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                  time_point aNow);
+  /// Whether a further start order reaches no later incarnation of the target than the first one.
+  /// A run that crashes its target would crash both, but count once.
+  static bool mayOrderStart(const target_state& aTarget, const allocated_run& aRun,
+                            time_point aNow);
   void sendStop(target_state& aTarget, const task_key& aTask, allocated_run& aRun);
   /// Marks the order of a run as no longer in flight. Returns the run; nullptr if it is not
   /// allocated any more or the target rejected this epoch.
@@ -206,7 +221,11 @@
   /// until the start order arrives.
   bool allowedWithTicket(const waiting_step& aStep, const target_state& aTarget,
                          time_point aNow) const;
+  /// Returns the number of tasks of the step that fit now on the target; 0 if isolation rules it
+  /// out.
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
+  /// The same without regard to isolation.
+  std::uint32_t freeSlotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
   std::uint32_t teamSlots(const waiting_step& aStep) const;
   void reserveTeamLimit(const waiting_step& aStep, time_point aNow);
   void placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
@@ -234,6 +253,21 @@
   /// Returns the number of tasks of the step that fit now on the targets.
   std::uint32_t slotsOn(const waiting_step& aStep, std::span<const std::string> aTargets) const;
 
+  // Isolation of steps that may crash their targets. It tells them from those that ran beside them.
+  /// Updates whether the step is suspect, after a change of its waiting tasks.
+  void updateSuspicion(waiting_step& aStep, const step_state& aState, time_point aNow);
+  /// Decides whether the step needs isolation in this planning pass.
+  static void updateIsolation(waiting_step& aStep, time_point aNow);
+  /// Returns the end of the isolation of a run that starts at aStart; in the past if none of the
+  /// step's unfinished tasks is suspect.
+  static time_point isolationEnd(const step_state& aStep, time_point aStart);
+  /// Whether isolation permits tasks of the step on the target.
+  static bool mayShare(const waiting_step& aStep, const candidate_target& aCandidate);
+  /// Whether advice queries for the step are limited to targets that isolation permits: some of
+  /// them have room.
+  bool queriesInIsolation(const waiting_step& aStep, std::span<const candidate_target> aCandidates,
+                          time_point aNow) const;
+
   // Preemption.
   /// Stops runs of routes with lower priority for a step that would be late otherwise.
   void preempt(waiting_step& aStep, const internal::step_rank& aRank,
@@ -257,8 +291,8 @@
   /// Latest known configuration by name, including routes that have been removed: their jobs may be
   /// unfinished.
   std::map<std::string, route_config> mRoutes;
-  /// Whether a route has become known since the last tick.
-  bool mRouteAdded = false;
+  /// Whether a route has become known since the last tick, or there was no tick yet.
+  bool mRouteAdded = true;
   bool mUnlistedTargetsLogged = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -121,6 +121,13 @@
   }
 };
 
+/// What became of a task that crashes the targets that start it.
+struct deadly_task
+{
+  unsigned mCrashes = 0;
+  unsigned mStartsAfterThirdCrash = 0;
+};
+
 /// A cell with one owner. Calls are answered after one step of the simulated time.
 class owner_fixture : private owner_port
 {
@@ -206,6 +213,20 @@
     readChangedEntries();
   }
 
+  /// Loses a target and all its runs; it comes back as a new incarnation after mRestartDelay.
+  void crashTarget(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    const auto lost = std::exchange(target.mRunning, {});
+    target.mReachable = false;
+    mRestarts[aId] = mNow + mRestartDelay;
+    for (const auto& [task, run] : lost) {
+      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
+        breakGang(task.mStep);
+      }
+    }
+  }
+
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
   void startNextOwner()
   {
@@ -287,6 +308,7 @@
         target.mClock += aStep;
       }
       readChangedEntries();
+      restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
       deliverReplies();
@@ -348,6 +370,8 @@
   std::vector<time_point> mStoredAt;
   time_point mNow{ seconds(100) };
   std::vector<std::string> mEvents;
+  /// The same with their details.
+  std::vector<std::string> mLog;
   std::vector<advice_request> mAdvice;
   /// Targets on which any step may run, returned by advice calls.
   std::vector<std::string> mGoodTargets;
@@ -360,6 +384,12 @@
   bool mPaused = false;
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
+  /// Jobs whose tasks crash the targets that start them.
+  std::set<job_id> mDeadlyJobs;
+  std::map<task_key, deadly_task> mDeadlyTasks;
+  /// Time after which crashed targets are back, and whether the registry tells so at once.
+  milliseconds mRestartDelay{ 2000 };
+  bool mRestartsAreListed = true;
   int mRenewals = 0;
   /// Number of heartbeats with a lease that each target was sent.
   std::map<std::string, int> mRenewalsOf;
@@ -428,9 +458,10 @@
         mAdviceService->enqueue(aRequest, termsOf(aRequest.mStep.mJob), mNow);
     }
   }
-  void logDecision(std::string_view aEvent, std::string_view /*aDetail*/) override
+  void logDecision(std::string_view aEvent, std::string_view aDetail) override
   {
     mEvents.emplace_back(aEvent);
+    mLog.push_back(std::string(aEvent) + " " + std::string(aDetail));
   }
 
   void readChangedEntries()
@@ -501,6 +532,23 @@
     }
   }
 
+  void restartCrashedTargets()
+  {
+    for (auto at = mRestarts.begin(); at != mRestarts.end();) {
+      if (at->second > mNow) {
+        ++at;
+        continue;
+      }
+      auto& target = mTargets.at(at->first);
+      target = { .mEntry = target.mEntry };
+      ++target.mEntry.mIncarnationStart;
+      if (mRestartsAreListed) {
+        mOwner->setTarget(target.mEntry, mNow);
+      }
+      at = mRestarts.erase(at);
+    }
+  }
+
   void endStoppedRuns()
   {
     for (auto& [id, target] : mTargets) {
@@ -602,6 +650,14 @@
     if (std::exchange(target.mRunning[aOrder.mTask], aOrder.mRun) != aOrder.mRun) {
       checkCapacity(target, aOrder.mTask);
     }
+    if (mDeadlyJobs.contains(aOrder.mTask.mStep.mJob)) {
+      auto& deadly = mDeadlyTasks[aOrder.mTask];
+      deadly.mStartsAfterThirdCrash += deadly.mCrashes >= 3 ? 1 : 0;
+      ++deadly.mCrashes;
+      crashTarget(aOrder.mTarget);
+      return order_outcome::unanswered;
+    }
+    target.mRunning[aOrder.mTask] = aOrder.mRun;
     const auto& step =
       mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps[aOrder.mTask.mStep.mStep];
     if (mTasksEnd && !step.mLongRunning) {
@@ -632,6 +688,8 @@
   std::map<std::string, fake_target> mTargets;
   std::vector<pending_call> mPending;
   std::multimap<time_point, task_end> mTaskEnds;
+  /// Crashed targets and the times at which they are back.
+  std::map<std::string, time_point> mRestarts;
   std::deque<std::vector<journal_record>> mUnstored;
   time_point mAppendSince{};
   std::uint64_t mEpoch = 0;
