--- a/scheduler/src/owner_isolation.cpp
+++ b/scheduler/src/owner_isolation.cpp
@@ -31,16 +31,17 @@
 {
   const bool wasSuspect = aStep.mSuspectUntil > aNow;
   aStep.mSuspectUntil = time_point{};
+  task_key suspect{ .mStep = aStep.mKey };
   for (const auto index : aStep.mPending) {
-    const auto& task = aState.mTasks[index];
-    aStep.mSuspectUntil = std::max(aStep.mSuspectUntil, suspectUntil(task));
-    if (!wasSuspect && suspectUntil(task) > aNow) {
-      mPort.logDecision("step_suspect",
-                        fmt::format("task={} losses={}",
-                                    toText(task_key{ .mStep = aStep.mKey, .mIndex = index }),
-                                    task.mTargetLosses));
+    if (const auto until = suspectUntil(aState.mTasks[index]); until > aStep.mSuspectUntil) {
+      aStep.mSuspectUntil = until;
+      suspect.mIndex = index;
     }
   }
+  if (!wasSuspect && aStep.mSuspectUntil > aNow) {
+    mPort.logDecision("step_suspect", fmt::format("task={} losses={}", toText(suspect),
+                                                  aState.mTasks[suspect.mIndex].mTargetLosses));
+  }
 }
 
 void owner::impl::updateIsolation(waiting_step& aStep, time_point aNow)
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -1,5 +1,7 @@
 #include "owner_fixture.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace endiveusher;
@@ -259,6 +261,25 @@
   CHECK_FALSE(cell.targetRunning(id).empty());
 }
 
+// Guards against tasks that are blamed for leases that lapse while the store is away: no heartbeat
+// was missed, one is only answered late.
+TEST(target_losses, leasesThatExpireWithoutAMissedHeartbeatDoNotCount)
+{
+  addTargets(1);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(60)));
+  cell.mStoreDown = true;
+  cell.startNextOwner();
+  cell.run(seconds(8));
+  cell.target("t0").mIsSilent = true;
+  cell.run(milliseconds(400));
+  cell.target("t0").mIsSilent = false;
+  CHECK(std::ranges::any_of(
+    cell.mLog, [](const std::string& aLine) { return aLine.starts_with("run_lost"); }));
+  cell.mStoreDown = false;
+  cell.run(seconds(1));
+  CHECK_EQUAL(0, losses(id));
+}
+
 // Guards against uncounted losses of targets that are replaced by another one on the same VM.
 TEST(target_losses, aLaterTargetOnTheVmCounts)
 {
@@ -361,6 +382,34 @@
   CHECK(tasksAfter[1].mLastTargetLoss == restoredAt - seconds(5));
 }
 
+// Guards against snapshots that an earlier version cannot read, or that cannot be read from one:
+// its rows end before the losses, and it takes each further element of a task's row as a run.
+TEST(target_losses, snapshotsAreReadableInBothVersions)
+{
+  job_table table;
+  const task_key task{ .mStep = { .mJob = static_cast<job_id>(1) } };
+  table.apply(
+    job_submitted{ .mSpec = { .mId = task.mStep.mJob, .mRoute = "batch", .mSteps = { tasks(1) } } },
+    time_point{});
+  table.apply(run_started{ .mTask = task, .mRun = 1, .mAt = { .mTarget = "t" } }, time_point{});
+  table.apply(run_ended{ .mTask = task, .mRun = 1, .mOutcome = run_end::target_lost },
+              time_point{});
+  auto value = nlohmann::json::from_msgpack(encode(table.snapshot(time_point{}).front()));
+  auto& step = value.at(1).at(4).at(0).at(1).at(0);
+  CHECK_EQUAL(4, step.at(1).at(0).size());
+  CHECK_EQUAL(3, step.size());
+  step.erase(2);
+  std::string bytes;
+  nlohmann::json::to_msgpack(value, bytes);
+  const auto read = decodeRecord(bytes);
+  CHECK(read.ok());
+  job_table restored;
+  restored.apply(*read, time_point{});
+  const auto& state = restored.find(task.mStep.mJob)->find(task.mStep)->mTasks[0];
+  CHECK_EQUAL(0, state.mTargetLosses);
+  CHECK_EQUAL(1, state.mRun);
+}
+
 // Load pattern: every tenth job crashes all targets that start it, for 10 s, while the cell runs
 // at an eighth of its cores. Guards against deadly tasks that are started on, and against innocent
 // jobs that are given up with them or never finish.
