--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -138,6 +138,21 @@
   CHECK_EQUAL(started, cell.mDeadlyTasks.begin()->second.mCrashes);
 }
 
+// Guards against a start that is withdrawn although its target has not restarted.
+TEST(target_losses, aStartIsRepeatedAtTheSameIncarnation)
+{
+  addTargets(1);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  cell.target("t0").mRejectStarts = order_outcome::unanswered;
+  const auto id = cell.submit(tasks(1));
+  cell.run(milliseconds(100));
+  cell.target("t0").mRejectStarts.reset();
+  cell.run(milliseconds(200));
+  CHECK_FALSE(cell.targetRunning(id).empty());
+  CHECK_EQUAL(1, cell.find(id).find({ .mJob = id })->mTasks[0].mRun);
+}
+
 // Guards against an innocent task that is given up because its rack has lost power twice.
 TEST(target_losses, twoLossesDoNotGiveUpATask)
 {
