--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -103,14 +103,15 @@
   }
 
   void call(platform::caller_request::verb aVerb, const std::string& aPath,
-            const std::string& aKey = "k1")
+            const std::string& aKey = "k1",
+            const std::string& aBody = R"({"spec":"x","steps":[{"count":1,"cpu":100}]})")
   {
     handler->handle({ .mVerb = aVerb,
                       .mHost = "h",
                       .mPath = aPath,
                       .mKey = aKey,
                       .mTimeout = milliseconds(3000) },
-                    R"({"spec":"x","steps":[{"count":1,"cpu":100}]})",
+                    aBody,
                     [this](caller_response&& aAnswer) { answers.push_back(std::move(aAnswer)); });
   }
   int lastStatus() const
@@ -283,3 +284,18 @@
   call(kStatus, "/r/");
   STRCMP_EQUAL(R"({"waiting":1})", answers.back().mBody.c_str());
 }
+
+// Guards against the end of the daemon by the body of one caller, and against a job of which
+// numbers are others than the caller's.
+TEST(request_handler, answersJobsThatAreNestedOrOutOfRangeWith400)
+{
+  const std::string deep = std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  for (const auto& step : { R"({"after":)" + deep + "}", R"({"note":)" + deep + "}", deep,
+                            std::string(R"({"cpu":1e300})"), std::string(R"({"count":-1})"),
+                            std::string(R"({"cpu":18446744073709551615})") }) {
+    answers.clear();
+    call(kSubmit, kPath, "k1", R"({"steps":[)" + step + "]}");
+    CHECK_EQUAL(400, lastStatus());
+  }
+  CHECK_EQUAL(0, pendingStores.size());
+}
