--- a/edges/src/url.cpp
+++ b/edges/src/url.cpp
@@ -1,6 +1,11 @@
 #include "endiveusher/edges/url.h"
 
+#include <arpa/inet.h>
+
 #include <cctype>
+#include <charconv>
+#include <cstdint>
+#include <system_error>
 
 namespace endiveusher::edges {
 
@@ -53,4 +58,29 @@
   return result;
 }
 
+bool isIpAndPort(std::string_view aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  const auto port = aAddress.substr(colon + 1);
+  std::uint16_t number = 0;
+  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
+  if (error != std::errc() || end != port.data() + port.size() || number == 0) {
+    return false;
+  }
+  auto host = aAddress.substr(0, colon);
+  const bool bracketed = host.starts_with('[') && host.ends_with(']');
+  if (bracketed) {
+    host = host.substr(1, host.size() - 2);
+  }
+  // inet_pton() reads up to the first NUL.
+  if (host.find('\0') != std::string_view::npos) {
+    return false;
+  }
+  in6_addr parsed{};
+  return ::inet_pton(bracketed ? AF_INET6 : AF_INET, std::string(host).c_str(), &parsed) == 1;
+}
+
 } // namespace endiveusher::edges
