--- a/tests/platform/registry_entries_test.cpp
+++ b/tests/platform/registry_entries_test.cpp
@@ -84,3 +84,20 @@
   }
   CHECK(acceptsField("none", ""));
 }
+
+// Guards against the end of the process when an id is sent to the advice service as JSON, and
+// against header lines that an id adds to an order.
+TEST(platform_entries, anIdIsVisibleAscii)
+{
+  const auto acceptsId = [](std::string_view aId) {
+    return decodeTargetEntry(aId, R"({"service":"s","addr":"10.0.0.9:80","zone":"z",
+                                      "state":"ready","capacity":{"cpu":1}})")
+      .ok();
+  };
+  CHECK(acceptsId("i-0a3f1.z_1:2/3"));
+  for (const std::string_view id :
+       { "", " ", "i 1", "i\n1", "i\r\nX: y", "\xff", "i\x80", "\xc3\xa9", "i\x7f" }) {
+    CHECK_FALSE(acceptsId(id));
+  }
+  CHECK_FALSE(acceptsId(std::string_view("i\0i", 3)));
+}
