--- a/tests/platform/registry_entries_test.cpp
+++ b/tests/platform/registry_entries_test.cpp
@@ -85,6 +85,16 @@
   CHECK(acceptsField("none", ""));
 }
 
+// Guards against text that fills the journal and the log.
+TEST(platform_entries, aLongTextNamesNoTarget)
+{
+  const std::string longText(1'000'000, 'x');
+  for (const char* name : { "service", "zone", "machine", "state", "addr" }) {
+    CHECK_FALSE_TEXT(acceptsField(name, '"' + longText + '"'), name);
+  }
+  CHECK_FALSE(acceptsField("labels", "[\"" + longText + "\"]"));
+}
+
 // Guards against the end of the process when an id is sent to the advice service as JSON, and
 // against header lines that an id adds to an order.
 TEST(platform_entries, anIdIsVisibleAscii)
@@ -101,3 +111,19 @@
   }
   CHECK_FALSE(acceptsId(std::string_view("i\0i", 3)));
 }
+
+// Guards against log lines as long as an entry, of several lines or of invalid UTF-8.
+TEST(platform_entries, errorsAreShortPrintableText)
+{
+  const std::string longText(1'000'000, 'x');
+  for (const std::string& body :
+       { '"' + longText, "{\"state\":\"" + longText + "\"}", std::string("{\"a\":\"\xff\xfe"),
+         std::string("{\"state\":\"a\\nb\"}"), std::string("\x01\x02\n"),
+         std::string("\n\n\xc3") }) {
+    const auto message = std::string(decodeTargetEntry("i", body).status().message());
+    CHECK(!message.empty() && message.size() <= 1000);
+    for (const char one : message) {
+      CHECK(one >= ' ' && one <= '~');
+    }
+  }
+}
