Leave out unreadable items of a page of newest records

Operators saw: daemons stopped following the list of targets, or the operator's topic, as long as one item of a page had a value that is no base64, a key of another type or invalid UTF-8.

Cause: decodeNewest() rejected the whole page for one item, and the page was requested again for ever.

The items are cut out of the page at their brackets, and each is parsed on its own, so that a fault within one affects no other. An item with a readable key keeps it, with an empty value: the target becomes unlisted, and a closed zone stays closed. One without is left out with a bad_record line. A page is continued after its last readable key. If there is none, the listing fails as before and is tried again: it must not look complete, because targets that are not in it are unlisted. Replacing invalid bytes was ruled out, because it changes the order of keys. Records of the registry without a key are logged as those of the operator's topic are.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -174,22 +174,28 @@
       mLastStoreError = aError;
     }
   });
-  mOperatorTail =
-    std::make_unique<log_tail>(mStore, mClock,
-                               log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
-                                                 .mKeyed = true,
-                                                 .mWait = kOperatorReadWait,
-                                                 .mInterval = kOperatorReadInterval },
-                               log_tail::callbacks{ .mOnRecords =
-                                                      [this](const auto& aRecords, std::uint64_t) {
-                                                        mOperator.read(aRecords);
-                                                        onOperatorChange();
-                                                      },
-                                                    .mOnNewest =
-                                                      [this](const auto& aRecords) {
-                                                        mOperator.replace(aRecords);
-                                                        onOperatorChange();
-                                                      } });
+  const auto unreadable = [this](std::string_view aTopic) {
+    return [this, aTopic](const std::string& aError) {
+      mLog.write("bad_record", fmt::format("topic={} error=\"{}\"", aTopic, aError));
+    };
+  };
+  mOperatorTail = std::make_unique<log_tail>(
+    mStore, mClock,
+    log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
+                      .mKeyed = true,
+                      .mWait = kOperatorReadWait,
+                      .mInterval = kOperatorReadInterval },
+    log_tail::callbacks{ .mOnRecords =
+                           [this](const auto& aRecords, std::uint64_t) {
+                             mOperator.read(aRecords);
+                             onOperatorChange();
+                           },
+                         .mOnNewest =
+                           [this](const auto& aRecords) {
+                             mOperator.replace(aRecords);
+                             onOperatorChange();
+                           },
+                         .mOnUnreadable = unreadable(platform::kOperatorTopic) });
   mRegistryTail = std::make_unique<log_tail>(
     mStore, mClock,
     log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
@@ -198,7 +204,8 @@
                       .mInterval = kRegistryReadInterval },
     log_tail::callbacks{
       .mOnRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
-      .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); } });
+      .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); },
+      .mOnUnreadable = unreadable(platform::kRegistryTopic) });
   mOwnerTail = std::make_unique<log_tail>(
     mStore, mClock, log_tail_options{ .mTopic = kOwnerTopic, .mInterval = kOwnerTopicReadInterval },
     log_tail::callbacks{
--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -70,7 +70,13 @@
                   if (alive.expired() || generation != mGeneration) {
                     return;
                   }
+                  for (const auto& error : aReply.mUnreadable) {
+                    mCallbacks.mOnUnreadable(error);
+                  }
                   if (!aReply.mOk) {
+                    if (!aReply.mError.empty()) {
+                      mCallbacks.mOnUnreadable(aReply.mError);
+                    }
                     fail();
                     return;
                   }
--- a/node/src/log_tail.h
+++ b/node/src/log_tail.h
@@ -35,6 +35,9 @@
     /// Reports the newest record of every key, which replaces all former records. Keyed topics
     /// only.
     std::function<void(const std::vector<platform::keyed_record>& aRecords)> mOnNewest = {};
+    /// Reports a newest record that was left out, or a listing that could not be read. Keyed topics
+    /// only.
+    std::function<void(const std::string& aError)> mOnUnreadable = [](const std::string&) {};
     /// Reports that records before aFirst were deleted before they were read. Topics without keys
     /// only.
     std::function<void(std::uint64_t aFirst)> mOnGap = [](std::uint64_t) {};
--- a/node/src/registry_view.cpp
+++ b/node/src/registry_view.cpp
@@ -17,6 +17,8 @@
   for (const auto& bytes : aRecords) {
     if (const auto record = platform::decodeKeyed(bytes)) {
       readRecord(*record);
+    } else {
+      mLog.write("bad_record", "topic=registry error=\"no key\"");
     }
   }
 }
--- a/tests/platform/store_replies_test.cpp
+++ b/tests/platform/store_replies_test.cpp
@@ -53,6 +53,12 @@
     CHECK(received.has_value());
     return *std::move(received);
   }
+  newest_reply newest(const std::string& aBody, const std::string& aAfter = "")
+  {
+    answerWith(200, aBody);
+    return receive<newest_reply>(
+      [&](auto aDone) { client->newest("keyed.servers", aAfter, std::move(aDone)); });
+  }
   append_reply append(int aStatus, const std::string& aBody)
   {
     answerWith(aStatus, aBody);
@@ -65,8 +71,82 @@
     return receive<read_reply>(
       [&](auto aDone) { client->read("t", 0, std::chrono::milliseconds(0), std::move(aDone)); });
   }
+  static std::string page(const std::string& aItem, const std::string& aRest = "")
+  {
+    return R"({"items":[{"key":"a","value":"MQ==","offset":3},)" + aItem +
+           R"({"key":"c","value":"Mw==","offset":5}],"end":7)" + aRest + "}";
+  }
 };
 
+// Guards against one unreadable value that stops the reading of all entries.
+TEST(platform_store_replies, anUnreadableValueIsEmptyAndTheOthersAreKept)
+{
+  for (const char* value :
+       { R"("%%%")", R"("MQ=")", "5", "null", "[]", "{}", "[[[[]]]]", "1e300" }) {
+    const auto reply = newest(page(R"({"key":"b","value":)" + std::string(value) + "},"));
+    CHECK_TEXT(reply.mOk, value);
+    CHECK_EQUAL(3, reply.mRecords.size());
+    CHECK_EQUAL("1", reply.mRecords[0].mValue.value());
+    CHECK_EQUAL("b", reply.mRecords[1].mKey);
+    CHECK_EQUAL("", reply.mRecords[1].mValue.value());
+    CHECK_EQUAL("3", reply.mRecords[2].mValue.value());
+    CHECK_EQUAL(7, reply.mEnd);
+  }
+  CHECK_EQUAL("", newest(page(R"({"key":"b"},)")).mRecords.at(1).mValue.value());
+}
+
+// Guards against one item without a readable key that stops the reading of all entries.
+TEST(platform_store_replies, anItemWithoutAKeyIsLeftOut)
+{
+  for (const char* item : { R"({"key":5,"value":"MQ=="})", R"({"value":"MQ=="})", "5", "null", "[]",
+                            "{}", R"({"key":null})", R"({"key":["b"],"value":"MQ=="})" }) {
+    const auto reply = newest(page(std::string(item) + ","));
+    CHECK_TEXT(reply.mOk, item);
+    CHECK_EQUAL(2, reply.mRecords.size());
+    CHECK_EQUAL("c", reply.mRecords[1].mKey);
+    CHECK_EQUAL(7, reply.mEnd);
+  }
+}
+
+// Guards against a key with invalid UTF-8 that stops the reading of all entries.
+TEST(platform_store_replies, aKeyThatIsNoUtf8LosesNoOther)
+{
+  for (const char* key : { "\xff", "\x80", "b\xc3", "\xf0\x9f\x98", "\xed\xa0\x80", "\xc0\xaf" }) {
+    const auto reply = newest(page(R"({"key":")" + std::string(key) + R"(","value":"Mg=="},)"));
+    CHECK_TEXT(reply.mOk, key);
+    CHECK_EQUAL("a", reply.mRecords.front().mKey);
+    CHECK_EQUAL("c", reply.mRecords.back().mKey);
+    CHECK_EQUAL("3", reply.mRecords.back().mValue.value());
+  }
+}
+
+// Guards against a page that is requested again and again because its last key isn't readable.
+TEST(platform_store_replies, theNextPageFollowsTheLastReadableKey)
+{
+  const auto reply = newest(R"({"items":[{"key":"a","value":"MQ=="},{"key":7,"value":"MQ=="}],
+                                "end":7,"has_more":true})");
+  CHECK(reply.mOk);
+  CHECK_EQUAL("a", reply.mMoreAfter.value());
+  // Without a readable key, the listing can't go on; it must not look complete.
+  CHECK_FALSE(newest(R"({"items":[{"key":7}],"end":7,"has_more":true})").mOk);
+  // A page that doesn't lead on would be requested for ever.
+  CHECK_FALSE(newest(R"({"items":[{"key":"a","value":"MQ=="}],"end":7,"has_more":true})", "a").mOk);
+}
+
+// Guards against the end of the process by a page of another form.
+TEST(platform_store_replies, aPageOfAnotherFormIsAFailure)
+{
+  for (const std::string& body :
+       { std::string(), std::string("[]"), std::string("{}"), std::string("null"),
+         std::string(R"({"items":5,"end":1})"), std::string(R"({"items":[],"end":"1"})"),
+         std::string(R"({"items":[],"end":-1})"), std::string(R"({"items":[],"end":1e300})"),
+         std::string(R"({"items":[],"end":1,"has_more":"yes"})"), std::string(1'000'000, '['),
+         R"({"items":[],"end":1,"x":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') +
+           "}" }) {
+    CHECK_FALSE_TEXT(newest(body).mOk, body.substr(0, 60).c_str());
+  }
+}
+
 // Guards against the end of the process by an answer to an append of another form.
 TEST(platform_store_replies, anAppendWithAnOddAnswerIsNotAppended)
 {
