--- a/tests/platform/store_replies_test.cpp
+++ b/tests/platform/store_replies_test.cpp
@@ -16,6 +16,7 @@
 {
   std::mutex mutex;
   edges::http_answer next;
+  std::string query;
   edges::http_server* server = nullptr;
   edges::http_loop* loop = nullptr;
   store* client = nullptr;
@@ -23,8 +24,10 @@
   void setup() override
   {
     server = new edges::http_server(
-      {}, [this](const edges::http_request& /*aRequest*/, const edges::responder& aResponder) {
+      {}, [this](const edges::http_request& aRequest, const edges::responder& aResponder) {
         const std::lock_guard lock(mutex);
+        const auto after = aRequest.mQuery.find("after");
+        query = after == aRequest.mQuery.end() ? "" : after->second;
         aResponder.answer(edges::http_answer(next));
       });
     loop = new edges::http_loop;
@@ -133,6 +136,14 @@
   CHECK_FALSE(newest(R"({"items":[{"key":"a","value":"MQ=="}],"end":7,"has_more":true})", "a").mOk);
 }
 
+// Guards against a key that changes the query of the next page.
+TEST(platform_store_replies, theKeyOfTheNextPageIsEncoded)
+{
+  newest(page(""), "a&part=1 b\n%41#\xff/");
+  const std::lock_guard lock(mutex);
+  CHECK_EQUAL("a&part=1 b\n%41#\xff/", query);
+}
+
 // Guards against the end of the process by a page of another form.
 TEST(platform_store_replies, aPageOfAnotherFormIsAFailure)
 {
