--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -310,7 +310,7 @@
     mReady = !mStopping && mOperator.config() && mJournalTail->caughtUp() && !partitioned(now) &&
              mStoreConnectivity.timeSinceReply(now) < kReadyStoreTimeout;
     if (mDump.exchange(false)) {
-      mLog.write("state", state());
+      mLog.writeDump("state", state());
     }
     mLog.flush();
     if (tickShutdown(now)) {
