Limit the nesting of MessagePack from the store and from daemons

Another writer of the store, or any process that reaches the port, can cause it.

Cause: json::from_msgpack() recurses once per level.

parseMsgpack() passes the bytes to the reader's SAX interface first, which stops at the 65th level, and builds the value only then.

--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -1,5 +1,7 @@
 #include "election.h"
 
+#include "endiveusher/kernel/msgpack.h"
+
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -30,7 +32,7 @@
 absl::StatusOr<owner_record> decodeOwnerRecord(std::string_view aBytes)
 {
   try {
-    const auto value = json::from_msgpack(aBytes.begin(), aBytes.end());
+    const auto value = parseMsgpack(aBytes);
     return owner_record{ .mKind = static_cast<owner_record::kind>(value.at(0).get<int>()),
                          .mNode = value.at(1),
                          .mIncarnation = value.at(2),
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/edges/http_loop.h"
+#include "endiveusher/kernel/msgpack.h"
 #include "endiveusher/scheduler/owner_port.h"
 
 #include <absl/status/statusor.h>
@@ -60,7 +61,7 @@
 {
   try {
     std::vector<std::string> records;
-    for (const auto& one : nlohmann::json::from_msgpack(aBody.begin(), aBody.end())) {
+    for (const auto& one : parseMsgpack(aBody)) {
       const auto& bytes = one.get_binary();
       records.emplace_back(bytes.begin(), bytes.end());
     }
--- a/node/src/snapshots.cpp
+++ b/node/src/snapshots.cpp
@@ -1,5 +1,7 @@
 #include "snapshots.h"
 
+#include "endiveusher/kernel/msgpack.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -22,11 +24,15 @@
 
 std::optional<header> decodeHeader(const std::string& aBytes)
 {
-  const auto value = json::from_msgpack(aBytes, true, false);
-  if (!value.is_array() || value.size() != 3 || value[0] != kHeaderKind) {
-    return std::nullopt;
+  try {
+    const auto value = parseMsgpack(aBytes);
+    if (!value.is_array() || value.size() != 3 || value[0] != kHeaderKind) {
+      return std::nullopt;
+    }
+    return header{ .mBase = value[1], .mCount = value[2] };
+  } catch (const std::exception& /*aError*/) {
+    return std::nullopt; // Not a header, as are most of the topic's records.
   }
-  return header{ .mBase = value[1], .mCount = value[2] };
 }
 
 } // namespace
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -1,5 +1,7 @@
 #include "endiveusher/scheduler/journal.h"
 
+#include "endiveusher/kernel/msgpack.h"
+
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -280,7 +282,7 @@
 absl::StatusOr<journal_record> decodeRecord(std::string_view aBytes)
 {
   try {
-    return recordFrom(json::from_msgpack(aBytes.begin(), aBytes.end()));
+    return recordFrom(parseMsgpack(aBytes));
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(absl::StrCat("invalid journal record: ", error.what()));
   }
