Test that a daemon skips odd records of its topics

The setup of the group starts the follower through a function, so that a test can start another one; the other tests are unchanged.

--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -81,6 +81,17 @@
                   platform::encodeKeyed("config", R"({"version":1,"services":[{"name":"p"}],
       "routes":[{"name":"r","host":"h","path_prefix":"/r/","service":"p","public":true}]})"));
     appendOwnerRecord(owner_record::kind::claim);
+    startFollower();
+  }
+  void teardown() override
+  {
+    delete follower;
+    delete owner;
+    delete store;
+  }
+
+  void startFollower()
+  {
     port = unusedPort();
     peerPort = unusedPort();
     follower =
@@ -93,12 +104,6 @@
                       .mAdviceAddress = owner->address() });
     follower->start([this] { stopped = true; });
   }
-  void teardown() override
-  {
-    delete follower;
-    delete owner;
-    delete store;
-  }
 
   void appendToStore(const std::string& aTopic, const std::string& aRecord)
   {
@@ -219,3 +224,39 @@
   CHECK(renewUntil([&] { return owner->lastHello() != ownAddress || stopped; }));
   CHECK(owner->lastHello() == "");
 }
+
+// Guards against a daemon that ends, or stops following its topics, because of records that another
+// writer left in them.
+TEST(cell_node, oddRecordsOfItsTopicsAreSkipped)
+{
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string deepMsgpack = std::string(100'000, '\x91') + '\x01';
+  const auto entry = [](const std::string& aAddress, const std::string& aCpu) {
+    return R"({"service":"p","zone":"z","state":"ready","addr":")" + aAddress +
+           R"(","capacity":{"cpu":)" + aCpu + "}}";
+  };
+  const auto stateHas = [this](const std::string& aText) {
+    edges::raw_client peer(peerPort);
+    peer.send(edges::postRequest(std::string(kStatePath), ""));
+    return peer.receiveAnswer().find(aText) != std::string::npos;
+  };
+  const std::string operatorTopic(platform::kOperatorTopic);
+  const std::string registryTopic(platform::kRegistryTopic);
+  appendToStore(operatorTopic, platform::encodeKeyed(
+                                 "config", R"({"version":2,"routes":[],"limits":)" + deep + "}"));
+  appendToStore(operatorTopic, platform::encodeKeyed("config", R"({"version":3,"routes":[]})"));
+  appendToStore("journal", deepMsgpack);
+  appendToStore("owner", deepMsgpack);
+  CHECK(renewUntil([&] { return stateHas(" config=3 "); }));
+
+  // A daemon that starts reads the entries at once, one that runs only after some seconds.
+  appendToStore(registryTopic, platform::encodeKeyed("odd-1", deep));
+  appendToStore(registryTopic, platform::encodeKeyed("odd-2", entry("10.0.0.9:80", deep)));
+  appendToStore(registryTopic, platform::encodeKeyed("odd-3", entry("10.0.0.9:80", "1e300")));
+  appendToStore(registryTopic, platform::encodeKeyed("odd-4", entry("10.0.0.9:65536", "1")));
+  appendToStore(registryTopic, platform::encodeKeyed("good", entry("10.0.0.9:80", "1")));
+  delete std::exchange(follower, nullptr);
+  startFollower();
+  CHECK(renewUntil([&] { return stateHas(" config=3 ") && stateHas(" targets=1 "); }));
+}
