--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -74,20 +74,21 @@
     mRequestHandler(mClock, mJobTable, mRecordWriter, mLog,
                     { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
                     [this](const journal_record& aRecord) { applyRecord(aRecord); }),
-    mRegistry(mLog, { .mOnListed =
-                        [this](const scheduler::target_entry& aEntry) {
-                          mCapacityChanged = true;
-                          if (mOwner) {
-                            mOwner->setTarget(aEntry, mClock.now());
-                          }
-                        },
-                      .mOnUnlisted =
-                        [this](const std::string& aId) {
-                          mCapacityChanged = true;
-                          if (mOwner) {
-                            mOwner->removeTarget(aId, mClock.now());
-                          }
-                        } })
+    mRegistry(mLog, mClock,
+              { .mOnListed =
+                  [this](const scheduler::target_entry& aEntry) {
+                    mCapacityChanged = true;
+                    if (mOwner) {
+                      mOwner->setTarget(aEntry, mClock.now());
+                    }
+                  },
+                .mOnUnlisted =
+                  [this](const std::string& aId) {
+                    mCapacityChanged = true;
+                    if (mOwner) {
+                      mOwner->removeTarget(aId, mClock.now());
+                    }
+                  } })
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(std::optional<std::string>)> aDone) {
@@ -178,22 +179,28 @@
       mLastStoreError = aError;
     }
   });
-  mOperatorTail =
-    std::make_unique<log_tail>(mStore, mClock,
-                               log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
-                                                 .mKeyed = true,
-                                                 .mWait = kOperatorReadWait,
-                                                 .mInterval = kOperatorReadInterval },
-                               log_tail::callbacks{ .mOnRecords =
-                                                      [this](const auto& aRecords, std::uint64_t) {
-                                                        mOperator.read(aRecords);
-                                                        onOperatorChange();
-                                                      },
-                                                    .mOnNewest =
-                                                      [this](const auto& aRecords) {
-                                                        mOperator.replace(aRecords);
-                                                        onOperatorChange();
-                                                      } });
+  const auto unreadable = [this](std::string_view aTopic) {
+    return [this, aTopic](const std::string& aError) {
+      mLog.write("bad_record", fmt::format("topic={} error=\"{}\"", aTopic, aError));
+    };
+  };
+  mOperatorTail = std::make_unique<log_tail>(
+    mStore, mClock,
+    log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
+                      .mKeyed = true,
+                      .mWait = kOperatorReadWait,
+                      .mInterval = kOperatorReadInterval },
+    log_tail::callbacks{ .mOnRecords =
+                           [this](const auto& aRecords, std::uint64_t) {
+                             mOperator.read(aRecords);
+                             onOperatorChange();
+                           },
+                         .mOnNewest =
+                           [this](const auto& aRecords) {
+                             mOperator.replace(aRecords);
+                             onOperatorChange();
+                           },
+                         .mOnUnreadable = unreadable(platform::kOperatorTopic) });
   mRegistryTail = std::make_unique<log_tail>(
     mStore, mClock,
     log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
@@ -202,7 +209,8 @@
                       .mInterval = kRegistryReadInterval },
     log_tail::callbacks{
       .mOnRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
-      .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); } });
+      .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); },
+      .mOnUnreadable = unreadable(platform::kRegistryTopic) });
   mOwnerTail = std::make_unique<log_tail>(
     mStore, mClock, log_tail_options{ .mTopic = kOwnerTopic, .mInterval = kOwnerTopicReadInterval },
     log_tail::callbacks{
@@ -309,7 +317,7 @@
     mReady = !mStopping && mOperator.config() && mJournalTail->caughtUp() && !partitioned(now) &&
              mStoreConnectivity.timeSinceReply(now) < kReadyStoreTimeout;
     if (mDump.exchange(false)) {
-      mLog.write("state", state());
+      mLog.writeDump("state", state());
     }
     mLog.flush();
     if (tickShutdown(now)) {
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace endiveusher::scheduler {
 
@@ -15,6 +17,8 @@
 /// Number of unanswered start orders after which the run is stopped, so that the task can start
 /// elsewhere.
 constexpr std::uint32_t kMaxStartTries = 4;
+/// Minimum time in which a crashed target restarts; the users' pages say some seconds.
+constexpr auto kMinRestartTime = std::chrono::milliseconds(1000);
 /// Pause before an unanswered or rejected order is sent again.
 constexpr auto kRetryPause = std::chrono::milliseconds(50);
 /// Time after which a stop order is repeated if the target still lists the run.
@@ -42,6 +46,14 @@
   return run != target->second.mRuns.end() && run->second.mRun == aRun ? &run->second : nullptr;
 }
 
+bool owner::impl::mayStartAt(const target_state& aTarget, const job& aJob,
+                             const step_key& aStep) const
+{
+  return aTarget.mListed && !aTarget.mEntry.mDraining &&
+         !mClosedZones.contains(aTarget.mEntry.mZone) &&
+         isSuitable(aTarget, routeOf(aJob.mSpec.mRoute), aJob.mSpec.mSteps[aStep.mStep]);
+}
+
 bool owner::impl::orderable(const run_started& aStart, time_point aNow)
 {
   const auto* run = findRun(aStart.mAt.mTarget, aStart.mTask, aStart.mRun);
@@ -53,7 +65,14 @@
   const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
   return target.mAcquisitionStored &&
          target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
-         !target.mEntry.mDraining && !mClosedZones.contains(target.mEntry.mZone);
+         mayStartAt(target, *owning, aStart.mTask.mStep);
+}
+
+bool owner::impl::repeatable(const target_state& aTarget, const task_key& aTask) const
+{
+  const auto& capacity = aTarget.mEntry.mCapacity;
+  return mayStartAt(aTarget, *mJobTable.find(aTask.mStep.mJob), aTask.mStep) &&
+         (aTarget.mUsed.fitsIn(capacity) || aTarget.orderedNeeds().fitsIn(capacity));
 }
 
 void owner::impl::stopIncompleteGangs(std::span<const run_started> aStarts, time_point aNow)
@@ -74,6 +93,54 @@
   }
 }
 
+void owner::impl::withdrawUnfittingStarts(std::span<const run_started> aStarts, time_point aNow)
+{
+  // Needs at targets with too little capacity for all runs: of the ordered runs and of the starts
+  // that are kept.
+  std::map<std::string, resources> kept;
+  while (!aStarts.empty()) {
+    const auto& key = aStarts.front().mTask.mStep;
+    const job* owning = mJobTable.find(key.mJob);
+    const bool gang = owning != nullptr && owning->mSpec.mSteps[key.mStep].mGang;
+    // The starts of a gang are decided together.
+    const auto other = std::ranges::find_if(
+      aStarts, [&key](const run_started& aOne) { return aOne.mTask.mStep != key; });
+    const auto count = gang ? static_cast<std::size_t>(other - aStarts.begin()) : 1;
+    const auto group = aStarts.first(count);
+    aStarts = aStarts.subspan(count);
+    auto withGroup = kept;
+    bool fits = true;
+    for (const auto& start : group) {
+      if (!orderable(start, aNow)) {
+        continue;
+      }
+      const auto& target = mTargets.find(start.mAt.mTarget)->second;
+      if (target.mUsed.fitsIn(target.mEntry.mCapacity)) {
+        continue;
+      }
+      const auto [needs, isNew] = withGroup.try_emplace(start.mAt.mTarget);
+      if (isNew) {
+        needs->second = target.orderedNeeds();
+      }
+      needs->second += target.mRuns.at(start.mTask).mNeeds;
+      fits = fits && needs->second.fitsIn(target.mEntry.mCapacity);
+    }
+    if (fits) {
+      kept = std::move(withGroup);
+      continue;
+    }
+    mPort.logDecision("starts_withdrawn",
+                      fmt::format("task={} run={} target={} tasks={} reason=capacity",
+                                  toText(group.front().mTask), group.front().mRun,
+                                  group.front().mAt.mTarget, group.size()));
+    for (const auto& start : group) {
+      if (auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun)) {
+        run->mStopWanted = true;
+      }
+    }
+  }
+}
+
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
   if (aTarget.mNextOrders > aNow) {
@@ -91,9 +158,9 @@
       continue;
     }
     // A start order extends the lease, so it is not repeated once renewals have been stopped.
-    const bool abandonStart =
-      run.mTries >= kMaxStartTries || run.mStopWanted || !aTarget.mAcquisitionStored;
-    if (run.mPhase == run_phase::ordered && !abandonStart) {
+    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted ||
+                              !aTarget.mAcquisitionStored || !mayOrderStart(aTarget, run, aNow);
+    if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget, task)) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
                (run.mStopWanted && !run.mEnded)) {
@@ -102,12 +169,23 @@
   }
 }
 
+bool owner::impl::mayOrderStart(const target_state& aTarget, const allocated_run& aRun,
+                                time_point aNow)
+{
+  return aRun.mTries == 0 ||
+         (aTarget.mMissedHeartbeats == 0 && (aTarget.mLastReply >= aRun.mUnansweredAt ||
+                                             aNow - aRun.mFirstOrderAt < kMinRestartTime));
+}
+
 void owner::impl::sendStart(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
                             time_point aNow)
 {
   const job* owning = mJobTable.find(aTask.mStep.mJob);
   const auto& state = owning->find(aTask.mStep)->mTasks[aTask.mIndex];
   aRun.mOrderOpen = true;
+  if (aRun.mTries == 0) {
+    aRun.mFirstOrderAt = aNow;
+  }
   mPort.start({ .mTarget = aTarget.mEntry.mId,
                 .mAddress = aTarget.mEntry.mAddress,
                 .mTask = aTask,
@@ -169,6 +247,7 @@
                                                   toText(aOutcome), run->mTries));
   if (aOutcome == order_outcome::unanswered) {
     ++run->mTries;
+    run->mUnansweredAt = aNow;
     run->mNextTry = aNow + kRetryPause;
     target.mAvoidUntil = std::max<time_point>(target.mAvoidUntil, aNow + kTargetRejectionPause);
     return;
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -40,16 +40,39 @@
   bool mEnded = false;
   bool mStopWanted = false;
   bool mOrderOpen = false;
+  /// Number of start orders without an answer, and the time at which the last of them was given up.
   std::uint32_t mTries = 0;
+  time_point mUnansweredAt{};
+  /// Time of the first start order.
+  time_point mFirstOrderAt{};
   time_point mNextTry{};
   /// Replies to heartbeats sent from this time on list the run unless it has ended.
   time_point mMustBeListedFrom = time_point::max();
+  /// No task of another job is started beside the run before this time.
+  time_point mIsolatedUntil{};
   std::string mCheckpoint;
   std::string mTicket;
   /// Expiry of the ticket; time_point::max() if the run has none.
   time_point mTicketExpiry = time_point::max();
 };
 
+/// The jobs of some runs, as far as it matters whether there is more than one.
+class occupants
+{
+public:
+  void add(job_id aJob)
+  {
+    mHasSeveral = mHasSeveral || (mJob && *mJob != aJob);
+    mJob = aJob;
+  }
+  /// Whether there is no run of another job.
+  bool onlyOf(job_id aJob) const { return !mJob || (!mHasSeveral && *mJob == aJob); }
+
+private:
+  std::optional<job_id> mJob;
+  bool mHasSeveral = false;
+};
+
 /// The owner's view of a target and of the runs there.
 struct target_state
 {
@@ -114,6 +137,17 @@
     return mClockAt + std::chrono::duration_cast<duration>(left) + kLeaseMargin;
   }
   resources freeCapacity() const { return mEntry.mCapacity - mUsed; }
+  /// Returns the needs of the runs whose start orders may have been sent.
+  resources orderedNeeds() const
+  {
+    resources needs;
+    for (const auto& [task, run] : mRuns) {
+      if (run.mPhase != run_phase::storing) {
+        needs += run.mNeeds;
+      }
+    }
+    return needs;
+  }
 };
 
 } // namespace endiveusher::scheduler::internal
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // Standard library headers come first, because CppUTest's header defines `new` as a macro.
+#include "capacity_history.h"
 #include "endiveusher/scheduler/owner.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endiveusher::scheduler::testing {
@@ -32,6 +34,8 @@
   bool mListed = true;
   /// Whether start orders are executed but their replies are lost.
   bool mLosesReplies = false;
+  /// Whether start orders are lost before they are executed.
+  bool mLosesStarts = false;
   /// If set, start orders are rejected with this outcome.
   std::optional<order_outcome> mRejectStarts;
   /// Time that a run takes to end after a stop order.
@@ -39,6 +43,9 @@
   /// Runs that are being stopped, and the time of their end.
   std::map<task_key, time_point> mStopping;
   target_time mClock{ 1000 };
+  capacity_history mFormerCapacities;
+  /// Time at which the owner reads a change of the entry; time_point::max() if there is none.
+  time_point mEntryReadAt = time_point::max();
 
   resources used(const job_table& aJobTable) const
   {
@@ -114,6 +121,13 @@
   }
 };
 
+/// What became of a task that crashes the targets that start it.
+struct deadly_task
+{
+  unsigned mCrashes = 0;
+  unsigned mStartsAfterThirdCrash = 0;
+};
+
 /// A cell with one owner. Calls are answered after one step of the simulated time.
 class owner_fixture : private owner_port
 {
@@ -188,6 +202,31 @@
     mOwner->setTarget(target.mEntry, mNow);
   }
 
+  /// Changes the capacity that the target states; the owner reads it after aDelay.
+  void setCapacity(const std::string& aId, const resources& aCapacity,
+                   milliseconds aDelay = milliseconds(0))
+  {
+    auto& target = mTargets.at(aId);
+    target.mEntryReadAt = std::min<time_point>(target.mEntryReadAt, mNow + aDelay);
+    target.mFormerCapacities.add(target.mEntry.mCapacity, target.mEntryReadAt);
+    target.mEntry.mCapacity = aCapacity;
+    readChangedEntries();
+  }
+
+  /// Loses a target and all its runs; it comes back as a new incarnation after mRestartDelay.
+  void crashTarget(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    const auto lost = std::exchange(target.mRunning, {});
+    target.mReachable = false;
+    mRestarts[aId] = mNow + mRestartDelay;
+    for (const auto& [task, run] : lost) {
+      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
+        breakGang(task.mStep);
+      }
+    }
+  }
+
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
   void startNextOwner()
   {
@@ -268,6 +307,8 @@
       for (auto& [id, target] : mTargets) {
         target.mClock += aStep;
       }
+      readChangedEntries();
+      restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
       deliverReplies();
@@ -329,6 +370,8 @@
   std::vector<time_point> mStoredAt;
   time_point mNow{ seconds(100) };
   std::vector<std::string> mEvents;
+  /// The same with their details.
+  std::vector<std::string> mLog;
   std::vector<advice_request> mAdvice;
   /// Targets on which any step may run, returned by advice calls.
   std::vector<std::string> mGoodTargets;
@@ -341,11 +384,23 @@
   bool mPaused = false;
   /// Duration of one append; the store executes appends sequentially.
   milliseconds mStoreDelay{ 0 };
+  /// Jobs whose tasks crash the targets that start them.
+  std::set<job_id> mDeadlyJobs;
+  std::map<task_key, deadly_task> mDeadlyTasks;
+  /// Time after which crashed targets are back, and whether the registry tells so at once.
+  milliseconds mRestartDelay{ 2000 };
+  bool mRestartsAreListed = true;
   int mRenewals = 0;
   /// Number of heartbeats with a lease that each target was sent.
   std::map<std::string, int> mRenewalsOf;
   /// Difference of the daemons' wall clock from the true time.
   milliseconds mWallOffset{ 0 };
+  /// Time after the owner has read a change of a target's capacity in which starts may still be
+  /// executed that fit into the former one. One step of the simulated time, for orders that are on
+  /// their way.
+  static constexpr milliseconds kCapacityGrace{ 5 };
+  /// Starts that brought their target over its capacity.
+  std::vector<std::string> mStartsOverCapacity;
 
 private:
   struct pending_call
@@ -403,9 +458,31 @@
         mAdviceService->enqueue(aRequest, termsOf(aRequest.mStep.mJob), mNow);
     }
   }
-  void logDecision(std::string_view aEvent, std::string_view /*aDetail*/) override
+  void logDecision(std::string_view aEvent, std::string_view aDetail) override
   {
     mEvents.emplace_back(aEvent);
+    mLog.push_back(std::string(aEvent) + " " + std::string(aDetail));
+  }
+
+  void readChangedEntries()
+  {
+    for (auto& [id, target] : mTargets) {
+      if (target.mEntryReadAt <= mNow && target.mListed && mOwner) {
+        target.mEntryReadAt = time_point::max();
+        mOwner->setTarget(target.mEntry, mNow);
+      }
+    }
+  }
+
+  void checkCapacity(const fake_target& aTarget, const task_key& aStarted)
+  {
+    resources used;
+    for (const auto& [task, run] : aTarget.mRunning) {
+      used += mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].capacityNeeds();
+    }
+    if (!aTarget.mFormerCapacities.holds(used, aTarget.mEntry.mCapacity, mNow - kCapacityGrace)) {
+      mStartsOverCapacity.push_back(toText(aStarted) + " on " + aTarget.mEntry.mId);
+    }
   }
 
   void deliverReplies()
@@ -455,6 +532,23 @@
     }
   }
 
+  void restartCrashedTargets()
+  {
+    for (auto at = mRestarts.begin(); at != mRestarts.end();) {
+      if (at->second > mNow) {
+        ++at;
+        continue;
+      }
+      auto& target = mTargets.at(at->first);
+      target = { .mEntry = target.mEntry };
+      ++target.mEntry.mIncarnationStart;
+      if (mRestartsAreListed) {
+        mOwner->setTarget(target.mEntry, mNow);
+      }
+      at = mRestarts.erase(at);
+    }
+  }
+
   void endStoppedRuns()
   {
     for (auto& [id, target] : mTargets) {
@@ -541,7 +635,7 @@
   order_outcome execute(const start_order& aOrder)
   {
     auto& target = mTargets.at(aOrder.mTarget);
-    if (!target.mReachable) {
+    if (!target.mReachable || target.mLosesStarts) {
       return order_outcome::unanswered;
     }
     if (aOrder.mEpoch < target.mEpoch) {
@@ -553,6 +647,16 @@
     if (mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow)) {
       return order_outcome::bad_ticket;
     }
+    if (std::exchange(target.mRunning[aOrder.mTask], aOrder.mRun) != aOrder.mRun) {
+      checkCapacity(target, aOrder.mTask);
+    }
+    if (mDeadlyJobs.contains(aOrder.mTask.mStep.mJob)) {
+      auto& deadly = mDeadlyTasks[aOrder.mTask];
+      deadly.mStartsAfterThirdCrash += deadly.mCrashes >= 3 ? 1 : 0;
+      ++deadly.mCrashes;
+      crashTarget(aOrder.mTarget);
+      return order_outcome::unanswered;
+    }
     target.mRunning[aOrder.mTask] = aOrder.mRun;
     const auto& step =
       mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps[aOrder.mTask.mStep.mStep];
@@ -584,6 +688,8 @@
   std::map<std::string, fake_target> mTargets;
   std::vector<pending_call> mPending;
   std::multimap<time_point, task_end> mTaskEnds;
+  /// Crashed targets and the times at which they are back.
+  std::map<std::string, time_point> mRestarts;
   std::deque<std::vector<journal_record>> mUnstored;
   time_point mAppendSince{};
   std::uint64_t mEpoch = 0;
