Suspect only tasks whose target was lost soon after their start

Cause: a loss counted for all tasks on the target alike.

A loss within 0.5 s of the order is now recorded as one at the start. Only two of these make a step suspect, and three give the job up whatever ran beside it; the limits for other losses stay (three alone, five in any case).

target_losses.aTaskThatHasRunForAWhileIsNotSuspected cannot pass without the separate count.

--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -124,6 +124,8 @@
   not_run,
   /// Its target was lost, without a planned leave, while the run may have been executing.
   target_lost,
+  /// As target_lost, soon after the run was ordered.
+  target_lost_at_start,
 };
 
 /// Location of a run that may still be executing.
@@ -145,6 +147,8 @@
   /// Number of targets lost under the task, each within kTargetLossMemory of the one before, and
   /// the time of the last loss on the local clock.
   std::uint32_t mTargetLosses = 0;
+  /// Those of them that came soon after the start of the task's run.
+  std::uint32_t mStartLosses = 0;
   time_point mLastTargetLoss{};
 };
 
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -15,12 +15,14 @@
   });
 }
 
-void countTargetLoss(task_state& aTask, time_point aNow)
+void countTargetLoss(task_state& aTask, bool aAtStart, time_point aNow)
 {
   if (aNow - aTask.mLastTargetLoss > kTargetLossMemory) {
     aTask.mTargetLosses = 0;
+    aTask.mStartLosses = 0;
   }
   ++aTask.mTargetLosses;
+  aTask.mStartLosses += aAtStart ? 1 : 0;
   aTask.mLastTargetLoss = aNow;
 }
 
@@ -119,8 +121,9 @@
   } else if (aRecord.mOutcome == run_end::failed) {
     ++task.mFailures;
     step->mGangFailures += gang ? 1 : 0;
-  } else if (aRecord.mOutcome == run_end::target_lost) {
-    countTargetLoss(task, aNow);
+  } else if (aRecord.mOutcome == run_end::target_lost ||
+             aRecord.mOutcome == run_end::target_lost_at_start) {
+    countTargetLoss(task, aRecord.mOutcome == run_end::target_lost_at_start, aNow);
   }
   return found;
 }
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -112,17 +112,18 @@
   return task;
 }
 
-/// Returns the target losses of a step's tasks: index, number, and age of the last one in ms.
+/// Returns the target losses of a step's tasks: index, number, age of the last one in ms, and
+/// number at the start.
 json lossesToJson(const step_state& aStep, time_point aTakenAt)
 {
   json losses = json::array();
   for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
     const auto& task = aStep.mTasks[index];
     if (task.mTargetLosses > 0) {
-      losses.push_back(
-        json::array({ index, task.mTargetLosses,
-                      std::chrono::floor<std::chrono::milliseconds>(aTakenAt - task.mLastTargetLoss)
-                        .count() }));
+      losses.push_back(json::array(
+        { index, task.mTargetLosses,
+          std::chrono::floor<std::chrono::milliseconds>(aTakenAt - task.mLastTargetLoss).count(),
+          task.mStartLosses }));
     }
   }
   return losses;
@@ -134,6 +135,7 @@
     auto& task = aStep.mTasks.at(loss.at(0).get<std::size_t>());
     task.mTargetLosses = loss.at(1);
     task.mLastTargetLoss = time_point{} - std::chrono::milliseconds(loss.at(2).get<std::int64_t>());
+    task.mStartLosses = loss.at(3);
   }
 }
 
--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -12,12 +12,25 @@
 /// Number of targets lost under a task after which its job is given up if nothing of other jobs ran
 /// on the last of them. The users' rule allows two further starts after three crashes.
 constexpr std::uint32_t kMaxTargetLossesAlone = 3;
+/// The same for losses soon after the task's start, whatever ran beside it.
+constexpr std::uint32_t kMaxStartLosses = 3;
 /// The same if other jobs may be at fault: the two further starts have been made.
 constexpr std::uint32_t kMaxTargetLosses = 5;
+/// A target that is lost within this time of the order to start a run may have been crashed by the
+/// start: tasks beside it that have run for longer are not suspected.
+constexpr auto kStartLossPeriod = std::chrono::milliseconds(500);
 
-std::uint32_t targetLossesOf(const job& aJob, const task_key& aTask)
+const task_state& taskOf(const job& aJob, const task_key& aTask)
 {
-  return aJob.find(aTask.mStep)->mTasks[aTask.mIndex].mTargetLosses;
+  return aJob.find(aTask.mStep)->mTasks[aTask.mIndex];
+}
+
+/// How a run ends at a target that is lost unplanned.
+run_end lossOf(const internal::target_state& aTarget, const internal::allocated_run& aRun)
+{
+  const auto lostAt = aTarget.mMissedHeartbeats > 0 ? aTarget.mLostContactAt : aTarget.mLastReply;
+  return lostAt - aRun.mFirstOrderAt < kStartLossPeriod ? run_end::target_lost_at_start
+                                                        : run_end::target_lost;
 }
 
 /// Returns the jobs of all runs that may be executing at the target, also of those that are being
@@ -55,11 +68,12 @@
                           time_point aNow)
 {
   const auto id = aJob.mSpec.mId;
-  mPort.logDecision("job_failed",
-                    fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={}",
-                                toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
-                                routeOf(aJob.mSpec.mRoute).mMaxAttempts,
-                                targetLossesOf(aJob, aTask)));
+  mPort.logDecision(
+    "job_failed", fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
+                              "start_losses={}",
+                              toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
+                              routeOf(aJob.mSpec.mRoute).mMaxAttempts,
+                              taskOf(aJob, aTask).mTargetLosses, taskOf(aJob, aTask).mStartLosses));
   append(job_abandoned{ .mJob = id }, aNow);
   stopRuns(aJob, aNow);
   dropSteps(id);
@@ -73,7 +87,8 @@
       const task_key task{ .mStep = key, .mIndex = index };
       if (attemptsUsedUp(*step.mJob, task)) {
         failed.try_emplace(key.mJob, task, "attempts");
-      } else if (targetLossesOf(*step.mJob, task) >= kMaxTargetLosses) {
+      } else if (taskOf(*step.mJob, task).mTargetLosses >= kMaxTargetLosses ||
+                 taskOf(*step.mJob, task).mStartLosses >= kMaxStartLosses) {
         failed.try_emplace(key.mJob, task, "targets_lost");
       }
     }
@@ -87,7 +102,9 @@
                                          time_point aNow)
 {
   const auto most = aWasAlone ? kMaxTargetLossesAlone : kMaxTargetLosses;
-  if (aJob.mPhase == job_phase::active && targetLossesOf(aJob, aTask) >= most) {
+  const auto& task = taskOf(aJob, aTask);
+  if (aJob.mPhase == job_phase::active &&
+      (task.mTargetLosses >= most || task.mStartLosses >= kMaxStartLosses)) {
     abandon(aJob, aTask, "targets_lost", aNow);
   }
 }
@@ -111,13 +128,14 @@
       const auto checkpoint = found->second.mCheckpoint;
       const bool hasBegun = found->second.mPhase == run_phase::confirmed;
       const bool isCounted = !aIsPlanned && found->second.mPhase != run_phase::storing;
-      endRun(aTarget, task, isCounted ? run_end::target_lost : run_end::interrupted, checkpoint,
-             aNow);
+      endRun(aTarget, task, isCounted ? lossOf(aTarget, found->second) : run_end::interrupted,
+             checkpoint, aNow);
       job* owning = mJobTable.find(task.mStep.mJob);
       mPort.logDecision("run_lost",
-                        fmt::format("task={} run={} target={} reason={} losses={}", toText(task),
-                                    run, aTarget.mEntry.mId, aReason,
-                                    owning == nullptr ? 0 : targetLossesOf(*owning, task)));
+                        fmt::format("task={} run={} target={} reason={} losses={} start_losses={}",
+                                    toText(task), run, aTarget.mEntry.mId, aReason,
+                                    owning == nullptr ? 0 : taskOf(*owning, task).mTargetLosses,
+                                    owning == nullptr ? 0 : taskOf(*owning, task).mStartLosses));
       if (!hasBegun) {
         stopGangOf(task, aNow);
       }
--- a/scheduler/src/owner_isolation.cpp
+++ b/scheduler/src/owner_isolation.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Number of targets lost under a task from which it is suspected of crashing them. It has one
-/// further start before it may be given up.
-constexpr std::uint32_t kSuspectTargetLosses = 2;
+/// Number of targets lost soon after starts of a task from which it is suspected of crashing them.
+/// It has one further start before it may be given up.
+constexpr std::uint32_t kSuspectStartLosses = 2;
 /// Longest time that a suspect step waits for isolation. A step that has room has to start within
 /// 3 s, of which an advice call takes up to 1.2 s.
 constexpr auto kMaxIsolationWait = std::chrono::milliseconds(1000);
@@ -20,7 +20,7 @@
 /// Returns the time until which the task is suspect.
 time_point suspectUntil(const task_state& aTask)
 {
-  return aTask.mTargetLosses >= kSuspectTargetLosses && !aTask.mDone
+  return aTask.mStartLosses >= kSuspectStartLosses && !aTask.mDone
            ? aTask.mLastTargetLoss + kTargetLossMemory
            : time_point{};
 }
@@ -39,8 +39,8 @@
     }
   }
   if (!wasSuspect && aStep.mSuspectUntil > aNow) {
-    mPort.logDecision("step_suspect", fmt::format("task={} losses={}", toText(suspect),
-                                                  aState.mTasks[suspect.mIndex].mTargetLosses));
+    mPort.logDecision("step_suspect", fmt::format("task={} start_losses={}", toText(suspect),
+                                                  aState.mTasks[suspect.mIndex].mStartLosses));
   }
 }
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -187,6 +187,8 @@
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
       target.mUnresponsiveSince = aNow;
+      // A connection that ends before the target's wait is over tells when; a timeout does not.
+      target.mLostContactAt = aNow - aSent < kHeartbeatWait ? aNow : aSent;
       mPort.logDecision("target_unresponsive",
                         fmt::format("target={} outcome={} runs={} {}", aTarget, toText(aOutcome),
                                     target.mRuns.size(), describeLease(target, aNow)));
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -96,6 +96,8 @@
   std::uint32_t mMissedHeartbeats = 0;
   /// Time of the first of the missed heartbeats.
   time_point mUnresponsiveSince{};
+  /// Time before which the target was in contact, as far as the first missed heartbeat tells.
+  time_point mLostContactAt{};
   /// Time of the next record of the end of its leases, while it is unresponsive.
   time_point mNextLeaseRecord{};
   /// Latest reading of the target's clock, and its time of arrival on the local clock.
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -425,6 +425,30 @@
   CHECK_EQUAL(1, state.mRun);
 }
 
+// Guards against tasks that are suspected, and isolated, because one that is started beside them
+// crashes their target: a storm of such crashes would leave no target for other jobs.
+TEST(target_losses, aTaskThatHasRunForAWhileIsNotSuspected)
+{
+  cell.addTarget("t0");
+  cell.startNextOwner();
+  cell.run(milliseconds(200));
+  step_spec longer = tasks(1);
+  longer.mEstimate = seconds(20);
+  const auto innocent = cell.submit(longer);
+  cell.run(milliseconds(1000));
+  CHECK_EQUAL(std::string("t0"), cell.targetRunning(innocent));
+  const auto deadly = submitDeadly(tasks(1));
+  cell.run(milliseconds(500));
+  const auto stateOf = [this](job_id aJob) {
+    return cell.find(aJob).find({ .mJob = aJob })->mTasks[0];
+  };
+  while (stateOf(innocent).mTargetLosses == 0 || stateOf(deadly).mTargetLosses == 0) {
+    cell.run(milliseconds(100));
+  }
+  CHECK_EQUAL(0, stateOf(innocent).mStartLosses);
+  CHECK_EQUAL(1, stateOf(deadly).mStartLosses);
+}
+
 // Load pattern: every tenth job crashes all targets that start it, for 10 s, while the cell runs
 // at an eighth of its cores. Guards against deadly tasks that are started on, and against innocent
 // jobs that are given up with them or never finish.
