--- a/bench/http_loop_bench.cpp
+++ b/bench/http_loop_bench.cpp
@@ -18,6 +18,7 @@
 #include <deque>
 #include <fmt/format.h>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -44,8 +45,10 @@
   {
     sockaddr_in address{ .sin_family = AF_INET, .sin_port = 0, .sin_addr = {}, .sin_zero = {} };
     socklen_t length = sizeof address;
-    ::bind(mListener, reinterpret_cast<sockaddr*>(&address), length);
-    ::listen(mListener, SOMAXCONN);
+    if (::bind(mListener, reinterpret_cast<sockaddr*>(&address), length) != 0 ||
+        ::listen(mListener, SOMAXCONN) != 0) {
+      throw std::runtime_error("http_loop_bench: cannot listen on loopback");
+    }
     ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &length);
     mPort = ntohs(address.sin_port);
     watch(mListener);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -455,43 +455,6 @@
   return mNextTick;
 }
 
-time_point owner::impl::formerLeaseExpiry(const target_state& aTarget) const
-{
-  // The successor of the last owner that acquired the target has renewed no lease there. When the
-  // successor claimed its epoch, its predecessor had renewed its ownership for the last time.
-  const auto successor = mOptions.mEpochs.upper_bound(mJobTable.lastEpochAt(aTarget.mEntry.mId));
-  const auto since = successor == mOptions.mEpochs.end() ? mEpochStart : successor->second;
-  const auto assumed =
-    since + mOptions.mMaxRenewalAge + internal::kLeaseMargin +
-    std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
-  const auto recorded = mJobTable.leaseExpiryAt(aTarget.mEntry.mId);
-  return recorded ? std::min(*recorded, assumed) : assumed;
-}
-
-std::string owner::impl::describeLease(const target_state& aTarget, time_point aNow) const
-{
-  const auto known = aTarget.leaseExpiry();
-  const char* source = "epochs";
-  if (known) {
-    source = "own_renewals";
-  } else if (mJobTable.leaseExpiryAt(aTarget.mEntry.mId)) {
-    source = "journal";
-  }
-  return fmt::format(
-    "lease_left_ms={} lease_known_from={}",
-    (known.value_or(formerLeaseExpiry(aTarget)) - aNow) / std::chrono::milliseconds(1), source);
-}
-
-void owner::impl::logUnlistedTargets(time_point aNow)
-{
-  for (const auto& [id, target] : mTargets) {
-    if (target.mEntry.mAddress.empty()) {
-      mPort.logDecision("target_gone", fmt::format("target={} runs={} {}", id, target.mRuns.size(),
-                                                   describeLease(target, aNow)));
-    }
-  }
-}
-
 owner_counts owner::impl::counts() const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
--- /dev/null
+++ b/scheduler/src/owner_leases.cpp
@@ -0,0 +1,88 @@
+#include "owner_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endiveusher::scheduler {
+
+namespace {
+
+/// Time for which a target has to be unresponsive before the journal records that its leases are
+/// not renewed. Targets that a busy or paused daemon takes as unresponsive answer sooner, and each
+/// record costs another one before leases are renewed again.
+constexpr auto kStopRenewalsDelay = std::chrono::milliseconds(500);
+/// Interval at which the record is repeated, so that a daemon that reads the journal anew counts
+/// the time left from a recent one.
+constexpr auto kLeaseRecordInterval = std::chrono::milliseconds(1000);
+
+} // namespace
+
+target_time owner::impl::extendLease(target_state& aTarget, time_point aNow) const
+{
+  const auto until = aTarget.clockAt(aNow) + mOptions.mLease;
+  aTarget.mLeaseSent = std::max(aTarget.mLeaseSent, until);
+  return until;
+}
+
+time_point owner::impl::formerLeaseExpiry(const target_state& aTarget) const
+{
+  // The successor of the last owner that acquired the target has renewed no lease there. When the
+  // successor claimed its epoch, its predecessor had renewed its ownership for the last time.
+  const auto successor = mOptions.mEpochs.upper_bound(mJobTable.lastEpochAt(aTarget.mEntry.mId));
+  const auto since = successor == mOptions.mEpochs.end() ? mEpochStart : successor->second;
+  const auto assumed =
+    since + mOptions.mMaxRenewalAge + internal::kLeaseMargin +
+    std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
+  const auto recorded = mJobTable.leaseExpiryAt(aTarget.mEntry.mId);
+  return recorded ? std::min(*recorded, assumed) : assumed;
+}
+
+std::string owner::impl::describeLease(const target_state& aTarget, time_point aNow) const
+{
+  const auto known = aTarget.leaseExpiry();
+  const char* source = "epochs";
+  if (known) {
+    source = "own_renewals";
+  } else if (mJobTable.leaseExpiryAt(aTarget.mEntry.mId)) {
+    source = "journal";
+  }
+  return fmt::format(
+    "lease_left_ms={} lease_known_from={}",
+    (known.value_or(formerLeaseExpiry(aTarget)) - aNow) / std::chrono::milliseconds(1), source);
+}
+
+void owner::impl::logUnlistedTargets(time_point aNow)
+{
+  for (const auto& [id, target] : mTargets) {
+    if (target.mEntry.mAddress.empty()) {
+      mPort.logDecision("target_gone", fmt::format("target={} runs={} {}", id, target.mRuns.size(),
+                                                   describeLease(target, aNow)));
+    }
+  }
+}
+
+void owner::impl::recordLeaseEnd(target_state& aTarget, time_point aNow)
+{
+  const bool silent =
+    aTarget.mEntry.mAddress.empty() ||
+    (aTarget.mMissedHeartbeats > 0 && aNow - aTarget.mUnresponsiveSince >= kStopRenewalsDelay);
+  if (!silent || aTarget.mRuns.empty() || aTarget.mNextLeaseRecord > aNow ||
+      (aTarget.mAcquired && !aTarget.mAcquisitionStored)) {
+    return;
+  }
+  aTarget.mAcquired = false;
+  aTarget.mAcquisitionStored = false;
+  aTarget.mNextLeaseRecord = aNow + kLeaseRecordInterval;
+  const auto expiry = aTarget.leaseExpiry().value_or(formerLeaseExpiry(aTarget));
+  const auto left =
+    std::chrono::ceil<std::chrono::milliseconds>(std::max(expiry - aNow, duration{ 0 }));
+  mPort.logDecision("renewals_stopped",
+                    fmt::format("target={} runs={} lease_left_ms={}", aTarget.mEntry.mId,
+                                aTarget.mRuns.size(), left.count()));
+  append(renewals_stopped{ .mTarget = aTarget.mEntry.mId,
+                           .mEpoch = mJobTable.lastEpochAt(aTarget.mEntry.mId),
+                           .mLeaseLeft = left },
+         aNow);
+}
+
+} // namespace endiveusher::scheduler
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -28,13 +28,6 @@
 /// Duration of the first such pause, doubled with each further failure, and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
 constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
-/// Time for which a target has to be unresponsive before the journal records that its leases are
-/// not renewed. Targets that a busy or paused daemon takes as unresponsive answer sooner, and each
-/// record costs another one before leases are renewed again.
-constexpr auto kStopRenewalsDelay = std::chrono::milliseconds(500);
-/// Interval at which the record is repeated, so that a daemon that reads the journal anew counts
-/// the time left from a recent one.
-constexpr auto kLeaseRecordInterval = std::chrono::milliseconds(1000);
 /// Pause between two heartbeats to a target whose acquisition is being stored: they cannot renew
 /// its lease yet, and it answers them at once.
 constexpr auto kAcquisitionPause = std::chrono::milliseconds(200);
@@ -137,13 +130,6 @@
   }
 }
 
-target_time owner::impl::extendLease(target_state& aTarget, time_point aNow) const
-{
-  const auto until = aTarget.clockAt(aNow) + mOptions.mLease;
-  aTarget.mLeaseSent = std::max(aTarget.mLeaseSent, until);
-  return until;
-}
-
 /// Load pattern: a burst saturates the event loop. Heartbeats are half of its calls; with a longer
 /// pause each reply carries more ends, so that orders are sent sooner.
 duration owner::impl::heartbeatPause() const
@@ -236,30 +222,6 @@
   mPlanNeeded = true;
 }
 
-void owner::impl::recordLeaseEnd(target_state& aTarget, time_point aNow)
-{
-  const bool silent =
-    aTarget.mEntry.mAddress.empty() ||
-    (aTarget.mMissedHeartbeats > 0 && aNow - aTarget.mUnresponsiveSince >= kStopRenewalsDelay);
-  if (!silent || aTarget.mRuns.empty() || aTarget.mNextLeaseRecord > aNow ||
-      (aTarget.mAcquired && !aTarget.mAcquisitionStored)) {
-    return;
-  }
-  aTarget.mAcquired = false;
-  aTarget.mAcquisitionStored = false;
-  aTarget.mNextLeaseRecord = aNow + kLeaseRecordInterval;
-  const auto expiry = aTarget.leaseExpiry().value_or(formerLeaseExpiry(aTarget));
-  const auto left =
-    std::chrono::ceil<std::chrono::milliseconds>(std::max(expiry - aNow, duration{ 0 }));
-  mPort.logDecision("renewals_stopped",
-                    fmt::format("target={} runs={} lease_left_ms={}", aTarget.mEntry.mId,
-                                aTarget.mRuns.size(), left.count()));
-  append(renewals_stopped{ .mTarget = aTarget.mEntry.mId,
-                           .mEpoch = mJobTable.lastEpochAt(aTarget.mEntry.mId),
-                           .mLeaseLeft = left },
-         aNow);
-}
-
 void owner::impl::readEnds(target_state& aTarget, const target_report& aReport, time_point aNow)
 {
   const auto before = aTarget.mLastEndNumber;
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -3,6 +3,7 @@
 // Standard library headers come first, because CppUTest's header defines `new` as a macro.
 #include "capacity_history.h"
 #include "endiveusher/scheduler/owner.h"
+#include "fake_services.h"
 
 #include <algorithm>
 #include <deque>
@@ -19,115 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A target that executes start orders, rejects lower epochs and reports its runs.
-struct fake_target
-{
-  target_entry mEntry;
-  std::uint64_t mEpoch = 0;
-  std::map<task_key, std::uint32_t> mRunning;
-  std::vector<ended_run> mEnded;
-  std::uint64_t mLastEndNumber = 0;
-  std::uint64_t mStoredEndNumber = 0;
-  bool mReachable = true;
-  /// Whether calls stay open without a reply.
-  bool mIsSilent = false;
-  bool mListed = true;
-  /// Whether start orders are executed but their replies are lost.
-  bool mLosesReplies = false;
-  /// Whether start orders are lost before they are executed.
-  bool mLosesStarts = false;
-  /// If set, start orders are rejected with this outcome.
-  std::optional<order_outcome> mRejectStarts;
-  /// Time that a run takes to end after a stop order.
-  milliseconds mStopDelay{ 0 };
-  /// Runs that are being stopped, and the time of their end.
-  std::map<task_key, time_point> mStopping;
-  target_time mClock{ 1000 };
-  capacity_history mFormerCapacities;
-  /// Time at which the owner reads a change of the entry; time_point::max() if there is none.
-  time_point mEntryReadAt = time_point::max();
-
-  resources used(const job_table& aJobTable) const
-  {
-    resources sum;
-    for (const auto& [task, run] : mRunning) {
-      sum += aJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mNeeds;
-    }
-    return sum;
-  }
-  void end(const task_key& aTask, reported_end aOutcome, std::string aCheckpoint = {})
-  {
-    const auto found = mRunning.find(aTask);
-    mEnded.push_back({ .mNumber = ++mLastEndNumber,
-                       .mTask = aTask,
-                       .mRun = found->second,
-                       .mOutcome = aOutcome,
-                       .mCheckpoint = std::move(aCheckpoint) });
-    mRunning.erase(found);
-  }
-};
-
-/// An advice service that handles one call at a time for each calling daemon, in order, and issues
-/// tickets that expire.
-struct fake_advice_service
-{
-  /// Percentage of the targets that may run a step, by route.
-  std::map<std::string, unsigned> mGoodPercent;
-  std::map<std::string, time_point> mBusyUntil;
-  /// Daemons whose calls get no reply.
-  std::set<std::string> mUnreachable;
-  std::map<std::string, time_point> mTicketExpiry;
-  /// Whether calls fail whose reply would arrive after their timeout. The service still handles
-  /// them.
-  bool mCallsTimeOut = false;
-  /// Calls that have failed so.
-  std::set<std::uint64_t> mTimedOut;
-
-  /// Returns a constant verdict, independent of the order of calls.
-  bool good(const std::string& aRoute, const step_key& aStep, const std::string& aTarget) const
-  {
-    std::uint64_t hash = 14695981039346656037U;
-    for (const char byte : toText(aStep) + aTarget) {
-      hash = (hash ^ static_cast<unsigned char>(byte)) * 1099511628211U;
-    }
-    return (hash >> 32U) % 100 < mGoodPercent.at(aRoute);
-  }
-  /// Queues a call and returns the time of its reply.
-  time_point enqueue(const advice_request& aRequest, const advice_terms& aTerms, time_point aNow)
-  {
-    if (mUnreachable.contains(aRequest.mDaemon)) {
-      return aNow + aRequest.mTimeout;
-    }
-    auto& busyUntil = mBusyUntil[aRequest.mDaemon];
-    busyUntil = std::max(busyUntil, aNow) + aTerms.mPerCall +
-                static_cast<int>(aRequest.mTargets.size()) * aTerms.mPerTarget;
-    mTimedOut.erase(aRequest.mCall);
-    if (mCallsTimeOut && busyUntil > aNow + aRequest.mTimeout) {
-      mTimedOut.insert(aRequest.mCall);
-      return aNow + aRequest.mTimeout;
-    }
-    return busyUntil;
-  }
-  advice_ticket issue(const std::string& aTarget, time_point aExpiry)
-  {
-    auto token = "ticket-" + std::to_string(mTicketExpiry.size());
-    mTicketExpiry[token] = aExpiry;
-    return { .mTarget = aTarget, .mToken = std::move(token) };
-  }
-  bool valid(const std::string& aToken, time_point aNow) const
-  {
-    const auto found = mTicketExpiry.find(aToken);
-    return found != mTicketExpiry.end() && aNow < found->second;
-  }
-};
-
-/// What became of a task that crashes the targets that start it.
-struct deadly_task
-{
-  unsigned mCrashes = 0;
-  unsigned mStartsAfterThirdCrash = 0;
-};
-
 /// A cell with one owner. Calls are answered after one step of the simulated time.
 class owner_fixture : private owner_port
 {
