Count a job as waiting again if its starts had no effect

Cause, by reading: a job left the count when the record of its first start was stored, also if the target rejected the start or was lost as it was ordered.

It is counted again when such a start ends and nothing shows that a run has begun. waiting_jobs.aJobWhoseStartWasRejectedWaits and aJobWhoseTargetWasLostAtItsStartWaits failed before.

--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -175,7 +175,7 @@
 {
   job_spec mSpec;
   job_phase mPhase = job_phase::active;
-  /// Whether any task has ever been started.
+  /// Whether any task has been started; false again if none of the starts had any effect.
   bool mStarted = false;
   /// Opened occurrences by index; see job_table::openOccurrence().
   std::map<std::uint32_t, std::vector<step_state>> mOccurrences;
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -15,6 +15,20 @@
   });
 }
 
+/// Whether nothing shows that a run of the job has ever begun.
+bool nothingHasBegun(const job& aJob)
+{
+  return std::ranges::all_of(aJob.mOccurrences, [](const auto& aOne) {
+    return std::ranges::all_of(aOne.second, [](const step_state& aStep) {
+      return aStep.mGangFailures == 0 &&
+             std::ranges::all_of(aStep.mTasks, [](const task_state& aTask) {
+               return !aTask.mOpen && !aTask.mDone && aTask.mFailures == 0 &&
+                      aTask.mCheckpoint.empty() && aTask.mTargetLosses == aTask.mStartLosses;
+             });
+    });
+  });
+}
+
 void countTargetLoss(task_state& aTask, bool aAtStart, time_point aNow)
 {
   if (aNow - aTask.mLastTargetLoss > kTargetLossMemory) {
@@ -125,6 +139,13 @@
              aRecord.mOutcome == run_end::target_lost_at_start) {
     countTargetLoss(task, aRecord.mOutcome == run_end::target_lost_at_start, aNow);
   }
+  const bool mayNotHaveBegun =
+    aRecord.mOutcome == run_end::not_run || aRecord.mOutcome == run_end::target_lost_at_start;
+  if (mayNotHaveBegun && found->mPhase == job_phase::active && found->mStarted &&
+      nothingHasBegun(*found)) {
+    found->mStarted = false;
+    countWaiting(*found, 1);
+  }
   return found;
 }
 
