Let small VMs claim only after larger ones know that the owner has ended

Cause, by reading: small VMs claim 0.4 s later than others, but the delay counted from the last renewal, which is up to 0.4 s old when the owner's process ends. A small VM whose hello was refused first could then claim at once, before the larger ones knew of the loss (they learn it within 0.25 s).

The delay now counts from when the daemon knows that the owner has ended.

election.aReluctantDaemonWaitsFromWhenItKnowsOfTheLoss: the former code had one delay, and would claim 0.4 s after the last record; the test does not compile with it, so it was not run there. node_tests: 16 of 16 of election pass.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -41,14 +41,18 @@
 /// Period over which the claims of different daemons are spread, in milliseconds.
 constexpr int kMaxStaggerMs = 250;
 /// An owner of several hundred targets needs a quarter of a core. Machines with fewer cores than
-/// this claim only if no larger one has claimed within kSmallMachineStagger.
+/// this claim only if no larger one has claimed within kSmallMachineReluctance.
 constexpr double kMinOwnerCores = 0.2;
-constexpr std::chrono::milliseconds kSmallMachineStagger{ 400 };
+constexpr std::chrono::milliseconds kSmallMachineReluctance{ 400 };
 
-std::chrono::milliseconds claimStagger(std::uint64_t aIncarnation, double aCores)
+std::chrono::milliseconds claimStagger(std::uint64_t aIncarnation)
 {
-  const std::chrono::milliseconds spread(aIncarnation % kMaxStaggerMs);
-  return aCores < kMinOwnerCores ? spread + kSmallMachineStagger : spread;
+  return std::chrono::milliseconds(aIncarnation % kMaxStaggerMs);
+}
+
+std::chrono::milliseconds claimReluctance(double aCores)
+{
+  return aCores < kMinOwnerCores ? kSmallMachineReluctance : std::chrono::milliseconds(0);
 }
 
 } // namespace
@@ -61,7 +65,8 @@
     mElection({ .mNode = mSettings.mNode,
                 .mIncarnation = mIncarnation,
                 .mPeerAddress = mPeerAddress,
-                .mStagger = claimStagger(mIncarnation, mSettings.mCores) }),
+                .mStagger = claimStagger(mIncarnation),
+                .mReluctance = claimReluctance(mSettings.mCores) }),
     mWriter(mStore, mClock,
             { .mTopic = kJournalTopic,
               .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation) }),
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -198,9 +198,9 @@
   }
   mOwnerClient.setOwner(mOwner ? std::nullopt : mElection.ownerAddress());
   // While the store is slow for all daemons, a new owner would only add calls to it.
-  mElection.setOwnerSuspected(mOwnerClient.connectionRefused(),
-                              mOwnerClient.unresponsive(aNow) ||
-                                mOwnerClient.ownerPartitioned(mStore.latency()));
+  mElection.setOwnerSuspected(
+    mOwnerClient.connectionRefused(),
+    mOwnerClient.unresponsive(aNow) || mOwnerClient.ownerPartitioned(mStore.latency()), aNow);
   const bool eligible = mJournalTail->caughtUp() && mOperator.config() && !mStoreLost;
   // Pending records are stored before another daemon may become owner.
   const bool mayRelease =
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -125,7 +125,11 @@
   if (!vacant) {
     timeout += mOwnerUnresponsive ? mOptions.mSuspectedOwnerTimeout : mOptions.mOwnerTimeout;
   }
-  return aNow - lastSign > timeout ? action::claim : action::none;
+  const auto reluctantSince = mOwnerEnded ? std::max(lastSign, mOwnerEndedSince) : lastSign;
+  const bool isDue =
+    aNow - lastSign > timeout &&
+    aNow - reluctantSince > (vacant ? mOptions.mReluctance : timeout + mOptions.mReluctance);
+  return isDue ? action::claim : action::none;
 }
 
 owner_record election::record(action aAction) const
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -48,6 +48,10 @@
   /// Additional delay before this daemon claims; differs between daemons, to avoid competing
   /// claims.
   std::chrono::milliseconds mStagger{ 0 };
+  /// Further delay of a daemon that should become owner only if no other can. Counts from when it
+  /// knows that there is no owner: at the last renewal, up to an interval earlier, the others did
+  /// not know it either.
+  std::chrono::milliseconds mReluctance{ 0 };
   /// Time since the last accepted renewal after which an owner stops renewing leases.
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
 };
@@ -85,8 +89,11 @@
   /// caller reports the result with onAppended(), onRejected() or onUnanswered().
   action next(time_point aNow, bool aEligible, bool aStopping);
   /// Sets whether calls to the owner show that its process has ended or that it is unresponsive.
-  void setOwnerSuspected(bool aEnded, bool aUnresponsive)
+  void setOwnerSuspected(bool aEnded, bool aUnresponsive, time_point aNow)
   {
+    if (aEnded && !mOwnerEnded) {
+      mOwnerEndedSince = aNow;
+    }
     mOwnerEnded = aEnded;
     mOwnerUnresponsive = aUnresponsive;
   }
@@ -139,6 +146,7 @@
   /// Whether an append was rejected, because the topic holds records that have not been read.
   bool mHasUnreadRecords = false;
   bool mOwnerEnded = false;
+  time_point mOwnerEndedSince{};
   bool mOwnerUnresponsive = false;
   time_point mRetryAt{};
 };
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -105,7 +105,7 @@
 {
   one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
   one.onEndRead(1, now);
-  one.setOwnerSuspected(false, true);
+  one.setOwnerSuspected(false, true, now);
   now += milliseconds(1000);
   CHECK(next() == election::action::claim);
 }
@@ -114,11 +114,29 @@
 {
   one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
   one.onEndRead(1, now);
-  one.setOwnerSuspected(true, false);
+  one.setOwnerSuspected(true, false, now);
   now += milliseconds(1);
   CHECK(next() == election::action::claim);
 }
 
+// Guards against a small VM that becomes owner before larger ones know of the loss: the last
+// renewal may be nearly as old as its delay when the owner's process ends.
+TEST(election, aReluctantDaemonWaitsFromWhenItKnowsOfTheLoss)
+{
+  election small{
+    { .mNode = "a", .mIncarnation = 7, .mPeerAddress = "a:1", .mReluctance = milliseconds(400) }
+  };
+  small.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
+  small.onEndRead(1, now);
+  now += milliseconds(399);
+  small.setOwnerSuspected(true, false, now);
+  now += milliseconds(399);
+  small.setOwnerSuspected(true, false, now);
+  CHECK(small.next(now, true, false) == election::action::none);
+  now += milliseconds(2);
+  CHECK(small.next(now, true, false) == election::action::claim);
+}
+
 TEST(election, claimsAtOnceIfAnEarlierIncarnationWasOwner)
 {
   one.onRecordRead(recordOf(owner_record::kind::claim, "a", 6), 0, now);
