--- a/node/src/admission.h
+++ b/node/src/admission.h
@@ -16,8 +16,30 @@
 struct cell_capacity
 {
   std::map<std::string, std::vector<resources>> mPools;
+  bool operator==(const cell_capacity&) const = default;
 };
 
+/// Returns aCapacity without the sizes that fit into another one of the same pool. What fits in
+/// none of the sizes left fits in none at all.
+///
+/// Load pattern: the owner reports the sizes to every daemon several times a second; hundreds of
+/// targets have a few largest sizes.
+inline cell_capacity largestSizes(const cell_capacity& aCapacity)
+{
+  cell_capacity largest;
+  for (const auto& [pool, sizes] : aCapacity.mPools) {
+    auto& kept = largest.mPools[pool];
+    for (const auto& size : sizes) {
+      if (std::ranges::any_of(kept, [&](const resources& aOne) { return size.fitsIn(aOne); })) {
+        continue;
+      }
+      std::erase_if(kept, [&](const resources& aOne) { return aOne.fitsIn(size); });
+      kept.push_back(size);
+    }
+  }
+  return largest;
+}
+
 /// Returns why a job can never be scheduled; empty if it can be, or if that is unknown.
 ///
 /// Load pattern: jobs that are larger than any target or than their team's limit would wait forever
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -40,37 +40,29 @@
 constexpr std::chrono::milliseconds kPurgeInterval{ 1000 };
 /// Period over which the claims of different daemons are spread, in milliseconds.
 constexpr int kMaxStaggerMs = 250;
-/// An owner of several hundred targets needs a quarter of a core. Machines with fewer cores than
-/// this claim only if no larger one has claimed within kSmallMachineReluctance.
-constexpr double kMinOwnerCores = 0.2;
-constexpr std::chrono::milliseconds kSmallMachineReluctance{ 400 };
 
 std::chrono::milliseconds claimStagger(std::uint64_t aIncarnation)
 {
   return std::chrono::milliseconds(aIncarnation % kMaxStaggerMs);
 }
 
-std::chrono::milliseconds claimReluctance(double aCores)
-{
-  return aCores < kMinOwnerCores ? kSmallMachineReluctance : std::chrono::milliseconds(0);
-}
-
 } // namespace
 
 cell_node::impl::impl(platform::node_settings aSettings)
   : mSettings(std::move(aSettings)), mLog(mSettings.mNode),
-    mInbox(kInboxCapacity, [this] { mLoop.wake(); }), mStore(mLoop, mSettings.mStoreAddress),
+    mInbox(kInboxCapacity, [this] { mLoop.wake(); }),
+    mStore(mLoop, mSettings.mStoreAddress, mSettings.mLinkMbps),
     mSnapshots(mStore, mClock, kSnapshotTopic), mIncarnation(std::random_device{}()),
     mPeerAddress(fmt::format("{}:{}", mSettings.mIp, mSettings.mPeerPort)),
-    mElection({ .mNode = mSettings.mNode,
-                .mIncarnation = mIncarnation,
-                .mPeerAddress = mPeerAddress,
-                .mStagger = claimStagger(mIncarnation),
-                .mReluctance = claimReluctance(mSettings.mCores) }),
+    mStandby(isLarge(mSettings.mCores)), mElection({ .mNode = mSettings.mNode,
+                                                     .mIncarnation = mIncarnation,
+                                                     .mPeerAddress = mPeerAddress,
+                                                     .mStagger = claimStagger(mIncarnation),
+                                                     .mLarge = isLarge(mSettings.mCores) }),
     mWriter(mStore, mClock,
             { .mTopic = kJournalTopic,
               .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation) }),
-    mOwnerClient(mLoop, mClock, mPeerAddress),
+    mOwnerClient(mLoop, mClock, { .mAddress = mPeerAddress, .mCores = mSettings.mCores }),
     mRecordWriter(
       mClock, mStore, mOwnerClient, mWriter, mLog,
       [this](const journal_record& aRecord, const caller_record_writer::done_callback& aDone) {
@@ -78,7 +70,11 @@
       }),
     mRequestHandler(mClock, mJobTable, mRecordWriter, mLog,
                     { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
-                    [this](const journal_record& aRecord) { applyRecord(aRecord); }),
+                    [this](const journal_record& aRecord) {
+                      if (followsJournal()) {
+                        applyRecord(aRecord);
+                      }
+                    }),
     mRegistry(mLog, mClock,
               { .mOnListed =
                   [this](const scheduler::target_entry& aEntry) {
@@ -93,12 +89,23 @@
                     if (mOwner) {
                       mOwner->removeTarget(aId, mClock.now());
                     }
-                  } })
+                  } }),
+    mOrderRouter(mLoop, mClock, mOrderSender, mLog,
+                 { .mAddress = mPeerAddress, .mCores = mSettings.mCores }),
+    mSnapshotWriter(mStore, mClock,
+                    { .mTopic = kSnapshotTopic,
+                      .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation),
+                      .mRetryRefused = true }),
+    mSnapshotSchedule(mSettings.mRecordRetention, mClock.now())
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
-                                       std::function<void(std::optional<std::string>)> aDone) {
+                                       std::function<void(owner_answer &&)> aDone) {
     return queryOwner(aId, aTeam, std::move(aDone));
   });
+  mRequestHandler.setQueryWaiting(
+    [this](const std::string& aRoute, std::function<void(owner_answer &&)> aDone) {
+      return queryWaiting(aRoute, std::move(aDone));
+    });
   mRequestHandler.setIsStored([this](const caller_record& aRecord) {
     return std::ranges::none_of(mUnstoredCallerRecords, [&aRecord](const auto& aOne) {
       return aOne.second.mRecord == aRecord;
@@ -106,8 +113,15 @@
   });
   mRequestHandler.setIsEndStored(
     [this](scheduler::job_id aId) { return !mUnstoredEnds.contains(aId); });
+  mOwnerClient.setListener(
+    [this](const std::string& aOwner, const hello_reply& aReply, time_point aReceived) {
+      onHelloReply(aOwner, aReply, aReceived);
+    });
+  mOwnerClient.setStandby(mStandby);
   makeTails();
-  loadJobTable();
+  if (followsJournal()) {
+    loadJobTable();
+  }
 }
 
 cell_node::impl::~impl()
@@ -210,8 +224,7 @@
     mStore, mClock,
     log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
                       .mKeyed = true,
-                      .mWait = std::chrono::milliseconds(0),
-                      .mInterval = kRegistryReadInterval },
+                      .mWait = std::chrono::milliseconds(0) },
     log_tail::callbacks{
       .mOnRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
       .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); },
@@ -253,7 +266,18 @@
 
 bool cell_node::impl::partitioned(time_point aNow) const
 {
-  return mStoreLost && (mOwner ? mAdviceHelpers.empty() : !mOwnerClient.reachable(aNow));
+  return mStoreLost && (mOwner ? mHelpers.empty() : !mOwnerClient.reachable(aNow));
+}
+
+void cell_node::impl::updateCapacity()
+{
+  if (mOwner && std::exchange(mCapacityChanged, false)) {
+    mLargestSizes = largestSizes(mRegistry.capacity());
+    mRequestHandler.setCapacity(mLargestSizes);
+  } else if (!mOwner && mOwnerClient.capacity() != mLargestSizes) {
+    mLargestSizes = mOwnerClient.capacity();
+    mRequestHandler.setCapacity(mLargestSizes);
+  }
 }
 
 void cell_node::impl::updateCellStatus()
@@ -261,7 +285,8 @@
   mRequestHandler.setCellStatus({ .mConfig = mOperator.config(),
                                   .mConfigAsOf = mOperatorTail->freshAsOf(),
                                   .mJournalAsOf = mJournalTail->freshAsOf(),
-                                  .mCaughtUp = mJournalTail->caughtUp() || mOwner != nullptr,
+                                  .mKnowsJobs = followsJournal(),
+                                  .mCaughtUp = caughtUp(),
                                   .mStoreLost = mStoreLost });
 }
 
@@ -276,14 +301,16 @@
       mOperatorTail->tick(now);
       mOwnerTail->tick(now);
       mSnapshots.tick(now);
-      if (!mSnapshots.active()) {
+      if (followsJournal() && !mSnapshots.active()) {
         mJournalTail->tick(now);
       }
-      mRegistryTail->tick(now);
-    }
-    if (std::exchange(mCapacityChanged, false)) {
-      mRequestHandler.setCapacity(mRegistry.capacity());
+      // Only the owner uses the registry, to which each target writes an entry every heartbeat:
+      // the daemons of a large cell together would read more of it than the store can send.
+      if (mEpoch != 0) {
+        mRegistryTail->tick(now);
+      }
     }
+    updateCapacity();
     updateCellStatus();
     for (auto& item : mInbox.takeAll()) {
       if (auto* request = std::get_if<queued_caller_request>(&item)) {
@@ -300,8 +327,8 @@
       tickElection(now);
       if (mOwnerWriter) {
         mOwnerWriter->tick(now);
-        mSnapshotWriter->tick(now);
       }
+      mSnapshotWriter.tick(now);
       tickSnapshot(now);
     }
     tickPeers(now);
@@ -313,13 +340,17 @@
       next = std::min(next, mOwner->tick(mClock.now(), wallNow()));
       if (mOwner->fenced()) {
         mStepDownReason = "fenced by a target";
+      } else if (mOrderRouter.superseded()) {
+        mStepDownReason = "a relay knows a higher epoch";
       }
     }
+    mOrderRouter.tick(now, mOwner && mElection.mayAct(mClock.now()));
+    mOrderRelay.tick(now);
     if (mNextPurge <= now) {
       mNextPurge = now + kPurgeInterval;
       mJobTable.removeEnded(now - mSettings.mStatusRetention - kPurgeInterval);
     }
-    mReady = !mStopping && mOperator.config() && mJournalTail->caughtUp() && !partitioned(now) &&
+    mReady = !mStopping && mOperator.config() && caughtUp() && !partitioned(now) &&
              mStoreConnectivity.timeSinceReply(now) < kReadyStoreTimeout;
     if (mDump.exchange(false)) {
       mLog.writeDump("state", state());
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -6,25 +6,63 @@
 
 namespace {
 
-/// Time since its last hello after which a daemon gets no calls for advice.
-constexpr std::chrono::milliseconds kAdviceHelperTimeout{ 1000 };
+/// Time after its next hello was due after which a daemon gets no calls to make.
+constexpr std::chrono::milliseconds kHelperTimeout{ 750 };
+/// Smallest number of standbys, if there are enough daemons.
+constexpr std::size_t kMinStandbys = 4;
+/// Interval at which a standby sends hellos.
+constexpr std::chrono::milliseconds kStandbyInterval{ 250 };
+/// Interval at which the owner updates the daemons that make calls on its behalf.
+constexpr std::chrono::milliseconds kHelperUpdateInterval{ 50 };
+/// Time after a standby's first hello in which it receives the reply. Without the owner's clock
+/// from it, it takes no orders.
+constexpr std::chrono::milliseconds kRelayDelay{ 100 };
+/// Minimum time between two hellos that the owner answers, on the mean over all daemons. Load
+/// pattern: a large cell, in which hellos at a fixed interval would take a tenth of the owner's
+/// processor time.
+constexpr std::chrono::milliseconds kHelloSpacing{ 8 };
+constexpr std::size_t kMinSpacedDaemons = 32;
+/// Age of the journal as known to the owner up to which it denies that there is a job.
+constexpr std::chrono::milliseconds kMaxUnknownJobAge{ 1500 };
 /// Timeout of a status query to the owner; after it callers get the state known to this daemon.
 constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
 /// Time before the owner's timeout at which a call for advice on its behalf times out, so that the
 /// owner hears of the failure instead of taking this daemon as unresponsive.
 constexpr std::chrono::milliseconds kAdviceReplyMargin{ 100 };
 
+/// Returns the interval at which each of the owner's followers should send hellos.
+std::chrono::milliseconds helloInterval(std::size_t aFollowers)
+{
+  return kHelloSpacing * std::max(aFollowers, kMinSpacedDaemons);
+}
+
 } // namespace
 
 bool cell_node::impl::queryOwner(scheduler::job_id aId, const std::string& aTeam,
-                                 std::function<void(std::optional<std::string>)> aDone)
+                                 std::function<void(owner_answer&&)> aDone)
+{
+  return callOwner(kPeerStatusPath, toText(aId) + aTeam, std::move(aDone));
+}
+
+bool cell_node::impl::queryWaiting(const std::string& aRoute,
+                                   std::function<void(owner_answer&&)> aDone)
+{
+  return callOwner(kPeerWaitingPath, aRoute, std::move(aDone));
+}
+
+bool cell_node::impl::callOwner(std::string_view aPath, std::string aBody,
+                                std::function<void(owner_answer&&)> aDone)
 {
   if (mOwner || !mOwnerClient.reachable(mClock.now())) {
     return false;
   }
-  mOwnerClient.call(kPeerStatusPath, toText(aId) + aTeam, kStatusTimeout,
+  mOwnerClient.call(aPath, std::move(aBody), kStatusTimeout,
                     [done = std::move(aDone)](edges::loop_reply&& aReply) {
-                      done(aReply.ok() ? std::optional(std::move(aReply.mBody)) : std::nullopt);
+                      owner_answer answer{ .mUnknownJob = aReply.mStatus == 404 };
+                      if (aReply.ok()) {
+                        answer.mBody = std::move(aReply.mBody);
+                      }
+                      done(std::move(answer));
                     });
   return true;
 }
@@ -32,26 +70,116 @@
 void cell_node::impl::tickPeers(time_point aNow)
 {
   if (mOwner) {
-    std::erase_if(mAdviceHelpers,
-                  [aNow](const auto& aOne) { return aOne.second + kAdviceHelperTimeout < aNow; });
-    std::vector<std::string> names;
-    names.reserve(mAdviceHelpers.size());
-    for (const auto& [name, seen] : mAdviceHelpers) {
-      names.push_back(name);
+    if (mNextHelperUpdate <= aNow) {
+      mNextHelperUpdate = aNow + kHelperUpdateInterval;
+      updateHelpers(aNow);
     }
-    mOwner->setAdviceHelpers(names);
     return;
   }
   mOwnerClient.tick(aNow);
 }
 
+void cell_node::impl::updateHelpers(time_point aNow)
+{
+  const auto interval = helloInterval(mHelpers.size());
+  std::erase_if(mHelpers, [this, aNow, interval](const auto& aOne) {
+    const auto& [address, helper] = aOne;
+    return helper.mLastHello + kHelperTimeout +
+             (mStandbys.contains(address) ? kStandbyInterval : interval) <
+           aNow;
+  });
+  updateStandbys();
+  std::vector<std::string> all;
+  std::vector<relay_candidate> candidates;
+  all.reserve(mHelpers.size());
+  for (const auto& [address, helper] : mHelpers) {
+    all.push_back(address);
+    if (aNow - helper.mFirstHello >= kRelayDelay) {
+      candidates.push_back({ .mAddress = address, .mCores = helper.mCores });
+    }
+  }
+  mOwner->setAdviceHelpers(all);
+  mOrderRouter.setCell(mRegistry.targets().size(), std::move(candidates), aNow);
+}
+
+void cell_node::impl::updateStandbys()
+{
+  std::erase_if(mStandbys, [this](const std::string& aOne) { return !mHelpers.contains(aOne); });
+  const auto fill = [this](const auto& aChosen) {
+    for (const auto& [address, helper] : mHelpers) {
+      if (isLarge(helper.mCores) || (mStandbys.size() < kMinStandbys && aChosen(helper))) {
+        mStandbys.insert(address);
+      }
+    }
+  };
+  // Those that follow the journal already need not read it from its beginning.
+  fill([](const helper& aOne) { return aOne.mStandby; });
+  fill([](const helper& /*aOne*/) { return true; });
+}
+
+void cell_node::impl::onHelloReply(const std::string& aOwner, const hello_reply& aReply,
+                                   time_point aReceived)
+{
+  mOrderRelay.setOwnerClock(aOwner, aReply.mOwnerTime, aReceived);
+  mWritesSnapshots = aReply.mWritesSnapshots;
+  const bool standby = aReply.mStandby.value_or(mStandby) || isLarge(mSettings.mCores);
+  if (standby == mStandby || mEpoch != 0 || mStopping) {
+    return;
+  }
+  mStandby = standby;
+  mOwnerClient.setStandby(standby);
+  mLog.write("standby", fmt::format("active={} owner={}", standby, aOwner));
+  if (standby) {
+    loadJobTable();
+  } else {
+    mJobTable.clear();
+  }
+}
+
+void cell_node::impl::rejectMalformed(const peer_request& aRequest, const absl::Status& aError)
+{
+  mLog.write("malformed",
+             fmt::format("path={} error=\"{}\"", aRequest.mPath, std::string(aError.message())));
+  aRequest.mResponder.answer({ .mStatus = 400 });
+}
+
+void cell_node::impl::handleOrders(const peer_request& aRequest)
+{
+  auto batch = decodeOrderBatch(aRequest.mBody);
+  if (!batch.ok()) {
+    rejectMalformed(aRequest, batch.status());
+    return;
+  }
+  std::uint16_t status = 200;
+  switch (mOrderRelay.onBatch(*std::move(batch))) {
+    case order_relay::reception::accepted:
+      break;
+    case order_relay::reception::superseded:
+      status = kSupersededStatus;
+      break;
+    case order_relay::reception::outdated:
+      status = 503;
+      break;
+  }
+  aRequest.mResponder.answer({ .mStatus = status });
+}
+
+void cell_node::impl::handleOrderResults(const peer_request& aRequest)
+{
+  const auto results = decodeOrderResults(aRequest.mBody);
+  if (!results.ok()) {
+    rejectMalformed(aRequest, results.status());
+    return;
+  }
+  aRequest.mResponder.answer({});
+  mOrderRouter.onResults(*results);
+}
+
 void cell_node::impl::handleForwardedRecords(const peer_request& aRequest)
 {
   const auto records = decodeForwardedRecords(aRequest.mBody);
   if (!records.ok()) {
-    mLog.write("malformed", fmt::format("path={} error=\"{}\"", aRequest.mPath,
-                                        std::string(records.status().message())));
-    aRequest.mResponder.answer({ .mStatus = 400 });
+    rejectMalformed(aRequest, records.status());
     return;
   }
   struct progress
@@ -81,6 +209,42 @@
   }
 }
 
+void cell_node::impl::handleHello(const peer_request& aRequest)
+{
+  const auto now = mClock.now();
+  const auto from = decodeHello(aRequest.mBody);
+  if (!from.ok()) {
+    rejectMalformed(aRequest, from.status());
+    return;
+  }
+  if (!from->mAddress.empty()) {
+    auto& helper = mHelpers.try_emplace(from->mAddress, now).first->second;
+    helper.mLastHello = now;
+    helper.mCores = from->mCores;
+    helper.mStandby = from->mStandby;
+  }
+  aRequest.mResponder.answer(
+    { .mBody = encodeHelloReply(
+        { .mOwnerTime =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()),
+          .mStoreAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+            mStoreConnectivity.timeSinceReply(now)),
+          .mInterval = helloInterval(mHelpers.size()),
+          .mStandby = mOwner ? std::optional(mStandbys.contains(from->mAddress)) : std::nullopt,
+          .mWritesSnapshots = !mStandbys.empty() && *mStandbys.begin() == from->mAddress,
+          .mCapacity = mLargestSizes }) });
+}
+
+void cell_node::impl::handleWaiting(const peer_request& aRequest)
+{
+  if (!mOwner) {
+    aRequest.mResponder.answer({ .mStatus = 503 });
+    return;
+  }
+  aRequest.mResponder.answer(
+    { .mBody = platform::encodeWaiting(mJobTable.waitingJobs(aRequest.mBody)) });
+}
+
 void cell_node::impl::handleStatus(const peer_request& aRequest)
 {
   // The body is the id, of fixed length, and the team, which is empty for callers of public routes.
@@ -89,7 +253,9 @@
   const auto* found = id && mOwner ? mJobTable.find(*id) : nullptr;
   const auto team = body.substr(std::min(body.size(), scheduler::kJobIdDigits));
   if (found == nullptr || !found->mSpec.visibleTo(team)) {
-    aRequest.mResponder.answer({ .mStatus = 404 });
+    // The journal may hold a job that another daemon has appended since it was last read.
+    const bool current = mOwner && mClock.now() - mJournalTail->freshAsOf() <= kMaxUnknownJobAge;
+    aRequest.mResponder.answer({ .mStatus = static_cast<std::uint16_t>(current ? 404 : 503) });
     return;
   }
   aRequest.mResponder.answer(
@@ -99,20 +265,21 @@
 void cell_node::impl::handlePeer(peer_request& aRequest)
 {
   if (aRequest.mPath == kPeerHelloPath) {
-    const auto now = mClock.now();
-    if (!aRequest.mBody.empty()) {
-      mAdviceHelpers[aRequest.mBody] = now;
-    }
-    aRequest.mResponder.answer({ .mBody = std::to_string(mStoreConnectivity.timeSinceReply(now) /
-                                                         std::chrono::milliseconds(1)) });
+    handleHello(aRequest);
   } else if (aRequest.mPath == kPeerStorePath) {
     handleForwardedRecords(aRequest);
   } else if (aRequest.mPath == kPeerStatusPath) {
     handleStatus(aRequest);
+  } else if (aRequest.mPath == kPeerWaitingPath) {
+    handleWaiting(aRequest);
+  } else if (aRequest.mPath == kPeerOrdersPath) {
+    handleOrders(aRequest);
+  } else if (aRequest.mPath == kPeerResultsPath) {
+    handleOrderResults(aRequest);
   } else if (aRequest.mPath == kPeerAdvicePath) {
     const auto request = decodePeerAdvice(aRequest.mBody);
     if (!request.ok()) {
-      aRequest.mResponder.answer({ .mStatus = 400 });
+      rejectMalformed(aRequest, request.status());
       return;
     }
     auto call = platform::encodeAdvice(mSettings.mAdviceAddress, *request);
@@ -175,7 +342,9 @@
     add("runs_open", counts.mOpenRuns);
     add("steps_waiting", counts.mWaitingSteps);
     add("advice_calls_open", counts.mAdviceCalls);
-    add("advice_helpers", mAdviceHelpers.size());
+    add("advice_helpers", mHelpers.size());
+    add("relays", mOrderRouter.relays());
+    add("relayed_orders_open", mOrderRouter.openOrders());
   }
   text += mProfiler.metrics();
   text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -13,6 +13,8 @@
 #include "log_tail.h"
 #include "loop_profiler.h"
 #include "operator_view.h"
+#include "order_relay.h"
+#include "order_router.h"
 #include "order_sender.h"
 #include "owner_client.h"
 #include "peer_api.h"
@@ -50,8 +52,14 @@
 
 /// Interval at which followers read the journal. They query the owner for the states of live jobs.
 inline constexpr std::chrono::milliseconds kJournalReadInterval{ 200 };
-/// Interval at which followers read the registry, from which they need only the sizes of targets.
-inline constexpr std::chrono::milliseconds kRegistryReadInterval{ 8000 };
+
+/// Whether a VM is large enough to own a cell of several hundred targets, which takes a quarter of
+/// a core. Large VMs are always standbys; others only if there are too few large ones.
+inline bool isLarge(double aCores)
+{
+  constexpr double kMinOwnerCores = 0.2;
+  return aCores >= kMinOwnerCores;
+}
 
 inline scheduler::wall_time wallNow()
 {
@@ -113,7 +121,13 @@
   static caller_record recordKey(const journal_record& aRecord);
 
   bool queryOwner(scheduler::job_id aId, const std::string& aTeam,
-                  std::function<void(std::optional<std::string>)> aDone);
+                  std::function<void(owner_answer&&)> aDone);
+
+  bool queryWaiting(const std::string& aRoute, std::function<void(owner_answer&&)> aDone);
+
+  /// Sends a query of a caller to the owner; returns false if the owner cannot be reached.
+  bool callOwner(std::string_view aPath, std::string aBody,
+                 std::function<void(owner_answer&&)> aDone);
 
   void sendHeartbeat(const scheduler::heartbeat_order& aOrder) override;
 
@@ -130,14 +144,22 @@
 
   void makeTails();
 
-  void contact();
-
   void tickStoreConnectivity(time_point aNow);
 
+  /// Whether this daemon follows the journal: as the owner, or as a standby that can become owner
+  /// at once. Other daemons load the state of the cell only if they become owner.
+  bool followsJournal() const { return mStandby || mEpoch != 0; }
+  /// Whether this daemon knows the cell well enough to serve callers.
+  bool caughtUp() const { return !followsJournal() || mOwner || mJournalTail->caughtUp(); }
+
   /// Whether this daemon is partitioned from the store and its peers, so that it cannot serve
   /// callers.
   bool partitioned(time_point aNow) const;
 
+  /// Passes the sizes of targets on to the checks of jobs: as the owner those of the registry, as
+  /// a follower those that the owner has reported.
+  void updateCapacity();
+
   void updateCellStatus();
 
   void onOperatorChange();
@@ -158,8 +180,12 @@
   // State of the cell.
   void loadJobTable();
 
+  /// Writes a snapshot if one is due: a standby, or the owner if it has none. The table of a
+  /// standby holds exactly the journal's records; that of a busy owner is always ahead of them.
   void tickSnapshot(time_point aNow);
 
+  void onSnapshotStored(std::uint64_t aBase, std::uint64_t aFirstOffset);
+
   void readJournal(const std::vector<std::string>& aRecords);
 
   void applyRecord(const journal_record& aRecord);
@@ -169,8 +195,26 @@
 
   void handleForwardedRecords(const peer_request& aRequest);
 
+  /// Passes the helpers that are alive on to the users of their calls.
+  void updateHelpers(time_point aNow);
+
+  void rejectMalformed(const peer_request& aRequest, const absl::Status& aError);
+
+  void handleOrders(const peer_request& aRequest);
+
+  void handleOrderResults(const peer_request& aRequest);
+
+  /// Chooses the daemons that follow the journal.
+  void updateStandbys();
+
+  void onHelloReply(const std::string& aOwner, const hello_reply& aReply, time_point aReceived);
+
+  void handleHello(const peer_request& aRequest);
+
   void handleStatus(const peer_request& aRequest);
 
+  void handleWaiting(const peer_request& aRequest);
+
   void handlePeer(peer_request& aRequest);
 
   void handleCaller(const queued_caller_request& aRequest);
@@ -201,6 +245,8 @@
   snapshot_loader mSnapshots;
   const std::uint64_t mIncarnation;
   const std::string mPeerAddress;
+  /// Whether this daemon follows the journal, so that it can become owner at once.
+  bool mStandby;
   scheduler::job_table mJobTable;
   election mElection;
   journal_writer mWriter;
@@ -215,18 +261,24 @@
   operator_view mOperator{ mLog };
   registry_view mRegistry;
   order_sender mOrderSender{ mLoop, mLog };
+  order_router mOrderRouter;
+  order_relay mOrderRelay{ mLoop, mClock, mOrderSender, mLog };
   /// Configuration that mOwner was last given.
   std::shared_ptr<const scheduler::cell_config> mOwnerConfig;
   bool mCapacityChanged = false;
+  /// Sizes that the owner reports to its followers.
+  cell_capacity mLargestSizes;
 
   /// Epoch of this daemon's ownership; 0 if it is not the owner.
   std::uint64_t mEpoch = 0;
   /// Time at which the former owner was fenced off the journal.
   std::optional<time_point> mFencedAt;
   std::unique_ptr<journal_writer> mOwnerWriter;
-  std::unique_ptr<journal_writer> mSnapshotWriter;
+  journal_writer mSnapshotWriter;
   bool mSnapshotInFlight = false;
-  std::optional<snapshot_schedule> mSnapshotSchedule;
+  /// Whether the owner has chosen this daemon to write the snapshots.
+  bool mWritesSnapshots = false;
+  snapshot_schedule mSnapshotSchedule;
   /// Journal offset at which the newest known snapshot ends.
   std::uint64_t mSnapshotBase = 0;
   std::unique_ptr<scheduler::owner> mOwner;
@@ -244,8 +296,19 @@
   std::uint64_t mLastToken = 0;
   /// Number of writes in flight that hold an end of the job, by job.
   std::map<scheduler::job_id, std::uint32_t> mUnstoredEnds;
-  /// Addresses of daemons that make calls for advice, with the time of their last hello.
-  std::map<std::string, time_point> mAdviceHelpers;
+  /// A follower that makes calls on the owner's behalf.
+  struct helper
+  {
+    time_point mFirstHello;
+    time_point mLastHello;
+    double mCores = 0;
+    bool mStandby = false;
+  };
+  /// Helpers by address.
+  std::map<std::string, helper> mHelpers;
+  /// Addresses of the helpers that follow the journal.
+  std::set<std::string> mStandbys;
+  time_point mNextHelperUpdate{};
 
   store_connectivity mStoreConnectivity;
   bool mStoreLost = false;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -105,7 +105,7 @@
 
 void cell_node::impl::sendHeartbeat(const scheduler::heartbeat_order& aOrder)
 {
-  mOrderSender.sendHeartbeat(aOrder, [this, target = aOrder.mTarget, sent = mClock.now(),
+  mOrderRouter.sendHeartbeat(aOrder, [this, target = aOrder.mTarget, sent = mClock.now(),
                                       epoch = mEpoch](scheduler::order_outcome aOutcome,
                                                       const scheduler::target_report& aReport) {
     if (isOwner(epoch)) {
@@ -117,7 +117,7 @@
 
 void cell_node::impl::start(const scheduler::start_order& aOrder)
 {
-  mOrderSender.sendStart(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
+  mOrderRouter.sendStart(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
     if (isOwner(epoch)) {
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
       mOwner->onStartReply(aOrder, aOutcome, mClock.now());
@@ -127,7 +127,7 @@
 
 void cell_node::impl::stop(const scheduler::stop_order& aOrder)
 {
-  mOrderSender.sendStop(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
+  mOrderRouter.sendStop(aOrder, [this, aOrder, epoch = mEpoch](scheduler::order_outcome aOutcome) {
     if (isOwner(epoch)) {
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
       mOwner->onStopReply(aOrder, aOutcome, mClock.now());
@@ -175,6 +175,9 @@
                                record->mNode, aOffset));
       }
       mElection.onRecordRead(*record, aOffset, mClock.now());
+      if (record->mKind == owner_record::kind::claim) {
+        mOrderRelay.setEpoch(epochOf(aOffset));
+      }
     }
     ++aOffset;
   }
@@ -182,7 +185,7 @@
 
 void cell_node::impl::tickElection(time_point aNow)
 {
-  if (mOwner && mElection.state() != election::role::owner) {
+  if (mEpoch != 0 && mElection.state() != election::role::owner) {
     stepDown("another daemon has claimed ownership");
   }
   if (mOwner && mElection.mayAct(aNow) == mPaused) {
@@ -197,11 +200,12 @@
     stepDown(reason);
   }
   mOwnerClient.setOwner(mOwner ? std::nullopt : mElection.ownerAddress());
+  mOwnerClient.setStoreLost(mStoreLost);
   // While the store is slow for all daemons, a new owner would only add calls to it.
   mElection.setOwnerSuspected(
     mOwnerClient.connectionRefused(),
     mOwnerClient.unresponsive(aNow) || mOwnerClient.ownerPartitioned(mStore.latency()), aNow);
-  const bool eligible = mJournalTail->caughtUp() && mOperator.config() && !mStoreLost;
+  const bool eligible = caughtUp() && mOperator.config() && !mStoreLost;
   // Pending records are stored before another daemon may become owner.
   const bool mayRelease =
     mStopping && (!mOwnerWriter || (!mOwnerWriter->pendingSince() && mOwnerWriter->waiting() == 0));
@@ -243,6 +247,9 @@
 {
   const auto epoch = mElection.epoch();
   if (mEpoch != epoch) {
+    if (!followsJournal()) {
+      loadJobTable();
+    }
     mEpoch = epoch;
     mFencedAt.reset();
     mOwnerWriter =
@@ -251,6 +258,7 @@
                                                                .mProducer = kOwnerProducer,
                                                                .mEpoch = epoch,
                                                                .mRetryRefused = true });
+    mOrderRouter.begin(epoch);
     mLog.write("owner_starting", fmt::format("epoch={}", epoch));
     mOwnerWriter->write({}, [this, epoch](write_outcome aOutcome) {
       if (epoch != mEpoch) {
@@ -261,23 +269,18 @@
         return;
       }
       mFencedAt = mClock.now();
-      // The store may be holding the read in flight open.
-      mJournalTail->restart(mJournalTail->next());
+      if (!mSnapshots.active()) {
+        // The store may be holding the read in flight open.
+        mJournalTail->restart(mJournalTail->next());
+      }
     });
-    mSnapshotWriter =
-      std::make_unique<journal_writer>(mStore, mClock,
-                                       journal_writer_options{ .mTopic = kSnapshotTopic,
-                                                               .mProducer = kOwnerProducer,
-                                                               .mEpoch = epoch,
-                                                               .mRetryRefused = true });
-    mSnapshotInFlight = false;
-    mSnapshotSchedule.emplace(mSettings.mRecordRetention, mClock.now());
     mRegistryTail->setInterval(kOwnerRegistryReadInterval);
     mRegistryTail->restart(0);
     mJournalTail->setInterval(kOwnerJournalReadInterval);
   }
-  if (!mFencedAt || !mJournalTail->caughtUp() || mJournalTail->freshAsOf() <= *mFencedAt ||
-      !mRegistryTail->caughtUp() || !mOperator.config()) {
+  if (!mFencedAt || mSnapshots.active() || !mJournalTail->caughtUp() ||
+      mJournalTail->freshAsOf() <= *mFencedAt || !mRegistryTail->caughtUp() ||
+      !mOperator.config()) {
     return;
   }
   const auto now = mClock.now();
@@ -291,6 +294,7 @@
   mOwnerConfig.reset();
   onOperatorChange();
   mJobTable.forEach([&](scheduler::job& aJob) { mOwner->onRecordApplied(aJob, now, wallNow()); });
+  updateHelpers(now);
   for (const auto& [id, entry] : mRegistry.targets()) {
     mOwner->setTarget(entry, now);
   }
@@ -306,22 +310,27 @@
   mLog.write("owner_stopped", fmt::format("epoch={} reason=\"{}\"", mEpoch, aReason));
   mOwner.reset();
   mOwnerWriter.reset();
-  mSnapshotWriter.reset();
   mEpoch = 0;
-  mAdviceHelpers.clear();
+  mHelpers.clear();
+  mStandbys.clear();
   // Decisions that were not stored are discarded with the rest of the owner's state.
   mUnstoredEnds.clear();
   for (auto& [token, record] : std::exchange(mUnstoredCallerRecords, {})) {
     record.mDone(write_outcome::unknown);
   }
   mJournalTail->setInterval(kJournalReadInterval);
-  loadJobTable();
-  mRegistryTail->setInterval(kRegistryReadInterval);
+  if (followsJournal()) {
+    loadJobTable();
+  } else {
+    mJobTable.clear();
+    updateCellStatus();
+  }
 }
 
 void cell_node::impl::loadJobTable()
 {
   mJobTable.clear();
+  mSnapshotBase = 0;
   mJournalTail->restart(0);
   // Replies of the owner that arrive in this pass of the loop find the table empty.
   updateCellStatus();
@@ -340,31 +349,46 @@
 
 void cell_node::impl::tickSnapshot(time_point aNow)
 {
-  if (!mOwner || mSnapshotInFlight || !mOwner->allStored()) {
-    return;
-  }
+  const bool writes =
+    mOwner ? mStandbys.empty() && mOwner->allStored()
+           : mStandby && mWritesSnapshots && mJournalTail->caughtUp() && !mSnapshots.active();
   const auto next = mJournalTail->next();
-  if (!mSnapshotSchedule->due(next - std::min(next, mSnapshotBase), aNow)) {
+  if (!writes || mSnapshotInFlight ||
+      !mSnapshotSchedule.due(next - std::min(next, mSnapshotBase), aNow)) {
     return;
   }
   mSnapshotInFlight = true;
-  mSnapshotSchedule->onWriteStarted(aNow);
-  auto records = encodeSnapshot({ .mBase = next, .mRecords = mJobTable.snapshot(mClock.now()) });
-  mSnapshotWriter->write(std::move(records), [this, next, epoch = mEpoch,
-                                              before = mSnapshotBase](write_outcome aOutcome) {
-    if (epoch != mEpoch) {
-      return;
-    }
-    mSnapshotInFlight = false;
-    mLog.write("snapshot", fmt::format("base={} stored={} jobs={}", next,
-                                       aOutcome == write_outcome::stored, mJobTable.size()));
-    if (aOutcome == write_outcome::stored) {
-      mSnapshotBase = next;
-      // Only up to the former snapshot, so that daemons that are slightly behind find no gap.
-      mStore.trim(kJournalTopic, before, [](bool /*aDeleted*/) {});
-      mStore.trim(kSnapshotTopic, mSnapshotWriter->lastOffset(), [](bool /*aDeleted*/) {});
-    }
-  });
+  mSnapshotSchedule.onWriteStarted(aNow);
+  mLog.write("snapshot_started", fmt::format("base={} jobs={}", next, mJobTable.size()));
+  auto parts =
+    encodeSnapshot({ .mBase = next, .mRecords = mJobTable.snapshot(mClock.now()) }, mIncarnation);
+  const auto firstOffset = std::make_shared<std::optional<std::uint64_t>>();
+  const auto left = std::make_shared<std::size_t>(parts.size());
+  for (auto& part : parts) {
+    mSnapshotWriter.write(std::move(part), [this, next, firstOffset, left](write_outcome aOutcome) {
+      if (!*firstOffset) {
+        // Offset of the append; the first part is at its beginning, as nothing else was waiting.
+        *firstOffset = mSnapshotWriter.lastOffset();
+      }
+      if (aOutcome != write_outcome::stored) {
+        mLog.write("snapshot", fmt::format("base={} stored=false", next));
+      }
+      if (--*left == 0) {
+        mSnapshotInFlight = false;
+        if (aOutcome == write_outcome::stored) {
+          onSnapshotStored(next, **firstOffset);
+        }
+      }
+    });
+  }
+}
+
+void cell_node::impl::onSnapshotStored(std::uint64_t aBase, std::uint64_t aFirstOffset)
+{
+  mLog.write("snapshot", fmt::format("base={} stored=true", aBase));
+  // Only up to the former snapshot, so that daemons that are slightly behind find no gap.
+  mStore.trim(kJournalTopic, std::exchange(mSnapshotBase, aBase), [](bool /*aDeleted*/) {});
+  mStore.trim(kSnapshotTopic, aFirstOffset, [](bool /*aDeleted*/) {});
 }
 
 void cell_node::impl::readJournal(const std::vector<std::string>& aRecords)
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -24,7 +24,7 @@
 {
   std::string bytes;
   json::to_msgpack(json::array({ static_cast<int>(aRecord.mKind), aRecord.mNode,
-                                 aRecord.mIncarnation, aRecord.mPeerAddress }),
+                                 aRecord.mIncarnation, aRecord.mPeerAddress, aRecord.mLarge }),
                    bytes);
   return bytes;
 }
@@ -36,7 +36,9 @@
     return owner_record{ .mKind = static_cast<owner_record::kind>(value.at(0).get<int>()),
                          .mNode = value.at(1),
                          .mIncarnation = value.at(2),
-                         .mPeerAddress = value.at(3) };
+                         .mPeerAddress = value.at(3),
+                         // Earlier versions did not write it.
+                         .mLarge = value.size() <= 4 || value.at(4).get<bool>() };
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(absl::StrCat("owner record: ", error.what()));
   }
@@ -56,11 +58,11 @@
   mLastSeen = aNow;
   mHasRecord = true;
   if (aRecord.mKind == owner_record::kind::claim) {
-    mEpochs.try_emplace(aOffset + 1, aNow);
+    mEpochs.try_emplace(epochOf(aOffset), aNow);
   }
   if (isOwn(aRecord)) {
-    if (aRecord.mKind == owner_record::kind::claim && mEpoch < aOffset + 1) {
-      mEpoch = aOffset + 1;
+    if (aRecord.mKind == owner_record::kind::claim && mEpoch < epochOf(aOffset)) {
+      mEpoch = epochOf(aOffset);
       mRole = role::owner;
       mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(aNow));
     } else if (aRecord.mKind == owner_record::kind::renewal && mRole == role::owner &&
@@ -71,7 +73,7 @@
       mUncertainSince.reset();
     }
   } else if (aRecord.mKind == owner_record::kind::claim && mRole == role::owner &&
-             aOffset + 1 > mEpoch) {
+             epochOf(aOffset) > mEpoch) {
     stepDown();
   }
 }
@@ -126,9 +128,8 @@
     timeout += mOwnerUnresponsive ? mOptions.mSuspectedOwnerTimeout : mOptions.mOwnerTimeout;
   }
   const auto reluctantSince = mOwnerEnded ? std::max(lastSign, mOwnerEndedSince) : lastSign;
-  const bool isDue =
-    aNow - lastSign > timeout &&
-    aNow - reluctantSince > (vacant ? mOptions.mReluctance : timeout + mOptions.mReluctance);
+  const bool isDue = aNow - lastSign > timeout &&
+                     aNow - reluctantSince > (vacant ? reluctance() : timeout + reluctance());
   return isDue ? action::claim : action::none;
 }
 
@@ -143,7 +144,16 @@
   return { .mKind = kind,
            .mNode = mOptions.mNode,
            .mIncarnation = mOptions.mIncarnation,
-           .mPeerAddress = mOptions.mPeerAddress };
+           .mPeerAddress = mOptions.mPeerAddress,
+           .mLarge = mOptions.mLarge };
+}
+
+std::chrono::milliseconds election::reluctance() const
+{
+  if (mOptions.mLarge) {
+    return std::chrono::milliseconds(0);
+  }
+  return mHasRecord && mLastRecord.mLarge ? mOptions.mReluctanceToLarge : mOptions.mReluctance;
 }
 
 void election::onAppended(action aAction, std::uint64_t aOffset, time_point aSent)
@@ -158,7 +168,7 @@
     return;
   }
   if (aAction == action::claim) {
-    mEpoch = aOffset + 1;
+    mEpoch = epochOf(aOffset);
     mRole = role::owner;
     mEpochs.try_emplace(mEpoch, aSent);
   }
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -29,10 +29,18 @@
   std::uint64_t mIncarnation = 0;
   /// `ip:port` at which other daemons reach this one.
   std::string mPeerAddress;
+  /// Whether the daemon runs on a large VM.
+  bool mLarge = true;
 };
 std::string encode(const owner_record& aRecord);
 absl::StatusOr<owner_record> decodeOwnerRecord(std::string_view aBytes);
 
+/// Epoch of the claim that is stored at aOffset of the owner topic.
+constexpr std::uint64_t epochOf(std::uint64_t aOffset)
+{
+  return aOffset + 1;
+}
+
 struct election_options
 {
   std::string mNode;
@@ -48,10 +56,15 @@
   /// Additional delay before this daemon claims; differs between daemons, to avoid competing
   /// claims.
   std::chrono::milliseconds mStagger{ 0 };
-  /// Further delay of a daemon that should become owner only if no other can. Counts from when it
-  /// knows that there is no owner: at the last renewal, up to an interval earlier, the others did
-  /// not know it either.
-  std::chrono::milliseconds mReluctance{ 0 };
+  /// Whether the daemon runs on a large VM.
+  bool mLarge = true;
+  /// Further delay of a daemon on a small VM, which should become owner only if no other can.
+  /// Counts from when it knows that there is no owner: at the last renewal, up to an interval
+  /// earlier, the others did not know it either.
+  std::chrono::milliseconds mReluctance{ 400 };
+  /// The same delay if the last owner ran on a large VM, so that there are such: one that has just
+  /// started has to read the state of the cell before it can claim.
+  std::chrono::milliseconds mReluctanceToLarge{ 3000 };
   /// Time since the last accepted renewal after which an owner stops renewing leases.
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
 };
@@ -127,6 +140,8 @@
 private:
   action chooseAction(time_point aNow, bool aEligible, bool aStopping) const;
   bool isOwn(const owner_record& aRecord) const;
+  /// Returns the delay of this daemon's claim in favour of larger VMs.
+  std::chrono::milliseconds reluctance() const;
 
   const election_options mOptions;
   role mRole = role::follower;
--- /dev/null
+++ b/node/src/order_batch.cpp
@@ -0,0 +1,231 @@
+#include "order_batch.h"
+
+#include "endiveusher/kernel/msgpack.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+#include <type_traits>
+#include <utility>
+
+namespace endiveusher::node {
+
+namespace {
+
+using nlohmann::json;
+
+enum class order_kind : int
+{
+  heartbeat = 0,
+  start = 1,
+  stop = 2,
+};
+
+/// Decodes an enumeration whose values are 0 to aLast.
+template<typename Enum>
+Enum decodeEnum(const json& aValue, Enum aLast)
+{
+  const auto number = aValue.get<std::int64_t>();
+  if (number < 0 || number > static_cast<std::int64_t>(aLast)) {
+    throw std::out_of_range("unknown value of an enumeration");
+  }
+  return static_cast<Enum>(number);
+}
+
+json encodeTask(const scheduler::task_key& aTask)
+{
+  return json::array({ static_cast<std::uint64_t>(aTask.mStep.mJob), aTask.mStep.mOccurrence,
+                       aTask.mStep.mStep, aTask.mIndex });
+}
+
+scheduler::task_key decodeTask(const json& aTask)
+{
+  return { .mStep = { .mJob = static_cast<scheduler::job_id>(aTask.at(0).get<std::uint64_t>()),
+                      .mOccurrence = aTask.at(1),
+                      .mStep = aTask.at(2) },
+           .mIndex = aTask.at(3) };
+}
+
+json encodeOrder(const scheduler::heartbeat_order& aOrder)
+{
+  return json::array({ order_kind::heartbeat, aOrder.mTarget, aOrder.mAddress,
+                       aOrder.mLeaseUntil ? json(aOrder.mLeaseUntil->count()) : json(),
+                       aOrder.mStoredEndNumber, aOrder.mWait.count() });
+}
+
+/// The payload follows only if it differs from that of the start before: the tasks of a step share
+/// it.
+json encodeOrder(const scheduler::start_order& aOrder, const std::string*& aLastPayload)
+{
+  auto order =
+    json::array({ order_kind::start, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask),
+                  aOrder.mRun, aOrder.mLeaseUntil.count(), aOrder.mCheckpoint, aOrder.mTicket });
+  if (aLastPayload == nullptr || *aLastPayload != aOrder.mPayload) {
+    order.push_back(json::binary({ aOrder.mPayload.begin(), aOrder.mPayload.end() }));
+    aLastPayload = &aOrder.mPayload;
+  }
+  return order;
+}
+
+json encodeOrder(const scheduler::stop_order& aOrder)
+{
+  return json::array(
+    { order_kind::stop, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask), aOrder.mRun });
+}
+
+target_order decodeOrder(const json& aOrder, std::uint64_t aEpoch, std::string& aLastPayload)
+{
+  switch (decodeEnum(aOrder.at(0), order_kind::stop)) {
+    case order_kind::heartbeat: {
+      scheduler::heartbeat_order order{ .mTarget = aOrder.at(1),
+                                        .mAddress = aOrder.at(2),
+                                        .mEpoch = aEpoch,
+                                        .mStoredEndNumber = aOrder.at(4),
+                                        .mWait = std::chrono::milliseconds(
+                                          aOrder.at(5).get<std::int64_t>()) };
+      if (!aOrder.at(3).is_null()) {
+        order.mLeaseUntil = target_time(aOrder.at(3).get<std::int64_t>());
+      }
+      return order;
+    }
+    case order_kind::start: {
+      if (aOrder.size() > 8) {
+        const auto& payload = aOrder.at(8).get_binary();
+        aLastPayload.assign(payload.begin(), payload.end());
+      }
+      return scheduler::start_order{ .mTarget = aOrder.at(1),
+                                     .mAddress = aOrder.at(2),
+                                     .mTask = decodeTask(aOrder.at(3)),
+                                     .mRun = aOrder.at(4),
+                                     .mPayload = aLastPayload,
+                                     .mLeaseUntil = target_time(aOrder.at(5).get<std::int64_t>()),
+                                     .mEpoch = aEpoch,
+                                     .mCheckpoint = aOrder.at(6),
+                                     .mTicket = aOrder.at(7) };
+    }
+    case order_kind::stop:
+      return scheduler::stop_order{ .mTarget = aOrder.at(1),
+                                    .mAddress = aOrder.at(2),
+                                    .mTask = decodeTask(aOrder.at(3)),
+                                    .mRun = aOrder.at(4),
+                                    .mEpoch = aEpoch };
+  }
+  throw std::invalid_argument("unknown kind of order");
+}
+
+json encodeReport(const scheduler::target_report& aReport)
+{
+  auto running = json::array();
+  for (const auto& run : aReport.mRunning) {
+    running.push_back({ encodeTask(run.mTask), run.mRun, run.mCheckpoint });
+  }
+  auto ended = json::array();
+  for (const auto& end : aReport.mEnded) {
+    ended.push_back(
+      { end.mNumber, encodeTask(end.mTask), end.mRun, end.mOutcome, end.mCheckpoint });
+  }
+  return json::array(
+    { aReport.mClock.count(), aReport.mIncarnationStart, std::move(running), std::move(ended) });
+}
+
+scheduler::target_report decodeReport(const json& aReport)
+{
+  scheduler::target_report report{ .mClock = target_time(aReport.at(0).get<std::int64_t>()),
+                                   .mIncarnationStart = aReport.at(1) };
+  for (const auto& run : aReport.at(2)) {
+    report.mRunning.push_back(
+      { .mTask = decodeTask(run.at(0)), .mRun = run.at(1), .mCheckpoint = run.at(2) });
+  }
+  for (const auto& end : aReport.at(3)) {
+    const auto outcome = decodeEnum(end.at(3), scheduler::reported_end::gang_incomplete);
+    report.mEnded.push_back({ .mNumber = end.at(0),
+                              .mTask = decodeTask(end.at(1)),
+                              .mRun = end.at(2),
+                              .mOutcome = outcome,
+                              .mCheckpoint = end.at(4) });
+  }
+  return report;
+}
+
+std::string toMsgpack(const json& aValue)
+{
+  std::string bytes;
+  json::to_msgpack(aValue, bytes);
+  return bytes;
+}
+
+} // namespace
+
+std::string encode(const order_batch& aBatch)
+{
+  auto orders = json::array();
+  const std::string* lastPayload = nullptr;
+  for (const auto& [number, order] : aBatch.mOrders) {
+    orders.push_back({ number, std::visit(
+                                 [&lastPayload](const auto& aOne) {
+                                   using type = std::decay_t<decltype(aOne)>;
+                                   if constexpr (std::is_same_v<type, scheduler::start_order>) {
+                                     return encodeOrder(aOne, lastPayload);
+                                   } else {
+                                     return encodeOrder(aOne);
+                                   }
+                                 },
+                                 order) });
+  }
+  return toMsgpack(
+    json::array({ aBatch.mEpoch, aBatch.mOwner, aBatch.mSentAt.count(), std::move(orders) }));
+}
+
+std::string encode(const order_results& aResults)
+{
+  auto results = json::array();
+  for (const auto& result : aResults.mResults) {
+    auto row = json::array({ result.mNumber, result.mOutcome });
+    if (result.mReport) {
+      row.push_back(encodeReport(*result.mReport));
+    }
+    results.push_back(std::move(row));
+  }
+  return toMsgpack(json::array({ aResults.mEpoch, std::move(results) }));
+}
+
+absl::StatusOr<order_batch> decodeOrderBatch(std::string_view aBytes)
+{
+  try {
+    const auto value = parseMsgpack(aBytes);
+    order_batch batch{ .mEpoch = value.at(0),
+                       .mOwner = value.at(1),
+                       .mSentAt = std::chrono::milliseconds(value.at(2).get<std::int64_t>()) };
+    std::string lastPayload;
+    for (const auto& row : value.at(3)) {
+      batch.mOrders.push_back(
+        { .mNumber = row.at(0), .mOrder = decodeOrder(row.at(1), batch.mEpoch, lastPayload) });
+    }
+    return batch;
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(absl::StrCat("order batch: ", error.what()));
+  }
+}
+
+absl::StatusOr<order_results> decodeOrderResults(std::string_view aBytes)
+{
+  try {
+    const auto value = parseMsgpack(aBytes);
+    order_results results{ .mEpoch = value.at(0) };
+    for (const auto& row : value.at(1)) {
+      order_result result{ .mNumber = row.at(0),
+                           .mOutcome = decodeEnum(row.at(1), scheduler::order_outcome::invalid) };
+      if (row.size() > 2) {
+        result.mReport = decodeReport(row.at(2));
+      }
+      results.mResults.push_back(std::move(result));
+    }
+    return results;
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(absl::StrCat("order results: ", error.what()));
+  }
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/order_router.cpp
@@ -0,0 +1,206 @@
+#include "order_router.h"
+
+#include "peer_api.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace endiveusher::node {
+
+namespace {
+
+/// Minimum time between two batches to a relay, so that each holds several orders.
+constexpr std::chrono::milliseconds kBatchInterval{ 15 };
+/// Largest number of orders in one batch; with payloads of 4 KB each it stays below the body limit
+/// of the relay's server, 1 MB.
+constexpr std::size_t kMaxOrdersPerBatch = 200;
+/// Unconfirmed batches per relay; the next orders wait, and are sent together.
+constexpr std::uint32_t kMaxOpenBatches = 2;
+/// Timeout of a batch, which a relay confirms before it sends the orders. A relay that opens
+/// connections to all of its targets is busy for up to a second; to give its targets to others
+/// would only make these busy in the same way.
+constexpr std::chrono::milliseconds kBatchTimeout{ 1500 };
+/// Time that an order may take through a relay in addition to the timeout of its call to the
+/// target: batches and results wait up to an interval each, and a busy relay delays them.
+constexpr std::chrono::milliseconds kRelayMargin{ 1000 };
+
+} // namespace
+
+order_router::order_router(edges::http_loop& aLoop, const clock& aClock, order_sender& aDirect,
+                           event_log& aLog, relay_candidate aSelf)
+  : mLoop(aLoop), mClock(aClock), mDirect(aDirect), mLog(aLog),
+    mOwnAddress(std::move(aSelf.mAddress)), mRelays(aSelf.mCores)
+{
+}
+
+void order_router::begin(std::uint64_t aEpoch)
+{
+  mEpoch = aEpoch;
+  mSuperseded = false;
+  mRelays.clear();
+  mQueues.clear();
+  mOpen.clear();
+  mExpiries.clear();
+}
+
+void order_router::setCell(std::size_t aTargets, std::vector<relay_candidate> aCandidates,
+                           time_point aNow)
+{
+  const auto before = mRelays.size();
+  mRelays.set(aTargets, std::move(aCandidates), aNow);
+  if (mRelays.size() != before) {
+    mLog.write("relays", fmt::format("count={} targets={}", mRelays.size(), aTargets));
+  }
+}
+
+bool order_router::relayed(const std::string& aTarget, target_order aOrder,
+                           std::chrono::milliseconds aTimeout, order_sender::report_callback aDone)
+{
+  const auto* relay = mRelays.relayOf(aTarget);
+  if (relay == nullptr) {
+    return false;
+  }
+  const auto number = ++mLastNumber;
+  const auto expiry = mClock.now() + aTimeout + kRelayMargin;
+  mOpen[number] = { .mRelay = *relay, .mExpiry = expiry, .mDone = std::move(aDone) };
+  mExpiries.emplace(expiry, number);
+  mQueues[*relay].mOrders.push_back({ .mNumber = number, .mOrder = std::move(aOrder) });
+  return true;
+}
+
+void order_router::sendHeartbeat(const scheduler::heartbeat_order& aOrder,
+                                 order_sender::report_callback aDone)
+{
+  if (!relayed(aOrder.mTarget, aOrder, platform::heartbeatTimeout(aOrder), aDone)) {
+    mDirect.sendHeartbeat(aOrder, std::move(aDone));
+  }
+}
+
+void order_router::sendStart(const scheduler::start_order& aOrder,
+                             order_sender::outcome_callback aDone)
+{
+  const auto done = [aDone](scheduler::order_outcome aOutcome, const scheduler::target_report&) {
+    aDone(aOutcome);
+  };
+  if (!relayed(aOrder.mTarget, aOrder, platform::kOrderTimeout, done)) {
+    mDirect.sendStart(aOrder, std::move(aDone));
+  }
+}
+
+void order_router::sendStop(const scheduler::stop_order& aOrder,
+                            order_sender::outcome_callback aDone)
+{
+  const auto done = [aDone](scheduler::order_outcome aOutcome, const scheduler::target_report&) {
+    aDone(aOutcome);
+  };
+  if (!relayed(aOrder.mTarget, aOrder, platform::kOrderTimeout, done)) {
+    mDirect.sendStop(aOrder, std::move(aDone));
+  }
+}
+
+void order_router::sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow)
+{
+  std::erase_if(aQueue.mOrders,
+                [this](const numbered_order& aOne) { return !mOpen.contains(aOne.mNumber); });
+  if (aQueue.mOrders.empty()) {
+    return;
+  }
+  const auto count = std::min(aQueue.mOrders.size(), kMaxOrdersPerBatch);
+  const auto last = aQueue.mOrders.begin() + static_cast<std::ptrdiff_t>(count);
+  order_batch batch{
+    .mEpoch = mEpoch,
+    .mOwner = mOwnAddress,
+    .mSentAt = std::chrono::duration_cast<std::chrono::milliseconds>(aNow.time_since_epoch()),
+    .mOrders = { std::make_move_iterator(aQueue.mOrders.begin()), std::make_move_iterator(last) }
+  };
+  aQueue.mOrders.erase(aQueue.mOrders.begin(), last);
+  aQueue.mLastSent = aNow;
+  ++aQueue.mOpenCalls;
+  mLoop.send({ .mMethod = "POST",
+               .mAddress = aRelay,
+               .mPath = std::string(kPeerOrdersPath),
+               .mBody = encode(batch),
+               .mContentType = "application/octet-stream",
+               .mTimeout = kBatchTimeout,
+               .mDone = [this, aRelay, epoch = mEpoch,
+                         alive = std::weak_ptr(mAlive)](edges::loop_reply&& aReply) {
+                 if (alive.expired() || epoch != mEpoch) {
+                   return;
+                 }
+                 if (const auto found = mQueues.find(aRelay);
+                     found != mQueues.end() && found->second.mOpenCalls > 0) {
+                   --found->second.mOpenCalls;
+                 }
+                 if (aReply.mStatus == kSupersededStatus) {
+                   mSuperseded = true;
+                 }
+                 if (!aReply.ok()) {
+                   onRelayLost(aRelay, aReply.mStatus ? fmt::format("status {}", *aReply.mStatus)
+                                                      : aReply.mError);
+                 }
+               } });
+}
+
+void order_router::onRelayLost(const std::string& aRelay, const std::string& aError)
+{
+  const auto now = mClock.now();
+  mRelays.exclude(aRelay, now);
+  mQueues.erase(aRelay);
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, order] : mOpen) {
+    if (order.mRelay == aRelay) {
+      lost.push_back(number);
+    }
+  }
+  mLog.write("relay_lost",
+             fmt::format("relay={} error=\"{}\" orders={}", aRelay, aError, lost.size()));
+  for (const auto number : lost) {
+    finish(number, scheduler::order_outcome::unanswered, {});
+  }
+}
+
+void order_router::finish(std::uint64_t aNumber, scheduler::order_outcome aOutcome,
+                          const scheduler::target_report& aReport)
+{
+  const auto found = mOpen.find(aNumber);
+  if (found == mOpen.end()) {
+    return; // A repeated result, or one that came after the order's time.
+  }
+  const auto done = std::move(found->second.mDone);
+  mOpen.erase(found);
+  done(aOutcome, aReport);
+}
+
+void order_router::onResults(const order_results& aResults)
+{
+  if (aResults.mEpoch != mEpoch) {
+    return;
+  }
+  for (const auto& result : aResults.mResults) {
+    finish(result.mNumber, result.mOutcome, result.mReport.value_or(scheduler::target_report{}));
+  }
+}
+
+void order_router::tick(time_point aNow, bool aMayAct)
+{
+  while (!mExpiries.empty() && mExpiries.begin()->first <= aNow) {
+    const auto number = mExpiries.begin()->second;
+    mExpiries.erase(mExpiries.begin());
+    finish(number, scheduler::order_outcome::unanswered, {});
+  }
+  if (!aMayAct) {
+    return;
+  }
+  for (auto& [relay, queue] : mQueues) {
+    while (
+      !queue.mOrders.empty() && queue.mOpenCalls < kMaxOpenBatches &&
+      (aNow - queue.mLastSent >= kBatchInterval || queue.mOrders.size() >= kMaxOrdersPerBatch)) {
+      sendBatch(relay, queue, aNow);
+    }
+  }
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/order_router.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "endiveusher/edges/http_loop.h"
+#include "endiveusher/kernel/time.h"
+#include "event_log.h"
+#include "order_batch.h"
+#include "order_sender.h"
+#include "relay_set.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endiveusher::node {
+
+/// Sends the owner's orders to targets: directly in a small cell, and through relays in a large
+/// one. A relay is a follower that makes the calls to a part of the targets; it decides nothing.
+///
+/// Load pattern: hundreds of targets with thousands of starts, ends and heartbeats a second. The
+/// calls alone take more than the owner's processor; a batch of orders to a relay costs the owner
+/// about as much as one call.
+///
+/// An order that is not answered through its relay in time counts as unanswered, so it may have
+/// been or may still be carried out; the owner's rules for unanswered orders apply.
+class order_router
+{
+public:
+  order_router(edges::http_loop& aLoop, const clock& aClock, order_sender& aDirect, event_log& aLog,
+               relay_candidate aSelf);
+
+  /// Begins an epoch of this daemon's ownership; orders of former epochs are forgotten.
+  void begin(std::uint64_t aEpoch);
+  /// Sets the number of targets and the followers that may be relays.
+  void setCell(std::size_t aTargets, std::vector<relay_candidate> aCandidates, time_point aNow);
+
+  void sendHeartbeat(const scheduler::heartbeat_order& aOrder, order_sender::report_callback aDone);
+  void sendStart(const scheduler::start_order& aOrder, order_sender::outcome_callback aDone);
+  void sendStop(const scheduler::stop_order& aOrder, order_sender::outcome_callback aDone);
+
+  void onResults(const order_results& aResults);
+  /// Ends orders whose time is over, and sends batches that are due unless aMayAct is false: this
+  /// daemon may no longer be the owner.
+  void tick(time_point aNow, bool aMayAct);
+  /// Whether a relay knows a higher epoch, so that this daemon is no longer the owner.
+  bool superseded() const { return mSuperseded; }
+  std::size_t openOrders() const { return mOpen.size(); }
+  std::size_t relays() const { return mRelays.size(); }
+
+private:
+  struct open_order
+  {
+    std::string mRelay;
+    time_point mExpiry;
+    order_sender::report_callback mDone;
+  };
+  struct queue
+  {
+    std::vector<numbered_order> mOrders;
+    time_point mLastSent{};
+    std::uint32_t mOpenCalls = 0;
+  };
+
+  /// Queues an order for the relay of its target; returns false if it is to be sent directly.
+  bool relayed(const std::string& aTarget, target_order aOrder, std::chrono::milliseconds aTimeout,
+               order_sender::report_callback aDone);
+  void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
+  void onRelayLost(const std::string& aRelay, const std::string& aError);
+  void finish(std::uint64_t aNumber, scheduler::order_outcome aOutcome,
+              const scheduler::target_report& aReport);
+
+  edges::http_loop& mLoop;
+  const clock& mClock;
+  order_sender& mDirect;
+  event_log& mLog;
+  const std::string mOwnAddress;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mLastNumber = 0;
+  bool mSuperseded = false;
+  relay_set mRelays;
+  std::map<std::string, queue> mQueues;
+  std::map<std::uint64_t, open_order> mOpen;
+  /// Open orders by the time at which they expire.
+  std::multimap<time_point, std::uint64_t> mExpiries;
+};
+
+} // namespace endiveusher::node
--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -1,6 +1,6 @@
 #include "owner_client.h"
 
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 namespace endiveusher::node {
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr auto kHelloInterval = std::chrono::milliseconds(250);
+/// Largest interval that an owner may request. A daemon that reaches no owner for this long is told
+/// of its successor by the owner topic.
+constexpr auto kMaxHelloInterval = std::chrono::milliseconds(2000);
 /// An idle owner replies within a few milliseconds, a busy one within some tens.
 constexpr std::chrono::milliseconds kHelloTimeout{ 300 };
 /// Covers two unanswered hellos.
@@ -20,11 +23,31 @@
 
 } // namespace
 
-owner_client::owner_client(edges::http_loop& aLoop, const clock& aClock, std::string aOwnAddress)
-  : mLoop(aLoop), mClock(aClock), mOwnAddress(std::move(aOwnAddress))
+owner_client::owner_client(edges::http_loop& aLoop, const clock& aClock, hello aHello)
+  : mLoop(aLoop), mClock(aClock), mHello(std::move(aHello)), mLastInterval(kHelloInterval)
 {
 }
 
+std::chrono::milliseconds owner_client::interval() const
+{
+  return mHello.mStandby || mStoreLost
+           ? kHelloInterval
+           : std::clamp(mRequestedInterval, kHelloInterval, kMaxHelloInterval);
+}
+
+std::chrono::milliseconds owner_client::extraInterval() const
+{
+  return mLastInterval - kHelloInterval;
+}
+
+void owner_client::setStoreLost(bool aLost)
+{
+  if (aLost && !mStoreLost) {
+    mNextHello = time_point{};
+  }
+  mStoreLost = aLost;
+}
+
 void owner_client::setOwner(const std::optional<std::string>& aAddress)
 {
   if (aAddress == mOwner) {
@@ -46,8 +69,8 @@
     return;
   }
   mHelloInFlight = true;
-  mNextHello = aNow + kHelloInterval;
-  auto hello = encodeHello(*mOwner, mOffersAdvice ? mOwnAddress : std::string());
+  mNextHello = aNow + interval();
+  auto hello = encodeHello(*mOwner, mHello);
   hello.mTimeout = kHelloTimeout;
   hello.mDone = [this, generation = mGeneration](edges::loop_reply&& aReply) {
     if (generation == mGeneration) {
@@ -60,27 +83,34 @@
 void owner_client::onHelloReply(const edges::loop_reply& aReply)
 {
   mHelloInFlight = false;
+  mLastInterval = interval();
   if (!aReply.mStatus) {
     mConnectionRefused = aReply.mRefused;
+    mNextHello = std::min<time_point>(mNextHello, mClock.now() + kHelloInterval);
     return;
   }
   mConnectionRefused = false;
   mLastReply = mClock.now();
-  std::int64_t age = 0;
-  const auto& body = aReply.mBody;
-  if (std::from_chars(body.data(), body.data() + body.size(), age).ec == std::errc()) {
-    mOwnerStoreAge = std::chrono::milliseconds(age);
+  // Without a readable reply the owner is reachable, and nothing else is known of it.
+  if (auto reply = decodeHelloReply(aReply.mBody); reply.ok()) {
+    mOwnerStoreAge = reply->mStoreAge;
+    mRequestedInterval = reply->mInterval;
+    mLastInterval = interval();
+    if (mListener) {
+      mListener(*mOwner, *reply, mLastReply);
+    }
+    mCapacity = std::move(reply->mCapacity);
   }
 }
 
 bool owner_client::reachable(time_point aNow) const
 {
-  return mOwner && !mConnectionRefused && aNow - mLastReply < kReachableTimeout;
+  return mOwner && !mConnectionRefused && aNow - mLastReply < kReachableTimeout + extraInterval();
 }
 
 bool owner_client::unresponsive(time_point aNow) const
 {
-  return mOwner && aNow - std::max(mLastReply, mOwnerSince) > kOwnerTimeout;
+  return mOwner && aNow - std::max(mLastReply, mOwnerSince) > kOwnerTimeout + extraInterval();
 }
 
 bool owner_client::ownerPartitioned(std::chrono::milliseconds aStoreLatency) const
--- a/node/src/owner_client.h
+++ b/node/src/owner_client.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace endiveusher::node {
 
@@ -24,14 +25,21 @@
 class owner_client
 {
 public:
-  owner_client(edges::http_loop& aLoop, const clock& aClock, std::string aOwnAddress);
+  owner_client(edges::http_loop& aLoop, const clock& aClock, hello aHello);
 
   /// Sets the owner's address; absent if no owner is known or this daemon is the owner.
   void setOwner(const std::optional<std::string>& aAddress);
   /// Ends the offer to make calls for advice on the owner's behalf.
-  void endAdviceOffer() { mOffersAdvice = false; }
+  void endAdviceOffer() { mHello.mAddress.clear(); }
   /// Sends the next hello if it is due.
   void tick(time_point aNow);
+  /// Sets whether this daemon is a standby. A standby sends hellos at the shortest interval,
+  /// because it is the one that has to notice the loss of the owner; other daemons send them at the
+  /// interval that the owner requests.
+  void setStandby(bool aStandby) { mHello.mStandby = aStandby; }
+  /// Sets whether the store does not answer this daemon. Only the owner then connects it to the
+  /// cell, so hellos are sent at the shortest interval.
+  void setStoreLost(bool aLost);
 
   /// Whether the owner has answered recently enough for records to be forwarded to it.
   bool reachable(time_point aNow) const;
@@ -43,6 +51,13 @@
   /// latency that this daemon sees, shows that the store is not slow for all.
   bool ownerPartitioned(std::chrono::milliseconds aStoreLatency) const;
 
+  /// Sets a function that is called with each readable reply of the owner to a hello.
+  using reply_listener =
+    std::function<void(const std::string& aOwner, const hello_reply& aReply, time_point aReceived)>;
+  void setListener(reply_listener aListener) { mListener = std::move(aListener); }
+  /// Largest sizes of the targets, as last reported by an owner; empty while they are unknown.
+  const cell_capacity& capacity() const { return mCapacity; }
+
   /// Incremented with each change of the owner.
   std::uint64_t generation() const { return mGeneration; }
   /// Calls the owner. Precondition: reachable().
@@ -51,16 +66,25 @@
 
 private:
   void onHelloReply(const edges::loop_reply& aReply);
+  std::chrono::milliseconds interval() const;
+  /// Time added to all timeouts, which are stated for the shortest interval.
+  std::chrono::milliseconds extraInterval() const;
 
   edges::http_loop& mLoop;
   const clock& mClock;
-  const std::string mOwnAddress;
+  hello mHello;
+  bool mStoreLost = false;
+  std::chrono::milliseconds mRequestedInterval{ 0 };
+  /// Interval that was in force at the end of the last hello, so that the loss of the store does
+  /// not make the last reply too old before the next one is due.
+  std::chrono::milliseconds mLastInterval;
+  cell_capacity mCapacity;
+  reply_listener mListener;
   std::optional<std::string> mOwner;
   time_point mOwnerSince{};
   time_point mLastReply{};
   time_point mNextHello{};
   bool mHelloInFlight = false;
-  bool mOffersAdvice = true;
   bool mConnectionRefused = false;
   std::uint64_t mGeneration = 0;
   /// Time since the store last answered the owner, from the owner's last reply to a hello.
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission.h"
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/kernel/msgpack.h"
 #include "endiveusher/scheduler/owner_port.h"
@@ -7,6 +8,8 @@
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,23 +23,117 @@
 /// Forwards callers' records to the owner, which stores them. The reply has one letter for each
 /// record, see forward_result.
 inline constexpr std::string_view kPeerStorePath = "/peer/store";
-/// Returns the state of a job as the owner knows it.
+/// Returns the state of a job as the owner knows it; 404 if there is no such job, and 503 if the
+/// daemon cannot tell.
 inline constexpr std::string_view kPeerStatusPath = "/peer/status";
+/// Passes orders to a relay, see order_batch. The reply is 200 before the orders are carried out;
+/// with any other status they never are.
+inline constexpr std::string_view kPeerOrdersPath = "/peer/orders";
+/// Status with which a relay refuses orders because it knows a higher epoch.
+inline constexpr int kSupersededStatus = 409;
+/// Passes the results of orders to the owner, see order_results.
+inline constexpr std::string_view kPeerResultsPath = "/peer/order-results";
+/// Returns the number of waiting jobs of the route that the body names.
+inline constexpr std::string_view kPeerWaitingPath = "/peer/waiting";
 inline constexpr std::string_view kMetricsPath = "/metrics";
 inline constexpr std::string_view kStatePath = "/state";
 
-/// Encodes a follower's heartbeat, which offers the owner to make calls for advice at
-/// aAdviceAddress, unless that is empty. The reply is the time since the store last answered the
-/// owner, in milliseconds.
-inline edges::loop_call encodeHello(const std::string& aOwner, const std::string& aAdviceAddress)
+/// A follower's heartbeat to the owner.
+struct hello
+{
+  /// Address at which the follower makes calls on the owner's behalf; empty if it makes none.
+  std::string mAddress;
+  /// Cores of the follower's VM that it may use.
+  double mCores = 0;
+  /// Whether the follower follows the journal.
+  bool mStandby = false;
+  bool operator==(const hello&) const = default;
+};
+
+/// Encodes a heartbeat; the reply is a hello_reply.
+inline edges::loop_call encodeHello(const std::string& aOwner, const hello& aHello)
 {
   return { .mMethod = "POST",
            .mAddress = aOwner,
            .mPath = std::string(kPeerHelloPath),
-           .mBody = aAdviceAddress,
+           .mBody =
+             nlohmann::json::array({ aHello.mAddress, aHello.mCores, aHello.mStandby }).dump(),
            .mTimeout = std::chrono::milliseconds(500) };
 }
 
+inline absl::StatusOr<hello> decodeHello(std::string_view aBody)
+{
+  try {
+    const auto value = nlohmann::json::parse(aBody);
+    return hello{ .mAddress = value.at(0), .mCores = value.at(1), .mStandby = value.at(2) };
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(std::string("hello: ") + error.what());
+  }
+}
+
+/// The owner's reply to a follower's heartbeat.
+struct hello_reply
+{
+  /// Reading of the owner's clock.
+  std::chrono::milliseconds mOwnerTime{ 0 };
+  /// Time since the store last answered the owner.
+  std::chrono::milliseconds mStoreAge{ 0 };
+  /// Interval of heartbeats that the owner requests from daemons that are no standby.
+  std::chrono::milliseconds mInterval{ 0 };
+  /// Whether the follower should follow the journal, to become owner at once if this one is lost;
+  /// absent while the owner has not decided.
+  std::optional<bool> mStandby;
+  /// Whether the follower should write the snapshots.
+  bool mWritesSnapshots = false;
+  /// Largest sizes of the targets, against which followers check jobs.
+  cell_capacity mCapacity;
+  bool operator==(const hello_reply&) const = default;
+};
+
+inline std::string encodeHelloReply(const hello_reply& aReply)
+{
+  auto pools = nlohmann::json::object();
+  for (const auto& [pool, sizes] : aReply.mCapacity.mPools) {
+    auto& rows = pools[pool] = nlohmann::json::array();
+    for (const auto& size : sizes) {
+      rows.push_back({ size.mSlots, size.mCpuMilli, size.mMemoryMb, size.mAccelerators });
+    }
+  }
+  return nlohmann::json::array(
+           { aReply.mOwnerTime.count(), aReply.mStoreAge.count(), aReply.mInterval.count(),
+             aReply.mStandby ? nlohmann::json(*aReply.mStandby) : nlohmann::json(),
+             aReply.mWritesSnapshots, pools })
+    .dump();
+}
+
+inline absl::StatusOr<hello_reply> decodeHelloReply(std::string_view aBody)
+{
+  try {
+    const auto value = nlohmann::json::parse(aBody);
+    hello_reply reply{
+      .mOwnerTime = std::chrono::milliseconds(value.at(0).get<std::int64_t>()),
+      .mStoreAge = std::chrono::milliseconds(value.at(1).get<std::int64_t>()),
+      .mInterval = std::chrono::milliseconds(value.at(2).get<std::int64_t>()),
+      .mWritesSnapshots = value.at(4),
+    };
+    if (!value.at(3).is_null()) {
+      reply.mStandby = value.at(3).get<bool>();
+    }
+    for (const auto& [pool, rows] : value.at(5).items()) {
+      auto& sizes = reply.mCapacity.mPools[pool];
+      for (const auto& row : rows) {
+        sizes.push_back({ .mSlots = row.at(0),
+                          .mCpuMilli = row.at(1),
+                          .mMemoryMb = row.at(2),
+                          .mAccelerators = row.at(3) });
+      }
+    }
+    return reply;
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(std::string("hello reply: ") + error.what());
+  }
+}
+
 /// Result of forwarding a record to the owner, as sent in the reply.
 enum class forward_result : char
 {
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -62,10 +62,12 @@
   return true;
 }
 
-void request_handler::rejectUnknownJob(const reply& aReply, std::string_view aSubject)
+void request_handler::rejectUnknownJob(const reply& aReply, std::string_view aSubject, bool aDenied)
 {
   const bool current =
-    mCellStatus.mCaughtUp && mClock.now() - mCellStatus.mJournalAsOf <= mOptions.mMaxDenialAge;
+    mCellStatus.mKnowsJobs
+      ? mCellStatus.mCaughtUp && mClock.now() - mCellStatus.mJournalAsOf <= mOptions.mMaxDenialAge
+      : aDenied;
   reject(aReply, current ? 410 : 503, kRetryAfterTransient, aSubject, "no such job");
 }
 
@@ -93,7 +95,7 @@
   using verb = platform::caller_request::verb;
   const auto now = mClock.now();
   const auto subject = fmt::format("path={}", aCall.mPath);
-  if (!mCellStatus.mConfig || !mCellStatus.mCaughtUp) {
+  if (!mCellStatus.mConfig || (mCellStatus.mKnowsJobs && !mCellStatus.mCaughtUp)) {
     reject(aReply, 503, kRetryAfterTransient, subject, "not ready");
     return;
   }
@@ -123,8 +125,7 @@
   }
   const auto rest = std::string_view(aCall.mPath).substr(route->mPathPrefix.size());
   if (rest.empty() && aCall.mVerb == verb::status) {
-    ++mCounters.mStatus;
-    aReply({ .mBody = platform::encodeWaiting(mJobTable.waitingJobs(route->mName)) });
+    waiting(route->mName, aReply);
     return;
   }
   const auto id = scheduler::parseJobId(rest);
@@ -231,12 +232,11 @@
   ++mCounters.mStatus;
   const auto* found = mJobTable.find(aId);
   const bool ended = found != nullptr && found->mPhase != scheduler::job_phase::active;
-  if (!ended &&
-      mQueryOwner(aId, aTeam, [this, aId, aTeam, aReply](std::optional<std::string> aState) {
-        if (aState) {
-          aReply({ .mBody = *std::move(aState) });
+  if (!ended && mQueryOwner(aId, aTeam, [this, aId, aTeam, aReply](owner_answer&& aAnswer) {
+        if (aAnswer.mBody) {
+          aReply({ .mBody = *std::move(aAnswer.mBody) });
         } else {
-          replyWithState(aId, aTeam, aReply);
+          replyWithState(aId, aTeam, aReply, aAnswer.mUnknownJob);
         }
       })) {
     return;
@@ -245,12 +245,35 @@
 }
 
 void request_handler::replyWithState(scheduler::job_id aId, const std::string& aTeam,
-                                     const reply& aReply)
+                                     const reply& aReply, bool aDenied)
 {
   if (const auto* found = findVisible(aId, aTeam)) {
     aReply({ .mBody = platform::encodeJobState(*found, mIsEndStored(aId)) });
   } else {
-    rejectUnknownJob(aReply, fmt::format("job={}", toText(aId)));
+    rejectUnknownJob(aReply, fmt::format("job={}", toText(aId)), aDenied);
+  }
+}
+
+void request_handler::waiting(const std::string& aRoute, const reply& aReply)
+{
+  ++mCounters.mStatus;
+  if (mCellStatus.mKnowsJobs) {
+    aReply({ .mBody = platform::encodeWaiting(mJobTable.waitingJobs(aRoute)) });
+    return;
+  }
+  const auto unknown = [this, aRoute, aReply] {
+    reject(aReply, 503, kRetryAfterTransient, fmt::format("route={}", aRoute),
+           "the owner does not answer");
+  };
+  const bool queried = mQueryWaiting(aRoute, [aReply, unknown](owner_answer&& aAnswer) {
+    if (aAnswer.mBody) {
+      aReply({ .mBody = *std::move(aAnswer.mBody) });
+    } else {
+      unknown();
+    }
+  });
+  if (!queried) {
+    unknown();
   }
 }
 
@@ -277,20 +300,19 @@
 void request_handler::cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
                                     const std::string& aTeam, const reply& aReply)
 {
-  const auto rejectUnknown = [this, aId, aReply] {
-    rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
+  const auto rejectUnknown = [this, aId, aReply](bool aDenied) {
+    rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)), aDenied);
   };
-  const bool queried = mQueryOwner(
-    aId, aTeam,
-    [this, aCall, aId, aReply, rejectUnknown](const std::optional<std::string>& aState) {
-      if (aState) {
+  const bool queried =
+    mQueryOwner(aId, aTeam, [this, aCall, aId, aReply, rejectUnknown](const owner_answer& aAnswer) {
+      if (aAnswer.mBody) {
         storeCancellation(aCall, aId, aReply);
       } else {
-        rejectUnknown();
+        rejectUnknown(aAnswer.mUnknownJob);
       }
     });
   if (!queried) {
-    rejectUnknown();
+    rejectUnknown(false);
   }
 }
 
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -35,6 +35,15 @@
   auto operator<=>(const caller_record&) const = default;
 };
 
+/// The owner's answer to a query of a caller.
+struct owner_answer
+{
+  /// Body of the answer to the caller; absent if there is none.
+  std::optional<std::string> mBody;
+  /// Whether the owner has stated that there is no such job.
+  bool mUnknownJob = false;
+};
+
 /// State of the cell, besides the jobs, that requests are checked against.
 struct cell_status
 {
@@ -43,7 +52,9 @@
   time_point mConfigAsOf{};
   /// All journal records acknowledged before this time are known.
   time_point mJournalAsOf{};
-  /// Whether the journal has been read to its end at least once.
+  /// Whether this daemon follows the journal; otherwise only the owner knows the jobs.
+  bool mKnowsJobs = true;
+  /// Whether the journal has been read to its end at least once, by a daemon that follows it.
   bool mCaughtUp = false;
   /// Whether the store does not answer this daemon.
   bool mStoreLost = false;
@@ -89,8 +100,13 @@
   /// Queries the owner for the state of a job; returns false if the owner cannot be reached.
   using query_owner_callback =
     std::function<bool(scheduler::job_id aId, const std::string& aTeam,
-                       std::function<void(std::optional<std::string> aState)> aDone)>;
+                       std::function<void(owner_answer&& aAnswer)> aDone)>;
   void setQueryOwner(query_owner_callback aQuery) { mQueryOwner = std::move(aQuery); }
+  /// Queries the owner for the number of waiting jobs of a route; returns false if the owner cannot
+  /// be reached.
+  using query_waiting_callback = std::function<bool(
+    const std::string& aRoute, std::function<void(owner_answer&& aAnswer)> aDone)>;
+  void setQueryWaiting(query_waiting_callback aQuery) { mQueryWaiting = std::move(aQuery); }
   /// Sets the check whether the journal holds a record that the job table includes. On the owner
   /// the table is ahead of the journal, and a caller may repeat there a record that another daemon
   /// has forwarded.
@@ -129,7 +145,8 @@
   void submit(const platform::caller_request& aCall, scheduler::job_id aId, std::string_view aBody,
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
-  void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
+  void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
+                      bool aDenied = false);
   /// Answers the callers for which aChosen returns true that the outcome is not known.
   void answerIf(const std::function<bool(const caller& aCaller)>& aChosen);
   void replyUnknownOutcome(const caller& aCaller, std::string_view aSubject, time_point aSince);
@@ -150,7 +167,10 @@
   /// Adds the caller to those waiting for the record; returns false if the record is not pending.
   bool joinPending(const platform::caller_request& aCall, caller_record aKey, const reply& aReply);
   caller makeCaller(const platform::caller_request& aCall, reply aReply) const;
-  void rejectUnknownJob(const reply& aReply, std::string_view aSubject);
+  /// Rejects a request for a job that this daemon does not know; aDenied tells whether the owner
+  /// has stated that there is none.
+  void rejectUnknownJob(const reply& aReply, std::string_view aSubject, bool aDenied = false);
+  void waiting(const std::string& aRoute, const reply& aReply);
   void reject(const reply& aReply, int aStatus, std::chrono::seconds aRetryAfter,
               std::string_view aSubject, std::string_view aReason);
   std::int64_t ageMs(time_point aThen) const;
@@ -164,6 +184,7 @@
   std::function<bool(scheduler::job_id)> mIsEndStored;
   std::function<bool(const caller_record&)> mIsStored;
   query_owner_callback mQueryOwner;
+  query_waiting_callback mQueryWaiting;
   cell_status mCellStatus;
   cell_capacity mCapacity;
   request_counters mCounters;
--- a/node/src/snapshots.cpp
+++ b/node/src/snapshots.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
+#include <ranges>
 #include <utility>
 
 namespace endiveusher::node {
@@ -13,59 +15,115 @@
 using nlohmann::json;
 
 /// First element of a header; distinct from the kinds of journal records, which are small numbers.
-constexpr int kHeaderKind = 100;
+/// Headers of the first kind precede a whole snapshot, and have only the first two fields.
+constexpr int kWholeKind = 100;
+constexpr int kPartKind = 101;
+constexpr std::size_t kWholeHeaderFields = 3;
+constexpr std::size_t kPartHeaderFields = 6;
 constexpr auto kRetryPause = std::chrono::milliseconds(100);
+/// Size of a part from which on its records go into the next one; the store takes 2 MB.
+constexpr std::size_t kMaxPartBytes = std::size_t{ 512 } << 10U;
 
 struct header
 {
   std::uint64_t mBase = 0;
+  /// Number of records that follow in this part.
   std::size_t mCount = 0;
+  std::size_t mPart = 0;
+  std::size_t mParts = 1;
+  std::uint64_t mWriter = 0;
 };
 
+std::string encode(const header& aHeader)
+{
+  std::string bytes;
+  json::to_msgpack(json::array({ kPartKind, aHeader.mBase, aHeader.mCount, aHeader.mPart,
+                                 aHeader.mParts, aHeader.mWriter }),
+                   bytes);
+  return bytes;
+}
+
 std::optional<header> decodeHeader(const std::string& aBytes)
 {
   try {
     const auto value = parseMsgpack(aBytes);
-    if (!value.is_array() || value.size() != 3 || value[0] != kHeaderKind) {
-      return std::nullopt;
+    if (value.is_array() && value.size() == kWholeHeaderFields && value[0] == kWholeKind) {
+      return header{ .mBase = value[1], .mCount = value[2] };
+    }
+    if (value.is_array() && value.size() == kPartHeaderFields && value[0] == kPartKind) {
+      return header{ .mBase = value[1],
+                     .mCount = value[2],
+                     .mPart = value[3],
+                     .mParts = value[4],
+                     .mWriter = value[5] };
     }
-    return header{ .mBase = value[1], .mCount = value[2] };
   } catch (const std::exception& /*aError*/) {
-    return std::nullopt; // Not a header, as are most of the topic's records.
+    // Not a header, as are most of the topic's records.
   }
+  return std::nullopt;
 }
 
+/// Parts of one snapshot that were found, as positions of their headers by part.
+using found_parts = std::map<std::size_t, std::size_t>;
+
 } // namespace
 
-std::vector<std::string> encodeSnapshot(const snapshot& aSnapshot)
+std::vector<std::vector<std::string>> encodeSnapshot(const snapshot& aSnapshot,
+                                                     std::uint64_t aWriter)
 {
-  std::vector<std::string> records(1);
-  json::to_msgpack(json::array({ kHeaderKind, aSnapshot.mBase, aSnapshot.mRecords.size() }),
-                   records.front());
-  records.reserve(aSnapshot.mRecords.size() + 1);
-  for (const auto& record : aSnapshot.mRecords) {
-    records.push_back(encode(record));
+  std::vector<std::vector<std::string>> parts(1);
+  std::size_t bytes = 0;
+  for (const auto& one : aSnapshot.mRecords) {
+    auto record = scheduler::encode(one);
+    if (bytes > kMaxPartBytes) {
+      parts.emplace_back();
+      bytes = 0;
+    }
+    bytes += record.size();
+    parts.back().push_back(std::move(record));
+  }
+  for (std::size_t part = 0; part < parts.size(); ++part) {
+    parts[part].insert(parts[part].begin(), encode(header{ .mBase = aSnapshot.mBase,
+                                                           .mCount = parts[part].size(),
+                                                           .mPart = part,
+                                                           .mParts = parts.size(),
+                                                           .mWriter = aWriter }));
   }
-  return records;
+  return parts;
 }
 
 std::optional<snapshot> lastSnapshot(const std::vector<std::string>& aRecords)
 {
-  // Searches from the end, because only the last complete snapshot counts.
-  for (std::size_t at = aRecords.size(); at-- > 0;) {
-    const auto found = decodeHeader(aRecords[at]);
-    if (!found || aRecords.size() - at - 1 < found->mCount) {
+  // By base and writer; a writer appends the parts of a snapshot in order.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, found_parts> found;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::size_t> parts;
+  for (std::size_t at = 0; at < aRecords.size(); ++at) {
+    const auto one = decodeHeader(aRecords[at]);
+    if (!one || aRecords.size() - at - 1 < one->mCount) {
+      continue;
+    }
+    const std::pair key(one->mBase, one->mWriter);
+    found[key][one->mPart] = at;
+    parts[key] = one->mParts;
+    at += one->mCount;
+  }
+  for (const auto& [key, positions] : std::views::reverse(found)) {
+    if (positions.size() != parts.at(key)) {
       continue;
     }
-    snapshot result{ .mBase = found->mBase };
-    for (std::size_t next = at + 1; next <= at + found->mCount; ++next) {
-      auto record = scheduler::decodeRecord(aRecords[next]);
-      if (!record.ok()) {
-        break;
+    snapshot result{ .mBase = key.first };
+    bool readable = true;
+    for (const auto& [part, at] : positions) {
+      const auto count = decodeHeader(aRecords[at])->mCount;
+      for (std::size_t next = at + 1; next <= at + count && readable; ++next) {
+        auto record = scheduler::decodeRecord(aRecords[next]);
+        readable = record.ok();
+        if (readable) {
+          result.mRecords.push_back(*std::move(record));
+        }
       }
-      result.mRecords.push_back(*std::move(record));
     }
-    if (result.mRecords.size() == found->mCount) {
+    if (readable) {
       return result;
     }
   }
--- a/node/src/snapshots.h
+++ b/node/src/snapshots.h
@@ -23,7 +23,7 @@
   std::vector<scheduler::journal_record> mRecords;
 };
 
-/// Decides when the owner writes a snapshot.
+/// Decides when a daemon writes a snapshot.
 ///
 /// Load pattern: all daemons of a busy cell lose power. The next owner reads the journal from the
 /// last snapshot on before it starts any task; 30,000 records take it over half a second.
@@ -47,7 +47,7 @@
   /// Number of new records that is worth a snapshot: the next owner reads fewer in a fraction of
   /// the time that it takes to detect the loss of the owner.
   static constexpr std::uint64_t kMinRecords = 2000;
-  /// Minimum time between snapshots, because encoding all jobs delays the owner's decisions.
+  /// Minimum time between snapshots, because encoding all jobs takes a small VM a second.
   static constexpr std::chrono::seconds kMinInterval{ 8 };
   /// Snapshots per retention period, so that the next one is written before the store deletes the
   /// last one.
@@ -57,10 +57,14 @@
   time_point mLast;
 };
 
-/// Returns the records of the snapshot topic: a header with the base and the number of records,
-/// then the records.
-std::vector<std::string> encodeSnapshot(const snapshot& aSnapshot);
-/// Returns the last complete snapshot among the records; absent if there is none.
+/// Returns the parts of a snapshot, each of which is to be appended to the snapshot topic at once:
+/// a header, then records. aWriter tells the parts of different writers apart.
+///
+/// Load pattern: a busy cell has thousands of unfinished and recently ended jobs, more than the
+/// store takes in one append.
+std::vector<std::vector<std::string>> encodeSnapshot(const snapshot& aSnapshot,
+                                                     std::uint64_t aWriter);
+/// Returns the complete snapshot with the highest base among the records; absent if there is none.
 std::optional<snapshot> lastSnapshot(const std::vector<std::string>& aRecords);
 
 /// Reads the snapshot topic from its oldest record to its end.
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -26,6 +26,9 @@
 constexpr auto kMaxReplyDelay = std::chrono::milliseconds(50);
 /// Pause of a step between two advice calls.
 constexpr auto kAdvicePause = std::chrono::milliseconds(50);
+/// Pause of a step that has found no target to query. Load pattern: hundreds of steps wait for
+/// capacity in a cell of a thousand targets, and each visits all of them.
+constexpr auto kFutileQueryPause = std::chrono::milliseconds(40);
 /// A gang queries targets with capacity for this many times its tasks, because others may use some
 /// of it during the call.
 constexpr double kGangSpareFactor = 1.25;
@@ -45,11 +48,12 @@
 std::uint32_t owner::impl::ticketSlots(const waiting_step& aStep, time_point aNow) const
 {
   std::uint32_t slots = 0;
-  for (const auto& [id, target] : mTargets) {
-    if (aStep.mAdvice.validTicket(target.mNumber, aNow) != nullptr && usable(target, aNow)) {
-      slots += maxTasksIn(aStep.mNeeds, target.freeCapacity());
+  aStep.mAdvice.forEachValidTicket(aNow, [&](internal::target_number aNumber) {
+    const auto* target = mTargetsByNumber[aNumber];
+    if (target != nullptr && usable(*target, aNow)) {
+      slots += maxTasksIn(aStep.mNeeds, target->freeCapacity());
     }
-  }
+  });
   return slots;
 }
 
@@ -186,6 +190,10 @@
   }
   const auto queried = aStep.spec().mGang ? gangTargetsToQuery(aStep, aCandidates, aNow)
                                           : targetsToQuery(aStep, aCandidates, aNow);
+  if (queried.empty()) {
+    advice.mNextCall = aNow + kFutileQueryPause;
+    return;
+  }
   // Calls through several daemons run in parallel, so that their tickets arrive together.
   const auto calls = (queried.size() + kMaxQueriedTargets - 1) / kMaxQueriedTargets;
   for (std::size_t call = 0; call < calls; ++call) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -169,6 +169,8 @@
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
+  /// Returns the time by which all leases at the target have expired.
+  time_point leaseEnd(const target_state& aTarget) const;
   /// Returns the time until all leases at the target have expired and where that is known from, for
   /// the log.
   std::string describeLease(const target_state& aTarget, time_point aNow) const;
@@ -210,6 +212,12 @@
 
   // Placement.
   void plan(time_point aNow);
+  /// Returns the pause between two planning passes in addition to the usual interval.
+  duration planPause() const;
+  /// Returns the candidates on which the step may start now, in the order of the candidates.
+  std::vector<candidate_target*> startableCandidates(const waiting_step& aStep,
+                                                     std::vector<candidate_target>& aCandidates,
+                                                     time_point aNow) const;
   /// Whether the target can be given new tasks.
   bool usable(const target_state& aTarget, time_point aNow) const;
   /// Whether the target is in the route's pool and has the label that the step requires.
@@ -217,10 +225,6 @@
                          const step_spec& aStep);
   /// Whether the step may run on the target by its verdict, recent failures, pool and label.
   bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
-  /// Whether the target is allowed and, if the route needs tickets, there is one that stays valid
-  /// until the start order arrives.
-  bool allowedWithTicket(const waiting_step& aStep, const target_state& aTarget,
-                         time_point aNow) const;
   /// Returns the number of tasks of the step that fit now on the target; 0 if isolation rules it
   /// out.
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
@@ -297,6 +301,10 @@
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
   std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
+  /// Entries of mTargets by number; null for targets that are gone.
+  std::vector<target_state*> mTargetsByNumber;
+  /// Positions of the targets in the candidates of the current planning pass, by number.
+  std::vector<std::optional<std::uint32_t>> mCandidatePositions;
   std::map<step_key, waiting_step> mWaiting;
   std::map<std::string, resources> mTeamUsed;
   /// Jobs with occurrences that are not open yet.
--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -37,6 +37,12 @@
   return recorded ? std::min(*recorded, assumed) : assumed;
 }
 
+time_point owner::impl::leaseEnd(const target_state& aTarget) const
+{
+  const auto known = aTarget.leaseExpiry();
+  return known ? *known : formerLeaseExpiry(aTarget);
+}
+
 std::string owner::impl::describeLease(const target_state& aTarget, time_point aNow) const
 {
   const auto known = aTarget.leaseExpiry();
@@ -46,9 +52,8 @@
   } else if (mJobTable.leaseExpiryAt(aTarget.mEntry.mId)) {
     source = "journal";
   }
-  return fmt::format(
-    "lease_left_ms={} lease_known_from={}",
-    (known.value_or(formerLeaseExpiry(aTarget)) - aNow) / std::chrono::milliseconds(1), source);
+  return fmt::format("lease_left_ms={} lease_known_from={}",
+                     (leaseEnd(aTarget) - aNow) / std::chrono::milliseconds(1), source);
 }
 
 void owner::impl::logUnlistedTargets(time_point aNow)
@@ -73,7 +78,7 @@
   aTarget.mAcquired = false;
   aTarget.mAcquisitionStored = false;
   aTarget.mNextLeaseRecord = aNow + kLeaseRecordInterval;
-  const auto expiry = aTarget.leaseExpiry().value_or(formerLeaseExpiry(aTarget));
+  const auto expiry = leaseEnd(aTarget);
   const auto left =
     std::chrono::ceil<std::chrono::milliseconds>(std::max(expiry - aNow, duration{ 0 }));
   mPort.logDecision("renewals_stopped",
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -53,15 +53,6 @@
   return isSuitable(aTarget, aStep.mRoute, aStep.spec());
 }
 
-bool owner::impl::allowedWithTicket(const waiting_step& aStep, const target_state& aTarget,
-                                    time_point aNow) const
-{
-  return (!aStep.mRoute.mAdvice ||
-          (aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::good &&
-           aStep.mAdvice.validTicket(aTarget.mNumber, aNow + kTicketMargin) != nullptr)) &&
-         allowed(aStep, aTarget, aNow);
-}
-
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep,
                                    const candidate_target& aCandidate) const
 {
@@ -132,6 +123,10 @@
   // Best fit: small tasks go to the fullest targets, so that large gaps remain for gangs.
   std::ranges::sort(candidates, {},
                     [](const candidate_target& aOne) { return aOne.mFree.mCpuMilli; });
+  mCandidatePositions.assign(mTargetsByNumber.size(), std::nullopt);
+  for (std::uint32_t position = 0; position < candidates.size(); ++position) {
+    mCandidatePositions[candidates[position].mTarget->mNumber] = position;
+  }
   std::vector<std::pair<internal::step_rank, waiting_step*>> order;
   for (auto& [key, step] : mWaiting) {
     if (step.startable()) {
@@ -158,6 +153,30 @@
   }
 }
 
+/// Load pattern: hundreds of steps wait in a cell of a thousand targets, each with tickets for some
+/// tens of them. Only these are visited.
+std::vector<owner::impl::candidate_target*> owner::impl::startableCandidates(
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
+{
+  std::vector<candidate_target*> found;
+  const auto addIfAllowed = [&](candidate_target& aOne) {
+    if (allowed(aStep, *aOne.mTarget, aNow)) {
+      found.push_back(&aOne);
+    }
+  };
+  if (!aStep.mRoute.mAdvice) {
+    std::ranges::for_each(aCandidates, addIfAllowed);
+    return found;
+  }
+  aStep.mAdvice.forEachValidTicket(aNow + kTicketMargin, [&](internal::target_number aNumber) {
+    if (const auto position = mCandidatePositions[aNumber]) {
+      addIfAllowed(aCandidates[*position]);
+    }
+  });
+  std::ranges::sort(found);
+  return found;
+}
+
 void owner::impl::logWait(waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
                           time_point aNow)
 {
@@ -215,24 +234,22 @@
     return;
   }
   const bool ready = aStep.mNotBefore <= aNow;
-  const bool noTicket = aStep.mRoute.mAdvice && !aStep.mAdvice.mayHaveTicket(aNow + kTicketMargin);
   const auto& rack = aStep.spec().mDataRack;
   const bool anyRack = rack.empty() || aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
   std::vector<placement> placements;
   std::size_t next = 0;
   const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
-  for (auto& candidate : aCandidates) {
-    if (next == wanted || noTicket) {
+  for (auto* candidate : startableCandidates(aStep, aCandidates, aNow)) {
+    if (next == wanted) {
       break;
     }
-    if (!allowedWithTicket(aStep, *candidate.mTarget, aNow) ||
-        (!anyRack && candidate.mTarget->mEntry.mRack != rack)) {
+    if (!anyRack && candidate->mTarget->mEntry.mRack != rack) {
       continue;
     }
-    for (auto slots = slotsAt(aStep, candidate); ready && slots > 0 && next < wanted;
+    for (auto slots = slotsAt(aStep, *candidate); ready && slots > 0 && next < wanted;
          --slots, ++next) {
-      placements.push_back({ .mTaskIndex = aStep.mPending[next], .mCandidate = &candidate });
-      candidate.mFree -= aStep.mNeeds;
+      placements.push_back({ .mTaskIndex = aStep.mPending[next], .mCandidate = candidate });
+      candidate->mFree -= aStep.mNeeds;
     }
   }
   const bool missing = next < wanted;
@@ -252,17 +269,17 @@
     reserveTeamLimit(aStep, aNow);
     return;
   }
+  const auto startable = startableCandidates(aStep, aCandidates, aNow);
   const auto tryOn = [&](std::string_view aRack) {
     std::vector<placement> placements;
-    for (auto& candidate : aCandidates) {
-      if (!allowedWithTicket(aStep, *candidate.mTarget, aNow) ||
-          (!aRack.empty() && candidate.mTarget->mEntry.mRack != aRack)) {
+    for (auto* candidate : startable) {
+      if (!aRack.empty() && candidate->mTarget->mEntry.mRack != aRack) {
         continue;
       }
-      for (auto slots = slotsAt(aStep, candidate); slots > 0 && placements.size() < count;
+      for (auto slots = slotsAt(aStep, *candidate); slots > 0 && placements.size() < count;
            --slots) {
         placements.push_back(
-          { .mTaskIndex = aStep.mPending[placements.size()], .mCandidate = &candidate });
+          { .mTaskIndex = aStep.mPending[placements.size()], .mCandidate = candidate });
       }
       if (placements.size() == count) {
         return placements;
@@ -271,12 +288,11 @@
     return std::vector<placement>{};
   };
   std::vector<placement> placements;
-  const bool noTicket = aStep.mRoute.mAdvice && !aStep.mAdvice.mayHaveTicket(aNow + kTicketMargin);
-  if (aStep.mNotBefore <= aNow && !noTicket) {
+  if (aStep.mNotBefore <= aNow && !startable.empty()) {
     if (aStep.spec().mRackLocal) {
       std::set<std::string> racks;
-      for (const auto& candidate : aCandidates) {
-        racks.insert(candidate.mTarget->mEntry.mRack);
+      for (const auto* candidate : startable) {
+        racks.insert(candidate->mTarget->mEntry.mRack);
       }
       for (const auto& rack : racks) {
         if (placements.empty()) {
@@ -344,9 +360,10 @@
   const auto requested = [&aStep, aNow](const candidate_target* aOne) {
     return aStep.mAdvice.requested(aOne->mTarget->mNumber, aNow + kTicketMargin);
   };
-  std::ranges::sort(good, std::greater<>{}, [&requested](const candidate_target* aOne) {
-    return std::pair(requested(aOne), aOne->mFree.mCpuMilli);
-  });
+  const auto part = std::ranges::partition(good, requested);
+  const auto freeCpu = [](const candidate_target* aOne) { return aOne->mFree.mCpuMilli; };
+  std::ranges::sort(good.begin(), part.begin(), std::greater<>{}, freeCpu);
+  std::ranges::sort(part, std::greater<>{}, freeCpu);
   const auto most = aStep.spec().mMaxPerTarget > 0 ? aStep.spec().mMaxPerTarget
                                                    : std::numeric_limits<std::uint32_t>::max();
   auto left = static_cast<std::uint32_t>(aStep.mPending.size());
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -22,6 +22,8 @@
 /// Minimum time between two preemptions for one step. A wide gang needs tickets before it can use
 /// the freed capacity; until then other tasks take it, and it would be freed again and again.
 constexpr auto kPreemptInterval = std::chrono::milliseconds(1500);
+/// The same, if no run could be stopped for the step.
+constexpr auto kFutilePreemptionPause = std::chrono::milliseconds(60);
 /// Maximum number of targets at which a step preempts runs in one planning pass.
 constexpr std::size_t kMaxPreemptedTargets = 16;
 
@@ -142,9 +144,10 @@
     }
   }
   if (gang && missing > 0) {
+    aStep.mNextPreemption = aNow + kFutilePreemptionPause;
     return;
   }
-  aStep.mNextPreemption = stops.empty() ? aNow : aNow + kPreemptInterval;
+  aStep.mNextPreemption = aNow + (stops.empty() ? kFutilePreemptionPause : kPreemptInterval);
   for (const auto& stop : stops) {
     auto& target = *stop.mCandidate->mTarget;
     for (const auto& task : stop.mVictims) {
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -58,6 +58,8 @@
     at->second.mEntry.mVm = mJobTable.vmOf(aId);
     const auto next = static_cast<std::uint32_t>(mTargetNumbers.size());
     at->second.mNumber = mTargetNumbers.try_emplace(aId, next).first->second;
+    mTargetsByNumber.resize(mTargetNumbers.size());
+    mTargetsByNumber[at->second.mNumber] = &at->second;
   }
   return at->second;
 }
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -86,9 +86,21 @@
   {
     return mQueried.contains(aTarget) || validTicket(aTarget, aTime) != nullptr;
   }
-  /// Whether any ticket may be valid at aTime.
-  bool mayHaveTicket(time_point aTime) const { return mLatestExpiry > aTime; }
   std::size_t tickets() const { return mTickets.size(); }
+  /// Calls aVisit with the number of each target for which there is a ticket that is valid at
+  /// aTime.
+  template<typename Visitor>
+  void forEachValidTicket(time_point aTime, Visitor&& aVisit) const
+  {
+    if (mLatestExpiry <= aTime) {
+      return;
+    }
+    for (const auto& [number, ticket] : mTickets) {
+      if (ticket.mExpiry > aTime) {
+        aVisit(number);
+      }
+    }
+  }
 
 private:
   /// Indexed by target number.
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -44,6 +44,8 @@
   standins::store_model mModel;
   /// Number of next appends that are carried out without an answer.
   int mLoseAnswers = 0;
+  /// Number of reads, by topic.
+  std::map<std::string, int> mReads;
   /// Number of next calls that are answered with 503 without being carried out.
   int mRefuse = 0;
   edges::http_loop mLoop;
@@ -116,6 +118,7 @@
                                    std::to_string(answer.mEnd) + "}" });
       return;
     }
+    ++mReads[topic];
     if (aRequest.mPath == "/log-newest") {
       std::map<std::string, std::string> newest;
       const auto records = mModel.read(topic, mModel.first(topic));
