--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -49,7 +49,7 @@
 void caller_record_writer::store(const scheduler::journal_record& aRecord, done_callback aDone)
 {
   const done_callback local = [this, aRecord, aDone](write_outcome aOutcome) {
-    if (aOutcome == write_outcome::stored) {
+    if (aOutcome == write_outcome::stored || aOutcome == write_outcome::overloaded) {
       aDone(aOutcome);
     } else {
       append(encode(aRecord), aOutcome != write_outcome::refused, aDone);
@@ -138,6 +138,9 @@
     mForwarded.erase(found);
     if (result == forward_result::stored) {
       one.mDone(write_outcome::stored);
+    } else if (result == forward_result::overloaded) {
+      // A former owner may have stored it.
+      one.mDone(one.mUncertain ? write_outcome::unknown : write_outcome::overloaded);
     } else {
       append(std::move(one.mBytes), one.mUncertain || result != forward_result::refused,
              std::move(one.mDone));
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -196,6 +196,8 @@
         result = forward_result::stored;
       } else if (aOutcome == write_outcome::refused) {
         result = forward_result::refused;
+      } else if (aOutcome == write_outcome::overloaded) {
+        result = forward_result::overloaded;
       }
       all->mResults[index] = static_cast<char>(result);
       if (--all->mOpen == 0) {
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -88,6 +88,13 @@
     aDone(write_outcome::refused);
     return true;
   }
+  const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
+  // A job that is known was accepted before; its repetition is confirmed.
+  if (submitted != nullptr && mJobTable.find(submitted->mSpec.mId) == nullptr &&
+      !mOwner->admits(submitted->mSpec.mTeam)) {
+    aDone(write_outcome::overloaded);
+    return true;
+  }
   mUnstoredCallerRecords[++mLastToken] = { .mDone = aDone, .mRecord = recordKey(aRecord) };
   const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
   mOwner->accept(aRecord, mLastToken, now, wallNow());
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -29,6 +29,8 @@
   stored,
   /// Confirmed not to be stored.
   refused,
+  /// Not stored, because the owner accepts no further job of the team at present.
+  overloaded,
   /// A writer with a higher epoch has appended; this writer can store nothing more.
   fenced,
   /// May or may not be stored.
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -140,6 +140,9 @@
   stored = 's',
   /// Confirmed not to be stored.
   refused = 'r',
+  /// Confirmed not to be stored, and not to be appended by the follower either: the owner accepts
+  /// no further job of the team at present.
+  overloaded = 'o',
   unknown = 'u',
 };
 
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kReplyMargin{ 150 };
 /// Retry delay after a failure that another daemon may not have, or that may pass within a second.
 constexpr std::chrono::seconds kRetryAfterTransient{ 1 };
+/// Retry delay of a job that was rejected because the owner is behind; a burst lasts some seconds.
+constexpr std::chrono::seconds kRetryAfterOverload{ 2 };
 /// Retry delay of a job that can never fit unless the operator changes the configuration.
 constexpr std::chrono::seconds kRetryAfterConfigChange{ 60 };
 
@@ -219,6 +221,8 @@
   for (const auto& one : pending.mCallers) {
     if (aOutcome == write_outcome::unknown) {
       replyUnknownOutcome(one, subject, pending.mSince);
+    } else if (aOutcome == write_outcome::overloaded) {
+      reject(one.mReply, 429, kRetryAfterOverload, subject, "the team has too many waiting tasks");
     } else if (aOutcome != write_outcome::stored) {
       reject(one.mReply, 503, kRetryAfterTransient, subject, "the store has refused it");
     } else {
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -84,6 +84,8 @@
   /// for the next call.
   time_point tick(time_point aNow, wall_time aWall);
 
+  /// Whether a new job of the team is to be accepted now, see overload_admission.
+  bool admits(std::string_view aTeam) const;
   /// Whether all records of this owner are in the journal.
   bool allStored() const;
   /// Whether a target has seen a higher epoch, so that this owner has to step down.
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -474,6 +474,12 @@
                             kMaxPlanPause);
 }
 
+bool owner::impl::admits(std::string_view aTeam) const
+{
+  return !mConfig ||
+         mAdmission.admits(aTeam, *mConfig, std::chrono::duration_cast<duration>(mTickLag));
+}
+
 owner_counts owner::impl::counts() const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
@@ -591,6 +597,11 @@
   return mImpl->tick(aNow, aWall);
 }
 
+bool owner::admits(std::string_view aTeam) const
+{
+  return mImpl->admits(aTeam);
+}
+
 bool owner::fenced() const
 {
   return mImpl->mFenced;
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advice_dispatcher.h"
+#include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
 #include "target_state.h"
 #include "waiting_step.h"
@@ -38,6 +39,7 @@
   void onAdviceReply(const advice_reply& aReply, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
+  bool admits(std::string_view aTeam) const;
   owner_counts counts() const;
   std::string dump() const;
 
@@ -338,6 +340,7 @@
   /// Time by which the next tick is due, and the mean time by which ticks are late.
   time_point mNextTick = time_point::max();
   std::chrono::duration<double, duration::period> mTickLag{ 0 };
+  overload_admission mAdmission;
   time_point mLastFlush{};
   /// Resources reserved for waiting gangs within their teams' limits, in the current pass.
   std::map<std::string, resources> mTeamReserved;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -128,11 +128,14 @@
     mCandidatePositions[candidates[position].mTarget->mNumber] = position;
   }
   std::vector<std::pair<internal::step_rank, waiting_step*>> order;
+  overload_admission::task_counts waiting;
   for (auto& [key, step] : mWaiting) {
+    waiting[step.mJob->mSpec.mTeam] += static_cast<std::uint32_t>(step.mPending.size());
     if (step.startable()) {
       order.emplace_back(internal::rankOf(step, aNow), &step);
     }
   }
+  mAdmission.setWaiting(std::move(waiting));
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
   mTeamReserved.clear();
