--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -156,6 +156,18 @@
   CHECK_EQUAL(3, stored());
 }
 
+// Load pattern: the owner is behind and accepts no further job of a team. Guards against jobs that
+// reach it all the same, through the journal.
+TEST(caller_record_writer, appendsNothingThatAnOverloadedOwnerTurnsAway)
+{
+  forward(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  owner->release('o');
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::overloaded));
+  CHECK_EQUAL(0, stored());
+}
+
 // Guards against a record that is reported as refused although the owner may have stored it.
 TEST(caller_record_writer, reportsNoRefusalIfTheOwnerMayHaveStored)
 {
@@ -202,6 +214,20 @@
   CHECK_EQUAL(0, std::ranges::count(outcomes, write_outcome::refused));
 }
 
+// The same for a new owner that is overloaded.
+TEST(caller_record_writer, reportsNoOverloadIfTheFormerOwnerMayHaveStored)
+{
+  forward(2);
+  CHECK(runUntil([this] { return owner->records() == 2; }));
+  delaying_owner newOwner;
+  newOwner.release('o');
+  ownerClient->setOwner(newOwner.address());
+  CHECK(store->runUntil([this] { return ownerClient->reachable(store->mClock.now()); },
+                        [this] { ownerClient->tick(store->mClock.now()); }));
+  CHECK(runUntil([this] { return outcomes.size() == 2; }));
+  CHECK_EQUAL(2, std::ranges::count(outcomes, write_outcome::unknown));
+}
+
 // Guards against a late answer of the former owner that takes back a record that the new owner has
 // been sent.
 TEST(caller_record_writer, acceptsOnlyAStoredResultFromAFormerOwner)
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -44,6 +44,7 @@
   std::vector<caller_response> answers;
   bool storeLost = false;
   bool caughtUp = true;
+  bool knowsJobs = true;
   bool endStored = true;
   /// Replies to the queries to the owner; used if queriesOwner is set.
   bool queriesOwner = false;
@@ -98,6 +99,7 @@
     handler->setCellStatus({ .mConfig = config,
                              .mConfigAsOf = time.now() - aAge,
                              .mJournalAsOf = time.now() - aAge,
+                             .mKnowsJobs = knowsJobs,
                              .mCaughtUp = caughtUp,
                              .mStoreLost = storeLost });
   }
@@ -299,3 +301,30 @@
   }
   CHECK_EQUAL(0, pendingStores.size());
 }
+
+// Load pattern: the owner is behind. The caller is told at once, and when to come back.
+TEST(request_handler, rejectsAJobThatTheOwnerTurnsAway)
+{
+  call(kSubmit, kPath);
+  pendingStores[0](write_outcome::overloaded);
+  CHECK_EQUAL(429, lastStatus());
+  CHECK(answers.back().mRetryAfter.has_value());
+}
+
+// Guards against 410 for a live job, by a daemon that does not follow the journal and whose query
+// the owner has not answered.
+TEST(request_handler, aDaemonWithoutTheJournalDeniesOnlyWhatTheOwnerDenies)
+{
+  knowsJobs = false;
+  setCellStatus();
+  queriesOwner = true;
+  call(kStatus, kPath);
+  ownerReplies[0]({});
+  CHECK_EQUAL(503, lastStatus());
+  call(kStatus, kPath);
+  ownerReplies[1]({ .mUnknownJob = true });
+  CHECK_EQUAL(410, lastStatus());
+  queriesOwner = false;
+  call(kStatus, kPath);
+  CHECK_EQUAL(503, lastStatus());
+}
