Remove copies and twins that the relays brought

Cause: read over the whole change.

Ruled out: one fixture for the tests of router and relay, whose loops tick different objects.

--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -10,8 +10,6 @@
 constexpr std::chrono::milliseconds kHelperTimeout{ 750 };
 /// Smallest number of standbys, if there are enough daemons.
 constexpr std::size_t kMinStandbys = 4;
-/// Interval at which a standby sends hellos.
-constexpr std::chrono::milliseconds kStandbyInterval{ 250 };
 /// Interval at which the owner updates the daemons that make calls on its behalf.
 constexpr std::chrono::milliseconds kHelperUpdateInterval{ 50 };
 /// Time after a standby's first hello in which it receives the reply. Without the owner's clock
@@ -22,8 +20,6 @@
 /// processor time.
 constexpr std::chrono::milliseconds kHelloSpacing{ 8 };
 constexpr std::size_t kMinSpacedDaemons = 32;
-/// Age of the journal as known to the owner up to which it denies that there is a job.
-constexpr std::chrono::milliseconds kMaxUnknownJobAge{ 1500 };
 /// Timeout of a status query to the owner; after it callers get the state known to this daemon.
 constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
 /// Time before the owner's timeout at which a call for advice on its behalf times out, so that the
@@ -85,7 +81,7 @@
   std::erase_if(mHelpers, [this, aNow, interval](const auto& aOne) {
     const auto& [address, helper] = aOne;
     return helper.mLastHello + kHelperTimeout +
-             (mStandbys.contains(address) ? kStandbyInterval : interval) <
+             (mStandbys.contains(address) ? kHelloInterval : interval) <
            aNow;
   });
   updateStandbys();
@@ -256,7 +252,7 @@
   const auto team = body.substr(std::min(body.size(), scheduler::kJobIdDigits));
   if (found == nullptr || !found->mSpec.visibleTo(team)) {
     // The journal may hold a job that another daemon has appended since it was last read.
-    const bool current = mOwner && mClock.now() - mJournalTail->freshAsOf() <= kMaxUnknownJobAge;
+    const bool current = mOwner && mClock.now() - mJournalTail->freshAsOf() <= kMaxDenialAge;
     aRequest.mResponder.answer({ .mStatus = static_cast<std::uint16_t>(current ? 404 : 503) });
     return;
   }
--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -27,6 +27,14 @@
 /// target: batches and results wait up to an interval each, and a busy relay delays them.
 constexpr std::chrono::milliseconds kRelayMargin{ 1000 };
 
+/// Returns a callback for the result of an order that has no report.
+order_sender::report_callback withoutReport(const order_sender::outcome_callback& aDone)
+{
+  return [aDone](scheduler::order_outcome aOutcome, const scheduler::target_report& /*aReport*/) {
+    aDone(aOutcome);
+  };
+}
+
 } // namespace
 
 order_router::order_router(edges::http_loop& aLoop, const clock& aClock, order_sender& aDirect,
@@ -56,25 +64,25 @@
   }
 }
 
-bool order_router::relayed(const std::string& aTarget, target_order aOrder,
-                           std::chrono::milliseconds aTimeout, order_sender::report_callback aDone)
+template<typename Order>
+bool order_router::relayed(const Order& aOrder, std::chrono::milliseconds aTimeout,
+                           const order_sender::report_callback& aDone)
 {
-  const auto* relay = mRelays.relayOf(aTarget);
+  const auto* relay = mRelays.relayOf(aOrder.mTarget);
   if (relay == nullptr) {
     return false;
   }
   const auto number = ++mLastNumber;
-  const auto expiry = mClock.now() + aTimeout + kRelayMargin;
-  mOpen[number] = { .mRelay = *relay, .mExpiry = expiry, .mDone = std::move(aDone) };
-  mExpiries.emplace(expiry, number);
-  mQueues[*relay].mOrders.push_back({ .mNumber = number, .mOrder = std::move(aOrder) });
+  mOpen[number] = { .mRelay = *relay, .mDone = aDone };
+  mExpiries.emplace(mClock.now() + aTimeout + kRelayMargin, number);
+  mQueues[*relay].mOrders.push_back({ .mNumber = number, .mOrder = aOrder });
   return true;
 }
 
 void order_router::sendHeartbeat(const scheduler::heartbeat_order& aOrder,
                                  order_sender::report_callback aDone)
 {
-  if (!relayed(aOrder.mTarget, aOrder, platform::heartbeatTimeout(aOrder), aDone)) {
+  if (!relayed(aOrder, platform::heartbeatTimeout(aOrder), aDone)) {
     mDirect.sendHeartbeat(aOrder, std::move(aDone));
   }
 }
@@ -82,10 +90,7 @@
 void order_router::sendStart(const scheduler::start_order& aOrder,
                              order_sender::outcome_callback aDone)
 {
-  const auto done = [aDone](scheduler::order_outcome aOutcome, const scheduler::target_report&) {
-    aDone(aOutcome);
-  };
-  if (!relayed(aOrder.mTarget, aOrder, platform::kOrderTimeout, done)) {
+  if (!relayed(aOrder, platform::kOrderTimeout, withoutReport(aDone))) {
     mDirect.sendStart(aOrder, std::move(aDone));
   }
 }
@@ -93,10 +98,7 @@
 void order_router::sendStop(const scheduler::stop_order& aOrder,
                             order_sender::outcome_callback aDone)
 {
-  const auto done = [aDone](scheduler::order_outcome aOutcome, const scheduler::target_report&) {
-    aDone(aOutcome);
-  };
-  if (!relayed(aOrder.mTarget, aOrder, platform::kOrderTimeout, done)) {
+  if (!relayed(aOrder, platform::kOrderTimeout, withoutReport(aDone))) {
     mDirect.sendStop(aOrder, std::move(aDone));
   }
 }
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -8,7 +8,6 @@
 #include "relay_set.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,7 +53,6 @@
   struct open_order
   {
     std::string mRelay;
-    time_point mExpiry;
     order_sender::report_callback mDone;
   };
   struct queue
@@ -65,8 +63,9 @@
   };
 
   /// Queues an order for the relay of its target; returns false if it is to be sent directly.
-  bool relayed(const std::string& aTarget, target_order aOrder, std::chrono::milliseconds aTimeout,
-               order_sender::report_callback aDone);
+  template<typename Order>
+  bool relayed(const Order& aOrder, std::chrono::milliseconds aTimeout,
+               const order_sender::report_callback& aDone);
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
   void onRelayLost(const std::string& aRelay, const std::string& aError);
   void finish(std::uint64_t aNumber, scheduler::order_outcome aOutcome,
--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr auto kHelloInterval = std::chrono::milliseconds(250);
 /// Largest interval that an owner may request. A daemon that reaches no owner for this long is told
 /// of its successor by the owner topic.
 constexpr auto kMaxHelloInterval = std::chrono::milliseconds(2000);
--- a/node/src/owner_client.h
+++ b/node/src/owner_client.h
@@ -17,6 +17,9 @@
 /// A store whose replies take at least this long counts as slow for all daemons.
 inline constexpr std::chrono::milliseconds kSlowStoreLatency{ 150 };
 
+/// Shortest interval of hellos, at which standbys send them.
+inline constexpr std::chrono::milliseconds kHelloInterval{ 250 };
+
 /// Calls from a follower to the owner, and the liveness of the owner as seen from them, in addition
 /// to its records in the store.
 ///
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -60,13 +60,16 @@
   bool mStoreLost = false;
 };
 
+/// Age of a daemon's view of the cell up to which it denies that there is a key, a route or a job.
+inline constexpr std::chrono::milliseconds kMaxDenialAge{ 1500 };
+
 struct request_handler_options
 {
   /// Calls with a key are rejected if the configuration is older, as the key may be withdrawn.
   std::chrono::milliseconds mMaxConfigAge{ 3000 };
   /// An unknown key, route or job is reported as such only if the cell status is not older. An
   /// older one may lack it, so the caller is asked to retry.
-  std::chrono::milliseconds mMaxDenialAge{ 1500 };
+  std::chrono::milliseconds mMaxDenialAge{ kMaxDenialAge };
   /// Jobs and cancellations are rejected while a write has been unanswered for longer.
   std::chrono::milliseconds mMaxWriteAge{ 800 };
 };
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -29,11 +29,6 @@
 /// Maximum time between two planning passes, for decisions that depend only on time.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
-/// Pause between planning passes, in addition to the usual interval, as a multiple of the time by
-/// which ticks are late, and its upper limit: an urgent step should start within a quarter of a
-/// second.
-constexpr int kPlanLagFactor = 2;
-constexpr auto kMaxPlanPause = std::chrono::milliseconds(80);
 /// Weight of earlier ticks in the mean time by which ticks are late.
 constexpr int kTickLagWeight = 8;
 /// Time before its due time at which an occurrence is opened, so that advice can be requested. Its
@@ -465,21 +460,6 @@
   return mNextTick;
 }
 
-/// Load pattern: a burst, or the first seconds after all daemons have lost power, saturates the
-/// event loop. A planning pass costs about the same however little has changed since the last one,
-/// so that with a longer pause the loop has more time for calls, and each pass places more.
-duration owner::impl::planPause() const
-{
-  return std::min<duration>(std::chrono::duration_cast<duration>(kPlanLagFactor * mTickLag),
-                            kMaxPlanPause);
-}
-
-bool owner::impl::admits(std::string_view aTeam) const
-{
-  return !mConfig ||
-         mAdmission.admits(aTeam, *mConfig, std::chrono::duration_cast<duration>(mTickLag));
-}
-
 owner_counts owner::impl::counts() const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -1,6 +1,7 @@
 #include "order_relay.h"
 
 #include "endiveusher/edges/http_server.h"
+#include "manual_clock.h"
 #include "order_router.h"
 #include "peer_api.h"
 
@@ -15,17 +16,11 @@
 
 using namespace endiveusher;
 using namespace endiveusher::node;
+using namespace endiveusher::node::testing;
 using std::chrono::milliseconds;
 
 namespace {
 
-class manual_clock : public endiveusher::clock
-{
-public:
-  time_point now() const override { return mNow; }
-  time_point mNow{ std::chrono::seconds(100) };
-};
-
 /// An HTTP server that counts the requests for each path and answers them with a status.
 class counting_server
 {
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -1,3 +1,4 @@
+#include "manual_clock.h"
 #include "request_handler.h"
 #include "store_fixture.h"
 
@@ -16,17 +17,6 @@
 using namespace endiveusher::scheduler;
 using std::chrono::milliseconds;
 
-namespace {
-
-class manual_clock : public endiveusher::clock
-{
-public:
-  time_point now() const override { return mNow; }
-  time_point mNow{ std::chrono::seconds(100) };
-};
-
-} // namespace
-
 /// A handler that passes its records to an owner in the same process; the test decides when they
 /// are stored.
 TEST_GROUP(request_handler)
