--- a/review/5/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 -B case.py
