--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -92,11 +92,11 @@
                   } }),
     mOrderRouter(mLoop, mClock, mOrderSender, mLog,
                  { .mAddress = mPeerAddress, .mCores = mSettings.mCores }),
-    mSnapshotWriter(mStore, mClock,
+    mSnapshotWriter(mStore, mClock, mLog,
                     { .mTopic = kSnapshotTopic,
-                      .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation),
-                      .mRetryRefused = true }),
-    mSnapshotSchedule(mSettings.mRecordRetention, mClock.now())
+                      .mJournalTopic = kJournalTopic,
+                      .mWriter = mIncarnation,
+                      .mRetention = mSettings.mRecordRetention })
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(owner_answer &&)> aDone) {
@@ -328,8 +328,7 @@
       if (mOwnerWriter) {
         mOwnerWriter->tick(now);
       }
-      mSnapshotWriter.tick(now);
-      tickSnapshot(now);
+      mSnapshotWriter.tick(now, snapshotSource());
     }
     tickPeers(now);
     auto next = now + kMaxLoopWait;
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -20,6 +20,7 @@
 #include "peer_api.h"
 #include "registry_view.h"
 #include "request_handler.h"
+#include "snapshot_writer.h"
 #include "snapshots.h"
 #include "store_connectivity.h"
 
@@ -180,11 +181,10 @@
   // State of the cell.
   void loadJobTable();
 
-  /// Writes a snapshot if one is due: a standby, or the owner if it has none. The table of a
-  /// standby holds exactly the journal's records; that of a busy owner is always ahead of them.
-  void tickSnapshot(time_point aNow);
-
-  void onSnapshotStored(std::uint64_t aBase, std::uint64_t aFirstOffset);
+  /// Returns the table to write snapshots from: that of the standby that the owner has chosen, or
+  /// the owner's if it has no standby. The table of a standby holds exactly the journal's records;
+  /// that of a busy owner is always ahead of them.
+  std::optional<snapshot_source> snapshotSource() const;
 
   void readJournal(const std::vector<std::string>& aRecords);
 
@@ -274,13 +274,9 @@
   /// Time at which the former owner was fenced off the journal.
   std::optional<time_point> mFencedAt;
   std::unique_ptr<journal_writer> mOwnerWriter;
-  journal_writer mSnapshotWriter;
-  bool mSnapshotInFlight = false;
+  snapshot_writer mSnapshotWriter;
   /// Whether the owner has chosen this daemon to write the snapshots.
   bool mWritesSnapshots = false;
-  snapshot_schedule mSnapshotSchedule;
-  /// Journal offset at which the newest known snapshot ends.
-  std::uint64_t mSnapshotBase = 0;
   std::unique_ptr<scheduler::owner> mOwner;
   /// Whether no orders may be sent to targets because the last accepted renewal is too old.
   bool mPaused = false;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -337,65 +337,34 @@
 void cell_node::impl::loadJobTable()
 {
   mJobTable.clear();
-  mSnapshotBase = 0;
   mJournalTail->restart(0);
   // Replies of the owner that arrive in this pass of the loop find the table empty.
   updateCellStatus();
   mSnapshots.load([this](std::optional<snapshot> aFound) {
     const auto now = mClock.now();
+    const auto base = aFound ? aFound->mBase : 0;
     if (aFound) {
       for (const auto& record : aFound->mRecords) {
         mJobTable.apply(record, now);
       }
-      mJournalTail->restart(aFound->mBase);
-      mSnapshotBase = aFound->mBase;
+      mJournalTail->restart(base);
     }
-    mLog.write("state_loaded", fmt::format("base={} jobs={}", mSnapshotBase, mJobTable.size()));
+    mSnapshotWriter.onLoaded(base, mSnapshots.next());
+    mLog.write("state_loaded", fmt::format("base={} jobs={}", base, mJobTable.size()));
   });
 }
 
-void cell_node::impl::tickSnapshot(time_point aNow)
+std::optional<snapshot_source> cell_node::impl::snapshotSource() const
 {
   const bool writes =
     mOwner ? mStandbys.empty() && mOwner->allStored()
            : mStandby && mWritesSnapshots && mJournalTail->caughtUp() && !mSnapshots.active();
-  const auto next = mJournalTail->next();
-  if (!writes || mSnapshotInFlight ||
-      !mSnapshotSchedule.due(next - std::min(next, mSnapshotBase), aNow)) {
-    return;
+  if (!writes) {
+    return std::nullopt;
   }
-  mSnapshotInFlight = true;
-  mSnapshotSchedule.onWriteStarted(aNow);
-  mLog.write("snapshot_started", fmt::format("base={} jobs={}", next, mJobTable.size()));
-  auto parts =
-    encodeSnapshot({ .mBase = next, .mRecords = mJobTable.snapshot(mClock.now()) }, mIncarnation);
-  const auto firstOffset = std::make_shared<std::optional<std::uint64_t>>();
-  const auto left = std::make_shared<std::size_t>(parts.size());
-  for (auto& part : parts) {
-    mSnapshotWriter.write(std::move(part), [this, next, firstOffset, left](write_outcome aOutcome) {
-      if (!*firstOffset) {
-        // Offset of the append; the first part is at its beginning, as nothing else was waiting.
-        *firstOffset = mSnapshotWriter.lastOffset();
-      }
-      if (aOutcome != write_outcome::stored) {
-        mLog.write("snapshot", fmt::format("base={} stored=false", next));
-      }
-      if (--*left == 0) {
-        mSnapshotInFlight = false;
-        if (aOutcome == write_outcome::stored) {
-          onSnapshotStored(next, **firstOffset);
-        }
-      }
-    });
-  }
-}
-
-void cell_node::impl::onSnapshotStored(std::uint64_t aBase, std::uint64_t aFirstOffset)
-{
-  mLog.write("snapshot", fmt::format("base={} stored=true", aBase));
-  // Only up to the former snapshot, so that daemons that are slightly behind find no gap.
-  mStore.trim(kJournalTopic, std::exchange(mSnapshotBase, aBase), [](bool /*aDeleted*/) {});
-  mStore.trim(kSnapshotTopic, aFirstOffset, [](bool /*aDeleted*/) {});
+  return snapshot_source{ .mTable = mJobTable,
+                          .mPosition = mJournalTail->next(),
+                          .mFreshAsOf = mJournalTail->freshAsOf() };
 }
 
 void cell_node::impl::readJournal(const std::vector<std::string>& aRecords)
--- a/node/src/snapshots.cpp
+++ b/node/src/snapshots.cpp
@@ -45,6 +45,10 @@
 
 std::optional<header> decodeHeader(const std::string& aBytes)
 {
+  // A short array and a small number take a byte each, so that the second one is the kind.
+  if (aBytes.size() < 2 || (aBytes[1] != kWholeKind && aBytes[1] != kPartKind)) {
+    return std::nullopt;
+  }
   try {
     const auto value = parseMsgpack(aBytes);
     if (value.is_array() && value.size() == kWholeHeaderFields && value[0] == kWholeKind) {
@@ -130,6 +134,24 @@
   return std::nullopt;
 }
 
+void snapshot_index::add(const std::vector<std::string>& aRecords)
+{
+  for (const auto& record : aRecords) {
+    const auto found = decodeHeader(record);
+    if (!found) {
+      continue;
+    }
+    const std::pair key(found->mBase, found->mWriter);
+    auto& parts = mIncomplete[key];
+    parts.insert(found->mPart);
+    if (parts.size() == found->mParts) {
+      mIncomplete.erase(key);
+      add(found->mBase);
+    }
+  }
+  std::erase_if(mIncomplete, [this](const auto& aOne) { return aOne.first.first < mNewestBase; });
+}
+
 snapshot_loader::snapshot_loader(platform::store& aStore, const clock& aClock, std::string aTopic)
   : mStore(aStore), mClock(aClock), mTopic(std::move(aTopic))
 {
--- a/node/src/snapshots.h
+++ b/node/src/snapshots.h
@@ -6,11 +6,15 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endiveusher::node {
@@ -42,6 +46,11 @@
            age > mRetention / kSnapshotsPerRetention;
   }
   void onWriteStarted(time_point aNow) { mLast = aNow; }
+  /// Makes the next snapshot due after kRetryInterval.
+  void onWriteFailed(time_point aNow)
+  {
+    mLast = aNow + kRetryInterval - mRetention / kSnapshotsPerRetention;
+  }
 
 private:
   /// Number of new records that is worth a snapshot: the next owner reads fewer in a fraction of
@@ -52,6 +61,9 @@
   /// Snapshots per retention period, so that the next one is written before the store deletes the
   /// last one.
   static constexpr int kSnapshotsPerRetention = 4;
+  /// Pause after a snapshot that was not stored; the journal grows by some hundred records
+  /// meanwhile.
+  static constexpr std::chrono::seconds kRetryInterval{ 1 };
 
   std::chrono::milliseconds mRetention;
   time_point mLast;
@@ -67,6 +79,24 @@
 /// Returns the complete snapshot with the highest base among the records; absent if there is none.
 std::optional<snapshot> lastSnapshot(const std::vector<std::string>& aRecords);
 
+/// Finds the newest complete snapshot from the headers of the snapshot topic, without decoding the
+/// records.
+class snapshot_index
+{
+public:
+  /// Adds the next records of the topic.
+  void add(const std::vector<std::string>& aRecords);
+  /// Adds a complete snapshot.
+  void add(std::uint64_t aBase) { mNewestBase = std::max(mNewestBase, aBase); }
+  /// Base of the newest complete snapshot; 0 if none is known.
+  std::uint64_t newestBase() const { return mNewestBase; }
+
+private:
+  /// Numbers of the parts found of an incomplete snapshot, by base and writer.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::set<std::size_t>> mIncomplete;
+  std::uint64_t mNewestBase = 0;
+};
+
 /// Reads the snapshot topic from its oldest record to its end.
 class snapshot_loader
 {
@@ -80,6 +110,8 @@
   void load(done_callback aDone);
   void tick(time_point aNow);
   bool active() const { return static_cast<bool>(mDone); }
+  /// Offset up to which the topic has been read.
+  std::uint64_t next() const { return mNext; }
 
 private:
   void onReadReply(platform::read_reply&& aReply);
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -2,6 +2,7 @@
 #include "endiveusher/node/cell_node.h"
 #include "endiveusher/platform/messages.h"
 #include "peer_api.h"
+#include "snapshots.h"
 #include "store_fixture.h"
 #include "tests/edges/raw_client.h"
 
@@ -31,6 +32,8 @@
 {
 public:
   std::string address() const { return "127.0.0.1:" + std::to_string(mServer.port()); }
+  /// Whether the daemon that asks is to write the snapshots.
+  std::atomic<bool> mWritesSnapshots = false;
   /// Status of the answers to queries for jobs; there is none if it is 0.
   std::atomic<std::uint16_t> mStatusOfJobs = 0;
   std::optional<std::string> lastHello()
@@ -43,21 +46,22 @@
   std::mutex mMutex;
   std::vector<edges::responder> mUnanswered;
   std::optional<std::string> mLastHello;
-  edges::http_server mServer{ {},
-                              [this](const edges::http_request& aRequest,
-                                     const edges::responder& aResponder) {
-                                const std::lock_guard lock(mMutex);
-                                if (aRequest.mPath == kPeerHelloPath) {
-                                  mLastHello = decodeHello(aRequest.mBody)->mAddress;
-                                  aResponder.answer({ .mBody = encodeHelloReply({}) });
-                                  return;
-                                }
-                                if (aRequest.mPath == kPeerStatusPath && mStatusOfJobs != 0) {
-                                  aResponder.answer({ .mStatus = mStatusOfJobs.load() });
-                                  return;
-                                }
-                                mUnanswered.push_back(aResponder);
-                              } };
+  edges::http_server mServer{
+    {},
+    [this](const edges::http_request& aRequest, const edges::responder& aResponder) {
+      const std::lock_guard lock(mMutex);
+      if (aRequest.mPath == kPeerHelloPath) {
+        mLastHello = decodeHello(aRequest.mBody)->mAddress;
+        aResponder.answer({ .mBody = encodeHelloReply({ .mWritesSnapshots = mWritesSnapshots }) });
+        return;
+      }
+      if (aRequest.mPath == kPeerStatusPath && mStatusOfJobs != 0) {
+        aResponder.answer({ .mStatus = mStatusOfJobs.load() });
+        return;
+      }
+      mUnanswered.push_back(aResponder);
+    }
+  };
 };
 
 std::uint16_t unusedPort()
@@ -96,7 +100,7 @@
     delete store;
   }
 
-  void startFollower(double aCores = 1.0)
+  void startFollower(double aCores = 1.0, std::chrono::seconds aRetention = std::chrono::minutes(5))
   {
     port = unusedPort();
     peerPort = unusedPort();
@@ -108,6 +112,7 @@
                       .mPeerPort = peerPort,
                       .mStoreAddress = "127.0.0.1:" + std::to_string(store->mServer.port()),
                       .mAdviceAddress = owner->address(),
+                      .mRecordRetention = aRetention,
                       .mCores = aCores });
     follower->start([this] { stopped = true; });
   }
@@ -317,3 +322,47 @@
   appendOwnerRecord(owner_record::kind::release);
   CHECK(waitUntil([this] { return call("GET") == 200; }));
 }
+
+// Guards against the loss of the cell: a daemon that was cut off while it stored a snapshot
+// replaced newer ones, whose journal records had been deleted.
+TEST(cell_node, aDaemonThatWasCutOffDoesNotReplaceNewerSnapshots)
+{
+  const auto snapshotAt = [](std::uint64_t aBase) {
+    return encodeSnapshot({ .mBase = aBase, .mRecords = {} }, 1).at(0);
+  };
+  const auto newestBase = [this] {
+    const std::lock_guard lock(store->mMutex);
+    const auto found =
+      lastSnapshot(*store->mModel.read("snapshot", store->mModel.first("snapshot")));
+    return found ? found->mBase : 0;
+  };
+  for (int record = 0; record < 8; ++record) {
+    appendToStore("journal", "");
+  }
+  delete std::exchange(follower, nullptr);
+  owner->mWritesSnapshots = true;
+  startFollower(1.0, std::chrono::seconds(2));
+  CHECK(waitUntil([&] { return newestBase() == 8; }));
+  {
+    const std::lock_guard lock(store->mMutex);
+    // Long enough for the next snapshot to fall due.
+    store->mRefusedTopic = "snapshot";
+  }
+  CHECK(renewUntil([this] {
+    const std::lock_guard lock(store->mMutex);
+    return store->mRefusedAppends > 0;
+  }));
+  {
+    // The daemon that the owner has chosen meanwhile stores two snapshots.
+    const std::lock_guard lock(store->mMutex);
+    store->mModel.append({ .mTopic = "journal", .mRecords = std::vector<std::string>(12) });
+    store->mModel.append({ .mTopic = "snapshot", .mRecords = snapshotAt(15) });
+    store->mModel.append({ .mTopic = "snapshot", .mRecords = snapshotAt(18) });
+    store->mModel.trim("journal", 15);
+    store->mRefusedTopic.clear();
+  }
+  CHECK(renewUntil([&] {
+    CHECK(newestBase() >= 18);
+    return newestBase() == 20;
+  }));
+}
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -48,6 +48,9 @@
   std::map<std::string, int> mReads;
   /// Number of next calls that are answered with 503 without being carried out.
   int mRefuse = 0;
+  /// Topic whose appends are answered with 503 without being carried out, and their number.
+  std::string mRefusedTopic;
+  int mRefusedAppends = 0;
   edges::http_loop mLoop;
 
 private:
@@ -96,6 +99,11 @@
     }
     const auto topic = aRequest.mQuery.at("topic");
     if (aRequest.mPath == "/log-append") {
+      if (topic == mRefusedTopic) {
+        ++mRefusedAppends;
+        aResponder.answer({ .mStatus = 503 });
+        return;
+      }
       standins::store_append append{ .mTopic = topic,
                                      .mRecords = records(aRequest.mBody),
                                      .mEpoch = number(aRequest, "epoch"),
