Take no records into a table that is not complete

Cause: a caller's record that was confirmed while a daemon loaded its state was applied to the empty table.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -52,13 +52,31 @@
   : mSettings(std::move(aSettings)), mLog(mSettings.mNode),
     mInbox(kInboxCapacity, [this] { mLoop.wake(); }),
     mStore(mLoop, mSettings.mStoreAddress, mSettings.mLinkMbps),
-    mSnapshots(mStore, mClock, kSnapshotTopic), mIncarnation(std::random_device{}()),
+    mIncarnation(std::random_device{}()),
     mPeerAddress(fmt::format("{}:{}", mSettings.mIp, mSettings.mPeerPort)),
-    mStandby(isLarge(mSettings.mCores)), mElection({ .mNode = mSettings.mNode,
-                                                     .mIncarnation = mIncarnation,
-                                                     .mPeerAddress = mPeerAddress,
-                                                     .mStagger = claimStagger(mIncarnation),
-                                                     .mLarge = isLarge(mSettings.mCores) }),
+    mStandby(isLarge(mSettings.mCores)),
+    mJobs(mStore, mClock, mLog, mProfiler,
+          { .mJournalTopic = kJournalTopic, .mSnapshotTopic = kSnapshotTopic },
+          { .mOnChanged = [this](scheduler::job& aJob) { onJobChanged(aJob); },
+            // Replies of the owner that arrive in this pass of the loop find the table empty.
+            .mOnEmptied = [this] { updateCellStatus(); },
+            .mOnLoaded =
+              [this](std::uint64_t aBase, std::uint64_t aTopicEnd) {
+                mSnapshotWriter.onLoaded(aBase, aTopicEnd);
+              },
+            .mOnGap =
+              [this] {
+                if (mOwner) {
+                  mStepDownReason = "journal records were deleted before they were read";
+                } else {
+                  mJobs.load();
+                }
+              } }),
+    mElection({ .mNode = mSettings.mNode,
+                .mIncarnation = mIncarnation,
+                .mPeerAddress = mPeerAddress,
+                .mStagger = claimStagger(mIncarnation),
+                .mLarge = isLarge(mSettings.mCores) }),
     mWriter(mStore, mClock,
             { .mTopic = kJournalTopic,
               .mProducer = fmt::format("{}-{}", mSettings.mNode, mIncarnation) }),
@@ -68,13 +86,9 @@
       [this](const journal_record& aRecord, const caller_record_writer::done_callback& aDone) {
         return acceptLocally(aRecord, aDone);
       }),
-    mRequestHandler(mClock, mJobTable, mRecordWriter, mLog,
+    mRequestHandler(mClock, mJobs.table(), mRecordWriter, mLog,
                     { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
-                    [this](const journal_record& aRecord) {
-                      if (followsJournal()) {
-                        applyRecord(aRecord);
-                      }
-                    }),
+                    [this](const journal_record& aRecord) { mJobs.applyStored(aRecord); }),
     mRegistry(mLog, mClock,
               { .mOnListed =
                   [this](const scheduler::target_entry& aEntry) {
@@ -119,8 +133,8 @@
     });
   mOwnerClient.setStandby(mStandby);
   makeTails();
-  if (followsJournal()) {
-    loadJobTable();
+  if (mStandby) {
+    mJobs.load();
   }
 }
 
@@ -236,19 +250,6 @@
                            std::uint64_t aOffset) { readOwnerRecords(aRecords, aOffset); },
       .mOnReply = [this](std::uint64_t aEnd) { mElection.onEndRead(aEnd, mClock.now()); },
       .mOnFailure = [this] { mElection.onReadFailed(); } });
-  mJournalTail = std::make_unique<log_tail>(
-    mStore, mClock, log_tail_options{ .mTopic = kJournalTopic, .mInterval = kJournalReadInterval },
-    log_tail::callbacks{
-      .mOnRecords = [this](const auto& aRecords, std::uint64_t) { readJournal(aRecords); },
-      .mOnGap =
-        [this](std::uint64_t aFirst) {
-          mLog.write("journal_gap", fmt::format("first_offset={}", aFirst));
-          if (mOwner) {
-            mStepDownReason = "journal records were deleted before they were read";
-          } else {
-            loadJobTable();
-          }
-        } });
 }
 
 void cell_node::impl::tickStoreConnectivity(time_point aNow)
@@ -284,7 +285,7 @@
 {
   mRequestHandler.setCellStatus({ .mConfig = mOperator.config(),
                                   .mConfigAsOf = mOperatorTail->freshAsOf(),
-                                  .mJournalAsOf = mJournalTail->freshAsOf(),
+                                  .mJournalAsOf = mJobs.freshAsOf(),
                                   .mKnowsJobs = followsJournal(),
                                   .mCaughtUp = caughtUp(),
                                   .mStoreLost = mStoreLost });
@@ -300,10 +301,7 @@
       const loop_profiler::scope storing(mProfiler, loop_phase::store);
       mOperatorTail->tick(now);
       mOwnerTail->tick(now);
-      mSnapshots.tick(now);
-      if (followsJournal() && !mSnapshots.active()) {
-        mJournalTail->tick(now);
-      }
+      mJobs.tick(now);
       // Only the owner uses the registry, to which each target writes an entry every heartbeat:
       // the daemons of a large cell together would read more of it than the store can send.
       if (mEpoch != 0) {
@@ -347,7 +345,7 @@
     mOrderRelay.tick(now);
     if (mNextPurge <= now) {
       mNextPurge = now + kPurgeInterval;
-      mJobTable.removeEnded(now - mSettings.mStatusRetention - kPurgeInterval);
+      mJobs.table().removeEnded(now - mSettings.mStatusRetention - kPurgeInterval);
     }
     mReady = !mStopping && mOperator.config() && caughtUp() && !partitioned(now) &&
              mStoreConnectivity.timeSinceReply(now) < kReadyStoreTimeout;
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -126,9 +126,9 @@
   mOwnerClient.setStandby(standby);
   mLog.write("standby", fmt::format("active={} owner={}", standby, aOwner));
   if (standby) {
-    loadJobTable();
+    mJobs.load();
   } else {
-    mJobTable.clear();
+    mJobs.drop();
   }
 }
 
@@ -240,7 +240,7 @@
     return;
   }
   aRequest.mResponder.answer(
-    { .mBody = platform::encodeWaiting(mJobTable.waitingJobs(aRequest.mBody)) });
+    { .mBody = platform::encodeWaiting(mJobs.table().waitingJobs(aRequest.mBody)) });
 }
 
 void cell_node::impl::handleStatus(const peer_request& aRequest)
@@ -248,11 +248,11 @@
   // The body is the id, of fixed length, and the team, which is empty for callers of public routes.
   const std::string_view body = aRequest.mBody;
   const auto id = scheduler::parseJobId(body.substr(0, scheduler::kJobIdDigits));
-  const auto* found = id && mOwner ? mJobTable.find(*id) : nullptr;
+  const auto* found = id && mOwner ? mJobs.table().find(*id) : nullptr;
   const auto team = body.substr(std::min(body.size(), scheduler::kJobIdDigits));
   if (found == nullptr || !found->mSpec.visibleTo(team)) {
     // The journal may hold a job that another daemon has appended since it was last read.
-    const bool current = mOwner && mClock.now() - mJournalTail->freshAsOf() <= kMaxDenialAge;
+    const bool current = mOwner && mClock.now() - mJobs.freshAsOf() <= kMaxDenialAge;
     aRequest.mResponder.answer({ .mStatus = static_cast<std::uint16_t>(current ? 404 : 503) });
     return;
   }
@@ -328,7 +328,7 @@
   add("outcomes_unknown_total", counters.mUnknown);
   add("status_calls_total", counters.mStatus);
   add("jobs_cancelled_total", counters.mCancelled);
-  add("jobs_known", mJobTable.size());
+  add("jobs_known", mJobs.table().size());
   add("store_calls_total", mStore.calls());
   add("log_lines_dropped_total", mLog.dropped());
   add("ready", mReady ? 1 : 0);
@@ -359,10 +359,10 @@
                      mSettings.mNode, mOwner ? "owner" : "follower", mEpoch,
                      mOperator.config() ? mOperator.config()->mVersion : 0,
                      (now - mOperatorTail->freshAsOf()) / std::chrono::milliseconds(1),
-                     mJournalTail->next(),
-                     (now - mJournalTail->freshAsOf()) / std::chrono::milliseconds(1),
-                     mJobTable.size(), mRegistry.targets().size(), mOperator.closedZones().size(),
-                     mElection.ownerNode(), mOwner ? mOwner->dump() : std::string());
+                     mJobs.position(), (now - mJobs.freshAsOf()) / std::chrono::milliseconds(1),
+                     mJobs.table().size(), mRegistry.targets().size(),
+                     mOperator.closedZones().size(), mElection.ownerNode(),
+                     mOwner ? mOwner->dump() : std::string());
 }
 
 } // namespace endiveusher::node
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -10,6 +10,7 @@
 #include "endiveusher/scheduler/owner.h"
 #include "event_log.h"
 #include "inbox.h"
+#include "job_replica.h"
 #include "log_tail.h"
 #include "loop_profiler.h"
 #include "operator_view.h"
@@ -51,9 +52,6 @@
 inline constexpr const char* kOwnerTopic = "owner";
 inline constexpr const char* kSnapshotTopic = "snapshot";
 
-/// Interval at which followers read the journal. They query the owner for the states of live jobs.
-inline constexpr std::chrono::milliseconds kJournalReadInterval{ 200 };
-
 /// Whether a VM is large enough to own a cell of several hundred targets, which takes a quarter of
 /// a core. Large VMs are always standbys; others only if there are too few large ones.
 inline bool isLarge(double aCores)
@@ -149,9 +147,9 @@
 
   /// Whether this daemon follows the journal: as the owner, or as a standby that can become owner
   /// at once. Other daemons load the state of the cell only if they become owner.
-  bool followsJournal() const { return mStandby || mEpoch != 0; }
+  bool followsJournal() const { return mJobs.follows(); }
   /// Whether this daemon knows the cell well enough to serve callers.
-  bool caughtUp() const { return !followsJournal() || mOwner || mJournalTail->caughtUp(); }
+  bool caughtUp() const { return !followsJournal() || mOwner || mJobs.complete(); }
 
   /// Whether this daemon is partitioned from the store and its peers, so that it cannot serve
   /// callers.
@@ -179,17 +177,14 @@
   void stepDown(std::string_view aReason);
 
   // State of the cell.
-  void loadJobTable();
+  /// Called when a record that another daemon has stored has changed a job.
+  void onJobChanged(scheduler::job& aJob);
 
   /// Returns the table to write snapshots from: that of the standby that the owner has chosen, or
   /// the owner's if it has no standby. The table of a standby holds exactly the journal's records;
   /// that of a busy owner is always ahead of them.
   std::optional<snapshot_source> snapshotSource() const;
 
-  void readJournal(const std::vector<std::string>& aRecords);
-
-  void applyRecord(const journal_record& aRecord);
-
   // Peers.
   void tickPeers(time_point aNow);
 
@@ -242,12 +237,11 @@
   edges::http_loop mLoop;
   inbox<inbox_item> mInbox;
   platform::store mStore;
-  snapshot_loader mSnapshots;
   const std::uint64_t mIncarnation;
   const std::string mPeerAddress;
   /// Whether this daemon follows the journal, so that it can become owner at once.
   bool mStandby;
-  scheduler::job_table mJobTable;
+  job_replica mJobs;
   election mElection;
   journal_writer mWriter;
   owner_client mOwnerClient;
@@ -256,7 +250,6 @@
   std::unique_ptr<log_tail> mOperatorTail;
   std::unique_ptr<log_tail> mRegistryTail;
   std::unique_ptr<log_tail> mOwnerTail;
-  std::unique_ptr<log_tail> mJournalTail;
 
   operator_view mOperator{ mLog };
   registry_view mRegistry;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -90,7 +90,7 @@
   }
   const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
   // A job that is known was accepted before; its repetition is confirmed.
-  if (submitted != nullptr && mJobTable.find(submitted->mSpec.mId) == nullptr &&
+  if (submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) == nullptr &&
       !mOwner->admits(submitted->mSpec.mTeam)) {
     aDone(write_outcome::overloaded);
     return true;
@@ -255,7 +255,7 @@
   const auto epoch = mElection.epoch();
   if (mEpoch != epoch) {
     if (!followsJournal()) {
-      loadJobTable();
+      mJobs.load();
     }
     mEpoch = epoch;
     mFencedAt.reset();
@@ -276,37 +276,34 @@
         return;
       }
       mFencedAt = mClock.now();
-      if (!mSnapshots.active()) {
-        // The store may be holding the read in flight open.
-        mJournalTail->restart(mJournalTail->next());
-      }
+      mJobs.readNow();
     });
     mRegistryTail->setInterval(kOwnerRegistryReadInterval);
     mRegistryTail->restart(0);
-    mJournalTail->setInterval(kOwnerJournalReadInterval);
+    mJobs.setReadInterval(kOwnerJournalReadInterval);
   }
-  if (!mFencedAt || mSnapshots.active() || !mJournalTail->caughtUp() ||
-      mJournalTail->freshAsOf() <= *mFencedAt || !mRegistryTail->caughtUp() ||
-      !mOperator.config()) {
+  if (!mFencedAt || !mJobs.complete() || mJobs.freshAsOf() <= *mFencedAt ||
+      !mRegistryTail->caughtUp() || !mOperator.config()) {
     return;
   }
   const auto now = mClock.now();
   mUnstoredEnds.clear();
   mOwner = std::make_unique<scheduler::owner>(
-    mJobTable, static_cast<scheduler::owner_port&>(*this),
+    mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
                               .mEpochs = mElection.epochs() },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
   onOperatorChange();
-  mJobTable.forEach([&](scheduler::job& aJob) { mOwner->onRecordApplied(aJob, now, wallNow()); });
+  mJobs.table().forEach(
+    [&](scheduler::job& aJob) { mOwner->onRecordApplied(aJob, now, wallNow()); });
   updateHelpers(now);
   for (const auto& [id, entry] : mRegistry.targets()) {
     mOwner->setTarget(entry, now);
   }
-  mLog.write("owner_started", fmt::format("epoch={} jobs={} targets={}", epoch, mJobTable.size(),
-                                          mRegistry.targets().size()));
+  mLog.write("owner_started", fmt::format("epoch={} jobs={} targets={}", epoch,
+                                          mJobs.table().size(), mRegistry.targets().size()));
 }
 
 void cell_node::impl::stepDown(std::string_view aReason)
@@ -320,74 +317,36 @@
   mEpoch = 0;
   mHelpers.clear();
   mStandbys.clear();
-  // Decisions that were not stored are discarded with the rest of the owner's state.
+  // Decisions that were not stored are discarded with the rest of the owner's state, before a
+  // caller's record is stored in another way and applied.
   mUnstoredEnds.clear();
+  mJobs.setReadInterval(kJournalReadInterval);
+  if (mStandby) {
+    mJobs.load();
+  } else {
+    mJobs.drop();
+  }
   for (auto& [token, record] : std::exchange(mUnstoredCallerRecords, {})) {
     record.mDone(write_outcome::unknown);
   }
-  mJournalTail->setInterval(kJournalReadInterval);
-  if (followsJournal()) {
-    loadJobTable();
-  } else {
-    mJobTable.clear();
-    updateCellStatus();
-  }
-}
-
-void cell_node::impl::loadJobTable()
-{
-  mJobTable.clear();
-  mJournalTail->restart(0);
-  // Replies of the owner that arrive in this pass of the loop find the table empty.
-  updateCellStatus();
-  mSnapshots.load([this](std::optional<snapshot> aFound) {
-    const auto now = mClock.now();
-    const auto base = aFound ? aFound->mBase : 0;
-    if (aFound) {
-      for (const auto& record : aFound->mRecords) {
-        mJobTable.apply(record, now);
-      }
-      mJournalTail->restart(base);
-    }
-    mSnapshotWriter.onLoaded(base, mSnapshots.next());
-    mLog.write("state_loaded", fmt::format("base={} jobs={}", base, mJobTable.size()));
-  });
 }
 
 std::optional<snapshot_source> cell_node::impl::snapshotSource() const
 {
   const bool writes =
-    mOwner ? mStandbys.empty() && mOwner->allStored()
-           : mStandby && mWritesSnapshots && mJournalTail->caughtUp() && !mSnapshots.active();
-  if (!writes) {
+    mOwner ? mStandbys.empty() && mOwner->allStored() : mStandby && mWritesSnapshots;
+  if (!writes || !mJobs.complete()) {
     return std::nullopt;
   }
-  return snapshot_source{ .mTable = mJobTable,
-                          .mPosition = mJournalTail->next(),
-                          .mFreshAsOf = mJournalTail->freshAsOf() };
-}
-
-void cell_node::impl::readJournal(const std::vector<std::string>& aRecords)
-{
-  const loop_profiler::scope storing(mProfiler, loop_phase::store);
-  for (const auto& bytes : aRecords) {
-    auto record = scheduler::decodeRecord(bytes);
-    if (!record.ok()) {
-      mLog.write("bad_record",
-                 fmt::format("topic=journal error=\"{}\"", std::string(record.status().message())));
-      continue;
-    }
-    applyRecord(*record);
-  }
+  return snapshot_source{ .mTable = mJobs.table(),
+                          .mPosition = mJobs.position(),
+                          .mFreshAsOf = mJobs.freshAsOf() };
 }
 
-void cell_node::impl::applyRecord(const journal_record& aRecord)
+void cell_node::impl::onJobChanged(scheduler::job& aJob)
 {
-  const auto now = mClock.now();
-  // Null for this owner's records, which were applied to the table when they were created.
-  auto* changed = mJobTable.apply(aRecord, now);
-  if (changed != nullptr && mOwner) {
-    mOwner->onRecordApplied(*changed, now, wallNow());
+  if (mOwner) {
+    mOwner->onRecordApplied(aJob, mClock.now(), wallNow());
   }
 }
 
--- /dev/null
+++ b/node/src/job_replica.cpp
@@ -0,0 +1,102 @@
+#include "job_replica.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace endiveusher::node {
+
+job_replica::job_replica(platform::store& aStore, const clock& aClock, event_log& aLog,
+                         loop_profiler& aProfiler, job_replica_options aOptions,
+                         callbacks aCallbacks)
+  : mClock(aClock), mLog(aLog), mProfiler(aProfiler), mCallbacks(std::move(aCallbacks)),
+    mSnapshots(aStore, aClock, std::move(aOptions.mSnapshotTopic)),
+    mTail(aStore, aClock,
+          { .mTopic = std::move(aOptions.mJournalTopic), .mInterval = kJournalReadInterval },
+          { .mOnRecords = [this](const auto& aRecords, std::uint64_t) { readRecords(aRecords); },
+            .mOnGap =
+              [this](std::uint64_t aFirst) {
+                mLog.write("journal_gap", fmt::format("first_offset={}", aFirst));
+                mCallbacks.mOnGap();
+              } })
+{
+}
+
+void job_replica::load()
+{
+  mTable.clear();
+  mFollows = true;
+  mTail.restart(0);
+  mCallbacks.mOnEmptied();
+  mSnapshots.load([this](const std::optional<snapshot>& aFound) { onLoaded(aFound); });
+}
+
+void job_replica::drop()
+{
+  mTable.clear();
+  mFollows = false;
+  mSnapshots.cancel();
+  // A reply to the read in flight is ignored.
+  mTail.restart(0);
+  mCallbacks.mOnEmptied();
+}
+
+void job_replica::onLoaded(const std::optional<snapshot>& aFound)
+{
+  const auto now = mClock.now();
+  const auto base = aFound ? aFound->mBase : 0;
+  if (aFound) {
+    for (const auto& record : aFound->mRecords) {
+      mTable.apply(record, now);
+    }
+    mTail.restart(base);
+  }
+  mLog.write("state_loaded", fmt::format("base={} jobs={}", base, mTable.size()));
+  mCallbacks.mOnLoaded(base, mSnapshots.next());
+}
+
+void job_replica::tick(time_point aNow)
+{
+  mSnapshots.tick(aNow);
+  if (mFollows && !mSnapshots.active()) {
+    mTail.tick(aNow);
+  }
+}
+
+void job_replica::readNow()
+{
+  if (!mSnapshots.active()) {
+    mTail.restart(mTail.next());
+  }
+}
+
+void job_replica::readRecords(const std::vector<std::string>& aRecords)
+{
+  const loop_profiler::scope storing(mProfiler, loop_phase::store);
+  for (const auto& bytes : aRecords) {
+    const auto record = scheduler::decodeRecord(bytes);
+    if (!record.ok()) {
+      mLog.write("bad_record",
+                 fmt::format("topic=journal error=\"{}\"", std::string(record.status().message())));
+      continue;
+    }
+    apply(*record);
+  }
+}
+
+void job_replica::applyStored(const scheduler::journal_record& aRecord)
+{
+  if (complete()) {
+    apply(aRecord);
+  }
+}
+
+void job_replica::apply(const scheduler::journal_record& aRecord)
+{
+  // Null for this owner's records, which were applied to the table when they were created.
+  if (auto* changed = mTable.apply(aRecord, mClock.now())) {
+    mCallbacks.mOnChanged(*changed);
+  }
+}
+
+} // namespace endiveusher::node
--- /dev/null
+++ b/node/src/job_replica.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "endiveusher/kernel/time.h"
+#include "endiveusher/platform/store.h"
+#include "endiveusher/scheduler/job_table.h"
+#include "event_log.h"
+#include "log_tail.h"
+#include "loop_profiler.h"
+#include "snapshots.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveusher::node {
+
+/// Interval at which followers read the journal. They query the owner for the states of live jobs.
+inline constexpr std::chrono::milliseconds kJournalReadInterval{ 200 };
+
+struct job_replica_options
+{
+  std::string mJournalTopic;
+  std::string mSnapshotTopic;
+};
+
+/// This daemon's copy of the cell's jobs: the job table, and how much of the journal it holds.
+///
+/// The copy is absent, being loaded, or complete. It is complete once the newest snapshot has been
+/// loaded and the journal behind it has been read to its end. Only a complete table may answer
+/// callers, be written to a snapshot, be scheduled from, or take records out of the journal's
+/// order: a record of a job whose snapshot has not been loaded would take the place of the job's
+/// runs.
+class job_replica
+{
+public:
+  struct callbacks
+  {
+    /// Reports a job that a record of another daemon has changed.
+    std::function<void(scheduler::job& aJob)> mOnChanged = [](scheduler::job&) {};
+    /// Reports that the table has been emptied, before anything else uses it.
+    std::function<void()> mOnEmptied = [] {};
+    /// Reports the base of the snapshot that was loaded, 0 if there was none, and the end of the
+    /// snapshot topic.
+    std::function<void(std::uint64_t aBase, std::uint64_t aTopicEnd)> mOnLoaded =
+      [](std::uint64_t, std::uint64_t) {};
+    /// Reports that records were deleted before they were read. The table has to be loaded again.
+    std::function<void()> mOnGap = [] {};
+  };
+
+  job_replica(platform::store& aStore, const clock& aClock, event_log& aLog,
+              loop_profiler& aProfiler, job_replica_options aOptions, callbacks aCallbacks);
+
+  /// Empties the table, loads the newest snapshot and follows the journal from its base on.
+  void load();
+  /// Empties the table and stops reading.
+  void drop();
+  void tick(time_point aNow);
+
+  /// Whether the table is loaded or being loaded.
+  bool follows() const { return mFollows; }
+  bool complete() const { return mFollows && !mSnapshots.active() && mTail.caughtUp(); }
+  /// Offset of the first journal record that the table does not include.
+  std::uint64_t position() const { return mTail.next(); }
+  /// The table includes all journal records that were acknowledged before this time.
+  time_point freshAsOf() const { return mTail.freshAsOf(); }
+
+  /// Applies a record that is in the journal but may not have been read yet. Has no effect unless
+  /// the table is complete; the record is then read with the others.
+  void applyStored(const scheduler::journal_record& aRecord);
+  /// Reads the journal now. The store may be holding the read in flight open.
+  void readNow();
+  void setReadInterval(std::chrono::milliseconds aInterval) { mTail.setInterval(aInterval); }
+  /// The table, to which the owner applies its records before they are stored.
+  scheduler::job_table& table() { return mTable; }
+  const scheduler::job_table& table() const { return mTable; }
+
+private:
+  void onLoaded(const std::optional<snapshot>& aFound);
+  void readRecords(const std::vector<std::string>& aRecords);
+  void apply(const scheduler::journal_record& aRecord);
+
+  const clock& mClock;
+  event_log& mLog;
+  loop_profiler& mProfiler;
+  const callbacks mCallbacks;
+  scheduler::job_table mTable;
+  bool mFollows = false;
+  snapshot_loader mSnapshots;
+  log_tail mTail;
+};
+
+} // namespace endiveusher::node
--- a/node/src/snapshots.h
+++ b/node/src/snapshots.h
@@ -108,6 +108,12 @@
   /// Starts from the oldest record; aDone runs when the end of the topic is reached. Failed reads
   /// are retried.
   void load(done_callback aDone);
+  /// Ends the current load without a result.
+  void cancel()
+  {
+    ++mGeneration;
+    mDone = nullptr;
+  }
   void tick(time_point aNow);
   bool active() const { return static_cast<bool>(mDone); }
   /// Offset up to which the topic has been read.
