Keep the runs that a restarted target executes

Cause: orders name only the id of a target, so that the new incarnation executes starts that were decided for the former one. When the owner learned of the restart it ended all runs there, also those. A second cause, found on the way: heartbeats acknowledge ends up to a number, and a new incarnation counts its ends anew. The first heartbeat that reached it acknowledged numbers of the former one, and it forgot ends that nobody had read.

Ruled out: naming the incarnation in orders; the interface has only the id.

Change: the first reply of the new incarnation decides. Runs that it lists, running or ended, are kept; those whose order may still be executed are stopped before they count as lost; the others are lost as before. A restart that only the registry tells leads to a heartbeat at once, without lease and acknowledgement, and to no orders before its reply. Ends are acknowledged only within 300 ms of a reply, or after one more heartbeat without an acknowledgement. What remains: a target that restarts within 300 ms of its last reply.

No test fails if runs with an open order are not kept; the listing in the reply covers what the stand-in does.

--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -109,42 +109,60 @@
   }
 }
 
+std::map<task_key, owner::impl::run_loss> owner::impl::lossesAt(const target_state& aTarget)
+{
+  const auto jobs = occupantsOf(aTarget);
+  std::map<task_key, run_loss> losses;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (run.mPhase != run_phase::storing) {
+      losses.emplace(
+        task, run_loss{ .mOutcome = lossOf(aTarget, run),
+                        .mWasAlone = !aTarget.mHasUnknownRuns && jobs.onlyOf(task.mStep.mJob) });
+    }
+  }
+  return losses;
+}
+
+void owner::impl::endLostRun(target_state& aTarget, const task_key& aTask,
+                             const std::optional<run_loss>& aLoss, std::string_view aReason,
+                             time_point aNow)
+{
+  const auto& lost = aTarget.mRuns.at(aTask);
+  if (!lost.mEnded) {
+    const auto run = lost.mRun;
+    const auto checkpoint = lost.mCheckpoint;
+    const bool hasBegun = lost.mPhase == run_phase::confirmed && !lost.mLoss;
+    endRun(aTarget, aTask, aLoss ? aLoss->mOutcome : run_end::interrupted, checkpoint, aNow);
+    job* owning = mJobTable.find(aTask.mStep.mJob);
+    mPort.logDecision("run_lost",
+                      fmt::format("task={} run={} target={} reason={} losses={} start_losses={}",
+                                  toText(aTask), run, aTarget.mEntry.mId, aReason,
+                                  owning == nullptr ? 0 : taskOf(*owning, aTask).mTargetLosses,
+                                  owning == nullptr ? 0 : taskOf(*owning, aTask).mStartLosses));
+    if (!hasBegun) {
+      stopGangOf(aTask, aNow);
+    }
+    if (aLoss && owning != nullptr) {
+      abandonAfterTargetLoss(*owning, aTask, aLoss->mWasAlone, aNow);
+    }
+  }
+  release(aTarget, aTask);
+}
+
 void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
                               time_point aNow)
 {
-  const auto jobs = occupantsOf(aTarget);
+  const auto losses = lossesAt(aTarget);
   std::vector<task_key> tasks;
   tasks.reserve(aTarget.mRuns.size());
   for (const auto& [task, run] : aTarget.mRuns) {
     tasks.push_back(task);
   }
   for (const auto& task : tasks) {
-    const auto found = aTarget.mRuns.find(task);
-    if (found == aTarget.mRuns.end()) {
-      continue;
-    }
-    if (!found->second.mEnded) {
-      const auto run = found->second.mRun;
-      const auto checkpoint = found->second.mCheckpoint;
-      const bool hasBegun = found->second.mPhase == run_phase::confirmed;
-      const bool isCounted = !aIsPlanned && found->second.mPhase != run_phase::storing;
-      endRun(aTarget, task, isCounted ? lossOf(aTarget, found->second) : run_end::interrupted,
-             checkpoint, aNow);
-      job* owning = mJobTable.find(task.mStep.mJob);
-      mPort.logDecision("run_lost",
-                        fmt::format("task={} run={} target={} reason={} losses={} start_losses={}",
-                                    toText(task), run, aTarget.mEntry.mId, aReason,
-                                    owning == nullptr ? 0 : taskOf(*owning, task).mTargetLosses,
-                                    owning == nullptr ? 0 : taskOf(*owning, task).mStartLosses));
-      if (!hasBegun) {
-        stopGangOf(task, aNow);
-      }
-      if (isCounted && owning != nullptr) {
-        const bool wasAlone = !aTarget.mHasUnknownRuns && jobs.onlyOf(task.mStep.mJob);
-        abandonAfterTargetLoss(*owning, task, wasAlone, aNow);
-      }
-    }
-    release(aTarget, task);
+    const auto loss = losses.find(task);
+    const bool isCounted = !aIsPlanned && loss != losses.end();
+    endLostRun(aTarget, task, isCounted ? std::optional(loss->second) : std::nullopt, aReason,
+               aNow);
   }
 }
 
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -53,6 +53,7 @@
 private:
   using target_state = internal::target_state;
   using allocated_run = internal::allocated_run;
+  using run_loss = internal::run_loss;
   using waiting_step = internal::waiting_step;
 
   /// Records of one owner_port::store() call, in order, and what to do when they are stored.
@@ -144,6 +145,12 @@
   /// Stops the other members of the gang, if the task belongs to one, after a run that may never
   /// have begun: its target does not make them end.
   void stopGangOf(const task_key& aTask, time_point aNow);
+  /// Returns how the loss of the target counts for its runs; absent for those that were not
+  /// ordered.
+  static std::map<task_key, run_loss> lossesAt(const target_state& aTarget);
+  /// Ends a run whose target is lost or has restarted; aLoss is absent if that does not count.
+  void endLostRun(target_state& aTarget, const task_key& aTask,
+                  const std::optional<run_loss>& aLoss, std::string_view aReason, time_point aNow);
   /// Ends all runs of a target that is lost. A planned leave is not counted as a loss under them.
   void endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
                    time_point aNow);
@@ -156,9 +163,16 @@
   // Heartbeats.
   void sendHeartbeat(target_state& aTarget, time_point aNow);
   duration heartbeatPause() const;
+  /// Called when the registry lists a new incarnation of a target with runs.
   /// @param aIsPlanned whether the former incarnation was draining
-  void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart, bool aIsPlanned,
-                        time_point aNow);
+  void onRestartListed(target_state& aTarget, bool aIsPlanned, time_point aNow);
+  /// Ends the runs that aReport, the first of a new incarnation, shows to be lost. Those that it
+  /// lists, and those whose start order it may still execute, stay allocated.
+  /// @param aSent time at which the heartbeat was sent
+  void endRunsOfFormerIncarnation(target_state& aTarget, const target_report& aReport,
+                                  time_point aSent, time_point aNow);
+  /// Resets what is known of the former incarnation, except its runs.
+  void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -63,7 +63,7 @@
     return false;
   }
   const auto& target = mTargets.find(aStart.mAt.mTarget)->second;
-  return target.mAcquisitionStored &&
+  return target.mAcquisitionStored && !target.mRestartListed &&
          target.mEntry.mIncarnationStart == aStart.mAt.mIncarnationStart &&
          mayStartAt(target, *owning, aStart.mTask.mStep);
 }
@@ -143,7 +143,7 @@
 
 void owner::impl::sendOrders(target_state& aTarget, time_point aNow)
 {
-  if (aTarget.mNextOrders > aNow) {
+  if (aTarget.mNextOrders > aNow || aTarget.mRestartListed) {
     return;
   }
   aTarget.mNextOrders = time_point::max();
@@ -158,7 +158,7 @@
       continue;
     }
     // A start order extends the lease, so it is not repeated once renewals have been stopped.
-    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted ||
+    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted || run.mLoss ||
                               !aTarget.mAcquisitionStored || !mayOrderStart(aTarget, run, aNow);
     if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget, task)) {
       sendStart(aTarget, task, run, aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -26,9 +26,10 @@
 
 bool owner::impl::usable(const target_state& aTarget, time_point aNow) const
 {
-  return aTarget.mListed && aTarget.mAcquisitionStored && aTarget.mMissedHeartbeats == 0 &&
-         aTarget.mClock && !aTarget.mHasUnknownRuns && !aTarget.mEntry.mDraining &&
-         aTarget.mAvoidUntil <= aNow && !mClosedZones.contains(aTarget.mEntry.mZone);
+  return aTarget.mListed && aTarget.mAcquisitionStored && !aTarget.mRestartListed &&
+         aTarget.mMissedHeartbeats == 0 && aTarget.mClock && !aTarget.mHasUnknownRuns &&
+         !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
+         !mClosedZones.contains(aTarget.mEntry.mZone);
 }
 
 bool owner::impl::isSuitable(const target_state& aTarget, const route_config& aRoute,
--- /dev/null
+++ b/scheduler/src/owner_restarts.cpp
@@ -0,0 +1,107 @@
+#include "owner_impl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+#include <utility>
+
+namespace endiveusher::scheduler {
+
+using internal::run_phase;
+
+namespace {
+
+/// Whether a start order of the run may be executed by an incarnation that did not list the run in
+/// its reply to a heartbeat that was sent at aSent. Orders name only the target's id.
+bool mayStartLater(const internal::allocated_run& aRun, time_point aSent)
+{
+  const bool orderOpen = aRun.mPhase == run_phase::ordered && aRun.mOrderOpen;
+  const bool acceptedSince = aRun.mPhase == run_phase::confirmed && aRun.mMustBeListedFrom > aSent;
+  return orderOpen || acceptedSince || aRun.mTries > 0;
+}
+
+std::set<std::pair<task_key, std::uint32_t>> runsOf(const target_report& aReport)
+{
+  std::set<std::pair<task_key, std::uint32_t>> runs;
+  for (const auto& one : aReport.mRunning) {
+    runs.emplace(one.mTask, one.mRun);
+  }
+  for (const auto& one : aReport.mEnded) {
+    runs.emplace(one.mTask, one.mRun);
+  }
+  return runs;
+}
+
+} // namespace
+
+void owner::impl::onRestartListed(target_state& aTarget, bool aIsPlanned, time_point aNow)
+{
+  if (std::exchange(aTarget.mRestartListed, true)) {
+    return;
+  }
+  aTarget.mRestartPlanned = aIsPlanned;
+  // The heartbeat in flight was sent to the former incarnation.
+  aTarget.mRestartListedAt = aNow;
+  aTarget.mHeartbeatInFlight = false;
+}
+
+void owner::impl::endRunsOfFormerIncarnation(target_state& aTarget, const target_report& aReport,
+                                             time_point aSent, time_point aNow)
+{
+  const bool isPlanned =
+    aTarget.mRestartListed ? aTarget.mRestartPlanned : aTarget.mEntry.mDraining;
+  const auto losses = lossesAt(aTarget);
+  const auto reported = runsOf(aReport);
+  std::vector<task_key> lost;
+  std::size_t kept = 0;
+  for (auto& [task, run] : aTarget.mRuns) {
+    if (reported.contains({ task, run.mRun })) {
+      ++kept;
+      continue;
+    }
+    if (run.mEnded || !mayStartLater(run, aSent)) {
+      lost.push_back(task);
+      continue;
+    }
+    ++kept;
+    if (const auto loss = losses.find(task); !isPlanned && loss != losses.end()) {
+      run.mLoss = loss->second;
+    }
+    if (run.mPhase == run_phase::confirmed && run.mMustBeListedFrom <= aSent) {
+      // An earlier order of the run had no answer. Once a stop is accepted, the target rejects it.
+      run.mPhase = run_phase::stopping;
+      run.mMustBeListedFrom = time_point::max();
+    }
+    run.mNextTry = aNow;
+  }
+  mPort.logDecision("target_restarted",
+                    fmt::format("target={} former_born={} born={} runs_lost={} runs_kept={}",
+                                aTarget.mEntry.mId, aTarget.mEntry.mIncarnationStart,
+                                aReport.mIncarnationStart, lost.size(), kept));
+  for (const auto& task : lost) {
+    const auto loss = losses.find(task);
+    const bool isCounted = !isPlanned && loss != losses.end();
+    endLostRun(aTarget, task, isCounted ? std::optional(loss->second) : std::nullopt,
+               "target_restarted", aNow);
+  }
+}
+
+void owner::impl::beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart)
+{
+  aTarget.mEntry.mIncarnationStart = aIncarnationStart;
+  aTarget.mRestartListed = false;
+  aTarget.mAcquired = false;
+  aTarget.mAcquisitionStored = false;
+  aTarget.mClock.reset();
+  aTarget.mLeaseSent = target_time{ 0 };
+  aTarget.mLastEndNumber = 0;
+  aTarget.mStoredEndNumber = 0;
+  aTarget.mConsecutiveFailures = 0;
+  aTarget.mRejectedStarts = 0;
+  aTarget.mNextOrders = time_point{};
+  for (auto& [key, step] : mWaiting) {
+    step.mAdvice.dropTicket(aTarget.mNumber);
+  }
+}
+
+} // namespace endiveusher::scheduler
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -31,6 +31,9 @@
 /// Pause between two heartbeats to a target whose acquisition is being stored: they cannot renew
 /// its lease yet, and it answers them at once.
 constexpr auto kAcquisitionPause = std::chrono::milliseconds(200);
+/// Time after a target's last reply in which it cannot have restarted: the shortest loss of power
+/// that was seen to end in a restart. Exceeds kMaxHeartbeatPause.
+constexpr auto kMaxAcknowledgementDelay = std::chrono::milliseconds(300);
 /// Time for which a step avoids a target at which one of its tasks has failed. If that leaves no
 /// target with room, the step still has to run again within 3 s, of which an advice call takes up
 /// to 1.2 s.
@@ -67,20 +70,24 @@
 void owner::impl::setTarget(const target_entry& aEntry, time_point aNow)
 {
   auto& target = findOrCreateTarget(aEntry.mId);
-  const bool newIncarnation = target.mEntry.mIncarnationStart != 0 &&
-                              aEntry.mIncarnationStart != 0 &&
-                              aEntry.mIncarnationStart > target.mEntry.mIncarnationStart;
-  const auto incarnationStart = std::max(target.mEntry.mIncarnationStart, aEntry.mIncarnationStart);
+  const auto known = target.mEntry.mIncarnationStart;
+  const bool restarted = known != 0 && aEntry.mIncarnationStart > known;
   const bool wasDraining = target.mEntry.mDraining;
   const bool isNew = target.mEntry.mAddress.empty();
   target.mListed = true;
   target.mEntry = aEntry;
-  target.mEntry.mIncarnationStart = incarnationStart;
-  if (newIncarnation) {
-    beginIncarnation(target, incarnationStart, wasDraining, aNow);
+  if (restarted && !target.mRuns.empty()) {
+    // Its first reply tells which of the runs it executes.
+    target.mEntry.mIncarnationStart = known;
+    onRestartListed(target, wasDraining, aNow);
+  } else {
+    target.mEntry.mIncarnationStart = std::max(known, aEntry.mIncarnationStart);
+    if (restarted) {
+      beginIncarnation(target, aEntry.mIncarnationStart);
+    }
   }
-  if (isNew || newIncarnation) {
-    target.mNextHeartbeat = aNow;
+  if (isNew || restarted) {
+    target.mNextHeartbeat = std::min(target.mNextHeartbeat, aNow);
   }
   mPlanNeeded = true;
 }
@@ -96,27 +103,6 @@
   found->second.mNextHeartbeat = aNow;
 }
 
-void owner::impl::beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart,
-                                   bool aIsPlanned, time_point aNow)
-{
-  mPort.logDecision("target_restarted",
-                    fmt::format("target={} born={} runs_lost={}", aTarget.mEntry.mId,
-                                aIncarnationStart, aTarget.mRuns.size()));
-  endLostRuns(aTarget, "target_restarted", aIsPlanned, aNow);
-  aTarget.mEntry.mIncarnationStart = aIncarnationStart;
-  aTarget.mAcquired = false;
-  aTarget.mAcquisitionStored = false;
-  aTarget.mClock.reset();
-  aTarget.mLeaseSent = target_time{ 0 };
-  aTarget.mLastEndNumber = 0;
-  aTarget.mStoredEndNumber = 0;
-  aTarget.mConsecutiveFailures = 0;
-  aTarget.mRejectedStarts = 0;
-  for (auto& [key, step] : mWaiting) {
-    step.mAdvice.dropTicket(aTarget.mNumber);
-  }
-}
-
 void owner::impl::endRunsOfFormerTargets(const target_state& aTarget, time_point aNow)
 {
   if (aTarget.mEntry.mVm.empty()) {
@@ -145,12 +131,20 @@
 {
   heartbeat_order order{ .mTarget = aTarget.mEntry.mId,
                          .mAddress = aTarget.mEntry.mAddress,
-                         .mEpoch = mEpoch,
-                         .mStoredEndNumber = aTarget.mStoredEndNumber };
+                         .mEpoch = mEpoch };
+  // Ends are numbered anew after a restart: an acknowledgement that reaches the next incarnation
+  // would make it forget ends that were not read.
+  const bool inContact =
+    aTarget.mMissedHeartbeats == 0 && aNow - aTarget.mLastReply <= kMaxAcknowledgementDelay;
+  aTarget.mAcknowledgementDeferred =
+    aTarget.mRestartListed || (!inContact && !aTarget.mAcknowledgementDeferred);
+  if (!aTarget.mAcknowledgementDeferred && aTarget.mMissedHeartbeats == 0) {
+    order.mStoredEndNumber = aTarget.mStoredEndNumber;
+  }
   // The lease of an unresponsive target is not extended: its runs could never be declared lost
   // while unanswered heartbeats might still renew it.
   if (aTarget.mClock && aTarget.mAcquired && aTarget.mAcquisitionStored &&
-      aTarget.mMissedHeartbeats == 0) {
+      !aTarget.mRestartListed && aTarget.mMissedHeartbeats == 0) {
     order.mLeaseUntil = extendLease(aTarget, aNow);
     order.mWait = kHeartbeatWait;
   }
@@ -167,11 +161,15 @@
     return;
   }
   auto& target = found->second;
-  target.mHeartbeatInFlight = false;
   if (aOutcome == order_outcome::fenced) {
     mFenced = true;
     return;
   }
+  if (aOutcome != order_outcome::accepted && aSent < target.mRestartListedAt) {
+    // Sent to the former incarnation, whose end closes no connection.
+    return;
+  }
+  target.mHeartbeatInFlight = false;
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
       target.mUnresponsiveSince = aNow;
@@ -198,7 +196,8 @@
   }
   if (aReport.mIncarnationStart > target.mEntry.mIncarnationStart) {
     if (target.mEntry.mIncarnationStart != 0) {
-      beginIncarnation(target, aReport.mIncarnationStart, target.mEntry.mDraining, aNow);
+      endRunsOfFormerIncarnation(target, aReport, aSent, aNow);
+      beginIncarnation(target, aReport.mIncarnationStart);
     }
     target.mEntry.mIncarnationStart = aReport.mIncarnationStart;
   }
@@ -277,6 +276,7 @@
     }
     listed.insert(running.mTask);
     auto& run = found->second;
+    run.mLoss.reset();
     if (!running.mCheckpoint.empty()) {
       run.mCheckpoint = running.mCheckpoint;
     }
@@ -300,6 +300,11 @@
     if (found == aTarget.mRuns.end()) {
       continue;
     }
+    if (found->second.mLoss) {
+      const auto loss = found->second.mLoss;
+      endLostRun(aTarget, task, loss, "target_restarted", aNow);
+      continue;
+    }
     if (!found->second.mEnded) {
       mPort.logDecision("run_gone", fmt::format("task={} run={} target={}", toText(task),
                                                 found->second.mRun, aTarget.mEntry.mId));
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/kernel/time.h"
+#include "endiveusher/scheduler/journal.h"
 #include "endiveusher/scheduler/target.h"
 
 #include <algorithm>
@@ -28,6 +29,14 @@
   stopping,
 };
 
+/// How the loss of a run's target counts for its task.
+struct run_loss
+{
+  run_end mOutcome = run_end::target_lost;
+  /// Whether no task of another job may have been executing at the target.
+  bool mWasAlone = false;
+};
+
 /// A run that occupies capacity at a target, from the decision to start it until it is confirmed to
 /// have ended there.
 struct allocated_run
@@ -48,6 +57,9 @@
   time_point mNextTry{};
   /// Replies to heartbeats sent from this time on list the run unless it has ended.
   time_point mMustBeListedFrom = time_point::max();
+  /// Set if the target has restarted while the run's start order was open: a later incarnation may
+  /// execute it. If none does, the run counts as this loss.
+  std::optional<run_loss> mLoss;
   /// No task of another job is started beside the run before this time.
   time_point mIsolatedUntil{};
   std::string mCheckpoint;
@@ -90,6 +102,13 @@
   /// too.
   bool mHasUnknownRuns = false;
 
+  /// Whether the registry lists an incarnation that has not replied to a heartbeat. Which runs it
+  /// executes is unknown until then.
+  bool mRestartListed = false;
+  time_point mRestartListedAt{};
+  /// Whether the former incarnation was draining.
+  bool mRestartPlanned = false;
+
   bool mHeartbeatInFlight = false;
   time_point mNextHeartbeat{};
   time_point mLastReply{};
@@ -109,6 +128,8 @@
   /// Sequence numbers of the last end received and of the last end stored in the journal.
   std::uint64_t mLastEndNumber = 0;
   std::uint64_t mStoredEndNumber = 0;
+  /// Whether the last heartbeat acknowledged no ends, as the target may have restarted.
+  bool mAcknowledgementDeferred = false;
   std::map<task_key, allocated_run> mRuns;
   /// Earliest time at which a run may need an order; in the past after any change that may need
   /// one.
--- a/tests/scheduler/fake_services.h
+++ b/tests/scheduler/fake_services.h
@@ -29,6 +29,8 @@
   /// Whether calls stay open without a reply.
   bool mIsSilent = false;
   bool mListed = true;
+  /// Heartbeats that were sent before this time stay open until then, and get no reply.
+  time_point mLosesHeartbeatsUntil{};
   /// Whether start orders are executed but their replies are lost.
   bool mLosesReplies = false;
   /// Whether start orders are lost before they are executed.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -94,6 +94,15 @@
     mOwner->setTarget(target.mEntry, mNow);
   }
 
+  /// Starts a new incarnation of the target under its id; the registry does not list it yet.
+  fake_target& restartUnlisted(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    target = { .mEntry = target.mEntry };
+    ++target.mEntry.mIncarnationStart;
+    return target;
+  }
+
   /// Changes the capacity that the target states; the owner reads it after aDelay.
   void setCapacity(const std::string& aId, const resources& aCapacity,
                    milliseconds aDelay = milliseconds(0))
@@ -293,6 +302,9 @@
   static constexpr milliseconds kCapacityGrace{ 5 };
   /// Starts that brought their target over its capacity.
   std::vector<std::string> mStartsOverCapacity;
+  /// Tasks that have ended as done, and those that were started after that.
+  std::set<task_key> mDoneTasks;
+  std::vector<std::string> mStartsAfterDone;
 
 private:
   struct pending_call
@@ -397,7 +409,9 @@
 
   bool isHeldOpen(const pending_call& aCall) const
   {
-    return (aCall.mHeartbeat && mTargets.at(aCall.mHeartbeat->mTarget).mIsSilent) ||
+    return (aCall.mHeartbeat &&
+            (mTargets.at(aCall.mHeartbeat->mTarget).mIsSilent ||
+             mNow < mTargets.at(aCall.mHeartbeat->mTarget).mLosesHeartbeatsUntil)) ||
            (aCall.mStart && mTargets.at(aCall.mStart->mTarget).mIsSilent);
   }
 
@@ -420,6 +434,7 @@
       const auto found = target.mRunning.find(due.mTask);
       if (found != target.mRunning.end() && found->second == due.mRun) {
         target.end(due.mTask, reported_end::done);
+        mDoneTasks.insert(due.mTask);
       }
     }
   }
@@ -501,7 +516,7 @@
   void replyToHeartbeat(const heartbeat_order& aOrder, time_point aSent)
   {
     auto& target = mTargets.at(aOrder.mTarget);
-    if (!target.mReachable) {
+    if (!target.mReachable || aSent < target.mLosesHeartbeatsUntil) {
       mOwner->onHeartbeatReply(aOrder.mTarget, aSent, order_outcome::unanswered, {}, mNow);
       return;
     }
@@ -541,6 +556,9 @@
     }
     if (std::exchange(target.mRunning[aOrder.mTask], aOrder.mRun) != aOrder.mRun) {
       checkCapacity(target, aOrder.mTask);
+      if (mDoneTasks.contains(aOrder.mTask)) {
+        mStartsAfterDone.push_back(toText(aOrder.mTask) + " on " + aOrder.mTarget);
+      }
     }
     if (mDeadlyJobs.contains(aOrder.mTask.mStep.mJob)) {
       auto& deadly = mDeadlyTasks[aOrder.mTask];
--- /dev/null
+++ b/tests/scheduler/target_restart_test.cpp
@@ -0,0 +1,139 @@
+#include "owner_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::scheduler;
+using namespace endiveusher::scheduler::testing;
+
+namespace {
+
+step_spec tasks(std::uint32_t aCount, milliseconds aEstimate)
+{
+  return { .mCount = aCount,
+           .mNeeds = { .mCpuMilli = 500, .mMemoryMb = 100 },
+           .mEstimate = aEstimate };
+}
+
+/// Time after which a heartbeat to a target that has lost power is given up.
+constexpr milliseconds kHeartbeatTimeout{ 1600 };
+
+} // namespace
+
+/// Targets that restart under their id, and execute starts before the owner knows of it.
+TEST_GROUP(target_restarts)
+{
+  owner_fixture cell;
+
+  void setup() override
+  {
+    cell.mTasksEnd = true;
+    cell.addTarget("a");
+    cell.startNextOwner();
+    cell.run(milliseconds(300));
+  }
+  /// Has target a execute some tasks, so that ends of it are acknowledged.
+  void executeTasks(std::uint32_t aCount)
+  {
+    cell.submit(tasks(aCount, milliseconds(50)));
+    cell.run(milliseconds(500));
+    CHECK_EQUAL(aCount, cell.target("a").mStoredEndNumber);
+  }
+};
+
+// Guards against a second run of a task that is done: the new incarnation executes the task before
+// the owner learns of the restart.
+TEST(target_restarts, aTaskThatTheNewIncarnationHasDoneIsNotRepeated)
+{
+  for (const bool listed : { false, true }) {
+    for (milliseconds after{ 0 }; after < milliseconds(60); after += milliseconds(5)) {
+      const auto job = cell.submit(tasks(2, milliseconds(100)));
+      cell.run(after);
+      auto& target = cell.restartUnlisted("a");
+      target.mLosesHeartbeatsUntil = cell.mNow + kHeartbeatTimeout;
+      cell.run(milliseconds(200));
+      if (listed) {
+        cell.mOwner->setTarget(target.mEntry, cell.mNow);
+      }
+      cell.run(seconds(12));
+      CHECK(cell.find(job).mPhase == job_phase::completed);
+      CHECK_EQUAL(0, cell.mStartsAfterDone.size());
+    }
+  }
+}
+
+// Guards against ends that are forgotten before they are read: an acknowledgement of ends of the
+// former incarnation reached the new one, whose ends have the same numbers.
+TEST(target_restarts, endsOfTheFormerIncarnationAreNotAcknowledgedToTheNewOne)
+{
+  executeTasks(5);
+  cell.target("a").mLosesHeartbeatsUntil = cell.mNow + kHeartbeatTimeout;
+  cell.run(milliseconds(50));
+  cell.restartUnlisted("a").mLosesHeartbeatsUntil = cell.mNow + kHeartbeatTimeout;
+  const auto job = cell.submit(tasks(3, milliseconds(100)));
+  cell.run(seconds(12));
+  CHECK(cell.find(job).mPhase == job_phase::completed);
+  CHECK_EQUAL(0, cell.mStartsAfterDone.size());
+}
+
+// The same for an owner that was paused: the restart falls into the pause.
+TEST(target_restarts, anOwnerThatWasPausedAcknowledgesNothingBeforeItHasAReply)
+{
+  executeTasks(5);
+  cell.mPaused = true;
+  cell.run(milliseconds(500));
+  auto& target = cell.restartUnlisted("a");
+  target.mRunning[{ .mStep = { .mJob = static_cast<job_id>(77) } }] = 1;
+  target.end({ .mStep = { .mJob = static_cast<job_id>(77) } }, reported_end::done);
+  cell.mPaused = false;
+  cell.run(milliseconds(20));
+  CHECK_EQUAL(1, target.mEnded.size());
+}
+
+TEST(target_restarts, endsAreStillAcknowledgedWhileTheOwnerIsBehind)
+{
+  executeTasks(5);
+  for (int turn = 0; turn < 10; ++turn) {
+    cell.submit(tasks(2, milliseconds(50)));
+    cell.run(seconds(4), milliseconds(400));
+  }
+  CHECK_EQUAL(25, cell.target("a").mStoredEndNumber);
+}
+
+// Guards against a task that is never started again: its target has restarted, and executes no
+// earlier order of it.
+TEST(target_restarts, aRunOfTheFormerIncarnationIsLost)
+{
+  for (const bool listed : { false, true }) {
+    const auto job = cell.submit(tasks(1, milliseconds(600)));
+    cell.run(milliseconds(300));
+    CHECK_EQUAL("a", cell.targetRunning(job));
+    const auto& target = cell.restartUnlisted("a");
+    if (listed) {
+      cell.mOwner->setTarget(target.mEntry, cell.mNow);
+    }
+    cell.run(milliseconds(500));
+    CHECK_EQUAL("a", cell.targetRunning(job));
+    CHECK_EQUAL(2, cell.target("a").mRunning.begin()->second);
+    cell.run(seconds(1));
+  }
+}
+
+// Guards against two runs of a task at a time: a start whose reply was lost is executed by the new
+// incarnation.
+TEST(target_restarts, aStartWithoutAReplyIsStoppedBeforeTheTaskStartsElsewhere)
+{
+  cell.mTasksEnd = false;
+  cell.target("a").mLosesReplies = true;
+  const auto job = cell.submit(tasks(1, milliseconds(600)));
+  cell.run(milliseconds(40));
+  cell.addTarget("b");
+  auto& target = cell.restartUnlisted("a");
+  target.mRunning[{ .mStep = { .mJob = job } }] = 1;
+  target.mStopDelay = milliseconds(400);
+  for (int turn = 0; turn < 600; ++turn) {
+    cell.run(milliseconds(5));
+    CHECK(cell.running() <= 1);
+  }
+  CHECK_EQUAL(1, cell.running());
+}
