Hand ends that are not stored to the next owner

Cause: an owner without the store goes on to read ends. When it stepped down it threw them away. Where their workers had crashed meanwhile, nobody could tell the next owner, and it took the runs for lost.

Ways weighed: an owner without the store that reads no ends does not help in the 0.6 s in which it does not know; handing over after the cut is too late, as the former owner learns of its successor from the store. A former owner that is asked steps down first, which also ends the time in which both act. Ends are adopted only for open runs with the same number, so that repetitions change nothing.

Tests: reported_ends.theNextOwnerAdoptsThem, cell_node.aNewOwnerAsksTheFormerOneForEnds, cell_node.anOwnerThatIsAskedForEndsStepsDown, election.knowsTheOwnersOfTheLastSeconds. What remains: a former owner that is lost together with the workers.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -110,7 +110,9 @@
                     { .mTopic = kSnapshotTopic,
                       .mJournalTopic = kJournalTopic,
                       .mWriter = mIncarnation,
-                      .mRetention = mSettings.mRecordRetention })
+                      .mRetention = mSettings.mRecordRetention }),
+    mHandOver(mLoop, mClock, mLog,
+              [this](const std::vector<scheduler::run_ended>& aEnds) { onEndsHandedOver(aEnds); })
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(owner_answer &&)> aDone) {
@@ -329,6 +331,7 @@
       mSnapshotWriter.tick(now, snapshotSource());
     }
     tickPeers(now);
+    mHandOver.tick(now);
     auto next = now + kMaxLoopWait;
     if (mOwner && mElection.mayAct(mClock.now())) {
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -260,6 +260,31 @@
     { .mBody = platform::encodeJobState(*found, !mUnstoredEnds.contains(*id)) });
 }
 
+void cell_node::impl::handleUnstoredEnds(const peer_request& aRequest)
+{
+  const auto epoch = decodeEpoch(aRequest.mBody);
+  if (!epoch.ok()) {
+    rejectMalformed(aRequest, epoch.status());
+    return;
+  }
+  if (mEpoch != 0 && mEpoch < *epoch) {
+    mElection.stepDown();
+    stepDown(fmt::format("superseded by epoch {}", *epoch));
+  }
+  // An owner of a higher epoch than the caller's holds what its predecessors have handed over.
+  aRequest.mResponder.answer(
+    { .mBody = encodeEnds(mOwner ? mOwner->unstoredEnds() : mUnstoredReports) });
+}
+
+void cell_node::impl::onEndsHandedOver(const std::vector<scheduler::run_ended>& aEnds)
+{
+  if (mOwner) {
+    mOwner->adoptEnds(aEnds, mClock.now());
+  } else if (mEpoch != 0) {
+    mUnstoredReports.insert(mUnstoredReports.end(), aEnds.begin(), aEnds.end());
+  }
+}
+
 void cell_node::impl::handlePeer(peer_request& aRequest)
 {
   if (aRequest.mPath == kPeerHelloPath) {
@@ -270,6 +295,8 @@
     handleStatus(aRequest);
   } else if (aRequest.mPath == kPeerWaitingPath) {
     handleWaiting(aRequest);
+  } else if (aRequest.mPath == kPeerUnstoredEndsPath) {
+    handleUnstoredEnds(aRequest);
   } else if (aRequest.mPath == kPeerOrdersPath) {
     handleOrders(aRequest);
   } else if (aRequest.mPath == kPeerResultsPath) {
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -4,6 +4,7 @@
 #include "caller_record_writer.h"
 #include "daemon/src/quantile_summary.h"
 #include "election.h"
+#include "end_hand_over.h"
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/edges/http_server.h"
 #include "endiveusher/node/cell_node.h"
@@ -210,6 +211,11 @@
 
   void handleWaiting(const peer_request& aRequest);
 
+  void handleUnstoredEnds(const peer_request& aRequest);
+
+  /// Adopts ends that a former owner has handed over, or keeps them until this daemon schedules.
+  void onEndsHandedOver(const std::vector<scheduler::run_ended>& aEnds);
+
   void handlePeer(peer_request& aRequest);
 
   void handleCaller(const queued_caller_request& aRequest);
@@ -271,6 +277,10 @@
   /// Whether the owner has chosen this daemon to write the snapshots.
   bool mWritesSnapshots = false;
   std::unique_ptr<scheduler::owner> mOwner;
+  end_hand_over mHandOver;
+  /// Ends that were reported to this daemon as an owner, or handed over to it, and that may not be
+  /// in the journal. Empty while it schedules.
+  std::vector<scheduler::run_ended> mUnstoredReports;
   /// Whether no orders may be sent to targets because the last accepted renewal is too old.
   bool mPaused = false;
   /// Set if the ownership is lost; the next election tick then steps down.
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -23,6 +23,10 @@
 /// sooner on others.
 constexpr std::chrono::milliseconds kLease{ 7000 };
 
+/// Time since an owner's last record in which it may hold ends that the journal lacks, and targets
+/// may be waiting for their leases to end that it has renewed.
+constexpr std::chrono::seconds kHandOverPeriod{ 15 };
+
 } // namespace
 
 void cell_node::impl::store(std::vector<journal_record> aRecords)
@@ -266,6 +270,7 @@
                                                                .mEpoch = epoch,
                                                                .mRetryRefused = true });
     mOrderRouter.begin(epoch);
+    mHandOver.begin(epoch, mElection.formerOwners(mClock.now(), kHandOverPeriod));
     mLog.write("owner_starting", fmt::format("epoch={}", epoch));
     mOwnerWriter->write({}, [this, epoch](write_outcome aOutcome) {
       if (epoch != mEpoch) {
@@ -283,7 +288,7 @@
     mJobs.setReadInterval(kOwnerJournalReadInterval);
   }
   if (!mFencedAt || !mJobs.complete() || mJobs.freshAsOf() <= *mFencedAt ||
-      !mRegistryTail->caughtUp() || !mOperator.config()) {
+      !mRegistryTail->caughtUp() || !mOperator.config() || mHandOver.awaited(mClock.now())) {
     return;
   }
   const auto now = mClock.now();
@@ -298,6 +303,7 @@
   onOperatorChange();
   mJobs.table().forEach(
     [&](scheduler::job& aJob) { mOwner->onRecordApplied(aJob, now, wallNow()); });
+  mOwner->adoptEnds(std::exchange(mUnstoredReports, {}), now);
   updateHelpers(now);
   for (const auto& [id, entry] : mRegistry.targets()) {
     mOwner->setTarget(entry, now);
@@ -312,6 +318,11 @@
     return;
   }
   mLog.write("owner_stopped", fmt::format("epoch={} reason=\"{}\"", mEpoch, aReason));
+  if (mOwner) {
+    // The next owner asks for them.
+    mUnstoredReports = mOwner->unstoredEnds();
+  }
+  mHandOver.end();
   mOwner.reset();
   mOwnerWriter.reset();
   mEpoch = 0;
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -60,6 +60,9 @@
   if (aRecord.mKind == owner_record::kind::claim) {
     mEpochs.try_emplace(epochOf(aOffset), aNow);
   }
+  if (!isOwn(aRecord)) {
+    mOwnersSeen[aRecord.mPeerAddress] = aNow;
+  }
   if (isOwn(aRecord)) {
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < epochOf(aOffset)) {
       mEpoch = epochOf(aOffset);
@@ -195,6 +198,17 @@
   mRole = role::follower;
 }
 
+std::vector<std::string> election::formerOwners(time_point aNow, duration aPeriod) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [address, seen] : mOwnersSeen) {
+    if (aNow - seen <= aPeriod && address != mOptions.mPeerAddress) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
 std::optional<std::string> election::ownerAddress() const
 {
   if (!mHasRecord || isOwn(mLastRecord) || mLastRecord.mKind == owner_record::kind::release) {
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endiveusher::node {
 
@@ -136,6 +137,8 @@
   /// Address of the current owner; absent if it is unknown or this daemon.
   std::optional<std::string> ownerAddress() const;
   const std::string& ownerNode() const { return mLastRecord.mNode; }
+  /// Addresses of the other daemons that have been owner in the last aPeriod.
+  std::vector<std::string> formerOwners(time_point aNow, duration aPeriod) const;
 
 private:
   action chooseAction(time_point aNow, bool aEligible, bool aStopping) const;
@@ -148,6 +151,8 @@
   std::uint64_t mEpoch = 0;
   std::uint64_t mEnd = 0;
   std::map<std::uint64_t, time_point> mEpochs;
+  /// Times at which the last record of each other owner was read, by its address.
+  std::map<std::string, time_point> mOwnersSeen;
   bool mEndKnown = false;
   bool mHasRecord = false;
   owner_record mLastRecord;
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -3,6 +3,7 @@
 #include "admission.h"
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/kernel/msgpack.h"
+#include "endiveusher/scheduler/journal.h"
 #include "endiveusher/scheduler/owner_port.h"
 
 #include <absl/status/statusor.h>
@@ -13,6 +14,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace endiveusher::node {
@@ -35,6 +37,10 @@
 inline constexpr std::string_view kPeerResultsPath = "/peer/order-results";
 /// Returns the number of waiting jobs of the route that the body names.
 inline constexpr std::string_view kPeerWaitingPath = "/peer/waiting";
+/// Returns the ends of runs that targets have reported to this daemon while it was an owner of an
+/// epoch below the one in the body, and that may not be in the journal. An owner of such an epoch
+/// steps down first.
+inline constexpr std::string_view kPeerUnstoredEndsPath = "/peer/unstored-ends";
 inline constexpr std::string_view kMetricsPath = "/metrics";
 inline constexpr std::string_view kStatePath = "/state";
 
@@ -171,6 +177,51 @@
   }
 }
 
+inline std::string encodeEpoch(std::uint64_t aEpoch)
+{
+  return nlohmann::json::array({ aEpoch }).dump();
+}
+
+inline absl::StatusOr<std::uint64_t> decodeEpoch(std::string_view aBody)
+{
+  try {
+    return nlohmann::json::parse(aBody).at(0).get<std::uint64_t>();
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(std::string("epoch: ") + error.what());
+  }
+}
+
+inline std::string encodeEnds(std::span<const scheduler::run_ended> aEnds)
+{
+  std::vector<std::string> records;
+  records.reserve(aEnds.size());
+  for (const auto& one : aEnds) {
+    records.push_back(scheduler::encode(one));
+  }
+  return encodeForwardedRecords(records);
+}
+
+inline absl::StatusOr<std::vector<scheduler::run_ended>> decodeEnds(std::string_view aBody)
+{
+  const auto records = decodeForwardedRecords(aBody);
+  if (!records.ok()) {
+    return records.status();
+  }
+  std::vector<scheduler::run_ended> ends;
+  for (const auto& bytes : *records) {
+    const auto record = scheduler::decodeRecord(bytes);
+    if (!record.ok()) {
+      return record.status();
+    }
+    const auto* end = std::get_if<scheduler::run_ended>(&*record);
+    if (end == nullptr) {
+      return absl::InvalidArgumentError("a record is not the end of a run");
+    }
+    ends.push_back(*end);
+  }
+  return ends;
+}
+
 /// Encodes the owner's request that a daemon make a call for advice on its behalf. The reply is
 /// that of the advice service.
 inline edges::loop_call encodePeerAdvice(const scheduler::advice_request& aRequest)
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endiveusher::scheduler {
 
@@ -80,6 +81,12 @@
   void onStopReply(const stop_order& aOrder, order_outcome aOutcome, time_point aNow);
   void onAdviceReply(const advice_reply& aReply, time_point aNow);
 
+  /// Returns the ends that targets have reported and that may not be in the journal.
+  std::vector<run_ended> unstoredEnds() const;
+  /// Adopts ends that targets have reported to a former owner. Those that the journal holds change
+  /// nothing.
+  void adoptEnds(std::span<const run_ended> aEnds, time_point aNow);
+
   /// Sends due heartbeats and orders, and plans if something has changed. Returns the latest time
   /// for the next call.
   time_point tick(time_point aNow, wall_time aWall);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -572,6 +572,16 @@
   mImpl->onAdviceReply(aReply, aNow);
 }
 
+std::vector<run_ended> owner::unstoredEnds() const
+{
+  return mImpl->unstoredEnds();
+}
+
+void owner::adoptEnds(std::span<const run_ended> aEnds, time_point aNow)
+{
+  mImpl->adoptEnds(aEnds, aNow);
+}
+
 time_point owner::tick(time_point aNow, wall_time aWall)
 {
   return mImpl->tick(aNow, aWall);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -37,6 +37,8 @@
   void onStartReply(const start_order& aOrder, order_outcome aOutcome, time_point aNow);
   void onStopReply(const stop_order& aOrder, order_outcome aOutcome, time_point aNow);
   void onAdviceReply(const advice_reply& aReply, time_point aNow);
+  std::vector<run_ended> unstoredEnds() const;
+  void adoptEnds(std::span<const run_ended> aEnds, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
   bool admits(std::string_view aTeam) const;
@@ -68,6 +70,8 @@
       std::uint64_t mNumber = 0;
     };
     std::vector<stored_end> mEnds;
+    /// Ends that targets have reported, for the next owner if the batch is not stored.
+    std::vector<run_ended> mReportedEnds;
     /// Tokens of callers' records.
     std::vector<std::uint64_t> mTokens;
     /// Targets at which leases may be renewed once the batch is stored.
@@ -138,6 +142,9 @@
   void release(target_state& aTarget, const task_key& aTask);
   void endRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
               const std::string& aCheckpoint, time_point aNow);
+  /// Ends a run as its target has reported, to this owner or to a former one.
+  void endReportedRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
+                      const std::string& aCheckpoint, time_point aNow);
   void completeGang(const task_key& aTask, std::uint32_t aRun, time_point aNow);
   /// Ends the runs of targets that were on the same VM before aTarget, which has answered: a VM
   /// hosts one target at a time, so that these runs are over before their lease expires.
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -242,7 +242,7 @@
           "gang_incomplete",
           fmt::format("task={} run={} target={}", toText(end.mTask), end.mRun, aTarget.mEntry.mId));
       }
-      endRun(aTarget, end.mTask, toRunEnd(end.mOutcome), end.mCheckpoint, aNow);
+      endReportedRun(aTarget, end.mTask, toRunEnd(end.mOutcome), end.mCheckpoint, aNow);
     }
     release(aTarget, end.mTask);
   }
@@ -412,6 +412,49 @@
   onRunEnded(*owning, aTask, aOutcome, aNow);
 }
 
+void owner::impl::endReportedRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
+                                 const std::string& aCheckpoint, time_point aNow)
+{
+  mNextBatch.mReportedEnds.push_back({ .mTask = aTask,
+                                       .mRun = aTarget.mRuns.at(aTask).mRun,
+                                       .mOutcome = aOutcome,
+                                       .mCheckpoint = aCheckpoint });
+  endRun(aTarget, aTask, aOutcome, aCheckpoint, aNow);
+}
+
+std::vector<run_ended> owner::impl::unstoredEnds() const
+{
+  std::vector<run_ended> ends;
+  for (const auto& batch : mBatchesInFlight) {
+    ends.insert(ends.end(), batch.mReportedEnds.begin(), batch.mReportedEnds.end());
+  }
+  ends.insert(ends.end(), mNextBatch.mReportedEnds.begin(), mNextBatch.mReportedEnds.end());
+  return ends;
+}
+
+void owner::impl::adoptEnds(std::span<const run_ended> aEnds, time_point aNow)
+{
+  for (const auto& end : aEnds) {
+    const job* owning = mJobTable.find(end.mTask.mStep.mJob);
+    const auto* step = owning == nullptr ? nullptr : owning->find(end.mTask.mStep);
+    if (step == nullptr || end.mTask.mIndex >= step->mTasks.size()) {
+      continue;
+    }
+    const auto& open = step->mTasks[end.mTask.mIndex].mOpen;
+    const auto* run = open ? findRun(open->mTarget, end.mTask, end.mRun) : nullptr;
+    if (run == nullptr || run->mEnded) {
+      continue;
+    }
+    mPort.logDecision("end_adopted",
+                      fmt::format("task={} run={} target={} outcome={}", toText(end.mTask),
+                                  end.mRun, open->mTarget, static_cast<int>(end.mOutcome)));
+    // The capacity is freed when the target no longer lists the run.
+    auto& target = mTargets.find(open->mTarget)->second;
+    endReportedRun(target, end.mTask, end.mOutcome, end.mCheckpoint, aNow);
+  }
+  mPlanNeeded = true;
+}
+
 void owner::impl::completeGang(const task_key& aTask, std::uint32_t aRun, time_point aNow)
 {
   // Members end together, so the end of one completes all. The capacity of each is released when
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -13,9 +13,11 @@
 #include <array>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -36,6 +38,12 @@
   std::atomic<bool> mWritesSnapshots = false;
   /// Status of the answers to queries for jobs; there is none if it is 0.
   std::atomic<std::uint16_t> mStatusOfJobs = 0;
+  /// Number of requests for a path.
+  int count(std::string_view aPath)
+  {
+    const std::lock_guard lock(mMutex);
+    return mCounts[std::string(aPath)];
+  }
   std::optional<std::string> lastHello()
   {
     const std::lock_guard lock(mMutex);
@@ -46,10 +54,12 @@
   std::mutex mMutex;
   std::vector<edges::responder> mUnanswered;
   std::optional<std::string> mLastHello;
+  std::map<std::string, int> mCounts;
   edges::http_server mServer{
     {},
     [this](const edges::http_request& aRequest, const edges::responder& aResponder) {
       const std::lock_guard lock(mMutex);
+      ++mCounts[aRequest.mPath];
       if (aRequest.mPath == kPeerHelloPath) {
         mLastHello = decodeHello(aRequest.mBody)->mAddress;
         aResponder.answer({ .mBody = encodeHelloReply({ .mWritesSnapshots = mWritesSnapshots }) });
@@ -165,6 +175,21 @@
     client.receiveAnswer();
     return client.status();
   }
+  /// Sends a request of another daemon; returns the status of the answer.
+  int post(std::string_view aPath, const std::string& aBody) const
+  {
+    edges::raw_client client(peerPort);
+    client.send("POST " + std::string(aPath) + " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                std::to_string(aBody.size()) + "\r\nConnection: close\r\n\r\n" + aBody);
+    client.receiveAnswer();
+    return client.status();
+  }
+  bool isOwner() const
+  {
+    edges::raw_client client(peerPort);
+    client.send("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return client.receiveUntil("endiveusher_owner 1\n");
+  }
   /// Stops the follower while three callers send requests, and returns the number of requests whose
   /// connections ended without an answer, not at once.
   int stopUnderRequests(const std::string& aMethod)
@@ -323,6 +348,34 @@
   CHECK(waitUntil([this] { return call("GET") == 200; }));
 }
 
+// Guards against tasks that are started again although they are done: the former owner had read
+// their ends and could not store them.
+TEST(cell_node, aNewOwnerAsksTheFormerOneForEnds)
+{
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  appendOwnerRecord(owner_record::kind::renewal);
+  CHECK(waitUntil([this] { return owner->count(kPeerUnstoredEndsPath) > 0; }));
+  // It schedules also if there is no answer.
+  CHECK(waitUntil([this] { return isOwner(); }));
+}
+
+// Guards against two owners at a time: one that does not reach the store goes on until a target
+// rejects its epoch.
+TEST(cell_node, anOwnerThatIsAskedForEndsStepsDown)
+{
+  appendOwnerRecord(owner_record::kind::release);
+  CHECK(waitUntil([this] { return isOwner(); }));
+  CHECK_EQUAL(400, post(kPeerUnstoredEndsPath, "{}"));
+  CHECK_EQUAL(200, post(kPeerUnstoredEndsPath, encodeEpoch(1)));
+  CHECK(isOwner());
+  {
+    const std::lock_guard lock(store->mMutex);
+    store->mRefuse = 1'000'000;
+  }
+  CHECK_EQUAL(200, post(kPeerUnstoredEndsPath, encodeEpoch(1'000'000)));
+  CHECK_FALSE(isOwner());
+}
+
 // Guards against the loss of the cell: a daemon that was cut off while it stored a snapshot
 // replaced newer ones, whose journal records had been deleted.
 TEST(cell_node, aDaemonThatWasCutOffDoesNotReplaceNewerSnapshots)
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -216,3 +216,18 @@
   CHECK_EQUAL(9, record->mIncarnation);
   CHECK_FALSE(decodeOwnerRecord("\xff").ok());
 }
+
+// Guards against a new owner that asks only the last of several short-lived ones.
+TEST(election, knowsTheOwnersOfTheLastSeconds)
+{
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
+  now += seconds(8);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "c"), 1, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "d"), 2, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "a", 7), 3, now);
+  const std::vector<std::string> all{ "b:1", "c:1", "d:1" };
+  CHECK(one.formerOwners(now, seconds(15)) == all);
+  now += seconds(8);
+  const std::vector<std::string> recent{ "c:1", "d:1" };
+  CHECK(one.formerOwners(now, seconds(15)) == recent);
+}
--- /dev/null
+++ b/tests/scheduler/reported_ends_test.cpp
@@ -0,0 +1,68 @@
+#include "owner_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::scheduler;
+using namespace endiveusher::scheduler::testing;
+
+namespace {
+
+step_spec tasks(std::uint32_t aCount, milliseconds aEstimate)
+{
+  return { .mCount = aCount,
+           .mNeeds = { .mCpuMilli = 500, .mMemoryMb = 100 },
+           .mEstimate = aEstimate };
+}
+
+} // namespace
+
+/// A change of the owner while the store does not answer the former one.
+TEST_GROUP(reported_ends)
+{
+  owner_fixture cell;
+};
+
+// Guards against a second run of a task that is done: the former owner has read its end and could
+// not store it, and its target crashed.
+TEST(reported_ends, theNextOwnerAdoptsThem)
+{
+  cell.addTarget("a");
+  const auto job = cell.startOwnerAndJob(tasks(1, milliseconds(600)));
+  const task_key task{ .mStep = { .mJob = job } };
+  cell.mStoreDown = true;
+  cell.endTask(job, reported_end::done);
+  cell.run(milliseconds(200));
+  const auto reported = cell.mOwner->unstoredEnds();
+  CHECK_EQUAL(1, reported.size());
+  CHECK(reported[0].mTask == task);
+  cell.target("a").mReachable = false;
+  cell.mStoreDown = false;
+  cell.startNextOwner();
+  cell.mOwner->adoptEnds(reported, cell.mNow);
+  // Handed over twice, by two former owners.
+  cell.mOwner->adoptEnds(reported, cell.mNow);
+  CHECK(cell.find(job).mPhase == job_phase::completed);
+  CHECK_EQUAL(1, cell.mOwner->unstoredEnds().size());
+  cell.run(seconds(1));
+  CHECK_EQUAL(0, cell.mOwner->unstoredEnds().size());
+  cell.restartUnlisted("a");
+  cell.run(seconds(12));
+  CHECK_EQUAL(0, cell.running());
+  CHECK_EQUAL(1, cell.find(job).find(task.mStep)->mTasks[0].mRun);
+}
+
+TEST(reported_ends, thoseOfOtherRunsChangeNothing)
+{
+  cell.addTarget("a");
+  const auto job = cell.startOwnerAndJob(tasks(1, milliseconds(600)));
+  const std::vector<run_ended> ends{
+    { .mTask = { .mStep = { .mJob = job } }, .mRun = 2 },
+    { .mTask = { .mStep = { .mJob = job }, .mIndex = 7 }, .mRun = 1 },
+    { .mTask = { .mStep = { .mJob = job, .mOccurrence = 3 } }, .mRun = 1 },
+    { .mTask = { .mStep = { .mJob = static_cast<job_id>(99) } }, .mRun = 1 }
+  };
+  cell.mOwner->adoptEnds(ends, cell.mNow);
+  CHECK(cell.find(job).mPhase == job_phase::active);
+  CHECK_EQUAL(1, cell.running());
+}
