Take reports of targets that a relay passes on late

Cause: the owner's link was saturated. Relays repeated each report of results after 0.5 s, up to three times, and then dropped it; a report that came after 2.2 s was ignored as late. The owner took the targets for silent, renewed no lease, and started their tasks elsewhere.

Ruled out: a slow loop; lost batches (none was dropped).

Change: a report on a heartbeat is passed to the owner also when it is up to 10 s late. A heartbeat on which its relay has not reported in time is told apart from one without a reply: runs are then not taken for lost before 3 s after the end of their lease.

Tests: order_router.aTargetsReportIsPassedOnAlsoWhenItIsLate, forgetsAHeartbeatWhoseReportDoesNotCome, target_restarts.aLateReplyCountsAsContact, aRunIsNotLostWhileARelayDoesNotReport. Without the change of the router the first fails (1 outcome instead of 2).

--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <type_traits>
+#include <utility>
 
 namespace endiveusher::node {
 
@@ -26,6 +28,9 @@
 /// Time that an order may take through a relay in addition to the timeout of its call to the
 /// target: batches and results wait up to an interval each, and a busy relay delays them.
 constexpr std::chrono::milliseconds kRelayMargin{ 1000 };
+/// Time for which the report of an overdue heartbeat is still taken. Longer than the lease of the
+/// runs at its target.
+constexpr std::chrono::seconds kLateReportPeriod{ 10 };
 
 /// Returns a callback for the result of an order that has no report.
 order_sender::report_callback withoutReport(const order_sender::outcome_callback& aDone)
@@ -51,6 +56,7 @@
   mRelays.clear();
   mQueues.clear();
   mOpen.clear();
+  mOverdue = 0;
   mExpiries.clear();
 }
 
@@ -73,7 +79,9 @@
     return false;
   }
   const auto number = ++mLastNumber;
-  mOpen[number] = { .mRelay = *relay, .mDone = aDone };
+  mOpen[number] = { .mRelay = *relay,
+                    .mDone = aDone,
+                    .mIsHeartbeat = std::is_same_v<Order, scheduler::heartbeat_order> };
   mExpiries.emplace(mClock.now() + aTimeout + kRelayMargin, number);
   mQueues[*relay].mOrders.push_back({ .mNumber = number, .mOrder = aOrder });
   return true;
@@ -105,8 +113,10 @@
 
 void order_router::sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow)
 {
-  std::erase_if(aQueue.mOrders,
-                [this](const numbered_order& aOne) { return !mOpen.contains(aOne.mNumber); });
+  std::erase_if(aQueue.mOrders, [this](const numbered_order& aOne) {
+    const auto open = mOpen.find(aOne.mNumber);
+    return open == mOpen.end() || open->second.mIsOverdue;
+  });
   if (aQueue.mOrders.empty()) {
     return;
   }
@@ -153,17 +163,42 @@
   mQueues.erase(aRelay);
   std::vector<std::uint64_t> lost;
   for (const auto& [number, order] : mOpen) {
-    if (order.mRelay == aRelay) {
+    if (order.mRelay == aRelay && !order.mIsOverdue) {
       lost.push_back(number);
     }
   }
   mLog.write("relay_lost",
              fmt::format("relay={} error=\"{}\" orders={}", aRelay, aError, lost.size()));
   for (const auto number : lost) {
-    finish(number, scheduler::order_outcome::unanswered, {});
+    expire(number);
   }
 }
 
+void order_router::expire(std::uint64_t aNumber)
+{
+  const auto found = mOpen.find(aNumber);
+  if (found == mOpen.end()) {
+    return;
+  }
+  auto& order = found->second;
+  if (order.mIsOverdue) {
+    --mOverdue;
+    mOpen.erase(found);
+    return;
+  }
+  const auto done = order.mDone;
+  auto outcome = scheduler::order_outcome::unanswered;
+  if (order.mIsHeartbeat) {
+    outcome = scheduler::order_outcome::unreported;
+    order.mIsOverdue = true;
+    ++mOverdue;
+    mExpiries.emplace(mClock.now() + kLateReportPeriod, aNumber);
+  } else {
+    mOpen.erase(found);
+  }
+  done(outcome, {});
+}
+
 void order_router::finish(std::uint64_t aNumber, scheduler::order_outcome aOutcome,
                           const scheduler::target_report& aReport)
 {
@@ -171,9 +206,15 @@
   if (found == mOpen.end()) {
     return; // A repeated result, or one that came after the order's time.
   }
-  const auto done = std::move(found->second.mDone);
+  const auto order = std::move(found->second);
   mOpen.erase(found);
-  done(aOutcome, aReport);
+  if (order.mIsOverdue) {
+    --mOverdue;
+    if (aOutcome != scheduler::order_outcome::accepted) {
+      return;
+    }
+  }
+  order.mDone(aOutcome, aReport);
 }
 
 void order_router::onResults(const order_results& aResults)
@@ -191,7 +232,7 @@
   while (!mExpiries.empty() && mExpiries.begin()->first <= aNow) {
     const auto number = mExpiries.begin()->second;
     mExpiries.erase(mExpiries.begin());
-    finish(number, scheduler::order_outcome::unanswered, {});
+    expire(number);
   }
   if (!aMayAct) {
     return;
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -24,7 +24,9 @@
 /// about as much as one call.
 ///
 /// An order that is not answered through its relay in time counts as unanswered, so it may have
-/// been or may still be carried out; the owner's rules for unanswered orders apply.
+/// been or may still be carried out; the owner's rules for unanswered orders apply. A target's
+/// report that arrives later is passed on all the same: the owner or the relay was behind, not the
+/// target.
 class order_router
 {
 public:
@@ -46,7 +48,7 @@
   void tick(time_point aNow, bool aMayAct);
   /// Whether a relay knows a higher epoch, so that this daemon is no longer the owner.
   bool superseded() const { return mSuperseded; }
-  std::size_t openOrders() const { return mOpen.size(); }
+  std::size_t openOrders() const { return mOpen.size() - mOverdue; }
   std::size_t relays() const { return mRelays.size(); }
 
 private:
@@ -54,6 +56,9 @@
   {
     std::string mRelay;
     order_sender::report_callback mDone;
+    bool mIsHeartbeat = false;
+    /// Whether the order has counted as unanswered.
+    bool mIsOverdue = false;
   };
   struct queue
   {
@@ -68,6 +73,8 @@
                const order_sender::report_callback& aDone);
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
   void onRelayLost(const std::string& aRelay, const std::string& aError);
+  /// Reports that the order has no answer in time.
+  void expire(std::uint64_t aNumber);
   void finish(std::uint64_t aNumber, scheduler::order_outcome aOutcome,
               const scheduler::target_report& aReport);
 
@@ -83,6 +90,8 @@
   relay_set mRelays;
   std::map<std::string, queue> mQueues;
   std::map<std::uint64_t, open_order> mOpen;
+  /// Number of orders in mOpen that are overdue.
+  std::size_t mOverdue = 0;
   /// Open orders by the time at which they expire.
   std::multimap<time_point, std::uint64_t> mExpiries;
 };
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -69,6 +69,8 @@
   other_incarnation,
   unhealthy,
   invalid,
+  /// The relay of the order has not reported in time whether there was a reply.
+  unreported,
 };
 
 std::string_view toText(order_outcome aOutcome);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -109,6 +109,8 @@
       return "unhealthy";
     case order_outcome::invalid:
       return "invalid";
+    case order_outcome::unreported:
+      return "unreported";
   }
   return "unknown";
 }
@@ -429,7 +431,7 @@
     }
     sendOrders(target, aNow);
     if (!target.mRuns.empty()) {
-      if (leaseEnd(target) < aNow) {
+      if (leaseEnd(target) + reportGrace(target) < aNow) {
         const bool isHeardOf = target.mClock && target.mMissedHeartbeats == 0;
         endLostRuns(target, "lease_expired", target.mEntry.mDraining || isHeardOf, aNow);
       }
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -194,6 +194,8 @@
   time_point formerLeaseExpiry(const target_state& aTarget) const;
   /// Returns the time by which all leases at the target have expired.
   time_point leaseEnd(const target_state& aTarget) const;
+  /// Returns how long the owner waits after that for a relay to report what the target has replied.
+  static duration reportGrace(const target_state& aTarget);
   /// Returns the time until all leases at the target have expired and where that is known from, for
   /// the log.
   std::string describeLease(const target_state& aTarget, time_point aNow) const;
--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -15,6 +15,9 @@
 /// the time left from a recent one.
 constexpr auto kLeaseRecordInterval = std::chrono::milliseconds(1000);
 
+/// Time after the end of the leases in which the report of a relay is expected that is behind.
+constexpr auto kReportGrace = std::chrono::milliseconds(3000);
+
 } // namespace
 
 target_time owner::impl::extendLease(target_state& aTarget, time_point aNow) const
@@ -43,6 +46,11 @@
   return known ? *known : formerLeaseExpiry(aTarget);
 }
 
+duration owner::impl::reportGrace(const target_state& aTarget)
+{
+  return aTarget.mListed && aTarget.mIsUnreported ? kReportGrace : std::chrono::milliseconds(0);
+}
+
 std::string owner::impl::describeLease(const target_state& aTarget, time_point aNow) const
 {
   const auto known = aTarget.leaseExpiry();
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -149,6 +149,7 @@
     order.mWait = kHeartbeatWait;
   }
   aTarget.mHeartbeatInFlight = true;
+  aTarget.mHeartbeatSentAt = aNow;
   mPort.sendHeartbeat(order);
 }
 
@@ -165,11 +166,14 @@
     mFenced = true;
     return;
   }
-  if (aOutcome != order_outcome::accepted && aSent < target.mRestartListedAt) {
-    // Sent to the former incarnation, whose end closes no connection.
+  const bool isNewest = aSent >= target.mHeartbeatSentAt;
+  // A heartbeat that was sent to a former incarnation, whose loss closes no connection, or that a
+  // later one has replaced.
+  if (aOutcome != order_outcome::accepted && (aSent < target.mRestartListedAt || !isNewest)) {
     return;
   }
-  target.mHeartbeatInFlight = false;
+  target.mHeartbeatInFlight = target.mHeartbeatInFlight && !isNewest;
+  target.mIsUnreported = aOutcome == order_outcome::unreported;
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
       target.mUnresponsiveSince = aNow;
@@ -205,7 +209,8 @@
     target.mClock = aReport.mClock;
     target.mClockAt = aNow;
   }
-  target.mLastReply = aNow;
+  // How long the reply to an earlier heartbeat took to get here is not known.
+  target.mLastReply = std::max(target.mLastReply, isNewest ? aNow : aSent);
   readEnds(target, aReport, aNow);
   readRunning(target, aReport, aSent, aNow);
   if (!target.mAcquired) {
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -110,9 +110,13 @@
   bool mRestartPlanned = false;
 
   bool mHeartbeatInFlight = false;
+  /// Time at which the newest heartbeat was sent. A relay may report the reply to an earlier one.
+  time_point mHeartbeatSentAt{};
   time_point mNextHeartbeat{};
   time_point mLastReply{};
   std::uint32_t mMissedHeartbeats = 0;
+  /// Whether the relay has not reported on the last of them, so that the target may have replied.
+  bool mIsUnreported = false;
   /// Time of the first of the missed heartbeats.
   time_point mUnresponsiveSince{};
   /// Time before which the target was in contact, as far as the first missed heartbeat tells.
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -250,6 +250,52 @@
   CHECK(runUntil([this] { return target.count(kStartPath) == 1; }));
 }
 
+// Guards against work that is taken for lost although its target lives: a relay or an owner that is
+// behind delays the reply to a heartbeat beyond its time.
+TEST(order_router, aTargetsReportIsPassedOnAlsoWhenItIsLate)
+{
+  std::vector<std::uint64_t> ends;
+  router->sendHeartbeat(
+    { .mTarget = "t", .mAddress = target.address(), .mEpoch = 3 },
+    [&](scheduler::order_outcome aOutcome, const scheduler::target_report& aReport) {
+      outcomes.push_back(aOutcome);
+      ends.push_back(aReport.mEnded.empty() ? 0 : aReport.mEnded[0].mNumber);
+    });
+  CHECK(runUntil([this] { return batches() == 1; }));
+  time.mNow += std::chrono::seconds(5);
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK_EQUAL(0, router->openOrders());
+  const order_results results{
+    .mEpoch = 3,
+    .mResults = { { .mNumber = 1,
+                    .mOutcome = scheduler::order_outcome::accepted,
+                    .mReport = scheduler::target_report{ .mEnded = { { .mNumber = 9 } } } } }
+  };
+  router->onResults(results);
+  router->onResults(results);
+  CHECK_EQUAL(2, outcomes.size());
+  CHECK(outcomes[0] == scheduler::order_outcome::unreported);
+  CHECK(outcomes[1] == scheduler::order_outcome::accepted);
+  CHECK_EQUAL(9, ends[1]);
+}
+
+TEST(order_router, forgetsAHeartbeatWhoseReportDoesNotCome)
+{
+  router->sendHeartbeat({ .mTarget = "t", .mAddress = target.address(), .mEpoch = 3 },
+                        [this](scheduler::order_outcome aOutcome, const scheduler::target_report&) {
+                          outcomes.push_back(aOutcome);
+                        });
+  CHECK(runUntil([this] { return batches() == 1; }));
+  time.mNow += std::chrono::seconds(5);
+  router->tick(time.mNow, true);
+  time.mNow += std::chrono::seconds(60);
+  router->tick(time.mNow, true);
+  router->onResults(
+    { .mEpoch = 3,
+      .mResults = { { .mNumber = 1, .mOutcome = scheduler::order_outcome::accepted } } });
+  CHECK_EQUAL(1, outcomes.size());
+}
+
 TEST_GROUP(relay_set){ static std::vector<relay_candidate> candidates(int aCount, double aCores){
   std::vector<relay_candidate> found;
 for (int index = 0; index < aCount; ++index) {
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -137,3 +137,48 @@
   }
   CHECK_EQUAL(1, cell.running());
 }
+
+// Guards against work that is taken for lost although its target lives: a relay that is behind
+// reports the reply to a heartbeat after that has counted as unanswered.
+TEST(target_restarts, aLateReplyCountsAsContact)
+{
+  const auto job = cell.submit(tasks(1, milliseconds(600)));
+  cell.run(milliseconds(300));
+  auto& target = cell.target("a");
+  const auto sent = cell.mNow;
+  target.mLosesHeartbeatsUntil = cell.mNow + seconds(30);
+  cell.run(seconds(2));
+  const task_key task{ .mStep = { .mJob = job } };
+  const target_report report{
+    .mClock = target.mClock,
+    .mIncarnationStart = target.mEntry.mIncarnationStart,
+    .mEnded = { { .mNumber = 1, .mTask = task, .mRun = 1, .mOutcome = reported_end::done } }
+  };
+  cell.mOwner->onHeartbeatReply("a", sent, order_outcome::accepted, report, cell.mNow);
+  CHECK(cell.find(job).mPhase == job_phase::completed);
+}
+
+// Guards against a task that is started again although it is done: the relay of its target is
+// behind for longer than the lease of the run.
+TEST(target_restarts, aRunIsNotLostWhileARelayDoesNotReport)
+{
+  const auto job = cell.submit(tasks(1, seconds(30)));
+  cell.run(milliseconds(300));
+  auto& target = cell.target("a");
+  const auto sent = cell.mNow;
+  target.mLosesHeartbeatsUntil = cell.mNow + seconds(60);
+  // Eight seconds are longer than the lease of 6 s on a clock that is slow.
+  for (int turn = 0; turn < 4; ++turn) {
+    cell.run(seconds(2));
+    cell.mOwner->onHeartbeatReply("a", cell.mNow, order_outcome::unreported, {}, cell.mNow);
+  }
+  CHECK(cell.find(job).find({ .mJob = job })->mTasks[0].mOpen.has_value());
+  const task_key task{ .mStep = { .mJob = job } };
+  const target_report report{
+    .mClock = target.mClock,
+    .mIncarnationStart = target.mEntry.mIncarnationStart,
+    .mEnded = { { .mNumber = 1, .mTask = task, .mRun = 1, .mOutcome = reported_end::done } }
+  };
+  cell.mOwner->onHeartbeatReply("a", sent, order_outcome::accepted, report, cell.mNow);
+  CHECK(cell.find(job).mPhase == job_phase::completed);
+}
