Wait for relays that are behind until the target is heard of

The longer timeout of relays' reports is taken back: it held results up.

Change: the grace of 5 s holds from the first unreported heartbeat until the target is heard of. It ends if the registry drops the target.

Tests: target_restarts.aRunIsNotLostWhileARelayDoesNotReport now has an unanswered heartbeat among the unreported ones, aRunIsLostIfTheRegistryDropsItsTarget is new.

--- a/node/src/order_relay.cpp
+++ b/node/src/order_relay.cpp
@@ -14,9 +14,7 @@
 
 /// Minimum time between two reports of results, so that each holds several.
 constexpr std::chrono::milliseconds kReportInterval{ 15 };
-/// Longer than the owner's link takes for a report from each relay while it is saturated: a report
-/// that is sent again adds to the load.
-constexpr std::chrono::milliseconds kReportTimeout{ 2000 };
+constexpr std::chrono::milliseconds kReportTimeout{ 500 };
 /// Largest number of results in one report, below the body limit of the owner's server.
 constexpr std::size_t kMaxResultsPerReport = 300;
 /// Failed reports after which the results are dropped: the owner has given up their orders.
--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -15,8 +15,9 @@
 /// the time left from a recent one.
 constexpr auto kLeaseRecordInterval = std::chrono::milliseconds(1000);
 
-/// Time after the end of the leases in which the report of a relay is expected that is behind.
-constexpr auto kReportGrace = std::chrono::milliseconds(3000);
+/// Time after the end of the leases in which the report of a relay is expected that is behind. The
+/// registry drops a target that is gone sooner.
+constexpr auto kReportGrace = std::chrono::milliseconds(5000);
 
 } // namespace
 
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -173,7 +173,8 @@
     return;
   }
   target.mHeartbeatInFlight = target.mHeartbeatInFlight && !isNewest;
-  target.mIsUnreported = aOutcome == order_outcome::unreported;
+  target.mIsUnreported = aOutcome == order_outcome::unreported ||
+                         (target.mIsUnreported && aOutcome != order_outcome::accepted);
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
       target.mUnresponsiveSince = aNow;
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -115,7 +115,7 @@
   time_point mNextHeartbeat{};
   time_point mLastReply{};
   std::uint32_t mMissedHeartbeats = 0;
-  /// Whether the relay has not reported on the last of them, so that the target may have replied.
+  /// Whether the relay has not reported on one of them, so that the target may have replied.
   bool mIsUnreported = false;
   /// Time of the first of the missed heartbeats.
   time_point mUnresponsiveSince{};
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -171,6 +171,8 @@
   for (int turn = 0; turn < 4; ++turn) {
     cell.run(seconds(2));
     cell.mOwner->onHeartbeatReply("a", cell.mNow, order_outcome::unreported, {}, cell.mNow);
+    // A relay that is behind may also be late to read a reply.
+    cell.mOwner->onHeartbeatReply("a", cell.mNow, order_outcome::unanswered, {}, cell.mNow);
   }
   CHECK(cell.find(job).find({ .mJob = job })->mTasks[0].mOpen.has_value());
   const task_key task{ .mStep = { .mJob = job } };
@@ -182,3 +184,18 @@
   cell.mOwner->onHeartbeatReply("a", sent, order_outcome::accepted, report, cell.mNow);
   CHECK(cell.find(job).mPhase == job_phase::completed);
 }
+
+// Guards against work that waits for ever: the target of a relay that is behind is gone.
+TEST(target_restarts, aRunIsLostIfTheRegistryDropsItsTarget)
+{
+  const auto job = cell.submit(tasks(1, seconds(30)));
+  cell.run(milliseconds(300));
+  cell.target("a").mReachable = false;
+  cell.run(seconds(2));
+  cell.mOwner->onHeartbeatReply("a", cell.mNow, order_outcome::unreported, {}, cell.mNow);
+  cell.run(seconds(5));
+  CHECK(cell.find(job).find({ .mJob = job })->mTasks[0].mOpen.has_value());
+  cell.mOwner->removeTarget("a", cell.mNow);
+  cell.run(milliseconds(100));
+  CHECK_FALSE(cell.find(job).find({ .mJob = job })->mTasks[0].mOpen.has_value());
+}
