Share the restarts and late reports of the scheduler's tests

owner_fixture had the loss of gangs and the start of a new incarnation twice, target_restart_test the report of a late reply.

--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -84,13 +84,8 @@
   {
     auto& target = mTargets.at(aId);
     const auto lost = std::exchange(target.mRunning, {});
-    target = { .mEntry = target.mEntry };
-    ++target.mEntry.mIncarnationStart;
-    for (const auto& [task, run] : lost) {
-      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
-        breakGang(task.mStep);
-      }
-    }
+    restartUnlisted(aId);
+    breakGangsOf(lost);
     mOwner->setTarget(target.mEntry, mNow);
   }
 
@@ -121,11 +116,7 @@
     const auto lost = std::exchange(target.mRunning, {});
     target.mReachable = false;
     mRestarts[aId] = mNow + mRestartDelay;
-    for (const auto& [task, run] : lost) {
-      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
-        breakGang(task.mStep);
-      }
-    }
+    breakGangsOf(lost);
   }
 
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
@@ -415,6 +406,15 @@
            (aCall.mStart && mTargets.at(aCall.mStart->mTarget).mIsSilent);
   }
 
+  void breakGangsOf(const std::map<task_key, std::uint32_t>& aLost)
+  {
+    for (const auto& [task, run] : aLost) {
+      if (mJobTable.find(task.mStep.mJob)->mSpec.mSteps[task.mStep.mStep].mGang) {
+        breakGang(task.mStep);
+      }
+    }
+  }
+
   void breakGang(const step_key& aStep)
   {
     for (auto& [id, target] : mTargets) {
@@ -446,9 +446,7 @@
         ++at;
         continue;
       }
-      auto& target = mTargets.at(at->first);
-      target = { .mEntry = target.mEntry };
-      ++target.mEntry.mIncarnationStart;
+      const auto& target = restartUnlisted(at->first);
       if (mRestartsAreListed) {
         mOwner->setTarget(target.mEntry, mNow);
       }
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -39,6 +39,18 @@
     cell.run(milliseconds(500));
     CHECK_EQUAL(aCount, cell.target("a").mStoredEndNumber);
   }
+  /// Reports the late reply to a heartbeat of aSent: the only task of the job is done.
+  void reportDone(job_id aJob, time_point aSent)
+  {
+    const auto& target = cell.target("a");
+    const target_report report{ .mClock = target.mClock,
+                                .mIncarnationStart = target.mEntry.mIncarnationStart,
+                                .mEnded = { { .mNumber = 1,
+                                              .mTask = { .mStep = { .mJob = aJob } },
+                                              .mRun = 1,
+                                              .mOutcome = reported_end::done } } };
+    cell.mOwner->onHeartbeatReply("a", aSent, order_outcome::accepted, report, cell.mNow);
+  }
 };
 
 // Guards against a second run of a task that is done: the new incarnation executes the task before
@@ -148,13 +160,7 @@
   const auto sent = cell.mNow;
   target.mLosesHeartbeatsUntil = cell.mNow + seconds(30);
   cell.run(seconds(2));
-  const task_key task{ .mStep = { .mJob = job } };
-  const target_report report{
-    .mClock = target.mClock,
-    .mIncarnationStart = target.mEntry.mIncarnationStart,
-    .mEnded = { { .mNumber = 1, .mTask = task, .mRun = 1, .mOutcome = reported_end::done } }
-  };
-  cell.mOwner->onHeartbeatReply("a", sent, order_outcome::accepted, report, cell.mNow);
+  reportDone(job, sent);
   CHECK(cell.find(job).mPhase == job_phase::completed);
 }
 
@@ -175,13 +181,7 @@
     cell.mOwner->onHeartbeatReply("a", cell.mNow, order_outcome::unanswered, {}, cell.mNow);
   }
   CHECK(cell.find(job).find({ .mJob = job })->mTasks[0].mOpen.has_value());
-  const task_key task{ .mStep = { .mJob = job } };
-  const target_report report{
-    .mClock = target.mClock,
-    .mIncarnationStart = target.mEntry.mIncarnationStart,
-    .mEnded = { { .mNumber = 1, .mTask = task, .mRun = 1, .mOutcome = reported_end::done } }
-  };
-  cell.mOwner->onHeartbeatReply("a", sent, order_outcome::accepted, report, cell.mNow);
+  reportDone(job, sent);
   CHECK(cell.find(job).mPhase == job_phase::completed);
 }
 
