--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -97,7 +97,6 @@
         finish(write_outcome::fenced);
         return;
       }
-      mLastOffset = aReply.mOffset;
       mNextOffset = aReply.mOffset + mCurrentRecords.size();
       finish(write_outcome::stored);
       return;
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -53,8 +53,6 @@
   /// Time at which the current append was first sent; absent if there is none.
   std::optional<time_point> pendingSince() const { return mPendingSince; }
   std::size_t waiting() const { return mWaiting.size(); }
-  /// Offset of the first record of the newest stored append.
-  std::uint64_t lastOffset() const { return mLastOffset; }
   /// Duration of the newest finished call.
   duration lastElapsed() const { return mLastElapsed; }
   /// Number of calls that repeated an append.
@@ -90,7 +88,6 @@
   std::uint32_t mTries = 0;
   std::uint64_t mRepeats = 0;
   duration mLastElapsed{ 0 };
-  std::uint64_t mLastOffset = 0;
   /// Lowest offset at which the next append can be stored.
   std::uint64_t mNextOffset = 0;
 };
