Log when reads of a topic fail and succeed again; metrics of the topics' ages

No line between store_regained and the next config told which read was in flight, since when and with which time limit, so the logs could not tell a read that is waited for too long from one that is answered late. Each topic now logs topic_behind and topic_current, once for each outage, with the time that the last read took and its limit. /metrics and /state have the age of each topic and the present limit of reads. No decision is changed.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -219,6 +219,9 @@
       mLog.write("bad_record", fmt::format("topic={} error=\"{}\"", aTopic, aError));
     };
   };
+  const auto logEvent = [this](std::string_view aEvent, std::string_view aDetail) {
+    mLog.write(aEvent, aDetail);
+  };
   mOperatorTail = std::make_unique<log_tail>(
     mStore, mClock,
     log_tail_options{ .mTopic = std::string(platform::kOperatorTopic),
@@ -235,7 +238,8 @@
                              mOperator.replace(aRecords);
                              onOperatorChange();
                            },
-                         .mOnUnreadable = unreadable(platform::kOperatorTopic) });
+                         .mOnUnreadable = unreadable(platform::kOperatorTopic),
+                         .mOnEvent = logEvent });
   mRegistryTail = std::make_unique<log_tail>(
     mStore, mClock,
     log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
@@ -244,14 +248,16 @@
     log_tail::callbacks{
       .mOnRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
       .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); },
-      .mOnUnreadable = unreadable(platform::kRegistryTopic) });
+      .mOnUnreadable = unreadable(platform::kRegistryTopic),
+      .mOnEvent = logEvent });
   mOwnerTail = std::make_unique<log_tail>(
     mStore, mClock, log_tail_options{ .mTopic = kOwnerTopic, .mInterval = kOwnerTopicReadInterval },
     log_tail::callbacks{
       .mOnRecords = [this](const auto& aRecords,
                            std::uint64_t aOffset) { readOwnerRecords(aRecords, aOffset); },
       .mOnReply = [this](std::uint64_t aEnd) { mElection.onEndRead(aEnd, mClock.now()); },
-      .mOnFailure = [this] { mElection.onReadFailed(); } });
+      .mOnFailure = [this] { mElection.onReadFailed(); },
+      .mOnEvent = logEvent });
 }
 
 void cell_node::impl::tickStoreConnectivity(time_point aNow)
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -342,8 +342,18 @@
     });
 }
 
+namespace {
+
+double inSeconds(duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
 std::string cell_node::impl::metrics() const
 {
+  const auto now = mClock.now();
   const auto& counters = mRequestHandler.counters();
   std::string text;
   const auto add = [&text](std::string_view aName, auto aValue) {
@@ -357,6 +367,15 @@
   add("jobs_cancelled_total", counters.mCancelled);
   add("jobs_known", mJobs.table().size());
   add("store_calls_total", mStore.calls());
+  add("store_read_limit_seconds", inSeconds(mStore.readTimeout({})));
+  add("operator_age_seconds", inSeconds(now - mOperatorTail->freshAsOf()));
+  add("owner_topic_age_seconds", inSeconds(now - mOwnerTail->freshAsOf()));
+  if (followsJournal()) {
+    add("journal_age_seconds", inSeconds(now - mJobs.freshAsOf()));
+  }
+  if (mEpoch != 0) {
+    add("registry_age_seconds", inSeconds(now - mRegistryTail->freshAsOf()));
+  }
   add("log_lines_dropped_total", mLog.dropped());
   add("ready", mReady ? 1 : 0);
   add("owner", mOwner ? 1 : 0);
@@ -382,12 +401,16 @@
 {
   const auto now = mClock.now();
   return fmt::format("node={} role={} epoch={} config={} config_age_ms={} journal_next={} "
-                     "journal_age_ms={} jobs={} targets={} closed_zones={} owner={}\n{}",
+                     "journal_age_ms={} owner_topic_age_ms={} registry_age_ms={} read_limit_ms={} "
+                     "jobs={} targets={} closed_zones={} owner={}\n{}",
                      mSettings.mNode, mOwner ? "owner" : "follower", mEpoch,
                      mOperator.config() ? mOperator.config()->mVersion : 0,
                      (now - mOperatorTail->freshAsOf()) / std::chrono::milliseconds(1),
                      mJobs.position(), (now - mJobs.freshAsOf()) / std::chrono::milliseconds(1),
-                     mJobs.table().size(), mRegistry.targets().size(),
+                     (now - mOwnerTail->freshAsOf()) / std::chrono::milliseconds(1),
+                     (now - mRegistryTail->freshAsOf()) / std::chrono::milliseconds(1),
+                     mStore.readTimeout({}).count(), mJobs.table().size(),
+                     mRegistry.targets().size(),
                      mOperator.closedZones().size(), mElection.ownerNode(),
                      mOwner ? mOwner->dump() : std::string());
 }
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -18,6 +18,10 @@
               [this](std::uint64_t aFirst) {
                 mLog.write("journal_gap", fmt::format("first_offset={}", aFirst));
                 mCallbacks.mOnGap();
+              },
+            .mOnEvent =
+              [this](std::string_view aEvent, std::string_view aDetail) {
+                mLog.write(aEvent, aDetail);
               } })
 {
 }
--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/back_off.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace endiveusher::node {
@@ -19,6 +20,11 @@
 constexpr int kLatencyFactor = 3;
 constexpr std::chrono::milliseconds kMaxLatencyPause{ 600 };
 
+std::int64_t toMs(duration aTime)
+{
+  return aTime / std::chrono::milliseconds(1);
+}
+
 } // namespace
 
 log_tail::log_tail(platform::store& aStore, const clock& aClock, log_tail_options aOptions,
@@ -52,18 +58,41 @@
   }
 }
 
-void log_tail::fail()
+void log_tail::fail(std::string_view aError)
 {
+  const auto now = mClock.now();
+  if (mFailures == 0) {
+    mCallbacks.mOnEvent("topic_behind",
+                        fmt::format("topic={} age_ms={} read_ms={} limit_ms={} error=\"{}\"",
+                                    mOptions.mTopic, toMs(now - mFreshAsOf), toMs(now - mSentAt),
+                                    mTimeLimit.count(), aError));
+  }
   mReadInFlight = false;
-  mNextReadAt = mClock.now() + doubled(kFailurePause, mFailures++, kMaxFailurePause);
+  mNextReadAt = now + doubled(kFailurePause, mFailures++, kMaxFailurePause);
   mCallbacks.mOnFailure();
 }
 
+void log_tail::succeed(time_point aSent)
+{
+  if (mFailures > 0) {
+    const auto now = mClock.now();
+    mCallbacks.mOnEvent("topic_current",
+                        fmt::format("topic={} age_ms={} failed_reads={} read_ms={} limit_ms={}",
+                                    mOptions.mTopic, toMs(now - mFreshAsOf), mFailures,
+                                    toMs(now - mSentAt), mTimeLimit.count()));
+  }
+  mReadInFlight = false;
+  mFailures = 0;
+  mFreshAsOf = aSent;
+}
+
 void log_tail::sendNewest(time_point aNow, const std::string& aAfter)
 {
   if (aAfter.empty()) {
     mCollectedSince = aNow;
   }
+  mSentAt = aNow;
+  mTimeLimit = mStore.readTimeout({});
   mStore.newest(mOptions.mTopic, aAfter,
                 [this, alive = std::weak_ptr(mAlive), generation = mGeneration,
                  first = aAfter.empty()](platform::newest_reply&& aReply) {
@@ -77,7 +106,7 @@
                     if (!aReply.mError.empty()) {
                       mCallbacks.mOnUnreadable(aReply.mError);
                     }
-                    fail();
+                    fail(aReply.mError.empty() ? "no listing" : aReply.mError);
                     return;
                   }
                   if (first) {
@@ -90,12 +119,10 @@
                     sendNewest(mClock.now(), *aReply.mMoreAfter);
                     return;
                   }
-                  mReadInFlight = false;
-                  mFailures = 0;
+                  succeed(mCollectedSince);
                   mNeedNewest = false;
                   mNext = mCollectedEnd;
                   mCaughtUp = true;
-                  mFreshAsOf = mCollectedSince;
                   mNextReadAt = mClock.now();
                   mCallbacks.mOnNewest(std::exchange(mCollected, {}));
                   mCallbacks.mOnReply(mNext);
@@ -106,6 +133,8 @@
 {
   // No wait before the end has been reached, because the reply reports where the end is.
   const auto wait = mCaughtUp ? mOptions.mWait : std::chrono::milliseconds(0);
+  mSentAt = aNow;
+  mTimeLimit = mStore.readTimeout(wait);
   mStore.read(mOptions.mTopic, mNext, wait,
               [this, alive = std::weak_ptr(mAlive), generation = mGeneration,
                sent = aNow](platform::read_reply&& aReply) {
@@ -123,14 +152,12 @@
                   return;
                 }
                 if (aReply.mOutcome == platform::read_reply::outcome::failed) {
-                  fail();
+                  fail(aReply.mError);
                   return;
                 }
-                mReadInFlight = false;
-                mFailures = 0;
+                succeed(sent);
                 const auto offset = mNext;
                 mNext += aReply.mRecords.size();
-                mFreshAsOf = sent;
                 mCaughtUp = mCaughtUp || mNext >= aReply.mEnd;
                 mNextReadAt = mNext < aReply.mEnd
                                 ? time_point{}
--- a/node/src/log_tail.h
+++ b/node/src/log_tail.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveusher::node {
@@ -44,6 +45,9 @@
     /// Reports an answered read and the end of the topic.
     std::function<void(std::uint64_t aEnd)> mOnReply = [](std::uint64_t) {};
     std::function<void()> mOnFailure = [] {};
+    /// Reports a line for the log: reads have begun to fail, or succeed again.
+    std::function<void(std::string_view aEvent, std::string_view aDetail)> mOnEvent =
+      [](std::string_view, std::string_view) {};
   };
 
   log_tail(platform::store& aStore, const clock& aClock, log_tail_options aOptions,
@@ -63,7 +67,8 @@
 private:
   void sendNewest(time_point aNow, const std::string& aAfter);
   void sendRead(time_point aNow);
-  void fail();
+  void fail(std::string_view aError);
+  void succeed(time_point aSent);
 
   platform::store& mStore;
   const clock& mClock;
@@ -79,6 +84,10 @@
   time_point mNextReadAt{};
   time_point mFreshAsOf{};
   std::uint32_t mFailures = 0;
+  /// Time at which the read in flight, or the last one, was sent.
+  time_point mSentAt{};
+  /// Its time limit.
+  std::chrono::milliseconds mTimeLimit{ 0 };
   std::vector<platform::keyed_record> mCollected;
   std::uint64_t mCollectedEnd = 0;
   time_point mCollectedSince{};
