Failing test: a read that was sent into a silence of the store delays the next one

Callers of a removed route were served, and calls with keys rejected, for seconds after the store had answered again.

--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 namespace endiveusher::node::testing {
 
@@ -44,10 +45,29 @@
   standins::store_model mModel;
   /// Number of next appends that are carried out without an answer.
   int mLoseAnswers = 0;
+  /// Returns the number of calls that got no answer.
+  std::size_t unanswered()
+  {
+    const std::lock_guard lock(mMutex);
+    return mUnanswered.size();
+  }
+  void setSilent(bool aSilent)
+  {
+    const std::lock_guard lock(mMutex);
+    mSilent = aSilent;
+  }
+  void append(const std::string& aTopic, const std::vector<std::string>& aRecords)
+  {
+    const std::lock_guard lock(mMutex);
+    mModel.append({ .mTopic = aTopic, .mRecords = aRecords });
+  }
+
   /// Number of reads, by topic.
   std::map<std::string, int> mReads;
   /// Number of next calls that are answered with 503 without being carried out.
   int mRefuse = 0;
+  /// Whether calls are neither carried out nor answered, also later.
+  bool mSilent = false;
   /// Topic whose appends are answered with 503 without being carried out, and their number.
   std::string mRefusedTopic;
   int mRefusedAppends = 0;
@@ -86,6 +106,10 @@
   void serve(const edges::http_request& aRequest, const edges::responder& aResponder)
   {
     const std::lock_guard lock(mMutex);
+    if (mSilent) {
+      mUnanswered.push_back(aResponder);
+      return;
+    }
     if (mRefuse > 0) {
       --mRefuse;
       aResponder.answer({ .mStatus = 503 });
