Probe reads of the store that are overdue

Cause: a topic was followed by one read at a time, which only its answer or its time limit ended. The limit doubles with each unanswered read up to 4.8 s, and the wait that the read asks for comes on top. A read sent while the store was silent is never answered, so it kept the daemon from looking again for up to 5.5 s.

Ruled out: versions that are rejected (no bad_config, all logged in order), slow answers and late loops (idle 98%).

Change: probed_read sends small reads without a wait while an answer is overdue and nothing of it has arrived; the first answer to any try counts and the other try is cancelled. The limit of the first try stays, for slow links and a slow store. http_loop can cancel a call and tells when an answer begins.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -39,10 +40,15 @@
   std::vector<std::string> mHeaders;
   /// Time limit of the whole call, including connecting.
   std::chrono::milliseconds mTimeout{ 1000 };
+  /// Called when the first bytes of the answer arrive. Must not use the loop.
+  std::function<void()> mOnAnswerBegun;
   /// Called with the result on the thread that calls http_loop::run() or progress().
   std::function<void(loop_reply&&)> mDone;
 };
 
+/// Identifies a call of a loop; never 0.
+using call_id = std::uint64_t;
+
 struct http_loop_options
 {
   /// Largest number of connections to one address; further calls to it wait for a free one.
@@ -67,7 +73,10 @@
   http_loop& operator=(const http_loop&) = delete;
 
   /// Starts a call.
-  void send(loop_call aCall);
+  call_id send(loop_call aCall);
+  /// Ends a call without running its callbacks, and closes its connection. Has no effect on a call
+  /// that has completed.
+  void cancel(call_id aId);
   /// Processes ready sockets, waits at most aWait for network activity or wake(), and runs the
   /// callbacks of completed calls.
   void run(std::chrono::milliseconds aWait);
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -64,6 +64,7 @@
 
 struct transfer
 {
+  call_id mId = 0;
   loop_call mCall;
   std::string mUrl;
   std::string mBody;
@@ -83,6 +84,15 @@
   return aCount;
 }
 
+std::size_t noteHeader(char* /*aBytes*/, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
+{
+  auto& self = *static_cast<transfer*>(aTransfer);
+  if (const auto begun = std::exchange(self.mCall.mOnAnswerBegun, nullptr)) {
+    begun();
+  }
+  return aCount;
+}
+
 } // namespace
 
 class file_descriptor
@@ -225,9 +235,11 @@
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
 
-  void send(loop_call&& aCall)
+  call_id send(loop_call&& aCall)
   {
     auto active = std::make_unique<transfer>();
+    const auto id = ++mLastId;
+    active->mId = id;
     active->mCall = std::move(aCall);
     active->mStart = steady_clock::now();
     active->mMaxBodyBytes = mOptions.mMaxBodyBytes;
@@ -254,6 +266,10 @@
                      static_cast<long>(mOptions.mConnectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
+    if (call.mOnAnswerBegun) {
+      curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &noteHeader);
+      curl_easy_setopt(handle, CURLOPT_HEADERDATA, active.get());
+    }
     if (const auto lastTimeout = mTimeouts.find(call.mAddress); lastTimeout != mTimeouts.end()) {
       const auto age = active->mStart - lastTimeout->second;
       const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(age).count();
@@ -272,6 +288,22 @@
     active->mMulti = shardOf(call.mAddress).handle();
     curl_multi_add_handle(active->mMulti, handle);
     mActive.emplace(handle, std::move(active));
+    mHandleOf.emplace(id, handle);
+    return id;
+  }
+
+  void cancel(call_id aId)
+  {
+    const auto found = mHandleOf.find(aId);
+    if (found == mHandleOf.end()) {
+      return;
+    }
+    CURL* handle = found->second;
+    mHandleOf.erase(found);
+    const auto active = mActive.extract(handle);
+    // Also removes a message of this call that has not been read yet.
+    curl_multi_remove_handle(active.mapped()->mMulti, handle);
+    mHandles.release(handle);
   }
 
   bool progress()
@@ -338,6 +370,7 @@
       const auto found = mActive.find(handle);
       const auto active = std::move(found->second);
       mActive.erase(found);
+      mHandleOf.erase(active->mId);
       loop_reply reply{ .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
                           steady_clock::now() - active->mStart) };
       if (code == CURLE_OK) {
@@ -374,6 +407,8 @@
   /// Number of entries of mEvents that are not handled yet.
   std::size_t mReadyEvents = 0;
   std::map<CURL*, std::unique_ptr<transfer>> mActive;
+  std::unordered_map<call_id, CURL*> mHandleOf;
+  call_id mLastId = 0;
   internal::easy_handles mHandles{ kMaxIdleHandles };
   /// Time of the last call that timed out, by address.
   std::map<std::string, steady_clock::time_point> mTimeouts;
@@ -382,9 +417,14 @@
 http_loop::http_loop(http_loop_options aOptions) : mImpl(std::make_unique<impl>(aOptions)) {}
 http_loop::~http_loop() = default;
 
-void http_loop::send(loop_call aCall)
+call_id http_loop::send(loop_call aCall)
+{
+  return mImpl->send(std::move(aCall));
+}
+
+void http_loop::cancel(call_id aId)
 {
-  mImpl->send(std::move(aCall));
+  mImpl->cancel(aId);
 }
 
 void http_loop::run(std::chrono::milliseconds aWait)
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -410,9 +410,8 @@
                      (now - mOwnerTail->freshAsOf()) / std::chrono::milliseconds(1),
                      (now - mRegistryTail->freshAsOf()) / std::chrono::milliseconds(1),
                      mStore.readTimeout({}).count(), mJobs.table().size(),
-                     mRegistry.targets().size(),
-                     mOperator.closedZones().size(), mElection.ownerNode(),
-                     mOwner ? mOwner->dump() : std::string());
+                     mRegistry.targets().size(), mOperator.closedZones().size(),
+                     mElection.ownerNode(), mOwner ? mOwner->dump() : std::string());
 }
 
 } // namespace endiveusher::node
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -19,10 +19,8 @@
                 mLog.write("journal_gap", fmt::format("first_offset={}", aFirst));
                 mCallbacks.mOnGap();
               },
-            .mOnEvent =
-              [this](std::string_view aEvent, std::string_view aDetail) {
-                mLog.write(aEvent, aDetail);
-              } })
+            .mOnEvent = [this](std::string_view aEvent,
+                               std::string_view aDetail) { mLog.write(aEvent, aDetail); } })
 {
 }
 
--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -20,6 +20,9 @@
 constexpr int kLatencyFactor = 3;
 constexpr std::chrono::milliseconds kMaxLatencyPause{ 600 };
 
+/// Reported as the error of a read whose first try was not answered, but a later one was.
+constexpr std::string_view kLostTry = "no answer to the first try";
+
 std::int64_t toMs(duration aTime)
 {
   return aTime / std::chrono::milliseconds(1);
@@ -30,14 +33,13 @@
 log_tail::log_tail(platform::store& aStore, const clock& aClock, log_tail_options aOptions,
                    callbacks aCallbacks)
   : mStore(aStore), mClock(aClock), mOptions(std::move(aOptions)),
-    mCallbacks(std::move(aCallbacks)), mNeedNewest(mOptions.mKeyed)
+    mCallbacks(std::move(aCallbacks)), mRead(aStore, aClock), mNeedNewest(mOptions.mKeyed)
 {
 }
 
 void log_tail::restart(std::uint64_t aOffset)
 {
-  ++mGeneration;
-  mReadInFlight = false;
+  mRead.cancel();
   mNext = aOffset;
   mCaughtUp = false;
   mNeedNewest = mOptions.mKeyed;
@@ -46,10 +48,10 @@
 
 void log_tail::tick(time_point aNow)
 {
-  if (mReadInFlight || mNextReadAt > aNow) {
+  mRead.tick(aNow);
+  if (mRead.open() || mNextReadAt > aNow) {
     return;
   }
-  mReadInFlight = true;
   if (mNeedNewest) {
     mCollected.clear();
     sendNewest(aNow, {});
@@ -58,20 +60,24 @@
   }
 }
 
-void log_tail::fail(std::string_view aError)
+void log_tail::noteFailure(std::string_view aError)
 {
   const auto now = mClock.now();
-  if (mFailures == 0) {
+  if (mFailures++ == 0) {
     mCallbacks.mOnEvent("topic_behind",
                         fmt::format("topic={} age_ms={} read_ms={} limit_ms={} error=\"{}\"",
                                     mOptions.mTopic, toMs(now - mFreshAsOf), toMs(now - mSentAt),
                                     mTimeLimit.count(), aError));
   }
-  mReadInFlight = false;
-  mNextReadAt = now + doubled(kFailurePause, mFailures++, kMaxFailurePause);
   mCallbacks.mOnFailure();
 }
 
+void log_tail::retryLater(std::string_view aError)
+{
+  mNextReadAt = mClock.now() + doubled(kFailurePause, mFailures, kMaxFailurePause);
+  noteFailure(aError);
+}
+
 void log_tail::succeed(time_point aSent)
 {
   if (mFailures > 0) {
@@ -81,93 +87,100 @@
                                     mOptions.mTopic, toMs(now - mFreshAsOf), mFailures,
                                     toMs(now - mSentAt), mTimeLimit.count()));
   }
-  mReadInFlight = false;
   mFailures = 0;
   mFreshAsOf = aSent;
 }
 
 void log_tail::sendNewest(time_point aNow, const std::string& aAfter)
 {
-  if (aAfter.empty()) {
-    mCollectedSince = aNow;
-  }
   mSentAt = aNow;
   mTimeLimit = mStore.readTimeout({});
-  mStore.newest(mOptions.mTopic, aAfter,
-                [this, alive = std::weak_ptr(mAlive), generation = mGeneration,
-                 first = aAfter.empty()](platform::newest_reply&& aReply) {
-                  if (alive.expired() || generation != mGeneration) {
-                    return;
-                  }
-                  for (const auto& error : aReply.mUnreadable) {
-                    mCallbacks.mOnUnreadable(error);
-                  }
-                  if (!aReply.mOk) {
-                    if (!aReply.mError.empty()) {
-                      mCallbacks.mOnUnreadable(aReply.mError);
-                    }
-                    fail(aReply.mError.empty() ? "no listing" : aReply.mError);
-                    return;
-                  }
-                  if (first) {
-                    // The pages are not a consistent snapshot: records after the end that the
-                    // first page reports are read again.
-                    mCollectedEnd = aReply.mEnd;
-                  }
-                  std::ranges::move(aReply.mRecords, std::back_inserter(mCollected));
-                  if (aReply.mMoreAfter) {
-                    sendNewest(mClock.now(), *aReply.mMoreAfter);
-                    return;
-                  }
-                  succeed(mCollectedSince);
-                  mNeedNewest = false;
-                  mNext = mCollectedEnd;
-                  mCaughtUp = true;
-                  mNextReadAt = mClock.now();
-                  mCallbacks.mOnNewest(std::exchange(mCollected, {}));
-                  mCallbacks.mOnReply(mNext);
-                });
+  mRead.newest(mOptions.mTopic, aAfter,
+               [this, first = aAfter.empty()](platform::newest_reply&& aReply,
+                                              const probed_read::receipt& aReceipt) {
+                 onNewestReply(std::move(aReply), aReceipt, first);
+               });
+}
+
+void log_tail::onNewestReply(platform::newest_reply&& aReply, const probed_read::receipt& aReceipt,
+                             bool aFirst)
+{
+  for (const auto& error : aReply.mUnreadable) {
+    mCallbacks.mOnUnreadable(error);
+  }
+  if (!aReply.mOk) {
+    if (!aReply.mError.empty()) {
+      mCallbacks.mOnUnreadable(aReply.mError);
+    }
+    retryLater(aReply.mError.empty() ? "no listing" : aReply.mError);
+    return;
+  }
+  if (aReceipt.mByProbe) {
+    noteFailure(kLostTry);
+  }
+  if (aFirst) {
+    // The pages are not a consistent snapshot: records after the end that the first page reports
+    // are read again.
+    mCollectedEnd = aReply.mEnd;
+    mCollectedSince = aReceipt.mSent;
+  }
+  std::ranges::move(aReply.mRecords, std::back_inserter(mCollected));
+  if (aReply.mMoreAfter) {
+    sendNewest(mClock.now(), *aReply.mMoreAfter);
+    return;
+  }
+  succeed(mCollectedSince);
+  mNeedNewest = false;
+  mNext = mCollectedEnd;
+  mCaughtUp = true;
+  mNextReadAt = mClock.now();
+  mCallbacks.mOnNewest(std::exchange(mCollected, {}));
+  mCallbacks.mOnReply(mNext);
 }
 
 void log_tail::sendRead(time_point aNow)
 {
-  // No wait before the end has been reached, because the reply reports where the end is.
-  const auto wait = mCaughtUp ? mOptions.mWait : std::chrono::milliseconds(0);
+  // No wait before the end has been reached, because the reply reports where the end is, nor after
+  // a failure, because the reply shows that the store answers again.
+  const auto wait = mCaughtUp && mFailures == 0 ? mOptions.mWait : std::chrono::milliseconds(0);
   mSentAt = aNow;
   mTimeLimit = mStore.readTimeout(wait);
-  mStore.read(mOptions.mTopic, mNext, wait,
-              [this, alive = std::weak_ptr(mAlive), generation = mGeneration,
-               sent = aNow](platform::read_reply&& aReply) {
-                if (alive.expired() || generation != mGeneration) {
-                  return;
-                }
-                if (aReply.mOutcome == platform::read_reply::outcome::deleted) {
-                  mReadInFlight = false;
-                  if (mOptions.mKeyed) {
-                    mNeedNewest = true;
-                  } else {
-                    mNext = std::max(mNext, aReply.mFirst);
-                    mCallbacks.mOnGap(aReply.mFirst);
-                  }
-                  return;
-                }
-                if (aReply.mOutcome == platform::read_reply::outcome::failed) {
-                  fail(aReply.mError);
-                  return;
-                }
-                succeed(sent);
-                const auto offset = mNext;
-                mNext += aReply.mRecords.size();
-                mCaughtUp = mCaughtUp || mNext >= aReply.mEnd;
-                mNextReadAt = mNext < aReply.mEnd
-                                ? time_point{}
-                                : sent + mOptions.mInterval +
-                                    std::min(kLatencyFactor * mStore.latency(), kMaxLatencyPause);
-                if (!aReply.mRecords.empty()) {
-                  mCallbacks.mOnRecords(aReply.mRecords, offset);
-                }
-                mCallbacks.mOnReply(aReply.mEnd);
-              });
+  mRead.read(mOptions.mTopic, mNext, wait,
+             [this](platform::read_reply&& aReply, const probed_read::receipt& aReceipt) {
+               onReadReply(std::move(aReply), aReceipt);
+             });
+}
+
+void log_tail::onReadReply(platform::read_reply&& aReply, const probed_read::receipt& aReceipt)
+{
+  if (aReply.mOutcome == platform::read_reply::outcome::failed) {
+    retryLater(aReply.mError);
+    return;
+  }
+  if (aReceipt.mByProbe) {
+    noteFailure(kLostTry);
+  }
+  if (aReply.mOutcome == platform::read_reply::outcome::deleted) {
+    if (mOptions.mKeyed) {
+      mNeedNewest = true;
+    } else {
+      mNext = std::max(mNext, aReply.mFirst);
+      mCallbacks.mOnGap(aReply.mFirst);
+    }
+    return;
+  }
+  succeed(aReceipt.mSent);
+  const auto offset = mNext;
+  mNext += aReply.mRecords.size();
+  mCaughtUp = mCaughtUp || mNext >= aReply.mEnd;
+  mNextReadAt = mNext < aReply.mEnd
+                  ? time_point{}
+                  : aReceipt.mSent + mOptions.mInterval +
+                      std::min(kLatencyFactor * mStore.latency(), kMaxLatencyPause);
+  if (!aReply.mRecords.empty()) {
+    mCallbacks.mOnRecords(aReply.mRecords, offset);
+  }
+  mCallbacks.mOnReply(aReply.mEnd);
 }
 
 } // namespace endiveusher::node
--- a/node/src/log_tail.h
+++ b/node/src/log_tail.h
@@ -2,11 +2,11 @@
 
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/platform/store.h"
+#include "probed_read.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,7 +56,7 @@
   /// Sends the next read if it is due.
   void tick(time_point aNow);
   void setInterval(std::chrono::milliseconds aInterval) { mOptions.mInterval = aInterval; }
-  /// Reads again from aOffset; replies to reads in flight are ignored.
+  /// Reads again from aOffset; the read in flight is given up.
   void restart(std::uint64_t aOffset);
   /// Time at which the newest answered read was sent; all records acknowledged before it are known.
   time_point freshAsOf() const { return mFreshAsOf; }
@@ -67,17 +67,19 @@
 private:
   void sendNewest(time_point aNow, const std::string& aAfter);
   void sendRead(time_point aNow);
-  void fail(std::string_view aError);
+  void onNewestReply(platform::newest_reply&& aReply, const probed_read::receipt& aReceipt,
+                     bool aFirst);
+  void onReadReply(platform::read_reply&& aReply, const probed_read::receipt& aReceipt);
+  /// Notes that a try of a read was lost or rejected.
+  void noteFailure(std::string_view aError);
+  void retryLater(std::string_view aError);
   void succeed(time_point aSent);
 
   platform::store& mStore;
   const clock& mClock;
   log_tail_options mOptions;
   callbacks mCallbacks;
-  /// Number of restarts; replies to reads of an earlier generation are ignored.
-  std::uint64_t mGeneration = 0;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
-  bool mReadInFlight = false;
+  probed_read mRead;
   bool mNeedNewest = false;
   bool mCaughtUp = false;
   std::uint64_t mNext = 0;
--- a/node/src/snapshots.cpp
+++ b/node/src/snapshots.cpp
@@ -153,15 +153,14 @@
 }
 
 snapshot_loader::snapshot_loader(platform::store& aStore, const clock& aClock, std::string aTopic)
-  : mStore(aStore), mClock(aClock), mTopic(std::move(aTopic))
+  : mClock(aClock), mTopic(std::move(aTopic)), mRead(aStore, aClock)
 {
 }
 
 void snapshot_loader::load(done_callback aDone)
 {
-  ++mGeneration;
+  mRead.cancel();
   mDone = std::move(aDone);
-  mReadInFlight = false;
   mNext = 0;
   mRetryAt = time_point{};
   mRecords.clear();
@@ -169,22 +168,18 @@
 
 void snapshot_loader::tick(time_point aNow)
 {
-  if (!mDone || mReadInFlight || mRetryAt > aNow) {
+  mRead.tick(aNow);
+  if (!mDone || mRead.open() || mRetryAt > aNow) {
     return;
   }
-  mReadInFlight = true;
-  mStore.read(
-    mTopic, mNext, std::chrono::milliseconds(0),
-    [this, alive = std::weak_ptr(mAlive), generation = mGeneration](platform::read_reply&& aReply) {
-      if (!alive.expired() && generation == mGeneration) {
-        onReadReply(std::move(aReply));
-      }
-    });
+  mRead.read(mTopic, mNext, std::chrono::milliseconds(0),
+             [this](platform::read_reply&& aReply, const probed_read::receipt& /*aReceipt*/) {
+               onReadReply(std::move(aReply));
+             });
 }
 
 void snapshot_loader::onReadReply(platform::read_reply&& aReply)
 {
-  mReadInFlight = false;
   switch (aReply.mOutcome) {
     case platform::read_reply::outcome::failed:
       mRetryAt = mClock.now() + kRetryPause;
--- a/node/src/snapshots.h
+++ b/node/src/snapshots.h
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/platform/store.h"
 #include "endiveusher/scheduler/job_table.h"
+#include "probed_read.h"
 
 #include <absl/status/statusor.h>
 
@@ -10,7 +11,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -111,7 +111,7 @@
   /// Ends the current load without a result.
   void cancel()
   {
-    ++mGeneration;
+    mRead.cancel();
     mDone = nullptr;
   }
   void tick(time_point aNow);
@@ -122,13 +122,10 @@
 private:
   void onReadReply(platform::read_reply&& aReply);
 
-  platform::store& mStore;
   const clock& mClock;
   const std::string mTopic;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
-  std::uint64_t mGeneration = 0;
+  probed_read mRead;
   done_callback mDone;
-  bool mReadInFlight = false;
   std::uint64_t mNext = 0;
   time_point mRetryAt{};
   std::vector<std::string> mRecords;
--- a/tests/clients/scripted_server.cpp
+++ b/tests/clients/scripted_server.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <string_view>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -110,7 +111,11 @@
       if (answer.mReaction == reaction::close) {
         break;
       }
-      silent = answer.mReaction == reaction::silent;
+      silent = answer.mReaction == reaction::silent || answer.mReaction == reaction::headers;
+      if (answer.mReaction == reaction::headers) {
+        constexpr std::string_view kHeaders = "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n";
+        send(aFd, kHeaders.data(), kHeaders.size(), MSG_NOSIGNAL);
+      }
       if (!silent) {
         const std::string text = "HTTP/1.1 " + std::to_string(answer.mStatus) +
                                  " X\r\nContent-Length: " + std::to_string(answer.mBody.size()) +
--- a/tests/clients/scripted_server.h
+++ b/tests/clients/scripted_server.h
@@ -23,8 +23,9 @@
 enum class reaction
 {
   answer,
-  close,  ///< Closes the connection without an answer.
-  silent, ///< Sends no answer to this and all later requests of the connection.
+  close,   ///< Closes the connection without an answer.
+  silent,  ///< Sends no answer to this and all later requests of the connection.
+  headers, ///< Sends the headers of an answer, and then as `silent`.
 };
 
 struct scripted_answer
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -2,6 +2,7 @@
 #include "endiveusher/edges/http_server.h"
 #include "tests/clients/scripted_server.h"
 
+#include <algorithm>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -279,3 +280,62 @@
     }));
   }
 }
+
+// Guards against a call that is given up and still reports, and against others that are given up
+// with it.
+TEST(http_loop, cancelsOneCall)
+{
+  holding_server server;
+  http_loop loop;
+  std::vector<call_id> calls;
+  std::vector<int> answered;
+  for (int index = 0; index < 3; ++index) {
+    calls.push_back(loop.send({ .mAddress = server.address(),
+                                .mPath = "/held",
+                                .mTimeout = milliseconds(5000),
+                                .mDone = [&answered, index](loop_reply&& aReply) {
+                                  CHECK(aReply.ok());
+                                  answered.push_back(index);
+                                } }));
+  }
+  CHECK(runUntil(loop, [&] { return server.held() == 3; }));
+  loop.cancel(calls[1]);
+  loop.cancel(calls[1]);
+  server.release();
+  CHECK(runUntil(loop, [&] { return answered.size() == 2; }));
+  loop.cancel(calls[0]);
+  for (int pass = 0; pass < 20; ++pass) {
+    loop.run(milliseconds(1));
+  }
+  CHECK_EQUAL(2U, answered.size());
+  CHECK(std::ranges::find(answered, 1) == answered.end());
+}
+
+// Guards against a call that ends another one whose answer has been read in the same pass.
+TEST(http_loop, cancelsACallFromTheCallbackOfAnother)
+{
+  holding_server server;
+  http_loop loop;
+  std::vector<call_id> calls(8);
+  int answered = 0;
+  for (std::size_t index = 0; index < calls.size(); ++index) {
+    calls[index] = loop.send({ .mAddress = server.address(),
+                               .mPath = "/held",
+                               .mTimeout = milliseconds(5000),
+                               .mDone = [&, index](loop_reply&& /*aReply*/) {
+                                 ++answered;
+                                 for (std::size_t other = 0; other < calls.size(); ++other) {
+                                   if (other != index) {
+                                     loop.cancel(calls[other]);
+                                   }
+                                 }
+                               } });
+  }
+  CHECK(runUntil(loop, [&] { return server.held() == calls.size(); }));
+  server.release();
+  CHECK(runUntil(loop, [&] { return answered > 0; }));
+  for (int pass = 0; pass < 20; ++pass) {
+    loop.run(milliseconds(1));
+  }
+  CHECK_EQUAL(1, answered);
+}
--- a/tests/node/silent_store_test.cpp
+++ b/tests/node/silent_store_test.cpp
@@ -1,17 +1,22 @@
 #include "log_tail.h"
+#include "probed_read.h"
 #include "snapshots.h"
 #include "store_fixture.h"
+#include "tests/clients/scripted_server.h"
 #include "tests/node/manual_clock.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <vector>
 
 using namespace endiveusher;
 using namespace endiveusher::node;
 using namespace endiveusher::node::testing;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -32,7 +37,10 @@
   log_tail* tail = nullptr;
   std::vector<std::string> records;
 
-  void setup() override { store = new store_fixture; }
+  void setup() override
+  {
+    store = new store_fixture;
+  }
   void teardown() override
   {
     delete tail;
@@ -48,7 +56,7 @@
     CHECK(runUntil([this] { return tail->caughtUp(); }));
     store->setSilent(true);
     time.mNow += kOverdue;
-    CHECK(runUntil([this] { return store->unanswered() == 1; }));
+    CHECK(runUntil([this] { return store->held() == 1; }));
   }
   bool runUntil(const std::function<bool()>& aReady)
   {
@@ -74,9 +82,156 @@
   store->append("topic", { "a" });
   for (std::size_t tries = 2; tries < 5; ++tries) {
     time.mNow += kWait + kOverdue;
-    CHECK(runUntil([this, tries] { return store->unanswered() >= tries; }));
+    CHECK(runUntil([this, tries] { return store->held() >= tries; }));
   }
   store->setSilent(false);
   time.mNow += kOverdue;
   CHECK(runUntil([this] { return records == std::vector<std::string>{ "a" }; }));
 }
+
+// Guards against a new owner or standby that loads the cell late after a silence.
+TEST(silent_store, aSnapshotIsLoadedAtOnceWhenItAnswersAgain)
+{
+  snapshot_loader loader(store->mStore, time, "snapshot");
+  bool loaded = false;
+  const auto turn = [&loader, this] { loader.tick(time.now()); };
+  store->setSilent(true);
+  loader.load([&loaded](const auto& /*aFound*/) { loaded = true; });
+  CHECK(store->runUntil([this] { return store->held() == 1; }, turn));
+  store->setSilent(false);
+  time.mNow += kOverdue;
+  loader.tick(time.now());
+  // The first try has a time limit of 1.2 s, and its failure would be repeated after a pause of the
+  // clock that stands still.
+  CHECK(store->runUntil([&loaded] { return loaded; }, turn));
+}
+
+/// One read of a store whose answers the test controls.
+TEST_GROUP(probed_read)
+{
+  store_fixture* store = nullptr;
+  manual_clock time;
+  probed_read* read = nullptr;
+  std::vector<probed_read::receipt> receipts;
+  std::vector<platform::read_reply> replies;
+
+  void setup() override
+  {
+    store = new store_fixture;
+    store->append("topic", { "a" });
+    read = new probed_read(store->mStore, time);
+  }
+  void teardown() override
+  {
+    delete read;
+    delete store;
+  }
+  void start()
+  {
+    read->read("topic", 0, kWait,
+               [this](platform::read_reply&& aReply, const probed_read::receipt& aReceipt) {
+                 replies.push_back(std::move(aReply));
+                 receipts.push_back(aReceipt);
+               });
+  }
+  bool runUntil(const std::function<bool()>& aReady)
+  {
+    return store->runUntil(aReady, [this] { read->tick(time.now()); });
+  }
+  /// Sends the read and a probe, neither of which is answered yet.
+  void sendTwoTries()
+  {
+    store->setSilent(true);
+    start();
+    CHECK(runUntil([this] { return store->held() == 1; }));
+    time.mNow += kWait + kOverdue;
+    CHECK(runUntil([this] { return store->held() == 2; }));
+  }
+};
+
+TEST(probed_read, isAnsweredByItsFirstTryAlone)
+{
+  start();
+  CHECK(runUntil([this] { return !replies.empty(); }));
+  CHECK_FALSE(receipts[0].mByProbe);
+  time.mNow += kWait + kOverdue;
+  read->tick(time.now());
+  CHECK_FALSE(read->open());
+  CHECK_EQUAL(1, store->mReads["topic"]);
+}
+
+// Guards against probes of reads that the store may still be holding open.
+TEST(probed_read, isNotProbedBeforeItIsOverdue)
+{
+  store->setSilent(true);
+  start();
+  CHECK(runUntil([this] { return store->held() == 1; }));
+  time.mNow += kWait;
+  CHECK_FALSE(
+    store->runUntil([this] { return store->held() > 1; }, [this] { read->tick(time.now()); }, 50));
+}
+
+// Guards against a freshness that counts from a try that was never answered.
+TEST(probed_read, isAsFreshAsTheTryThatWasAnswered)
+{
+  sendTwoTries();
+  store->setSilent(false);
+  time.mNow += kOverdue;
+  CHECK(runUntil([this] { return !replies.empty(); }));
+  CHECK(receipts[0].mByProbe);
+  CHECK(receipts[0].mSent == time.mNow);
+}
+
+// Guards against a slow store that is asked again and again while each answer is on its way.
+TEST(probed_read, takesALateAnswerToTheFirstTry)
+{
+  sendTwoTries();
+  store->answerHeld(0);
+  CHECK(runUntil([this] { return !replies.empty(); }));
+  CHECK_FALSE(receipts[0].mByProbe);
+  CHECK_EQUAL(1U, replies[0].mRecords.size());
+}
+
+// Load pattern: a large answer takes seconds on a slow link. Guards against a second one that is
+// sent over the same link.
+TEST(probed_read, isNotProbedOnceItsAnswerHasBegun)
+{
+  std::atomic<int> begun = 0;
+  endiveusher::testing::scripted_server server([&begun](const auto& /*aRequest*/) {
+    ++begun;
+    return endiveusher::testing::scripted_answer{ .mReaction =
+                                                    endiveusher::testing::reaction::headers };
+  });
+  edges::http_loop loop;
+  platform::store slow(loop, server.address());
+  probed_read one(slow, time);
+  bool headers = false;
+  const auto turns = [&](int aMost, const std::function<bool()>& aReady) {
+    for (int turn = 0; turn < aMost && !aReady(); ++turn) {
+      one.tick(time.now());
+      loop.run(milliseconds(1));
+    }
+    return aReady();
+  };
+  loop.send({ .mAddress = server.address(),
+              .mPath = "/",
+              .mOnAnswerBegun = [&headers] { headers = true; },
+              .mDone = [](edges::loop_reply&&) {} });
+  CHECK(turns(3000, [&headers] { return headers; }));
+  one.read("topic", 0, kWait, [](auto&&, const auto&) {});
+  CHECK(turns(3000, [&begun] { return begun == 2; }));
+  turns(100, [] { return false; }); // The headers are on their way.
+  time.mNow += kWait + kOverdue;
+  turns(100, [] { return false; });
+  CHECK_EQUAL(2, begun);
+}
+
+// Guards against callbacks into an owner that has given the read up.
+TEST(probed_read, isNotAnsweredOnceItIsGivenUp)
+{
+  sendTwoTries();
+  read->cancel();
+  store->answerHeld(0);
+  store->answerHeld(1);
+  CHECK_FALSE(store->runUntil([this] { return !replies.empty(); }, [] {}, 50));
+}
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endiveusher::node::testing {
@@ -31,9 +32,10 @@
 
   /// Runs the loop until aReady returns true; returns false if it does not within a few seconds.
   bool runUntil(
-    const std::function<bool()>& aReady, const std::function<void()>& aTick = [] {})
+    const std::function<bool()>& aReady, const std::function<void()>& aTick = [] {},
+    int aMaxTurns = 3000)
   {
-    for (int turn = 0; turn < 3000 && !aReady(); ++turn) {
+    for (int turn = 0; turn < aMaxTurns && !aReady(); ++turn) {
       aTick();
       mLoop.run(std::chrono::milliseconds(1));
     }
@@ -45,11 +47,17 @@
   standins::store_model mModel;
   /// Number of next appends that are carried out without an answer.
   int mLoseAnswers = 0;
-  /// Returns the number of calls that got no answer.
-  std::size_t unanswered()
+  /// Returns the number of calls that were held so far.
+  std::size_t held()
   {
     const std::lock_guard lock(mMutex);
-    return mUnanswered.size();
+    return mHeld.size();
+  }
+  /// Carries out and answers a held call, by its number from 0.
+  void answerHeld(std::size_t aCall)
+  {
+    const std::lock_guard lock(mMutex);
+    carryOut(mHeld.at(aCall).first, mHeld.at(aCall).second);
   }
   void setSilent(bool aSilent)
   {
@@ -66,7 +74,7 @@
   std::map<std::string, int> mReads;
   /// Number of next calls that are answered with 503 without being carried out.
   int mRefuse = 0;
-  /// Whether calls are neither carried out nor answered, also later.
+  /// Whether calls are held, neither carried out nor answered.
   bool mSilent = false;
   /// Topic whose appends are answered with 503 without being carried out, and their number.
   std::string mRefusedTopic;
@@ -107,9 +115,14 @@
   {
     const std::lock_guard lock(mMutex);
     if (mSilent) {
-      mUnanswered.push_back(aResponder);
+      mHeld.emplace_back(aRequest, aResponder);
       return;
     }
+    carryOut(aRequest, aResponder);
+  }
+
+  void carryOut(const edges::http_request& aRequest, const edges::responder& aResponder)
+  {
     if (mRefuse > 0) {
       --mRefuse;
       aResponder.answer({ .mStatus = 503 });
@@ -185,6 +198,7 @@
   }
 
   std::vector<edges::responder> mUnanswered;
+  std::vector<std::pair<edges::http_request, edges::responder>> mHeld;
 
 public:
   edges::http_server mServer;
