Count a refused call to the owner only if the store has answered since before

Cause: a daemon whose zone comes back from a cut with resets has been refused by the owner during the cut, and takes the owner's process for ended until its next hello. With the probes it reads the owner's records first, within some milliseconds, so the cell counts as vacant and it claims after its stagger of at most 250 ms. The race was there before, but the read that asked for a wait of 1 s mostly lost it.

Change: the election gets the time at which the refused hello was sent, and counts it only if it is not older than the connection to the store. An owner that has really ended is refused again within 250 ms.

election.aRefusalFromBeforeTheStoreAnsweredAgainDoesNotCount fails without the comparison and passes with it. node_tests: 123 passed.

--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -214,7 +214,7 @@
   mOwnerClient.setStoreLost(mStoreLost);
   // While the store is slow for all daemons, a new owner would only add calls to it.
   mElection.setOwnerSuspected(
-    mOwnerClient.connectionRefused(),
+    mOwnerClient.refusedAt(),
     mOwnerClient.unresponsive(aNow) || mOwnerClient.ownerPartitioned(mStore.latency()), aNow);
   const bool eligible = caughtUp() && mOperator.config() && !mStoreLost;
   // Pending records are stored before another daemon may become owner.
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -102,13 +102,16 @@
   /// Returns the record to append now, on condition that the topic ends at expectedEnd(). The
   /// caller reports the result with onAppended(), onRejected() or onUnanswered().
   action next(time_point aNow, bool aEligible, bool aStopping);
-  /// Sets whether calls to the owner show that its process has ended or that it is unresponsive.
-  void setOwnerSuspected(bool aEnded, bool aUnresponsive, time_point aNow)
+  /// Sets when a call that the owner has refused was sent, which shows that its process has ended,
+  /// and whether it is unresponsive. A refusal counts only if the store has answered since before.
+  void setOwnerSuspected(std::optional<time_point> aRefusedAt, bool aUnresponsive, time_point aNow)
   {
-    if (aEnded && !mOwnerEnded) {
+    // A daemon that was cut off from all others is refused by a healthy owner as well.
+    const bool ended = aRefusedAt && mConnectedSince && *aRefusedAt >= *mConnectedSince;
+    if (ended && !mOwnerEnded) {
       mOwnerEndedSince = aNow;
     }
-    mOwnerEnded = aEnded;
+    mOwnerEnded = ended;
     mOwnerUnresponsive = aUnresponsive;
   }
   owner_record record(action aAction) const;
--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -71,8 +71,9 @@
   mNextHello = aNow + interval();
   auto hello = encodeHello(*mOwner, mHello);
   hello.mTimeout = kHelloTimeout;
-  hello.mDone = [this, generation = mGeneration](edges::loop_reply&& aReply) {
+  hello.mDone = [this, aNow, generation = mGeneration](edges::loop_reply&& aReply) {
     if (generation == mGeneration) {
+      mLastHelloAt = aNow;
       onHelloReply(aReply);
     }
   };
--- a/node/src/owner_client.h
+++ b/node/src/owner_client.h
@@ -46,8 +46,12 @@
 
   /// Whether the owner has answered recently enough for records to be forwarded to it.
   bool reachable(time_point aNow) const;
-  /// Whether the owner's machine refuses connections: its process has ended.
-  bool connectionRefused() const { return mConnectionRefused; }
+  /// Time at which the last hello was sent, if the owner's machine has refused it: its process has
+  /// ended, or it is cut off in a way that looks the same.
+  std::optional<time_point> refusedAt() const
+  {
+    return mConnectionRefused ? std::optional(mLastHelloAt) : std::nullopt;
+  }
   /// Whether the owner has not answered within its timeout.
   bool unresponsive(time_point aNow) const;
   /// Whether the owner reports that the store does not answer it, although aStoreLatency, the
@@ -87,6 +91,8 @@
   time_point mOwnerSince{};
   time_point mLastReply{};
   time_point mNextHello{};
+  /// Time at which the last answered or failed hello was sent.
+  time_point mLastHelloAt{};
   bool mHelloInFlight = false;
   bool mConnectionRefused = false;
   std::uint64_t mGeneration = 0;
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
+
 using namespace endiveusher;
 using namespace endiveusher::node;
 using std::chrono::milliseconds;
@@ -105,7 +107,7 @@
 {
   one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
   one.onEndRead(1, now);
-  one.setOwnerSuspected(false, true, now);
+  one.setOwnerSuspected(std::nullopt, true, now);
   now += milliseconds(1000);
   CHECK(next() == election::action::claim);
 }
@@ -114,7 +116,28 @@
 {
   one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
   one.onEndRead(1, now);
-  one.setOwnerSuspected(true, false, now);
+  one.setOwnerSuspected(now, false, now);
+  now += milliseconds(1);
+  CHECK(next() == election::action::claim);
+}
+
+// Load pattern: a zone is cut off, with resets, from the store and the owner, and comes back.
+// Guards against a claim on the word of a call that the cut had refused, while the owner is
+// healthy.
+TEST(election, aRefusalFromBeforeTheStoreAnsweredAgainDoesNotCount)
+{
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
+  one.onEndRead(1, now);
+  one.onReadFailed();
+  now += seconds(5);
+  const auto refusedAt = now;
+  now += milliseconds(100);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "b"), 1, now);
+  one.onEndRead(2, now);
+  one.setOwnerSuspected(refusedAt, true, now);
+  now += milliseconds(300);
+  CHECK(next() == election::action::none);
+  one.setOwnerSuspected(now, true, now);
   now += milliseconds(1);
   CHECK(next() == election::action::claim);
 }
@@ -129,9 +152,9 @@
   small.onRecordRead(claim, 0, now);
   small.onEndRead(1, now);
   now += milliseconds(399);
-  small.setOwnerSuspected(true, false, now);
+  small.setOwnerSuspected(now, false, now);
   now += milliseconds(399);
-  small.setOwnerSuspected(true, false, now);
+  small.setOwnerSuspected(now, false, now);
   CHECK(small.next(now, true, false) == election::action::none);
   now += milliseconds(2);
   CHECK(small.next(now, true, false) == election::action::claim);
@@ -144,7 +167,7 @@
   election small{ { .mNode = "a", .mIncarnation = 7, .mPeerAddress = "a:1", .mLarge = false } };
   small.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
   small.onEndRead(1, now);
-  small.setOwnerSuspected(true, false, now);
+  small.setOwnerSuspected(now, false, now);
   now += milliseconds(2999);
   CHECK(small.next(now, true, false) == election::action::none);
   now += milliseconds(2);
