Failing tests: tasks of targets that left as planned wait for the end of leases

In the play of the incident a target left at 46.67 s, 5 s after it had reported that it drains; the registry dropped its entry at once, and the owner ended its runs at 53.64 s, reason=lease_expired.

Two tests fail: left_targets.aTaskStartsElsewhereSoonAfterItsTargetHasLeft and aGangStartsAgainSoonAfterTheTargetOfAMemberHasLeft, both after the 3 s that the rule allows. The five other tests of the group hold; they guard against two runs of a task where an entry is dropped although the target executes its tasks.

--- /dev/null
+++ b/tests/scheduler/left_targets_test.cpp
@@ -0,0 +1,158 @@
+#include "owner_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::scheduler;
+using namespace endiveusher::scheduler::testing;
+
+namespace {
+
+/// A step whose turn has come has to run within this time while there is capacity for it.
+constexpr milliseconds kMaxStarvation{ 3000 };
+/// Shortest time in which the entry of a target is dropped that cannot reach the store: three
+/// intervals of 1.5 s from its last write, which may be one interval before the cut.
+constexpr milliseconds kMinLapse{ 3000 };
+/// Time in which the registry is read.
+constexpr milliseconds kReadDelay{ 250 };
+
+step_spec tasks(std::uint32_t aCount, std::int64_t aCpu = 2000)
+{
+  return { .mCount = aCount,
+           .mNeeds = { .mCpuMilli = aCpu, .mMemoryMb = 100 },
+           .mEstimate = seconds(20) };
+}
+
+} // namespace
+
+/// Targets that drain and leave, and others whose entries are dropped while they execute tasks.
+TEST_GROUP(left_targets)
+{
+  owner_fixture cell;
+  job_id job{};
+
+  void setup() override
+  {
+    cell.addTarget("a", 4000);
+    cell.startNextOwner();
+    cell.run(milliseconds(300));
+  }
+  void startOnA(step_spec aStep)
+  {
+    job = cell.submit(std::move(aStep));
+    cell.run(milliseconds(300));
+    CHECK(cell.targetRunning(job) == "a");
+    cell.addTarget("b");
+    cell.run(milliseconds(200));
+  }
+  /// Runs until the task runs on the other target; returns the time that it took.
+  milliseconds timeUntilOnB()
+  {
+    milliseconds waited{ 0 };
+    while (!cell.target("b").mRunning.contains({ .mStep = { .mJob = job } }) &&
+           waited < seconds(30)) {
+      cell.run(milliseconds(5));
+      waited += milliseconds(5);
+    }
+    return waited;
+  }
+};
+
+// Guards against accepted tasks that wait for the end of leases at a target that has left as
+// planned.
+TEST(left_targets, aTaskStartsElsewhereSoonAfterItsTargetHasLeft)
+{
+  startOnA(tasks(1));
+  cell.drainTarget("a");
+  cell.run(milliseconds(5000));
+  cell.leaveTarget("a");
+  cell.run(kReadDelay);
+  cell.unlistTarget("a");
+  CHECK(timeUntilOnB() < kMaxStarvation);
+}
+
+// The same for a gang, of which only some members were there.
+TEST(left_targets, aGangStartsAgainSoonAfterTheTargetOfAMemberHasLeft)
+{
+  cell.addTarget("b", 2000);
+  auto gang = tasks(2, 2000);
+  gang.mGang = true;
+  gang.mMaxPerTarget = 1;
+  job = cell.submit(gang);
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(2, cell.running());
+  cell.drainTarget("a");
+  cell.addTarget("c", 2000);
+  cell.run(milliseconds(5000));
+  cell.leaveTarget("a");
+  cell.run(kReadDelay);
+  cell.unlistTarget("a");
+  cell.run(kMaxStarvation);
+  CHECK_EQUAL(2, cell.running());
+}
+
+// Guards against two runs of a task at a time: a draining target that is cut off goes on executing
+// its tasks until their leases end, though its entry is dropped.
+TEST(left_targets, aDrainingTargetThatIsCutOffKeepsItsRunsUntilTheirLeasesEnd)
+{
+  startOnA(tasks(1));
+  cell.drainTarget("a");
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachable = false;
+  cell.run(kMinLapse);
+  cell.unlistTarget("a");
+  CHECK(kMinLapse + timeUntilOnB() >= cell.mOptions.mLease);
+}
+
+// The same for a target whose entry is dropped, during an outage of the store, while it answers the
+// owner, and which is cut off when the outage ends.
+TEST(left_targets, aDrainingTargetWhoseEntryLapsedInAnOutageKeepsItsRuns)
+{
+  startOnA(tasks(1));
+  cell.drainTarget("a");
+  cell.mStoreDown = true;
+  cell.run(seconds(5));
+  cell.mStoreDown = false;
+  cell.run(kReadDelay);
+  cell.unlistTarget("a");
+  cell.target("a").mReachable = false;
+  const auto restarted = timeUntilOnB();
+  CHECK(restarted >= cell.mOptions.mLease - milliseconds(1500));
+}
+
+// The same for a target that answers after its entry was dropped, and is cut off later.
+TEST(left_targets, aDrainingTargetThatStillAnswersHasNotLeft)
+{
+  startOnA(tasks(1));
+  cell.drainTarget("a");
+  cell.run(milliseconds(1000));
+  cell.unlistTarget("a");
+  cell.run(milliseconds(2000));
+  CHECK(cell.targetRunning(job) == "a");
+  cell.target("a").mReachable = false;
+  CHECK(timeUntilOnB() >= cell.mOptions.mLease - milliseconds(1500));
+}
+
+// The same for a target that does not drain: it may only be cut off from the store.
+TEST(left_targets, aTargetThatDoesNotDrainKeepsItsRunsUntilTheirLeasesEnd)
+{
+  startOnA(tasks(1));
+  cell.target("a").mReachable = false;
+  cell.unlistTarget("a");
+  CHECK(timeUntilOnB() >= cell.mOptions.mLease - milliseconds(1500));
+}
+
+// Guards against two runs of a task at a time: a start order without an answer may be executed by
+// the target's next incarnation, which has the same id.
+TEST(left_targets, aRunWhoseOrderHadNoAnswerIsNotStartedElsewhereAtOnce)
+{
+  cell.target("a").mLosesReplies = true;
+  job = cell.submit(tasks(1));
+  cell.run(milliseconds(30));
+  CHECK(cell.targetRunning(job) == "a");
+  cell.addTarget("b");
+  cell.drainTarget("a");
+  cell.leaveTarget("a");
+  cell.unlistTarget("a");
+  CHECK(timeUntilOnB() >= kMaxStarvation);
+}
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -64,6 +64,28 @@
     return target;
   }
 
+  /// Has the target report that it drains.
+  void drainTarget(const std::string& aId)
+  {
+    auto& entry = mTargets.at(aId).mEntry;
+    entry.mDraining = true;
+    mOwner->setTarget(entry, mNow);
+  }
+  /// Ends the target's process: its runs are over, and the gangs of these break.
+  void leaveTarget(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    const auto lost = std::exchange(target.mRunning, {});
+    target.mReachable = false;
+    breakGangsOf(lost);
+  }
+  /// Removes the target's entry from the registry.
+  void unlistTarget(const std::string& aId)
+  {
+    mTargets.at(aId).mListed = false;
+    mOwner->removeTarget(aId, mNow);
+  }
+
   /// Restarts the VM of a target, which comes back as the new target aNew.
   void restartVm(const std::string& aOld, const std::string& aNew)
   {
