End the runs of targets that have left as planned at once

Cause: the owner knew one proof that a run is over without a report, the end of its lease, and so held the runs of a target that left as planned for 7.0 to 7.3 s.

Change: the registry drops a silent target after three intervals of its writes, thus two intervals (3 s) after its last contact at the earliest. A draining target whose entry is gone sooner, while the store answered throughout, has left: once it does not answer a heartbeat that was sent after that, its runs are over. Runs whose start order is open or had no answer stay until their leases end, because a later incarnation may execute the order. A target that answers has not left.

--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -23,6 +23,10 @@
 /// sooner on others.
 constexpr std::chrono::milliseconds kLease{ 7000 };
 
+/// Number of the targets' registry intervals for which a silent target stays listed at least: three
+/// from its last write, which may be one interval before its last contact with the owner.
+constexpr int kMinSilentIntervals = 2;
+
 /// Time since an owner's last record in which it may hold ends that the journal lacks, and targets
 /// may be waiting for their leases to end that it has renewed.
 constexpr std::chrono::seconds kHandOverPeriod{ 15 };
@@ -296,7 +300,8 @@
   mOwner = std::make_unique<scheduler::owner>(
     mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
-                              .mEpochs = mElection.epochs() },
+                              .mEpochs = mElection.epochs(),
+                              .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -23,6 +23,9 @@
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
   /// Known epochs and the time at which this daemon saw each of them begin.
   std::map<std::uint64_t, time_point> mEpochs{};
+  /// Shortest time for which the entry of a target stays in the registry after its last contact
+  /// with anyone, unless it leaves.
+  std::chrono::milliseconds mMinEntryLapse{ 3000 };
   /// Minimum time between two planning passes.
   std::chrono::milliseconds mPlanInterval{ 20 };
 };
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -29,6 +29,8 @@
 /// Maximum time between two planning passes, for decisions that depend only on time.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
+/// Lateness of a tick above which this daemon counts as having been paused.
+constexpr auto kMaxTickGap = std::chrono::milliseconds(1000);
 /// Weight of earlier ticks in the mean time by which ticks are late.
 constexpr int kTickLagWeight = 8;
 /// Time before its due time at which an occurrence is opened, so that advice can be requested. Its
@@ -118,7 +120,7 @@
 owner::impl::impl(job_table& aJobTable, owner_port& aPort, owner_options aOptions,
                   std::uint64_t aEpoch, time_point aNow)
   : mJobTable(aJobTable), mPort(aPort), mOptions(std::move(aOptions)), mEpoch(aEpoch),
-    mEpochStart(aNow)
+    mEpochStart(aNow), mStoreUnresponsiveAt(aNow)
 {
 }
 
@@ -409,6 +411,9 @@
 
 time_point owner::impl::tick(time_point aNow, wall_time aWall)
 {
+  if (!mStoreResponsive || aNow - mNextTick > kMaxTickGap) {
+    mStoreUnresponsiveAt = aNow;
+  }
   mTickLag += (std::max(aNow - mNextTick, duration{ 0 }) - mTickLag) / kTickLagWeight;
   openDueOccurrences(aNow, aWall);
   if (std::exchange(mRouteAdded, false)) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -178,6 +178,12 @@
   /// @param aSent time at which the heartbeat was sent
   void endRunsOfFormerIncarnation(target_state& aTarget, const target_report& aReport,
                                   time_point aSent, time_point aNow);
+  /// Whether the registry, which has just dropped the entry of the target, did so because it left:
+  /// had it been cut off, its entry would have been listed for longer.
+  bool hasLeft(const target_state& aTarget, time_point aNow) const;
+  /// Ends the runs of a target that has left. Those whose start order may still be executed by a
+  /// later incarnation stay allocated until their leases end.
+  void endRunsOfLeftTarget(target_state& aTarget, time_point aNow);
   /// Resets what is known of the former incarnation, except its runs.
   void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
@@ -359,6 +365,8 @@
   /// First verdicts on targets, by route.
   std::map<std::string, verdict_counts> mVerdictCounts;
   std::uint64_t mLastAdviceCall = 0;
+  /// Latest time at which the store was not known to be responsive. Entries may have lapsed then.
+  time_point mStoreUnresponsiveAt{};
   time_point mNextPlan{};
   /// Time by which the next tick is due, and the mean time by which ticks are late.
   time_point mNextTick = time_point::max();
--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -86,6 +86,31 @@
   }
 }
 
+bool owner::impl::hasLeft(const target_state& aTarget, time_point aNow) const
+{
+  // While the store does not answer, entries lapse of targets that this owner is in contact with.
+  return aTarget.mEntry.mDraining && aNow - aTarget.mAnsweredSentAt < mOptions.mMinEntryLapse &&
+         aNow - mStoreUnresponsiveAt > mOptions.mMinEntryLapse;
+}
+
+void owner::impl::endRunsOfLeftTarget(target_state& aTarget, time_point aNow)
+{
+  std::vector<task_key> over;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (run.mPhase != run_phase::storing && !run.mOrderOpen && run.mTries == 0) {
+      over.push_back(task);
+    }
+  }
+  mPort.logDecision("target_left",
+                    fmt::format("target={} runs_over={} runs_kept={} contact_age_ms={}",
+                                aTarget.mEntry.mId, over.size(), aTarget.mRuns.size() - over.size(),
+                                (aNow - aTarget.mAnsweredSentAt) / std::chrono::milliseconds(1)));
+  aTarget.mLeftAt.reset();
+  for (const auto& task : over) {
+    endLostRun(aTarget, task, std::nullopt, "target_left", aNow);
+  }
+}
+
 void owner::impl::beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart)
 {
   aTarget.mEntry.mIncarnationStart = aIncarnationStart;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -70,6 +70,7 @@
 void owner::impl::setTarget(const target_entry& aEntry, time_point aNow)
 {
   auto& target = findOrCreateTarget(aEntry.mId);
+  target.mLeftAt.reset();
   const auto known = target.mEntry.mIncarnationStart;
   const bool restarted = known != 0 && aEntry.mIncarnationStart > known;
   const bool wasDraining = target.mEntry.mDraining;
@@ -98,9 +99,14 @@
   if (found == mTargets.end()) {
     return;
   }
-  // Its runs count as executing until their lease expires or a heartbeat reply reports their end.
-  found->second.mListed = false;
-  found->second.mNextHeartbeat = aNow;
+  // Its runs count as executing until their lease expires, a heartbeat reply reports their end, or
+  // it turns out to have left.
+  auto& target = found->second;
+  if (target.mListed && hasLeft(target, aNow)) {
+    target.mLeftAt = aNow;
+  }
+  target.mListed = false;
+  target.mNextHeartbeat = aNow;
 }
 
 void owner::impl::endRunsOfFormerTargets(const target_state& aTarget, time_point aNow)
@@ -187,6 +193,9 @@
     target.mNextHeartbeat =
       aNow + (target.mRuns.empty() && target.mMissedHeartbeats > 3 ? kIdleMissedHeartbeatPause
                                                                    : kMissedHeartbeatPause);
+    if (aOutcome == order_outcome::unanswered && target.mLeftAt && aSent >= *target.mLeftAt) {
+      endRunsOfLeftTarget(target, aNow);
+    }
     return;
   }
   if (target.mMissedHeartbeats > 0) {
@@ -210,6 +219,10 @@
     target.mClock = aReport.mClock;
     target.mClockAt = aNow;
   }
+  target.mAnsweredSentAt = std::max(target.mAnsweredSentAt, aSent);
+  if (target.mLeftAt && aSent >= *target.mLeftAt) {
+    target.mLeftAt.reset();
+  }
   // How long the reply to an earlier heartbeat took to get here is not known.
   target.mLastReply = std::max(target.mLastReply, isNewest ? aNow : aSent);
   readEnds(target, aReport, aNow);
