Do not wait for renewals of a former owner that is known to have ended

Cause: the next owner assumed that its predecessor had renewed leases for 5 s after the claim, as an owner that is cut off from the store may, also if it knew better.

Change: epoch_history bounds the time up to which the owner of an epoch has acted: its last record and 5 s, its release, the first record of a later process of the same daemon, or its answer to the hand-over of ends, before which it steps down. An owner does not act any more once it has sent its release, because the reply may be lost.

An owner that ends without a restart and without a release is still waited for: 5 s from its last record instead of from the claim.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -112,7 +112,9 @@
                       .mWriter = mIncarnation,
                       .mRetention = mSettings.mRecordRetention }),
     mHandOver(mLoop, mClock, mLog,
-              [this](const std::vector<scheduler::run_ended>& aEnds) { onEndsHandedOver(aEnds); })
+              [this](const std::string& aAddress, const std::vector<scheduler::run_ended>& aEnds) {
+                onEndsHandedOver(aAddress, aEnds);
+              })
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(owner_answer &&)> aDone) {
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -276,9 +276,12 @@
     { .mBody = encodeEnds(mOwner ? mOwner->unstoredEnds() : mUnstoredReports) });
 }
 
-void cell_node::impl::onEndsHandedOver(const std::vector<scheduler::run_ended>& aEnds)
+void cell_node::impl::onEndsHandedOver(const std::string& aAddress,
+                                       const std::vector<scheduler::run_ended>& aEnds)
 {
+  mElection.history().onStoodDown(aAddress, mEpoch, mClock.now());
   if (mOwner) {
+    mOwner->setLatestActs(mElection.history().latestActs());
     mOwner->adoptEnds(aEnds, mClock.now());
   } else if (mEpoch != 0) {
     mUnstoredReports.insert(mUnstoredReports.end(), aEnds.begin(), aEnds.end());
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -214,7 +214,8 @@
   void handleUnstoredEnds(const peer_request& aRequest);
 
   /// Adopts ends that a former owner has handed over, or keeps them until this daemon schedules.
-  void onEndsHandedOver(const std::vector<scheduler::run_ended>& aEnds);
+  void onEndsHandedOver(const std::string& aAddress,
+                        const std::vector<scheduler::run_ended>& aEnds);
 
   void handlePeer(peer_request& aRequest);
 
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -301,6 +301,7 @@
     mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
                               .mEpochs = mElection.epochs(),
+                              .mLatestActs = mElection.history().latestActs(),
                               .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval },
     epoch, now);
   mPaused = false;
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -44,7 +44,10 @@
   }
 }
 
-election::election(election_options aOptions) : mOptions(std::move(aOptions)) {}
+election::election(election_options aOptions)
+  : mOptions(std::move(aOptions)), mHistory(mOptions.mMaxRenewalAge)
+{
+}
 
 bool election::isOwn(const owner_record& aRecord) const
 {
@@ -57,6 +60,7 @@
   mLastRecord = aRecord;
   mLastSeen = aNow;
   mHasRecord = true;
+  mHistory.onRecord(aRecord, aOffset, aNow);
   if (aRecord.mKind == owner_record::kind::claim) {
     mEpochs.try_emplace(epochOf(aOffset), aNow);
   }
@@ -100,6 +104,7 @@
 {
   const auto chosen = chooseAction(aNow, aEligible, aStopping);
   mAppendInFlight = mAppendInFlight || chosen != action::none;
+  mReleasing = mReleasing || chosen == action::release;
   return chosen;
 }
 
@@ -164,6 +169,7 @@
   mAppendInFlight = false;
   mEnd = std::max(mEnd, aOffset + 1);
   mLastRecord = record(aAction);
+  mHistory.onRecord(mLastRecord, aOffset, aSent);
   mLastSeen = std::max(mLastSeen, aSent);
   mHasRecord = true;
   if (aAction == action::release) {
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/kernel/time.h"
+#include "epoch_history.h"
 
 #include <absl/status/statusor.h>
 
@@ -129,7 +130,7 @@
   /// Whether this daemon is the owner and its renewal is recent enough to send orders.
   bool mayAct(time_point aNow) const
   {
-    return mRole == role::owner && aNow - mRenewedAt < mOptions.mMaxRenewalAge;
+    return mRole == role::owner && !mReleasing && aNow - mRenewedAt < mOptions.mMaxRenewalAge;
   }
   /// Time since the last accepted renewal was sent.
   duration renewalAge(time_point aNow) const { return aNow - mRenewedAt; }
@@ -137,6 +138,8 @@
   void stepDown();
   /// Known epochs, with the times at which this daemon read their claims.
   const std::map<std::uint64_t, time_point>& epochs() const { return mEpochs; }
+  /// Bounds on how long the owners of these epochs may have acted.
+  epoch_history& history() { return mHistory; }
   /// Address of the current owner; absent if it is unknown or this daemon.
   std::optional<std::string> ownerAddress() const;
   const std::string& ownerNode() const { return mLastRecord.mNode; }
@@ -154,6 +157,9 @@
   std::uint64_t mEpoch = 0;
   std::uint64_t mEnd = 0;
   std::map<std::uint64_t, time_point> mEpochs;
+  epoch_history mHistory;
+  /// Whether a release was sent: the next owner may rely on it although the reply is lost.
+  bool mReleasing = false;
   /// Times at which the last record of each other owner was read, by its address.
   std::map<std::string, time_point> mOwnersSeen;
   bool mEndKnown = false;
--- a/node/src/end_hand_over.cpp
+++ b/node/src/end_hand_over.cpp
@@ -97,7 +97,7 @@
                          ends.ok() ? ends->size() : 0));
   mQueries.erase(found);
   if (ends.ok()) {
-    mOnEnds(*ends);
+    mOnEnds(aAddress, *ends);
   }
 }
 
--- a/node/src/end_hand_over.h
+++ b/node/src/end_hand_over.h
@@ -26,9 +26,11 @@
   /// Time that a new owner waits for the answers before it starts to schedule.
   static constexpr std::chrono::milliseconds kMaxWait{ 300 };
 
-  using ends_callback = std::function<void(const std::vector<scheduler::run_ended>& aEnds)>;
+  using ends_callback = std::function<void(const std::string& aAddress,
+                                           const std::vector<scheduler::run_ended>& aEnds)>;
 
-  /// aOnEnds is called with the ends that a former owner has answered.
+  /// aOnEnds is called with the address of a former owner, which owns no epoch below that of the
+  /// query any more, and the ends that it has answered.
   end_hand_over(edges::http_loop& aLoop, const clock& aClock, event_log& aLog,
                 ends_callback aOnEnds);
 
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -23,6 +23,9 @@
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
   /// Known epochs and the time at which this daemon saw each of them begin.
   std::map<std::uint64_t, time_point> mEpochs{};
+  /// Latest times at which former owners may have renewed leases, by epoch. Without one, they may
+  /// have done so for mMaxRenewalAge after the next epoch began.
+  std::map<std::uint64_t, time_point> mLatestActs{};
   /// Shortest time for which the entry of a target stays in the registry after its last contact
   /// with anyone, unless it leaves.
   std::chrono::milliseconds mMinEntryLapse{ 3000 };
@@ -63,6 +66,8 @@
   /// Sets whether the store answers appends soon enough for records that delay the renewal of
   /// leases.
   void setStoreResponsive(bool aResponsive);
+  /// Replaces owner_options::mLatestActs.
+  void setLatestActs(std::map<std::uint64_t, time_point> aLatestActs);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
   /// Sets the other daemons that can make advice calls.
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -122,6 +122,7 @@
   : mJobTable(aJobTable), mPort(aPort), mOptions(std::move(aOptions)), mEpoch(aEpoch),
     mEpochStart(aNow), mStoreUnresponsiveAt(aNow)
 {
+  mLatestActs = mOptions.mLatestActs;
 }
 
 void owner::impl::configure(std::shared_ptr<const cell_config> aConfig)
@@ -527,6 +528,11 @@
   mImpl->mStoreResponsive = aResponsive;
 }
 
+void owner::setLatestActs(std::map<std::uint64_t, time_point> aLatestActs)
+{
+  mImpl->mLatestActs = std::move(aLatestActs);
+}
+
 void owner::setTarget(const target_entry& aEntry, time_point aNow)
 {
   mImpl->setTarget(aEntry, aNow);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -51,6 +51,8 @@
   bool mPlanNeeded = true;
   /// See owner::setStoreResponsive().
   bool mStoreResponsive = true;
+  /// See owner::setLatestActs().
+  std::map<std::uint64_t, time_point> mLatestActs;
 
 private:
   using target_state = internal::target_state;
--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -30,12 +30,16 @@
 
 time_point owner::impl::formerLeaseExpiry(const target_state& aTarget) const
 {
-  // The successor of the last owner that acquired the target has renewed no lease there. When the
-  // successor claimed its epoch, its predecessor had renewed its ownership for the last time.
+  // The successor of the last owner that acquired the target has renewed no lease there. Unless
+  // more is known, its predecessor had renewed its ownership for the last time when the successor
+  // claimed its epoch.
   const auto successor = mOptions.mEpochs.upper_bound(mJobTable.lastEpochAt(aTarget.mEntry.mId));
   const auto since = successor == mOptions.mEpochs.end() ? mEpochStart : successor->second;
+  const auto lastAct = mLatestActs.find(mJobTable.lastEpochAt(aTarget.mEntry.mId));
+  const auto renewed =
+    lastAct == mLatestActs.end() ? since + mOptions.mMaxRenewalAge : lastAct->second;
   const auto assumed =
-    since + mOptions.mMaxRenewalAge + internal::kLeaseMargin +
+    renewed + internal::kLeaseMargin +
     std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
   const auto recorded = mJobTable.leaseExpiryAt(aTarget.mEntry.mId);
   return recorded ? std::min(*recorded, assumed) : assumed;
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -254,3 +254,16 @@
   const std::vector<std::string> recent{ "c:1", "d:1" };
   CHECK(one.formerOwners(now, seconds(15)) == recent);
 }
+
+// Guards against two daemons that act at a time: the owner's release is stored, its reply is lost,
+// and the next owner relies on the release.
+TEST(election, anOwnerDoesNotActOnceItHasSentItsRelease)
+{
+  becomeOwner();
+  CHECK(one.mayAct(now));
+  now += milliseconds(10);
+  CHECK(next(true) == election::action::release);
+  CHECK(!one.mayAct(now));
+  one.onUnanswered(election::action::release, now, now + milliseconds(500));
+  CHECK(!one.mayAct(now + milliseconds(600)));
+}
--- a/tests/scheduler/lost_target_test.cpp
+++ b/tests/scheduler/lost_target_test.cpp
@@ -36,6 +36,14 @@
     cell.target("a").mReachable = false;
     lostAt = cell.mNow;
   }
+  /// The former owner ends now; the next one starts when it is noticed.
+  void startNextOwnerAfterAWhile()
+  {
+    cell.mPaused = true;
+    cell.run(milliseconds(1500));
+    cell.mPaused = false;
+    cell.startNextOwner();
+  }
   /// Runs until the task runs on the other target; returns the time since the loss.
   duration timeUntilRestarted()
   {
@@ -79,6 +87,32 @@
   CHECK(timeUntilRestarted() >= changed + cell.mOptions.mMaxRenewalAge + cell.mOptions.mLease);
 }
 
+// Guards against accepted tasks that wait for renewals of a former owner that has ended, also if
+// the next owner learns that only later.
+TEST(lost_targets, theNextOwnerDoesNotWaitForRenewalsOfAnOwnerThatHasEnded)
+{
+  cell.run(milliseconds(100));
+  const std::map<std::uint64_t, time_point> ended{ { 1, cell.mNow } };
+  startNextOwnerAfterAWhile();
+  cell.run(milliseconds(300));
+  cell.mOwner->setLatestActs(ended);
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= ended.at(1) - lostAt + cell.mOptions.mLease);
+  CHECK(restarted <= ended.at(1) - lostAt + longestLease(cell.mOptions) + kRestartTime);
+}
+
+// The same for an owner that is known to have ended when the next one starts.
+TEST(lost_targets, theNextOwnerKnowsFromTheStartThatTheFormerOneHasEnded)
+{
+  cell.run(milliseconds(100));
+  cell.mOptions.mLatestActs[1] = cell.mNow;
+  startNextOwnerAfterAWhile();
+  const auto restarted = timeUntilRestarted();
+  CHECK(restarted >= cell.mOptions.mLatestActs.at(1) - lostAt + cell.mOptions.mLease);
+  CHECK(restarted <=
+        cell.mOptions.mLatestActs.at(1) - lostAt + longestLease(cell.mOptions) + kRestartTime);
+}
+
 // Guards against two runs of a task at a time: the target comes back, and its lease is renewed
 // although the journal says that it is not.
 TEST(lost_targets, leasesAreRenewedAgainOnlyAfterTheRecordIsStored)
