Ignore a late answer to a claim behind which a successor has claimed

Cause: onAppended() made this daemon the owner, and the last owner that it knows, whenever the answer to its claim arrived, also after the successor's claim had been read: after a pause, or as answers on two connections overtake each other. A late answer to a renewal hid the successor's address until its next renewal.

Change: if records behind the appended one are known, they tell who owns the cell.

--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -162,15 +162,19 @@
 void election::onAppended(action aAction, std::uint64_t aOffset, time_point aSent)
 {
   mAppendInFlight = false;
+  // Records behind this one are known, and tell who owns the cell by now.
+  const bool overtaken = aOffset + 1 < mEnd;
   mEnd = std::max(mEnd, aOffset + 1);
-  mLastRecord = record(aAction);
-  mLastSeen = std::max(mLastSeen, aSent);
-  mHasRecord = true;
+  if (!overtaken) {
+    mLastRecord = record(aAction);
+    mLastSeen = std::max(mLastSeen, aSent);
+    mHasRecord = true;
+  }
   if (aAction == action::release) {
     mRole = role::follower;
     return;
   }
-  if (aAction == action::claim) {
+  if (aAction == action::claim && !overtaken) {
     mEpoch = epochOf(aOffset);
     mRole = role::owner;
     mEpochs.try_emplace(mEpoch, aSent);
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -254,3 +254,39 @@
   const std::vector<std::string> recent{ "c:1", "d:1" };
   CHECK(one.formerOwners(now, seconds(15)) == recent);
 }
+
+// Guards against two owners after a hand-over: the answer to the claim arrives after the
+// successor's claim has been read, because the daemon was paused or the answers overtook each
+// other.
+TEST(election, aLateAnswerToAClaimDoesNotUndoASuccessor)
+{
+  one.onEndRead(0, now);
+  now += milliseconds(1);
+  const auto sent = now;
+  CHECK(next() == election::action::claim);
+  now += seconds(6);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "a", 7), 0, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 1, now);
+  one.onEndRead(2, now);
+  one.onAppended(election::action::claim, 0, sent);
+  CHECK(one.state() == election::role::follower);
+  CHECK(next() == election::action::none);
+  CHECK_EQUAL("b:1", one.ownerAddress().value_or(""));
+}
+
+// Guards against a daemon that forwards nothing to the new owner, because the late answer to its
+// own last renewal makes it the last owner that it knows.
+TEST(election, aLateAnswerToARenewalDoesNotHideASuccessor)
+{
+  becomeOwner();
+  now += milliseconds(400);
+  const auto sent = now;
+  CHECK(next() == election::action::renew);
+  now += seconds(6);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 1, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 2, now);
+  one.onEndRead(3, now);
+  one.onAppended(election::action::renew, 1, sent);
+  CHECK(one.state() == election::role::follower);
+  CHECK_EQUAL("b:1", one.ownerAddress().value_or(""));
+}
