Step down at any record of another owner behind the own claim

Cause: only a claim made an owner step down. After a pause longer than the store's history (20 s) the successor's claim is deleted and only its renewals are read, so the resumed daemon stayed owner beside it and could renew its own ownership.

Change: renewals and releases of others behind the own claim count as well; appends are conditional on the end of the topic, so a former owner can't have added one. The test fails without it.

--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -75,8 +75,8 @@
       mNextRenewal = std::max(mNextRenewal, mRenewedAt + mOptions.mRenewInterval);
       mUncertainSince.reset();
     }
-  } else if (aRecord.mKind == owner_record::kind::claim && mRole == role::owner &&
-             epochOf(aOffset) > mEpoch) {
+  } else if (mRole == role::owner && epochOf(aOffset) > mEpoch) {
+    // Only an owner appends other records than claims; its claim may have been deleted.
     stepDown();
   }
 }
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -290,3 +290,15 @@
   CHECK(one.state() == election::role::follower);
   CHECK_EQUAL("b:1", one.ownerAddress().value_or(""));
 }
+
+// Guards against two owners after a pause that outlasts the store's history: the successor's claim
+// has been deleted, and only its renewals can be read.
+TEST(election, stepsDownAtARenewalOfItsSuccessor)
+{
+  becomeOwner();
+  now += seconds(30);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "b"), 80, now);
+  one.onEndRead(81, now);
+  CHECK(one.state() == election::role::follower);
+  CHECK(next() == election::action::none);
+}
