Count the age of an ownership from when its record was sent

Cause: a claim that was read before its answer arrived counted from the time of the read, so after a pause an expired ownership was good for 5 s more. An unanswered renewal was taken as stored as soon as any own renewal was read, also an earlier one that had been answered, while reads were behind.

Change: the time of the last append is kept, and with an unanswered one the end of the topic that it required; only a record from there on confirms it. Both tests fail without it.

--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -67,10 +67,10 @@
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < epochOf(aOffset)) {
       mEpoch = epochOf(aOffset);
       mRole = role::owner;
-      mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(aNow));
+      mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(mAppendSentAt));
     } else if (aRecord.mKind == owner_record::kind::renewal && mRole == role::owner &&
-               mUncertainSince) {
-      // The unanswered renewal was stored.
+               mUncertainSince && aOffset >= mUncertainEnd) {
+      // An unanswered renewal was stored: those that were answered are at lower offsets.
       mRenewedAt = std::max(mRenewedAt, *mUncertainSince);
       mNextRenewal = std::max(mNextRenewal, mRenewedAt + mOptions.mRenewInterval);
       mUncertainSince.reset();
@@ -99,7 +99,11 @@
 election::action election::next(time_point aNow, bool aEligible, bool aStopping)
 {
   const auto chosen = chooseAction(aNow, aEligible, aStopping);
-  mAppendInFlight = mAppendInFlight || chosen != action::none;
+  if (chosen != action::none) {
+    mAppendInFlight = true;
+    mAppendSentAt = aNow;
+    mAppendEnd = mEnd;
+  }
   return chosen;
 }
 
@@ -192,7 +196,10 @@
 
 void election::onUnanswered(action /*aAction*/, time_point aSent, time_point aNow)
 {
-  mUncertainSince = std::min(mUncertainSince.value_or(aSent), aSent);
+  if (!mUncertainSince) {
+    mUncertainSince = aSent;
+    mUncertainEnd = mAppendEnd;
+  }
   mAppendInFlight = false;
   mRetryAt = aNow + kUnansweredPause;
 }
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -164,8 +164,13 @@
   time_point mRenewedAt{};
   time_point mNextRenewal{};
   bool mAppendInFlight = false;
+  /// Time at which the last append was sent, and the end of the topic that it requires.
+  time_point mAppendSentAt{};
+  std::uint64_t mAppendEnd = 0;
   /// Time at which the oldest append with an unknown outcome was sent.
   std::optional<time_point> mUncertainSince;
+  /// End of the topic that this append requires.
+  std::uint64_t mUncertainEnd = 0;
   /// Whether an append was rejected, because the topic holds records that have not been read.
   bool mHasUnreadRecords = false;
   bool mOwnerEnded = false;
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -302,3 +302,36 @@
   CHECK(one.state() == election::role::follower);
   CHECK(next() == election::action::none);
 }
+
+// Guards against a daemon that acts on an ownership that expired while it was paused: it reads its
+// claim before it receives the answer to it.
+TEST(election, aClaimThatIsReadAfterAPauseIsAsOldAsItWasSent)
+{
+  one.onEndRead(0, now);
+  now += milliseconds(1);
+  CHECK(next() == election::action::claim);
+  now += seconds(6);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "a", 7), 0, now);
+  CHECK(one.state() == election::role::owner);
+  CHECK_FALSE(one.mayAct(now));
+}
+
+// Guards against an ownership that is extended by a renewal that was never stored: the reads are
+// behind and show an earlier one.
+TEST(election, anEarlierRenewalDoesNotConfirmAnUnansweredOne)
+{
+  becomeOwner();
+  now += milliseconds(400);
+  CHECK(next() == election::action::renew);
+  one.onAppended(election::action::renew, 1, now);
+  const auto renewed = now;
+  now += milliseconds(400);
+  CHECK(next() == election::action::renew);
+  one.onUnanswered(election::action::renew, now, now + milliseconds(300));
+  now += milliseconds(300);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 1, now);
+  CHECK(one.mayAct(renewed + milliseconds(4999)));
+  CHECK_FALSE(one.mayAct(renewed + milliseconds(5000)));
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 2, now);
+  CHECK(one.mayAct(renewed + milliseconds(5000)));
+}
