Count a topic as read up to now only if its end was reached

Cause: log_tail took every answered read as proof that all earlier records are known, also if the answer held a part of them: a probe's answer has 32 KB, and others shrink with the link. After an outage with many configurations a daemon accepted withdrawn keys, and denied new ones with 401 and 404, as if its configuration were current; jobs were denied with 410 in the same way.

Change: freshAsOf() is the time of the newest read whose end has been reached.

--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -41,6 +41,7 @@
 {
   mRead.cancel();
   mNext = aOffset;
+  mAwaitedEnd.reset();
   mCaughtUp = false;
   mNeedNewest = mOptions.mKeyed;
   mNextReadAt = time_point{};
@@ -78,7 +79,7 @@
   noteFailure(aError);
 }
 
-void log_tail::succeed(time_point aSent)
+void log_tail::succeed()
 {
   if (mFailures > 0) {
     const auto now = mClock.now();
@@ -88,7 +89,19 @@
                                     toMs(now - mSentAt), mTimeLimit.count()));
   }
   mFailures = 0;
-  mFreshAsOf = aSent;
+}
+
+void log_tail::noteEnd(std::uint64_t aEnd, time_point aSent)
+{
+  if (mAwaitedEnd && mNext >= mAwaitedEnd->mEnd) {
+    mFreshAsOf = std::max(mFreshAsOf, mAwaitedEnd->mAsOf);
+    mAwaitedEnd.reset();
+  }
+  if (mNext >= aEnd) {
+    mFreshAsOf = std::max(mFreshAsOf, aSent);
+  } else if (!mAwaitedEnd) {
+    mAwaitedEnd = topic_end{ .mEnd = aEnd, .mAsOf = aSent };
+  }
 }
 
 void log_tail::sendNewest(time_point aNow, const std::string& aAfter)
@@ -129,9 +142,11 @@
     sendNewest(mClock.now(), *aReply.mMoreAfter);
     return;
   }
-  succeed(mCollectedSince);
   mNeedNewest = false;
   mNext = mCollectedEnd;
+  mAwaitedEnd.reset();
+  noteEnd(mCollectedEnd, mCollectedSince);
+  succeed();
   mCaughtUp = true;
   mNextReadAt = mClock.now();
   mCallbacks.mOnNewest(std::exchange(mCollected, {}));
@@ -169,9 +184,10 @@
     }
     return;
   }
-  succeed(aReceipt.mSent);
   const auto offset = mNext;
   mNext += aReply.mRecords.size();
+  noteEnd(aReply.mEnd, aReceipt.mSent);
+  succeed();
   mCaughtUp = mCaughtUp || mNext >= aReply.mEnd;
   mNextReadAt = mNext < aReply.mEnd
                   ? time_point{}
--- a/node/src/log_tail.h
+++ b/node/src/log_tail.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,7 +59,9 @@
   void setInterval(std::chrono::milliseconds aInterval) { mOptions.mInterval = aInterval; }
   /// Reads again from aOffset; the read in flight is given up.
   void restart(std::uint64_t aOffset);
-  /// Time at which the newest answered read was sent; all records acknowledged before it are known.
+  /// All records that were acknowledged before this time are known. It is the time at which the
+  /// newest read was sent whose end of the topic has been reached: an answer holds a limited number
+  /// of records.
   time_point freshAsOf() const { return mFreshAsOf; }
   /// Whether the end of the topic has been reached once.
   bool caughtUp() const { return mCaughtUp; }
@@ -73,7 +76,9 @@
   /// Notes that a try of a read was lost or rejected.
   void noteFailure(std::string_view aError);
   void retryLater(std::string_view aError);
-  void succeed(time_point aSent);
+  void succeed();
+  /// Notes the end that the answer to a read sent at aSent has stated, after its records.
+  void noteEnd(std::uint64_t aEnd, time_point aSent);
 
   platform::store& mStore;
   const clock& mClock;
@@ -83,6 +88,13 @@
   bool mNeedNewest = false;
   bool mCaughtUp = false;
   std::uint64_t mNext = 0;
+  /// An end of the topic that has not been reached yet; records before it may be older than mAsOf.
+  struct topic_end
+  {
+    std::uint64_t mEnd = 0;
+    time_point mAsOf;
+  };
+  std::optional<topic_end> mAwaitedEnd;
   time_point mNextReadAt{};
   time_point mFreshAsOf{};
   std::uint32_t mFailures = 0;
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -8,11 +8,13 @@
 
 #include <absl/strings/escaping.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,6 +72,8 @@
     mModel.append({ .mTopic = aTopic, .mRecords = aRecords });
   }
 
+  /// Maximum number of records in the answer to a read.
+  std::size_t mMaxRecordsPerRead = 1'000'000;
   /// Number of reads, by topic.
   std::map<std::string, int> mReads;
   /// Number of next calls that are answered with 503 without being carried out.
@@ -188,7 +192,8 @@
         return;
       }
       std::string body = bigEndian(mModel.end(topic), 8) + bigEndian(mModel.first(topic), 8);
-      for (const auto& record : *found) {
+      for (const auto& record :
+           std::span(*found).first(std::min(found->size(), mMaxRecordsPerRead))) {
         body += bigEndian(record.size(), 4) + record;
       }
       aResponder.answer({ .mBody = std::move(body) });
