Check the ranges of numbers in messages of other daemons

Cause: the JSON library's conversions wrap around. An epoch of -1 to /peer/unstored-ends was the highest one of all, and the owner stepped down. The same in a batch of orders made its relay refuse the batches of every owner, which then stepped down in turn, until the relay was restarted. The time of a batch could overflow to a negative age, an advice timeout of 0 meant none to libcurl, and a hello could name any text as the address of a relay.

Change: epochs, times, timeouts, cores and addresses are checked when they are decoded; a message out of range is answered with 400.

--- a/node/src/election.h
+++ b/node/src/election.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,9 @@
 std::string encode(const owner_record& aRecord);
 absl::StatusOr<owner_record> decodeOwnerRecord(std::string_view aBytes);
 
+/// Largest epoch. The sequence numbers of an owner's appends hold its epoch above 32 other bits.
+inline constexpr std::uint64_t kMaxEpoch = std::numeric_limits<std::int32_t>::max();
+
 /// Epoch of the claim that is stored at aOffset of the owner topic.
 constexpr std::uint64_t epochOf(std::uint64_t aOffset)
 {
--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -1,6 +1,8 @@
 #include "order_batch.h"
 
+#include "endiveusher/kernel/json_number.h"
 #include "endiveusher/kernel/msgpack.h"
+#include "peer_api.h"
 
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
@@ -83,8 +85,7 @@
                                         .mAddress = aOrder.at(2),
                                         .mEpoch = aEpoch,
                                         .mStoredEndNumber = aOrder.at(4),
-                                        .mWait = std::chrono::milliseconds(
-                                          aOrder.at(5).get<std::int64_t>()) };
+                                        .mWait = millisFrom(aOrder.at(5), 0, kMaxPeerSpanMs) };
       if (!aOrder.at(3).is_null()) {
         order.mLeaseUntil = target_time(aOrder.at(3).get<std::int64_t>());
       }
@@ -195,9 +196,9 @@
 {
   try {
     const auto value = parseMsgpack(aBytes);
-    order_batch batch{ .mEpoch = value.at(0),
+    order_batch batch{ .mEpoch = integerFrom<std::uint64_t>(value.at(0), 0, kMaxEpoch),
                        .mOwner = value.at(1),
-                       .mSentAt = std::chrono::milliseconds(value.at(2).get<std::int64_t>()) };
+                       .mSentAt = millisFrom(value.at(2), 0, kMaxPeerClockMs) };
     std::string lastPayload;
     for (const auto& row : value.at(3)) {
       batch.mOrders.push_back(
@@ -213,7 +214,7 @@
 {
   try {
     const auto value = parseMsgpack(aBytes);
-    order_results results{ .mEpoch = value.at(0) };
+    order_results results{ .mEpoch = integerFrom<std::uint64_t>(value.at(0), 0, kMaxEpoch) };
     for (const auto& row : value.at(1)) {
       order_result result{ .mNumber = row.at(0),
                            .mOutcome = decodeEnum(row.at(1), scheduler::order_outcome::invalid) };
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "admission.h"
+#include "election.h"
 #include "endiveusher/edges/http_loop.h"
+#include "endiveusher/edges/url.h"
+#include "endiveusher/kernel/json_number.h"
 #include "endiveusher/kernel/msgpack.h"
 #include "endiveusher/scheduler/journal.h"
 #include "endiveusher/scheduler/owner_port.h"
@@ -10,8 +13,10 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <span>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -44,6 +49,21 @@
 inline constexpr std::string_view kMetricsPath = "/metrics";
 inline constexpr std::string_view kStatePath = "/state";
 
+/// Largest reading of a daemon's clock, and age: a hundred years.
+inline constexpr std::int64_t kMaxPeerClockMs = 100LL * 366 * 24 * 3600 * 1000;
+/// Longest time span that a daemon may request of another one.
+inline constexpr std::int64_t kMaxPeerSpanMs = 10LL * 60 * 1000;
+/// Largest number of cores of a daemon's VM.
+inline constexpr double kMaxPeerCores = 100'000;
+
+/// Decodes a time span or clock reading of another daemon. Throws if it is not between aMin and
+/// aMax milliseconds.
+inline std::chrono::milliseconds millisFrom(const nlohmann::json& aValue, std::int64_t aMin,
+                                            std::int64_t aMax)
+{
+  return std::chrono::milliseconds(integerFrom<std::int64_t>(aValue, aMin, aMax));
+}
+
 /// A follower's heartbeat to the owner.
 struct hello
 {
@@ -71,7 +91,14 @@
 {
   try {
     const auto value = nlohmann::json::parse(aBody);
-    return hello{ .mAddress = value.at(0), .mCores = value.at(1), .mStandby = value.at(2) };
+    hello decoded{ .mAddress = value.at(0), .mCores = value.at(1), .mStandby = value.at(2) };
+    if (!decoded.mAddress.empty() && !edges::isIpAndPort(decoded.mAddress)) {
+      throw std::invalid_argument("the address is not ip:port");
+    }
+    if (!(decoded.mCores >= 0 && decoded.mCores <= kMaxPeerCores)) {
+      throw std::out_of_range("the number of cores is out of range");
+    }
+    return decoded;
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(std::string("hello: ") + error.what());
   }
@@ -117,9 +144,9 @@
   try {
     const auto value = nlohmann::json::parse(aBody);
     hello_reply reply{
-      .mOwnerTime = std::chrono::milliseconds(value.at(0).get<std::int64_t>()),
-      .mStoreAge = std::chrono::milliseconds(value.at(1).get<std::int64_t>()),
-      .mInterval = std::chrono::milliseconds(value.at(2).get<std::int64_t>()),
+      .mOwnerTime = millisFrom(value.at(0), 0, kMaxPeerClockMs),
+      .mStoreAge = millisFrom(value.at(1), 0, kMaxPeerClockMs),
+      .mInterval = millisFrom(value.at(2), 0, kMaxPeerSpanMs),
       .mWritesSnapshots = value.at(4),
     };
     if (!value.at(3).is_null()) {
@@ -185,7 +212,7 @@
 inline absl::StatusOr<std::uint64_t> decodeEpoch(std::string_view aBody)
 {
   try {
-    return nlohmann::json::parse(aBody).at(0).get<std::uint64_t>();
+    return integerFrom<std::uint64_t>(nlohmann::json::parse(aBody).at(0), 0, kMaxEpoch);
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(std::string("epoch: ") + error.what());
   }
@@ -240,13 +267,13 @@
 {
   try {
     const auto value = nlohmann::json::parse(aBody);
-    return scheduler::advice_request{
-      .mStep = { .mJob = static_cast<scheduler::job_id>(value.at(0).get<std::uint64_t>()),
-                 .mOccurrence = value.at(1),
-                 .mStep = value.at(2) },
-      .mTargets = value.at(3),
-      .mTimeout = std::chrono::milliseconds(value.at(4).get<std::int64_t>())
-    };
+    return scheduler::advice_request{ .mStep = { .mJob = static_cast<scheduler::job_id>(
+                                                   value.at(0).get<std::uint64_t>()),
+                                                 .mOccurrence = value.at(1),
+                                                 .mStep = value.at(2) },
+                                      .mTargets = value.at(3),
+                                      // libcurl takes 0 for no timeout.
+                                      .mTimeout = millisFrom(value.at(4), 1, kMaxPeerSpanMs) };
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(std::string("peer advice: ") + error.what());
   }
