Keep direct orders while the owner may not act

Cause: the age of the ownership was checked before the owner's tick and before batches to relays, but not for orders that the answers of calls cause in a cell without relays. After a pause, the answer of an append that had waited in its socket sent starts and new leases before the next check. Targets that have seen a higher epoch reject them; one that has restarted since has seen none.

Change: order_router asks for the permission when it sends directly, keeps what it may not send, and reports it as unanswered when its time is over. The first test fails without it.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -134,6 +134,7 @@
       onHelloReply(aOwner, aReply, aReceived);
     });
   mOwnerClient.setStandby(mStandby);
+  mOrderRouter.setPermission([this] { return mElection.mayAct(mClock.now()); });
   makeTails();
   if (mStandby) {
     mJobs.load();
--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <type_traits>
 #include <utility>
+#include <variant>
 
 namespace endiveusher::node {
 
@@ -32,7 +33,11 @@
 /// runs at its target.
 constexpr std::chrono::seconds kLateReportPeriod{ 10 };
 
-/// Returns a callback for the result of an order that has no report.
+/// Converts between the callbacks of orders with and without a report.
+order_sender::outcome_callback withEmptyReport(const order_sender::report_callback& aDone)
+{
+  return [aDone](scheduler::order_outcome aOutcome) { aDone(aOutcome, {}); };
+}
 order_sender::report_callback withoutReport(const order_sender::outcome_callback& aDone)
 {
   return [aDone](scheduler::order_outcome aOutcome, const scheduler::target_report& /*aReport*/) {
@@ -56,6 +61,7 @@
   mRelays.clear();
   mQueues.clear();
   mOpen.clear();
+  mKept.clear();
   mOverdue = 0;
   mExpiries.clear();
 }
@@ -78,37 +84,83 @@
   if (relay == nullptr) {
     return false;
   }
-  const auto number = ++mLastNumber;
-  mOpen[number] = { .mRelay = *relay,
-                    .mDone = aDone,
-                    .mIsHeartbeat = std::is_same_v<Order, scheduler::heartbeat_order> };
-  mExpiries.emplace(mClock.now() + aTimeout + kRelayMargin, number);
+  const auto number = open({ .mRelay = *relay,
+                             .mDone = aDone,
+                             .mIsHeartbeat = std::is_same_v<Order, scheduler::heartbeat_order> },
+                           aTimeout);
   mQueues[*relay].mOrders.push_back({ .mNumber = number, .mOrder = aOrder });
   return true;
 }
 
-void order_router::sendHeartbeat(const scheduler::heartbeat_order& aOrder,
-                                 order_sender::report_callback aDone)
+std::uint64_t order_router::open(open_order aOrder, std::chrono::milliseconds aTimeout)
 {
-  if (!relayed(aOrder, platform::heartbeatTimeout(aOrder), aDone)) {
-    mDirect.sendHeartbeat(aOrder, std::move(aDone));
+  const auto number = ++mLastNumber;
+  mOpen[number] = std::move(aOrder);
+  mExpiries.emplace(mClock.now() + aTimeout + kRelayMargin, number);
+  return number;
+}
+
+template<typename Order>
+void order_router::sendOrKeep(const Order& aOrder, std::chrono::milliseconds aTimeout,
+                              const order_sender::report_callback& aDone)
+{
+  if (relayed(aOrder, aTimeout, aDone)) {
+    return;
+  }
+  if (mMayAct()) {
+    sendDirectly(aOrder, aDone);
+    return;
   }
+  mKept.emplace(open({ .mRelay = {},
+                       .mDone = aDone,
+                       .mIsHeartbeat = std::is_same_v<Order, scheduler::heartbeat_order> },
+                     aTimeout),
+                aOrder);
 }
 
-void order_router::sendStart(const scheduler::start_order& aOrder,
-                             order_sender::outcome_callback aDone)
+void order_router::sendKept()
 {
-  if (!relayed(aOrder, platform::kOrderTimeout, withoutReport(aDone))) {
-    mDirect.sendStart(aOrder, std::move(aDone));
+  for (auto& [number, order] : std::exchange(mKept, {})) {
+    if (const auto found = mOpen.extract(number)) {
+      std::visit([&](const auto& aOrder) { sendDirectly(aOrder, found.mapped().mDone); }, order);
+    }
   }
 }
 
+void order_router::sendDirectly(const scheduler::heartbeat_order& aOrder,
+                                order_sender::report_callback aDone)
+{
+  mDirect.sendHeartbeat(aOrder, std::move(aDone));
+}
+
+void order_router::sendDirectly(const scheduler::start_order& aOrder,
+                                const order_sender::report_callback& aDone)
+{
+  mDirect.sendStart(aOrder, withEmptyReport(aDone));
+}
+
+void order_router::sendDirectly(const scheduler::stop_order& aOrder,
+                                const order_sender::report_callback& aDone)
+{
+  mDirect.sendStop(aOrder, withEmptyReport(aDone));
+}
+
+void order_router::sendHeartbeat(const scheduler::heartbeat_order& aOrder,
+                                 const order_sender::report_callback& aDone)
+{
+  sendOrKeep(aOrder, platform::heartbeatTimeout(aOrder), aDone);
+}
+
+void order_router::sendStart(const scheduler::start_order& aOrder,
+                             const order_sender::outcome_callback& aDone)
+{
+  sendOrKeep(aOrder, platform::kOrderTimeout, withoutReport(aDone));
+}
+
 void order_router::sendStop(const scheduler::stop_order& aOrder,
-                            order_sender::outcome_callback aDone)
+                            const order_sender::outcome_callback& aDone)
 {
-  if (!relayed(aOrder, platform::kOrderTimeout, withoutReport(aDone))) {
-    mDirect.sendStop(aOrder, std::move(aDone));
-  }
+  sendOrKeep(aOrder, platform::kOrderTimeout, withoutReport(aDone));
 }
 
 void order_router::sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow)
@@ -186,6 +238,7 @@
     mOpen.erase(found);
     return;
   }
+  mKept.erase(aNumber);
   const auto done = order.mDone;
   auto outcome = scheduler::order_outcome::unanswered;
   if (order.mIsHeartbeat) {
@@ -237,6 +290,7 @@
   if (!aMayAct) {
     return;
   }
+  sendKept();
   for (auto& [relay, queue] : mQueues) {
     while (
       !queue.mOrders.empty() && queue.mOpenCalls < kMaxOpenBatches &&
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -8,6 +8,7 @@
 #include "relay_set.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,14 +34,18 @@
   order_router(edges::http_loop& aLoop, const clock& aClock, order_sender& aDirect, event_log& aLog,
                relay_candidate aSelf);
 
+  /// Sets a function that tells whether this daemon may send orders now. Direct orders that it may
+  /// not send are kept until tick() is told that it may, or their time is over.
+  void setPermission(std::function<bool()> aMayAct) { mMayAct = std::move(aMayAct); }
   /// Begins an epoch of this daemon's ownership; orders of former epochs are forgotten.
   void begin(std::uint64_t aEpoch);
   /// Sets the number of targets and the followers that may be relays.
   void setCell(std::size_t aTargets, std::vector<relay_candidate> aCandidates, time_point aNow);
 
-  void sendHeartbeat(const scheduler::heartbeat_order& aOrder, order_sender::report_callback aDone);
-  void sendStart(const scheduler::start_order& aOrder, order_sender::outcome_callback aDone);
-  void sendStop(const scheduler::stop_order& aOrder, order_sender::outcome_callback aDone);
+  void sendHeartbeat(const scheduler::heartbeat_order& aOrder,
+                     const order_sender::report_callback& aDone);
+  void sendStart(const scheduler::start_order& aOrder, const order_sender::outcome_callback& aDone);
+  void sendStop(const scheduler::stop_order& aOrder, const order_sender::outcome_callback& aDone);
 
   void onResults(const order_results& aResults);
   /// Ends orders whose time is over, and sends batches that are due unless aMayAct is false: this
@@ -71,6 +76,18 @@
   template<typename Order>
   bool relayed(const Order& aOrder, std::chrono::milliseconds aTimeout,
                const order_sender::report_callback& aDone);
+  void sendDirectly(const scheduler::heartbeat_order& aOrder, order_sender::report_callback aDone);
+  void sendDirectly(const scheduler::start_order& aOrder,
+                    const order_sender::report_callback& aDone);
+  void sendDirectly(const scheduler::stop_order& aOrder,
+                    const order_sender::report_callback& aDone);
+  /// Sends an order through a relay or directly, or keeps it.
+  template<typename Order>
+  void sendOrKeep(const Order& aOrder, std::chrono::milliseconds aTimeout,
+                  const order_sender::report_callback& aDone);
+  /// Adds an order to mOpen; returns its number.
+  std::uint64_t open(open_order aOrder, std::chrono::milliseconds aTimeout);
+  void sendKept();
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
   void onRelayLost(const std::string& aRelay, const std::string& aError);
   /// Reports that the order has no answer in time.
@@ -83,6 +100,7 @@
   order_sender& mDirect;
   event_log& mLog;
   const std::string mOwnAddress;
+  std::function<bool()> mMayAct = [] { return true; };
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   std::uint64_t mEpoch = 0;
   std::uint64_t mLastNumber = 0;
@@ -92,6 +110,8 @@
   std::map<std::uint64_t, open_order> mOpen;
   /// Number of orders in mOpen that are overdue.
   std::size_t mOverdue = 0;
+  /// Direct orders that wait for the permission to send, by their numbers in mOpen.
+  std::map<std::uint64_t, target_order> mKept;
   /// Open orders by the time at which they expire.
   std::multimap<time_point, std::uint64_t> mExpiries;
 };
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -231,6 +231,35 @@
   CHECK(outcomes[0] == scheduler::order_outcome::unanswered);
 }
 
+// The same where the owner calls the targets itself: a reply that waited through the pause makes it
+// send orders before it checks its ownership.
+TEST(order_router, keepsDirectOrdersWhileTheOwnerMayNotAct)
+{
+  bool mayAct = false;
+  router->setPermission([&mayAct] { return mayAct; });
+  setTargets(48);
+  start();
+  CHECK_FALSE(runUntil([this] { return target.count(kStartPath) > 0; }, false));
+  time.mNow += std::chrono::seconds(5);
+  CHECK(runUntil([this] { return outcomes.size() == 1; }, false));
+  CHECK(outcomes[0] == scheduler::order_outcome::unanswered);
+  mayAct = true;
+  CHECK_FALSE(runUntil([this] { return target.count(kStartPath) > 0; }));
+}
+
+TEST(order_router, sendsDirectOrdersOnceTheOwnerMayActAgain)
+{
+  bool mayAct = false;
+  router->setPermission([&mayAct] { return mayAct; });
+  setTargets(48);
+  start();
+  router->tick(time.mNow, false);
+  mayAct = true;
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK_EQUAL(1, target.count(kStartPath));
+  CHECK(outcomes[0] == scheduler::order_outcome::accepted);
+}
+
 // Guards against an owner that acts on beside its successor until a target rejects its epoch.
 TEST(order_router, learnsFromARelayThatItIsSuperseded)
 {
