Ask the owner before a repeated job is rejected as too large

If the answer to the first submission was lost and the limit was lowered or the largest targets left, the repetition was answered with 429, which says that the job never runs, while it ran.

Change: such a daemon asks the owner: 200 with the state of a known job, 429 for one that the owner denies, 504 if it does not answer.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -177,13 +177,42 @@
   const auto reason =
     unschedulableReason(*spec, aRoute, mCellStatus.mConfig->team(aTeam), mCapacity);
   if (!reason.empty()) {
-    reject(aReply, 429, kRetryAfterConfigChange, subject, reason);
+    rejectUnschedulable(aId, aTeam, subject, reason, aReply);
     return;
   }
   store(aCall, { .mJob = aId }, scheduler::job_submitted{ .mSpec = std::move(*spec) },
         std::move(aReply));
 }
 
+void request_handler::rejectUnschedulable(scheduler::job_id aId, const std::string& aTeam,
+                                          const std::string& aSubject, std::string_view aReason,
+                                          const reply& aReply)
+{
+  const auto rejectFinally = [this, aSubject, aReason, aReply] {
+    reject(aReply, 429, kRetryAfterConfigChange, aSubject, aReason);
+  };
+  if (mCellStatus.mKnowsJobs) {
+    rejectFinally();
+    return;
+  }
+  const auto replyUnknown = [this, aSubject, aReply, since = mClock.now()] {
+    replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, aSubject, since);
+  };
+  const bool queried =
+    mQueryOwner(aId, aTeam, [aReply, rejectFinally, replyUnknown](owner_answer&& aAnswer) {
+      if (aAnswer.mBody) {
+        aReply({ .mBody = *std::move(aAnswer.mBody) });
+      } else if (aAnswer.mUnknownJob) {
+        rejectFinally();
+      } else {
+        replyUnknown();
+      }
+    });
+  if (!queried) {
+    replyUnknown();
+  }
+}
+
 void request_handler::store(const platform::caller_request& aCall, caller_record aKey,
                             const scheduler::journal_record& aRecord, reply aReply)
 {
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -147,6 +147,12 @@
 
   void submit(const platform::caller_request& aCall, scheduler::job_id aId, std::string_view aBody,
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
+  /// Rejects a submission that can never be scheduled. A daemon that does not know the jobs asks
+  /// the owner first: the job may have been accepted before the configuration or the targets
+  /// changed.
+  void rejectUnschedulable(scheduler::job_id aId, const std::string& aTeam,
+                           const std::string& aSubject, std::string_view aReason,
+                           const reply& aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
   void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
                       bool aDenied = false);
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -318,3 +318,38 @@
   call(kStatus, kPath);
   CHECK_EQUAL(503, lastStatus());
 }
+
+// Guards against a caller that is told that its job never runs, while it does: the answer to the
+// submission was lost, and the repetition reaches a daemon without the journal after the largest
+// target has left.
+TEST(request_handler, aRepetitionIsNotRejectedWhileTheJobRuns)
+{
+  knowsJobs = false;
+  setCellStatus();
+  queriesOwner = true;
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(0, answers.size());
+  ownerReplies[0]({ .mBody = R"({"state":"running"})" });
+  CHECK_EQUAL(200, lastStatus());
+  call(kSubmit, kPath);
+  ownerReplies[1]({ .mUnknownJob = true });
+  CHECK_EQUAL(429, lastStatus());
+  // Whether the job was accepted is not known.
+  call(kSubmit, kPath);
+  ownerReplies[2]({});
+  CHECK_EQUAL(504, lastStatus());
+  queriesOwner = false;
+  call(kSubmit, kPath);
+  CHECK_EQUAL(504, lastStatus());
+  CHECK_EQUAL(0, pendingStores.size());
+}
+
+// A daemon that knows the jobs rejects at once what can never fit.
+TEST(request_handler, rejectsAJobThatNeverFits)
+{
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(429, lastStatus());
+  CHECK(answers.back().mRetryAfter.has_value());
+}
