--- a/node/src/election.h
+++ b/node/src/election.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,9 @@
 std::string encode(const owner_record& aRecord);
 absl::StatusOr<owner_record> decodeOwnerRecord(std::string_view aBytes);
 
+/// Largest epoch. The sequence numbers of an owner's appends hold its epoch above 32 other bits.
+inline constexpr std::uint64_t kMaxEpoch = std::numeric_limits<std::int32_t>::max();
+
 /// Epoch of the claim that is stored at aOffset of the owner topic.
 constexpr std::uint64_t epochOf(std::uint64_t aOffset)
 {
@@ -170,8 +174,13 @@
   time_point mRenewedAt{};
   time_point mNextRenewal{};
   bool mAppendInFlight = false;
+  /// Time at which the last append was sent, and the end of the topic that it requires.
+  time_point mAppendSentAt{};
+  std::uint64_t mAppendEnd = 0;
   /// Time at which the oldest append with an unknown outcome was sent.
   std::optional<time_point> mUncertainSince;
+  /// End of the topic that this append requires.
+  std::uint64_t mUncertainEnd = 0;
   /// Whether an append was rejected, because the topic holds records that have not been read.
   bool mHasUnreadRecords = false;
   bool mOwnerEnded = false;
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -267,3 +267,84 @@
   one.onUnanswered(election::action::release, now, now + milliseconds(500));
   CHECK(!one.mayAct(now + milliseconds(600)));
 }
+
+// Guards against two owners after a hand-over: the answer to the claim arrives after the
+// successor's claim has been read, because the daemon was paused or the answers overtook each
+// other.
+TEST(election, aLateAnswerToAClaimDoesNotUndoASuccessor)
+{
+  one.onEndRead(0, now);
+  now += milliseconds(1);
+  const auto sent = now;
+  CHECK(next() == election::action::claim);
+  now += seconds(6);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "a", 7), 0, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 1, now);
+  one.onEndRead(2, now);
+  one.onAppended(election::action::claim, 0, sent);
+  CHECK(one.state() == election::role::follower);
+  CHECK(next() == election::action::none);
+  CHECK_EQUAL("b:1", one.ownerAddress().value_or(""));
+}
+
+// Guards against a daemon that forwards nothing to the new owner, because the late answer to its
+// own last renewal makes it the last owner that it knows.
+TEST(election, aLateAnswerToARenewalDoesNotHideASuccessor)
+{
+  becomeOwner();
+  now += milliseconds(400);
+  const auto sent = now;
+  CHECK(next() == election::action::renew);
+  now += seconds(6);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 1, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 2, now);
+  one.onEndRead(3, now);
+  one.onAppended(election::action::renew, 1, sent);
+  CHECK(one.state() == election::role::follower);
+  CHECK_EQUAL("b:1", one.ownerAddress().value_or(""));
+}
+
+// Guards against two owners after a pause that outlasts the store's history: the successor's claim
+// has been deleted, and only its renewals can be read.
+TEST(election, stepsDownAtARenewalOfItsSuccessor)
+{
+  becomeOwner();
+  now += seconds(30);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "b"), 80, now);
+  one.onEndRead(81, now);
+  CHECK(one.state() == election::role::follower);
+  CHECK(next() == election::action::none);
+}
+
+// Guards against a daemon that acts on an ownership that expired while it was paused: it reads its
+// claim before it receives the answer to it.
+TEST(election, aClaimThatIsReadAfterAPauseIsAsOldAsItWasSent)
+{
+  one.onEndRead(0, now);
+  now += milliseconds(1);
+  CHECK(next() == election::action::claim);
+  now += seconds(6);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "a", 7), 0, now);
+  CHECK(one.state() == election::role::owner);
+  CHECK_FALSE(one.mayAct(now));
+}
+
+// Guards against an ownership that is extended by a renewal that was never stored: the reads are
+// behind and show an earlier one.
+TEST(election, anEarlierRenewalDoesNotConfirmAnUnansweredOne)
+{
+  becomeOwner();
+  now += milliseconds(400);
+  CHECK(next() == election::action::renew);
+  one.onAppended(election::action::renew, 1, now);
+  const auto renewed = now;
+  now += milliseconds(400);
+  CHECK(next() == election::action::renew);
+  one.onUnanswered(election::action::renew, now, now + milliseconds(300));
+  now += milliseconds(300);
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 1, now);
+  CHECK(one.mayAct(renewed + milliseconds(4999)));
+  CHECK_FALSE(one.mayAct(renewed + milliseconds(5000)));
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 2, now);
+  CHECK(one.mayAct(renewed + milliseconds(5000)));
+}
