Bound the time for which waiting gangs hold back their team's other steps

Cause: a gang that waits withholds its whole need from its team's limit while it can be on time, also if it needs more than is left of the limit, or finds no capacity for another reason. With tasks of 20 s that is for tens of seconds.

Change: a step that reservations have held back for 1 s, while its team used less than half of its limit all the time, ignores them. Advice and storing the start have 2 s left of the 3 s. A step that is no gang then takes only what brings the team to half of its limit; the other half stays with the gang, and from there on reservations hold again. Gangs are held back by other gangs no longer than that either. The time is kept with the step that waits, so two gangs cannot renew it for each other.

Weighed against it: no reservation below half of the limit. It is simpler, but small tasks then take every part that becomes free of a gang that needs more than half, which owner_runs.reservesTheTeamsLimitForAWaitingGang covers. A limit on the life of the gang's reservation would give it up for good once it has lapsed, also for tasks that come later.

What it costs: a gang that needs more than half of its limit can be delayed by small tasks that last longer than 1 s. The rule that callers rely on leaves no other choice.

starvation.aGangThatCannotStartDoesNotBlockItsTeam and the new tests aGangThatCannotStartDoesNotBlockAnotherOne, aGangWithoutCapacityDoesNotBlockItsTeam and gangsOfATeamDoNotHoldEachOtherBack fail before and pass after.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -255,7 +255,12 @@
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
   /// The same without regard to isolation.
   std::uint32_t freeSlotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
+  /// Returns the resources of the team's runs.
+  resources teamUsage(const std::string& aTeam) const;
+  /// Returns the number of tasks of the step that fit into its team's limit.
   std::uint32_t teamSlots(const waiting_step& aStep) const;
+  /// Decides whether the step ignores the reservations in its team's limit in this planning pass.
+  void updateTeamHold(waiting_step& aStep, time_point aNow) const;
   void reserveTeamLimit(const waiting_step& aStep, time_point aNow);
   void placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
   void placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -21,6 +21,32 @@
 /// Time before the last start that meets its deadline from which a step takes any rack, not only
 /// that of its data.
 constexpr auto kAnyRackLead = std::chrono::milliseconds(1500);
+/// Time for which gangs that wait may hold back a step of their team by reservations in its limit
+/// while the team uses less than half of it. Callers are told that such a step starts within 3 s;
+/// advice and storing the start may take 2 s of them.
+constexpr auto kMaxTeamHold = std::chrono::milliseconds(1000);
+
+/// Returns the number of tasks with aNeeds that fit into a team's limit beside aUsed.
+std::uint32_t slotsWithin(const resources& aLimit, const resources& aUsed, const resources& aNeeds)
+{
+  const auto slots = [](std::int64_t aWhole, std::int64_t aPart, std::int64_t aNeed) {
+    return aWhole <= 0 ? std::numeric_limits<std::int32_t>::max() : fitCount(aNeed, aWhole - aPart);
+  };
+  return static_cast<std::uint32_t>(
+    std::min({ slots(aLimit.mCpuMilli, aUsed.mCpuMilli, aNeeds.mCpuMilli),
+               slots(aLimit.mMemoryMb, aUsed.mMemoryMb, aNeeds.mMemoryMb),
+               slots(aLimit.mAccelerators, aUsed.mAccelerators, aNeeds.mAccelerators) }));
+}
+
+/// Whether aUsed is less than half of each limited component.
+bool usesUnderHalf(const resources& aUsed, const resources& aLimit)
+{
+  const auto under = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole <= 0 || 2 * aPart < aWhole;
+  };
+  return under(aUsed.mCpuMilli, aLimit.mCpuMilli) && under(aUsed.mMemoryMb, aLimit.mMemoryMb) &&
+         under(aUsed.mAccelerators, aLimit.mAccelerators);
+}
 
 } // namespace
 
@@ -77,27 +103,57 @@
   return slots;
 }
 
+resources owner::impl::teamUsage(const std::string& aTeam) const
+{
+  const auto used = mTeamUsed.find(aTeam);
+  return used == mTeamUsed.end() ? resources{} : used->second;
+}
+
 std::uint32_t owner::impl::teamSlots(const waiting_step& aStep) const
 {
   const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
   if (team == nullptr) {
     return std::numeric_limits<std::int32_t>::max();
   }
-  const resources& limit = team->mUpperLimit;
-  const auto used = mTeamUsed.find(team->mName);
-  resources usage = used == mTeamUsed.end() ? resources{} : used->second;
+  // Tasks that reserve no CPU at their target count in full against the team's limit.
+  const auto& needs = aStep.spec().mNeeds;
+  auto usage = teamUsage(team->mName);
+  if (aStep.mIgnoresTeamReservations) {
+    const auto slots = slotsWithin(team->mUpperLimit, usage, needs);
+    if (aStep.spec().mGang) {
+      return slots;
+    }
+    // Only until the team uses half of its limit: the other half is left to the gang.
+    std::uint32_t untilHalf = 0;
+    while (untilHalf < slots && untilHalf < aStep.mPending.size() &&
+           usesUnderHalf(usage, team->mUpperLimit)) {
+      usage += needs;
+      ++untilHalf;
+    }
+    return untilHalf;
+  }
   if (const auto reserved = mTeamReserved.find(team->mName); reserved != mTeamReserved.end()) {
     usage += reserved->second;
   }
-  const auto slots = [](std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
-    return aLimit <= 0 ? std::numeric_limits<std::int32_t>::max() : fitCount(aNeed, aLimit - aUsed);
-  };
-  // Tasks that reserve no CPU at their target count in full against the team's limit.
-  const auto& needs = aStep.spec().mNeeds;
-  return static_cast<std::uint32_t>(
-    std::min({ slots(limit.mCpuMilli, usage.mCpuMilli, needs.mCpuMilli),
-               slots(limit.mMemoryMb, usage.mMemoryMb, needs.mMemoryMb),
-               slots(limit.mAccelerators, usage.mAccelerators, needs.mAccelerators) }));
+  return slotsWithin(team->mUpperLimit, usage, needs);
+}
+
+/// Bounds the time for which a step waits behind reservations in its team's limit. Load pattern: a
+/// gang needs more than is left of the limit, or finds no capacity, for as long as other tasks run;
+/// meanwhile the team's other steps could run.
+void owner::impl::updateTeamHold(waiting_step& aStep, time_point aNow) const
+{
+  aStep.mIgnoresTeamReservations = false;
+  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  const bool held = team != nullptr && mTeamReserved.contains(team->mName) &&
+                    usesUnderHalf(teamUsage(team->mName), team->mUpperLimit) &&
+                    teamSlots(aStep) < aStep.mPending.size();
+  if (!held) {
+    aStep.mTeamHoldSince.reset();
+    return;
+  }
+  aStep.mTeamHoldSince = aStep.mTeamHoldSince.value_or(aNow);
+  aStep.mIgnoresTeamReservations = aNow - *aStep.mTeamHoldSince >= kMaxTeamHold;
 }
 
 void owner::impl::plan(time_point aNow)
@@ -233,6 +289,7 @@
 void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                              time_point aNow)
 {
+  updateTeamHold(aStep, aNow);
   const auto team = teamSlots(aStep);
   if (team == 0) {
     return;
@@ -269,6 +326,7 @@
                             time_point aNow)
 {
   const auto count = static_cast<std::uint32_t>(aStep.mPending.size());
+  updateTeamHold(aStep, aNow);
   if (teamSlots(aStep) < count) {
     reserveTeamLimit(aStep, aNow);
     return;
@@ -325,7 +383,7 @@
 /// Reserves a part of the team's limit for a waiting gang. Load pattern: a team runs near its
 /// limit, and its small tasks take every part that becomes free before there is enough for one of
 /// its gangs. Later steps of the team may not use the reserved part while the gang can be on time,
-/// unless it needs more than the whole limit.
+/// unless it needs more than the whole limit, or updateTeamHold() exempts them.
 void owner::impl::reserveTeamLimit(const waiting_step& aStep, time_point aNow)
 {
   const auto needs = times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -145,6 +145,11 @@
   std::optional<time_point> mIsolationSince;
   /// Whether the step may start only on such targets, in the current planning pass.
   bool mNeedsIsolation = false;
+  /// Time since which reservations in the team's limit hold the step back while the team uses less
+  /// than half of it.
+  std::optional<time_point> mTeamHoldSince;
+  /// Whether the step ignores these reservations, in the current planning pass.
+  bool mIgnoresTeamReservations = false;
 
   const step_spec& spec() const { return mJob->mSpec.mSteps[mKey.mStep]; }
   /// Whether enough tasks wait: a gang starts as a whole.
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -342,6 +342,102 @@
   CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
 }
 
+// Guards against a gang that waits behind another one of its team, which needs more than the rest
+// of the team's limit.
+TEST(starvation, aGangThatCannotStartDoesNotBlockAnotherOne)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  cell.submit(tasks(4));
+  cell.run(milliseconds(300));
+  cell.submit(gang(7));
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(gang(3)), 3) < kMaxStarvation);
+}
+
+// The same for a gang that its team's limit permits but that finds no capacity.
+TEST(starvation, aGangWithoutCapacityDoesNotBlockItsTeam)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  addLabel("t1", "others");
+  cell.run(milliseconds(300));
+  cell.submit(labelled(gang(10), "none"));
+  cell.run(milliseconds(300));
+  CHECK(timeUntilRunning(cell.submit(tasks(1))) < kMaxStarvation);
+  CHECK(timeUntilRunning(cell.submit(gang(3)), 3) < kMaxStarvation);
+}
+
+// Guards against two gangs that hold each other back in turn: each fits into the rest of the limit,
+// only one can find capacity.
+TEST(starvation, gangsOfATeamDoNotHoldEachOtherBack)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  cell.run(milliseconds(300));
+  for (int job = 0; job < 3; ++job) {
+    cell.submit(labelled(gang(10), "none"));
+  }
+  cell.run(milliseconds(300));
+  const auto first = cell.submit(gang(6));
+  const auto second = cell.submit(gang(4));
+  CHECK(timeUntilRunning(first, 6) < kMaxStarvation);
+  // It brings the team over half of its limit; the second one's turn comes when it ends.
+  for (std::uint32_t index = 0; index < 6; ++index) {
+    cell.endTask(first, reported_end::done, 0, index);
+  }
+  CHECK(timeUntilRunning(second, 4) < kMaxStarvation);
+}
+
+// Guards against a gang that small tasks of its team starve: more of them wait than the limit
+// permits, and each that ends is followed by the next.
+TEST(starvation, smallTasksDoNotStarveAGangOfTheirTeam)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  std::vector<job_id> small;
+  for (int job = 0; job < 10; ++job) {
+    small.push_back(cell.submit(tasks(1)));
+  }
+  cell.run(milliseconds(300));
+  const auto id = cell.submit(gang(5));
+  for (std::size_t ended = 0; ended < 5; ++ended) {
+    cell.run(milliseconds(1500));
+    cell.submit(tasks(1));
+    cell.endTask(small[ended], reported_end::done);
+  }
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(5, running({ .mJob = id }));
+}
+
+// The same for a gang that needs nearly the whole limit: while the team uses less than half of it,
+// small tasks take no more than that half.
+TEST(starvation, smallTasksLeaveHalfOfTheLimitToAWaitingGang)
+{
+  cell.addTarget("t1", 100'000, 100'000);
+  cell.mConfig.mTeams[0].mUpperLimit = { .mCpuMilli = 20'000 };
+  cell.startNextOwner();
+  const auto first = cell.submit(tasks(4));
+  cell.run(milliseconds(300));
+  const auto id = cell.submit(gang(9));
+  cell.run(milliseconds(300));
+  std::vector<job_id> small;
+  for (int job = 0; job < 8; ++job) {
+    small.push_back(cell.submit(tasks(1)));
+  }
+  cell.run(kMaxStarvation);
+  CHECK_EQUAL(5, cell.running());
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    cell.endTask(first, reported_end::done, 0, index);
+  }
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(9, running({ .mJob = id }));
+}
+
 // The same for a gang that is wider than its team's whole limit and therefore never starts.
 TEST(starvation, aGangWiderThanItsTeamsLimitDoesNotBlockTheTeam)
 {
