Wait at most 1 s for the rack of a step's data

What callers saw: a task whose data's rack is full did not start for 19.5 s while two of three targets were free.

Cause: a step takes targets of its data's rack only, until 1.5 s before the last start that meets its deadline. By then a task elsewhere, which takes two or three times as long, ends late anyway.

Change: the wait ends after 1 s, or after the step's estimate if that is shorter: a task elsewhere takes at least twice as long, so that waiting for longer than the task takes in its rack does not pay. Advice and storing the start have the other 2 s of the 3 s within which callers expect the start. After the wait the rack is still preferred, so that a step that has waited for its team's limit or for capacity runs beside its data if it can.

Weighed against it: keep the long wait while more than half of the cell is in use, when the rule does not count. The work elsewhere is dearer then, but the step would still end late, and a pass would have to add up the use of the cell.

--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -21,6 +21,9 @@
 /// Time before the last start that meets its deadline from which a step takes any rack, not only
 /// that of its data.
 constexpr auto kAnyRackLead = std::chrono::milliseconds(1500);
+/// Maximum time for which a step waits for the rack of its data. Callers are told that it starts
+/// within 3 s; advice and storing the start may take 2 s of them.
+constexpr auto kMaxRackWait = std::chrono::milliseconds(1000);
 /// Time for which gangs that wait may hold back a step of their team by reservations in its limit
 /// while the team uses less than half of it. Callers are told that such a step starts within 3 s;
 /// advice and storing the start may take 2 s of them.
@@ -296,11 +299,21 @@
   }
   const bool ready = aStep.mNotBefore <= aNow;
   const auto& rack = aStep.spec().mDataRack;
-  const bool anyRack = rack.empty() || aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
+  // Elsewhere a task takes at least twice as long, so waiting for longer than its estimate does not
+  // pay.
+  const auto rackWait = std::min<duration>(kMaxRackWait, aStep.spec().mEstimate);
+  const bool anyRack = rack.empty() || aNow - aStep.mWaitingSince >= rackWait ||
+                       aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
+  auto startable = startableCandidates(aStep, aCandidates, aNow);
+  if (!rack.empty()) {
+    std::ranges::stable_partition(startable, [&rack](const candidate_target* aOne) {
+      return aOne->mTarget->mEntry.mRack == rack;
+    });
+  }
   std::vector<placement> placements;
   std::size_t next = 0;
   const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
-  for (auto* candidate : startableCandidates(aStep, aCandidates, aNow)) {
+  for (auto* candidate : startable) {
     if (next == wanted) {
       break;
     }
--- a/tests/scheduler/starvation_test.cpp
+++ b/tests/scheduler/starvation_test.cpp
@@ -490,6 +490,51 @@
   CHECK(timeUntilRunning(cell.submit(near)) < kMaxStarvation);
 }
 
+// Guards against tasks that run far from their data although its rack has capacity, or has it soon.
+TEST(starvation, aStepStartsInTheRackOfItsData)
+{
+  cell.addTarget("t1");
+  cell.addTarget("t2");
+  cell.target("t2").mEntry.mRack = "r2";
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  auto near = tasks(4);
+  near.mDataRack = "r2";
+  const auto first = cell.submit(near);
+  cell.run(milliseconds(300));
+  near.mCount = 1;
+  const auto second = cell.submit(near);
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(4, cell.running());
+  cell.endTask(first, reported_end::done);
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(std::string("t2"), cell.targetRunning(second));
+}
+
+// The same for a step that has waited for too long to wait for the rack any more, and for which
+// both racks become free at once.
+TEST(starvation, aStepPrefersTheRackOfItsDataAfterALongWait)
+{
+  cell.addTarget("t1", 4000);
+  cell.addTarget("t2");
+  cell.target("t2").mEntry.mRack = "r2";
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  const auto first = cell.submit(tasks(6));
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(6, cell.running());
+  auto near = tasks(1);
+  near.mDataRack = "r2";
+  const auto second = cell.submit(near);
+  cell.run(milliseconds(5000));
+  CHECK_EQUAL(6, cell.running());
+  for (std::uint32_t index = 0; index < 6; ++index) {
+    cell.endTask(first, reported_end::done, 0, index);
+  }
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(std::string("t2"), cell.targetRunning(second));
+}
+
 // Guards against a long-running task that fails late in its life and ranks behind gangs that wait
 // with time to spare, which reserve the capacity that it needs.
 TEST(starvation, aLongRunningTaskRestartsBesideAWaitingGang)
