Metrics of the owner's last planning pass

Cause: an operator cannot see what a pass costs, and a test could only time it. The owner counts the steps whose turn it was, the tasks that it started and how often it looked at a target for a step, and measures the duration by a clock passed in its options. They are in the state dump and in the metrics plan_steps, plan_starts, plan_visits and plan_seconds.

--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -386,6 +386,10 @@
     add("runs_open", counts.mOpenRuns);
     add("steps_waiting", counts.mWaitingSteps);
     add("advice_calls_open", counts.mAdviceCalls);
+    add("plan_steps", counts.mLastPass.mSteps);
+    add("plan_starts", counts.mLastPass.mStarts);
+    add("plan_visits", counts.mLastPass.mVisits);
+    add("plan_seconds", inSeconds(counts.mLastPass.mDuration));
     add("advice_helpers", mHelpers.size());
     add("relays", mOrderRouter.relays());
     add("relayed_orders_open", mOrderRouter.openOrders());
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -296,7 +296,8 @@
   mOwner = std::make_unique<scheduler::owner>(
     mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
-                              .mEpochs = mElection.epochs() },
+                              .mEpochs = mElection.epochs(),
+                              .mClock = &mClock },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "endiveusher/kernel/time.h"
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job_table.h"
 #include "endiveusher/scheduler/owner_port.h"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -25,6 +28,20 @@
   std::map<std::uint64_t, time_point> mEpochs{};
   /// Minimum time between two planning passes.
   std::chrono::milliseconds mPlanInterval{ 20 };
+  /// Measures the duration of planning passes; nullptr if it is not wanted.
+  const clock* mClock = nullptr;
+};
+
+/// What the last planning pass has cost.
+struct pass_counts
+{
+  /// Waiting steps whose turn it was, and tasks that it has started.
+  std::size_t mSteps = 0;
+  std::size_t mStarts = 0;
+  /// Number of times that a target was looked at for a step.
+  std::uint64_t mVisits = 0;
+  /// Zero without owner_options::mClock.
+  duration mDuration{ 0 };
 };
 
 /// Counts of the owner's state, for metrics.
@@ -35,6 +52,7 @@
   std::size_t mOpenRuns = 0;
   std::size_t mWaitingSteps = 0;
   std::size_t mAdviceCalls = 0;
+  pass_counts mLastPass;
 };
 
 /// Decides for all targets of the cell during one epoch: where tasks start, which leases are
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -447,7 +447,7 @@
   if (mNextPlan <= aNow && !overdue) {
     if (mPlanNeeded || mNextPlan + kIdlePlanInterval <= aNow) {
       mPlanNeeded = false;
-      plan(aNow);
+      planAndMeasure(aNow);
       mNextPlan = aNow + mOptions.mPlanInterval + planPause();
     }
   }
@@ -466,7 +466,8 @@
 {
   owner_counts counts{ .mTargets = mTargets.size(),
                        .mWaitingSteps = mWaiting.size(),
-                       .mAdviceCalls = mAdviceCalls.size() };
+                       .mAdviceCalls = mAdviceCalls.size(),
+                       .mLastPass = mLastPass };
   for (const auto& [id, target] : mTargets) {
     counts.mUsableTargets += target.mAcquired && target.mMissedHeartbeats == 0 ? 1 : 0;
     counts.mOpenRuns += target.mRuns.size();
@@ -478,6 +479,8 @@
 {
   std::string text = fmt::format("epoch {} batches {} records {}\n", mEpoch,
                                  mBatchesInFlight.size(), mPendingRecords.size());
+  text += fmt::format("pass steps={} starts={} visits={} us={}\n", mLastPass.mSteps,
+                      mLastPass.mStarts, mLastPass.mVisits, mLastPass.mDuration.count());
   for (const auto& [id, target] : mTargets) {
     text += fmt::format(
       "target {} zone={} listed={} taken={} draining={} missed={} runs={} cpu={}/{} mem={}/{}\n",
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -236,6 +236,8 @@
   allocated_run* findRun(const std::string& aTarget, const task_key& aTask, std::uint32_t aRun);
 
   // Placement.
+  /// Makes a planning pass and measures it.
+  void planAndMeasure(time_point aNow);
   void plan(time_point aNow);
   /// Returns the pause between two planning passes in addition to the usual interval.
   duration planPause() const;
@@ -369,6 +371,9 @@
   std::map<std::string, resources> mTeamReserved;
   /// CPU reserved for waiting gangs in the current pass.
   std::int64_t mReservedCpuMilli = 0;
+  pass_counts mLastPass;
+  /// pass_counts::mVisits of the current pass.
+  mutable std::uint64_t mPassVisits = 0;
 };
 
 } // namespace endiveusher::scheduler
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -42,6 +42,7 @@
 bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget,
                           time_point aNow) const
 {
+  ++mPassVisits;
   if (aStep.mRoute.mAdvice && aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::bad) {
     return false;
   }
@@ -100,6 +101,17 @@
                slots(limit.mAccelerators, usage.mAccelerators, needs.mAccelerators) }));
 }
 
+void owner::impl::planAndMeasure(time_point aNow)
+{
+  const auto* clock = mOptions.mClock;
+  const auto begin = clock == nullptr ? time_point{} : clock->now();
+  mLastPass = {};
+  mPassVisits = 0;
+  plan(aNow);
+  mLastPass.mVisits = mPassVisits;
+  mLastPass.mDuration = clock == nullptr ? duration{ 0 } : clock->now() - begin;
+}
+
 void owner::impl::plan(time_point aNow)
 {
   if (!mConfig || mWaiting.empty()) {
@@ -140,6 +152,7 @@
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
   mTeamReserved.clear();
+  mLastPass.mSteps = order.size();
   for (auto& [rank, step] : order) {
     if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
       continue;
@@ -351,8 +364,8 @@
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
     // Other jobs may still run where a gang waits for isolation; they end there.
-    if (known && candidate.mIsolated.onlyOf(aStep.mKey.mJob) &&
-        allowed(aStep, *candidate.mTarget, aNow)) {
+    if (allowed(aStep, *candidate.mTarget, aNow) && known &&
+        candidate.mIsolated.onlyOf(aStep.mKey.mJob)) {
       good.push_back(&candidate);
     }
   }
@@ -399,6 +412,7 @@
 void owner::impl::commit(waiting_step& aStep, const std::vector<placement>& aPlacements,
                          time_point aNow)
 {
+  mLastPass.mStarts += aPlacements.size();
   const auto key = aStep.mKey;
   const auto& spec = aStep.spec();
   const auto* state = aStep.mJob->find(key);
