Gangs that cannot start do not visit each target in each pass

Change: what all candidates of a pool and label hold together is found out once per pass for gangs of the same kind; it only shrinks during the pass. A gang that they do not hold looks for no start, and for no reservation if their whole capacity does not hold it. A gang with advice that can neither start nor needs further verdicts no longer sorts the targets. Reservations are unchanged: a gang that could be placed or reserve capacity still does so in each pass.

--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -125,16 +125,26 @@
   };
   const bool isolated = queriesInIsolation(aStep, aCandidates, aNow);
   std::vector<option> options;
+  std::uint64_t slots = 0;
   std::uint64_t goodCapacity = 0;
+  bool hasUnknown = false;
   for (const auto position : groupOf(aStep, aCandidates).positions()) {
     const auto& candidate = aCandidates[position];
     if (allowedInGroup(aStep, *candidate.mTarget, aNow)) {
       const bool isGood = aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
       goodCapacity += isGood ? maxTasksIn(aStep.mNeeds, candidate.mTarget->mEntry.mCapacity) : 0;
-      const auto slots = isolated ? slotsAt(aStep, candidate) : freeSlotsAt(aStep, candidate);
-      options.push_back({ .mCandidate = &candidate, .mSlots = slots, .mIsGood = isGood });
+      const auto here = isolated ? slotsAt(aStep, candidate) : freeSlotsAt(aStep, candidate);
+      slots += here;
+      hasUnknown = hasUnknown || !isGood;
+      options.push_back({ .mCandidate = &candidate, .mSlots = here, .mIsGood = isGood });
     }
   }
+  const bool wantsVerdicts = hasUnknown &&
+                             goodCapacity < kReservableFactor * aStep.mPending.size() &&
+                             mAdviceDispatcher.hasSpareHelpers(aNow);
+  if (slots < aStep.mPending.size() && !wantsVerdicts) {
+    return {};
+  }
   // Targets with the most free capacity first: fewer are needed, and other steps fill the fullest
   // targets first.
   std::ranges::stable_sort(options, std::greater<>{}, [](const option& aOne) {
@@ -162,8 +172,7 @@
   }
   // The gang cannot start now. Verdicts on more targets show where capacity is worth reserving.
   queried.clear();
-  if (goodCapacity >= kReservableFactor * aStep.mPending.size() ||
-      !mAdviceDispatcher.hasSpareHelpers(aNow)) {
+  if (!wantsVerdicts) {
     return queried;
   }
   for (const auto& one : options) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -256,6 +256,10 @@
   /// one with room for a task of the step; empty if there is none.
   std::span<const std::uint32_t> positionsWithRoom(
     const waiting_step& aStep, std::span<const candidate_target> aCandidates) const;
+  /// Whether the candidates in the gang's pool and with its label together have room for its tasks;
+  /// whether advice and isolation permit them is left open.
+  bool hasRoomForGang(const waiting_step& aStep,
+                      std::span<const candidate_target> aCandidates) const;
   /// Whether the target can be given new tasks.
   bool usable(const target_state& aTarget, time_point aNow) const;
   /// Whether the target is in the route's pool and has the label that the step requires.
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -135,6 +135,16 @@
                slots(limit.mAccelerators, usage.mAccelerators, needs.mAccelerators) }));
 }
 
+bool owner::impl::hasRoomForGang(const waiting_step& aStep,
+                                 std::span<const candidate_target> aCandidates) const
+{
+  const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mFree;
+  };
+  return groupOf(aStep, aCandidates)
+    .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPassVisits);
+}
+
 void owner::impl::planAndMeasure(time_point aNow)
 {
   const auto* clock = mOptions.mClock;
@@ -343,9 +353,11 @@
     reserveTeamLimit(aStep, aNow);
     return;
   }
-  const auto startable = startableCandidates(
-    aStep, aCandidates, aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count,
-    aNow);
+  const auto most = aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count;
+  // With advice there are few candidates, those with tickets.
+  const auto startable = aStep.mRoute.mAdvice || hasRoomForGang(aStep, aCandidates)
+                           ? startableCandidates(aStep, aCandidates, most, aNow)
+                           : std::vector<candidate_target*>{};
   const auto tryOn = [&](std::string_view aRack) {
     std::vector<placement> placements;
     for (auto* candidate : startable) {
@@ -421,8 +433,15 @@
       kMaxReservedFraction * static_cast<double>(mCandidateCpuMilli)) {
     return;
   }
+  auto& group = groupOf(aStep, aCandidates);
+  const auto capacityAt = [&aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mTarget->mEntry.mCapacity;
+  };
+  if (!group.hasCapacity(aStep.mNeeds, aStep.mPending.size(), capacityAt, mPassVisits)) {
+    return;
+  }
   std::vector<candidate_target*> good;
-  for (const auto position : groupOf(aStep, aCandidates).positions()) {
+  for (const auto position : group.positions()) {
     auto& candidate = aCandidates[position];
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
--- a/scheduler/src/room_index.h
+++ b/scheduler/src/room_index.h
@@ -54,15 +54,74 @@
     return first;
   }
 
+  /// Whether the candidates together have room for aCount tasks now.
+  /// @param aFreeAt and @param aVisits as for firstWithRoom()
+  template<typename FreeAt>
+  bool hasRoom(const resources& aNeeds, std::uint64_t aCount, FreeAt&& aFreeAt,
+               std::uint64_t& aVisits)
+  {
+    return mRoomLimits.mayHold(mPositions, aNeeds, aCount, aFreeAt, aVisits);
+  }
+  /// Whether their whole capacity holds aCount tasks.
+  /// @param aCapacityAt returns the capacity at a position
+  template<typename CapacityAt>
+  bool hasCapacity(const resources& aNeeds, std::uint64_t aCount, CapacityAt&& aCapacityAt,
+                   std::uint64_t& aVisits)
+  {
+    return mCapacityLimits.mayHold(mPositions, aNeeds, aCount, aCapacityAt, aVisits);
+  }
+
 private:
+  /// Each search looks through all bounds, which must stay cheaper than the search itself.
+  static constexpr std::size_t kMaxBounds = 64;
+
+  /// Numbers of tasks that have proved to be too many in this pass, by their needs.
+  class task_limits
+  {
+  public:
+    template<typename FreeAt>
+    bool mayHold(std::span<const std::uint32_t> aPositions, const resources& aNeeds,
+                 std::uint64_t aCount, FreeAt&& aFreeAt, std::uint64_t& aVisits)
+    {
+      for (const auto& one : mLimits) {
+        if (one.mTasks < aCount && one.mNeeds.fitsIn(aNeeds)) {
+          return false;
+        }
+      }
+      std::uint64_t tasks = 0;
+      // Those with the most free CPU come last.
+      for (auto at = aPositions.rbegin(); at != aPositions.rend() && tasks < aCount; ++at) {
+        tasks += maxTasksIn(aNeeds, aFreeAt(*at));
+        ++aVisits;
+      }
+      if (tasks >= aCount) {
+        return true;
+      }
+      std::erase_if(mLimits, [&](const limit& aOther) {
+        return aNeeds.fitsIn(aOther.mNeeds) && aOther.mTasks >= tasks;
+      });
+      if (mLimits.size() < kMaxBounds) {
+        mLimits.push_back({ .mNeeds = aNeeds, .mTasks = tasks });
+      }
+      return false;
+    }
+
+  private:
+    /// There is room for at most mTasks tasks that need at least mNeeds.
+    struct limit
+    {
+      resources mNeeds;
+      std::uint64_t mTasks = 0;
+    };
+    std::vector<limit> mLimits;
+  };
+
   /// No candidate before mFirst has room for a task with mNeeds.
   struct bound
   {
     resources mNeeds;
     std::size_t mFirst = 0;
   };
-  /// Each search looks through all bounds, which must stay cheaper than the search itself.
-  static constexpr std::size_t kMaxBounds = 64;
 
   void remember(const bound& aBound)
   {
@@ -83,6 +142,8 @@
   std::vector<std::uint32_t> mPositions;
   std::vector<std::int64_t> mFreeCpuMilli;
   std::vector<bound> mBounds;
+  task_limits mRoomLimits;
+  task_limits mCapacityLimits;
 };
 
 /// The groups of one planning pass by pool and label, built when they are first asked for.
--- a/tests/scheduler/planning_pass_test.cpp
+++ b/tests/scheduler/planning_pass_test.cpp
@@ -94,6 +94,17 @@
   CHECK_COMPARE(most, <=, kMaxVisits);
 }
 
+TEST(planning_pass, wideGangsThatCannotStartDoNotVisitAllTargetsEach)
+{
+  startOwner();
+  auto gang = step(2, 40);
+  gang.mGang = true;
+  submitSteps(kSteps, gang);
+  const auto most = mostVisits(milliseconds(200));
+  CHECK_EQUAL(0, cell.running());
+  CHECK_COMPARE(most, <=, kMaxVisits);
+}
+
 TEST(planning_pass, aFreedTargetCostsOneTargetAndStartsAStep)
 {
   startOwner();
