Steps that find nothing to preempt share that result within a pass

Cause: a step near its latest start looked through the runs of all targets of its pool every 60 ms, also if none could be preempted for it: 5,000 urgent steps on 1,100 targets made 5,501,100 visits in a pass.

Change: if a step has found no run to preempt and no capacity that is being freed, it is found out whether any step of the same pool and label that needs as much, with a priority that preempts no more, could; if not, these do not look. What a preempted run leaves may also serve steps that could not preempt it, so that such results are dropped for their priorities. A step without a good verdict does not look either. A step that does find runs costs as before.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -325,6 +325,8 @@
   /// stopping runs does not help.
   preemption preemptionAt(const waiting_step& aStep, candidate_target& aCandidate,
                           std::uint32_t aMost) const;
+  /// Returns what is free at the target, being freed, and taken by runs that the step may preempt.
+  resources freeAfterPreemption(const waiting_step& aStep, candidate_target& aCandidate) const;
   /// Time before its latest start at which a step may preempt other runs.
   static duration preemptLead(const waiting_step& aStep);
   /// Returns the runs at the target that may be preempted, largest first, so that few have to stop.
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -84,6 +84,22 @@
   return result;
 }
 
+resources owner::impl::freeAfterPreemption(const waiting_step& aStep,
+                                           candidate_target& aCandidate) const
+{
+  if (!aCandidate.mPreemptible) {
+    aCandidate.mPreemptible = preemptibleRuns(*aCandidate.mTarget);
+  }
+  auto free = aCandidate.mFree + aCandidate.mBeingFreed;
+  for (const auto& one : *aCandidate.mPreemptible) {
+    const auto& run = aCandidate.mTarget->mRuns.find(one.mTask)->second;
+    if (one.mPriority > aStep.mRoute.mPriority && !run.mStopWanted) {
+      free += run.mNeeds;
+    }
+  }
+  return free;
+}
+
 duration owner::impl::preemptLead(const waiting_step& aStep)
 {
   duration lead = kPreemptLead;
@@ -119,8 +135,14 @@
     aStep.mNextPreemption = aNow + kFutilePreemptionPause;
     return;
   }
+  auto& group = groupOf(aStep, aCandidates);
+  if ((aStep.mRoute.mAdvice && aStep.mAdvice.goodTargets() == 0) ||
+      group.isPreemptionFutile(aStep.mNeeds, aStep.mRoute.mPriority)) {
+    aStep.mNextPreemption = aNow + kFutilePreemptionPause;
+    return;
+  }
   std::vector<candidate_target*> good;
-  for (const auto position : groupOf(aStep, aCandidates).positions()) {
+  for (const auto position : group.positions()) {
     auto& candidate = aCandidates[position];
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
@@ -133,6 +155,7 @@
   std::ranges::stable_partition(good, [](const candidate_target* aOne) {
     return !aOne->mTarget->freeCapacity().anyNegative();
   });
+  const auto wanted = missing;
   for (auto* candidate : good) {
     const auto beingFreed = static_cast<std::uint32_t>(std::min<std::size_t>(
       missing, maxTasksIn(aStep.mNeeds, candidate->mFree + candidate->mBeingFreed)));
@@ -150,6 +173,12 @@
       stops.push_back(std::move(here));
     }
   }
+  if (missing > 0 && missing == wanted) {
+    const auto freeAt = [&](std::uint32_t aPosition) {
+      return freeAfterPreemption(aStep, aCandidates[aPosition]);
+    };
+    group.checkPreemption(aStep.mNeeds, aStep.mRoute.mPriority, freeAt, mPassVisits);
+  }
   if (gang && missing > 0) {
     aStep.mNextPreemption = aNow + kFutilePreemptionPause;
     return;
@@ -163,6 +192,8 @@
       run.mNextTry = aNow;
       stop.mCandidate->mBeingFreed += run.mNeeds;
       mCapacityIsBeingFreed = true;
+      const auto& preempted = mJobTable.find(task.mStep.mJob)->mSpec.mRoute;
+      mRoom.onPreempted(mRoutes.at(preempted).mPriority);
       mPort.logDecision("preempt",
                         fmt::format("task={} run={} target={} for_step={} deadline_slack_ms={}",
                                     toText(task), run.mRun, target.mEntry.mId, toText(aStep.mKey),
--- a/scheduler/src/room_index.h
+++ b/scheduler/src/room_index.h
@@ -71,6 +71,42 @@
     return mCapacityLimits.mayHold(mPositions, aNeeds, aCount, aCapacityAt, aVisits);
   }
 
+  /// Whether it is known that no task with aNeeds fits on any candidate, even after all runs there
+  /// that a step with aPriority may preempt.
+  bool isPreemptionFutile(const resources& aNeeds, int aPriority) const
+  {
+    return std::ranges::any_of(mFutilePreemptions, [&](const preemption_limit& aOne) {
+      return aOne.mPriority <= aPriority && aOne.mNeeds.fitsIn(aNeeds);
+    });
+  }
+  /// Called when a run of a route with aPriority is preempted: what it leaves is also room for
+  /// steps that may not preempt it.
+  void onPreempted(int aPriority)
+  {
+    std::erase_if(mFutilePreemptions, [aPriority](const preemption_limit& aOne) {
+      return aOne.mPriority >= aPriority;
+    });
+  }
+  /// Finds out whether that is so, after a step has found no run to preempt.
+  /// @param aFreeAt returns the free capacity at a position after these runs
+  template<typename FreeAt>
+  void checkPreemption(const resources& aNeeds, int aPriority, FreeAt&& aFreeAt,
+                       std::uint64_t& aVisits)
+  {
+    const auto isKnown = std::ranges::any_of(mUsefulPreemptions, [&](const auto& aOne) {
+      return aPriority <= aOne.mPriority && aNeeds.fitsIn(aOne.mNeeds);
+    });
+    if (isKnown || mFutilePreemptions.size() + mUsefulPreemptions.size() >= kMaxBounds) {
+      return;
+    }
+    aVisits += mPositions.size();
+    const bool useful = std::ranges::any_of(mPositions, [&](std::uint32_t aPosition) {
+      return maxTasksIn(aNeeds, aFreeAt(aPosition)) > 0;
+    });
+    (useful ? mUsefulPreemptions : mFutilePreemptions)
+      .push_back({ .mNeeds = aNeeds, .mPriority = aPriority });
+  }
+
 private:
   /// Each search looks through all bounds, which must stay cheaper than the search itself.
   static constexpr std::size_t kMaxBounds = 64;
@@ -139,11 +175,21 @@
     }
   }
 
+  /// Needs of a task and the priority of its route.
+  struct preemption_limit
+  {
+    resources mNeeds;
+    int mPriority = 0;
+  };
+
   std::vector<std::uint32_t> mPositions;
   std::vector<std::int64_t> mFreeCpuMilli;
   std::vector<bound> mBounds;
   task_limits mRoomLimits;
   task_limits mCapacityLimits;
+  std::vector<preemption_limit> mFutilePreemptions;
+  /// Where runs could be preempted, but the step that looked may not run there.
+  std::vector<preemption_limit> mUsefulPreemptions;
 };
 
 /// The groups of one planning pass by pool and label, built when they are first asked for.
@@ -151,6 +197,15 @@
 {
 public:
   void clear() { mGroups.clear(); }
+  /// See room_group::onPreempted().
+  void onPreempted(int aPriority)
+  {
+    for (auto& [pool, groups] : mGroups) {
+      for (auto& [label, group] : groups) {
+        group.onPreempted(aPriority);
+      }
+    }
+  }
   /// @param aFill adds the candidates to a new group
   template<typename Fill>
   room_group& group(std::string_view aPool, std::string_view aLabel, Fill&& aFill)
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -59,12 +59,11 @@
     if (aTarget >= mVerdicts.size()) {
       mVerdicts.resize(aTarget + 1, verdict::unknown);
     }
+    mGoodTargets -= mVerdicts[aTarget] == verdict::good ? 1 : 0;
+    mGoodTargets += aVerdict == verdict::good ? 1 : 0;
     mVerdicts[aTarget] = aVerdict;
   }
-  std::size_t goodTargets() const
-  {
-    return static_cast<std::size_t>(std::ranges::count(mVerdicts, verdict::good));
-  }
+  std::size_t goodTargets() const { return mGoodTargets; }
 
   void addTicket(target_number aTarget, ticket aTicket)
   {
@@ -105,6 +104,7 @@
 private:
   /// Indexed by target number.
   std::vector<verdict> mVerdicts;
+  std::size_t mGoodTargets = 0;
   std::unordered_map<target_number, ticket> mTickets;
   time_point mLatestExpiry{};
 };
--- a/tests/scheduler/planning_pass_test.cpp
+++ b/tests/scheduler/planning_pass_test.cpp
@@ -105,6 +105,17 @@
   CHECK_COMPARE(most, <=, kMaxVisits);
 }
 
+TEST(planning_pass, stepsThatFindNothingToPreemptDoNotVisitAllTargetsEach)
+{
+  startOwner();
+  for (std::size_t each = 0; each < kSteps; ++each) {
+    cell.submitUrgent(step(2));
+  }
+  const auto most = mostVisits(milliseconds(1200));
+  CHECK_EQUAL(0, cell.running());
+  CHECK_COMPARE(most, <=, kMaxVisits);
+}
+
 TEST(planning_pass, aFreedTargetCostsOneTargetAndStartsAStep)
 {
   startOwner();
