--- a/bench/plan_bench.cpp
+++ b/bench/plan_bench.cpp
@@ -47,6 +47,7 @@
     config.index();
     mOwner->configure(std::make_shared<cell_config>(config));
     std::vector<std::string> helpers;
+    helpers.reserve(kAdviceHelpers);
     for (int index = 0; index < kAdviceHelpers; ++index) {
       helpers.push_back("daemon-" + std::to_string(index));
     }
