--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -302,7 +302,8 @@
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
                               .mEpochs = mElection.epochs(),
                               .mLatestActs = mElection.history().latestActs(),
-                              .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval },
+                              .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval,
+                              .mClock = &mClock },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -50,6 +50,9 @@
   return under(aUsed.mCpuMilli, aLimit.mCpuMilli) && under(aUsed.mMemoryMb, aLimit.mMemoryMb) &&
          under(aUsed.mAccelerators, aLimit.mAccelerators);
 }
+/// Maximum number of steps whose reason for waiting is logged in one pass, as each of these visits
+/// all targets. Enough for each of 9,000 waiting steps once per kWaitLogInterval.
+constexpr std::size_t kMaxWaitLogs = 64;
 
 } // namespace
 
@@ -71,6 +74,13 @@
 bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget,
                           time_point aNow) const
 {
+  return allowedInGroup(aStep, aTarget, aNow) && isSuitable(aTarget, aStep.mRoute, aStep.spec());
+}
+
+bool owner::impl::allowedInGroup(const waiting_step& aStep, const target_state& aTarget,
+                                 time_point aNow) const
+{
+  ++mPassVisits;
   if (aStep.mRoute.mAdvice && aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::bad) {
     return false;
   }
@@ -80,7 +90,32 @@
       return false;
     }
   }
-  return isSuitable(aTarget, aStep.mRoute, aStep.spec());
+  return true;
+}
+
+internal::room_group& owner::impl::groupOf(const waiting_step& aStep,
+                                           std::span<const candidate_target> aCandidates) const
+{
+  const auto& spec = aStep.spec();
+  return mRoom.group(aStep.mRoute.mPool, spec.mRequiredLabel, [&](internal::room_group& aGroup) {
+    mPassVisits += aCandidates.size();
+    for (std::uint32_t position = 0; position < aCandidates.size(); ++position) {
+      const auto& candidate = aCandidates[position];
+      if (isSuitable(*candidate.mTarget, aStep.mRoute, spec)) {
+        aGroup.add(position, candidate.mFirstFreeCpuMilli);
+      }
+    }
+  });
+}
+
+std::span<const std::uint32_t> owner::impl::positionsWithRoom(
+  const waiting_step& aStep, std::span<const candidate_target> aCandidates) const
+{
+  auto& group = groupOf(aStep, aCandidates);
+  const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mFree;
+  };
+  return group.positions().subspan(group.firstWithRoom(aStep.mNeeds, freeAt, mPassVisits));
 }
 
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep,
@@ -159,15 +194,42 @@
   aStep.mIgnoresTeamReservations = aNow - *aStep.mTeamHoldSince >= kMaxTeamHold;
 }
 
+bool owner::impl::hasRoomForGang(const waiting_step& aStep,
+                                 std::span<const candidate_target> aCandidates) const
+{
+  const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mFree;
+  };
+  return groupOf(aStep, aCandidates)
+    .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPassVisits);
+}
+
+void owner::impl::planAndMeasure(time_point aNow)
+{
+  const auto* clock = mOptions.mClock;
+  const auto begin = clock == nullptr ? time_point{} : clock->now();
+  mLastPass = {};
+  mPassVisits = 0;
+  plan(aNow);
+  mLastPass.mVisits = mPassVisits;
+  mLastPass.mDuration = clock == nullptr ? duration{ 0 } : clock->now() - begin;
+}
+
 void owner::impl::plan(time_point aNow)
 {
   if (!mConfig || mWaiting.empty()) {
     return;
   }
   std::vector<candidate_target> candidates;
+  mRoom.clear();
+  mCapacityIsBeingFreed = false;
+  mCandidateCpuMilli = 0;
   for (auto& [id, target] : mTargets) {
     if (usable(target, aNow)) {
-      candidates.push_back({ .mTarget = &target, .mFree = target.freeCapacity() });
+      mCandidateCpuMilli += target.mEntry.mCapacity.mCpuMilli;
+      const auto free = target.freeCapacity();
+      candidates.push_back(
+        { .mTarget = &target, .mFree = free, .mFirstFreeCpuMilli = free.mCpuMilli });
       auto& candidate = candidates.back();
       for (const auto& [task, run] : target.mRuns) {
         candidate.mOccupants.add(task.mStep.mJob);
@@ -176,6 +238,7 @@
         }
         if (run.mStopWanted) {
           candidate.mBeingFreed += run.mNeeds;
+          mCapacityIsBeingFreed = true;
         }
       }
     }
@@ -199,6 +262,8 @@
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
   mTeamReserved.clear();
+  mLastPass.mSteps = order.size();
+  std::size_t waitLogs = 0;
   for (auto& [rank, step] : order) {
     if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
       continue;
@@ -210,7 +275,8 @@
       placeTasks(*step, candidates, aNow);
     }
     preempt(*step, rank, candidates, aNow);
-    if (step->startable() && step->mNextWaitLog <= aNow) {
+    if (step->startable() && step->mNextWaitLog <= aNow && waitLogs < kMaxWaitLogs) {
+      ++waitLogs;
       logWait(*step, candidates, aNow);
     }
   }
@@ -219,21 +285,29 @@
 /// Load pattern: hundreds of steps wait in a cell of a thousand targets, each with tickets for some
 /// tens of them. Only these are visited.
 std::vector<owner::impl::candidate_target*> owner::impl::startableCandidates(
-  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, std::size_t aMost,
+  time_point aNow) const
 {
   std::vector<candidate_target*> found;
-  const auto addIfAllowed = [&](candidate_target& aOne) {
-    if (allowed(aStep, *aOne.mTarget, aNow)) {
-      found.push_back(&aOne);
-    }
-  };
+  const auto withRoom = positionsWithRoom(aStep, aCandidates);
   if (!aStep.mRoute.mAdvice) {
-    std::ranges::for_each(aCandidates, addIfAllowed);
+    std::size_t slots = 0;
+    for (auto at = withRoom.begin(); at != withRoom.end() && slots < aMost; ++at) {
+      auto& candidate = aCandidates[*at];
+      if (allowedInGroup(aStep, *candidate.mTarget, aNow)) {
+        found.push_back(&candidate);
+        slots += slotsAt(aStep, candidate);
+      }
+    }
+    return found;
+  }
+  if (withRoom.empty()) {
     return found;
   }
   aStep.mAdvice.forEachValidTicket(aNow + kTicketMargin, [&](internal::target_number aNumber) {
-    if (const auto position = mCandidatePositions[aNumber]) {
-      addIfAllowed(aCandidates[*position]);
+    const auto position = mCandidatePositions[aNumber];
+    if (position && allowed(aStep, *aCandidates[*position].mTarget, aNow)) {
+      found.push_back(&aCandidates[*position]);
     }
   });
   std::ranges::sort(found);
@@ -249,14 +323,19 @@
   std::uint32_t slots = 0;
   std::uint32_t freeSlots = 0;
   std::uint32_t goodSlots = 0;
-  for (const auto& candidate : aCandidates) {
-    if (!allowed(aStep, *candidate.mTarget, aNow)) {
+  const auto positions = groupOf(aStep, aCandidates).positions();
+  const auto firstWithRoom = positions.size() - positionsWithRoom(aStep, aCandidates).size();
+  for (std::size_t at = 0; at < positions.size(); ++at) {
+    const auto& candidate = aCandidates[positions[at]];
+    if (!allowedInGroup(aStep, *candidate.mTarget, aNow)) {
       continue;
     }
     ++allowedTargets;
-    const auto here = std::min(slotsAt(aStep, candidate), aStep.spec().mCount);
+    const auto freeHere =
+      at < firstWithRoom ? 0 : std::min(freeSlotsAt(aStep, candidate), aStep.spec().mCount);
+    const auto here = mayShare(aStep, candidate) ? freeHere : 0;
     slots += here;
-    freeSlots += std::min(freeSlotsAt(aStep, candidate), aStep.spec().mCount);
+    freeSlots += freeHere;
     goodSlots += aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good ? here : 0;
     const auto* ticket = aStep.mAdvice.validTicket(candidate.mTarget->mNumber, aNow);
     tickets += ticket != nullptr ? 1 : 0;
@@ -304,7 +383,9 @@
   const auto rackWait = std::min<duration>(kMaxRackWait, aStep.spec().mEstimate);
   const bool anyRack = rack.empty() || aNow - aStep.mWaitingSince >= rackWait ||
                        aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
-  auto startable = startableCandidates(aStep, aCandidates, aNow);
+  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
+  const auto most = rack.empty() ? wanted : std::numeric_limits<std::size_t>::max();
+  auto startable = startableCandidates(aStep, aCandidates, most, aNow);
   if (!rack.empty()) {
     std::ranges::stable_partition(startable, [&rack](const candidate_target* aOne) {
       return aOne->mTarget->mEntry.mRack == rack;
@@ -312,7 +393,6 @@
   }
   std::vector<placement> placements;
   std::size_t next = 0;
-  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
   for (auto* candidate : startable) {
     if (next == wanted) {
       break;
@@ -344,7 +424,11 @@
     reserveTeamLimit(aStep, aNow);
     return;
   }
-  const auto startable = startableCandidates(aStep, aCandidates, aNow);
+  const auto most = aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count;
+  // With advice there are few candidates, those with tickets.
+  const auto startable = aStep.mRoute.mAdvice || hasRoomForGang(aStep, aCandidates)
+                           ? startableCandidates(aStep, aCandidates, most, aNow)
+                           : std::vector<candidate_target*>{};
   const auto tryOn = [&](std::string_view aRack) {
     std::vector<placement> placements;
     for (auto* candidate : startable) {
@@ -415,23 +499,29 @@
 void owner::impl::reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                                   time_point aNow)
 {
-  std::int64_t total = 0;
+  const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
+  if (static_cast<double>(mReservedCpuMilli + needed) >
+      kMaxReservedFraction * static_cast<double>(mCandidateCpuMilli)) {
+    return;
+  }
+  auto& group = groupOf(aStep, aCandidates);
+  const auto capacityAt = [&aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mTarget->mEntry.mCapacity;
+  };
+  if (!group.hasCapacity(aStep.mNeeds, aStep.mPending.size(), capacityAt, mPassVisits)) {
+    return;
+  }
   std::vector<candidate_target*> good;
-  for (auto& candidate : aCandidates) {
-    total += candidate.mTarget->mEntry.mCapacity.mCpuMilli;
+  for (const auto position : group.positions()) {
+    auto& candidate = aCandidates[position];
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
     // Other jobs may still run where a gang waits for isolation; they end there.
-    if (known && candidate.mIsolated.onlyOf(aStep.mKey.mJob) &&
-        allowed(aStep, *candidate.mTarget, aNow)) {
+    if (allowedInGroup(aStep, *candidate.mTarget, aNow) && known &&
+        candidate.mIsolated.onlyOf(aStep.mKey.mJob)) {
       good.push_back(&candidate);
     }
   }
-  const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
-  if (static_cast<double>(mReservedCpuMilli + needed) >
-      kMaxReservedFraction * static_cast<double>(total)) {
-    return;
-  }
   const auto requested = [&aStep, aNow](const candidate_target* aOne) {
     return aStep.mAdvice.requested(aOne->mTarget->mNumber, aNow + kTicketMargin);
   };
@@ -470,6 +560,7 @@
 void owner::impl::commit(waiting_step& aStep, const std::vector<placement>& aPlacements,
                          time_point aNow)
 {
+  mLastPass.mStarts += aPlacements.size();
   const auto key = aStep.mKey;
   const auto& spec = aStep.spec();
   const auto* state = aStep.mJob->find(key);
