--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -1,11 +1,15 @@
 #include "endiveusher/scheduler/journal.h"
 
 #include "endiveusher/kernel/msgpack.h"
+#include "endiveusher/scheduler/job_limits.h"
 
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <stdexcept>
 #include <utility>
 
 namespace endiveusher::scheduler {
@@ -73,6 +77,22 @@
                        aSpec.mRepeat, aSpec.mSubmitted.count() });
 }
 
+/// Throws unless a caller may have submitted the job: a daemon that applies another one may need
+/// more memory than it has, or read beyond the job's steps.
+void checkSpec(const job_spec& aSpec)
+{
+  if (aSpec.mSteps.size() > kMaxStepsPerJob || aSpec.mRepeat > kMaxOccurrences) {
+    throw std::out_of_range("the number of steps or occurrences is out of range");
+  }
+  for (std::size_t index = 0; index < aSpec.mSteps.size(); ++index) {
+    const auto& step = aSpec.mSteps[index];
+    if (step.mCount == 0 || step.mCount > kMaxTasksPerStep ||
+        std::ranges::any_of(step.mAfter, [index](auto aBefore) { return aBefore >= index; })) {
+      throw std::out_of_range(absl::StrCat("step ", index, " is out of range"));
+    }
+  }
+}
+
 job_spec specFrom(const json& aValue)
 {
   const auto& payload = aValue.at(3).get_binary();
@@ -87,6 +107,7 @@
   for (const auto& step : aValue.at(4)) {
     spec.mSteps.push_back(stepFrom(step));
   }
+  checkSpec(spec);
   return spec;
 }
 
--- a/tests/node/nested_records_test.cpp
+++ b/tests/node/nested_records_test.cpp
@@ -2,11 +2,13 @@
 #include "peer_api.h"
 #include "snapshots.h"
 
+#include "endiveusher/scheduler/job_limits.h"
 #include "endiveusher/scheduler/journal.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <string>
+#include <utility>
 
 using namespace endiveusher;
 using namespace endiveusher::node;
@@ -57,3 +59,38 @@
     decodeForwardedRecords(encodeForwardedRecords(std::vector<std::string>{ "a" }));
   CHECK(records.ok() && records->size() == 1 && records->front() == "a");
 }
+
+/// Records of the journal that no daemon writes.
+TEST_GROUP(impossible_records){ static bool isAccepted(const scheduler::job_spec& aSpec){
+  return scheduler::decodeRecord(encode(scheduler::job_submitted{ .mSpec = aSpec })).ok();
+}
+static scheduler::job_spec specOf(scheduler::step_spec aStep)
+{
+  scheduler::job_spec spec{ .mId = scheduler::job_id{ 5 } };
+  spec.mSteps.push_back({});
+  spec.mSteps.push_back(std::move(aStep));
+  return spec;
+}
+}
+;
+
+// Guards against the end of the process, and of each that reads the journal later, by a job with
+// more tasks than fit into memory.
+TEST(impossible_records, aJobHasABoundedNumberOfTasks)
+{
+  CHECK(isAccepted(specOf({ .mCount = scheduler::kMaxTasksPerStep })));
+  CHECK_FALSE(isAccepted(specOf({ .mCount = scheduler::kMaxTasksPerStep + 1 })));
+  CHECK_FALSE(isAccepted(specOf({ .mCount = 4'000'000'000 })));
+  CHECK_FALSE(isAccepted(specOf({ .mCount = 0 })));
+  scheduler::job_spec many{ .mId = scheduler::job_id{ 5 } };
+  many.mSteps.resize(scheduler::kMaxStepsPerJob + 1);
+  CHECK_FALSE(isAccepted(many));
+}
+
+// Guards against a read beyond the steps of a job.
+TEST(impossible_records, aStepWaitsForEarlierStepsOnly)
+{
+  CHECK(isAccepted(specOf({ .mAfter = { 0 } })));
+  CHECK_FALSE(isAccepted(specOf({ .mAfter = { 1 } })));
+  CHECK_FALSE(isAccepted(specOf({ .mAfter = { 7 } })));
+}
