--- a/tests/node/peer_messages_test.cpp
+++ b/tests/node/peer_messages_test.cpp
@@ -1,3 +1,4 @@
+#include "endiveusher/platform/messages.h"
 #include "order_batch.h"
 #include "peer_api.h"
 
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <limits>
 #include <string>
+#include <variant>
 
 using namespace endiveusher;
 using namespace endiveusher::node;
@@ -93,3 +95,24 @@
   CHECK_FALSE(decodeHello(helloOf("10.0.0.1:80", -1.0)).ok());
   CHECK_FALSE(decodeHello(helloOf("10.0.0.1:80", 1e300)).ok());
 }
+
+// Guards against the end of a relay by an order whose texts are no valid UTF-8, and of an owner by
+// such a job of the journal.
+TEST(peer_messages, ordersWithAnyBytesAreSent)
+{
+  const order_batch batch{ .mEpoch = 5,
+                           .mOwner = "10.0.0.1:1",
+                           .mOrders = {
+                             { .mNumber = 1,
+                               .mOrder = scheduler::start_order{ .mTarget = "t",
+                                                                 .mAddress = "10.0.0.2:1",
+                                                                 .mRun = 1,
+                                                                 .mPayload = "a\xff",
+                                                                 .mCheckpoint = "\xc3",
+                                                                 .mTicket = "\x80" } } } };
+  const auto decoded = decodeOrderBatch(encode(batch));
+  CHECK(decoded.ok());
+  const auto call =
+    platform::encodeStart(std::get<scheduler::start_order>(decoded->mOrders[0].mOrder));
+  STRCMP_EQUAL("a\xef\xbf\xbd", json::parse(call.mBody).at("spec").get<std::string>().c_str());
+}
