--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -26,6 +26,13 @@
 /// owner hears of the failure instead of taking this daemon as unresponsive.
 constexpr std::chrono::milliseconds kAdviceReplyMargin{ 100 };
 
+/// Whether a caller's request makes such a record; all others are the owner's decisions.
+bool isCallersRecord(const scheduler::journal_record& aRecord)
+{
+  return std::holds_alternative<scheduler::job_submitted>(aRecord) ||
+         std::holds_alternative<scheduler::job_cancelled>(aRecord);
+}
+
 /// Returns the interval at which each of the owner's followers should send hellos.
 std::chrono::milliseconds helloInterval(std::size_t aFollowers)
 {
@@ -201,7 +208,7 @@
       }
     };
     const auto record = scheduler::decodeRecord((*records)[index]);
-    if (!record.ok() || !acceptLocally(*record, finish)) {
+    if (!record.ok() || !isCallersRecord(*record) || !acceptLocally(*record, finish)) {
       finish(write_outcome::refused);
     }
   }
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -376,6 +376,24 @@
   CHECK_FALSE(isOwner());
 }
 
+// Guards against jobs that are changed on the word of another daemon, which forwards nothing but
+// submissions and cancellations.
+TEST(cell_node, anOwnerStoresOnlyCallersRecordsForOthers)
+{
+  appendOwnerRecord(owner_record::kind::release);
+  CHECK(waitUntil([this] { return isOwner(); }));
+  const auto forward = [this](const scheduler::journal_record& aRecord) {
+    edges::raw_client peer(peerPort);
+    const std::vector<std::string> records{ scheduler::encode(aRecord) };
+    peer.send(edges::postRequest(std::string(kPeerStorePath), encodeForwardedRecords(records)));
+    const auto answer = peer.receiveAnswer();
+    return answer.empty() ? '?' : answer.back();
+  };
+  CHECK_EQUAL('s', forward(scheduler::job_cancelled{}));
+  CHECK_EQUAL('r', forward(scheduler::job_abandoned{}));
+  CHECK_EQUAL('r', forward(scheduler::run_ended{}));
+}
+
 // Guards against the loss of the cell: a daemon that was cut off while it stored a snapshot
 // replaced newer ones, whose journal records had been deleted.
 TEST(cell_node, aDaemonThatWasCutOffDoesNotReplaceNewerSnapshots)
