The shortcut of preemption doesn't rest on the table of routes

Cause: two parts of the changes of passes hold only while every run's route is in the owner's table of routes, and while steps leave the rack of their data by one rule: the lowest priority was taken from that table, a preempted run's priority was looked up there, and a step with a data rack stopped collecting targets early. A change of either rule would break them without a sign.

Change: the lowest priority counts the routes of all steps that have waited and never falls, which only makes the shortcut rarer; a preempted run carries the priority by which it was chosen; a step with a data rack collects all targets with room.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -128,8 +128,7 @@
   for (const auto& route : mConfig->mRoutes) {
     mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
   }
-  mLowestPriority = 0;
-  for (const auto& [name, route] : mRoutes) {
+  for (const auto& route : mConfig->mRoutes) {
     mLowestPriority = std::max(mLowestPriority, route.mPriority);
   }
   for (auto& [key, step] : mWaiting) {
@@ -212,6 +211,7 @@
     step.mJob = &aJob;
     step.mRoute = routeOf(aJob.mSpec.mRoute);
     step.mNeeds = step.spec().capacityNeeds();
+    mLowestPriority = std::max(mLowestPriority, step.mRoute.mPriority);
     const auto paths = criticalPaths(aJob.mSpec, step.mRoute);
     const auto longest = *std::ranges::max_element(paths);
     auto since = mSubmittedAt[aKey.mJob];
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -112,7 +112,7 @@
   struct preemption
   {
     candidate_target* mCandidate = nullptr;
-    std::vector<task_key> mVictims;
+    std::vector<preemptible_run> mVictims;
     std::uint32_t mTasks = 0;
   };
 
@@ -358,7 +358,8 @@
   bool mCapacityIsBeingFreed = false;
   /// CPU of all candidates of the current planning pass.
   std::int64_t mCandidateCpuMilli = 0;
-  /// Largest number of a priority among the known routes: steps of these preempt no other runs.
+  /// Largest number of a priority among the routes of all runs, or larger: steps of such a route
+  /// preempt no other runs.
   int mLowestPriority = 0;
   std::map<step_key, waiting_step> mWaiting;
   std::map<std::string, resources> mTeamUsed;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -322,7 +322,7 @@
   std::vector<placement> placements;
   std::size_t next = 0;
   const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
-  const auto most = anyRack ? wanted : std::numeric_limits<std::size_t>::max();
+  const auto most = rack.empty() ? wanted : std::numeric_limits<std::size_t>::max();
   for (auto* candidate : startableCandidates(aStep, aCandidates, most, aNow)) {
     if (next == wanted) {
       break;
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -64,7 +64,7 @@
   }
   auto free = aCandidate.mFree + aCandidate.mBeingFreed;
   preemption result{ .mCandidate = &aCandidate };
-  std::vector<task_key> victims;
+  std::vector<preemptible_run> victims;
   for (const auto& one : *aCandidate.mPreemptible) {
     const auto& run = aCandidate.mTarget->mRuns.find(one.mTask)->second;
     // Steps before this one may have had it stopped in the same pass.
@@ -72,7 +72,7 @@
       continue;
     }
     free += run.mNeeds;
-    victims.push_back(one.mTask);
+    victims.push_back(one);
     if (const auto tasks = std::min(aMost, maxTasksIn(aStep.mNeeds, free)); tasks > result.mTasks) {
       result.mTasks = tasks;
       result.mVictims = victims;
@@ -186,14 +186,14 @@
   aStep.mNextPreemption = aNow + (stops.empty() ? kFutilePreemptionPause : kPreemptInterval);
   for (const auto& stop : stops) {
     auto& target = *stop.mCandidate->mTarget;
-    for (const auto& task : stop.mVictims) {
+    for (const auto& victim : stop.mVictims) {
+      const auto& task = victim.mTask;
       auto& run = target.mRuns.find(task)->second;
       run.mStopWanted = true;
       run.mNextTry = aNow;
       stop.mCandidate->mBeingFreed += run.mNeeds;
       mCapacityIsBeingFreed = true;
-      const auto& preempted = mJobTable.find(task.mStep.mJob)->mSpec.mRoute;
-      mRoom.onPreempted(mRoutes.at(preempted).mPriority);
+      mRoom.onPreempted(victim.mPriority);
       mPort.logDecision("preempt",
                         fmt::format("task={} run={} target={} for_step={} deadline_slack_ms={}",
                                     toText(task), run.mRun, target.mEntry.mId, toText(aStep.mKey),
