The first advice calls of steps do not look at all targets

Cause: a step without verdicts collected all targets of its pool and then took the first ones with room, so that each advice call looked at every target: 34 calls of one pass made 116,705 visits with 1,100 targets.

Change: a step without a good verdict stops when it has as many targets with room as it may query. The same targets are queried, in the same order.

--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -76,6 +76,8 @@
   };
   std::uint32_t slots = 0;
   std::vector<const candidate_target*> unknown;
+  const bool hasGood = aStep.mAdvice.goodTargets() > 0;
+  std::size_t unknownWithRoom = 0;
   for (const auto position : withRoom) {
     const auto& candidate = aCandidates[position];
     const auto number = candidate.mTarget->mNumber;
@@ -84,6 +86,10 @@
     }
     if (aStep.mAdvice.verdictOn(number) == verdict::unknown) {
       unknown.push_back(&candidate);
+      // Targets with a good verdict come before these; without any, no more are needed.
+      if (!hasGood && slotsOf(candidate) > 0 && ++unknownWithRoom == most) {
+        break;
+      }
     } else if (slots < pending && queried.size() < most) {
       const auto here = slotsOf(candidate);
       if (here > 0) {
--- a/tests/scheduler/planning_pass_test.cpp
+++ b/tests/scheduler/planning_pass_test.cpp
@@ -137,6 +137,23 @@
   CHECK_COMPARE(most, <=, kMaxVisits);
 }
 
+TEST(planning_pass, theFirstAdviceCallOfAStepDoesNotVisitAllTargets)
+{
+  constexpr int helpers = 34;
+  addAdvice();
+  startOwner();
+  std::vector<std::string> names;
+  for (int index = 0; index < helpers; ++index) {
+    names.push_back("10.0.0." + std::to_string(index) + ":1");
+  }
+  cell.mOwner->setAdviceHelpers(names);
+  submitSteps(kSteps, step(1));
+  const auto most = mostVisits(milliseconds(15));
+  CHECK_COMPARE(cell.mAdvice.size(), >, helpers / 2U);
+  // A call asks for at most 100 targets.
+  CHECK_COMPARE(most, <=, kMaxVisits + cell.mAdvice.size() * 100);
+}
+
 // Guards against steps whose reason for waiting is not logged because many others wait too.
 TEST(planning_pass, theReasonForWaitingIsLoggedForEachOfManySteps)
 {
