Store with a job what it needs of its route

What callers saw: a job that was accepted never started if its route was removed and the owner changed after that.

Cause: a removed route is known only to the owner that has seen its configuration. A next owner has no pool for the job, and no number of attempts.

Change: the daemon that accepts a job stores the pool, priority, attempts, stretch, objective and advice terms of its route with the submission. The latest configuration of the route that an owner knows still comes first, so that a job starts only on a pool that a configuration has named for its route. Runs of removed routes can be preempted like others, as by the owner that saw the removal.

Attempts: a new owner may not have read the configuration in force yet, which may permit more of them than the one that accepted the job. A task that has used up the stored attempts therefore does not start again, but its job is abandoned only 2 s after the owner's start, the bound within which configurations are in force. This also keeps starvation.aJobOfARemovedRouteKeepsItsAttempts as it is.

Weighed against it: a record of the owner for each route that is removed.

The fixture stores the route with its jobs as the daemons do.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -172,6 +172,7 @@
   spec->mId = aId;
   spec->mRoute = aRoute.mName;
   spec->mTeam = aTeam;
+  spec->mAcceptedBy = jobTermsOf(aRoute);
   spec->mSubmitted = std::chrono::duration_cast<scheduler::wall_time>(
     std::chrono::system_clock::now().time_since_epoch());
   const auto reason =
--- a/scheduler/include/endiveusher/scheduler/cell_config.h
+++ b/scheduler/include/endiveusher/scheduler/cell_config.h
@@ -45,6 +45,9 @@
   bool mPublic = false;
 };
 
+/// Returns what jobs need of their route, without its address, timeout and access.
+route_config jobTermsOf(const route_config& aRoute);
+
 struct team_config
 {
   std::string mName;
--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -2,6 +2,7 @@
 
 #include "endiveusher/kernel/resources.h"
 #include "endiveusher/kernel/time.h"
+#include "endiveusher/scheduler/cell_config.h"
 
 #include <chrono>
 #include <compare>
@@ -78,6 +79,9 @@
   std::chrono::milliseconds mInterval{ 0 };
   std::uint32_t mRepeat = 0;
   wall_time mSubmitted{ 0 };
+  /// Route by which the job was accepted, see jobTermsOf(): the job outlives it. Absent in records
+  /// of earlier versions.
+  std::optional<route_config> mAcceptedBy;
 
   std::uint32_t occurrences() const { return mRepeat == 0 ? 1 : mRepeat; }
   /// Whether callers of the team may see the job. Callers of public routes have no team and see
--- a/scheduler/src/cell_config.cpp
+++ b/scheduler/src/cell_config.cpp
@@ -21,6 +21,17 @@
 
 } // namespace
 
+route_config jobTermsOf(const route_config& aRoute)
+{
+  return { .mName = aRoute.mName,
+           .mPool = aRoute.mPool,
+           .mPriority = aRoute.mPriority,
+           .mMaxAttempts = aRoute.mMaxAttempts,
+           .mStretch = aRoute.mStretch,
+           .mObjective = aRoute.mObjective,
+           .mAdvice = aRoute.mAdvice };
+}
+
 void cell_config::index()
 {
   std::set<std::size_t, std::greater<>> lengths;
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -61,16 +61,51 @@
            .mMaxUnavailable = aValue.at(15) };
 }
 
+json toJson(const route_config& aRoute)
+{
+  auto value = json::array({ aRoute.mPool, aRoute.mPriority, aRoute.mMaxAttempts, aRoute.mStretch,
+                             aRoute.mObjective.count() });
+  if (aRoute.mAdvice) {
+    value.push_back(aRoute.mAdvice->mPerCall.count());
+    value.push_back(aRoute.mAdvice->mPerTarget.count());
+    value.push_back(aRoute.mAdvice->mTicketLifetime.count());
+  }
+  return value;
+}
+
+route_config routeFrom(const json& aValue, const std::string& aName)
+{
+  route_config route{ .mName = aName,
+                      .mPool = aValue.at(0),
+                      .mPriority = aValue.at(1),
+                      .mMaxAttempts = aValue.at(2),
+                      .mStretch = aValue.at(3),
+                      .mObjective = std::chrono::milliseconds(aValue.at(4).get<std::int64_t>()) };
+  if (aValue.size() > 5) {
+    route.mAdvice =
+      advice_terms{ .mPerCall = std::chrono::microseconds(aValue.at(5).get<std::int64_t>()),
+                    .mPerTarget = std::chrono::microseconds(aValue.at(6).get<std::int64_t>()),
+                    .mTicketLifetime =
+                      std::chrono::milliseconds(aValue.at(7).get<std::int64_t>()) };
+  }
+  return route;
+}
+
 json toJson(const job_spec& aSpec)
 {
   json steps = json::array();
   for (const auto& step : aSpec.mSteps) {
     steps.push_back(toJson(step));
   }
-  return json::array({ number(aSpec.mId), aSpec.mRoute, aSpec.mTeam,
-                       json::binary({ aSpec.mPayload.begin(), aSpec.mPayload.end() }),
-                       std::move(steps), aSpec.mFirstDue.count(), aSpec.mInterval.count(),
-                       aSpec.mRepeat, aSpec.mSubmitted.count() });
+  auto value = json::array({ number(aSpec.mId), aSpec.mRoute, aSpec.mTeam,
+                             json::binary({ aSpec.mPayload.begin(), aSpec.mPayload.end() }),
+                             std::move(steps), aSpec.mFirstDue.count(), aSpec.mInterval.count(),
+                             aSpec.mRepeat, aSpec.mSubmitted.count() });
+  // Earlier versions ignore further elements.
+  if (aSpec.mAcceptedBy) {
+    value.push_back(toJson(*aSpec.mAcceptedBy));
+  }
+  return value;
 }
 
 job_spec specFrom(const json& aValue)
@@ -87,6 +122,9 @@
   for (const auto& step : aValue.at(4)) {
     spec.mSteps.push_back(stepFrom(step));
   }
+  if (aValue.size() > 9) {
+    spec.mAcceptedBy = routeFrom(aValue.at(9), spec.mRoute);
+  }
   return spec;
 }
 
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -129,15 +129,25 @@
     mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
   }
   for (auto& [key, step] : mWaiting) {
-    step.mRoute = routeOf(step.mJob->mSpec.mRoute);
+    step.mRoute = routeOf(step.mJob->mSpec);
+    step.mWaitsForRoute = waitsForRoute(step);
   }
   mPlanNeeded = true;
 }
 
-route_config owner::impl::routeOf(const std::string& aName) const
+const route_config* owner::impl::findRoute(const job_spec& aJob) const
 {
-  const auto found = mRoutes.find(aName);
-  return found == mRoutes.end() ? route_config{ .mName = aName } : found->second;
+  const auto found = mRoutes.find(aJob.mRoute);
+  if (found != mRoutes.end()) {
+    return &found->second;
+  }
+  return aJob.mAcceptedBy ? &*aJob.mAcceptedBy : nullptr;
+}
+
+route_config owner::impl::routeOf(const job_spec& aJob) const
+{
+  const auto* found = findRoute(aJob);
+  return found == nullptr ? route_config{ .mName = aJob.mRoute } : *found;
 }
 
 void owner::impl::onRecordApplied(job& aJob, time_point aNow, wall_time aWall)
@@ -206,7 +216,7 @@
   if (isNew) {
     step.mKey = aKey;
     step.mJob = &aJob;
-    step.mRoute = routeOf(aJob.mSpec.mRoute);
+    step.mRoute = routeOf(aJob.mSpec);
     step.mNeeds = step.spec().capacityNeeds();
     const auto paths = criticalPaths(aJob.mSpec, step.mRoute);
     const auto longest = *std::ranges::max_element(paths);
@@ -234,6 +244,7 @@
       step.mPending.push_back(index);
     }
   }
+  step.mWaitsForRoute = waitsForRoute(step);
   updateSuspicion(step, *state, aNow);
   if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
     // Each restart has its own deadline, also if the step has run for hours.
@@ -312,7 +323,7 @@
     dropSteps(aJob.mSpec.mId);
     return;
   }
-  if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask)) {
+  if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask) && knowsAttempts(aJob, aNow)) {
     abandon(aJob, aTask, "attempts", aNow);
     return;
   }
@@ -411,7 +422,10 @@
 {
   mTickLag += (std::max(aNow - mNextTick, duration{ 0 }) - mTickLag) / kTickLagWeight;
   openDueOccurrences(aNow, aWall);
-  if (std::exchange(mRouteAdded, false)) {
+  const bool checksUnknownRoutes =
+    !mUnknownRoutesChecked && mConfig && aNow - mEpochStart >= internal::kConfigurationTime;
+  mUnknownRoutesChecked = mUnknownRoutesChecked || checksUnknownRoutes;
+  if (std::exchange(mRouteAdded, false) || checksUnknownRoutes) {
     abandonAfterLastAttempts(aNow);
   }
   if (!std::exchange(mUnlistedTargetsLogged, true)) {
--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -57,23 +57,36 @@
 
 bool owner::impl::attemptsUsedUp(const job& aJob, const task_key& aTask) const
 {
-  // The attempts of a route that was removed before this epoch are unknown. No task of it starts
-  // until the route is back.
-  const auto route = mRoutes.find(aJob.mSpec.mRoute);
-  return route != mRoutes.end() && !aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning &&
-         failuresOf(aJob, aTask) >= route->second.mMaxAttempts;
+  const auto* route = findRoute(aJob.mSpec);
+  return route != nullptr && !aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning &&
+         failuresOf(aJob, aTask) >= route->mMaxAttempts;
+}
+
+bool owner::impl::knowsAttempts(const job& aJob, time_point aNow) const
+{
+  // A route may permit more attempts now than when it accepted the job.
+  return mRoutes.contains(aJob.mSpec.mRoute) ||
+         (mConfig && aNow - mEpochStart >= internal::kConfigurationTime);
+}
+
+bool owner::impl::waitsForRoute(const waiting_step& aStep) const
+{
+  return !mRoutes.contains(aStep.mJob->mSpec.mRoute) &&
+         std::ranges::any_of(aStep.mPending, [&](std::uint32_t aIndex) {
+           return attemptsUsedUp(*aStep.mJob, { .mStep = aStep.mKey, .mIndex = aIndex });
+         });
 }
 
 void owner::impl::abandon(job& aJob, const task_key& aTask, std::string_view aReason,
                           time_point aNow)
 {
   const auto id = aJob.mSpec.mId;
-  mPort.logDecision(
-    "job_failed", fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
-                              "start_losses={}",
-                              toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
-                              routeOf(aJob.mSpec.mRoute).mMaxAttempts,
-                              taskOf(aJob, aTask).mTargetLosses, taskOf(aJob, aTask).mStartLosses));
+  mPort.logDecision("job_failed",
+                    fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
+                                "start_losses={}",
+                                toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
+                                routeOf(aJob.mSpec).mMaxAttempts, taskOf(aJob, aTask).mTargetLosses,
+                                taskOf(aJob, aTask).mStartLosses));
   append(job_abandoned{ .mJob = id }, aNow);
   stopRuns(aJob, aNow);
   dropSteps(id);
@@ -85,7 +98,7 @@
   for (const auto& [key, step] : mWaiting) {
     for (const auto index : step.mPending) {
       const task_key task{ .mStep = key, .mIndex = index };
-      if (attemptsUsedUp(*step.mJob, task)) {
+      if (attemptsUsedUp(*step.mJob, task) && knowsAttempts(*step.mJob, aNow)) {
         failed.try_emplace(key.mJob, task, "attempts");
       } else if (taskOf(*step.mJob, task).mTargetLosses >= kMaxTargetLosses ||
                  taskOf(*step.mJob, task).mStartLosses >= kMaxStartLosses) {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -128,12 +128,21 @@
   static std::uint32_t failuresOf(const job& aJob, const task_key& aTask);
   /// Whether the task has failed as often as its route permits.
   bool attemptsUsedUp(const job& aJob, const task_key& aTask) const;
+  /// Whether the job may be abandoned for that: its route is configured, or configurations that
+  /// the owner has not read yet are no reason any more that it is not.
+  bool knowsAttempts(const job& aJob, time_point aNow) const;
+  /// Whether the step has such a task and waits for its route to be configured.
+  bool waitsForRoute(const waiting_step& aStep) const;
   /// Records the failure of the job because of aTask and stops its runs.
   void abandon(job& aJob, const task_key& aTask, std::string_view aReason, time_point aNow);
-  /// Abandons waiting jobs that used up their attempts while their route was unknown, or whose
-  /// tasks had lost as many targets as permitted when a former owner ended.
+  /// Abandons waiting jobs that used up their attempts while their route was not configured, or
+  /// whose tasks had lost as many targets as permitted when a former owner ended.
   void abandonAfterLastAttempts(time_point aNow);
-  route_config routeOf(const std::string& aName) const;
+  /// Returns the latest known configuration of the job's route; without one, what the job was
+  /// accepted by.
+  route_config routeOf(const job_spec& aJob) const;
+  /// The same; nullptr if there is neither.
+  const route_config* findRoute(const job_spec& aJob) const;
 
   // Runs.
   /// Returns the target with the id, creating it if it is new.
@@ -327,6 +336,8 @@
   std::map<std::string, route_config> mRoutes;
   /// Whether a route has become known since the last tick, or there was no tick yet.
   bool mRouteAdded = true;
+  /// Whether the jobs of routes that are not configured have been looked through after the start.
+  bool mUnknownRoutesChecked = false;
   bool mUnlistedTargetsLogged = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -51,7 +51,7 @@
 {
   return aTarget.mListed && !aTarget.mEntry.mDraining &&
          !mClosedZones.contains(aTarget.mEntry.mZone) &&
-         isSuitable(aTarget, routeOf(aJob.mSpec.mRoute), aJob.mSpec.mSteps[aStep.mStep]);
+         isSuitable(aTarget, routeOf(aJob.mSpec), aJob.mSpec.mSteps[aStep.mStep]);
 }
 
 bool owner::impl::orderable(const run_started& aStart, time_point aNow)
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -42,11 +42,11 @@
       continue;
     }
     const auto& spec = owning->mSpec.mSteps[task.mStep.mStep];
-    const auto route = mRoutes.find(owning->mSpec.mRoute);
+    const auto* route = findRoute(owning->mSpec);
     if (spec.mCheckpointing && !spec.mGang && !spec.mLongRunning && spec.mMaxUnavailable == 0 &&
-        !spec.mUsesIdleCpu && route != mRoutes.end()) {
+        !spec.mUsesIdleCpu && route != nullptr) {
       found.push_back(
-        { .mCpuMilli = run.mNeeds.mCpuMilli, .mTask = task, .mPriority = route->second.mPriority });
+        { .mCpuMilli = run.mNeeds.mCpuMilli, .mTask = task, .mPriority = route->mPriority });
     }
   }
   std::ranges::sort(found, std::greater<>{}, [](const preemptible_run& aOne) {
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -112,6 +112,10 @@
 /// Interval at which the reason for a step's waiting is logged.
 inline constexpr auto kWaitLogInterval = std::chrono::milliseconds(3000);
 
+/// Time after its start within which an owner has read the configuration that is in force, by the
+/// bound that operators are given for that.
+inline constexpr auto kConfigurationTime = std::chrono::milliseconds(2000);
+
 /// A step with tasks that wait to be started.
 struct waiting_step
 {
@@ -150,12 +154,15 @@
   std::optional<time_point> mTeamHoldSince;
   /// Whether the step ignores these reservations, in the current planning pass.
   bool mIgnoresTeamReservations = false;
+  /// Whether a task has used up its attempts, by a route that is not configured at present.
+  bool mWaitsForRoute = false;
 
   const step_spec& spec() const { return mJob->mSpec.mSteps[mKey.mStep]; }
   /// Whether enough tasks wait: a gang starts as a whole.
   bool startable() const
   {
-    return !mPending.empty() && (!spec().mGang || mPending.size() == spec().mCount);
+    return !mWaitsForRoute && !mPending.empty() &&
+           (!spec().mGang || mPending.size() == spec().mCount);
   }
 };
 
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -127,6 +127,15 @@
   STRCMP_EQUAL(R"({"state":"queued"})", answers.back().mBody.c_str());
 }
 
+// Guards against a job that never starts after its route was removed and the owner has changed.
+TEST(request_handler, storesWhatAJobNeedsOfItsRoute)
+{
+  call(kSubmit, kPath);
+  const auto* accepted = jobTable.find(static_cast<job_id>(0xaa));
+  CHECK(accepted != nullptr && accepted->mSpec.mAcceptedBy);
+  CHECK_EQUAL("p", accepted->mSpec.mAcceptedBy->mPool);
+}
+
 // Guards against a confirmed job that is lost with the owner: the owner's table includes a job that
 // another daemon has forwarded before the journal holds it.
 TEST(request_handler, doesNotConfirmARepetitionBeforeTheJobIsStored)
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -161,7 +161,8 @@
                    .mTeam = aTeam,
                    .mPayload = "p",
                    .mSteps = std::move(aSteps),
-                   .mSubmitted = wall() };
+                   .mSubmitted = wall(),
+                   .mAcceptedBy = termsOfRoute(aRoute) };
     storeFromOtherDaemon(job_submitted{ .mSpec = std::move(spec) });
     return static_cast<job_id>(mLastJob);
   }
@@ -177,7 +178,8 @@
                    .mFirstDue = wall(),
                    .mInterval = aInterval,
                    .mRepeat = aRepeat,
-                   .mSubmitted = wall() };
+                   .mSubmitted = wall(),
+                   .mAcceptedBy = termsOfRoute("batch") };
     storeFromOtherDaemon(job_submitted{ .mSpec = std::move(spec) });
     return static_cast<job_id>(mLastJob);
   }
@@ -314,6 +316,13 @@
     std::uint32_t mRun = 0;
   };
 
+  /// What a daemon that accepts a job stores of its route.
+  std::optional<route_config> termsOfRoute(const std::string& aName) const
+  {
+    const auto found = std::ranges::find(mConfig.mRoutes, aName, &route_config::mName);
+    return found == mConfig.mRoutes.end() ? std::nullopt : std::optional(jobTermsOf(*found));
+  }
+
   void storeFromOtherDaemon(journal_record aRecord)
   {
     mJournal.push_back(aRecord);
