Log which gang holds back a step that waits for its team's limit

Change: held_by names the gang that reserves the most CPU of the limit, if the step would fit without reservations; otherwise it is "-".

wait_log.namesTheGangThatReservesTheTeamsLimit and namesNoGangIfTheLimitIsUsedUp pass; the first cannot pass without the field. scheduler_tests: 194 ran, 0 failures.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -268,6 +268,9 @@
   resources teamUsage(const std::string& aTeam) const;
   /// Returns the number of tasks of the step that fit into its team's limit.
   std::uint32_t teamSlots(const waiting_step& aStep) const;
+  /// Returns the gang that reserves the most of the team's limit, if enough for aSlots tasks of the
+  /// step would be left without reservations; otherwise "-".
+  std::string reserverFor(const waiting_step& aStep, std::uint32_t aSlots) const;
   /// Decides whether the step ignores the reservations in its team's limit in this planning pass.
   void updateTeamHold(waiting_step& aStep, time_point aNow) const;
   void reserveTeamLimit(const waiting_step& aStep, time_point aNow);
@@ -382,7 +385,14 @@
   overload_admission mAdmission;
   time_point mLastFlush{};
   /// Resources reserved for waiting gangs within their teams' limits, in the current pass.
-  std::map<std::string, resources> mTeamReserved;
+  struct team_reservation
+  {
+    resources mTotal;
+    /// The gang that reserves the most CPU, and how much.
+    step_key mLargest;
+    std::int64_t mLargestCpuMilli = -1;
+  };
+  std::map<std::string, team_reservation> mTeamReserved;
   /// CPU reserved for waiting gangs in the current pass.
   std::int64_t mReservedCpuMilli = 0;
 };
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -136,11 +136,23 @@
     return untilHalf;
   }
   if (const auto reserved = mTeamReserved.find(team->mName); reserved != mTeamReserved.end()) {
-    usage += reserved->second;
+    usage += reserved->second.mTotal;
   }
   return slotsWithin(team->mUpperLimit, usage, needs);
 }
 
+std::string owner::impl::reserverFor(const waiting_step& aStep, std::uint32_t aSlots) const
+{
+  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  if (team == nullptr) {
+    return "-";
+  }
+  const auto reserved = mTeamReserved.find(team->mName);
+  const bool wouldFit =
+    slotsWithin(team->mUpperLimit, teamUsage(team->mName), aStep.spec().mNeeds) >= aSlots;
+  return reserved != mTeamReserved.end() && wouldFit ? toText(reserved->second.mLargest) : "-";
+}
+
 /// Bounds the time for which a step waits behind reservations in its team's limit. Load pattern: a
 /// gang needs more than is left of the limit, or finds no capacity, for as long as other tasks run;
 /// meanwhile the team's other steps could run.
@@ -281,12 +293,13 @@
     "step_waiting",
     fmt::format("step={} route={} waited_ms={} pending={}/{} reason={} allowed_targets={} "
                 "slots={} good_slots={} tickets={} ticket_slots={} replies={} cpu={} mem={} "
-                "band={}",
+                "band={} held_by={}",
                 toText(aStep.mKey), aStep.mRoute.mName,
                 (aNow - aStep.mWaitingSince) / std::chrono::milliseconds(1), aStep.mPending.size(),
                 aStep.spec().mCount, reason, allowedTargets, slots, goodSlots, tickets,
                 ticketSlots(aStep, aNow), aStep.mAdvice.mReplies, aStep.mNeeds.mCpuMilli,
-                aStep.mNeeds.mMemoryMb, internal::rankOf(aStep, aNow).mBand));
+                aStep.mNeeds.mMemoryMb, internal::rankOf(aStep, aNow).mBand,
+                teamSlots(aStep) < neededSlots ? reserverFor(aStep, neededSlots) : "-"));
 }
 
 void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
@@ -405,7 +418,12 @@
       (team != nullptr && !withinLimit(needs, team->mUpperLimit))) {
     return;
   }
-  mTeamReserved[aStep.mJob->mSpec.mTeam] += needs;
+  auto& reserved = mTeamReserved[aStep.mJob->mSpec.mTeam];
+  reserved.mTotal += needs;
+  if (needs.mCpuMilli > reserved.mLargestCpuMilli) {
+    reserved.mLargest = aStep.mKey;
+    reserved.mLargestCpuMilli = needs.mCpuMilli;
+  }
 }
 
 /// Reserves capacity for a waiting gang. Load pattern: small tasks fill every gap that wide gangs
