Admit jobs by the wait that the backlog means for them

Cause: a job was rejected only while ticks were more than 150 ms late, and then only from a team beyond its share. Until then the owner accepted more than it could start in time. What is late already is placed after on-time work, but each turn of the loop takes longer the more steps wait, of whatever rank, so that new work is late too: the backlog feeds itself.

A late result has value up to three periods, so the value deadline is the limit. Only if the loop is behind and most units start late does the first rule not hold.

Change: backlog_estimate (units waiting by pool, room, rank and team; rate of starts of the last 2 s while the pool is saturated; no rate, no rejection), with Retry-After from the backlog, 1 to 10 s, carried to the daemon that has the caller. A team may use its share of the rate by weight. Work that needs more CPU at once than the job, as wide gangs, does not count.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -48,7 +48,7 @@
 
 void caller_record_writer::store(const scheduler::journal_record& aRecord, done_callback aDone)
 {
-  const done_callback local = [this, aRecord, aDone](write_outcome aOutcome) {
+  const done_callback local = [this, aRecord, aDone](caller_outcome aOutcome) {
     if (aOutcome == write_outcome::stored || aOutcome == write_outcome::overloaded) {
       aDone(aOutcome);
     } else {
@@ -130,7 +130,12 @@
     if (found == mForwarded.end()) {
       continue;
     }
-    const auto result = complete ? static_cast<forward_result>(aReply.mBody[index]) : fallback;
+    const auto retryAfter =
+      complete ? decodeRetryAfter(aReply.mBody[index]) : std::chrono::seconds{ 0 };
+    auto result = complete ? static_cast<forward_result>(aReply.mBody[index]) : fallback;
+    if (retryAfter.count() > 0) {
+      result = forward_result::overloaded;
+    }
     if (aGeneration != mGeneration && result != forward_result::stored) {
       continue; // The record is, or will be, sent to the new owner.
     }
@@ -140,7 +145,8 @@
       one.mDone(write_outcome::stored);
     } else if (result == forward_result::overloaded) {
       // A former owner may have stored it.
-      one.mDone(one.mUncertain ? write_outcome::unknown : write_outcome::overloaded);
+      one.mDone(one.mUncertain ? caller_outcome(write_outcome::unknown)
+                               : caller_outcome(write_outcome::overloaded, retryAfter));
     } else {
       append(std::move(one.mBytes), one.mUncertain || result != forward_result::refused,
              std::move(one.mDone));
--- a/node/src/caller_record_writer.h
+++ b/node/src/caller_record_writer.h
@@ -6,6 +6,7 @@
 #include "journal_writer.h"
 #include "owner_client.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +16,20 @@
 
 namespace endiveusher::node {
 
+/// Outcome of writing a caller's record; used as a write_outcome wherever that is enough.
+struct caller_outcome
+{
+  caller_outcome(write_outcome aOutcome, std::chrono::seconds aRetryAfter = {})
+    : mOutcome(aOutcome), mRetryAfter(aRetryAfter)
+  {
+  }
+  operator write_outcome() const { return mOutcome; }
+
+  write_outcome mOutcome;
+  /// Time after which the caller of an overloaded owner should come back; 0 if it is not known.
+  std::chrono::seconds mRetryAfter;
+};
+
 /// Writes the records of callers to the journal: through the owner if it is reachable, else
 /// directly.
 ///
@@ -27,7 +42,7 @@
 class caller_record_writer
 {
 public:
-  using done_callback = std::function<void(write_outcome aOutcome)>;
+  using done_callback = std::function<void(caller_outcome aOutcome)>;
   /// Passes a record to the owner in this process; returns false if this daemon is not the owner.
   using local_store =
     std::function<bool(const scheduler::journal_record& aRecord, const done_callback& aDone)>;
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -186,7 +186,7 @@
   const auto all = std::make_shared<progress>(
     progress{ .mResults = std::string(records->size(), '?'), .mOpen = records->size() });
   for (std::size_t index = 0; index < records->size(); ++index) {
-    const auto finish = [all, index, responder = aRequest.mResponder](write_outcome aOutcome) {
+    const auto finish = [all, index, responder = aRequest.mResponder](caller_outcome aOutcome) {
       auto result = forward_result::unknown;
       if (aOutcome == write_outcome::stored) {
         result = forward_result::stored;
@@ -195,7 +195,9 @@
       } else if (aOutcome == write_outcome::overloaded) {
         result = forward_result::overloaded;
       }
-      all->mResults[index] = static_cast<char>(result);
+      all->mResults[index] = aOutcome.mRetryAfter.count() > 0
+                               ? encodeRetryAfter(aOutcome.mRetryAfter)
+                               : static_cast<char>(result);
       if (--all->mOpen == 0) {
         responder.answer({ .mBody = std::move(all->mResults) });
       }
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -94,10 +94,11 @@
   }
   const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
   // A job that is known was accepted before; its repetition is confirmed.
-  if (submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) == nullptr &&
-      !mOwner->admits(submitted->mSpec.mTeam)) {
-    aDone(write_outcome::overloaded);
-    return true;
+  if (submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) == nullptr) {
+    if (const auto retryAfter = mOwner->rejection(submitted->mSpec, now)) {
+      aDone({ write_outcome::overloaded, *retryAfter });
+      return true;
+    }
   }
   mUnstoredCallerRecords[++mLastToken] = { .mDone = aDone, .mRecord = recordKey(aRecord) };
   const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <span>
@@ -152,6 +153,25 @@
   unknown = 'u',
 };
 
+/// In place of forward_result::overloaded, the reply holds the time after which the caller should
+/// come back: this value plus the seconds, from 1 to kMaxForwardedRetryAfter.
+inline constexpr int kRetryAfterOffset = 128;
+inline constexpr std::chrono::seconds kMaxForwardedRetryAfter{ 60 };
+
+inline char encodeRetryAfter(std::chrono::seconds aTime)
+{
+  const auto time = std::clamp(aTime, std::chrono::seconds(1), kMaxForwardedRetryAfter);
+  return static_cast<char>(kRetryAfterOffset + time.count());
+}
+
+/// Returns the time that a result in the reply states; 0 if it states none.
+inline std::chrono::seconds decodeRetryAfter(char aResult)
+{
+  const std::chrono::seconds time(static_cast<unsigned char>(aResult) - kRetryAfterOffset);
+  return time > kMaxForwardedRetryAfter ? std::chrono::seconds{ 0 }
+                                        : std::max(time, std::chrono::seconds{ 0 });
+}
+
 inline std::string encodeForwardedRecords(std::span<const std::string> aRecords)
 {
   auto records = nlohmann::json::array();
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -14,7 +14,8 @@
 constexpr std::chrono::milliseconds kReplyMargin{ 150 };
 /// Retry delay after a failure that another daemon may not have, or that may pass within a second.
 constexpr std::chrono::seconds kRetryAfterTransient{ 1 };
-/// Retry delay of a job that was rejected because the owner is behind; a burst lasts some seconds.
+/// Retry delay of a job that was rejected by an overloaded owner that has stated none; a burst
+/// lasts some seconds.
 constexpr std::chrono::seconds kRetryAfterOverload{ 2 };
 /// Retry delay of a job that can never fit unless the operator changes the configuration.
 constexpr std::chrono::seconds kRetryAfterConfigChange{ 60 };
@@ -197,12 +198,13 @@
   auto& pending = mPending[aKey];
   pending.mSince = now;
   pending.mCallers.push_back(makeCaller(aCall, std::move(aReply)));
-  mRecordWriter.store(
-    aRecord, [this, aKey, aRecord](write_outcome aOutcome) { onWritten(aKey, aRecord, aOutcome); });
+  mRecordWriter.store(aRecord, [this, aKey, aRecord](caller_outcome aOutcome) {
+    onWritten(aKey, aRecord, aOutcome);
+  });
 }
 
 void request_handler::onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
-                                write_outcome aOutcome)
+                                caller_outcome aOutcome)
 {
   if (aOutcome == write_outcome::stored) {
     mOnStored(aRecord);
@@ -222,7 +224,9 @@
     if (aOutcome == write_outcome::unknown) {
       replyUnknownOutcome(one, subject, pending.mSince);
     } else if (aOutcome == write_outcome::overloaded) {
-      reject(one.mReply, 429, kRetryAfterOverload, subject, "the team has too many waiting tasks");
+      const bool isStated = aOutcome.mRetryAfter.count() > 0;
+      reject(one.mReply, 429, isStated ? aOutcome.mRetryAfter : kRetryAfterOverload, subject,
+             "too much work is waiting");
     } else if (aOutcome != write_outcome::stored) {
       reject(one.mReply, 503, kRetryAfterTransient, subject, "the store has refused it");
     } else {
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -163,7 +163,7 @@
   void store(const platform::caller_request& aCall, caller_record aKey,
              const scheduler::journal_record& aRecord, reply aReply);
   void onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
-                 write_outcome aOutcome);
+                 caller_outcome aOutcome);
   /// Returns the job if callers of the team may see it, else null; jobs of public routes are
   /// visible to all.
   const scheduler::job* findVisible(scheduler::job_id aId, std::string_view aTeam) const;
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -91,8 +92,10 @@
   /// for the next call.
   time_point tick(time_point aNow, wall_time aWall);
 
-  /// Whether a new job of the team is to be accepted now, see overload_admission.
-  bool admits(std::string_view aTeam) const;
+  /// Whether a new job is to be rejected now: returns the time after which its caller should come
+  /// back, or nothing if it is to be accepted. See overload_admission, for an owner whose loop is
+  /// behind, and internal::backlog_estimate, for work that would start too late to have any value.
+  std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
   /// Whether all records of this owner are in the journal.
   bool allStored() const;
   /// Whether a target has seen a higher epoch, so that this owner has to step down.
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -59,6 +59,12 @@
   return paths;
 }
 
+/// Returns the time from the submission in which a job with this critical path is on time.
+duration onTimePeriod(duration aCriticalPath, const route_config& aRoute)
+{
+  return std::chrono::duration_cast<duration>(aCriticalPath * aRoute.mStretch) + aRoute.mObjective;
+}
+
 /// Whether any task of the occurrence has ever been started.
 bool hasStarted(const job& aJob, std::uint32_t aOccurrence)
 {
@@ -216,8 +222,7 @@
       // An occurrence that has started is due, also if this daemon's clock is behind.
       step.mNotBefore = hasStarted(aJob, aKey.mOccurrence) ? aNow : since;
     }
-    const auto period =
-      std::chrono::duration_cast<duration>(longest * step.mRoute.mStretch) + step.mRoute.mObjective;
+    const auto period = onTimePeriod(longest, step.mRoute);
     step.mDeadline = since + period;
     step.mValueDeadline = since + kValuePeriods * period;
     step.mRemainingWork = paths[aKey.mStep];
@@ -243,6 +248,29 @@
   mPlanNeeded = true;
 }
 
+std::optional<internal::new_work> owner::impl::newWork(const job_spec& aSpec, time_point aNow) const
+{
+  const auto route = routeOf(aSpec.mRoute);
+  const auto paths = criticalPaths(aSpec, route);
+  const auto longest = std::ranges::max_element(paths);
+  // The longest path begins with a step that waits for no other.
+  if (longest == paths.end() || aSpec.mRepeat != 0 ||
+      std::ranges::any_of(aSpec.mSteps, &step_spec::mLongRunning)) {
+    return std::nullopt;
+  }
+  const auto& first = aSpec.mSteps[static_cast<std::size_t>(longest - paths.begin())];
+  const auto period = onTimePeriod(*longest, route);
+  return internal::new_work{ .mRank = internal::rankOnTime(aNow + period, *longest, route.mPriority,
+                                                           { .mJob = aSpec.mId }),
+                             .mPriority = route.mPriority,
+                             .mRoom = internal::roomClassOf(first),
+                             .mUnits = first.mGang ? 1 : first.mCount,
+                             .mPool = route.mPool,
+                             .mTeam = aSpec.mTeam,
+                             .mOnTimeWait = period - *longest,
+                             .mValueWait = kValuePeriods * period - *longest };
+}
+
 void owner::impl::dropSteps(job_id aJob)
 {
   const auto first = mWaiting.lower_bound(step_key{ .mJob = aJob });
@@ -360,6 +388,9 @@
   mNextBatch.mTokens.push_back(aToken);
   if (changed != nullptr) {
     onRecordApplied(*changed, aNow, aWall);
+    if (std::holds_alternative<job_submitted>(aRecord)) {
+      addToBacklog(changed->mSpec, aNow);
+    }
   }
 }
 
@@ -451,6 +482,7 @@
       mNextPlan = aNow + mOptions.mPlanInterval + planPause();
     }
   }
+  updateBacklog(aNow);
   const bool urgent = !mNextBatch.mStarts.empty() || !mNextBatch.mTokens.empty();
   const auto interval = urgent ? kStoreInterval : kEndStoreInterval;
   if (mBatchesInFlight.empty() && mLastFlush + interval <= aNow) {
@@ -589,9 +621,9 @@
   return mImpl->tick(aNow, aWall);
 }
 
-bool owner::admits(std::string_view aTeam) const
+std::optional<std::chrono::seconds> owner::rejection(const job_spec& aJob, time_point aNow) const
 {
-  return mImpl->admits(aTeam);
+  return mImpl->rejection(aJob, aNow);
 }
 
 bool owner::fenced() const
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advice_dispatcher.h"
+#include "backlog_estimate.h"
 #include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
 #include "target_state.h"
@@ -41,7 +42,7 @@
   void adoptEnds(std::span<const run_ended> aEnds, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
-  bool admits(std::string_view aTeam) const;
+  std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
   owner_counts counts() const;
   std::string dump() const;
 
@@ -134,6 +135,14 @@
   /// tasks had lost as many targets as permitted when a former owner ended.
   void abandonAfterLastAttempts(time_point aNow);
   route_config routeOf(const std::string& aName) const;
+  /// Returns what the job adds to the waiting work; absent if it is always accepted: it has
+  /// occurrences, most of which are due later, or long-running tasks, which have no deadline.
+  std::optional<internal::new_work> newWork(const job_spec& aSpec, time_point aNow) const;
+  void addToBacklog(const job_spec& aSpec, time_point aNow);
+  /// Counts the waiting work for the admission of jobs.
+  void updateBacklog(time_point aNow);
+  /// Counts a unit of the backlog for a task that has started.
+  void countStart(const task_key& aTask, time_point aNow);
 
   // Runs.
   /// Returns the target with the id, creating it if it is new.
@@ -364,6 +373,10 @@
   time_point mNextTick = time_point::max();
   std::chrono::duration<double, duration::period> mTickLag{ 0 };
   overload_admission mAdmission;
+  internal::backlog_estimate mBacklog;
+  time_point mNextBacklog{};
+  /// Time up to which the event loop counts as behind in the admission of jobs.
+  time_point mBehindUntil{};
   time_point mLastFlush{};
   /// Resources reserved for waiting gangs within their teams' limits, in the current pass.
   std::map<std::string, resources> mTeamReserved;
--- a/scheduler/src/owner_overload.cpp
+++ b/scheduler/src/owner_overload.cpp
@@ -12,6 +12,16 @@
 /// second.
 constexpr int kPlanLagFactor = 2;
 constexpr auto kMaxPlanPause = std::chrono::milliseconds(80);
+/// Time after which the caller of a job should come back that was rejected because the loop is
+/// behind; a burst lasts some seconds.
+constexpr std::chrono::seconds kRetryAfterLag{ 2 };
+/// Mean lateness of ticks, of one usual interval, from which the loop counts as behind for the
+/// admission of jobs, and how long after that: with less work the lateness falls at once, and with
+/// the next work it rises again.
+constexpr auto kBehindLag = std::chrono::milliseconds(20);
+constexpr auto kBehindPeriod = std::chrono::seconds(2);
+/// Interval at which the waiting work is counted; at 5,000 waiting steps a count takes some 2 ms.
+constexpr auto kBacklogInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -24,10 +34,70 @@
                             kMaxPlanPause);
 }
 
-bool owner::impl::admits(std::string_view aTeam) const
+std::optional<std::chrono::seconds> owner::impl::rejection(const job_spec& aJob,
+                                                           time_point aNow) const
 {
-  return !mConfig ||
-         mAdmission.admits(aTeam, *mConfig, std::chrono::duration_cast<duration>(mTickLag));
+  if (!mConfig) {
+    return std::nullopt;
+  }
+  if (!mAdmission.admits(aJob.mTeam, *mConfig, std::chrono::duration_cast<duration>(mTickLag))) {
+    return kRetryAfterLag;
+  }
+  const auto work = newWork(aJob, aNow);
+  return work ? mBacklog.retryAfter(*work, *mConfig, aNow < mBehindUntil, aNow) : std::nullopt;
+}
+
+void owner::impl::addToBacklog(const job_spec& aSpec, time_point aNow)
+{
+  if (const auto work = newWork(aSpec, aNow)) {
+    mBacklog.add(*work);
+  }
+}
+
+void owner::impl::updateBacklog(time_point aNow)
+{
+  if (mTickLag > kBehindLag) {
+    mBehindUntil = aNow + kBehindPeriod;
+  }
+  if (!mConfig || mNextBacklog > aNow) {
+    return;
+  }
+  mNextBacklog = aNow + kBacklogInterval;
+  std::vector<internal::waiting_units> waiting;
+  for (const auto& [key, step] : mWaiting) {
+    if (!step.startable() || step.mNotBefore > aNow || step.spec().mLongRunning ||
+        !step.spec().mRequiredLabel.empty()) {
+      continue;
+    }
+    // A team's limit delays only that team.
+    if (teamSlots(step) == 0) {
+      continue;
+    }
+    waiting.push_back(
+      { .mRank = internal::rankOf(step, aNow),
+        .mRoom = internal::roomClassOf(step.spec()),
+        .mUnits = step.spec().mGang ? 1 : static_cast<std::uint32_t>(step.mPending.size()),
+        .mIsOld = aNow - step.mWaitingSince >= internal::backlog_estimate::kOldWait,
+        .mPool = step.mRoute.mPool,
+        .mTeam = step.mJob->mSpec.mTeam });
+  }
+  mBacklog.setWaiting(std::move(waiting), aNow);
+}
+
+void owner::impl::countStart(const task_key& aTask, time_point aNow)
+{
+  const auto* owning = mJobTable.find(aTask.mStep.mJob);
+  if (owning == nullptr) {
+    return;
+  }
+  const auto& spec = owning->mSpec.mSteps[aTask.mStep.mStep];
+  if (!spec.mGang || aTask.mIndex == 0) {
+    const auto step = mWaiting.find(aTask.mStep);
+    const bool onTime = step != mWaiting.end() &&
+                        internal::rankOf(step->second, aNow).mBand <= internal::kLastOnTimeBand;
+    mBacklog.onStarted(routeOf(owning->mSpec.mRoute).mPool, internal::roomClassOf(spec), onTime,
+                       aNow);
+  }
 }
 
 } // namespace endiveusher::scheduler
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -173,6 +173,16 @@
   auto operator<=>(const step_rank&) const = default;
 };
 
+/// Returns the rank of a step that can meet its deadline.
+inline step_rank rankOnTime(time_point aDeadline, duration aRemainingWork, int aPriority,
+                            const step_key& aKey)
+{
+  return { .mBand = aPriority == 0 ? 0 : kLastOnTimeBand,
+           .mLatestStart = aDeadline - aRemainingWork -
+                           std::chrono::duration_cast<duration>(kEstimateMargin * aRemainingWork),
+           .mKey = aKey };
+}
+
 /// Returns the rank of a step. Load pattern: a burst needs more than all cores. Steps that can
 /// still meet their deadline come before late ones, ordered by their latest start, so that late
 /// steps do not delay others past their deadlines.
--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -1,4 +1,5 @@
 #include "caller_record_writer.h"
+#include "peer_api.h"
 #include "store_fixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -84,6 +85,7 @@
   journal_writer* writer = nullptr;
   caller_record_writer* recordWriter = nullptr;
   std::vector<write_outcome> outcomes;
+  std::vector<std::chrono::seconds> retryAfters;
 
   void setup() override
   {
@@ -121,7 +123,10 @@
   {
     for (std::size_t i = 0; i < aCount; ++i) {
       recordWriter->store(job_cancelled{ .mJob = static_cast<job_id>(i + 1) },
-                          [this](write_outcome aOutcome) { outcomes.push_back(aOutcome); });
+                          [this](caller_outcome aOutcome) {
+                            outcomes.push_back(aOutcome);
+                            retryAfters.push_back(aOutcome.mRetryAfter);
+                          });
     }
   }
   std::size_t stored()
@@ -168,6 +173,18 @@
   CHECK_EQUAL(0, stored());
 }
 
+// The same with the time after which the owner could accept it.
+TEST(caller_record_writer, passesOnWhenTheOwnerCouldAcceptAJob)
+{
+  forward(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  owner->release(encodeRetryAfter(std::chrono::seconds(7)));
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::overloaded));
+  CHECK_EQUAL(3, std::ranges::count(retryAfters, std::chrono::seconds(7)));
+  CHECK_EQUAL(0, stored());
+}
+
 // Guards against a record that is reported as refused although the owner may have stored it.
 TEST(caller_record_writer, reportsNoRefusalIfTheOwnerMayHaveStored)
 {
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -301,6 +301,14 @@
   CHECK(answers.back().mRetryAfter.has_value());
 }
 
+TEST(request_handler, passesOnWhenTheOwnerCouldAcceptAJob)
+{
+  call(kSubmit, kPath);
+  pendingStores[0]({ write_outcome::overloaded, std::chrono::seconds(7) });
+  CHECK_EQUAL(429, lastStatus());
+  CHECK(answers.back().mRetryAfter == std::chrono::seconds(7));
+}
+
 // Guards against 410 for a live job, by a daemon that does not follow the journal and whose query
 // the owner has not answered.
 TEST(request_handler, aDaemonWithoutTheJournalDeniesOnlyWhatTheOwnerDenies)
