Return starts whose ticket has expired in the owner's queue

Cause: a start waits for its relay while two batches to it are open, each for up to 1.5 s. The ticket was checked when the start was stored, and not when the batch left, so that the target rejected it: a round, a run, and a price.

Change: the order carries the expiry of its ticket up to the batch. The time from the batch on, in the relay and on the way, is not checked: the wire format is unchanged.

Test: returnsAStartWhoseTicketHasExpiredInTheQueue.

--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -111,12 +111,33 @@
   }
 }
 
+/// Load pattern: more orders than the relays take. A start whose ticket has expired in the queue
+/// would only be rejected by its target.
+void order_router::returnExpired(queue& aQueue, time_point aNow)
+{
+  const auto isExpired = [aNow](const numbered_order& aOne) {
+    const auto* start = std::get_if<scheduler::start_order>(&aOne.mOrder);
+    return start != nullptr && start->mTicketExpiry <= aNow;
+  };
+  std::vector<std::uint64_t> expired;
+  for (const auto& one : aQueue.mOrders) {
+    if (isExpired(one)) {
+      expired.push_back(one.mNumber);
+    }
+  }
+  std::erase_if(aQueue.mOrders, isExpired);
+  for (const auto number : expired) {
+    finish(number, scheduler::order_outcome::not_sent, {});
+  }
+}
+
 void order_router::sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow)
 {
   std::erase_if(aQueue.mOrders, [this](const numbered_order& aOne) {
     const auto open = mOpen.find(aOne.mNumber);
     return open == mOpen.end() || open->second.mIsOverdue;
   });
+  returnExpired(aQueue, aNow);
   if (aQueue.mOrders.empty()) {
     return;
   }
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -72,6 +72,8 @@
   bool relayed(const Order& aOrder, std::chrono::milliseconds aTimeout,
                const order_sender::report_callback& aDone);
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
+  /// Returns starts in the queue whose ticket has expired to the owner.
+  void returnExpired(queue& aQueue, time_point aNow);
   void onRelayLost(const std::string& aRelay, const std::string& aError);
   /// Reports that the order has no answer in time.
   void expire(std::uint64_t aNumber);
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -40,6 +40,9 @@
   std::string mCheckpoint;
   /// Proof that the step may run on the target; empty if the route needs none.
   std::string mTicket;
+  /// Time on the owner's clock from which the target rejects the ticket. The owner's process uses
+  /// it until the order leaves; it is not part of the order.
+  time_point mTicketExpiry = time_point::max();
 };
 
 struct stop_order
@@ -71,6 +74,8 @@
   invalid,
   /// The relay of the order has not reported in time whether there was a reply.
   unreported,
+  /// The order has not left the owner's process, because its ticket has expired there.
+  not_sent,
 };
 
 std::string_view toText(order_outcome aOutcome);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -117,6 +117,8 @@
       return "invalid";
     case order_outcome::unreported:
       return "unreported";
+    case order_outcome::not_sent:
+      return "not_sent";
   }
   return "unknown";
 }
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -194,7 +194,8 @@
                 .mLeaseUntil = extendLease(aTarget, aNow),
                 .mEpoch = mEpoch,
                 .mCheckpoint = state.mCheckpoint,
-                .mTicket = aRun.mTicket });
+                .mTicket = aRun.mTicket,
+                .mTicketExpiry = aRun.mTicketExpiry });
 }
 
 void owner::impl::sendStop(target_state& aTarget, const task_key& aTask, allocated_run& aRun)
@@ -264,7 +265,7 @@
     run->mNextTry = aNow;
     return;
   }
-  if (aOutcome == order_outcome::bad_ticket) {
+  if (aOutcome == order_outcome::bad_ticket || aOutcome == order_outcome::not_sent) {
     if (const auto step = mWaiting.find(aOrder.mTask.mStep); step != mWaiting.end()) {
       step->second.mAdvice.dropTicket(target.mNumber);
     }
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -231,6 +231,20 @@
   CHECK(outcomes[0] == scheduler::order_outcome::unanswered);
 }
 
+// Guards against starts that are sent only to be rejected: their tickets have expired in the queue.
+TEST(order_router, returnsAStartWhoseTicketHasExpiredInTheQueue)
+{
+  const auto expiry = time.mNow + milliseconds(100);
+  router->sendStart(
+    { .mTarget = "t", .mAddress = target.address(), .mEpoch = 3, .mTicketExpiry = expiry },
+    [this](scheduler::order_outcome aOutcome) { outcomes.push_back(aOutcome); });
+  time.mNow = expiry;
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, batches());
+  CHECK_EQUAL(0, router->openOrders());
+}
+
 // Guards against an owner that acts on beside its successor until a target rejects its epoch.
 TEST(order_router, learnsFromARelayThatItIsSuperseded)
 {
