Count a ticket from its issue though the owner reads it late

Cause: the expiry of a ticket was computed from 50 ms before its reply was handled. While the loop is behind, a reply waits in its socket for a turn, and the owner took tickets for valid that had expired by that time. Such starts were decided, stored, sent and rejected.

Change: the 50 ms count from the time at which the tick was due, if that has passed. The fixture issues tickets when the service answers, not when the owner reads the answer, and counts orders that leave with an expired one.

--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -286,10 +286,11 @@
   }
   counts.mQueried += firstVerdicts.size();
   // The service issued the tickets before the reply arrived: at the earliest at the sending time
-  // plus the duration of the call, but not earlier than kMaxReplyDelay ago.
+  // plus the duration of the call, but not earlier than kMaxReplyDelay ago. Since the last tick was
+  // due, the reply may have waited for this daemon.
   const auto& terms = step.mRoute.mAdvice;
   const auto lifetime = terms ? terms->mTicketLifetime : std::chrono::milliseconds(0);
-  const auto issued = std::max(call.mSent + call.mCost, aNow - kMaxReplyDelay);
+  const auto issued = std::max(call.mSent + call.mCost, std::min(aNow, mNextTick) - kMaxReplyDelay);
   for (const auto& ticket : aReply.mTickets) {
     const auto number = mTargetNumbers.find(ticket.mTarget);
     if (number == mTargetNumbers.end()) {
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -291,6 +291,8 @@
   /// executed that fit into the former one. One step of the simulated time, for orders that are on
   /// their way.
   static constexpr milliseconds kCapacityGrace{ 5 };
+  /// Number of start orders whose ticket had expired when they were sent.
+  int mStartsWithExpiredTickets = 0;
   /// Starts that brought their target over its capacity.
   std::vector<std::string> mStartsOverCapacity;
   /// Tasks that have ended as done, and those that were started after that.
@@ -338,6 +340,7 @@
   }
   void start(const start_order& aOrder) override
   {
+    mStartsWithExpiredTickets += mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow);
     mPending.push_back({ .mStart = aOrder, .mSent = mNow });
   }
   void stop(const stop_order& aOrder) override
@@ -475,7 +478,7 @@
     return *mConfig.route(mJobTable.find(aJob)->mSpec.mRoute)->mAdvice;
   }
 
-  void replyToAdvice(const advice_request& aRequest)
+  void replyToAdvice(const advice_request& aRequest, time_point aIssuedAt)
   {
     advice_reply reply{ .mCall = aRequest.mCall, .mOk = true };
     if (mAdviceService && (mAdviceService->mUnreachable.contains(aRequest.mDaemon) ||
@@ -489,7 +492,7 @@
       if (mAdviceService) {
         if (mAdviceService->good(route, aRequest.mStep, id)) {
           reply.mTickets.push_back(
-            mAdviceService->issue(id, mNow + termsOf(aRequest.mStep.mJob).mTicketLifetime));
+            mAdviceService->issue(id, aIssuedAt + termsOf(aRequest.mStep.mJob).mTicketLifetime));
         }
       } else if (std::ranges::find(mGoodTargets, id) != mGoodTargets.end()) {
         reply.mTickets.push_back({ .mTarget = id, .mToken = "t" });
@@ -507,7 +510,7 @@
     } else if (aCall.mStop) {
       mOwner->onStopReply(*aCall.mStop, execute(*aCall.mStop), mNow);
     } else {
-      replyToAdvice(*aCall.mAdvice);
+      replyToAdvice(*aCall.mAdvice, aCall.mReplyAt);
     }
   }
 
