Count the longest wait of a step and the longest silence of a target with runs

Change: owner_counts has the longest time for which a step waits whose turn has come, and the longest time since a target with open runs has replied to this owner; exposed as endiveusher_step_wait_max_seconds and endiveusher_target_silence_max_seconds. The first also rises in a cell without room.

--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -380,11 +380,13 @@
   add("ready", mReady ? 1 : 0);
   add("owner", mOwner ? 1 : 0);
   if (mOwner) {
-    const auto counts = mOwner->counts();
+    const auto counts = mOwner->counts(now);
     add("targets", counts.mTargets);
     add("targets_usable", counts.mUsableTargets);
     add("runs_open", counts.mOpenRuns);
     add("steps_waiting", counts.mWaitingSteps);
+    add("step_wait_max_seconds", inSeconds(counts.mLongestWait));
+    add("target_silence_max_seconds", inSeconds(counts.mLongestSilence));
     add("advice_calls_open", counts.mAdviceCalls);
     add("advice_helpers", mHelpers.size());
     add("relays", mOrderRouter.relays());
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -35,6 +35,10 @@
   std::size_t mOpenRuns = 0;
   std::size_t mWaitingSteps = 0;
   std::size_t mAdviceCalls = 0;
+  /// Longest time for which a step has waited whose turn has come.
+  duration mLongestWait{ 0 };
+  /// Longest time since a target with open runs has replied to this owner.
+  duration mLongestSilence{ 0 };
 };
 
 /// Decides for all targets of the cell during one epoch: where tasks start, which leases are
@@ -97,7 +101,7 @@
   bool allStored() const;
   /// Whether a target has seen a higher epoch, so that this owner has to step down.
   bool fenced() const;
-  owner_counts counts() const;
+  owner_counts counts(time_point aNow) const;
   /// Returns the owner's state as text, for debugging.
   std::string dump() const;
 
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -476,7 +476,7 @@
   return mNextTick;
 }
 
-owner_counts owner::impl::counts() const
+owner_counts owner::impl::counts(time_point aNow) const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
                        .mWaitingSteps = mWaiting.size(),
@@ -484,6 +484,15 @@
   for (const auto& [id, target] : mTargets) {
     counts.mUsableTargets += target.mAcquired && target.mMissedHeartbeats == 0 ? 1 : 0;
     counts.mOpenRuns += target.mRuns.size();
+    if (!target.mRuns.empty()) {
+      counts.mLongestSilence =
+        std::max(counts.mLongestSilence, aNow - std::max(target.mLastReply, mEpochStart));
+    }
+  }
+  for (const auto& [key, step] : mWaiting) {
+    if (step.startable() && step.mNotBefore <= aNow) {
+      counts.mLongestWait = std::max(counts.mLongestWait, aNow - step.mWaitingSince);
+    }
   }
   return counts;
 }
@@ -618,9 +627,9 @@
   return mImpl->allStored();
 }
 
-owner_counts owner::counts() const
+owner_counts owner::counts(time_point aNow) const
 {
-  return mImpl->counts();
+  return mImpl->counts(aNow);
 }
 
 std::string owner::dump() const
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -42,7 +42,7 @@
   time_point tick(time_point aNow, wall_time aWall);
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
   bool admits(std::string_view aTeam) const;
-  owner_counts counts() const;
+  owner_counts counts(time_point aNow) const;
   std::string dump() const;
 
   std::set<std::string> mClosedZones;
--- a/tests/scheduler/wait_log_test.cpp
+++ b/tests/scheduler/wait_log_test.cpp
@@ -71,3 +71,19 @@
   CHECK(has(lastLine(held), "reason=team_limit"));
   CHECK(has(lastLine(held), "held_by=-"));
 }
+
+// Guards against a step that waits for long, or a run of which nothing is heard, without a trace in
+// the metrics.
+TEST(wait_log, countsTellTheLongestWaitAndSilence)
+{
+  cell.addTarget("t1");
+  cell.startOwnerAndJob(tasks(4));
+  CHECK(cell.mOwner->counts(cell.mNow).mLongestWait == duration{ 0 });
+  CHECK(cell.mOwner->counts(cell.mNow).mLongestSilence < milliseconds(1000));
+  cell.submit(tasks(1));
+  cell.target("t1").mReachable = false;
+  cell.run(milliseconds(2000));
+  const auto counts = cell.mOwner->counts(cell.mNow);
+  CHECK(counts.mLongestWait > milliseconds(1900) && counts.mLongestWait < milliseconds(2100));
+  CHECK(counts.mLongestSilence > milliseconds(1000));
+}
