--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -44,7 +44,7 @@
   time_point tick(time_point aNow, wall_time aWall);
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
   std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
-  owner_counts counts() const;
+  owner_counts counts(time_point aNow) const;
   std::string dump() const;
 
   std::set<std::string> mClosedZones;
--- a/scheduler/src/owner_overload.cpp
+++ b/scheduler/src/owner_overload.cpp
@@ -95,8 +95,7 @@
     const auto step = mWaiting.find(aTask.mStep);
     const bool onTime = step != mWaiting.end() &&
                         internal::rankOf(step->second, aNow).mBand <= internal::kLastOnTimeBand;
-    mBacklog.onStarted(routeOf(owning->mSpec).mPool, internal::roomClassOf(spec), onTime,
-                       aNow);
+    mBacklog.onStarted(routeOf(owning->mSpec).mPool, internal::roomClassOf(spec), onTime, aNow);
   }
 }
 
--- a/tests/scheduler/planning_pass_test.cpp
+++ b/tests/scheduler/planning_pass_test.cpp
@@ -54,7 +54,7 @@
     std::uint64_t most = 0;
     for (auto at = milliseconds(0); at < aTime; at += interval) {
       cell.run(interval);
-      most = std::max(most, cell.mOwner->counts().mLastPass.mVisits);
+      most = std::max(most, cell.mOwner->counts(cell.mNow).mLastPass.mVisits);
     }
     return most;
   }
@@ -65,7 +65,7 @@
   startOwner();
   submitSteps(kSteps, step(2));
   const auto most = mostVisits(milliseconds(200));
-  CHECK_EQUAL(kSteps, cell.mOwner->counts().mLastPass.mSteps);
+  CHECK_EQUAL(kSteps, cell.mOwner->counts(cell.mNow).mLastPass.mSteps);
   CHECK_EQUAL(0, cell.running());
   CHECK_COMPARE(most, <=, kMaxVisits);
 }
