--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -26,6 +26,13 @@
 /// owner hears of the failure instead of taking this daemon as unresponsive.
 constexpr std::chrono::milliseconds kAdviceReplyMargin{ 100 };
 
+/// Whether a caller's request makes such a record; all others are the owner's decisions.
+bool isCallersRecord(const scheduler::journal_record& aRecord)
+{
+  return std::holds_alternative<scheduler::job_submitted>(aRecord) ||
+         std::holds_alternative<scheduler::job_cancelled>(aRecord);
+}
+
 /// Returns the interval at which each of the owner's followers should send hellos.
 std::chrono::milliseconds helloInterval(std::size_t aFollowers)
 {
@@ -186,7 +193,7 @@
   const auto all = std::make_shared<progress>(
     progress{ .mResults = std::string(records->size(), '?'), .mOpen = records->size() });
   for (std::size_t index = 0; index < records->size(); ++index) {
-    const auto finish = [all, index, responder = aRequest.mResponder](write_outcome aOutcome) {
+    const auto finish = [all, index, responder = aRequest.mResponder](caller_outcome aOutcome) {
       auto result = forward_result::unknown;
       if (aOutcome == write_outcome::stored) {
         result = forward_result::stored;
@@ -195,13 +202,15 @@
       } else if (aOutcome == write_outcome::overloaded) {
         result = forward_result::overloaded;
       }
-      all->mResults[index] = static_cast<char>(result);
+      all->mResults[index] = aOutcome.mRetryAfter.count() > 0
+                               ? encodeRetryAfter(aOutcome.mRetryAfter)
+                               : static_cast<char>(result);
       if (--all->mOpen == 0) {
         responder.answer({ .mBody = std::move(all->mResults) });
       }
     };
     const auto record = scheduler::decodeRecord((*records)[index]);
-    if (!record.ok() || !acceptLocally(*record, finish)) {
+    if (!record.ok() || !isCallersRecord(*record) || !acceptLocally(*record, finish)) {
       finish(write_outcome::refused);
     }
   }
@@ -276,9 +285,12 @@
     { .mBody = encodeEnds(mOwner ? mOwner->unstoredEnds() : mUnstoredReports) });
 }
 
-void cell_node::impl::onEndsHandedOver(const std::vector<scheduler::run_ended>& aEnds)
+void cell_node::impl::onEndsHandedOver(const std::string& aAddress,
+                                       const std::vector<scheduler::run_ended>& aEnds)
 {
+  mElection.history().onStoodDown(aAddress, mEpoch, mClock.now());
   if (mOwner) {
+    mOwner->setLatestActs(mElection.history().latestActs());
     mOwner->adoptEnds(aEnds, mClock.now());
   } else if (mEpoch != 0) {
     mUnstoredReports.insert(mUnstoredReports.end(), aEnds.begin(), aEnds.end());
@@ -380,12 +392,18 @@
   add("ready", mReady ? 1 : 0);
   add("owner", mOwner ? 1 : 0);
   if (mOwner) {
-    const auto counts = mOwner->counts();
+    const auto counts = mOwner->counts(now);
     add("targets", counts.mTargets);
     add("targets_usable", counts.mUsableTargets);
     add("runs_open", counts.mOpenRuns);
     add("steps_waiting", counts.mWaitingSteps);
+    add("step_wait_max_seconds", inSeconds(counts.mLongestWait));
+    add("target_silence_max_seconds", inSeconds(counts.mLongestSilence));
     add("advice_calls_open", counts.mAdviceCalls);
+    add("plan_steps", counts.mLastPass.mSteps);
+    add("plan_starts", counts.mLastPass.mStarts);
+    add("plan_visits", counts.mLastPass.mVisits);
+    add("plan_seconds", inSeconds(counts.mLastPass.mDuration));
     add("advice_helpers", mHelpers.size());
     add("relays", mOrderRouter.relays());
     add("relayed_orders_open", mOrderRouter.openOrders());
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -23,6 +23,10 @@
 /// sooner on others.
 constexpr std::chrono::milliseconds kLease{ 7000 };
 
+/// Number of the targets' registry intervals for which a silent target stays listed at least: three
+/// from its last write, which may be one interval before its last contact with the owner.
+constexpr int kMinSilentIntervals = 2;
+
 /// Time since an owner's last record in which it may hold ends that the journal lacks, and targets
 /// may be waiting for their leases to end that it has renewed.
 constexpr std::chrono::seconds kHandOverPeriod{ 15 };
@@ -94,10 +98,11 @@
   }
   const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
   // A job that is known was accepted before; its repetition is confirmed.
-  if (submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) == nullptr &&
-      !mOwner->admits(submitted->mSpec.mTeam)) {
-    aDone(write_outcome::overloaded);
-    return true;
+  if (submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) == nullptr) {
+    if (const auto retryAfter = mOwner->rejection(submitted->mSpec, now)) {
+      aDone({ write_outcome::overloaded, *retryAfter });
+      return true;
+    }
   }
   mUnstoredCallerRecords[++mLastToken] = { .mDone = aDone, .mRecord = recordKey(aRecord) };
   const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
@@ -296,7 +301,10 @@
   mOwner = std::make_unique<scheduler::owner>(
     mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
-                              .mEpochs = mElection.epochs() },
+                              .mEpochs = mElection.epochs(),
+                              .mLatestActs = mElection.history().latestActs(),
+                              .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval,
+                              .mClock = &mClock },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -44,7 +44,10 @@
   }
 }
 
-election::election(election_options aOptions) : mOptions(std::move(aOptions)) {}
+election::election(election_options aOptions)
+  : mOptions(std::move(aOptions)), mHistory(mOptions.mMaxRenewalAge)
+{
+}
 
 bool election::isOwn(const owner_record& aRecord) const
 {
@@ -57,6 +60,7 @@
   mLastRecord = aRecord;
   mLastSeen = aNow;
   mHasRecord = true;
+  mHistory.onRecord(aRecord, aOffset, aNow);
   if (aRecord.mKind == owner_record::kind::claim) {
     mEpochs.try_emplace(epochOf(aOffset), aNow);
   }
@@ -67,16 +71,16 @@
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < epochOf(aOffset)) {
       mEpoch = epochOf(aOffset);
       mRole = role::owner;
-      mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(aNow));
+      mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(mAppendSentAt));
     } else if (aRecord.mKind == owner_record::kind::renewal && mRole == role::owner &&
-               mUncertainSince) {
-      // The unanswered renewal was stored.
+               mUncertainSince && aOffset >= mUncertainEnd) {
+      // An unanswered renewal was stored: those that were answered are at lower offsets.
       mRenewedAt = std::max(mRenewedAt, *mUncertainSince);
       mNextRenewal = std::max(mNextRenewal, mRenewedAt + mOptions.mRenewInterval);
       mUncertainSince.reset();
     }
-  } else if (aRecord.mKind == owner_record::kind::claim && mRole == role::owner &&
-             epochOf(aOffset) > mEpoch) {
+  } else if (mRole == role::owner && epochOf(aOffset) > mEpoch) {
+    // Only an owner appends other records than claims; its claim may have been deleted.
     stepDown();
   }
 }
@@ -99,7 +103,12 @@
 election::action election::next(time_point aNow, bool aEligible, bool aStopping)
 {
   const auto chosen = chooseAction(aNow, aEligible, aStopping);
-  mAppendInFlight = mAppendInFlight || chosen != action::none;
+  if (chosen != action::none) {
+    mAppendInFlight = true;
+    mAppendSentAt = aNow;
+    mAppendEnd = mEnd;
+    mReleasing = mReleasing || chosen == action::release;
+  }
   return chosen;
 }
 
@@ -162,15 +171,20 @@
 void election::onAppended(action aAction, std::uint64_t aOffset, time_point aSent)
 {
   mAppendInFlight = false;
+  // Records behind this one are known, and tell who owns the cell by now.
+  const bool overtaken = aOffset + 1 < mEnd;
   mEnd = std::max(mEnd, aOffset + 1);
-  mLastRecord = record(aAction);
-  mLastSeen = std::max(mLastSeen, aSent);
-  mHasRecord = true;
+  mHistory.onRecord(record(aAction), aOffset, aSent);
+  if (!overtaken) {
+    mLastRecord = record(aAction);
+    mLastSeen = std::max(mLastSeen, aSent);
+    mHasRecord = true;
+  }
   if (aAction == action::release) {
     mRole = role::follower;
     return;
   }
-  if (aAction == action::claim) {
+  if (aAction == action::claim && !overtaken) {
     mEpoch = epochOf(aOffset);
     mRole = role::owner;
     mEpochs.try_emplace(mEpoch, aSent);
@@ -188,7 +202,10 @@
 
 void election::onUnanswered(action /*aAction*/, time_point aSent, time_point aNow)
 {
-  mUncertainSince = std::min(mUncertainSince.value_or(aSent), aSent);
+  if (!mUncertainSince) {
+    mUncertainSince = aSent;
+    mUncertainEnd = mAppendEnd;
+  }
   mAppendInFlight = false;
   mRetryAt = aNow + kUnansweredPause;
 }
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "endiveusher/kernel/time.h"
+#include "epoch_history.h"
 
 #include <absl/status/statusor.h>
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +38,9 @@
 std::string encode(const owner_record& aRecord);
 absl::StatusOr<owner_record> decodeOwnerRecord(std::string_view aBytes);
 
+/// Largest epoch. The sequence numbers of an owner's appends hold its epoch above 32 other bits.
+inline constexpr std::uint64_t kMaxEpoch = std::numeric_limits<std::int32_t>::max();
+
 /// Epoch of the claim that is stored at aOffset of the owner topic.
 constexpr std::uint64_t epochOf(std::uint64_t aOffset)
 {
@@ -129,7 +134,7 @@
   /// Whether this daemon is the owner and its renewal is recent enough to send orders.
   bool mayAct(time_point aNow) const
   {
-    return mRole == role::owner && aNow - mRenewedAt < mOptions.mMaxRenewalAge;
+    return mRole == role::owner && !mReleasing && aNow - mRenewedAt < mOptions.mMaxRenewalAge;
   }
   /// Time since the last accepted renewal was sent.
   duration renewalAge(time_point aNow) const { return aNow - mRenewedAt; }
@@ -137,6 +142,8 @@
   void stepDown();
   /// Known epochs, with the times at which this daemon read their claims.
   const std::map<std::uint64_t, time_point>& epochs() const { return mEpochs; }
+  /// Bounds on how long the owners of these epochs may have acted.
+  epoch_history& history() { return mHistory; }
   /// Address of the current owner; absent if it is unknown or this daemon.
   std::optional<std::string> ownerAddress() const;
   const std::string& ownerNode() const { return mLastRecord.mNode; }
@@ -154,6 +161,9 @@
   std::uint64_t mEpoch = 0;
   std::uint64_t mEnd = 0;
   std::map<std::uint64_t, time_point> mEpochs;
+  epoch_history mHistory;
+  /// Whether a release was sent: the next owner may rely on it although the reply is lost.
+  bool mReleasing = false;
   /// Times at which the last record of each other owner was read, by its address.
   std::map<std::string, time_point> mOwnersSeen;
   bool mEndKnown = false;
@@ -164,8 +174,13 @@
   time_point mRenewedAt{};
   time_point mNextRenewal{};
   bool mAppendInFlight = false;
+  /// Time at which the last append was sent, and the end of the topic that it requires.
+  time_point mAppendSentAt{};
+  std::uint64_t mAppendEnd = 0;
   /// Time at which the oldest append with an unknown outcome was sent.
   std::optional<time_point> mUncertainSince;
+  /// End of the topic that this append requires.
+  std::uint64_t mUncertainEnd = 0;
   /// Whether an append was rejected, because the topic holds records that have not been read.
   bool mHasUnreadRecords = false;
   bool mOwnerEnded = false;
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "endiveusher/kernel/time.h"
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job_table.h"
 #include "endiveusher/scheduler/owner_port.h"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -23,8 +27,28 @@
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
   /// Known epochs and the time at which this daemon saw each of them begin.
   std::map<std::uint64_t, time_point> mEpochs{};
+  /// Latest times at which former owners may have renewed leases, by epoch. Without one, they may
+  /// have done so for mMaxRenewalAge after the next epoch began.
+  std::map<std::uint64_t, time_point> mLatestActs{};
+  /// Shortest time for which the entry of a target stays in the registry after its last contact
+  /// with anyone, unless it leaves.
+  std::chrono::milliseconds mMinEntryLapse{ 3000 };
   /// Minimum time between two planning passes.
   std::chrono::milliseconds mPlanInterval{ 20 };
+  /// Measures the duration of planning passes; nullptr if it is not wanted.
+  const clock* mClock = nullptr;
+};
+
+/// What the last planning pass has cost.
+struct pass_counts
+{
+  /// Waiting steps whose turn it was, and tasks that it has started.
+  std::size_t mSteps = 0;
+  std::size_t mStarts = 0;
+  /// Number of times that a target was looked at for a step.
+  std::uint64_t mVisits = 0;
+  /// Zero without owner_options::mClock.
+  duration mDuration{ 0 };
 };
 
 /// Counts of the owner's state, for metrics.
@@ -35,6 +59,11 @@
   std::size_t mOpenRuns = 0;
   std::size_t mWaitingSteps = 0;
   std::size_t mAdviceCalls = 0;
+  pass_counts mLastPass;
+  /// Longest time for which a step has waited whose turn has come.
+  duration mLongestWait{ 0 };
+  /// Longest time since a target with open runs has replied to this owner.
+  duration mLongestSilence{ 0 };
 };
 
 /// Decides for all targets of the cell during one epoch: where tasks start, which leases are
@@ -60,6 +89,8 @@
   /// Sets whether the store answers appends soon enough for records that delay the renewal of
   /// leases.
   void setStoreResponsive(bool aResponsive);
+  /// Replaces owner_options::mLatestActs.
+  void setLatestActs(std::map<std::uint64_t, time_point> aLatestActs);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
   /// Sets the other daemons that can make advice calls.
@@ -91,13 +122,15 @@
   /// for the next call.
   time_point tick(time_point aNow, wall_time aWall);
 
-  /// Whether a new job of the team is to be accepted now, see overload_admission.
-  bool admits(std::string_view aTeam) const;
+  /// Whether a new job is to be rejected now: returns the time after which its caller should come
+  /// back, or nothing if it is to be accepted. See overload_admission, for an owner whose loop is
+  /// behind, and internal::backlog_estimate, for work that would start too late to have any value.
+  std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
   /// Whether all records of this owner are in the journal.
   bool allStored() const;
   /// Whether a target has seen a higher epoch, so that this owner has to step down.
   bool fenced() const;
-  owner_counts counts() const;
+  owner_counts counts(time_point aNow) const;
   /// Returns the owner's state as text, for debugging.
   std::string dump() const;
 
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -1,11 +1,15 @@
 #include "endiveusher/scheduler/journal.h"
 
 #include "endiveusher/kernel/msgpack.h"
+#include "endiveusher/scheduler/job_limits.h"
 
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <stdexcept>
 #include <utility>
 
 namespace endiveusher::scheduler {
@@ -61,16 +65,67 @@
            .mMaxUnavailable = aValue.at(15) };
 }
 
+json toJson(const route_config& aRoute)
+{
+  auto value = json::array({ aRoute.mPool, aRoute.mPriority, aRoute.mMaxAttempts, aRoute.mStretch,
+                             aRoute.mObjective.count() });
+  if (aRoute.mAdvice) {
+    value.push_back(aRoute.mAdvice->mPerCall.count());
+    value.push_back(aRoute.mAdvice->mPerTarget.count());
+    value.push_back(aRoute.mAdvice->mTicketLifetime.count());
+  }
+  return value;
+}
+
+route_config routeFrom(const json& aValue, const std::string& aName)
+{
+  route_config route{ .mName = aName,
+                      .mPool = aValue.at(0),
+                      .mPriority = aValue.at(1),
+                      .mMaxAttempts = aValue.at(2),
+                      .mStretch = aValue.at(3),
+                      .mObjective = std::chrono::milliseconds(aValue.at(4).get<std::int64_t>()) };
+  if (aValue.size() > 5) {
+    route.mAdvice =
+      advice_terms{ .mPerCall = std::chrono::microseconds(aValue.at(5).get<std::int64_t>()),
+                    .mPerTarget = std::chrono::microseconds(aValue.at(6).get<std::int64_t>()),
+                    .mTicketLifetime =
+                      std::chrono::milliseconds(aValue.at(7).get<std::int64_t>()) };
+  }
+  return route;
+}
+
 json toJson(const job_spec& aSpec)
 {
   json steps = json::array();
   for (const auto& step : aSpec.mSteps) {
     steps.push_back(toJson(step));
   }
-  return json::array({ number(aSpec.mId), aSpec.mRoute, aSpec.mTeam,
-                       json::binary({ aSpec.mPayload.begin(), aSpec.mPayload.end() }),
-                       std::move(steps), aSpec.mFirstDue.count(), aSpec.mInterval.count(),
-                       aSpec.mRepeat, aSpec.mSubmitted.count() });
+  auto value = json::array({ number(aSpec.mId), aSpec.mRoute, aSpec.mTeam,
+                             json::binary({ aSpec.mPayload.begin(), aSpec.mPayload.end() }),
+                             std::move(steps), aSpec.mFirstDue.count(), aSpec.mInterval.count(),
+                             aSpec.mRepeat, aSpec.mSubmitted.count() });
+  // Earlier versions ignore further elements.
+  if (aSpec.mAcceptedBy) {
+    value.push_back(toJson(*aSpec.mAcceptedBy));
+  }
+  return value;
+}
+
+/// Throws unless a caller may have submitted the job: a daemon that applies another one may need
+/// more memory than it has, or read beyond the job's steps.
+void checkSpec(const job_spec& aSpec)
+{
+  if (aSpec.mSteps.size() > kMaxStepsPerJob || aSpec.mRepeat > kMaxOccurrences) {
+    throw std::out_of_range("the number of steps or occurrences is out of range");
+  }
+  for (std::size_t index = 0; index < aSpec.mSteps.size(); ++index) {
+    const auto& step = aSpec.mSteps[index];
+    if (step.mCount == 0 || step.mCount > kMaxTasksPerStep ||
+        std::ranges::any_of(step.mAfter, [index](auto aBefore) { return aBefore >= index; })) {
+      throw std::out_of_range(absl::StrCat("step ", index, " is out of range"));
+    }
+  }
 }
 
 job_spec specFrom(const json& aValue)
@@ -87,6 +142,10 @@
   for (const auto& step : aValue.at(4)) {
     spec.mSteps.push_back(stepFrom(step));
   }
+  checkSpec(spec);
+  if (aValue.size() > 9) {
+    spec.mAcceptedBy = routeFrom(aValue.at(9), spec.mRoute);
+  }
   return spec;
 }
 
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -29,6 +29,8 @@
 /// Maximum time between two planning passes, for decisions that depend only on time.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
+/// Lateness of a tick above which this daemon counts as having been paused.
+constexpr auto kMaxTickGap = std::chrono::milliseconds(1000);
 /// Weight of earlier ticks in the mean time by which ticks are late.
 constexpr int kTickLagWeight = 8;
 /// Time before its due time at which an occurrence is opened, so that advice can be requested. Its
@@ -59,6 +61,12 @@
   return paths;
 }
 
+/// Returns the time from the submission in which a job with this critical path is on time.
+duration onTimePeriod(duration aCriticalPath, const route_config& aRoute)
+{
+  return std::chrono::duration_cast<duration>(aCriticalPath * aRoute.mStretch) + aRoute.mObjective;
+}
+
 /// Whether any task of the occurrence has ever been started.
 bool hasStarted(const job& aJob, std::uint32_t aOccurrence)
 {
@@ -111,6 +119,8 @@
       return "invalid";
     case order_outcome::unreported:
       return "unreported";
+    case order_outcome::not_sent:
+      return "not_sent";
   }
   return "unknown";
 }
@@ -118,8 +128,9 @@
 owner::impl::impl(job_table& aJobTable, owner_port& aPort, owner_options aOptions,
                   std::uint64_t aEpoch, time_point aNow)
   : mJobTable(aJobTable), mPort(aPort), mOptions(std::move(aOptions)), mEpoch(aEpoch),
-    mEpochStart(aNow)
+    mEpochStart(aNow), mStoreUnresponsiveAt(aNow)
 {
+  mLatestActs = mOptions.mLatestActs;
 }
 
 void owner::impl::configure(std::shared_ptr<const cell_config> aConfig)
@@ -128,16 +139,29 @@
   for (const auto& route : mConfig->mRoutes) {
     mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
   }
+  for (const auto& route : mConfig->mRoutes) {
+    mLowestPriority = std::max(mLowestPriority, route.mPriority);
+  }
   for (auto& [key, step] : mWaiting) {
-    step.mRoute = routeOf(step.mJob->mSpec.mRoute);
+    step.mRoute = routeOf(step.mJob->mSpec);
+    step.mWaitsForRoute = waitsForRoute(step);
   }
   mPlanNeeded = true;
 }
 
-route_config owner::impl::routeOf(const std::string& aName) const
+const route_config* owner::impl::findRoute(const job_spec& aJob) const
+{
+  const auto found = mRoutes.find(aJob.mRoute);
+  if (found != mRoutes.end()) {
+    return &found->second;
+  }
+  return aJob.mAcceptedBy ? &*aJob.mAcceptedBy : nullptr;
+}
+
+route_config owner::impl::routeOf(const job_spec& aJob) const
 {
-  const auto found = mRoutes.find(aName);
-  return found == mRoutes.end() ? route_config{ .mName = aName } : found->second;
+  const auto* found = findRoute(aJob);
+  return found == nullptr ? route_config{ .mName = aJob.mRoute } : *found;
 }
 
 void owner::impl::onRecordApplied(job& aJob, time_point aNow, wall_time aWall)
@@ -206,8 +230,9 @@
   if (isNew) {
     step.mKey = aKey;
     step.mJob = &aJob;
-    step.mRoute = routeOf(aJob.mSpec.mRoute);
+    step.mRoute = routeOf(aJob.mSpec);
     step.mNeeds = step.spec().capacityNeeds();
+    mLowestPriority = std::max(mLowestPriority, step.mRoute.mPriority);
     const auto paths = criticalPaths(aJob.mSpec, step.mRoute);
     const auto longest = *std::ranges::max_element(paths);
     auto since = mSubmittedAt[aKey.mJob];
@@ -216,8 +241,7 @@
       // An occurrence that has started is due, also if this daemon's clock is behind.
       step.mNotBefore = hasStarted(aJob, aKey.mOccurrence) ? aNow : since;
     }
-    const auto period =
-      std::chrono::duration_cast<duration>(longest * step.mRoute.mStretch) + step.mRoute.mObjective;
+    const auto period = onTimePeriod(longest, step.mRoute);
     step.mDeadline = since + period;
     step.mValueDeadline = since + kValuePeriods * period;
     step.mRemainingWork = paths[aKey.mStep];
@@ -234,6 +258,7 @@
       step.mPending.push_back(index);
     }
   }
+  step.mWaitsForRoute = waitsForRoute(step);
   updateSuspicion(step, *state, aNow);
   if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
     // Each restart has its own deadline, also if the step has run for hours.
@@ -243,6 +268,29 @@
   mPlanNeeded = true;
 }
 
+std::optional<internal::new_work> owner::impl::newWork(const job_spec& aSpec, time_point aNow) const
+{
+  const auto route = routeOf(aSpec);
+  const auto paths = criticalPaths(aSpec, route);
+  const auto longest = std::ranges::max_element(paths);
+  // The longest path begins with a step that waits for no other.
+  if (longest == paths.end() || aSpec.mRepeat != 0 ||
+      std::ranges::any_of(aSpec.mSteps, &step_spec::mLongRunning)) {
+    return std::nullopt;
+  }
+  const auto& first = aSpec.mSteps[static_cast<std::size_t>(longest - paths.begin())];
+  const auto period = onTimePeriod(*longest, route);
+  return internal::new_work{ .mRank = internal::rankOnTime(aNow + period, *longest, route.mPriority,
+                                                           { .mJob = aSpec.mId }),
+                             .mPriority = route.mPriority,
+                             .mRoom = internal::roomClassOf(first),
+                             .mUnits = first.mGang ? 1 : first.mCount,
+                             .mPool = route.mPool,
+                             .mTeam = aSpec.mTeam,
+                             .mOnTimeWait = period - *longest,
+                             .mValueWait = kValuePeriods * period - *longest };
+}
+
 void owner::impl::dropSteps(job_id aJob)
 {
   const auto first = mWaiting.lower_bound(step_key{ .mJob = aJob });
@@ -312,7 +360,7 @@
     dropSteps(aJob.mSpec.mId);
     return;
   }
-  if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask)) {
+  if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask) && knowsAttempts(aJob, aNow)) {
     abandon(aJob, aTask, "attempts", aNow);
     return;
   }
@@ -360,6 +408,9 @@
   mNextBatch.mTokens.push_back(aToken);
   if (changed != nullptr) {
     onRecordApplied(*changed, aNow, aWall);
+    if (std::holds_alternative<job_submitted>(aRecord)) {
+      addToBacklog(changed->mSpec, aNow);
+    }
   }
 }
 
@@ -409,9 +460,15 @@
 
 time_point owner::impl::tick(time_point aNow, wall_time aWall)
 {
+  if (!mStoreResponsive || aNow - mNextTick > kMaxTickGap) {
+    mStoreUnresponsiveAt = aNow;
+  }
   mTickLag += (std::max(aNow - mNextTick, duration{ 0 }) - mTickLag) / kTickLagWeight;
   openDueOccurrences(aNow, aWall);
-  if (std::exchange(mRouteAdded, false)) {
+  const bool checksUnknownRoutes =
+    !mUnknownRoutesChecked && mConfig && aNow - mEpochStart >= internal::kConfigurationTime;
+  mUnknownRoutesChecked = mUnknownRoutesChecked || checksUnknownRoutes;
+  if (std::exchange(mRouteAdded, false) || checksUnknownRoutes) {
     abandonAfterLastAttempts(aNow);
   }
   if (!std::exchange(mUnlistedTargetsLogged, true)) {
@@ -447,10 +504,11 @@
   if (mNextPlan <= aNow && !overdue) {
     if (mPlanNeeded || mNextPlan + kIdlePlanInterval <= aNow) {
       mPlanNeeded = false;
-      plan(aNow);
+      planAndMeasure(aNow);
       mNextPlan = aNow + mOptions.mPlanInterval + planPause();
     }
   }
+  updateBacklog(aNow);
   const bool urgent = !mNextBatch.mStarts.empty() || !mNextBatch.mTokens.empty();
   const auto interval = urgent ? kStoreInterval : kEndStoreInterval;
   if (mBatchesInFlight.empty() && mLastFlush + interval <= aNow) {
@@ -462,14 +520,24 @@
   return mNextTick;
 }
 
-owner_counts owner::impl::counts() const
+owner_counts owner::impl::counts(time_point aNow) const
 {
   owner_counts counts{ .mTargets = mTargets.size(),
                        .mWaitingSteps = mWaiting.size(),
-                       .mAdviceCalls = mAdviceCalls.size() };
+                       .mAdviceCalls = mAdviceCalls.size(),
+                       .mLastPass = mLastPass };
   for (const auto& [id, target] : mTargets) {
     counts.mUsableTargets += target.mAcquired && target.mMissedHeartbeats == 0 ? 1 : 0;
     counts.mOpenRuns += target.mRuns.size();
+    if (!target.mRuns.empty()) {
+      counts.mLongestSilence =
+        std::max(counts.mLongestSilence, aNow - std::max(target.mLastReply, mEpochStart));
+    }
+  }
+  for (const auto& [key, step] : mWaiting) {
+    if (step.startable() && step.mNotBefore <= aNow) {
+      counts.mLongestWait = std::max(counts.mLongestWait, aNow - step.mWaitingSince);
+    }
   }
   return counts;
 }
@@ -478,6 +546,8 @@
 {
   std::string text = fmt::format("epoch {} batches {} records {}\n", mEpoch,
                                  mBatchesInFlight.size(), mPendingRecords.size());
+  text += fmt::format("pass steps={} starts={} visits={} us={}\n", mLastPass.mSteps,
+                      mLastPass.mStarts, mLastPass.mVisits, mLastPass.mDuration.count());
   for (const auto& [id, target] : mTargets) {
     text += fmt::format(
       "target {} zone={} listed={} taken={} draining={} missed={} runs={} cpu={}/{} mem={}/{}\n",
@@ -522,6 +592,11 @@
   mImpl->mStoreResponsive = aResponsive;
 }
 
+void owner::setLatestActs(std::map<std::uint64_t, time_point> aLatestActs)
+{
+  mImpl->mLatestActs = std::move(aLatestActs);
+}
+
 void owner::setTarget(const target_entry& aEntry, time_point aNow)
 {
   mImpl->setTarget(aEntry, aNow);
@@ -589,9 +664,9 @@
   return mImpl->tick(aNow, aWall);
 }
 
-bool owner::admits(std::string_view aTeam) const
+std::optional<std::chrono::seconds> owner::rejection(const job_spec& aJob, time_point aNow) const
 {
-  return mImpl->admits(aTeam);
+  return mImpl->rejection(aJob, aNow);
 }
 
 bool owner::fenced() const
@@ -604,9 +679,9 @@
   return mImpl->allStored();
 }
 
-owner_counts owner::counts() const
+owner_counts owner::counts(time_point aNow) const
 {
-  return mImpl->counts();
+  return mImpl->counts(aNow);
 }
 
 std::string owner::dump() const
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "advice_dispatcher.h"
+#include "backlog_estimate.h"
 #include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
+#include "room_index.h"
 #include "target_state.h"
 #include "waiting_step.h"
 
@@ -41,8 +43,8 @@
   void adoptEnds(std::span<const run_ended> aEnds, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
-  bool admits(std::string_view aTeam) const;
-  owner_counts counts() const;
+  std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
+  owner_counts counts(time_point aNow) const;
   std::string dump() const;
 
   std::set<std::string> mClosedZones;
@@ -51,6 +53,8 @@
   bool mPlanNeeded = true;
   /// See owner::setStoreResponsive().
   bool mStoreResponsive = true;
+  /// See owner::setLatestActs().
+  std::map<std::uint64_t, time_point> mLatestActs;
 
 private:
   using target_state = internal::target_state;
@@ -91,6 +95,8 @@
   {
     target_state* mTarget = nullptr;
     resources mFree;
+    /// CPU that was free at the start of the pass, by which the candidates are ordered.
+    std::int64_t mFirstFreeCpuMilli = 0;
     /// Capacity that runs will free which are being stopped.
     resources mBeingFreed;
     /// Runs that could be stopped at the start of the pass, largest first; collected when a step
@@ -109,7 +115,7 @@
   struct preemption
   {
     candidate_target* mCandidate = nullptr;
-    std::vector<task_key> mVictims;
+    std::vector<preemptible_run> mVictims;
     std::uint32_t mTasks = 0;
   };
 
@@ -128,12 +134,29 @@
   static std::uint32_t failuresOf(const job& aJob, const task_key& aTask);
   /// Whether the task has failed as often as its route permits.
   bool attemptsUsedUp(const job& aJob, const task_key& aTask) const;
+  /// Whether the job may be abandoned for that: its route is configured, or configurations that
+  /// the owner has not read yet are no reason any more that it is not.
+  bool knowsAttempts(const job& aJob, time_point aNow) const;
+  /// Whether the step has such a task and waits for its route to be configured.
+  bool waitsForRoute(const waiting_step& aStep) const;
   /// Records the failure of the job because of aTask and stops its runs.
   void abandon(job& aJob, const task_key& aTask, std::string_view aReason, time_point aNow);
-  /// Abandons waiting jobs that used up their attempts while their route was unknown, or whose
-  /// tasks had lost as many targets as permitted when a former owner ended.
+  /// Abandons waiting jobs that used up their attempts while their route was not configured, or
+  /// whose tasks had lost as many targets as permitted when a former owner ended.
   void abandonAfterLastAttempts(time_point aNow);
-  route_config routeOf(const std::string& aName) const;
+  /// Returns the latest known configuration of the job's route; without one, what the job was
+  /// accepted by.
+  route_config routeOf(const job_spec& aJob) const;
+  /// The same; nullptr if there is neither.
+  const route_config* findRoute(const job_spec& aJob) const;
+  /// Returns what the job adds to the waiting work; absent if it is always accepted: it has
+  /// occurrences, most of which are due later, or long-running tasks, which have no deadline.
+  std::optional<internal::new_work> newWork(const job_spec& aSpec, time_point aNow) const;
+  void addToBacklog(const job_spec& aSpec, time_point aNow);
+  /// Counts the waiting work for the admission of jobs.
+  void updateBacklog(time_point aNow);
+  /// Counts a unit of the backlog for a task that has started.
+  void countStart(const task_key& aTask, time_point aNow);
 
   // Runs.
   /// Returns the target with the id, creating it if it is new.
@@ -178,6 +201,12 @@
   /// @param aSent time at which the heartbeat was sent
   void endRunsOfFormerIncarnation(target_state& aTarget, const target_report& aReport,
                                   time_point aSent, time_point aNow);
+  /// Whether the registry, which has just dropped the entry of the target, did so because it left:
+  /// had it been cut off, its entry would have been listed for longer.
+  bool hasLeft(const target_state& aTarget, time_point aNow) const;
+  /// Ends the runs of a target that has left. Those whose start order may still be executed by a
+  /// later incarnation stay allocated until their leases end.
+  void endRunsOfLeftTarget(target_state& aTarget, time_point aNow);
   /// Resets what is known of the former incarnation, except its runs.
   void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
@@ -236,13 +265,27 @@
   allocated_run* findRun(const std::string& aTarget, const task_key& aTask, std::uint32_t aRun);
 
   // Placement.
+  /// Makes a planning pass and measures it.
+  void planAndMeasure(time_point aNow);
   void plan(time_point aNow);
   /// Returns the pause between two planning passes in addition to the usual interval.
   duration planPause() const;
-  /// Returns the candidates on which the step may start now, in the order of the candidates.
+  /// Returns the candidates on which the step may start now, in the order of the candidates. Those
+  /// without room may be left out, and those after there is room for aMost tasks.
   std::vector<candidate_target*> startableCandidates(const waiting_step& aStep,
                                                      std::vector<candidate_target>& aCandidates,
-                                                     time_point aNow) const;
+                                                     std::size_t aMost, time_point aNow) const;
+  /// Returns the candidates in the step's pool and with its label.
+  internal::room_group& groupOf(const waiting_step& aStep,
+                                std::span<const candidate_target> aCandidates) const;
+  /// Returns the positions of the candidates in the step's pool and with its label, from the first
+  /// one with room for a task of the step; empty if there is none.
+  std::span<const std::uint32_t> positionsWithRoom(
+    const waiting_step& aStep, std::span<const candidate_target> aCandidates) const;
+  /// Whether the candidates in the gang's pool and with its label together have room for its tasks;
+  /// whether advice and isolation permit them is left open.
+  bool hasRoomForGang(const waiting_step& aStep,
+                      std::span<const candidate_target> aCandidates) const;
   /// Whether the target can be given new tasks.
   bool usable(const target_state& aTarget, time_point aNow) const;
   /// Whether the target is in the route's pool and has the label that the step requires.
@@ -250,12 +293,23 @@
                          const step_spec& aStep);
   /// Whether the step may run on the target by its verdict, recent failures, pool and label.
   bool allowed(const waiting_step& aStep, const target_state& aTarget, time_point aNow) const;
+  /// The same for a target that is in the route's pool and has the label.
+  bool allowedInGroup(const waiting_step& aStep, const target_state& aTarget,
+                      time_point aNow) const;
   /// Returns the number of tasks of the step that fit now on the target; 0 if isolation rules it
   /// out.
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
   /// The same without regard to isolation.
   std::uint32_t freeSlotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
+  /// Returns the resources of the team's runs.
+  resources teamUsage(const std::string& aTeam) const;
+  /// Returns the number of tasks of the step that fit into its team's limit.
   std::uint32_t teamSlots(const waiting_step& aStep) const;
+  /// Returns the gang that reserves the most of the team's limit, if enough for aSlots tasks of the
+  /// step would be left without reservations; otherwise "-".
+  std::string reserverFor(const waiting_step& aStep, std::uint32_t aSlots) const;
+  /// Decides whether the step ignores the reservations in its team's limit in this planning pass.
+  void updateTeamHold(waiting_step& aStep, time_point aNow) const;
   void reserveTeamLimit(const waiting_step& aStep, time_point aNow);
   void placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
   void placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
@@ -305,6 +359,8 @@
   /// stopping runs does not help.
   preemption preemptionAt(const waiting_step& aStep, candidate_target& aCandidate,
                           std::uint32_t aMost) const;
+  /// Returns what is free at the target, being freed, and taken by runs that the step may preempt.
+  resources freeAfterPreemption(const waiting_step& aStep, candidate_target& aCandidate) const;
   /// Time before its latest start at which a step may preempt other runs.
   static duration preemptLead(const waiting_step& aStep);
   /// Returns the runs at the target that may be preempted, largest first, so that few have to stop.
@@ -322,6 +378,8 @@
   std::map<std::string, route_config> mRoutes;
   /// Whether a route has become known since the last tick, or there was no tick yet.
   bool mRouteAdded = true;
+  /// Whether the jobs of routes that are not configured have been looked through after the start.
+  bool mUnknownRoutesChecked = false;
   bool mUnlistedTargetsLogged = false;
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
@@ -330,6 +388,15 @@
   std::vector<target_state*> mTargetsByNumber;
   /// Positions of the targets in the candidates of the current planning pass, by number.
   std::vector<std::optional<std::uint32_t>> mCandidatePositions;
+  /// Cache of the current planning pass.
+  mutable internal::room_index mRoom;
+  /// Whether runs are being stopped at a candidate of the current planning pass.
+  bool mCapacityIsBeingFreed = false;
+  /// CPU of all candidates of the current planning pass.
+  std::int64_t mCandidateCpuMilli = 0;
+  /// Largest number of a priority among the routes of all runs, or larger: steps of such a route
+  /// preempt no other runs.
+  int mLowestPriority = 0;
   std::map<step_key, waiting_step> mWaiting;
   std::map<std::string, resources> mTeamUsed;
   /// Jobs with occurrences that are not open yet.
@@ -359,16 +426,32 @@
   /// First verdicts on targets, by route.
   std::map<std::string, verdict_counts> mVerdictCounts;
   std::uint64_t mLastAdviceCall = 0;
+  /// Latest time at which the store was not known to be responsive. Entries may have lapsed then.
+  time_point mStoreUnresponsiveAt{};
   time_point mNextPlan{};
   /// Time by which the next tick is due, and the mean time by which ticks are late.
   time_point mNextTick = time_point::max();
   std::chrono::duration<double, duration::period> mTickLag{ 0 };
   overload_admission mAdmission;
+  internal::backlog_estimate mBacklog;
+  time_point mNextBacklog{};
+  /// Time up to which the event loop counts as behind in the admission of jobs.
+  time_point mBehindUntil{};
   time_point mLastFlush{};
   /// Resources reserved for waiting gangs within their teams' limits, in the current pass.
-  std::map<std::string, resources> mTeamReserved;
+  struct team_reservation
+  {
+    resources mTotal;
+    /// The gang that reserves the most CPU, and how much.
+    step_key mLargest;
+    std::int64_t mLargestCpuMilli = -1;
+  };
+  std::map<std::string, team_reservation> mTeamReserved;
   /// CPU reserved for waiting gangs in the current pass.
   std::int64_t mReservedCpuMilli = 0;
+  pass_counts mLastPass;
+  /// pass_counts::mVisits of the current pass.
+  mutable std::uint64_t mPassVisits = 0;
 };
 
 } // namespace endiveusher::scheduler
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -21,6 +21,38 @@
 /// Time before the last start that meets its deadline from which a step takes any rack, not only
 /// that of its data.
 constexpr auto kAnyRackLead = std::chrono::milliseconds(1500);
+/// Maximum time for which a step waits for the rack of its data. Callers are told that it starts
+/// within 3 s; advice and storing the start may take 2 s of them.
+constexpr auto kMaxRackWait = std::chrono::milliseconds(1000);
+/// Time for which gangs that wait may hold back a step of their team by reservations in its limit
+/// while the team uses less than half of it. Callers are told that such a step starts within 3 s;
+/// advice and storing the start may take 2 s of them.
+constexpr auto kMaxTeamHold = std::chrono::milliseconds(1000);
+
+/// Returns the number of tasks with aNeeds that fit into a team's limit beside aUsed.
+std::uint32_t slotsWithin(const resources& aLimit, const resources& aUsed, const resources& aNeeds)
+{
+  const auto slots = [](std::int64_t aWhole, std::int64_t aPart, std::int64_t aNeed) {
+    return aWhole <= 0 ? std::numeric_limits<std::int32_t>::max() : fitCount(aNeed, aWhole - aPart);
+  };
+  return static_cast<std::uint32_t>(
+    std::min({ slots(aLimit.mCpuMilli, aUsed.mCpuMilli, aNeeds.mCpuMilli),
+               slots(aLimit.mMemoryMb, aUsed.mMemoryMb, aNeeds.mMemoryMb),
+               slots(aLimit.mAccelerators, aUsed.mAccelerators, aNeeds.mAccelerators) }));
+}
+
+/// Whether aUsed is less than half of each limited component.
+bool usesUnderHalf(const resources& aUsed, const resources& aLimit)
+{
+  const auto under = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole <= 0 || 2 * aPart < aWhole;
+  };
+  return under(aUsed.mCpuMilli, aLimit.mCpuMilli) && under(aUsed.mMemoryMb, aLimit.mMemoryMb) &&
+         under(aUsed.mAccelerators, aLimit.mAccelerators);
+}
+/// Maximum number of steps whose reason for waiting is logged in one pass, as each of these visits
+/// all targets. Enough for each of 9,000 waiting steps once per kWaitLogInterval.
+constexpr std::size_t kMaxWaitLogs = 64;
 
 } // namespace
 
@@ -42,6 +74,13 @@
 bool owner::impl::allowed(const waiting_step& aStep, const target_state& aTarget,
                           time_point aNow) const
 {
+  return allowedInGroup(aStep, aTarget, aNow) && isSuitable(aTarget, aStep.mRoute, aStep.spec());
+}
+
+bool owner::impl::allowedInGroup(const waiting_step& aStep, const target_state& aTarget,
+                                 time_point aNow) const
+{
+  ++mPassVisits;
   if (aStep.mRoute.mAdvice && aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::bad) {
     return false;
   }
@@ -51,7 +90,32 @@
       return false;
     }
   }
-  return isSuitable(aTarget, aStep.mRoute, aStep.spec());
+  return true;
+}
+
+internal::room_group& owner::impl::groupOf(const waiting_step& aStep,
+                                           std::span<const candidate_target> aCandidates) const
+{
+  const auto& spec = aStep.spec();
+  return mRoom.group(aStep.mRoute.mPool, spec.mRequiredLabel, [&](internal::room_group& aGroup) {
+    mPassVisits += aCandidates.size();
+    for (std::uint32_t position = 0; position < aCandidates.size(); ++position) {
+      const auto& candidate = aCandidates[position];
+      if (isSuitable(*candidate.mTarget, aStep.mRoute, spec)) {
+        aGroup.add(position, candidate.mFirstFreeCpuMilli);
+      }
+    }
+  });
+}
+
+std::span<const std::uint32_t> owner::impl::positionsWithRoom(
+  const waiting_step& aStep, std::span<const candidate_target> aCandidates) const
+{
+  auto& group = groupOf(aStep, aCandidates);
+  const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mFree;
+  };
+  return group.positions().subspan(group.firstWithRoom(aStep.mNeeds, freeAt, mPassVisits));
 }
 
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep,
@@ -77,27 +141,90 @@
   return slots;
 }
 
+resources owner::impl::teamUsage(const std::string& aTeam) const
+{
+  const auto used = mTeamUsed.find(aTeam);
+  return used == mTeamUsed.end() ? resources{} : used->second;
+}
+
 std::uint32_t owner::impl::teamSlots(const waiting_step& aStep) const
 {
   const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
   if (team == nullptr) {
     return std::numeric_limits<std::int32_t>::max();
   }
-  const resources& limit = team->mUpperLimit;
-  const auto used = mTeamUsed.find(team->mName);
-  resources usage = used == mTeamUsed.end() ? resources{} : used->second;
+  // Tasks that reserve no CPU at their target count in full against the team's limit.
+  const auto& needs = aStep.spec().mNeeds;
+  auto usage = teamUsage(team->mName);
+  if (aStep.mIgnoresTeamReservations) {
+    const auto slots = slotsWithin(team->mUpperLimit, usage, needs);
+    if (aStep.spec().mGang) {
+      return slots;
+    }
+    // Only until the team uses half of its limit: the other half is left to the gang.
+    std::uint32_t untilHalf = 0;
+    while (untilHalf < slots && untilHalf < aStep.mPending.size() &&
+           usesUnderHalf(usage, team->mUpperLimit)) {
+      usage += needs;
+      ++untilHalf;
+    }
+    return untilHalf;
+  }
   if (const auto reserved = mTeamReserved.find(team->mName); reserved != mTeamReserved.end()) {
-    usage += reserved->second;
+    usage += reserved->second.mTotal;
+  }
+  return slotsWithin(team->mUpperLimit, usage, needs);
+}
+
+std::string owner::impl::reserverFor(const waiting_step& aStep, std::uint32_t aSlots) const
+{
+  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  if (team == nullptr) {
+    return "-";
   }
-  const auto slots = [](std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
-    return aLimit <= 0 ? std::numeric_limits<std::int32_t>::max() : fitCount(aNeed, aLimit - aUsed);
+  const auto reserved = mTeamReserved.find(team->mName);
+  const bool wouldFit =
+    slotsWithin(team->mUpperLimit, teamUsage(team->mName), aStep.spec().mNeeds) >= aSlots;
+  return reserved != mTeamReserved.end() && wouldFit ? toText(reserved->second.mLargest) : "-";
+}
+
+/// Bounds the time for which a step waits behind reservations in its team's limit. Load pattern: a
+/// gang needs more than is left of the limit, or finds no capacity, for as long as other tasks run;
+/// meanwhile the team's other steps could run.
+void owner::impl::updateTeamHold(waiting_step& aStep, time_point aNow) const
+{
+  aStep.mIgnoresTeamReservations = false;
+  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  const bool held = team != nullptr && mTeamReserved.contains(team->mName) &&
+                    usesUnderHalf(teamUsage(team->mName), team->mUpperLimit) &&
+                    teamSlots(aStep) < aStep.mPending.size();
+  if (!held) {
+    aStep.mTeamHoldSince.reset();
+    return;
+  }
+  aStep.mTeamHoldSince = aStep.mTeamHoldSince.value_or(aNow);
+  aStep.mIgnoresTeamReservations = aNow - *aStep.mTeamHoldSince >= kMaxTeamHold;
+}
+
+bool owner::impl::hasRoomForGang(const waiting_step& aStep,
+                                 std::span<const candidate_target> aCandidates) const
+{
+  const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mFree;
   };
-  // Tasks that reserve no CPU at their target count in full against the team's limit.
-  const auto& needs = aStep.spec().mNeeds;
-  return static_cast<std::uint32_t>(
-    std::min({ slots(limit.mCpuMilli, usage.mCpuMilli, needs.mCpuMilli),
-               slots(limit.mMemoryMb, usage.mMemoryMb, needs.mMemoryMb),
-               slots(limit.mAccelerators, usage.mAccelerators, needs.mAccelerators) }));
+  return groupOf(aStep, aCandidates)
+    .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPassVisits);
+}
+
+void owner::impl::planAndMeasure(time_point aNow)
+{
+  const auto* clock = mOptions.mClock;
+  const auto begin = clock == nullptr ? time_point{} : clock->now();
+  mLastPass = {};
+  mPassVisits = 0;
+  plan(aNow);
+  mLastPass.mVisits = mPassVisits;
+  mLastPass.mDuration = clock == nullptr ? duration{ 0 } : clock->now() - begin;
 }
 
 void owner::impl::plan(time_point aNow)
@@ -106,9 +233,15 @@
     return;
   }
   std::vector<candidate_target> candidates;
+  mRoom.clear();
+  mCapacityIsBeingFreed = false;
+  mCandidateCpuMilli = 0;
   for (auto& [id, target] : mTargets) {
     if (usable(target, aNow)) {
-      candidates.push_back({ .mTarget = &target, .mFree = target.freeCapacity() });
+      mCandidateCpuMilli += target.mEntry.mCapacity.mCpuMilli;
+      const auto free = target.freeCapacity();
+      candidates.push_back(
+        { .mTarget = &target, .mFree = free, .mFirstFreeCpuMilli = free.mCpuMilli });
       auto& candidate = candidates.back();
       for (const auto& [task, run] : target.mRuns) {
         candidate.mOccupants.add(task.mStep.mJob);
@@ -117,6 +250,7 @@
         }
         if (run.mStopWanted) {
           candidate.mBeingFreed += run.mNeeds;
+          mCapacityIsBeingFreed = true;
         }
       }
     }
@@ -140,6 +274,8 @@
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
   mTeamReserved.clear();
+  mLastPass.mSteps = order.size();
+  std::size_t waitLogs = 0;
   for (auto& [rank, step] : order) {
     if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
       continue;
@@ -151,7 +287,8 @@
       placeTasks(*step, candidates, aNow);
     }
     preempt(*step, rank, candidates, aNow);
-    if (step->startable() && step->mNextWaitLog <= aNow) {
+    if (step->startable() && step->mNextWaitLog <= aNow && waitLogs < kMaxWaitLogs) {
+      ++waitLogs;
       logWait(*step, candidates, aNow);
     }
   }
@@ -160,21 +297,29 @@
 /// Load pattern: hundreds of steps wait in a cell of a thousand targets, each with tickets for some
 /// tens of them. Only these are visited.
 std::vector<owner::impl::candidate_target*> owner::impl::startableCandidates(
-  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, std::size_t aMost,
+  time_point aNow) const
 {
   std::vector<candidate_target*> found;
-  const auto addIfAllowed = [&](candidate_target& aOne) {
-    if (allowed(aStep, *aOne.mTarget, aNow)) {
-      found.push_back(&aOne);
-    }
-  };
+  const auto withRoom = positionsWithRoom(aStep, aCandidates);
   if (!aStep.mRoute.mAdvice) {
-    std::ranges::for_each(aCandidates, addIfAllowed);
+    std::size_t slots = 0;
+    for (auto at = withRoom.begin(); at != withRoom.end() && slots < aMost; ++at) {
+      auto& candidate = aCandidates[*at];
+      if (allowedInGroup(aStep, *candidate.mTarget, aNow)) {
+        found.push_back(&candidate);
+        slots += slotsAt(aStep, candidate);
+      }
+    }
+    return found;
+  }
+  if (withRoom.empty()) {
     return found;
   }
   aStep.mAdvice.forEachValidTicket(aNow + kTicketMargin, [&](internal::target_number aNumber) {
-    if (const auto position = mCandidatePositions[aNumber]) {
-      addIfAllowed(aCandidates[*position]);
+    const auto position = mCandidatePositions[aNumber];
+    if (position && allowed(aStep, *aCandidates[*position].mTarget, aNow)) {
+      found.push_back(&aCandidates[*position]);
     }
   });
   std::ranges::sort(found);
@@ -190,14 +335,19 @@
   std::uint32_t slots = 0;
   std::uint32_t freeSlots = 0;
   std::uint32_t goodSlots = 0;
-  for (const auto& candidate : aCandidates) {
-    if (!allowed(aStep, *candidate.mTarget, aNow)) {
+  const auto positions = groupOf(aStep, aCandidates).positions();
+  const auto firstWithRoom = positions.size() - positionsWithRoom(aStep, aCandidates).size();
+  for (std::size_t at = 0; at < positions.size(); ++at) {
+    const auto& candidate = aCandidates[positions[at]];
+    if (!allowedInGroup(aStep, *candidate.mTarget, aNow)) {
       continue;
     }
     ++allowedTargets;
-    const auto here = std::min(slotsAt(aStep, candidate), aStep.spec().mCount);
+    const auto freeHere =
+      at < firstWithRoom ? 0 : std::min(freeSlotsAt(aStep, candidate), aStep.spec().mCount);
+    const auto here = mayShare(aStep, candidate) ? freeHere : 0;
     slots += here;
-    freeSlots += std::min(freeSlotsAt(aStep, candidate), aStep.spec().mCount);
+    freeSlots += freeHere;
     goodSlots += aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good ? here : 0;
     const auto* ticket = aStep.mAdvice.validTicket(candidate.mTarget->mNumber, aNow);
     tickets += ticket != nullptr ? 1 : 0;
@@ -222,28 +372,41 @@
     "step_waiting",
     fmt::format("step={} route={} waited_ms={} pending={}/{} reason={} allowed_targets={} "
                 "slots={} good_slots={} tickets={} ticket_slots={} replies={} cpu={} mem={} "
-                "band={}",
+                "band={} held_by={}",
                 toText(aStep.mKey), aStep.mRoute.mName,
                 (aNow - aStep.mWaitingSince) / std::chrono::milliseconds(1), aStep.mPending.size(),
                 aStep.spec().mCount, reason, allowedTargets, slots, goodSlots, tickets,
                 ticketSlots(aStep, aNow), aStep.mAdvice.mReplies, aStep.mNeeds.mCpuMilli,
-                aStep.mNeeds.mMemoryMb, internal::rankOf(aStep, aNow).mBand));
+                aStep.mNeeds.mMemoryMb, internal::rankOf(aStep, aNow).mBand,
+                teamSlots(aStep) < neededSlots ? reserverFor(aStep, neededSlots) : "-"));
 }
 
 void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                              time_point aNow)
 {
+  updateTeamHold(aStep, aNow);
   const auto team = teamSlots(aStep);
   if (team == 0) {
     return;
   }
   const bool ready = aStep.mNotBefore <= aNow;
   const auto& rack = aStep.spec().mDataRack;
-  const bool anyRack = rack.empty() || aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
+  // Elsewhere a task takes at least twice as long, so waiting for longer than its estimate does not
+  // pay.
+  const auto rackWait = std::min<duration>(kMaxRackWait, aStep.spec().mEstimate);
+  const bool anyRack = rack.empty() || aNow - aStep.mWaitingSince >= rackWait ||
+                       aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
+  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
+  const auto most = rack.empty() ? wanted : std::numeric_limits<std::size_t>::max();
+  auto startable = startableCandidates(aStep, aCandidates, most, aNow);
+  if (!rack.empty()) {
+    std::ranges::stable_partition(startable, [&rack](const candidate_target* aOne) {
+      return aOne->mTarget->mEntry.mRack == rack;
+    });
+  }
   std::vector<placement> placements;
   std::size_t next = 0;
-  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
-  for (auto* candidate : startableCandidates(aStep, aCandidates, aNow)) {
+  for (auto* candidate : startable) {
     if (next == wanted) {
       break;
     }
@@ -269,11 +432,16 @@
                             time_point aNow)
 {
   const auto count = static_cast<std::uint32_t>(aStep.mPending.size());
+  updateTeamHold(aStep, aNow);
   if (teamSlots(aStep) < count) {
     reserveTeamLimit(aStep, aNow);
     return;
   }
-  const auto startable = startableCandidates(aStep, aCandidates, aNow);
+  const auto most = aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count;
+  // With advice there are few candidates, those with tickets.
+  const auto startable = aStep.mRoute.mAdvice || hasRoomForGang(aStep, aCandidates)
+                           ? startableCandidates(aStep, aCandidates, most, aNow)
+                           : std::vector<candidate_target*>{};
   const auto tryOn = [&](std::string_view aRack) {
     std::vector<placement> placements;
     for (auto* candidate : startable) {
@@ -325,7 +493,7 @@
 /// Reserves a part of the team's limit for a waiting gang. Load pattern: a team runs near its
 /// limit, and its small tasks take every part that becomes free before there is enough for one of
 /// its gangs. Later steps of the team may not use the reserved part while the gang can be on time,
-/// unless it needs more than the whole limit.
+/// unless it needs more than the whole limit, or updateTeamHold() exempts them.
 void owner::impl::reserveTeamLimit(const waiting_step& aStep, time_point aNow)
 {
   const auto needs = times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
@@ -334,7 +502,12 @@
       (team != nullptr && !withinLimit(needs, team->mUpperLimit))) {
     return;
   }
-  mTeamReserved[aStep.mJob->mSpec.mTeam] += needs;
+  auto& reserved = mTeamReserved[aStep.mJob->mSpec.mTeam];
+  reserved.mTotal += needs;
+  if (needs.mCpuMilli > reserved.mLargestCpuMilli) {
+    reserved.mLargest = aStep.mKey;
+    reserved.mLargestCpuMilli = needs.mCpuMilli;
+  }
 }
 
 /// Reserves capacity for a waiting gang. Load pattern: small tasks fill every gap that wide gangs
@@ -344,23 +517,29 @@
 void owner::impl::reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                                   time_point aNow)
 {
-  std::int64_t total = 0;
+  const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
+  if (static_cast<double>(mReservedCpuMilli + needed) >
+      kMaxReservedFraction * static_cast<double>(mCandidateCpuMilli)) {
+    return;
+  }
+  auto& group = groupOf(aStep, aCandidates);
+  const auto capacityAt = [&aCandidates](std::uint32_t aPosition) -> const resources& {
+    return aCandidates[aPosition].mTarget->mEntry.mCapacity;
+  };
+  if (!group.hasCapacity(aStep.mNeeds, aStep.mPending.size(), capacityAt, mPassVisits)) {
+    return;
+  }
   std::vector<candidate_target*> good;
-  for (auto& candidate : aCandidates) {
-    total += candidate.mTarget->mEntry.mCapacity.mCpuMilli;
+  for (const auto position : group.positions()) {
+    auto& candidate = aCandidates[position];
     const bool known =
       !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
     // Other jobs may still run where a gang waits for isolation; they end there.
-    if (known && candidate.mIsolated.onlyOf(aStep.mKey.mJob) &&
-        allowed(aStep, *candidate.mTarget, aNow)) {
+    if (allowedInGroup(aStep, *candidate.mTarget, aNow) && known &&
+        candidate.mIsolated.onlyOf(aStep.mKey.mJob)) {
       good.push_back(&candidate);
     }
   }
-  const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
-  if (static_cast<double>(mReservedCpuMilli + needed) >
-      kMaxReservedFraction * static_cast<double>(total)) {
-    return;
-  }
   const auto requested = [&aStep, aNow](const candidate_target* aOne) {
     return aStep.mAdvice.requested(aOne->mTarget->mNumber, aNow + kTicketMargin);
   };
@@ -399,6 +578,7 @@
 void owner::impl::commit(waiting_step& aStep, const std::vector<placement>& aPlacements,
                          time_point aNow)
 {
+  mLastPass.mStarts += aPlacements.size();
   const auto key = aStep.mKey;
   const auto& spec = aStep.spec();
   const auto* state = aStep.mJob->find(key);
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -59,12 +59,11 @@
     if (aTarget >= mVerdicts.size()) {
       mVerdicts.resize(aTarget + 1, verdict::unknown);
     }
+    mGoodTargets -= mVerdicts[aTarget] == verdict::good ? 1 : 0;
+    mGoodTargets += aVerdict == verdict::good ? 1 : 0;
     mVerdicts[aTarget] = aVerdict;
   }
-  std::size_t goodTargets() const
-  {
-    return static_cast<std::size_t>(std::ranges::count(mVerdicts, verdict::good));
-  }
+  std::size_t goodTargets() const { return mGoodTargets; }
 
   void addTicket(target_number aTarget, ticket aTicket)
   {
@@ -105,6 +104,7 @@
 private:
   /// Indexed by target number.
   std::vector<verdict> mVerdicts;
+  std::size_t mGoodTargets = 0;
   std::unordered_map<target_number, ticket> mTickets;
   time_point mLatestExpiry{};
 };
@@ -112,6 +112,10 @@
 /// Interval at which the reason for a step's waiting is logged.
 inline constexpr auto kWaitLogInterval = std::chrono::milliseconds(3000);
 
+/// Time after its start within which an owner has read the configuration that is in force, by the
+/// bound that operators are given for that.
+inline constexpr auto kConfigurationTime = std::chrono::milliseconds(2000);
+
 /// A step with tasks that wait to be started.
 struct waiting_step
 {
@@ -145,12 +149,20 @@
   std::optional<time_point> mIsolationSince;
   /// Whether the step may start only on such targets, in the current planning pass.
   bool mNeedsIsolation = false;
+  /// Time since which reservations in the team's limit hold the step back while the team uses less
+  /// than half of it.
+  std::optional<time_point> mTeamHoldSince;
+  /// Whether the step ignores these reservations, in the current planning pass.
+  bool mIgnoresTeamReservations = false;
+  /// Whether a task has used up its attempts, by a route that is not configured at present.
+  bool mWaitsForRoute = false;
 
   const step_spec& spec() const { return mJob->mSpec.mSteps[mKey.mStep]; }
   /// Whether enough tasks wait: a gang starts as a whole.
   bool startable() const
   {
-    return !mPending.empty() && (!spec().mGang || mPending.size() == spec().mCount);
+    return !mWaitsForRoute && !mPending.empty() &&
+           (!spec().mGang || mPending.size() == spec().mCount);
   }
 };
 
@@ -173,6 +185,16 @@
   auto operator<=>(const step_rank&) const = default;
 };
 
+/// Returns the rank of a step that can meet its deadline.
+inline step_rank rankOnTime(time_point aDeadline, duration aRemainingWork, int aPriority,
+                            const step_key& aKey)
+{
+  return { .mBand = aPriority == 0 ? 0 : kLastOnTimeBand,
+           .mLatestStart = aDeadline - aRemainingWork -
+                           std::chrono::duration_cast<duration>(kEstimateMargin * aRemainingWork),
+           .mKey = aKey };
+}
+
 /// Returns the rank of a step. Load pattern: a burst needs more than all cores. Steps that can
 /// still meet their deadline come before late ones, ordered by their latest start, so that late
 /// steps do not delay others past their deadlines.
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -127,6 +127,15 @@
   STRCMP_EQUAL(R"({"state":"queued"})", answers.back().mBody.c_str());
 }
 
+// Guards against a job that never starts after its route was removed and the owner has changed.
+TEST(request_handler, storesWhatAJobNeedsOfItsRoute)
+{
+  call(kSubmit, kPath);
+  const auto* accepted = jobTable.find(static_cast<job_id>(0xaa));
+  CHECK(accepted != nullptr && accepted->mSpec.mAcceptedBy);
+  CHECK_EQUAL("p", accepted->mSpec.mAcceptedBy->mPool);
+}
+
 // Guards against a confirmed job that is lost with the owner: the owner's table includes a job that
 // another daemon has forwarded before the journal holds it.
 TEST(request_handler, doesNotConfirmARepetitionBeforeTheJobIsStored)
@@ -301,6 +310,14 @@
   CHECK(answers.back().mRetryAfter.has_value());
 }
 
+TEST(request_handler, passesOnWhenTheOwnerCouldAcceptAJob)
+{
+  call(kSubmit, kPath);
+  pendingStores[0]({ write_outcome::overloaded, std::chrono::seconds(7) });
+  CHECK_EQUAL(429, lastStatus());
+  CHECK(answers.back().mRetryAfter == std::chrono::seconds(7));
+}
+
 // Guards against 410 for a live job, by a daemon that does not follow the journal and whose query
 // the owner has not answered.
 TEST(request_handler, aDaemonWithoutTheJournalDeniesOnlyWhatTheOwnerDenies)
@@ -318,3 +335,38 @@
   call(kStatus, kPath);
   CHECK_EQUAL(503, lastStatus());
 }
+
+// Guards against a caller that is told that its job never runs, while it does: the answer to the
+// submission was lost, and the repetition reaches a daemon without the journal after the largest
+// target has left.
+TEST(request_handler, aRepetitionIsNotRejectedWhileTheJobRuns)
+{
+  knowsJobs = false;
+  setCellStatus();
+  queriesOwner = true;
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(0, answers.size());
+  ownerReplies[0]({ .mBody = R"({"state":"running"})" });
+  CHECK_EQUAL(200, lastStatus());
+  call(kSubmit, kPath);
+  ownerReplies[1]({ .mUnknownJob = true });
+  CHECK_EQUAL(429, lastStatus());
+  // Whether the job was accepted is not known.
+  call(kSubmit, kPath);
+  ownerReplies[2]({});
+  CHECK_EQUAL(504, lastStatus());
+  queriesOwner = false;
+  call(kSubmit, kPath);
+  CHECK_EQUAL(504, lastStatus());
+  CHECK_EQUAL(0, pendingStores.size());
+}
+
+// A daemon that knows the jobs rejects at once what can never fit.
+TEST(request_handler, rejectsAJobThatNeverFits)
+{
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(429, lastStatus());
+  CHECK(answers.back().mRetryAfter.has_value());
+}
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -64,6 +64,28 @@
     return target;
   }
 
+  /// Has the target report that it drains.
+  void drainTarget(const std::string& aId)
+  {
+    auto& entry = mTargets.at(aId).mEntry;
+    entry.mDraining = true;
+    mOwner->setTarget(entry, mNow);
+  }
+  /// Ends the target's process: its runs are over, and the gangs of these break.
+  void leaveTarget(const std::string& aId)
+  {
+    auto& target = mTargets.at(aId);
+    const auto lost = std::exchange(target.mRunning, {});
+    target.mReachable = false;
+    breakGangsOf(lost);
+  }
+  /// Removes the target's entry from the registry.
+  void unlistTarget(const std::string& aId)
+  {
+    mTargets.at(aId).mListed = false;
+    mOwner->removeTarget(aId, mNow);
+  }
+
   /// Restarts the VM of a target, which comes back as the new target aNew.
   void restartVm(const std::string& aOld, const std::string& aNew)
   {
@@ -161,7 +183,8 @@
                    .mTeam = aTeam,
                    .mPayload = "p",
                    .mSteps = std::move(aSteps),
-                   .mSubmitted = wall() };
+                   .mSubmitted = wall(),
+                   .mAcceptedBy = termsOfRoute(aRoute) };
     storeFromOtherDaemon(job_submitted{ .mSpec = std::move(spec) });
     return static_cast<job_id>(mLastJob);
   }
@@ -177,7 +200,8 @@
                    .mFirstDue = wall(),
                    .mInterval = aInterval,
                    .mRepeat = aRepeat,
-                   .mSubmitted = wall() };
+                   .mSubmitted = wall(),
+                   .mAcceptedBy = termsOfRoute("batch") };
     storeFromOtherDaemon(job_submitted{ .mSpec = std::move(spec) });
     return static_cast<job_id>(mLastJob);
   }
@@ -291,6 +315,8 @@
   /// executed that fit into the former one. One step of the simulated time, for orders that are on
   /// their way.
   static constexpr milliseconds kCapacityGrace{ 5 };
+  /// Number of start orders whose ticket had expired when they were sent.
+  int mStartsWithExpiredTickets = 0;
   /// Starts that brought their target over its capacity.
   std::vector<std::string> mStartsOverCapacity;
   /// Tasks that have ended as done, and those that were started after that.
@@ -314,6 +340,13 @@
     std::uint32_t mRun = 0;
   };
 
+  /// What a daemon that accepts a job stores of its route.
+  std::optional<route_config> termsOfRoute(const std::string& aName) const
+  {
+    const auto found = std::ranges::find(mConfig.mRoutes, aName, &route_config::mName);
+    return found == mConfig.mRoutes.end() ? std::nullopt : std::optional(jobTermsOf(*found));
+  }
+
   void storeFromOtherDaemon(journal_record aRecord)
   {
     mJournal.push_back(aRecord);
@@ -338,6 +371,7 @@
   }
   void start(const start_order& aOrder) override
   {
+    mStartsWithExpiredTickets += mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow);
     mPending.push_back({ .mStart = aOrder, .mSent = mNow });
   }
   void stop(const stop_order& aOrder) override
@@ -475,7 +509,7 @@
     return *mConfig.route(mJobTable.find(aJob)->mSpec.mRoute)->mAdvice;
   }
 
-  void replyToAdvice(const advice_request& aRequest)
+  void replyToAdvice(const advice_request& aRequest, time_point aIssuedAt)
   {
     advice_reply reply{ .mCall = aRequest.mCall, .mOk = true };
     if (mAdviceService && (mAdviceService->mUnreachable.contains(aRequest.mDaemon) ||
@@ -489,7 +523,7 @@
       if (mAdviceService) {
         if (mAdviceService->good(route, aRequest.mStep, id)) {
           reply.mTickets.push_back(
-            mAdviceService->issue(id, mNow + termsOf(aRequest.mStep.mJob).mTicketLifetime));
+            mAdviceService->issue(id, aIssuedAt + termsOf(aRequest.mStep.mJob).mTicketLifetime));
         }
       } else if (std::ranges::find(mGoodTargets, id) != mGoodTargets.end()) {
         reply.mTickets.push_back({ .mTarget = id, .mToken = "t" });
@@ -507,7 +541,7 @@
     } else if (aCall.mStop) {
       mOwner->onStopReply(*aCall.mStop, execute(*aCall.mStop), mNow);
     } else {
-      replyToAdvice(*aCall.mAdvice);
+      replyToAdvice(*aCall.mAdvice, aCall.mReplyAt);
     }
   }
 
