Tell departures of targets by the registry's own times

A draining target whose last write came late or was lost, or that only the store did not hear, and which was cut off then, could have had its tasks started elsewhere while it executed them. The reviewer read the code; these cases were not shown on the former code.

Change: a target has left if the registry removes its entry less than two intervals after its last write was read, in the order of the log; a silent one is removed three intervals after its last write. An entry that is missing in a listing or unreadable proves nothing. What is read within 3 s of a time in which the store was not responsive or the daemon did not run proves nothing either. Open stop orders do not keep a run.

Tests: left_targets (11), epoch_history.aLaterTenureDoesNotExtendAnEarlierOne.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -103,6 +103,18 @@
                     if (mOwner) {
                       mOwner->removeTarget(aId, mClock.now());
                     }
+                  },
+                .mOnWritten =
+                  [this](const std::string& aId) {
+                    if (mOwner) {
+                      mOwner->onEntryWritten(aId, mClock.now());
+                    }
+                  },
+                .mOnRemoved =
+                  [this](const std::string& aId) {
+                    if (mOwner) {
+                      mOwner->onEntryRemoved(aId, mClock.now());
+                    }
                   } }),
     mOrderRouter(mLoop, mClock, mOrderSender, mLog,
                  { .mAddress = mPeerAddress, .mCores = mSettings.mCores }),
--- a/node/src/registry_view.cpp
+++ b/node/src/registry_view.cpp
@@ -24,7 +24,11 @@
 {
   for (const auto& bytes : aRecords) {
     if (const auto record = platform::decodeKeyed(bytes)) {
-      readRecord(*record);
+      if (readRecord(*record)) {
+        mCallbacks.mOnWritten(record->mKey);
+      } else if (!record->mValue) {
+        mCallbacks.mOnRemoved(record->mKey);
+      }
     } else {
       mLog.write("bad_record", "topic=registry error=\"no key\"");
     }
@@ -51,11 +55,11 @@
   }
 }
 
-void registry_view::readRecord(const platform::keyed_record& aRecord)
+bool registry_view::readRecord(const platform::keyed_record& aRecord)
 {
   if (!aRecord.mValue) {
     unlist(aRecord.mKey);
-    return;
+    return false;
   }
   auto entry = platform::decodeTargetEntry(aRecord.mKey, *aRecord.mValue);
   if (!entry.ok()) {
@@ -64,7 +68,7 @@
                                           std::string(entry.status().message())));
     }
     unlist(aRecord.mKey);
-    return;
+    return false;
   }
   const auto known = mTargets.find(aRecord.mKey);
   if (known == mTargets.end() || known->second.mDraining != entry->mDraining) {
@@ -78,6 +82,7 @@
   updateLargestCapacity(*entry);
   mCallbacks.mOnListed(*entry);
   mTargets[aRecord.mKey] = *std::move(entry);
+  return true;
 }
 
 void registry_view::logCapacity(const scheduler::target_entry& aEntry)
--- a/node/src/registry_view.h
+++ b/node/src/registry_view.h
@@ -24,6 +24,11 @@
   {
     std::function<void(const scheduler::target_entry& aEntry)> mOnListed;
     std::function<void(const std::string& aId)> mOnUnlisted;
+    /// Called after mOnListed for an entry that was read as the target wrote it, not from a
+    /// listing.
+    std::function<void(const std::string& aId)> mOnWritten = [](const std::string&) {};
+    /// Called after mOnUnlisted if the registry has removed the entry.
+    std::function<void(const std::string& aId)> mOnRemoved = [](const std::string&) {};
   };
 
   registry_view(event_log& aLog, const clock& aClock, callbacks aCallbacks);
@@ -41,7 +46,8 @@
   cell_capacity capacity() const;
 
 private:
-  void readRecord(const platform::keyed_record& aRecord);
+  /// Returns whether the record is a usable entry.
+  bool readRecord(const platform::keyed_record& aRecord);
   void unlist(const std::string& aId);
 
   void logCapacity(const scheduler::target_entry& aEntry);
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -30,8 +30,9 @@
   /// Latest times at which former owners may have renewed leases, by epoch. Without one, they may
   /// have done so for mMaxRenewalAge after the next epoch began.
   std::map<std::uint64_t, time_point> mLatestActs{};
-  /// Shortest time for which the entry of a target stays in the registry after its last contact
-  /// with anyone, unless it leaves.
+  /// Shortest time between the reads of a target's last write and of the removal of its entry,
+  /// unless it has left: what the registry waits for, less the time by which the first read may be
+  /// late.
   std::chrono::milliseconds mMinEntryLapse{ 3000 };
   /// Minimum time between two planning passes.
   std::chrono::milliseconds mPlanInterval{ 20 };
@@ -93,6 +94,11 @@
   void setLatestActs(std::map<std::uint64_t, time_point> aLatestActs);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
+  /// Called after setTarget() if the target has just written its entry.
+  void onEntryWritten(std::string_view aId, time_point aNow);
+  /// Called after removeTarget() if the registry has just removed the entry: its target has left,
+  /// or was silent.
+  void onEntryRemoved(std::string_view aId, time_point aNow);
   /// Sets the other daemons that can make advice calls.
   void setAdviceHelpers(std::span<const std::string> aHelpers);
 
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -29,8 +29,6 @@
 /// Maximum time between two planning passes, for decisions that depend only on time.
 constexpr auto kIdlePlanInterval = std::chrono::milliseconds(100);
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
-/// Lateness of a tick above which this daemon counts as having been paused.
-constexpr auto kMaxTickGap = std::chrono::milliseconds(1000);
 /// Weight of earlier ticks in the mean time by which ticks are late.
 constexpr int kTickLagWeight = 8;
 /// Time before its due time at which an occurrence is opened, so that advice can be requested. Its
@@ -460,7 +458,7 @@
 
 time_point owner::impl::tick(time_point aNow, wall_time aWall)
 {
-  if (!mStoreResponsive || aNow - mNextTick > kMaxTickGap) {
+  if (!mStoreResponsive || wasPaused(aNow)) {
     mStoreUnresponsiveAt = aNow;
   }
   mTickLag += (std::max(aNow - mNextTick, duration{ 0 }) - mTickLag) / kTickLagWeight;
@@ -607,6 +605,16 @@
   mImpl->removeTarget(aId, aNow);
 }
 
+void owner::onEntryWritten(std::string_view aId, time_point aNow)
+{
+  mImpl->onEntryWritten(aId, aNow);
+}
+
+void owner::onEntryRemoved(std::string_view aId, time_point aNow)
+{
+  mImpl->onEntryRemoved(aId, aNow);
+}
+
 void owner::setAdviceHelpers(std::span<const std::string> aHelpers)
 {
   mImpl->mAdviceDispatcher.setHelpers(aHelpers);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -30,6 +30,8 @@
   void configure(std::shared_ptr<const cell_config> aConfig);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
+  void onEntryWritten(std::string_view aId, time_point aNow);
+  void onEntryRemoved(std::string_view aId, time_point aNow);
   void onRecordApplied(job& aJob, time_point aNow, wall_time aWall);
   void accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
               wall_time aWall);
@@ -201,9 +203,11 @@
   /// @param aSent time at which the heartbeat was sent
   void endRunsOfFormerIncarnation(target_state& aTarget, const target_report& aReport,
                                   time_point aSent, time_point aNow);
-  /// Whether the registry, which has just dropped the entry of the target, did so because it left:
-  /// had it been cut off, its entry would have been listed for longer.
+  /// Whether the removal of the target's entry, which has just been read, shows that the target has
+  /// left: the entry of one that is silent is removed later after its last write.
   bool hasLeft(const target_state& aTarget, time_point aNow) const;
+  /// Whether this daemon has not run for a while: what it reads now may be old.
+  bool wasPaused(time_point aNow) const;
   /// Ends the runs of a target that has left. Those whose start order may still be executed by a
   /// later incarnation stay allocated until their leases end.
   void endRunsOfLeftTarget(target_state& aTarget, time_point aNow);
--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Lateness of a tick above which this daemon counts as having been paused.
+constexpr auto kMaxTickGap = std::chrono::milliseconds(1000);
+
 /// Whether a start order of the run may be executed by an incarnation that did not list the run in
 /// its reply to a heartbeat that was sent at aSent. Orders name only the target's id.
 bool mayStartLater(const internal::allocated_run& aRun, time_point aSent)
@@ -86,25 +89,57 @@
   }
 }
 
+bool owner::impl::wasPaused(time_point aNow) const
+{
+  return aNow - mNextTick > kMaxTickGap;
+}
+
 bool owner::impl::hasLeft(const target_state& aTarget, time_point aNow) const
 {
-  // While the store does not answer, entries lapse of targets that this owner is in contact with.
-  return aTarget.mEntry.mDraining && aNow - aTarget.mAnsweredSentAt < mOptions.mMinEntryLapse &&
+  // A read that was late may have brought the last write only shortly before its removal.
+  return aTarget.mEntry.mDraining && aTarget.mWrittenAt &&
+         aNow - *aTarget.mWrittenAt < mOptions.mMinEntryLapse && !wasPaused(aNow) &&
          aNow - mStoreUnresponsiveAt > mOptions.mMinEntryLapse;
 }
 
+void owner::impl::onEntryWritten(std::string_view aId, time_point aNow)
+{
+  if (const auto found = mTargets.find(aId); found != mTargets.end()) {
+    found->second.mWrittenAt = aNow;
+  }
+}
+
+void owner::impl::onEntryRemoved(std::string_view aId, time_point aNow)
+{
+  const auto found = mTargets.find(aId);
+  if (found == mTargets.end() || found->second.mRuns.empty()) {
+    return;
+  }
+  auto& target = found->second;
+  const bool left = hasLeft(target, aNow);
+  if (left) {
+    target.mLeftAt = aNow;
+  }
+  const auto writeAge = target.mWrittenAt
+                          ? (aNow - *target.mWrittenAt) / std::chrono::milliseconds(1)
+                          : std::chrono::milliseconds::rep{ -1 };
+  mPort.logDecision("entry_removed",
+                    fmt::format("target={} draining={} has_left={} write_age_ms={} runs={}", aId,
+                                target.mEntry.mDraining, left, writeAge, target.mRuns.size()));
+}
+
 void owner::impl::endRunsOfLeftTarget(target_state& aTarget, time_point aNow)
 {
   std::vector<task_key> over;
   for (const auto& [task, run] : aTarget.mRuns) {
-    if (run.mPhase != run_phase::storing && !run.mOrderOpen && run.mTries == 0) {
+    const bool startOpen = run.mPhase == run_phase::ordered && run.mOrderOpen;
+    if (run.mPhase != run_phase::storing && !startOpen && run.mTries == 0) {
       over.push_back(task);
     }
   }
   mPort.logDecision("target_left",
-                    fmt::format("target={} runs_over={} runs_kept={} contact_age_ms={}",
-                                aTarget.mEntry.mId, over.size(), aTarget.mRuns.size() - over.size(),
-                                (aNow - aTarget.mAnsweredSentAt) / std::chrono::milliseconds(1)));
+                    fmt::format("target={} runs_over={} runs_kept={}", aTarget.mEntry.mId,
+                                over.size(), aTarget.mRuns.size() - over.size()));
   aTarget.mLeftAt.reset();
   for (const auto& task : over) {
     endLostRun(aTarget, task, std::nullopt, "target_left", aNow);
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -101,12 +101,8 @@
   }
   // Its runs count as executing until their lease expires, a heartbeat reply reports their end, or
   // it turns out to have left.
-  auto& target = found->second;
-  if (target.mListed && hasLeft(target, aNow)) {
-    target.mLeftAt = aNow;
-  }
-  target.mListed = false;
-  target.mNextHeartbeat = aNow;
+  found->second.mListed = false;
+  found->second.mNextHeartbeat = aNow;
 }
 
 void owner::impl::endRunsOfFormerTargets(const target_state& aTarget, time_point aNow)
@@ -219,7 +215,6 @@
     target.mClock = aReport.mClock;
     target.mClockAt = aNow;
   }
-  target.mAnsweredSentAt = std::max(target.mAnsweredSentAt, aSent);
   if (target.mLeftAt && aSent >= *target.mLeftAt) {
     target.mLeftAt.reset();
   }
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -114,10 +114,10 @@
   time_point mHeartbeatSentAt{};
   time_point mNextHeartbeat{};
   time_point mLastReply{};
-  /// Time at which the newest heartbeat was sent that the target has answered.
-  time_point mAnsweredSentAt{};
-  /// Time at which the registry dropped the target so soon after a contact that it has left, unless
-  /// it answers a later heartbeat.
+  /// Time at which the target's last write of its entry was read, not from a listing.
+  std::optional<time_point> mWrittenAt;
+  /// Time at which the removal of its entry was read, if it shows that the target has left unless it
+  /// answers a later heartbeat.
   std::optional<time_point> mLeftAt;
   std::uint32_t mMissedHeartbeats = 0;
   /// Whether the relay has not reported on one of them, so that the target may have replied.
--- a/tests/node/epoch_history_test.cpp
+++ b/tests/node/epoch_history_test.cpp
@@ -79,3 +79,13 @@
   history.onStoodDown("a:1", 3, renewed + seconds(5));
   CHECK(history.latestActs().at(4) == renewed + seconds(4) + kMaxRenewalAge);
 }
+
+// Guards against accepted tasks that wait for an early tenure of a daemon that owns the cell again.
+TEST(epoch_history, aLaterTenureDoesNotExtendAnEarlierOne)
+{
+  history.onRecord(recordOf(owner_record::kind::claim, "b"), 2, renewed + seconds(2));
+  history.onRecord(recordOf(owner_record::kind::claim, "a"), 3, renewed + seconds(4));
+  history.onRecord(recordOf(owner_record::kind::renewal, "a"), 4, renewed + seconds(9));
+  CHECK(history.latestActs().at(1) <= renewed + kMaxRenewalAge);
+  CHECK(history.latestActs().at(4) == renewed + seconds(9) + kMaxRenewalAge);
+}
--- a/tests/scheduler/fake_services.h
+++ b/tests/scheduler/fake_services.h
@@ -29,6 +29,10 @@
   /// Whether calls stay open without a reply.
   bool mIsSilent = false;
   bool mListed = true;
+  /// Whether its writes of its entry arrive, and when the next one is due.
+  bool mReachesStore = true;
+  time_point mNextWrite{};
+  time_point mWrittenAt{};
   /// Heartbeats that were sent before this time stay open until then, and get no reply.
   time_point mLosesHeartbeatsUntil{};
   /// Whether start orders are executed but their replies are lost.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -79,11 +79,20 @@
     target.mReachable = false;
     breakGangsOf(lost);
   }
-  /// Removes the target's entry from the registry.
+  /// The registry removes the target's entry.
   void unlistTarget(const std::string& aId)
   {
     mTargets.at(aId).mListed = false;
     mOwner->removeTarget(aId, mNow);
+    mOwner->onEntryRemoved(aId, mNow);
+  }
+  /// Runs until the entry of a target that does not reach the registry lapses, and removes it.
+  void lapseTarget(const std::string& aId)
+  {
+    while (mNow < mTargets.at(aId).mWrittenAt + kEntryLapse) {
+      run(milliseconds(5));
+    }
+    unlistTarget(aId);
   }
 
   /// Restarts the VM of a target, which comes back as the new target aNew.
@@ -224,6 +233,7 @@
         target.mClock += aStep;
       }
       readChangedEntries();
+      writeEntries();
       restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
@@ -315,6 +325,10 @@
   /// executed that fit into the former one. One step of the simulated time, for orders that are on
   /// their way.
   static constexpr milliseconds kCapacityGrace{ 5 };
+  /// Interval at which targets write their entries, and time without a write after which the
+  /// registry removes an entry.
+  static constexpr milliseconds kWriteInterval{ 1500 };
+  static constexpr milliseconds kEntryLapse = 3 * kWriteInterval;
   /// Number of start orders whose ticket had expired when they were sent.
   int mStartsWithExpiredTickets = 0;
   /// Starts that brought their target over its capacity.
@@ -403,6 +417,18 @@
     }
   }
 
+  void writeEntries()
+  {
+    for (auto& [id, target] : mTargets) {
+      if (target.mNextWrite <= mNow && target.mListed && target.mReachable &&
+          target.mReachesStore && !mStoreDown) {
+        target.mNextWrite = mNow + kWriteInterval;
+        target.mWrittenAt = mNow;
+        mOwner->onEntryWritten(id, mNow);
+      }
+    }
+  }
+
   void checkCapacity(const fake_target& aTarget, const task_key& aStarted)
   {
     resources used;
