--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -116,8 +116,8 @@
   time_point mLastReply{};
   /// Time at which the target's last write of its entry was read, not from a listing.
   std::optional<time_point> mWrittenAt;
-  /// Time at which the removal of its entry was read, if it shows that the target has left unless it
-  /// answers a later heartbeat.
+  /// Time at which the removal of its entry was read, if it shows that the target has left unless
+  /// it answers a later heartbeat.
   std::optional<time_point> mLeftAt;
   std::uint32_t mMissedHeartbeats = 0;
   /// Whether the relay has not reported on one of them, so that the target may have replied.
