--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -23,8 +23,8 @@
 /// sooner on others.
 constexpr std::chrono::milliseconds kLease{ 7000 };
 
-/// Number of the targets' registry intervals for which a silent target stays listed at least: three
-/// from its last write, which may be one interval before its last contact with the owner.
+/// Number of the targets' registry intervals between the reads of a silent target's last write and
+/// of its removal, at least: the registry waits for three, and the first read may be late by one.
 constexpr int kMinSilentIntervals = 2;
 
 /// Time since an owner's last record in which it may hold ends that the journal lacks, and targets
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -136,8 +136,6 @@
   mConfig = std::move(aConfig);
   for (const auto& route : mConfig->mRoutes) {
     mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
-  }
-  for (const auto& route : mConfig->mRoutes) {
     mLowestPriority = std::max(mLowestPriority, route.mPriority);
   }
   for (auto& [key, step] : mWaiting) {
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -28,6 +28,9 @@
 /// while the team uses less than half of it. Callers are told that such a step starts within 3 s;
 /// advice and storing the start may take 2 s of them.
 constexpr auto kMaxTeamHold = std::chrono::milliseconds(1000);
+/// Maximum number of steps whose reason for waiting is logged in one pass, as each of these visits
+/// all targets. Enough for each of 9,000 waiting steps once per kWaitLogInterval.
+constexpr std::size_t kMaxWaitLogs = 64;
 
 /// Returns the number of tasks with aNeeds that fit into a team's limit beside aUsed.
 std::uint32_t slotsWithin(const resources& aLimit, const resources& aUsed, const resources& aNeeds)
@@ -50,9 +53,6 @@
   return under(aUsed.mCpuMilli, aLimit.mCpuMilli) && under(aUsed.mMemoryMb, aLimit.mMemoryMb) &&
          under(aUsed.mAccelerators, aLimit.mAccelerators);
 }
-/// Maximum number of steps whose reason for waiting is logged in one pass, as each of these visits
-/// all targets. Enough for each of 9,000 waiting steps once per kWaitLogInterval.
-constexpr std::size_t kMaxWaitLogs = 64;
 
 } // namespace
 
