Planning passes refer to teams and good targets instead of searching for them

Cause: each pass read all runs of all targets, looked up teams by name several times a step, and visited all targets for each waiting gang twice (advice, reservation) and for each step that preempts; advice calls searched each target by name four times. So the cost grew with the gangs that wait, and gangs wait when passes are late.

Now steps and runs refer to their team, the runs of a target are read only if one is being stopped or isolated, a step keeps the list of targets with a good verdict, gangs without room are not looked at further, unknown targets are visited only if the good ones do not suffice, advice calls hold target numbers, and expired tickets are dropped.

--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -138,6 +138,9 @@
     mRouteAdded = mRoutes.insert_or_assign(route.mName, route).second || mRouteAdded;
     mLowestPriority = std::max(mLowestPriority, route.mPriority);
   }
+  for (auto& [name, team] : mTeams) {
+    team.mConfig = mConfig->team(name);
+  }
   for (auto& [key, step] : mWaiting) {
     step.mRoute = routeOf(step.mJob->mSpec);
     step.mWaitsForRoute = waitsForRoute(step);
@@ -160,6 +163,16 @@
   return found == nullptr ? route_config{ .mName = aJob.mRoute } : *found;
 }
 
+internal::team_state& owner::impl::teamOf(const std::string& aName)
+{
+  const auto [at, isNew] = mTeams.try_emplace(aName);
+  if (isNew) {
+    at->second.mName = aName;
+    at->second.mConfig = mConfig ? mConfig->team(aName) : nullptr;
+  }
+  return at->second;
+}
+
 void owner::impl::onRecordApplied(job& aJob, time_point aNow, wall_time aWall)
 {
   adoptRuns(aJob);
@@ -205,7 +218,7 @@
         allocate(target, key,
                  { .mRun = task.mRun,
                    .mNeeds = aJob.mSpec.mSteps[step].capacityNeeds(),
-                   .mTeam = aJob.mSpec.mTeam,
+                   .mTeam = &teamOf(aJob.mSpec.mTeam),
                    .mPhase = internal::run_phase::confirmed,
                    .mMustBeListedFrom = mEpochStart,
                    .mIsolatedUntil = isolationEnd(steps[step], mEpochStart) });
@@ -226,6 +239,7 @@
   if (isNew) {
     step.mKey = aKey;
     step.mJob = &aJob;
+    step.mTeam = &teamOf(aJob.mSpec.mTeam);
     step.mRoute = routeOf(aJob.mSpec);
     step.mNeeds = step.spec().capacityNeeds();
     mLowestPriority = std::max(mLowestPriority, step.mRoute.mPriority);
@@ -317,9 +331,10 @@
     }
     if (auto* run = findRun(tasks[index].mOpen->mTarget, { .mStep = aKey, .mIndex = index },
                             tasks[index].mRun)) {
-      run->mStopWanted = true;
+      auto& target = mTargets.find(tasks[index].mOpen->mTarget)->second;
+      target.wantStop(*run);
       run->mNextTry = aNow;
-      mTargets.find(tasks[index].mOpen->mTarget)->second.mNextOrders = time_point{};
+      target.mNextOrders = time_point{};
     }
   }
 }
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <set>
 
 namespace endiveusher::scheduler {
 
@@ -57,9 +56,8 @@
   return slots;
 }
 
-std::vector<std::string> owner::impl::targetsToQuery(const waiting_step& aStep,
-                                                     std::vector<candidate_target>& aCandidates,
-                                                     time_point aNow) const
+std::vector<internal::target_number> owner::impl::targetsToQuery(
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
 {
   const auto& terms = *aStep.mRoute.mAdvice;
   const auto pending = static_cast<std::uint32_t>(aStep.mPending.size());
@@ -68,7 +66,7 @@
                       ? static_cast<std::size_t>(terms.mPerCall / terms.mPerTarget)
                       : kMaxQueriedTargets;
   const auto most = std::clamp(paid, kMinQueriedTargets, kMaxQueriedTargets);
-  std::vector<std::string> queried;
+  std::vector<internal::target_number> queried;
   const auto withRoom = positionsWithRoom(aStep, aCandidates);
   const bool isolated = queriesInIsolation(aStep, aCandidates, aNow);
   const auto slotsOf = [this, &aStep, isolated](const candidate_target& aOne) {
@@ -95,10 +93,13 @@
       if (here > 0) {
         slots += here;
         if (aStep.mAdvice.validTicket(number, aNow + kTicketRenewalMargin) == nullptr) {
-          queried.push_back(candidate.mTarget->mEntry.mId);
+          queried.push_back(number);
         }
       }
     }
+    if (slots >= pending) {
+      break;
+    }
   }
   if (slots > 0) {
     return queried;
@@ -108,7 +109,7 @@
       break;
     }
     if (slotsOf(*candidate) > 0) {
-      queried.push_back(candidate->mTarget->mEntry.mId);
+      queried.push_back(candidate->mTarget->mNumber);
     }
   }
   return queried;
@@ -119,9 +120,8 @@
 /// as a ticket lives. One round of calls therefore queries every target that the gang will use,
 /// unless its ticket outlives the round: tickets that arrive in several rounds expire one part
 /// after the other.
-std::vector<std::string> owner::impl::gangTargetsToQuery(
-  const waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
-  time_point aNow) const
+std::vector<internal::target_number> owner::impl::gangTargetsToQuery(
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
 {
   struct option
   {
@@ -129,20 +129,33 @@
     std::uint32_t mSlots;
     bool mIsGood;
   };
+  const bool hasRoom = hasRoomForGang(aStep, aCandidates);
+  if (!hasRoom && !mAdviceDispatcher.hasSpareHelpers(aNow)) {
+    return {};
+  }
   const bool isolated = queriesInIsolation(aStep, aCandidates, aNow);
+  const auto needed = static_cast<double>(aStep.mPending.size());
   std::vector<option> options;
   std::uint64_t slots = 0;
+  const auto add = [&](const candidate_target& aCandidate, bool aIsGood) {
+    const auto here = isolated ? slotsAt(aStep, aCandidate) : freeSlotsAt(aStep, aCandidate);
+    slots += here;
+    options.push_back({ .mCandidate = &aCandidate, .mSlots = here, .mIsGood = aIsGood });
+  };
   std::uint64_t goodCapacity = 0;
+  for (const auto* candidate : goodCandidates(aStep, aCandidates, aNow)) {
+    goodCapacity += maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity);
+    add(*candidate, true);
+  }
   bool hasUnknown = false;
-  for (const auto position : groupOf(aStep, aCandidates).positions()) {
-    const auto& candidate = aCandidates[position];
-    if (allowedInGroup(aStep, *candidate.mTarget, aNow)) {
-      const bool isGood = aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
-      goodCapacity += isGood ? maxTasksIn(aStep.mNeeds, candidate.mTarget->mEntry.mCapacity) : 0;
-      const auto here = isolated ? slotsAt(aStep, candidate) : freeSlotsAt(aStep, candidate);
-      slots += here;
-      hasUnknown = hasUnknown || !isGood;
-      options.push_back({ .mCandidate = &candidate, .mSlots = here, .mIsGood = isGood });
+  if (static_cast<double>(slots) < kGangSpareFactor * needed) {
+    for (const auto position : groupOf(aStep, aCandidates).positions()) {
+      const auto& candidate = aCandidates[position];
+      if (aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::unknown &&
+          allowedInGroup(aStep, *candidate.mTarget, aNow)) {
+        hasUnknown = true;
+        add(candidate, false);
+      }
     }
   }
   const bool wantsVerdicts = hasUnknown &&
@@ -157,23 +170,22 @@
     return std::pair(aOne.mIsGood && aOne.mSlots > 0, aOne.mSlots);
   });
   const double goodFraction = expectedGoodFraction(aStep.mRoute.mName);
-  const auto pending = static_cast<double>(aStep.mPending.size());
   const auto& terms = *aStep.mRoute.mAdvice;
   const auto roundEnd =
     aNow + terms.mPerCall + static_cast<int>(kMaxQueriedTargets) * terms.mPerTarget;
   double expected = 0;
-  std::vector<std::string> queried;
+  std::vector<internal::target_number> queried;
   for (const auto& one : options) {
-    if (one.mSlots == 0 || expected >= kGangSpareFactor * pending) {
+    if (one.mSlots == 0 || expected >= kGangSpareFactor * needed) {
       break;
     }
     expected += one.mSlots * (one.mIsGood ? 1.0 : kUnknownDiscount * goodFraction);
     const auto& target = *one.mCandidate->mTarget;
     if (aStep.mAdvice.validTicket(target.mNumber, roundEnd + kTicketRenewalMargin) == nullptr) {
-      queried.push_back(target.mEntry.mId);
+      queried.push_back(target.mNumber);
     }
   }
-  if (expected >= pending) {
+  if (expected >= needed) {
     return queried;
   }
   // The gang cannot start now. Verdicts on more targets show where capacity is worth reserving.
@@ -183,7 +195,7 @@
   }
   for (const auto& one : options) {
     if (!one.mIsGood && queried.size() < kMaxQueriedTargets) {
-      queried.push_back(one.mCandidate->mTarget->mEntry.mId);
+      queried.push_back(one.mCandidate->mTarget->mNumber);
     }
   }
   return queried;
@@ -223,7 +235,7 @@
   }
 }
 
-bool owner::impl::callAdvice(waiting_step& aStep, std::span<const std::string> aTargets,
+bool owner::impl::callAdvice(waiting_step& aStep, std::span<const internal::target_number> aTargets,
                              time_point aNow)
 {
   const auto& terms = *aStep.mRoute.mAdvice;
@@ -235,16 +247,20 @@
   }
   mLastAdviceCall = call;
   ++aStep.mAdvice.mCallsOpen;
-  for (const auto& id : aTargets) {
-    aStep.mAdvice.mQueried.insert(mTargetNumbers.at(id));
+  auto& queried = aStep.mAdvice.mQueried;
+  queried.insert(queried.end(), aTargets.begin(), aTargets.end());
+  std::ranges::sort(queried);
+  std::vector<std::string> targets;
+  targets.reserve(aTargets.size());
+  for (const auto number : aTargets) {
+    targets.push_back(mTargetsByNumber[number]->mEntry.mId);
   }
-  std::vector<std::string> targets(aTargets.begin(), aTargets.end());
   mAdviceCalls[call] = { .mStep = aStep.mKey,
                          .mDaemon = helper->mHelper,
-                         .mTargets = targets,
+                         .mTargets = { aTargets.begin(), aTargets.end() },
                          .mSent = aNow,
                          .mCost = cost,
-                         .mSlots = slotsOn(aStep, targets) };
+                         .mSlots = slotsOn(aStep, aTargets) };
   mPort.requestAdvice(
     { .mCall = call,
       .mDaemon = helper->mHelper,
@@ -256,12 +272,12 @@
 }
 
 std::uint32_t owner::impl::slotsOn(const waiting_step& aStep,
-                                   std::span<const std::string> aTargets) const
+                                   std::span<const internal::target_number> aTargets) const
 {
   std::uint32_t slots = 0;
-  for (const auto& id : aTargets) {
-    if (const auto target = mTargets.find(id); target != mTargets.end()) {
-      slots += maxTasksIn(aStep.mNeeds, target->second.freeCapacity());
+  for (const auto number : aTargets) {
+    if (const auto* target = mTargetsByNumber[number]) {
+      slots += maxTasksIn(aStep.mNeeds, target->freeCapacity());
     }
   }
   return slots;
@@ -294,21 +310,14 @@
     return;
   }
   auto& counts = mVerdictCounts[step.mRoute.mName];
-  std::set<internal::target_number> firstVerdicts;
-  for (const auto& queried : call.mTargets) {
-    const auto number = mTargetNumbers.at(queried);
-    if (step.mAdvice.verdictOn(number) == verdict::unknown) {
-      firstVerdicts.insert(number);
-    }
-    step.mAdvice.setVerdict(number, verdict::bad);
-  }
-  counts.mQueried += firstVerdicts.size();
+  step.mAdvice.dropExpiredTickets(aNow);
   // The service issued the tickets before the reply arrived: at the earliest at the sending time
   // plus the duration of the call, but not earlier than kMaxReplyDelay ago. Since the last tick was
   // due, the reply may have waited for this daemon.
   const auto& terms = step.mRoute.mAdvice;
   const auto lifetime = terms ? terms->mTicketLifetime : std::chrono::milliseconds(0);
   const auto issued = std::max(call.mSent + call.mCost, std::min(aNow, mNextTick) - kMaxReplyDelay);
+  std::vector<internal::target_number> good;
   for (const auto& ticket : aReply.mTickets) {
     const auto number = mTargetNumbers.find(ticket.mTarget);
     if (number == mTargetNumbers.end()) {
@@ -316,11 +325,18 @@
                         fmt::format("step={} target={}", toText(call.mStep), ticket.mTarget));
       continue;
     }
-    counts.mGood += firstVerdicts.contains(number->second) ? 1 : 0;
-    step.mAdvice.setVerdict(number->second, verdict::good);
+    good.push_back(number->second);
     step.mAdvice.addTicket(number->second,
                            { .mToken = ticket.mToken, .mExpiry = issued + lifetime });
   }
+  std::ranges::sort(good);
+  for (const auto number : call.mTargets) {
+    const bool isFirst = step.mAdvice.verdictOn(number) == verdict::unknown;
+    const bool isGood = std::ranges::binary_search(good, number);
+    counts.mQueried += isFirst ? 1 : 0;
+    counts.mGood += isFirst && isGood ? 1 : 0;
+    step.mAdvice.setVerdict(number, isGood ? verdict::good : verdict::bad);
+  }
   ++step.mAdvice.mReplies;
   mPort.logDecision(
     "advice", fmt::format("step={} helper={} targets={} good={} slots_at_call={} slots={} "
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -104,8 +104,7 @@
     /// Runs that could be stopped at the start of the pass, largest first; collected when a step
     /// needs them.
     std::optional<std::vector<preemptible_run>> mPreemptible{};
-    /// Jobs of all runs there, and of those beside which no task of another job may start.
-    internal::occupants mOccupants;
+    /// Jobs of the runs beside which no task of another job may start.
     internal::occupants mIsolated;
   };
   struct placement
@@ -146,6 +145,8 @@
   /// Abandons waiting jobs that used up their attempts while their route was not configured, or
   /// whose tasks had lost as many targets as permitted when a former owner ended.
   void abandonAfterLastAttempts(time_point aNow);
+  /// Returns the team with the name, creating it if it is new.
+  internal::team_state& teamOf(const std::string& aName);
   /// Returns the latest known configuration of the job's route; without one, what the job was
   /// accepted by.
   route_config routeOf(const job_spec& aJob) const;
@@ -272,6 +273,9 @@
   /// Makes a planning pass and measures it.
   void planAndMeasure(time_point aNow);
   void plan(time_point aNow);
+  /// Returns the usable targets in the order of their free CPU, and resets what a planning pass
+  /// finds out about them.
+  std::vector<candidate_target> makeCandidates(time_point aNow);
   /// Returns the pause between two planning passes in addition to the usual interval.
   duration planPause() const;
   /// Returns the candidates on which the step may start now, in the order of the candidates. Those
@@ -279,6 +283,11 @@
   std::vector<candidate_target*> startableCandidates(const waiting_step& aStep,
                                                      std::vector<candidate_target>& aCandidates,
                                                      std::size_t aMost, time_point aNow) const;
+  /// Returns the candidates on which the step may run, by its verdicts if it needs advice, in the
+  /// order of the candidates.
+  std::vector<candidate_target*> goodCandidates(const waiting_step& aStep,
+                                                std::vector<candidate_target>& aCandidates,
+                                                time_point aNow) const;
   /// Returns the candidates in the step's pool and with its label.
   internal::room_group& groupOf(const waiting_step& aStep,
                                 std::span<const candidate_target> aCandidates) const;
@@ -305,8 +314,6 @@
   std::uint32_t slotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
   /// The same without regard to isolation.
   std::uint32_t freeSlotsAt(const waiting_step& aStep, const candidate_target& aCandidate) const;
-  /// Returns the resources of the team's runs.
-  resources teamUsage(const std::string& aTeam) const;
   /// Returns the number of tasks of the step that fit into its team's limit.
   std::uint32_t teamSlots(const waiting_step& aStep) const;
   /// Returns the gang that reserves the most of the team's limit, if enough for aSlots tasks of the
@@ -328,17 +335,18 @@
   void requestAdvice(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                      time_point aNow);
   /// Makes one call for the targets; false if no daemon is free for it.
-  bool callAdvice(waiting_step& aStep, std::span<const std::string> aTargets, time_point aNow);
-  std::vector<std::string> targetsToQuery(const waiting_step& aStep,
-                                          std::vector<candidate_target>& aCandidates,
-                                          time_point aNow) const;
-  std::vector<std::string> gangTargetsToQuery(const waiting_step& aStep,
-                                              const std::vector<candidate_target>& aCandidates,
-                                              time_point aNow) const;
+  bool callAdvice(waiting_step& aStep, std::span<const internal::target_number> aTargets,
+                  time_point aNow);
+  std::vector<internal::target_number> targetsToQuery(const waiting_step& aStep,
+                                                      std::vector<candidate_target>& aCandidates,
+                                                      time_point aNow) const;
+  std::vector<internal::target_number> gangTargetsToQuery(
+    const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const;
   /// Returns the fraction of targets that is expected to be good for a step of the route.
   double expectedGoodFraction(const std::string& aRoute) const;
   /// Returns the number of tasks of the step that fit now on the targets.
-  std::uint32_t slotsOn(const waiting_step& aStep, std::span<const std::string> aTargets) const;
+  std::uint32_t slotsOn(const waiting_step& aStep,
+                        std::span<const internal::target_number> aTargets) const;
 
   // Isolation of steps that may crash their targets. It tells them from those that ran beside them.
   /// Updates whether the step is suspect, after a change of its waiting tasks.
@@ -402,7 +410,8 @@
   /// preempt no other runs.
   int mLowestPriority = 0;
   std::map<step_key, waiting_step> mWaiting;
-  std::map<std::string, resources> mTeamUsed;
+  /// Teams of all jobs; entries are never removed, because steps and runs refer to them.
+  std::map<std::string, internal::team_state> mTeams;
   /// Jobs with occurrences that are not open yet.
   std::set<job_id> mRecurringJobs;
   std::unordered_map<job_id, time_point> mSubmittedAt;
@@ -415,7 +424,7 @@
   {
     step_key mStep;
     std::string mDaemon;
-    std::vector<std::string> mTargets;
+    std::vector<internal::target_number> mTargets;
     time_point mSent;
     duration mCost{ 0 };
     /// Number of tasks that fit on the queried targets when the call was made.
@@ -442,15 +451,6 @@
   /// Time up to which the event loop counts as behind in the admission of jobs.
   time_point mBehindUntil{};
   time_point mLastFlush{};
-  /// Resources reserved for waiting gangs within their teams' limits, in the current pass.
-  struct team_reservation
-  {
-    resources mTotal;
-    /// The gang that reserves the most CPU, and how much.
-    step_key mLargest;
-    std::int64_t mLargestCpuMilli = -1;
-  };
-  std::map<std::string, team_reservation> mTeamReserved;
   /// CPU reserved for waiting gangs in the current pass.
   std::int64_t mReservedCpuMilli = 0;
   pass_counts mLastPass;
--- a/scheduler/src/owner_isolation.cpp
+++ b/scheduler/src/owner_isolation.cpp
@@ -68,7 +68,9 @@
 {
   const auto job = aStep.mKey.mJob;
   return aCandidate.mIsolated.onlyOf(job) &&
-         (!aStep.mNeedsIsolation || aCandidate.mOccupants.onlyOf(job));
+         (!aStep.mNeedsIsolation ||
+          std::ranges::all_of(aCandidate.mTarget->mRuns,
+                              [job](const auto& aRun) { return aRun.first.mStep.mJob == job; }));
 }
 
 bool owner::impl::queriesInIsolation(const waiting_step& aStep,
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -135,7 +135,7 @@
                                   group.front().mAt.mTarget, group.size()));
     for (const auto& start : group) {
       if (auto* run = findRun(start.mAt.mTarget, start.mTask, start.mRun)) {
-        run->mStopWanted = true;
+        mTargets.find(start.mAt.mTarget)->second.wantStop(*run);
       }
     }
   }
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -141,21 +141,15 @@
   return slots;
 }
 
-resources owner::impl::teamUsage(const std::string& aTeam) const
-{
-  const auto used = mTeamUsed.find(aTeam);
-  return used == mTeamUsed.end() ? resources{} : used->second;
-}
-
 std::uint32_t owner::impl::teamSlots(const waiting_step& aStep) const
 {
-  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  const auto* team = aStep.mTeam->mConfig;
   if (team == nullptr) {
     return std::numeric_limits<std::int32_t>::max();
   }
   // Tasks that reserve no CPU at their target count in full against the team's limit.
   const auto& needs = aStep.spec().mNeeds;
-  auto usage = teamUsage(team->mName);
+  auto usage = aStep.mTeam->mUsed;
   if (aStep.mIgnoresTeamReservations) {
     const auto slots = slotsWithin(team->mUpperLimit, usage, needs);
     if (aStep.spec().mGang) {
@@ -170,22 +164,21 @@
     }
     return untilHalf;
   }
-  if (const auto reserved = mTeamReserved.find(team->mName); reserved != mTeamReserved.end()) {
-    usage += reserved->second.mTotal;
+  if (aStep.mTeam->mReserved) {
+    usage += aStep.mTeam->mReserved->mTotal;
   }
   return slotsWithin(team->mUpperLimit, usage, needs);
 }
 
 std::string owner::impl::reserverFor(const waiting_step& aStep, std::uint32_t aSlots) const
 {
-  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
-  if (team == nullptr) {
+  const auto& team = *aStep.mTeam;
+  if (team.mConfig == nullptr || !team.mReserved) {
     return "-";
   }
-  const auto reserved = mTeamReserved.find(team->mName);
   const bool wouldFit =
-    slotsWithin(team->mUpperLimit, teamUsage(team->mName), aStep.spec().mNeeds) >= aSlots;
-  return reserved != mTeamReserved.end() && wouldFit ? toText(reserved->second.mLargest) : "-";
+    slotsWithin(team.mConfig->mUpperLimit, team.mUsed, aStep.spec().mNeeds) >= aSlots;
+  return wouldFit ? toText(team.mReserved->mLargest) : "-";
 }
 
 /// Bounds the time for which a step waits behind reservations in its team's limit. Load pattern: a
@@ -194,9 +187,9 @@
 void owner::impl::updateTeamHold(waiting_step& aStep, time_point aNow) const
 {
   aStep.mIgnoresTeamReservations = false;
-  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
-  const bool held = team != nullptr && mTeamReserved.contains(team->mName) &&
-                    usesUnderHalf(teamUsage(team->mName), team->mUpperLimit) &&
+  const auto& team = *aStep.mTeam;
+  const bool held = team.mConfig != nullptr && team.mReserved &&
+                    usesUnderHalf(team.mUsed, team.mConfig->mUpperLimit) &&
                     teamSlots(aStep) < aStep.mPending.size();
   if (!held) {
     aStep.mTeamHoldSince.reset();
@@ -227,53 +220,70 @@
   mLastPass.mDuration = clock == nullptr ? duration{ 0 } : clock->now() - begin;
 }
 
-void owner::impl::plan(time_point aNow)
+std::vector<owner::impl::candidate_target> owner::impl::makeCandidates(time_point aNow)
 {
-  if (!mConfig || mWaiting.empty()) {
-    return;
+  std::vector<std::pair<std::int64_t, target_state*>> order;
+  order.reserve(mTargetsByNumber.size());
+  mCandidateCpuMilli = 0;
+  for (auto* target : mTargetsByNumber) {
+    if (target != nullptr && usable(*target, aNow)) {
+      mCandidateCpuMilli += target->mEntry.mCapacity.mCpuMilli;
+      order.emplace_back(target->freeCapacity().mCpuMilli, target);
+    }
   }
-  std::vector<candidate_target> candidates;
+  // Best fit: small tasks go to the fullest targets, so that large gaps remain for gangs.
+  std::ranges::stable_sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mRoom.clear();
   mCapacityIsBeingFreed = false;
-  mCandidateCpuMilli = 0;
-  for (auto& [id, target] : mTargets) {
-    if (usable(target, aNow)) {
-      mCandidateCpuMilli += target.mEntry.mCapacity.mCpuMilli;
-      const auto free = target.freeCapacity();
-      candidates.push_back(
-        { .mTarget = &target, .mFree = free, .mFirstFreeCpuMilli = free.mCpuMilli });
-      auto& candidate = candidates.back();
-      for (const auto& [task, run] : target.mRuns) {
-        candidate.mOccupants.add(task.mStep.mJob);
-        if (run.mIsolatedUntil > aNow) {
-          candidate.mIsolated.add(task.mStep.mJob);
-        }
-        if (run.mStopWanted) {
-          candidate.mBeingFreed += run.mNeeds;
-          mCapacityIsBeingFreed = true;
-        }
+  mCandidatePositions.assign(mTargetsByNumber.size(), std::nullopt);
+  std::vector<candidate_target> candidates;
+  candidates.reserve(order.size());
+  for (const auto& [freeCpu, target] : order) {
+    mCandidatePositions[target->mNumber] = static_cast<std::uint32_t>(candidates.size());
+    auto& candidate = candidates.emplace_back(candidate_target{
+      .mTarget = target, .mFree = target->freeCapacity(), .mFirstFreeCpuMilli = freeCpu });
+    if (!target->mHasStops && target->mIsolatedUntil <= aNow) {
+      continue;
+    }
+    for (const auto& [task, run] : target->mRuns) {
+      if (run.mIsolatedUntil > aNow) {
+        candidate.mIsolated.add(task.mStep.mJob);
+      }
+      if (run.mStopWanted) {
+        candidate.mBeingFreed += run.mNeeds;
+        mCapacityIsBeingFreed = true;
       }
     }
   }
-  // Best fit: small tasks go to the fullest targets, so that large gaps remain for gangs.
-  std::ranges::sort(candidates, {},
-                    [](const candidate_target& aOne) { return aOne.mFree.mCpuMilli; });
-  mCandidatePositions.assign(mTargetsByNumber.size(), std::nullopt);
-  for (std::uint32_t position = 0; position < candidates.size(); ++position) {
-    mCandidatePositions[candidates[position].mTarget->mNumber] = position;
+  return candidates;
+}
+
+void owner::impl::plan(time_point aNow)
+{
+  if (!mConfig || mWaiting.empty()) {
+    return;
   }
+  auto candidates = makeCandidates(aNow);
   std::vector<std::pair<internal::step_rank, waiting_step*>> order;
-  overload_admission::task_counts waiting;
+  for (auto& [name, team] : mTeams) {
+    team.mWaitingTasks = 0;
+    team.mReserved.reset();
+  }
   for (auto& [key, step] : mWaiting) {
-    waiting[step.mJob->mSpec.mTeam] += static_cast<std::uint32_t>(step.mPending.size());
+    step.mTeam->mWaitingTasks += static_cast<std::uint32_t>(step.mPending.size());
     if (step.startable()) {
       order.emplace_back(internal::rankOf(step, aNow), &step);
     }
   }
+  overload_admission::task_counts waiting;
+  for (const auto& [name, team] : mTeams) {
+    if (team.mWaitingTasks > 0) {
+      waiting[name] = team.mWaitingTasks;
+    }
+  }
   mAdmission.setWaiting(std::move(waiting));
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
-  mTeamReserved.clear();
   mLastPass.mSteps = order.size();
   std::size_t waitLogs = 0;
   for (auto& [rank, step] : order) {
@@ -326,6 +336,28 @@
   return found;
 }
 
+std::vector<owner::impl::candidate_target*> owner::impl::goodCandidates(
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
+{
+  std::vector<candidate_target*> good;
+  if (!aStep.mRoute.mAdvice) {
+    for (const auto position : groupOf(aStep, aCandidates).positions()) {
+      if (allowedInGroup(aStep, *aCandidates[position].mTarget, aNow)) {
+        good.push_back(&aCandidates[position]);
+      }
+    }
+    return good;
+  }
+  for (const auto number : aStep.mAdvice.good()) {
+    const auto position = mCandidatePositions[number];
+    if (position && allowed(aStep, *aCandidates[*position].mTarget, aNow)) {
+      good.push_back(&aCandidates[*position]);
+    }
+  }
+  std::ranges::sort(good);
+  return good;
+}
+
 void owner::impl::logWait(waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
                           time_point aNow)
 {
@@ -438,8 +470,7 @@
     return;
   }
   const auto most = aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count;
-  // With advice there are few candidates, those with tickets.
-  const auto startable = aStep.mRoute.mAdvice || hasRoomForGang(aStep, aCandidates)
+  const auto startable = hasRoomForGang(aStep, aCandidates)
                            ? startableCandidates(aStep, aCandidates, most, aNow)
                            : std::vector<candidate_target*>{};
   const auto tryOn = [&](std::string_view aRack) {
@@ -497,12 +528,13 @@
 void owner::impl::reserveTeamLimit(const waiting_step& aStep, time_point aNow)
 {
   const auto needs = times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
-  const auto* team = mConfig->team(aStep.mJob->mSpec.mTeam);
+  const auto* team = aStep.mTeam->mConfig;
   if (internal::rankOf(aStep, aNow).mBand > internal::kLastOnTimeBand ||
       (team != nullptr && !withinLimit(needs, team->mUpperLimit))) {
     return;
   }
-  auto& reserved = mTeamReserved[aStep.mJob->mSpec.mTeam];
+  auto& reservation = aStep.mTeam->mReserved;
+  auto& reserved = reservation ? *reservation : reservation.emplace();
   reserved.mTotal += needs;
   if (needs.mCpuMilli > reserved.mLargestCpuMilli) {
     reserved.mLargest = aStep.mKey;
@@ -530,14 +562,10 @@
     return;
   }
   std::vector<candidate_target*> good;
-  for (const auto position : group.positions()) {
-    auto& candidate = aCandidates[position];
-    const bool known =
-      !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
+  for (auto* candidate : goodCandidates(aStep, aCandidates, aNow)) {
     // Other jobs may still run where a gang waits for isolation; they end there.
-    if (allowedInGroup(aStep, *candidate.mTarget, aNow) && known &&
-        candidate.mIsolated.onlyOf(aStep.mKey.mJob)) {
-      good.push_back(&candidate);
+    if (candidate->mIsolated.onlyOf(aStep.mKey.mJob)) {
+      good.push_back(candidate);
     }
   }
   const auto requested = [&aStep, aNow](const candidate_target* aOne) {
@@ -598,11 +626,9 @@
                               .mRun = run,
                               .mAt = { .mTarget = target.mEntry.mId,
                                        .mIncarnationStart = target.mEntry.mIncarnationStart } };
-    allocated_run allocated{ .mRun = run,
-                             .mNeeds = aStep.mNeeds,
-                             .mTeam = aStep.mJob->mSpec.mTeam,
-                             .mIsolatedUntil = isolatedUntil };
-    one.mCandidate->mOccupants.add(key.mJob);
+    allocated_run allocated{
+      .mRun = run, .mNeeds = aStep.mNeeds, .mTeam = aStep.mTeam, .mIsolatedUntil = isolatedUntil
+    };
     if (isolatedUntil > aNow) {
       one.mCandidate->mIsolated.add(key.mJob);
     }
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -141,15 +141,8 @@
     aStep.mNextPreemption = aNow + kFutilePreemptionPause;
     return;
   }
-  std::vector<candidate_target*> good;
-  for (const auto position : group.positions()) {
-    auto& candidate = aCandidates[position];
-    const bool known =
-      !aStep.mRoute.mAdvice || aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good;
-    if (allowedInGroup(aStep, *candidate.mTarget, aNow) && known && mayShare(aStep, candidate)) {
-      good.push_back(&candidate);
-    }
-  }
+  auto good = goodCandidates(aStep, aCandidates, aNow);
+  std::erase_if(good, [&aStep](const auto* aOne) { return !mayShare(aStep, *aOne); });
   // Candidates are in the order of their free CPU. At a target whose capacity has shrunk below its
   // runs, stopped runs make up the deficit first, so it comes last.
   std::ranges::stable_partition(good, [](const candidate_target* aOne) {
@@ -189,7 +182,7 @@
     for (const auto& victim : stop.mVictims) {
       const auto& task = victim.mTask;
       auto& run = target.mRuns.find(task)->second;
-      run.mStopWanted = true;
+      target.wantStop(run);
       run.mNextTry = aNow;
       stop.mCandidate->mBeingFreed += run.mNeeds;
       mCapacityIsBeingFreed = true;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -389,7 +389,8 @@
                                   free.mCpuMilli, aRun.mNeeds.mMemoryMb, free.mMemoryMb));
   }
   aTarget.mUsed += aRun.mNeeds;
-  mTeamUsed[aRun.mTeam] += aRun.mNeeds;
+  aRun.mTeam->mUsed += aRun.mNeeds;
+  aTarget.mIsolatedUntil = std::max(aTarget.mIsolatedUntil, aRun.mIsolatedUntil);
   aTarget.mRuns[aTask] = std::move(aRun);
   aTarget.mNextOrders = time_point{};
 }
@@ -401,8 +402,9 @@
     return;
   }
   aTarget.mUsed -= found->second.mNeeds;
-  mTeamUsed[found->second.mTeam] -= found->second.mNeeds;
+  found->second.mTeam->mUsed -= found->second.mNeeds;
   aTarget.mRuns.erase(found);
+  aTarget.mHasStops = aTarget.mHasStops && !aTarget.mRuns.empty();
   mPlanNeeded = true;
 }
 
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/scheduler/journal.h"
 #include "endiveusher/scheduler/target.h"
+#include "team_state.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -43,7 +44,7 @@
 {
   std::uint32_t mRun = 0;
   resources mNeeds;
-  std::string mTeam;
+  team_state* mTeam = nullptr;
   run_phase mPhase = run_phase::storing;
   /// Whether the end of the run is recorded, so that it only occupies capacity.
   bool mEnded = false;
@@ -140,6 +141,10 @@
   /// Whether the last heartbeat acknowledged no ends, as the target may have restarted.
   bool mAcknowledgementDeferred = false;
   std::map<task_key, allocated_run> mRuns;
+  /// Whether one of them is to be stopped, or was.
+  bool mHasStops = false;
+  /// Time until which one of them may be isolated.
+  time_point mIsolatedUntil{};
   /// Earliest time at which a run may need an order; in the past after any change that may need
   /// one.
   time_point mNextOrders{};
@@ -168,6 +173,11 @@
       std::max(mLeaseSent - *mClock, target_time{ 0 }) / (1.0 - kMaxClockDrift));
     return mClockAt + std::chrono::duration_cast<duration>(left) + kLeaseMargin;
   }
+  void wantStop(allocated_run& aRun)
+  {
+    aRun.mStopWanted = true;
+    mHasStops = true;
+  }
   resources freeCapacity() const { return mEntry.mCapacity - mUsed; }
   /// Returns the needs of the runs whose start orders may have been sent.
   resources orderedNeeds() const
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -3,14 +3,15 @@
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job.h"
+#include "team_state.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -44,8 +45,8 @@
   };
 
   std::uint32_t mCallsOpen = 0;
-  /// Targets of the open calls.
-  std::unordered_set<target_number> mQueried;
+  /// Targets of the open calls, ascending.
+  std::vector<target_number> mQueried;
   /// Number of replies since the step began to wait.
   std::uint32_t mReplies = 0;
   time_point mNextCall{};
@@ -59,17 +60,26 @@
     if (aTarget >= mVerdicts.size()) {
       mVerdicts.resize(aTarget + 1, verdict::unknown);
     }
-    mGoodTargets -= mVerdicts[aTarget] == verdict::good ? 1 : 0;
-    mGoodTargets += aVerdict == verdict::good ? 1 : 0;
+    if (mVerdicts[aTarget] != verdict::good && aVerdict == verdict::good) {
+      mGood.push_back(aTarget);
+    } else if (mVerdicts[aTarget] == verdict::good && aVerdict != verdict::good) {
+      std::erase(mGood, aTarget);
+    }
     mVerdicts[aTarget] = aVerdict;
   }
-  std::size_t goodTargets() const { return mGoodTargets; }
+  /// Returns the targets with a good verdict, in the order of the verdicts.
+  std::span<const target_number> good() const { return mGood; }
+  std::size_t goodTargets() const { return mGood.size(); }
 
   void addTicket(target_number aTarget, ticket aTicket)
   {
     mLatestExpiry = std::max(mLatestExpiry, aTicket.mExpiry);
     mTickets[aTarget] = std::move(aTicket);
   }
+  void dropExpiredTickets(time_point aNow)
+  {
+    std::erase_if(mTickets, [aNow](const auto& aOne) { return aOne.second.mExpiry <= aNow; });
+  }
   void dropTicket(target_number aTarget) { mTickets.erase(aTarget); }
   /// Returns the ticket for the target if it is valid at aTime, otherwise nullptr.
   const ticket* validTicket(target_number aTarget, time_point aTime) const
@@ -83,7 +93,7 @@
   /// Whether the step has queried the target and waits for the reply, or has a valid ticket for it.
   bool requested(target_number aTarget, time_point aTime) const
   {
-    return mQueried.contains(aTarget) || validTicket(aTarget, aTime) != nullptr;
+    return std::ranges::binary_search(mQueried, aTarget) || validTicket(aTarget, aTime) != nullptr;
   }
   std::size_t tickets() const { return mTickets.size(); }
   /// Calls aVisit with the number of each target for which there is a ticket that is valid at
@@ -104,7 +114,7 @@
 private:
   /// Indexed by target number.
   std::vector<verdict> mVerdicts;
-  std::size_t mGoodTargets = 0;
+  std::vector<target_number> mGood;
   std::unordered_map<target_number, ticket> mTickets;
   time_point mLatestExpiry{};
 };
@@ -121,6 +131,7 @@
 {
   step_key mKey;
   job* mJob = nullptr;
+  team_state* mTeam = nullptr;
   /// Latest known configuration of the route, kept after the route is removed.
   route_config mRoute;
   /// Capacity that one task takes from its target.
