A step claims the room that it asks advice about

Until its call has ended, the room that a step has asked about is withheld from the steps behind it, so that the number of calls follows the room. Gangs reserve theirs as before.

--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -334,6 +334,10 @@
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
   void requestAdvice(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                      time_point aNow);
+  /// Withholds the room for up to aTasks tasks on the targets of the step's open calls from the
+  /// steps behind it in this pass.
+  void claimQueriedRoom(const waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+                        std::size_t aTasks) const;
   /// Makes one call for the targets; false if no daemon is free for it.
   bool callAdvice(waiting_step& aStep, std::span<const internal::target_number> aTargets,
                   time_point aNow);
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -457,6 +457,7 @@
   }
   if (missing && aStep.mRoute.mAdvice) {
     requestAdvice(aStep, aCandidates, aNow);
+    claimQueriedRoom(aStep, aCandidates, std::min<std::size_t>(aStep.mPending.size(), team));
   }
 }
 
