Owner stores reported ends on request, not only in a tick

While a pass is long, they are known to the owner and in no record; if all daemons are lost then, their tasks run again.

Ruled out: storing before each pass. Starts that follow from an end would wait for another append, also in a loop that is not behind.

Change: owner::storeEnds() stores what waits if it holds reported ends and no append is open. The caller decides when that is worth an append.

Test: reported_ends.areStoredWithoutATick.

--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -118,6 +118,9 @@
   void onStopReply(const stop_order& aOrder, order_outcome aOutcome, time_point aNow);
   void onAdviceReply(const advice_reply& aReply, time_point aNow);
 
+  /// Stores what waits if it holds ends that targets have reported, without waiting for tick().
+  /// Returns false if an append is open, after whose completion it has to be called again.
+  bool storeEnds(time_point aNow);
   /// Returns the ends that targets have reported and that may not be in the journal.
   std::vector<run_ended> unstoredEnds() const;
   /// Adopts ends that targets have reported to a former owner. Those that the journal holds change
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -396,6 +396,19 @@
   mPort.store(std::exchange(mPendingRecords, {}));
 }
 
+bool owner::impl::storeEnds(time_point aNow)
+{
+  if (mNextBatch.mReportedEnds.empty()) {
+    return true;
+  }
+  if (!mBatchesInFlight.empty()) {
+    return false;
+  }
+  flush(aNow);
+  mLastFlush = aNow;
+  return true;
+}
+
 void owner::impl::accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
                          wall_time aWall)
 {
@@ -655,6 +668,11 @@
   mImpl->onAdviceReply(aReply, aNow);
 }
 
+bool owner::storeEnds(time_point aNow)
+{
+  return mImpl->storeEnds(aNow);
+}
+
 std::vector<run_ended> owner::unstoredEnds() const
 {
   return mImpl->unstoredEnds();
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -41,6 +41,7 @@
   void onStartReply(const start_order& aOrder, order_outcome aOutcome, time_point aNow);
   void onStopReply(const stop_order& aOrder, order_outcome aOutcome, time_point aNow);
   void onAdviceReply(const advice_reply& aReply, time_point aNow);
+  bool storeEnds(time_point aNow);
   std::vector<run_ended> unstoredEnds() const;
   void adoptEnds(std::span<const run_ended> aEnds, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
--- a/tests/scheduler/reported_ends_test.cpp
+++ b/tests/scheduler/reported_ends_test.cpp
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <variant>
+
 using namespace endiveusher;
 using namespace endiveusher::scheduler;
 using namespace endiveusher::scheduler::testing;
@@ -66,3 +69,32 @@
   CHECK(cell.find(job).mPhase == job_phase::active);
   CHECK_EQUAL(1, cell.running());
 }
+
+// Guards against an end that waits for the owner's planning pass, and is lost with all daemons
+// before it is stored: its task then runs again.
+TEST(reported_ends, areStoredWithoutATick)
+{
+  cell.addTarget("a");
+  const auto job = cell.startOwnerAndJob(tasks(1, milliseconds(600)));
+  const task_key task{ .mStep = { .mJob = job } };
+  cell.mPaused = true; // No tick, as during a long pass.
+  cell.run(milliseconds(50));
+  CHECK(cell.mOwner->storeEnds(cell.mNow));
+  const auto ends = [&] {
+    return std::ranges::count_if(
+      cell.mJournal, [](const auto& aOne) { return std::holds_alternative<run_ended>(aOne); });
+  };
+  const target_report report{ .mClock = cell.target("a").mClock,
+                              .mIncarnationStart = 1,
+                              .mEnded = { { .mNumber = 1, .mTask = task, .mRun = 1 } } };
+  cell.mOwner->onHeartbeatReply("a", cell.mNow, order_outcome::accepted, report, cell.mNow);
+  cell.run(milliseconds(5));
+  CHECK_EQUAL(0, ends());
+  CHECK(cell.mOwner->storeEnds(cell.mNow));
+  // Nothing else waits.
+  CHECK(cell.mOwner->storeEnds(cell.mNow));
+  CHECK_EQUAL(1, cell.mOwner->unstoredEnds().size());
+  cell.run(milliseconds(10));
+  CHECK_EQUAL(1, ends());
+  CHECK_EQUAL(0, cell.mOwner->unstoredEnds().size());
+}
