Inputs of the event loop wait in lanes; ends go first

Cause: the loop handled all inputs in order of arrival, from one queue of 2,000. Results of orders with ends and hellos waited for callers' records, and were rejected with 503 if these filled the queue; ends then waited for the planning pass, and their append for the end of the pass, in which the loop sends calls.

Change: input_lanes decides the order and the share of each pass: results, hand-over and hellos; orders and advice; callers, 20 ms; diagnostics. Each lane is bounded by itself. Ends that arrived 20 ms ago or earlier are stored, and their append is sent, before callers' work and planning. An exception in the handling of an input ends that input with 500; an owner steps down. Writers, election, router and relays get the time after the inputs and after planning, not that of the begin of the pass: batches carried it, and relays refuse those older than 1 s.

Metrics: endiveusher_end_store_seconds, endiveusher_input_wait_*_seconds, endiveusher_inputs_rejected_total; line ends_stored_late.

Not played on a cell.

The times passed to writers, election and router have no test of their own.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Maximum number of requests that wait for the event loop; further ones are rejected at once.
-constexpr std::size_t kInboxCapacity = 2000;
 /// Interval at which the owner's renewals are read; part of the time to detect the owner's loss.
 constexpr std::chrono::milliseconds kOwnerTopicReadInterval{ 100 };
 /// Longest time that a read of the operator's records is held open; limits the age of known keys.
@@ -36,6 +34,10 @@
 /// acquired again well before its leases end: the owner renews its ownership every 400 ms.
 constexpr std::chrono::milliseconds kMaxResponsiveLatency{ 500 };
 constexpr std::chrono::milliseconds kMaxResponsiveAge{ 700 };
+/// Time after its arrival from which an end of a run is stored before callers' work and planning.
+/// An end counts as noted 100 ms after its target has listed it. In a loop that is not behind it is
+/// stored sooner with the next starts, in one append.
+constexpr std::chrono::milliseconds kMaxEndDelay{ 20 };
 /// Interval at which ended jobs are removed whose retention period has passed.
 constexpr std::chrono::milliseconds kPurgeInterval{ 1000 };
 /// Period over which the claims of different daemons are spread, in milliseconds.
@@ -50,7 +52,7 @@
 
 cell_node::impl::impl(platform::node_settings aSettings)
   : mSettings(std::move(aSettings)), mLog(mSettings.mNode),
-    mInbox(kInboxCapacity, [this] { mLoop.wake(); }),
+    mInbox(mClock, [this] { mLoop.wake(); }),
     mStore(mLoop, mSettings.mStoreAddress, mSettings.mLinkMbps),
     mIncarnation(std::random_device{}()),
     mPeerAddress(fmt::format("{}:{}", mSettings.mIp, mSettings.mPeerPort)),
@@ -178,7 +180,7 @@
       inbox_item item = queued_caller_request{ .mCall = platform::decodeCallerRequest(aRequest),
                                                .mBody = std::move(aRequest.mBody),
                                                .mResponder = aResponder };
-      if (!mInbox.push(item)) {
+      if (!mInbox.push(input_lane::callers, item)) {
         aResponder.answer({ .mStatus = 503,
                             .mBody = R"({"error":"overloaded"})",
                             .mHeaders = { { "Retry-After", "1" } } });
@@ -195,7 +197,7 @@
       inbox_item item = peer_request{ .mPath = aRequest.mPath,
                                       .mBody = std::move(aRequest.mBody),
                                       .mResponder = aResponder };
-      if (!mInbox.push(item)) {
+      if (!mInbox.push(laneOf(aRequest.mPath), item)) {
         aResponder.answer({ .mStatus = 503 });
       }
     });
@@ -333,21 +335,18 @@
     }
     updateCapacity();
     updateCellStatus();
-    for (auto& item : mInbox.takeAll()) {
-      if (auto* request = std::get_if<queued_caller_request>(&item)) {
-        handleCaller(*request);
-      } else {
-        handlePeer(std::get<peer_request>(item));
-      }
-    }
+    handleInputs();
+    storeLateEnds();
     mRecordWriter.tick(now);
     mRequestHandler.tick(now);
     {
       const loop_profiler::scope storing(mProfiler, loop_phase::store);
-      mWriter.tick(now);
-      tickElection(now);
+      // The inputs may have taken long.
+      const auto later = mClock.now();
+      mWriter.tick(later);
+      tickElection(later);
       if (mOwnerWriter) {
-        mOwnerWriter->tick(now);
+        mOwnerWriter->tick(later);
       }
       mSnapshotWriter.tick(now, snapshotSource());
     }
@@ -365,8 +364,11 @@
         mStepDownReason = "a relay knows a higher epoch";
       }
     }
-    mOrderRouter.tick(now, mOwner && mElection.mayAct(mClock.now()));
-    mOrderRelay.tick(now);
+    // Planning may have taken long: a batch carries the time at which it is sent, and relays refuse
+    // old ones.
+    const auto planned = mClock.now();
+    mOrderRouter.tick(planned, mOwner && mElection.mayAct(planned));
+    mOrderRelay.tick(planned);
     if (mNextPurge <= now) {
       mNextPurge = now + kPurgeInterval;
       mJobs.table().removeEnded(now - mSettings.mStatusRetention - kPurgeInterval);
@@ -388,11 +390,70 @@
   }
 }
 
+void cell_node::impl::handleInputs()
+{
+  serveInputs(
+    mInbox, mLanes, mClock,
+    [this](input_lane aLane, inbox<inbox_item>::entry& aInput) {
+      mInputWaits[static_cast<std::size_t>(aLane)].record(mClock.now() - aInput.mArrived);
+      if (aLane >= input_lane::callers) {
+        storeLateEnds();
+      }
+      mInputArrival = aInput.mArrived;
+      if (const auto* request = std::get_if<queued_caller_request>(&aInput.mItem)) {
+        handleCaller(*request);
+      } else {
+        handlePeer(std::get<peer_request>(aInput.mItem));
+      }
+      mInputArrival.reset();
+    },
+    [this](input_lane aLane, const std::exception& aError) {
+      mInputArrival.reset();
+      mLog.write("input_failed",
+                 fmt::format("lane={} error=\"{}\"",
+                             kInputLaneOptions[static_cast<std::size_t>(aLane)].mName,
+                             aError.what()));
+      if (mOwner) {
+        // Its state may be changed in part; the next owner has that of the journal.
+        mStepDownReason = "an input could not be handled";
+      }
+    });
+  const auto left = mInbox.waiting();
+  mInputsLeft = std::ranges::any_of(left, [](bool aOne) { return aOne; });
+}
+
+void cell_node::impl::passOnLateEnds()
+{
+  const auto now = mClock.now();
+  if (!mOwner || !mOldestReport || now - *mOldestReport < kMaxEndDelay || !mElection.mayAct(now)) {
+    return;
+  }
+  const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
+  // Otherwise an append is open, after which this is called again.
+  if (mOwner->storeEnds(now)) {
+    mOldestReport.reset();
+    mEndsUnsent = true;
+  }
+}
+
+void cell_node::impl::storeLateEnds()
+{
+  passOnLateEnds();
+  if (std::exchange(mEndsUnsent, false)) {
+    // Otherwise the append is sent after the callers' work and the planning pass.
+    const loop_profiler::scope calling(mProfiler, loop_phase::calls);
+    mLoop.progress();
+  }
+}
+
 void cell_node::impl::serveCalls(time_point aNext)
 {
   const loop_profiler::scope calling(mProfiler, loop_phase::calls);
   const bool completed = mLoop.progress();
-  {
+  if (mInputsLeft) {
+    mLoop.wait(std::chrono::milliseconds(0));
+    mLastWakeUp = mClock.now();
+  } else {
     const loop_profiler::scope waiting(mProfiler, loop_phase::idle);
     if (const auto early = kMinWakeInterval - (mClock.now() - mLastWakeUp); early > duration{ 0 }) {
       std::this_thread::sleep_for(early);
@@ -429,7 +490,8 @@
     return true;
   }
   const auto elapsed = aNow - *mStopSince;
-  const bool idle = mRequestHandler.waiting() == 0 && mElection.state() != election::role::owner;
+  const bool idle =
+    mRequestHandler.waiting() == 0 && !mInputsLeft && mElection.state() != election::role::owner;
   if ((elapsed > kDeregistrationPeriod && idle) ||
       elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
     mServerStopSince = aNow;
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -41,6 +41,18 @@
 
 } // namespace
 
+input_lane internal::laneOf(std::string_view aPath)
+{
+  if (aPath == kPeerResultsPath || aPath == kPeerUnstoredEndsPath || aPath == kPeerHelloPath) {
+    return input_lane::promises;
+  }
+  if (aPath == kPeerOrdersPath || aPath == kPeerAdvicePath) {
+    return input_lane::orders;
+  }
+  return aPath == kMetricsPath || aPath == kStatePath ? input_lane::diagnostics
+                                                      : input_lane::callers;
+}
+
 bool cell_node::impl::queryOwner(scheduler::job_id aId, const std::string& aTeam,
                                  std::function<void(owner_answer&&)> aDone)
 {
@@ -411,6 +423,14 @@
   text += mProfiler.metrics();
   text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
   text += mAppendTimes.render("endiveusher_append_seconds", "Appends of the owner.");
+  text += mEndTimes.metrics();
+  for (std::size_t lane = 0; lane < kInputLanes; ++lane) {
+    const auto name = kInputLaneOptions[lane].mName;
+    text += mInputWaits[lane].render(fmt::format("endiveusher_input_wait_{}_seconds", name),
+                                     "Time for which inputs wait for the event loop.");
+    text += fmt::format("endiveusher_inputs_rejected_total{{lane=\"{}\"}} {}\n", name,
+                        mInbox.rejected(static_cast<input_lane>(lane)));
+  }
   text += mOrderSender.metrics();
   return text;
 }
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -5,12 +5,14 @@
 #include "daemon/src/quantile_summary.h"
 #include "election.h"
 #include "end_hand_over.h"
+#include "end_times.h"
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/edges/http_server.h"
 #include "endiveusher/node/cell_node.h"
 #include "endiveusher/scheduler/owner.h"
 #include "event_log.h"
 #include "inbox.h"
+#include "input_lanes.h"
 #include "job_replica.h"
 #include "log_tail.h"
 #include "loop_profiler.h"
@@ -39,6 +41,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -83,6 +86,9 @@
 };
 using inbox_item = std::variant<queued_caller_request, peer_request>;
 
+/// Returns the lane of a request of another daemon.
+input_lane laneOf(std::string_view aPath);
+
 } // namespace internal
 
 class cell_node::impl : private scheduler::owner_port
@@ -223,6 +229,15 @@
 
   void run();
 
+  /// Handles callers' and other daemons' requests of one pass of the loop.
+  void handleInputs();
+
+  /// Has the owner store ends of runs that have waited for long.
+  void passOnLateEnds();
+
+  /// The same, and sends the append. Called before work that may take long.
+  void storeLateEnds();
+
   /// Processes network calls and waits until aNext or the next event.
   void serveCalls(time_point aNext);
 
@@ -243,6 +258,13 @@
   time_point mLastWakeUp{};
   edges::http_loop mLoop;
   inbox<inbox_item> mInbox;
+  input_lanes mLanes;
+  /// Time for which inputs have waited, by lane.
+  std::array<daemon::quantile_summary, kInputLanes> mInputWaits;
+  /// Arrival of the input that is being handled; absent between inputs.
+  std::optional<time_point> mInputArrival;
+  /// Whether the last pass of the loop has left inputs to the next one.
+  bool mInputsLeft = false;
   platform::store mStore;
   const std::uint64_t mIncarnation;
   const std::string mPeerAddress;
@@ -294,6 +316,11 @@
   };
   std::map<std::uint64_t, unstored_caller_record> mUnstoredCallerRecords;
   std::uint64_t mLastToken = 0;
+  end_times mEndTimes;
+  /// Arrival of the oldest report with ends since the owner has last passed on ends to be stored.
+  std::optional<time_point> mOldestReport;
+  /// Whether passOnLateEnds() has made an append that the loop may not have sent.
+  bool mEndsUnsent = false;
   /// Number of writes in flight that hold an end of the job, by job.
   std::map<scheduler::job_id, std::uint32_t> mUnstoredEnds;
   /// A follower that makes calls on the owner's behalf.
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds kMaxAppendAge{ 1500 };
 /// Duration above which an append is logged.
 constexpr std::chrono::milliseconds kSlowAppendThreshold{ 200 };
+/// Time from the arrival of an end to its completed append above which it is logged: after it, an
+/// end counts as noted.
+constexpr std::chrono::milliseconds kMaxEndStoreTime{ 100 };
 /// Lease of the tasks on a target; covers a network partition of some five seconds. With a longer
 /// lease more tasks survive a partition; with a shorter one the tasks of lost targets are restarted
 /// sooner on others.
@@ -37,9 +40,11 @@
 {
   std::vector<std::string> bytes;
   std::vector<scheduler::job_id> ended;
+  std::vector<scheduler::run_ended> ends;
   for (const auto& record : aRecords) {
     if (const auto* end = std::get_if<scheduler::run_ended>(&record)) {
       ended.push_back(end->mTask.mStep.mJob);
+      ends.push_back(*end);
     } else if (const auto* abandoned = std::get_if<scheduler::job_abandoned>(&record)) {
       ended.push_back(abandoned->mJob);
     }
@@ -48,31 +53,44 @@
   for (const auto id : ended) {
     ++mUnstoredEnds[id];
   }
-  mOwnerWriter->write(
-    std::move(bytes), [this, ended = std::move(ended), epoch = mEpoch](write_outcome aOutcome) {
-      if (!isOwner(epoch)) {
-        return;
-      }
-      if (aOutcome != write_outcome::stored) {
-        mStepDownReason = "journal fenced";
-        return;
-      }
-      mAppendTimes.record(mOwnerWriter->lastElapsed());
-      if (mOwnerWriter->lastElapsed() > kSlowAppendThreshold) {
-        mLog.write("slow_append",
-                   fmt::format("after_ms={} repeats={} waiting={}",
-                               mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1),
-                               mOwnerWriter->repeats(), mOwnerWriter->waiting()));
-      }
-      for (const auto id : ended) {
-        if (const auto found = mUnstoredEnds.find(id);
-            found != mUnstoredEnds.end() && --found->second == 0) {
-          mUnstoredEnds.erase(found);
-        }
+  if (!ends.empty()) {
+    mOldestReport.reset();
+  }
+  mOwnerWriter->write(std::move(bytes), [this, ended = std::move(ended), ends = std::move(ends),
+                                         epoch = mEpoch](write_outcome aOutcome) {
+    if (!isOwner(epoch)) {
+      return;
+    }
+    if (aOutcome != write_outcome::stored) {
+      mStepDownReason = "journal fenced";
+      return;
+    }
+    mAppendTimes.record(mOwnerWriter->lastElapsed());
+    if (mOwnerWriter->lastElapsed() > kSlowAppendThreshold) {
+      mLog.write("slow_append",
+                 fmt::format("after_ms={} repeats={} waiting={}",
+                             mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1),
+                             mOwnerWriter->repeats(), mOwnerWriter->waiting()));
+    }
+    for (const auto id : ended) {
+      if (const auto found = mUnstoredEnds.find(id);
+          found != mUnstoredEnds.end() && --found->second == 0) {
+        mUnstoredEnds.erase(found);
       }
+    }
+    const auto now = mClock.now();
+    if (const auto took = mEndTimes.onStored(ends, now); took && *took > kMaxEndStoreTime) {
+      mLog.write("ends_stored_late",
+                 fmt::format("ends={} longest_ms={} append_ms={}", ends.size(),
+                             *took / std::chrono::milliseconds(1),
+                             mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1)));
+    }
+    {
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
-      mOwner->onStored(mClock.now());
-    });
+      mOwner->onStored(now);
+    }
+    passOnLateEnds();
+  });
 }
 
 void cell_node::impl::onRecordStored(std::uint64_t aToken)
@@ -126,6 +144,12 @@
                                                       const scheduler::target_report& aReport) {
     if (isOwner(epoch)) {
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
+      if (!aReport.mEnded.empty()) {
+        const auto arrived = mInputArrival.value_or(mClock.now());
+        if (mEndTimes.onReported(aReport.mEnded, arrived)) {
+          mOldestReport = std::min(mOldestReport.value_or(arrived), arrived);
+        }
+      }
       mOwner->onHeartbeatReply(target, sent, aOutcome, aReport, mClock.now());
     }
   });
@@ -331,6 +355,8 @@
     mUnstoredReports = mOwner->unstoredEnds();
   }
   mHandOver.end();
+  mEndTimes.clear();
+  mOldestReport.reset();
   mOwner.reset();
   mOwnerWriter.reset();
   mEpoch = 0;
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -437,3 +437,18 @@
     return newestBase() == 20;
   }));
 }
+
+// Guards against waits that nothing shows: whether ends wait behind callers is seen only by lane.
+TEST(cell_node, showsHowLongInputsWaitByLane)
+{
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  const auto shows = [this](const char* aText) {
+    edges::raw_client client(peerPort);
+    client.send("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return client.receiveUntil(aText);
+  };
+  CHECK(shows("endiveusher_end_store_seconds_count 0\n"));
+  CHECK(shows("endiveusher_inputs_rejected_total{lane=\"promises\"} 0\n"));
+  CHECK_FALSE(shows("endiveusher_input_wait_callers_seconds_count 0\n"));
+  CHECK_FALSE(shows("endiveusher_input_wait_diagnostics_seconds_count 0\n"));
+}
