Replay the overload with the lanes of the daemon's loop

The replay took inputs in order of arrival, as the loop did before it had lanes. It moves to the tests of node/ and uses input_lanes and owner::storeEnds() as cell_node does.

--- a/standins/overload/overload_cell.h
+++ b/standins/overload/overload_cell.h
@@ -53,10 +53,26 @@
     } -> std::same_as<duration>;
 };
 
+/// Lets inputs wait in one lane, in the order of their arrival.
+struct arrival_order
+{
+  static constexpr std::size_t kLanes = 1;
+  /// First lane before whose inputs late ends are stored.
+  static constexpr std::size_t kLateEndsBefore = kLanes;
+  static std::size_t laneOf(loop_work /*aKind*/) { return 0; }
+  void beginPass(time_point /*aNow*/) {}
+  /// Returns the lane of the next input of a pass of the loop, nothing if it has handled enough.
+  /// @param aWaiting whether inputs wait, by lane
+  std::optional<std::size_t> next(const std::array<bool, kLanes>& aWaiting, time_point /*aNow*/)
+  {
+    return aWaiting[0] ? std::optional<std::size_t>(0) : std::nullopt;
+  }
+};
+
 /// An owner with its targets, advice service, store and callers in simulated time. The event loop
 /// handles one input after the other and is busy for as long as the meter says, so that inputs wait
-/// for each other as in a daemon.
-template<loop_meter Meter>
+/// for each other as in a daemon. Lanes decides which of them is next, as arrival_order does.
+template<loop_meter Meter, typename Lanes = arrival_order>
 class overload_cell : private scheduler::owner_port
 {
 public:
@@ -191,6 +207,7 @@
   static constexpr duration kRelayDelay = std::chrono::milliseconds(10);
   static constexpr duration kNetworkDelay = std::chrono::milliseconds(2);
   static constexpr duration kAppendTime = std::chrono::milliseconds(9);
+  static constexpr duration kMaxEndDelay = std::chrono::milliseconds(20);
   static constexpr duration kMinWakeInterval = std::chrono::milliseconds(2);
   static constexpr duration kGangTimeout = std::chrono::seconds(5);
   static constexpr int kMaxTries = 5;
@@ -217,7 +234,10 @@
   }
   void receiveLater(loop_work aKind, std::function<void()> aWork)
   {
-    mInbox.push_back({ .mKind = aKind, .mWork = std::move(aWork) });
+    auto& lane = mInbox[Lanes::laneOf(aKind)];
+    // Replies of the store come on a connection of their own, not through the inbox.
+    const auto at = aKind == loop_work::stored ? lane.begin() : lane.end();
+    lane.insert(at, { .mKind = aKind, .mWork = std::move(aWork) });
   }
   void deliverEvents()
   {
@@ -247,9 +267,7 @@
       one.mPassTime = std::max(one.mPassTime, counts.mLastPass.mDuration);
     }
     const auto begin = mNow;
-    for (auto& one : std::exchange(mInbox, {})) {
-      spend(one.mKind, one.mWork);
-    }
+    handleInputs();
     if (mNextTick <= mNow || begin != mNow) {
       spend(loop_work::tick, [this] { mNextTick = mOwner->tick(mNow, wall()); });
     }
@@ -260,6 +278,41 @@
     mNow = std::max(mNow, next);
   }
 
+  void handleInputs()
+  {
+    mLanes.beginPass(mNow);
+    while (const auto lane = mLanes.next(waitingLanes(), mNow)) {
+      if (*lane >= Lanes::kLateEndsBefore) {
+        storeLateEnds();
+      }
+      const auto one = std::move(mInbox[*lane].front());
+      mInbox[*lane].pop_front();
+      spend(one.mKind, one.mWork);
+      deliverEvents();
+      if (one.mKind == loop_work::stored) {
+        storeLateEnds();
+      }
+    }
+    storeLateEnds();
+  }
+  std::array<bool, Lanes::kLanes> waitingLanes() const
+  {
+    std::array<bool, Lanes::kLanes> waiting{};
+    std::ranges::transform(mInbox, waiting.begin(), [](const auto& aOne) { return !aOne.empty(); });
+    return waiting;
+  }
+  /// As the event loop of a daemon does for ends that have waited for long.
+  void storeLateEnds()
+  {
+    if (mOldestReport && mNow - *mOldestReport >= kMaxEndDelay) {
+      spend(loop_work::stored, [this] {
+        if (mOwner->storeEnds(mNow)) {
+          mOldestReport.reset();
+        }
+      });
+    }
+  }
+
   // Callers.
   double lognormal(double aMean, double aSpread, double aMost)
   {
@@ -484,7 +537,10 @@
     aTarget.mOpen.reset();
     at(mNow + kRelayDelay,
        [this, id = aTarget.mEntry.mId, sent = aTarget.mOpenedAt, report = std::move(report)] {
-         receiveLater(loop_work::heartbeat, [this, id, sent, report] {
+         receiveLater(loop_work::heartbeat, [this, id, sent, report, arrived = mNow] {
+           if (!report.mEnded.empty()) {
+             mOldestReport = std::min(mOldestReport.value_or(arrived), arrived);
+           }
            mOwner->onHeartbeatReply(id, sent, scheduler::order_outcome::accepted, report, mNow);
          });
        });
@@ -624,7 +680,10 @@
   scheduler::job_table mTable;
   std::map<std::string, target> mTargets;
   std::multimap<time_point, std::function<void()>> mEvents;
-  std::vector<input> mInbox;
+  Lanes mLanes;
+  std::array<std::deque<input>, Lanes::kLanes> mInbox;
+  /// Arrival of the oldest report with ends that the owner has not been asked to store.
+  std::optional<time_point> mOldestReport;
   std::map<scheduler::job_id, caller> mCallers;
   std::map<std::pair<scheduler::job_id, std::uint32_t>, std::chrono::milliseconds> mWork;
   std::map<scheduler::step_key, gang> mGangs;
--- a/tests/scheduler/overload_replay_test.cpp
+++ b/tests/node/overload_replay_test.cpp
@@ -1,4 +1,5 @@
 // Standard library headers come first, because CppUTest's header defines `new` as a macro.
+#include "input_lanes.h"
 #include "overload/overload_cell.h"
 
 #include <CppUTest/TestHarness.h>
@@ -58,6 +59,30 @@
   mutable std::uint64_t mReadings = 0;
 };
 
+/// The lanes of a daemon's event loop.
+class daemon_lanes
+{
+public:
+  static constexpr std::size_t kLanes = node::kInputLanes;
+  static constexpr auto kLateEndsBefore = static_cast<std::size_t>(node::input_lane::callers);
+  static std::size_t laneOf(loop_work aKind)
+  {
+    return static_cast<std::size_t>(
+      aKind == loop_work::submission ? node::input_lane::callers : node::input_lane::promises);
+  }
+  void beginPass(time_point aNow) { mLanes.beginPass(aNow); }
+  std::optional<std::size_t> next(const std::array<bool, kLanes>& aWaiting, time_point aNow)
+  {
+    const auto lane = mLanes.next(aWaiting, aNow);
+    return lane ? std::optional(static_cast<std::size_t>(*lane)) : std::nullopt;
+  }
+
+private:
+  node::input_lanes mLanes;
+};
+
+using replayed_cell = overload_cell<constant_meter, daemon_lanes>;
+
 } // namespace
 
 /// Load of a large cell on a day on which its owner did not recover: a team that sends several
@@ -85,7 +110,7 @@
 // Guards against an overload that goes on after its cause has ended.
 TEST(overload_replay, newShortJobsAreOnTimeSoonAfterAnOverload)
 {
-  overload_cell cell(options(), meter);
+  replayed_cell cell(options(), meter);
   cell.play();
   const auto first = static_cast<std::size_t>((kOverloadEnd + kRecovery) / cell.kWindow);
   CHECK_COMPARE(cell.windows().size(), >, first);
@@ -99,7 +124,7 @@
 // Guards against calls for advice by the number of steps that wait instead of by what can start.
 TEST(overload_replay, stepsDoNotAskForAdviceAgainAndAgain)
 {
-  overload_cell cell(options(), meter);
+  replayed_cell cell(options(), meter);
   cell.play();
   std::uint32_t calls = 0;
   std::uint32_t steps = 0;
@@ -114,7 +139,7 @@
 // meanwhile would run again.
 TEST(overload_replay, endsAreStoredSoonAfterTheirReportAtAnyLoad)
 {
-  overload_cell cell(options(), meter);
+  replayed_cell cell(options(), meter);
   cell.play();
   for (const auto& one : cell.windows()) {
     CHECK_COMPARE(one.mLongestEndTime / 1ms, <=, 100);
