Wait for a busy owner instead of storing callers' records past it

Ruled out as evidence that a record is lost: time alone, and an answered hello, which may be handled before records that wait in the owner's queue.

Change: while the owner can be reached, a record stays with it. It is sent again if its call has failed, or 1 s (eight latencies of the store) after the owner has answered a later call of the same kind; the follower makes one without records if there is none. Pause and grace double with each repetition to the same owner. After 10 s the outcome is unknown. What was sent more than once and is turned away has an unknown outcome. Jobs behind an owner's late append are refused (new result `busy`), cancellations are then appended as before; a repetition of a job that the owner knows is accepted, not refused. An answered call counts as a sign of life of the owner as an answered hello does. Without an owner, with a partitioned one, with a refused connection, and with one that has stepped down or not started, records are appended directly as before.

Tests that failed before: caller_record_writer waitsForABusyOwner (expected 0 outcomes, was 3: appended directly), sendsAgainWhatTheOwnerHasPassedOver (expected 6 records at the owner, was 3), reportsNoOverloadOfWhatWasSentAgain, sendsAgainWhatAFullQueueHasTurnedAway (expected 0, was 2), refusesJobsWhileTheOwnersAppendsAreBehind (expected 3 refused, was 0), waitsForTheFirstReplyOfANewOwner (expected 3 records at the owner, was 0), anAnsweredCallShowsThatTheOwnerIsReachable; cell_node anOwnerAnswersACallWithoutRecords (expected 200, was 500), anOwnerWhoseAppendIsBehindRefusesOnlyUnknownJobs (with the former acceptLocally: repetition expected stored, was refused). appendsDirectlyWhenTheOwnerIsGone and appendsCancellationsWhileTheOwnersAppendsAreBehind hold what stays; they passed before. No existing test was changed.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -2,17 +2,30 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace endiveusher::node {
 
 namespace {
 
-/// Time after which a forwarded record is appended directly. While the store is fast the owner
-/// replies within some tens of milliseconds; a connection without a reply for longer may be dead.
-constexpr std::chrono::milliseconds kForwardFallbackDelay{ 1000 };
 /// Longer than the usual timeout of callers, which are answered before that the outcome is unknown.
 constexpr std::chrono::milliseconds kForwardTimeout{ 4000 };
+/// Time after which an unanswered record makes this daemon ask whether the owner has taken it.
+constexpr std::chrono::milliseconds kProbeDelay{ 500 };
+/// Time in which an owner stores what it has taken, and the same as a multiple of the store's
+/// latency: the append that is open, and the next one, which holds the record.
+constexpr std::chrono::milliseconds kMinAppendGrace{ 1000 };
+constexpr int kAppendGraceLatencies = 8;
+/// Pause before a record is sent again whose call has failed, or was turned away.
+constexpr std::chrono::milliseconds kResendPause{ 100 };
+/// The pause and the grace double each time that the record is sent again to the same owner, up to
+/// this number.
+constexpr std::uint32_t kMaxDoublings = 3;
+/// Time after which the owner is no longer asked for the outcome of a record; callers that state no
+/// timeout have given up then.
+constexpr std::chrono::seconds kMaxForwardAge{ 10 };
 /// Maximum number of open calls. Below the HTTP loop's limit of connections to one address, so that
 /// hellos and status calls never wait for a connection.
 constexpr std::uint32_t kMaxOpenCalls = 6;
@@ -46,10 +59,23 @@
   return aStoreLost || (mWriter.pendingSince() && aNow - *mWriter.pendingSince() > aPeriod);
 }
 
+bool caller_record_writer::ownerExpected(time_point aNow) const
+{
+  return ownerUsable(aNow) || mOwnerClient.awaitsFirstReply(aNow);
+}
+
+duration caller_record_writer::appendGrace(const forwarded_record& aRecord) const
+{
+  return std::max<duration>(kMinAppendGrace, kAppendGraceLatencies * mStore.latency()) *
+         (1U << std::min(aRecord.mRepeats, kMaxDoublings));
+}
+
 void caller_record_writer::store(const scheduler::journal_record& aRecord, done_callback aDone)
 {
-  const done_callback local = [this, aRecord, aDone](caller_outcome aOutcome) {
-    if (aOutcome == write_outcome::stored || aOutcome == write_outcome::overloaded) {
+  const bool isSubmission = std::holds_alternative<scheduler::job_submitted>(aRecord);
+  const done_callback local = [this, aRecord, aDone, isSubmission](caller_outcome aOutcome) {
+    if (aOutcome == write_outcome::stored || aOutcome == write_outcome::overloaded ||
+        (aOutcome == write_outcome::refused && isSubmission)) {
       aDone(aOutcome);
     } else {
       append(encode(aRecord), aOutcome != write_outcome::refused, aDone);
@@ -58,25 +84,41 @@
   if (mStoreLocally(aRecord, local)) {
     return;
   }
+  const auto now = mClock.now();
   auto bytes = encode(aRecord);
-  if (!mOwnerClient.reachable(mClock.now())) {
+  if (!ownerExpected(now)) {
     append(std::move(bytes), false, std::move(aDone));
     return;
   }
   mForwarded[++mLastForwardedId] = { .mBytes = std::move(bytes),
                                      .mDone = std::move(aDone),
-                                     .mSince = mClock.now() };
-  flush(mClock.now());
+                                     .mSince = now,
+                                     .mIsSubmission = isSubmission };
+  flush(now);
+}
+
+void caller_record_writer::sendAgain(forwarded_record& aRecord, duration aPause)
+{
+  aRecord.mUncertain = true;
+  aRecord.mCall = 0;
+  aRecord.mOvertakenAt.reset();
+  aRecord.mNotBefore = mClock.now() + aPause * (1U << std::min(aRecord.mRepeats, kMaxDoublings));
+  ++aRecord.mRepeats;
 }
 
 void caller_record_writer::onOwnerChanged()
 {
   mGeneration = mOwnerClient.generation();
   mOpenCalls = 0;
+  mProbeOpen = false;
+  mNewestAnswered = mLastCall;
   // The former owner may be frozen; nothing would end the wait for it before kForwardTimeout.
   for (auto& [number, one] : mForwarded) {
-    one.mUncertain = one.mUncertain || one.mSent;
-    one.mSent = false;
+    if (one.mCall != 0) {
+      sendAgain(one, duration{ 0 });
+    }
+    one.mRepeats = 0;
+    one.mNotBefore = time_point{};
   }
 }
 
@@ -86,14 +128,15 @@
     onOwnerChanged();
   }
   const bool pause = mOpenCalls >= kMaxUnbatchedCalls && aNow - mLastSent < kBatchInterval;
-  if (mOpenCalls >= kMaxOpenCalls || pause || !mOwnerClient.reachable(aNow)) {
+  if (mOpenCalls >= kMaxOpenCalls || pause || !ownerUsable(aNow)) {
     return;
   }
   std::vector<std::uint64_t> numbers;
   std::vector<std::string> records;
   for (auto& [number, one] : mForwarded) {
-    if (!one.mSent && records.size() < kMaxRecordsPerCall) {
-      one.mSent = true;
+    if (one.mCall == 0 && one.mNotBefore <= aNow && records.size() < kMaxRecordsPerCall) {
+      one.mCall = mLastCall + 1;
+      one.mSentAt = aNow;
       numbers.push_back(number);
       records.push_back(one.mBytes);
     }
@@ -101,78 +144,162 @@
   if (records.empty()) {
     return;
   }
+  ++mLastCall;
   ++mOpenCalls;
   mLastSent = aNow;
-  mOwnerClient.call(
-    kPeerStorePath, encodeForwardedRecords(records), kForwardTimeout,
-    [this, numbers = std::move(numbers), generation = mGeneration](edges::loop_reply&& aReply) {
-      mOpenCalls -= generation == mGeneration ? 1 : 0;
-      onForwardReply(numbers, generation, aReply);
-      flush(mClock.now());
-    });
+  mOwnerClient.call(kPeerStorePath, encodeForwardedRecords(records), kForwardTimeout,
+                    [this, numbers = std::move(numbers), call = mLastCall,
+                     generation = mGeneration](edges::loop_reply&& aReply) {
+                      mOpenCalls -= generation == mGeneration ? 1 : 0;
+                      onForwardReply(call, numbers, generation, aReply);
+                      flush(mClock.now());
+                    });
 }
 
-void caller_record_writer::onForwardReply(const std::vector<std::uint64_t>& aNumbers,
+void caller_record_writer::onForwardReply(std::uint64_t aCall,
+                                          const std::vector<std::uint64_t>& aNumbers,
                                           std::uint64_t aGeneration,
                                           const edges::loop_reply& aReply)
 {
-  const bool complete = aReply.ok() && aReply.mBody.size() == aNumbers.size();
-  if (!complete) {
+  const bool isCurrent = aGeneration == mOwnerClient.generation();
+  if (!aReply.ok() || aReply.mBody.size() != aNumbers.size()) {
     mLog.write("forward_failed",
                fmt::format("status={} error=\"{}\" after_ms={} records={}",
                            aReply.mStatus.value_or(0), aReply.mError,
                            aReply.mElapsed / std::chrono::milliseconds(1), aNumbers.size()));
+    if (isCurrent) {
+      onForwardFailure(aCall, aNumbers, aReply);
+    }
+    return;
+  }
+  if (isCurrent) {
+    mNewestAnswered = std::max(mNewestAnswered, aCall);
   }
-  const auto fallback =
-    aReply.mUnsent || aReply.mStatus == 503 ? forward_result::refused : forward_result::unknown;
   for (std::size_t index = 0; index < aNumbers.size(); ++index) {
     const auto found = mForwarded.find(aNumbers[index]);
     if (found == mForwarded.end()) {
       continue;
     }
-    const auto retryAfter =
-      complete ? decodeRetryAfter(aReply.mBody[index]) : std::chrono::seconds{ 0 };
-    auto result = complete ? static_cast<forward_result>(aReply.mBody[index]) : fallback;
-    if (retryAfter.count() > 0) {
-      result = forward_result::overloaded;
-    }
-    if (aGeneration != mGeneration && result != forward_result::stored) {
-      continue; // The record is, or will be, sent to the new owner.
+    const bool isNewestCall = isCurrent && found->second.mCall == aCall;
+    if (!isNewestCall && aReply.mBody[index] != static_cast<char>(forward_result::stored)) {
+      continue; // The record is, or will be, sent once more, perhaps to another owner.
     }
     auto one = std::move(found->second);
     mForwarded.erase(found);
-    if (result == forward_result::stored) {
-      one.mDone(write_outcome::stored);
-    } else if (result == forward_result::overloaded) {
-      // A former owner may have stored it.
-      one.mDone(one.mUncertain ? caller_outcome(write_outcome::unknown)
-                               : caller_outcome(write_outcome::overloaded, retryAfter));
-    } else {
-      append(std::move(one.mBytes), one.mUncertain || result != forward_result::refused,
-             std::move(one.mDone));
+    finish(std::move(one), aReply.mBody[index]);
+  }
+}
+
+void caller_record_writer::onForwardFailure(std::uint64_t aCall,
+                                            const std::vector<std::uint64_t>& aNumbers,
+                                            const edges::loop_reply& aReply)
+{
+  const bool hasTimedOut = !aReply.mStatus && aReply.mElapsed >= kForwardTimeout;
+  for (const auto number : aNumbers) {
+    const auto found = mForwarded.find(number);
+    if (found == mForwarded.end() || found->second.mCall != aCall) {
+      continue;
     }
+    auto& one = found->second;
+    if (aReply.mRefused) {
+      // The owner's process has ended. libcurl repeats a request whose reused connection ends, so
+      // that a byte of it may have been sent before.
+      auto lost = std::move(one);
+      mForwarded.erase(found);
+      append(std::move(lost.mBytes), lost.mUncertain || !aReply.mUnsent, std::move(lost.mDone));
+    } else if (!hasTimedOut) {
+      sendAgain(one, kResendPause);
+    } // Otherwise the owner may still have it in its queue, see findLost().
+  }
+}
+
+void caller_record_writer::finish(forwarded_record aRecord, char aResult)
+{
+  const auto retryAfter = decodeRetryAfter(aResult);
+  const auto result =
+    retryAfter.count() > 0 ? forward_result::overloaded : static_cast<forward_result>(aResult);
+  // A former owner, or this one by another call, may have stored what is turned away now.
+  const auto turnAway = [&aRecord](caller_outcome aOutcome) {
+    aRecord.mDone(aRecord.mUncertain ? caller_outcome(write_outcome::unknown) : aOutcome);
+  };
+  if (result == forward_result::stored) {
+    aRecord.mDone(write_outcome::stored);
+  } else if (result == forward_result::overloaded) {
+    turnAway({ write_outcome::overloaded, retryAfter });
+  } else if (result == forward_result::busy && aRecord.mIsSubmission && ownerUsable(mClock.now())) {
+    turnAway(write_outcome::refused);
+  } else {
+    append(std::move(aRecord.mBytes),
+           aRecord.mUncertain ||
+             (result != forward_result::refused && result != forward_result::busy),
+           std::move(aRecord.mDone));
   }
 }
 
 void caller_record_writer::tick(time_point aNow)
 {
-  const bool usable = ownerUsable(aNow);
-  const bool slow = mStore.latency() >= kSlowStoreLatency;
+  const bool expected = ownerExpected(aNow);
   for (auto at = mForwarded.begin(); at != mForwarded.end();) {
-    const bool overdue = !slow && aNow - at->second.mSince > kForwardFallbackDelay;
-    if (usable && !overdue) {
+    const bool overdue = aNow - at->second.mSince > kMaxForwardAge;
+    if (expected && !overdue) {
       ++at;
       continue;
     }
     auto one = std::move(at->second);
     at = mForwarded.erase(at);
-    mLog.write("forward_abandoned",
-               fmt::format("owner_usable={} store_delay_ms={} after_ms={}", usable,
-                           mStore.latency().count(),
-                           (aNow - one.mSince) / std::chrono::milliseconds(1)));
-    append(std::move(one.mBytes), one.mUncertain || one.mSent, std::move(one.mDone));
+    const bool uncertain = one.mUncertain || one.mCall != 0;
+    mLog.write(expected ? "forward_unanswered" : "forward_abandoned",
+               fmt::format("store_delay_ms={} after_ms={} sent={}", mStore.latency().count(),
+                           (aNow - one.mSince) / std::chrono::milliseconds(1), uncertain));
+    if (expected) {
+      one.mDone(uncertain ? write_outcome::unknown : write_outcome::refused);
+    } else {
+      append(std::move(one.mBytes), uncertain, std::move(one.mDone));
+    }
   }
+  findLost(aNow);
   flush(aNow);
+  probe(aNow);
+}
+
+void caller_record_writer::findLost(time_point aNow)
+{
+  for (auto& [number, one] : mForwarded) {
+    if (one.mCall == 0 || one.mCall >= mNewestAnswered) {
+      continue;
+    }
+    if (!one.mOvertakenAt) {
+      one.mOvertakenAt = aNow;
+    } else if (aNow - *one.mOvertakenAt > appendGrace(one)) {
+      mLog.write("forward_repeated",
+                 fmt::format("after_ms={} store_delay_ms={}",
+                             (aNow - one.mSentAt) / std::chrono::milliseconds(1),
+                             mStore.latency().count()));
+      sendAgain(one, duration{ 0 });
+    }
+  }
+}
+
+void caller_record_writer::probe(time_point aNow)
+{
+  if (mProbeOpen || !ownerUsable(aNow) || std::ranges::none_of(mForwarded, [&](const auto& aOne) {
+        const auto& record = aOne.second;
+        return record.mCall > mNewestAnswered && aNow - record.mSentAt > kProbeDelay;
+      })) {
+    return;
+  }
+  mProbeOpen = true;
+  mOwnerClient.call(
+    kPeerStorePath, encodeForwardedRecords({}), kForwardTimeout,
+    [this, call = ++mLastCall, generation = mGeneration](const edges::loop_reply& aReply) {
+      if (generation != mGeneration) {
+        return;
+      }
+      mProbeOpen = false;
+      if (aReply.ok()) {
+        mNewestAnswered = std::max(mNewestAnswered, call);
+      }
+    });
 }
 
 void caller_record_writer::append(std::string aBytes, bool aUncertain, done_callback aDone)
--- a/node/src/caller_record_writer.h
+++ b/node/src/caller_record_writer.h
@@ -30,15 +30,20 @@
   std::chrono::seconds mRetryAfter;
 };
 
-/// Writes the records of callers to the journal: through the owner if it is reachable, else
+/// Writes the records of callers to the journal: through the owner while it can be reached, else
 /// directly.
 ///
 /// Load pattern: the store is slow, and its partition processes appends one at a time. The owner
 /// batches the records of all callers with its own, so that one append holds a job and the starts
-/// of its tasks; a daemon appends directly only if it cannot reach the owner. While the store is
-/// slow it waits for the owner without a time limit, because each direct append would delay the
-/// owner's. Many records are pending then, so each call forwards several, and some connections to
-/// the owner are left free for other calls. Storing a record twice has no further effect.
+/// of its tasks. Many records are pending then, so each call forwards several, and some connections
+/// to the owner are left free for other calls. Storing a record twice has no further effect.
+///
+/// Load pattern: the owner's event loop is behind, and answers after seconds. Its admission has to
+/// see every job, and a second append of a record is more work for the same loop. A record is
+/// therefore appended directly only if the owner cannot be reached, is partitioned from the store,
+/// or states that it is not the owner. A late answer is no reason to send a record again either: it
+/// is, once the owner has answered a later call and still not that record, whose connection is
+/// silent then.
 class caller_record_writer
 {
 public:
@@ -53,8 +58,7 @@
 
   /// Writes a record; the outcome is never write_outcome::fenced.
   void store(const scheduler::journal_record& aRecord, done_callback aDone);
-  /// Forwards records that are due, and appends directly those that the owner does not store in
-  /// time.
+  /// Forwards records that are due, and appends directly those of an owner that cannot be reached.
   void tick(time_point aNow);
   /// Whether no record can be written at present: the owner cannot be used, and the store is lost
   /// or has not answered an append for longer than aPeriod.
@@ -67,19 +71,43 @@
     std::string mBytes;
     done_callback mDone;
     time_point mSince;
-    bool mSent = false;
-    /// Whether the record was sent to a former owner, which may have stored it.
+    bool mIsSubmission = false;
+    /// Number of the call that holds the record; 0 if it has to be sent.
+    std::uint64_t mCall = 0;
+    time_point mSentAt{};
+    /// Time at which the owner was found to have answered a later call.
+    std::optional<time_point> mOvertakenAt;
+    /// Number of times that the record was sent again to the same owner.
+    std::uint32_t mRepeats = 0;
+    /// The record is not sent again before this time.
+    time_point mNotBefore{};
+    /// Whether an earlier call, or a former owner, may have stored it.
     bool mUncertain = false;
   };
 
   bool ownerUsable(time_point aNow) const;
+  /// Whether records may be handed to the owner: it is usable, or has just become known.
+  bool ownerExpected(time_point aNow) const;
+  /// Lets a record that may have been stored be sent once more, after aPause at least.
+  void sendAgain(forwarded_record& aRecord, duration aPause);
+  /// Finds the records that the owner has passed over.
+  void findLost(time_point aNow);
+  /// Sends a call without records if one has been unanswered for long.
+  void probe(time_point aNow);
+  /// Time that the owner has for a record after it has answered a later call.
+  duration appendGrace(const forwarded_record& aRecord) const;
   /// Prepares the records that a former owner has not answered for being sent to the new one.
   void onOwnerChanged();
   /// Forwards records that have not been sent, unless too many calls are open.
   void flush(time_point aNow);
   /// Processes the reply to a call that was sent to the owner of aGeneration.
-  void onForwardReply(const std::vector<std::uint64_t>& aNumbers, std::uint64_t aGeneration,
-                      const edges::loop_reply& aReply);
+  void onForwardReply(std::uint64_t aCall, const std::vector<std::uint64_t>& aNumbers,
+                      std::uint64_t aGeneration, const edges::loop_reply& aReply);
+  /// Processes a call that the owner has not answered for its records.
+  void onForwardFailure(std::uint64_t aCall, const std::vector<std::uint64_t>& aNumbers,
+                        const edges::loop_reply& aReply);
+  /// Processes the owner's answer for one record, which is no longer among the forwarded ones.
+  void finish(forwarded_record aRecord, char aResult);
   void append(std::string aBytes, bool aUncertain, done_callback aDone);
 
   const clock& mClock;
@@ -90,6 +118,10 @@
   local_store mStoreLocally;
   std::map<std::uint64_t, forwarded_record> mForwarded;
   std::uint64_t mLastForwardedId = 0;
+  std::uint64_t mLastCall = 0;
+  /// Number of the newest call that the owner has answered.
+  std::uint64_t mNewestAnswered = 0;
+  bool mProbeOpen = false;
   /// Number of unanswered calls to the current owner.
   std::uint32_t mOpenCalls = 0;
   std::uint64_t mGeneration = 0;
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -190,28 +190,34 @@
     std::string mResults;
     std::size_t mOpen = 0;
   };
+  if (records->empty()) {
+    aRequest.mResponder.answer({});
+    return;
+  }
   const auto all = std::make_shared<progress>(
     progress{ .mResults = std::string(records->size(), '?'), .mOpen = records->size() });
   for (std::size_t index = 0; index < records->size(); ++index) {
-    const auto finish = [all, index, responder = aRequest.mResponder](caller_outcome aOutcome) {
+    const auto answer = [all, index, responder = aRequest.mResponder](char aResult) {
+      all->mResults[index] = aResult;
+      if (--all->mOpen == 0) {
+        responder.answer({ .mBody = std::move(all->mResults) });
+      }
+    };
+    const auto finish = [answer](caller_outcome aOutcome) {
       auto result = forward_result::unknown;
       if (aOutcome == write_outcome::stored) {
         result = forward_result::stored;
       } else if (aOutcome == write_outcome::refused) {
-        result = forward_result::refused;
+        result = forward_result::busy;
       } else if (aOutcome == write_outcome::overloaded) {
         result = forward_result::overloaded;
       }
-      all->mResults[index] = aOutcome.mRetryAfter.count() > 0
-                               ? encodeRetryAfter(aOutcome.mRetryAfter)
-                               : static_cast<char>(result);
-      if (--all->mOpen == 0) {
-        responder.answer({ .mBody = std::move(all->mResults) });
-      }
+      answer(aOutcome.mRetryAfter.count() > 0 ? encodeRetryAfter(aOutcome.mRetryAfter)
+                                              : static_cast<char>(result));
     };
     const auto record = scheduler::decodeRecord((*records)[index]);
     if (!record.ok() || !isCallersRecord(*record) || !acceptLocally(*record, finish)) {
-      finish(write_outcome::refused);
+      answer(static_cast<char>(forward_result::refused));
     }
   }
 }
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -92,13 +92,15 @@
   if (!mOwner || !mElection.mayAct(now)) {
     return false;
   }
-  if (mOwnerWriter->pendingSince() && now - *mOwnerWriter->pendingSince() > kMaxAppendAge) {
+  const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
+  // A job that is known was accepted before; its repetition is confirmed.
+  const bool known = submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) != nullptr;
+  if (!known && mOwnerWriter->pendingSince() &&
+      now - *mOwnerWriter->pendingSince() > kMaxAppendAge) {
     aDone(write_outcome::refused);
     return true;
   }
-  const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
-  // A job that is known was accepted before; its repetition is confirmed.
-  if (submitted != nullptr && mJobs.table().find(submitted->mSpec.mId) == nullptr) {
+  if (submitted != nullptr && !known) {
     if (const auto retryAfter = mOwner->rejection(submitted->mSpec, now)) {
       aDone({ write_outcome::overloaded, *retryAfter });
       return true;
--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -108,6 +108,12 @@
   return mOwner && !mConnectionRefused && aNow - mLastReply < kReachableTimeout + extraInterval();
 }
 
+bool owner_client::awaitsFirstReply(time_point aNow) const
+{
+  return mOwner && !mConnectionRefused && mLastReply == time_point{} &&
+         aNow - mOwnerSince < kHelloTimeout;
+}
+
 bool owner_client::unresponsive(time_point aNow) const
 {
   return mOwner && aNow - std::max(mLastReply, mOwnerSince) > kOwnerTimeout + extraInterval();
@@ -129,7 +135,14 @@
                .mBody = std::move(aBody),
                .mContentType = "application/octet-stream",
                .mTimeout = aTimeout,
-               .mDone = std::move(aDone) });
+               .mDone = [this, generation = mGeneration,
+                         done = std::move(aDone)](edges::loop_reply&& aReply) {
+                 // A busy owner may answer hellos later than their timeout.
+                 if (aReply.mStatus && generation == mGeneration) {
+                   mLastReply = mClock.now();
+                 }
+                 done(std::move(aReply));
+               } });
 }
 
 } // namespace endiveusher::node
--- a/node/src/owner_client.h
+++ b/node/src/owner_client.h
@@ -46,6 +46,8 @@
 
   /// Whether the owner has answered recently enough for records to be forwarded to it.
   bool reachable(time_point aNow) const;
+  /// Whether the owner became known so recently that its first reply may still be under way.
+  bool awaitsFirstReply(time_point aNow) const;
   /// Time at which the last hello was sent, if the owner's machine has refused it: its process has
   /// ended, or it is cut off in a way that looks the same.
   std::optional<time_point> refusedAt() const
@@ -67,7 +69,7 @@
 
   /// Incremented with each change of the owner.
   std::uint64_t generation() const { return mGeneration; }
-  /// Calls the owner. Precondition: reachable().
+  /// Calls the owner; any answer shows that it is reachable. Precondition: reachable().
   void call(std::string_view aPath, std::string aBody, std::chrono::milliseconds aTimeout,
             std::function<void(edges::loop_reply&&)> aDone);
 
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -29,7 +29,7 @@
 inline constexpr std::string_view kPeerHelloPath = "/peer/hello";
 inline constexpr std::string_view kPeerAdvicePath = "/peer/advice";
 /// Forwards callers' records to the owner, which stores them. The reply has one letter for each
-/// record, see forward_result.
+/// record, see forward_result. Without records it shows that the owner has taken the calls before.
 inline constexpr std::string_view kPeerStorePath = "/peer/store";
 /// Returns the state of a job as the owner knows it; 404 if there is no such job, and 503 if the
 /// daemon cannot tell.
@@ -172,8 +172,11 @@
 enum class forward_result : char
 {
   stored = 's',
-  /// Confirmed not to be stored.
+  /// Confirmed not to be stored: the daemon is not the owner, or may not act as such yet.
   refused = 'r',
+  /// Confirmed not to be stored: the owner's own appends are behind. The follower may not append a
+  /// submission past the owner's admission.
+  busy = 'b',
   /// Confirmed not to be stored, and not to be appended by the follower either: the owner accepts
   /// no further job of the team at present.
   overloaded = 'o',
--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -4,7 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 using namespace endiveusher;
@@ -15,7 +17,8 @@
 
 namespace {
 
-/// An owner that answers hellos at once, and forwarded records only after release().
+/// An owner that answers hellos at once, and forwarded records only after release(), passOver() or
+/// reject().
 class delaying_owner
 {
 public:
@@ -43,14 +46,55 @@
     mDelayed.clear();
   }
 
+  /// Answers later calls with stored, and never the delayed ones: their connections are silent.
+  void passOver()
+  {
+    const std::lock_guard lock(mMutex);
+    mDelays = false;
+  }
+  /// Answers later calls with aResult for each of their records.
+  void setResult(char aResult)
+  {
+    const std::lock_guard lock(mMutex);
+    mResult = aResult;
+  }
+  /// Answers aCalls further calls with 503, and later ones with stored.
+  void reject(int aCalls)
+  {
+    const std::lock_guard lock(mMutex);
+    mRejections = aCalls;
+    mDelays = false;
+  }
+  /// Leaves hellos unanswered from now on.
+  void ignoreHellos()
+  {
+    const std::lock_guard lock(mMutex);
+    mIgnoresHellos = true;
+  }
+  int rejected()
+  {
+    const std::lock_guard lock(mMutex);
+    return mRejected;
+  }
+
 private:
   void serve(const edges::http_request& aRequest, const edges::responder& aResponder)
   {
+    const std::lock_guard lock(mMutex);
     if (aRequest.mPath == kPeerHelloPath) {
-      aResponder.answer({ .mBody = "0" });
+      if (mIgnoresHellos) {
+        mUnansweredHellos.push_back(aResponder);
+      } else {
+        aResponder.answer({ .mBody = "0" });
+      }
+      return;
+    }
+    if (mRejections > 0) {
+      --mRejections;
+      ++mRejected;
+      aResponder.answer({ .mStatus = 503 });
       return;
     }
-    const std::lock_guard lock(mMutex);
     const auto records = decodeForwardedRecords(aRequest.mBody);
     const auto count = records.ok() ? records->size() : 0;
     mRecords += count;
@@ -64,10 +108,14 @@
 
   std::mutex mMutex;
   bool mDelays = true;
+  bool mIgnoresHellos = false;
+  int mRejections = 0;
+  int mRejected = 0;
   char mResult = 's';
   std::size_t mRecords = 0;
   std::size_t mMostOpen = 0;
   std::vector<std::pair<edges::responder, std::size_t>> mDelayed;
+  std::vector<edges::responder> mUnansweredHellos;
   edges::http_server mServer{ {},
                               [this](edges::http_request aRequest, edges::responder aResponder) {
                                 serve(aRequest, aResponder);
@@ -129,6 +177,19 @@
                           });
     }
   }
+  void submit(std::size_t aCount)
+  {
+    for (std::size_t i = 0; i < aCount; ++i) {
+      recordWriter->store(
+        job_submitted{ .mSpec = { .mId = static_cast<job_id>(i + 1), .mSteps = { {} } } },
+        [this](caller_outcome aOutcome) { outcomes.push_back(aOutcome); });
+    }
+  }
+  void runFor(milliseconds aTime)
+  {
+    const auto until = store->mClock.now() + aTime;
+    CHECK(runUntil([&] { return store->mClock.now() >= until; }));
+  }
   std::size_t stored()
   {
     return store->mModel.end("journal");
@@ -265,3 +326,122 @@
   CHECK_EQUAL(2, std::ranges::count(outcomes, write_outcome::stored));
   CHECK_EQUAL(0, stored());
 }
+
+// Load pattern: the owner's loop is some seconds behind, and answers hellos only. Guards against
+// records that are sent or stored a second time for that, past the owner's admission: each is more
+// work for the same loop.
+TEST(caller_record_writer, waitsForABusyOwner)
+{
+  submit(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  runFor(milliseconds(2200));
+  CHECK_EQUAL(0, outcomes.size());
+  CHECK_EQUAL(3, owner->records());
+  CHECK_EQUAL(0, stored());
+  owner->release('s');
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(0, stored());
+}
+
+// Guards against records that wait on a silent connection until their callers' timeouts, or are
+// stored past the admission of an owner that can be reached.
+TEST(caller_record_writer, sendsAgainWhatTheOwnerHasPassedOver)
+{
+  submit(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  owner->passOver();
+  const auto since = store->mClock.now();
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK(store->mClock.now() - since < milliseconds(2200));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(6, owner->records());
+  CHECK_EQUAL(0, stored());
+}
+
+// Guards against a job that is reported as turned away although its first copy may be stored yet.
+TEST(caller_record_writer, reportsNoOverloadOfWhatWasSentAgain)
+{
+  submit(1);
+  CHECK(runUntil([this] { return owner->records() == 1; }));
+  owner->passOver();
+  owner->setResult('o');
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == write_outcome::unknown);
+  CHECK_EQUAL(0, stored());
+}
+
+// Load pattern: the queue of the owner's loop is full, so that it answers 503 for some time.
+TEST(caller_record_writer, sendsAgainWhatAFullQueueHasTurnedAway)
+{
+  owner->reject(2);
+  submit(3);
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(2, owner->rejected());
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(0, stored());
+}
+
+// Load pattern: the owner's append is unanswered for long. A job is refused, not stored past it.
+TEST(caller_record_writer, refusesJobsWhileTheOwnersAppendsAreBehind)
+{
+  submit(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  owner->release('b');
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::refused));
+  CHECK_EQUAL(0, stored());
+}
+
+// A cancellation needs no admission, and has to be acknowledged.
+TEST(caller_record_writer, appendsCancellationsWhileTheOwnersAppendsAreBehind)
+{
+  forward(3);
+  CHECK(runUntil([this] { return owner->records() == 3; }));
+  owner->release('b');
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(3, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(3, stored());
+}
+
+// Guards against jobs that are stored past the admission of an owner of which only the first reply
+// is missing.
+TEST(caller_record_writer, waitsForTheFirstReplyOfANewOwner)
+{
+  delaying_owner newOwner;
+  newOwner.release('s');
+  ownerClient->setOwner(newOwner.address());
+  submit(3);
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK_EQUAL(3, newOwner.records());
+  CHECK_EQUAL(0, stored());
+}
+
+// Guards against submissions and cancellations that nobody stores once the owner is gone.
+TEST(caller_record_writer, appendsDirectlyWhenTheOwnerIsGone)
+{
+  submit(2);
+  forward(2);
+  CHECK(runUntil([this] { return owner->records() == 4; }));
+  delete std::exchange(owner, nullptr);
+  const auto since = store->mClock.now();
+  CHECK(runUntil([this] { return outcomes.size() == 4; }));
+  CHECK(store->mClock.now() - since < milliseconds(1000));
+  CHECK_EQUAL(4, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(4, stored());
+}
+
+// Guards against an owner that is taken for gone, and passed by, because it answers hellos later
+// than their timeout, while it answers other calls.
+TEST(caller_record_writer, anAnsweredCallShowsThatTheOwnerIsReachable)
+{
+  owner->release('s');
+  owner->ignoreHellos();
+  for (std::size_t round = 1; round <= 12; ++round) {
+    submit(1);
+    runFor(milliseconds(100));
+  }
+  CHECK(ownerClient->reachable(store->mClock.now()));
+  CHECK_EQUAL(12, owner->records());
+  CHECK_EQUAL(0, stored());
+}
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -394,6 +394,52 @@
   CHECK_EQUAL('r', forward(scheduler::run_ended{}));
 }
 
+// A follower asks in this way whether the owner has taken its earlier calls.
+TEST(cell_node, anOwnerAnswersACallWithoutRecords)
+{
+  appendOwnerRecord(owner_record::kind::release);
+  CHECK(waitUntil([this] { return isOwner(); }));
+  CHECK_EQUAL(200, post(kPeerStorePath, encodeForwardedRecords({})));
+}
+
+// Load pattern: the owner's append is unanswered for long. Guards against a new job that is stored
+// past the owner, and against a repetition that is said not to be stored while the append holds it.
+TEST(cell_node, anOwnerWhoseAppendIsBehindRefusesOnlyUnknownJobs)
+{
+  appendOwnerRecord(owner_record::kind::release);
+  CHECK(waitUntil([this] { return isOwner(); }));
+  const auto setRefusedTopic = [this](const std::string& aTopic) {
+    const std::lock_guard lock(store->mMutex);
+    store->mRefusedTopic = aTopic;
+  };
+  const auto forward = [](edges::raw_client& aPeer, std::uint64_t aJob) {
+    const std::vector<std::string> records{
+      scheduler::encode(scheduler::job_submitted{
+        .mSpec = { .mId = static_cast<scheduler::job_id>(aJob), .mRoute = "r", .mSteps = { {} } } })
+    };
+    aPeer.send(edges::postRequest(std::string(kPeerStorePath), encodeForwardedRecords(records)));
+  };
+  const auto resultOf = [](edges::raw_client& aPeer) {
+    const auto answer = aPeer.receiveAnswer();
+    return answer.empty() ? '?' : answer.back();
+  };
+  setRefusedTopic("journal");
+  edges::raw_client first(peerPort);
+  forward(first, 1);
+  std::this_thread::sleep_for(milliseconds(3000));
+  edges::raw_client repetition(peerPort);
+  forward(repetition, 1);
+  edges::raw_client other(peerPort);
+  forward(other, 2);
+  const char otherResult = resultOf(other);
+  setRefusedTopic("");
+  const char firstResult = resultOf(first);
+  const char repetitionResult = resultOf(repetition);
+  CHECK_EQUAL('b', otherResult);
+  CHECK_EQUAL('s', firstResult);
+  CHECK_EQUAL('s', repetitionResult);
+}
+
 // Guards against the loss of the cell: a daemon that was cut off while it stored a snapshot
 // replaced newer ones, whose journal records had been deleted.
 TEST(cell_node, aDaemonThatWasCutOffDoesNotReplaceNewerSnapshots)
