Don't deny a job whose former try may still be stored

Cause: a try whose outcome was unknown (504) was forgotten. The next try of the same job at the same daemon was answered with 429 or 503, "not accepted, never runs", on the word of the owner's admission or of a store that does not answer, while the record of the former try could still be on its way.

Ruled out: a repetition while the former record is pending; it joins that record.

Change: the handler remembers records with an unknown outcome for 15 s, 20,000 at most, and answers 504 in place of a rejection for them. Other daemons than the one of the former try don't know of it.

The new test failed before: request_handler rejectsNoJobWhoseFormerTryMayBeStored, expected 504, was 429.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -19,6 +19,11 @@
 constexpr std::chrono::seconds kRetryAfterOverload{ 2 };
 /// Retry delay of a job that can never fit unless the operator changes the configuration.
 constexpr std::chrono::seconds kRetryAfterConfigChange{ 60 };
+/// Time for which a record with an unknown outcome may still be stored: it waits in a connection,
+/// in a queue of the owner, or for an append that is repeated. Longer than callers' timeouts.
+constexpr std::chrono::seconds kUnknownOutcomePeriod{ 15 };
+constexpr std::size_t kMaxUnknownOutcomes = 20'000;
+constexpr std::chrono::seconds kPurgeInterval{ 1 };
 
 std::chrono::milliseconds callerTimeout(const platform::caller_request& aCall)
 {
@@ -54,6 +59,12 @@
   return { .mReply = std::move(aReply), .mUntil = mClock.now() + callerTimeout(aCall) };
 }
 
+bool request_handler::mayBeStored(const caller_record& aKey) const
+{
+  const auto found = mUnknownOutcomes.find(aKey);
+  return found != mUnknownOutcomes.end() && mClock.now() - found->second < kUnknownOutcomePeriod;
+}
+
 bool request_handler::joinPending(const platform::caller_request& aCall, caller_record aKey,
                                   const reply& aReply)
 {
@@ -220,9 +231,12 @@
 {
   const auto now = mClock.now();
   if (mRecordWriter.unavailable(now, mCellStatus.mStoreLost, mOptions.mMaxWriteAge)) {
-    reject(aReply, 503, kRetryAfterTransient,
-           fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel),
-           "the store does not answer");
+    const auto subject = fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel);
+    if (mayBeStored(aKey)) {
+      replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, subject, now);
+    } else {
+      reject(aReply, 503, kRetryAfterTransient, subject, "the store does not answer");
+    }
     return;
   }
   auto& pending = mPending[aKey];
@@ -245,6 +259,13 @@
   }
   const auto pending = std::move(found->second);
   mPending.erase(found);
+  if (aOutcome == write_outcome::stored) {
+    mUnknownOutcomes.erase(aKey);
+  } else if (aOutcome == write_outcome::unknown && mUnknownOutcomes.size() < kMaxUnknownOutcomes) {
+    mUnknownOutcomes[aKey] = mClock.now();
+  } else if (mayBeStored(aKey)) {
+    aOutcome = write_outcome::unknown;
+  }
   const auto subject = fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel);
   if (aOutcome == write_outcome::stored) {
     ++(aKey.mCancel ? mCounters.mCancelled : mCounters.mAccepted);
@@ -375,6 +396,11 @@
 void request_handler::tick(time_point aNow)
 {
   answerIf([aNow](const caller& aOne) { return aOne.mUntil <= aNow; });
+  if (mNextPurge <= aNow) {
+    mNextPurge = aNow + kPurgeInterval;
+    std::erase_if(mUnknownOutcomes,
+                  [aNow](const auto& aOne) { return aNow - aOne.second >= kUnknownOutcomePeriod; });
+  }
 }
 
 void request_handler::answerWaiting()
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -173,6 +173,9 @@
   /// Returns the job if callers of the team may see it, else null; jobs of public routes are
   /// visible to all.
   const scheduler::job* findVisible(scheduler::job_id aId, std::string_view aTeam) const;
+  /// Whether an earlier try to store the record may still succeed, so that a caller may not be told
+  /// that it is not stored.
+  bool mayBeStored(const caller_record& aKey) const;
   /// Adds the caller to those waiting for the record; returns false if the record is not pending.
   bool joinPending(const platform::caller_request& aCall, caller_record aKey, const reply& aReply);
   caller makeCaller(const platform::caller_request& aCall, reply aReply) const;
@@ -199,6 +202,9 @@
   request_counters mCounters;
   /// Submissions and cancellations that are being stored in the journal.
   std::map<caller_record, pending> mPending;
+  /// Records whose last outcome was unknown, with the time of it; at most kMaxUnknownOutcomes.
+  std::map<caller_record, time_point> mUnknownOutcomes;
+  time_point mNextPurge{};
 };
 
 } // namespace endiveusher::node
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -234,6 +234,39 @@
   CHECK_EQUAL(504, lastStatus());
 }
 
+// Guards against a caller that is told that its job does not run, on the word of a later try, while
+// the former one may still be stored.
+TEST(request_handler, rejectsNoJobWhoseFormerTryMayBeStored)
+{
+  call(kSubmit, kPath);
+  // The owner has stepped down, and the store refuses the direct append.
+  store->mRefuse = 1;
+  pendingStores[0](write_outcome::unknown);
+  CHECK(store->runUntil([this] { return answers.size() == 1; }));
+  CHECK_EQUAL(504, lastStatus());
+  call(kSubmit, "/r/00000000000000bb");
+  pendingStores[1](write_outcome::overloaded);
+  CHECK_EQUAL(429, lastStatus());
+  unstored.insert({ .mJob = static_cast<job_id>(0xaa) });
+  call(kSubmit, kPath);
+  pendingStores[2](write_outcome::overloaded);
+  CHECK_EQUAL(504, lastStatus());
+  call(kSubmit, kPath);
+  pendingStores[3](write_outcome::refused);
+  CHECK_EQUAL(504, lastStatus());
+  storeLost = true;
+  setCellStatus();
+  call(kSubmit, kPath);
+  CHECK_EQUAL(504, lastStatus());
+  CHECK_EQUAL(4, pendingStores.size());
+  // Nothing of the former tries can be under way any more.
+  time.mNow += std::chrono::seconds(16);
+  handler->tick(time.now());
+  setCellStatus();
+  call(kSubmit, kPath);
+  CHECK_EQUAL(503, lastStatus());
+}
+
 TEST(request_handler, rejectsAtOnceWithARetryAfterTime)
 {
   storeLost = true;
