--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -98,10 +98,12 @@
   for (const auto& [address, helper] : mHelpers) {
     all.push_back(address);
     if (aNow - helper.mFirstHello >= kRelayDelay) {
-      candidates.push_back({ .mAddress = address, .mCores = helper.mCores });
+      candidates.push_back(
+        { .mAddress = address, .mCores = helper.mCores, .mLastHello = helper.mLastHello });
     }
   }
   mOwner->setAdviceHelpers(all);
+  mOrderSender.failAdviceOfOthers(all);
   mOrderRouter.setCell(mRegistry.targets().size(), std::move(candidates), aNow);
 }
 
@@ -169,12 +171,13 @@
 
 void cell_node::impl::handleOrderResults(const peer_request& aRequest)
 {
+  // The server has answered already.
   const auto results = decodeOrderResults(aRequest.mBody);
   if (!results.ok()) {
-    rejectMalformed(aRequest, results.status());
+    mLog.write("malformed", fmt::format("path={} error=\"{}\"", aRequest.mPath,
+                                        std::string(results.status().message())));
     return;
   }
-  aRequest.mResponder.answer({});
   mOrderRouter.onResults(*results);
 }
 
