--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <span>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -335,7 +336,7 @@
                         std::make_move_iterator(aBatch.mOrders.end()));
 }
 
-void order_router::reroute(std::vector<numbered_order> aOrders)
+void order_router::reroute(std::span<numbered_order> aOrders)
 {
   for (auto& [number, order] : aOrders) {
     const auto open = mOpen.find(number);
@@ -358,7 +359,7 @@
 {
   auto queue = mQueues.extract(aRelay);
   if (!queue.empty()) {
-    reroute(std::move(queue.mapped().mOrders));
+    reroute(queue.mapped().mOrders);
   }
   std::vector<std::uint64_t> lost;
   for (const auto& [number, order] : mOpen) {
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,7 +119,7 @@
   /// Queues the orders of a batch that its relay has refused again.
   void requeue(queue& aQueue, order_batch& aBatch);
   /// Passes orders that their lost relay was not sent to others.
-  void reroute(std::vector<numbered_order> aOrders);
+  void reroute(std::span<numbered_order> aOrders);
   queue& queueOf(const std::string& aRelay);
   bool isHeard(const queue& aQueue, time_point aNow) const;
   /// Returns starts in the queue whose ticket has expired to the owner.
