--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -43,7 +43,10 @@
 
 input_lane internal::laneOf(std::string_view aPath)
 {
-  if (aPath == kPeerResultsPath || aPath == kPeerUnstoredEndsPath || aPath == kPeerHelloPath) {
+  if (aPath == kPeerUnstoredEndsPath || aPath == kPeerHelloPath) {
+    return input_lane::membership;
+  }
+  if (aPath == kPeerResultsPath) {
     return input_lane::promises;
   }
   if (aPath == kPeerOrdersPath || aPath == kPeerAdvicePath) {
--- a/node/src/input_lanes.h
+++ b/node/src/input_lanes.h
@@ -14,7 +14,9 @@
 /// Queues in which inputs wait for the event loop, the most urgent one first.
 enum class input_lane : std::uint8_t
 {
-  /// What keeps promises: results of orders (ends, leases), hand-over of ends, hellos.
+  /// Hellos, and the hand-over of ends between owners: few, and late ones make a daemon look gone.
+  membership,
+  /// What keeps promises: results of orders, with ends and leases.
   promises,
   /// Orders and advice calls to be made for the owner.
   orders,
@@ -24,7 +26,7 @@
   diagnostics,
 };
 
-inline constexpr std::size_t kInputLanes = 4;
+inline constexpr std::size_t kInputLanes = 5;
 
 struct input_lane_options
 {
@@ -41,6 +43,10 @@
 /// counts as noted. Without the other budgets, inputs that go on to arrive would keep the loop from
 /// the store and from planning.
 inline constexpr std::array<input_lane_options, kInputLanes> kInputLaneOptions{ {
+  { .mName = "membership",
+    .mCapacity = 1000,
+    .mBudget = std::chrono::milliseconds(20),
+    .mMinInputs = 10 },
   { .mName = "promises",
     .mCapacity = 1000,
     .mBudget = std::chrono::milliseconds(50),
--- a/tests/node/input_lanes_test.cpp
+++ b/tests/node/input_lanes_test.cpp
@@ -64,14 +64,25 @@
   push(input_lane::callers, "job 2");
   push(input_lane::promises, "ends 1");
   push(input_lane::promises, "ends 2");
+  push(input_lane::membership, "hello");
   pass();
-  const std::vector<std::string> expected{
-    "ends 1", "ends 2", "advice", "job 1", "job 2", "metrics"
-  };
+  const std::vector<std::string> expected{ "hello", "ends 1", "ends 2", "advice",
+                                           "job 1", "job 2",  "metrics" };
   CHECK(handled == expected);
   CHECK_EQUAL(1, wakes);
 }
 
+// Guards against hellos that are rejected because relays report more than the owner can handle.
+TEST(input_lanes, aFloodOfResultsRejectsNoHello)
+{
+  const auto capacity = kInputLaneOptions[laneIndex(input_lane::promises)].mCapacity;
+  for (std::size_t result = 0; result < capacity; ++result) {
+    CHECK(push(input_lane::promises, "result"));
+  }
+  CHECK_FALSE(push(input_lane::promises, "result"));
+  CHECK(push(input_lane::membership, "hello"));
+}
+
 // Guards against order results and hellos that are rejected because callers flood the owner: one
 // inbox of 2,000 requests was shared by all.
 TEST(input_lanes, aFloodOfCallersRejectsNoOtherInput)
