A 503 does not show that the owner's loop is alive

Found by review: the server's thread answers 503 if a queue is full, also if nothing takes from the queue any more, and each answer counted as a sign of life of the owner.

--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -137,8 +137,9 @@
                .mTimeout = aTimeout,
                .mDone = [this, generation = mGeneration,
                          done = std::move(aDone)](edges::loop_reply&& aReply) {
-                 // A busy owner may answer hellos later than their timeout.
-                 if (aReply.mStatus && generation == mGeneration) {
+                 // A busy owner may answer hellos later than their timeout. A server whose queue is
+                 // full answers 503, also if nothing takes from the queue any more.
+                 if (aReply.mStatus && *aReply.mStatus != 503 && generation == mGeneration) {
                    mLastReply = mClock.now();
                  }
                  done(std::move(aReply));
