Claims of steps end with their own turn, and are bounded

Found by review: a step claimed the room that it asks about before it looked for runs to preempt, and so preempted for room that it had itself; it claimed for tasks that its team's limit leaves no room for; and claims had no bound.

--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -8,7 +8,6 @@
 
 using internal::kTicketMargin;
 using internal::maxTasksIn;
-using internal::times;
 using verdict = internal::step_advice::verdict;
 
 namespace {
@@ -236,28 +235,6 @@
   }
 }
 
-/// Load pattern: more steps wait than there is room for, and each of them sees the same room and
-/// asks about it. What a step has asked about is withheld from the steps behind it until its call
-/// has ended, so that the number of calls depends on the room that becomes free, and the tickets of
-/// a reply find their room.
-void owner::impl::claimQueriedRoom(const waiting_step& aStep,
-                                   std::vector<candidate_target>& aCandidates,
-                                   std::size_t aTasks) const
-{
-  for (const auto number : aStep.mAdvice.mQueried) {
-    const auto position = mCandidatePositions[number];
-    if (!position || aTasks == 0) {
-      continue;
-    }
-    auto& candidate = aCandidates[*position];
-    const auto slots =
-      static_cast<std::uint32_t>(std::min<std::size_t>(aTasks, slotsAt(aStep, candidate)));
-    candidate.mFree -= times(aStep.mNeeds, slots);
-    aTasks -= slots;
-    ++mPassVisits;
-  }
-}
-
 bool owner::impl::callAdvice(waiting_step& aStep, std::span<const internal::target_number> aTargets,
                              time_point aNow)
 {
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -335,10 +335,8 @@
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
   void requestAdvice(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                      time_point aNow);
-  /// Withholds the room for up to aTasks tasks on the targets of the step's open calls from the
-  /// steps behind it in this pass.
-  void claimQueriedRoom(const waiting_step& aStep, std::vector<candidate_target>& aCandidates,
-                        std::size_t aTasks) const;
+  /// Withholds the room that the step has asked advice about from the steps behind it in this pass.
+  void claimQueriedRoom(const waiting_step& aStep, std::vector<candidate_target>& aCandidates);
   /// Makes one call for the targets; false if no daemon is free for it.
   bool callAdvice(waiting_step& aStep, std::span<const internal::target_number> aTargets,
                   time_point aNow);
@@ -456,8 +454,9 @@
   /// Time up to which the event loop counts as behind in the admission of jobs.
   time_point mBehindUntil{};
   time_point mLastFlush{};
-  /// CPU reserved for waiting gangs in the current pass.
+  /// CPU reserved for waiting gangs, and claimed by steps that ask for advice, in the current pass.
   std::int64_t mReservedCpuMilli = 0;
+  std::int64_t mClaimedCpuMilli = 0;
   pass_counts mLastPass;
   /// pass_counts::mVisits of the current pass.
   mutable std::uint64_t mPassVisits = 0;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -18,6 +18,8 @@
 
 /// Fraction of all CPU that may be reserved for waiting gangs.
 constexpr double kMaxReservedFraction = 0.4;
+/// Fraction of all CPU that steps may claim while they ask for advice about it.
+constexpr double kMaxClaimedFraction = 0.4;
 /// Time before the last start that meets its deadline from which a step takes any rack, not only
 /// that of its data.
 constexpr auto kAnyRackLead = std::chrono::milliseconds(1500);
@@ -284,6 +286,7 @@
   mAdmission.setWaiting(std::move(waiting));
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
+  mClaimedCpuMilli = 0;
   mLastPass.mSteps = order.size();
   std::size_t waitLogs = 0;
   for (auto& [rank, step] : order) {
@@ -301,6 +304,8 @@
       ++waitLogs;
       logWait(*step, candidates, aNow);
     }
+    // Last, because the step itself may use this room.
+    claimQueriedRoom(*step, candidates);
   }
 }
 
@@ -457,7 +462,6 @@
   }
   if (missing && aStep.mRoute.mAdvice) {
     requestAdvice(aStep, aCandidates, aNow);
-    claimQueriedRoom(aStep, aCandidates, std::min<std::size_t>(aStep.mPending.size(), team));
   }
 }
 
@@ -604,6 +608,43 @@
   }
 }
 
+/// Load pattern: more steps wait than there is room for, and each of them sees the same room and
+/// asks about it. What a step has asked about is withheld from the steps behind it until its call
+/// has ended, so that the number of calls depends on the room that becomes free. The room that its
+/// waiting tasks need is claimed first on the targets that are known to be good; all steps together
+/// claim at most kMaxClaimedFraction. Gangs reserve capacity instead.
+void owner::impl::claimQueriedRoom(const waiting_step& aStep,
+                                   std::vector<candidate_target>& aCandidates)
+{
+  if (aStep.mAdvice.mCallsOpen == 0 || aStep.spec().mGang) {
+    return;
+  }
+  auto tasks = std::min<std::size_t>(aStep.mPending.size(), teamSlots(aStep));
+  const auto most =
+    static_cast<std::int64_t>(kMaxClaimedFraction * static_cast<double>(mCandidateCpuMilli));
+  const auto claimOn = [&](verdict aVerdict) {
+    for (const auto number : aStep.mAdvice.mQueried) {
+      const auto position = mCandidatePositions[number];
+      if (tasks == 0 || mClaimedCpuMilli >= most) {
+        return;
+      }
+      if (!position || aStep.mAdvice.verdictOn(number) != aVerdict) {
+        continue;
+      }
+      auto& candidate = aCandidates[*position];
+      const auto slots =
+        static_cast<std::uint32_t>(std::min<std::size_t>(tasks, slotsAt(aStep, candidate)));
+      const auto claimed = times(aStep.mNeeds, slots);
+      candidate.mFree -= claimed;
+      mClaimedCpuMilli += claimed.mCpuMilli;
+      tasks -= slots;
+      ++mPassVisits;
+    }
+  };
+  claimOn(verdict::good);
+  claimOn(verdict::unknown);
+}
+
 void owner::impl::commit(waiting_step& aStep, const std::vector<placement>& aPlacements,
                          time_point aNow)
 {
--- a/tests/node/overload_replay_test.cpp
+++ b/tests/node/overload_replay_test.cpp
@@ -67,8 +67,8 @@
   static constexpr auto kLateEndsBefore = static_cast<std::size_t>(node::input_lane::callers);
   static std::size_t laneOf(loop_work aKind)
   {
-    return static_cast<std::size_t>(
-      aKind == loop_work::submission ? node::input_lane::callers : node::input_lane::promises);
+    return static_cast<std::size_t>(aKind == loop_work::submission ? node::input_lane::callers
+                                                                   : node::input_lane::promises);
   }
   void beginPass(time_point aNow) { mLanes.beginPass(aNow); }
   std::optional<std::size_t> next(const std::array<bool, kLanes>& aWaiting, time_point aNow)
