--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -314,7 +314,7 @@
   if (isRefusal) {
     queue.mLastHeard = now;
   }
-  queue.mFailingSince = queue.mFailingSince.value_or(now - aReply.mElapsed);
+  queue.mFailingSince = queue.mFailingSince.value_or(now);
   const bool gone = (aReply.mStatus && !isRefusal) || aReply.mRefused || !isHeard(queue, now) ||
                     now - *queue.mFailingSince >= kMaxFailurePeriod;
   if (gone) {
@@ -332,22 +332,8 @@
 
 void order_router::requeue(queue& aQueue, order_batch& aBatch)
 {
-  const auto isStart = [](const numbered_order& aOne) {
-    return std::holds_alternative<scheduler::start_order>(aOne.mOrder);
-  };
-  std::vector<std::uint64_t> starts;
-  for (const auto& one : aBatch.mOrders) {
-    if (isStart(one)) {
-      starts.push_back(one.mNumber);
-    }
-  }
-  std::erase_if(aBatch.mOrders, isStart);
   aQueue.mOrders.insert(aQueue.mOrders.begin(), std::make_move_iterator(aBatch.mOrders.begin()),
                         std::make_move_iterator(aBatch.mOrders.end()));
-  // Last, because the owner may send further orders when it hears of them.
-  for (const auto number : starts) {
-    expire(number);
-  }
 }
 
 void order_router::reroute(std::span<numbered_order> aOrders)
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -32,7 +32,7 @@
 /// connections, it answers with an error, or nothing has been heard of it for kRelaySilence: no
 /// hello, no confirmation and no result. Only then its targets get another relay. A batch that is
 /// not confirmed proves nothing: the orders in it may have been carried out. One that the relay
-/// refuses because it came too late is sent again without its starts, which count as unanswered.
+/// refuses because it came too late wasn't, and its orders are sent again.
 ///
 /// An order that is not answered through its relay in time counts as unanswered, so it may have
 /// been or may still be carried out; the owner's rules for unanswered orders apply. A start or stop
@@ -93,7 +93,7 @@
     std::uint32_t mOpenCalls = 0;
     /// Last sign of life: a hello, a confirmation or a result.
     time_point mLastHeard{};
-    /// Time at which the first of the batches in a row was sent that were not confirmed.
+    /// Time of the first of the batches in a row that were not confirmed.
     std::optional<time_point> mFailingSince;
     time_point mPauseUntil{};
   };
@@ -116,9 +116,7 @@
   void sendKept();
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
   void onBatchDone(const std::string& aRelay, order_batch& aBatch, const edges::loop_reply& aReply);
-  /// Queues the orders of a batch that its relay has refused again, except starts: libcurl repeats
-  /// a request whose reused connection ends, and an earlier copy of it may have been carried out.
-  /// These are unanswered.
+  /// Queues the orders of a batch that its relay has refused again.
   void requeue(queue& aQueue, order_batch& aBatch);
   /// Passes orders that their lost relay was not sent to others.
   void reroute(std::span<numbered_order> aOrders);
