--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -40,9 +40,6 @@
   std::vector<std::string> mHeaders;
   /// Time limit of the whole call, including connecting.
   std::chrono::milliseconds mTimeout{ 1000 };
-  /// Whether an answer that has arrived counts although the time limit has passed: the loop was
-  /// late, not the server. Unsuitable if the time of the answer matters to the caller.
-  bool mTakesWaitingAnswer = false;
   /// Called when the first bytes of the answer arrive. Must not use the loop.
   std::function<void()> mOnAnswerBegun;
   /// Called with the result on the thread that calls http_loop::run() or progress().
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -34,8 +34,6 @@
 constexpr long kReceiveBufferBytes = 16384;
 /// Sockets handled in one pass; the others remain ready for the next pass.
 constexpr std::size_t kMaxEvents = 128;
-/// Passes over ready sockets before calls are given up: an answer may take several reads.
-constexpr int kMaxDrains = 8;
 /// After a call has timed out, existing connections to its address may be permanently unresponsive.
 /// For kFreshConnectionPeriod each call opens a new connection; until kSuspectPeriod only
 /// connections opened after the timeout are reused. libcurl compares connection ages in whole
@@ -64,9 +62,6 @@
   aList.reset(curl_slist_append(aList.release(), aLine.c_str()));
 }
 
-/// Calls by the time at which they are given up.
-using deadline_map = std::multimap<steady_clock::time_point, call_id>;
-
 struct transfer
 {
   call_id mId = 0;
@@ -77,8 +72,6 @@
   std::size_t mMaxBodyBytes = 0;
   steady_clock::time_point mStart;
   CURLM* mMulti = nullptr;
-  /// Absent if libcurl applies the time limit.
-  std::optional<deadline_map::iterator> mDeadline;
 };
 
 std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
@@ -268,12 +261,7 @@
     curl_easy_setopt(handle, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, ""); // Peers are reached directly.
     curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
-    if (call.mTakesWaitingAnswer) {
-      active->mDeadline = mDeadlines.emplace(active->mStart + call.mTimeout, id);
-    }
-    // libcurl checks its time limit before it reads the socket.
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-                     call.mTakesWaitingAnswer ? 0L : static_cast<long>(call.mTimeout.count()));
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.mTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(mOptions.mConnectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
@@ -313,7 +301,6 @@
     CURL* handle = found->second;
     mHandleOf.erase(found);
     const auto active = mActive.extract(handle);
-    removeDeadline(*active.mapped());
     // Also removes a message of this call that has not been read yet.
     curl_multi_remove_handle(active.mapped()->mMulti, handle);
     mHandles.release(handle);
@@ -321,25 +308,21 @@
 
   bool progress()
   {
-    handleReadySockets();
-    const auto now = steady_clock::now();
-    const bool isOverdue = !mDeadlines.empty() && mDeadlines.begin()->first <= now;
-    for (int drain = 0; isOverdue && drain < kMaxDrains; ++drain) {
-      pollSockets(std::chrono::milliseconds(0));
-      if (mReadyEvents == 0) {
-        break;
+    for (const auto& event : std::span(mEvents).first(std::exchange(mReadyEvents, 0))) {
+      const auto shard = static_cast<std::uint32_t>(event.data.u64 >> 32U);
+      if (shard == kWakeShard) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto bytes = ::read(mWakeFd.number(), &count, sizeof count);
+        continue;
       }
-      handleReadySockets();
+      mShards[shard]->onSocketReady(static_cast<int>(event.data.u64 & 0xffffffffU), event.events);
     }
+    const auto now = steady_clock::now();
     bool any = false;
     for (const auto& shard : mShards) {
       shard->runTimer(now);
       any = completeCalls(shard->handle()) || any;
     }
-    while (!mDeadlines.empty() && mDeadlines.begin()->first <= now) {
-      giveUp(mDeadlines.begin()->second);
-      any = true;
-    }
     return any;
   }
 
@@ -353,12 +336,9 @@
         timeout = std::clamp(left, std::chrono::milliseconds(0), timeout);
       }
     }
-    if (!mDeadlines.empty()) {
-      const auto left = std::chrono::ceil<std::chrono::milliseconds>(mDeadlines.begin()->first -
-                                                                     steady_clock::now());
-      timeout = std::clamp(left, std::chrono::milliseconds(0), timeout);
-    }
-    pollSockets(timeout);
+    const int count = ::epoll_wait(mEpollFd.number(), mEvents.data(), static_cast<int>(kMaxEvents),
+                                   static_cast<int>(timeout.count()));
+    mReadyEvents = static_cast<std::size_t>(std::max(count, 0));
   }
 
   void wake()
@@ -368,46 +348,6 @@
   }
 
 private:
-  void pollSockets(std::chrono::milliseconds aWait)
-  {
-    const int count = ::epoll_wait(mEpollFd.number(), mEvents.data(), static_cast<int>(kMaxEvents),
-                                   static_cast<int>(aWait.count()));
-    mReadyEvents = static_cast<std::size_t>(std::max(count, 0));
-  }
-
-  void handleReadySockets()
-  {
-    for (const auto& event : std::span(mEvents).first(std::exchange(mReadyEvents, 0))) {
-      const auto shard = static_cast<std::uint32_t>(event.data.u64 >> 32U);
-      if (shard == kWakeShard) {
-        std::uint64_t count = 0;
-        [[maybe_unused]] const auto bytes = ::read(mWakeFd.number(), &count, sizeof count);
-        continue;
-      }
-      mShards[shard]->onSocketReady(static_cast<int>(event.data.u64 & 0xffffffffU), event.events);
-    }
-  }
-
-  void removeDeadline(const transfer& aCall)
-  {
-    if (aCall.mDeadline) {
-      mDeadlines.erase(*aCall.mDeadline);
-    }
-  }
-
-  /// Ends an open call whose time is over.
-  void giveUp(call_id aId)
-  {
-    auto& active = *mActive.at(mHandleOf.at(aId));
-    const auto done = std::move(active.mCall.mDone);
-    loop_reply reply{ .mError = curl_easy_strerror(CURLE_OPERATION_TIMEDOUT),
-                      .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
-                        steady_clock::now() - active.mStart) };
-    mTimeouts[active.mCall.mAddress] = steady_clock::now();
-    cancel(aId);
-    done(std::move(reply));
-  }
-
   /// Returns the shard of an address, always the same one, so that its connections are reused.
   multi_shard& shardOf(std::string_view aAddress)
   {
@@ -431,7 +371,6 @@
       const auto active = std::move(found->second);
       mActive.erase(found);
       mHandleOf.erase(active->mId);
-      removeDeadline(*active);
       loop_reply reply{ .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
                           steady_clock::now() - active->mStart) };
       if (code == CURLE_OK) {
@@ -469,8 +408,6 @@
   std::size_t mReadyEvents = 0;
   std::map<CURL*, std::unique_ptr<transfer>> mActive;
   std::unordered_map<call_id, CURL*> mHandleOf;
-  /// Time limits of the open calls that take waiting answers.
-  deadline_map mDeadlines;
   call_id mLastId = 0;
   internal::easy_handles mHandles{ kMaxIdleHandles };
   /// Time of the last call that timed out, by address.
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -199,10 +199,6 @@
                                       .mResponder = aResponder };
       if (!mInbox.push(laneOf(aRequest.mPath), item)) {
         aResponder.answer({ .mStatus = 503 });
-      } else if (aRequest.mPath == kPeerResultsPath) {
-        // A relay would take the answer of a loop that is behind for a lost report, and repeat it.
-        // The results that wait here are bounded: each is of an order of this process.
-        aResponder.answer({});
       }
     });
   mThread = std::thread([this] { run(); });
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -113,12 +113,10 @@
   for (const auto& [address, helper] : mHelpers) {
     all.push_back(address);
     if (aNow - helper.mFirstHello >= kRelayDelay) {
-      candidates.push_back(
-        { .mAddress = address, .mCores = helper.mCores, .mLastHello = helper.mLastHello });
+      candidates.push_back({ .mAddress = address, .mCores = helper.mCores });
     }
   }
   mOwner->setAdviceHelpers(all);
-  mOrderSender.failAdviceOfOthers(all);
   mOrderRouter.setCell(mRegistry.targets().size(), std::move(candidates), aNow);
 }
 
@@ -186,13 +184,12 @@
 
 void cell_node::impl::handleOrderResults(const peer_request& aRequest)
 {
-  // The server has answered already.
   const auto results = decodeOrderResults(aRequest.mBody);
   if (!results.ok()) {
-    mLog.write("malformed", fmt::format("path={} error=\"{}\"", aRequest.mPath,
-                                        std::string(results.status().message())));
+    rejectMalformed(aRequest, results.status());
     return;
   }
+  aRequest.mResponder.answer({});
   mOrderRouter.onResults(*results);
 }
 
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -7,14 +7,10 @@
 #include "order_sender.h"
 #include "relay_set.h"
 
-#include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,25 +24,13 @@
 /// calls alone take more than the owner's processor; a batch of orders to a relay costs the owner
 /// about as much as one call.
 ///
-/// A relay that is late is told apart from one that is gone. It is gone if its port refuses
-/// connections, it answers with an error, or nothing has been heard of it for kRelaySilence: no
-/// hello, no confirmation and no result. Only then its targets get another relay. A batch that is
-/// not confirmed proves nothing: the orders in it may have been carried out. One that the relay
-/// refuses because it came too late wasn't, and its orders are sent again.
-///
 /// An order that is not answered through its relay in time counts as unanswered, so it may have
-/// been or may still be carried out; the owner's rules for unanswered orders apply. A start or stop
-/// that its relay has confirmed is waited for, up to kMaxOrderAge, while the relay is heard of,
-/// because to repeat it would be more work for the same relay. A target's report that arrives later
-/// is passed on all the same: the owner or the relay was behind, not the target.
+/// been or may still be carried out; the owner's rules for unanswered orders apply. A target's
+/// report that arrives later is passed on all the same: the owner or the relay was behind, not the
+/// target.
 class order_router
 {
 public:
-  /// Time after which a relay of which nothing is heard counts as gone.
-  static constexpr std::chrono::milliseconds kRelaySilence{ 1000 };
-  /// Longest time for which the result of a confirmed order is waited for.
-  static constexpr std::chrono::milliseconds kMaxOrderAge{ 4000 };
-
   order_router(edges::http_loop& aLoop, const clock& aClock, order_sender& aDirect, event_log& aLog,
                relay_candidate aSelf);
 
@@ -55,8 +39,7 @@
   void setPermission(std::function<bool()> aMayAct) { mMayAct = std::move(aMayAct); }
   /// Begins an epoch of this daemon's ownership; orders of former epochs are forgotten.
   void begin(std::uint64_t aEpoch);
-  /// Sets the number of targets and the followers that may be relays: those whose hellos are on
-  /// time.
+  /// Sets the number of targets and the followers that may be relays.
   void setCell(std::size_t aTargets, std::vector<relay_candidate> aCandidates, time_point aNow);
 
   void sendHeartbeat(const scheduler::heartbeat_order& aOrder,
@@ -79,23 +62,14 @@
     std::string mRelay;
     order_sender::report_callback mDone;
     bool mIsHeartbeat = false;
-    time_point mOpenedAt{};
-    /// Whether the relay has confirmed that it has the order.
-    bool mIsConfirmed = false;
     /// Whether the order has counted as unanswered.
     bool mIsOverdue = false;
   };
-  /// Orders that wait for a batch to a relay, and what is known of the relay.
   struct queue
   {
     std::vector<numbered_order> mOrders;
-    time_point mNextBatch{};
+    time_point mLastSent{};
     std::uint32_t mOpenCalls = 0;
-    /// Last sign of life: a hello, a confirmation or a result.
-    time_point mLastHeard{};
-    /// Time of the first of the batches in a row that were not confirmed.
-    std::optional<time_point> mFailingSince;
-    time_point mPauseUntil{};
   };
 
   /// Queues an order for the relay of its target; returns false if it is to be sent directly.
@@ -115,13 +89,6 @@
   std::uint64_t open(open_order aOrder, std::chrono::milliseconds aTimeout);
   void sendKept();
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
-  void onBatchDone(const std::string& aRelay, order_batch& aBatch, const edges::loop_reply& aReply);
-  /// Queues the orders of a batch that its relay has refused again.
-  void requeue(queue& aQueue, order_batch& aBatch);
-  /// Passes orders that their lost relay was not sent to others.
-  void reroute(std::span<numbered_order> aOrders);
-  queue& queueOf(const std::string& aRelay);
-  bool isHeard(const queue& aQueue, time_point aNow) const;
   /// Returns starts in the queue whose ticket has expired to the owner.
   void returnExpired(queue& aQueue, time_point aNow);
   void onRelayLost(const std::string& aRelay, const std::string& aError);
@@ -141,7 +108,6 @@
   std::uint64_t mLastNumber = 0;
   bool mSuperseded = false;
   relay_set mRelays;
-  time_point mLastSetCell{};
   std::map<std::string, queue> mQueues;
   std::map<std::uint64_t, open_order> mOpen;
   /// Number of orders in mOpen that are overdue.
--- a/node/src/order_sender.cpp
+++ b/node/src/order_sender.cpp
@@ -4,19 +4,10 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace endiveusher::node {
 
-namespace {
-
-/// Time that a daemon which makes a call for advice may be behind.
-constexpr std::chrono::milliseconds kMaxDaemonDelay{ 600 };
-
-} // namespace
-
 void order_sender::sendHeartbeat(const scheduler::heartbeat_order& aOrder, report_callback aDone)
 {
   ++mHeartbeats;
@@ -66,15 +57,8 @@
   ++mAdviceCalls;
   auto call = aRequest.mDaemon.empty() ? platform::encodeAdvice(aService, aRequest)
                                        : encodePeerAdvice(aRequest);
-  // A call that this daemon has answered late would be made again, and its daemon be avoided.
-  call.mTakesWaitingAnswer = true;
-  if (!aRequest.mDaemon.empty()) {
-    call.mTimeout += kMaxDaemonDelay;
-  }
-  const auto open = ++mLastAdvice;
-  const auto onReply = [this, number = aRequest.mCall, step = aRequest.mStep,
-                        viaDaemon = aRequest.mDaemon,
-                        done = std::move(aDone)](edges::loop_reply&& aReply) {
+  call.mDone = [this, number = aRequest.mCall, step = aRequest.mStep, viaDaemon = aRequest.mDaemon,
+                done = std::move(aDone)](edges::loop_reply&& aReply) {
     mAdviceTimes.record(aReply.mElapsed);
     scheduler::advice_reply reply{ .mCall = number };
     if (aReply.ok()) {
@@ -90,31 +74,7 @@
     }
     done(reply);
   };
-  call.mDone = [this, open, onReply](edges::loop_reply&& aReply) {
-    mAdvice.erase(open);
-    onReply(std::move(aReply));
-  };
-  mAdvice[open] = { .mDaemon = aRequest.mDaemon,
-                    .mId = mLoop.send(std::move(call)),
-                    .mDone = onReply };
-}
-
-void order_sender::failAdviceOfOthers(const std::vector<std::string>& aPresent)
-{
-  std::vector<advice_call> failed;
-  std::erase_if(mAdvice, [&](const auto& aOne) {
-    const auto& call = aOne.second;
-    const bool isGone =
-      !call.mDaemon.empty() && std::ranges::find(aPresent, call.mDaemon) == aPresent.end();
-    if (isGone) {
-      failed.push_back(call);
-    }
-    return isGone;
-  });
-  for (const auto& call : failed) {
-    mLoop.cancel(call.mId);
-    call.mDone({ .mError = "the daemon is gone" });
-  }
+  mLoop.send(std::move(call));
 }
 
 std::string order_sender::metrics() const
--- a/node/src/order_sender.h
+++ b/node/src/order_sender.h
@@ -8,9 +8,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
-#include <vector>
 
 namespace endiveusher::node {
 
@@ -28,31 +26,16 @@
   void sendHeartbeat(const scheduler::heartbeat_order& aOrder, report_callback aDone);
   void sendStart(const scheduler::start_order& aOrder, outcome_callback aDone);
   void sendStop(const scheduler::stop_order& aOrder, outcome_callback aDone);
-  /// Sends the request through the daemon that it names, or directly to aService. A daemon that is
-  /// behind is waited for longer than aRequest allows the service: it answers when that time is
-  /// over, so that a missing answer says nothing of the service.
+  /// Sends the request through the daemon that it names, or directly to aService.
   void requestAdvice(const scheduler::advice_request& aRequest, const std::string& aService,
                      advice_callback aDone);
 
-  /// Fails the calls for advice through daemons other than aPresent: these are gone.
-  void failAdviceOfOthers(const std::vector<std::string>& aPresent);
-
   /// Returns counters and latencies in the Prometheus text format.
   std::string metrics() const;
 
 private:
-  struct advice_call
-  {
-    std::string mDaemon;
-    edges::call_id mId = 0;
-    std::function<void(edges::loop_reply&&)> mDone;
-  };
-
   edges::http_loop& mLoop;
   event_log& mLog;
-  /// Open calls for advice by their numbers.
-  std::map<std::uint64_t, advice_call> mAdvice;
-  std::uint64_t mLastAdvice = 0;
   std::uint64_t mHeartbeats = 0;
   std::uint64_t mStarts = 0;
   std::uint64_t mAdviceCalls = 0;
--- a/node/src/relay_set.cpp
+++ b/node/src/relay_set.cpp
@@ -16,7 +16,7 @@
 constexpr double kDirectTargetsPerCore = 800;
 /// Number of targets for each core of a relay, which also serves callers and follows the journal.
 constexpr double kRelayedTargetsPerCore = 360;
-/// Time for which a relay that was lost gets no orders.
+/// Time for which a relay that did not answer gets no orders.
 constexpr std::chrono::seconds kExclusion{ 3 };
 
 /// Returns a value that ranks the relays of a target. A relay that joins or leaves changes only the
--- a/node/src/relay_set.h
+++ b/node/src/relay_set.h
@@ -16,8 +16,6 @@
   std::string mAddress;
   /// Cores that it may use.
   double mCores = 0;
-  /// Time of its last hello.
-  time_point mLastHello{};
 };
 
 /// Chooses the relay through which the orders to a target are sent. A target keeps its relay while
@@ -30,14 +28,12 @@
 
   /// Sets the number of targets and the followers that may be relays, in any order.
   void set(std::size_t aTargets, std::vector<relay_candidate> aCandidates, time_point aNow);
-  /// Excludes a relay that is lost for a while.
+  /// Excludes a relay that does not answer for a while.
   void exclude(const std::string& aRelay, time_point aNow);
   /// Forgets all relays.
   void clear();
   /// Returns the relay of the target; null if orders are sent directly.
   const std::string* relayOf(std::string_view aTarget) const;
-  /// The relays that are in use.
-  const std::vector<relay_candidate>& chosen() const { return mChosen; }
   std::size_t size() const { return mChosen.size(); }
 
 private:
