--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -8,6 +8,9 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <concepts>
+#include <cstdint>
+#include <limits>
 #include <stdexcept>
 #include <type_traits>
 #include <utility>
@@ -18,6 +21,11 @@
 
 using nlohmann::json;
 
+/// Largest reading of a target's clock: the year 9999, as for targets' own replies.
+constexpr std::int64_t kMaxTargetTimeMs = 253'402'300'799'999;
+/// Latest end of a lease.
+constexpr std::int64_t kMaxLeaseMs = kMaxTargetTimeMs + kMaxPeerSpanMs;
+
 enum class order_kind : int
 {
   heartbeat = 0,
@@ -29,11 +37,19 @@
 template<typename Enum>
 Enum decodeEnum(const json& aValue, Enum aLast)
 {
-  const auto number = aValue.get<std::int64_t>();
-  if (number < 0 || number > static_cast<std::int64_t>(aLast)) {
-    throw std::out_of_range("unknown value of an enumeration");
-  }
-  return static_cast<Enum>(number);
+  return static_cast<Enum>(integerFrom<std::int64_t>(aValue, 0, static_cast<std::int64_t>(aLast)));
+}
+
+/// Decodes a number of an order or end, or of a run, step or task.
+template<std::unsigned_integral Integer>
+Integer decodeNumber(const json& aValue)
+{
+  return integerFrom<Integer>(aValue, 0, std::numeric_limits<Integer>::max());
+}
+
+target_time decodeLease(const json& aValue)
+{
+  return target_time(integerFrom<std::int64_t>(aValue, 0, kMaxLeaseMs));
 }
 
 json encodeTask(const scheduler::task_key& aTask)
@@ -44,10 +60,11 @@
 
 scheduler::task_key decodeTask(const json& aTask)
 {
-  return { .mStep = { .mJob = static_cast<scheduler::job_id>(aTask.at(0).get<std::uint64_t>()),
-                      .mOccurrence = aTask.at(1),
-                      .mStep = aTask.at(2) },
-           .mIndex = aTask.at(3) };
+  return { .mStep = { .mJob =
+                        static_cast<scheduler::job_id>(decodeNumber<std::uint64_t>(aTask.at(0))),
+                      .mOccurrence = decodeNumber<std::uint32_t>(aTask.at(1)),
+                      .mStep = decodeNumber<std::uint32_t>(aTask.at(2)) },
+           .mIndex = decodeNumber<std::uint32_t>(aTask.at(3)) };
 }
 
 json encodeOrder(const scheduler::heartbeat_order& aOrder)
@@ -84,10 +101,11 @@
       scheduler::heartbeat_order order{ .mTarget = aOrder.at(1),
                                         .mAddress = aOrder.at(2),
                                         .mEpoch = aEpoch,
-                                        .mStoredEndNumber = aOrder.at(4),
+                                        .mStoredEndNumber =
+                                          decodeNumber<std::uint64_t>(aOrder.at(4)),
                                         .mWait = millisFrom(aOrder.at(5), 0, kMaxPeerSpanMs) };
       if (!aOrder.at(3).is_null()) {
-        order.mLeaseUntil = target_time(aOrder.at(3).get<std::int64_t>());
+        order.mLeaseUntil = decodeLease(aOrder.at(3));
       }
       return order;
     }
@@ -99,9 +117,9 @@
       return scheduler::start_order{ .mTarget = aOrder.at(1),
                                      .mAddress = aOrder.at(2),
                                      .mTask = decodeTask(aOrder.at(3)),
-                                     .mRun = aOrder.at(4),
+                                     .mRun = decodeNumber<std::uint32_t>(aOrder.at(4)),
                                      .mPayload = aLastPayload,
-                                     .mLeaseUntil = target_time(aOrder.at(5).get<std::int64_t>()),
+                                     .mLeaseUntil = decodeLease(aOrder.at(5)),
                                      .mEpoch = aEpoch,
                                      .mCheckpoint = aOrder.at(6),
                                      .mTicket = aOrder.at(7) };
@@ -110,7 +128,7 @@
       return scheduler::stop_order{ .mTarget = aOrder.at(1),
                                     .mAddress = aOrder.at(2),
                                     .mTask = decodeTask(aOrder.at(3)),
-                                    .mRun = aOrder.at(4),
+                                    .mRun = decodeNumber<std::uint32_t>(aOrder.at(4)),
                                     .mEpoch = aEpoch };
   }
   throw std::invalid_argument("unknown kind of order");
@@ -133,17 +151,21 @@
 
 scheduler::target_report decodeReport(const json& aReport)
 {
-  scheduler::target_report report{ .mClock = target_time(aReport.at(0).get<std::int64_t>()),
-                                   .mIncarnationStart = aReport.at(1) };
+  scheduler::target_report report{
+    .mClock = target_time(integerFrom<std::int64_t>(aReport.at(0), 0, kMaxTargetTimeMs)),
+    .mIncarnationStart = integerFrom<std::int64_t>(aReport.at(1), 0, kMaxTargetTimeMs)
+  };
   for (const auto& run : aReport.at(2)) {
-    report.mRunning.push_back(
-      { .mTask = decodeTask(run.at(0)), .mRun = run.at(1), .mCheckpoint = run.at(2) });
+    report.mRunning.push_back({ .mTask = decodeTask(run.at(0)),
+                                .mRun = decodeNumber<std::uint32_t>(run.at(1)),
+                                .mCheckpoint = run.at(2) });
   }
   for (const auto& end : aReport.at(3)) {
     const auto outcome = decodeEnum(end.at(3), scheduler::reported_end::gang_incomplete);
-    report.mEnded.push_back({ .mNumber = end.at(0),
+    report.mEnded.push_back({ .mNumber = integerFrom<std::uint64_t>(
+                                end.at(0), 0, std::numeric_limits<std::int64_t>::max()),
                               .mTask = decodeTask(end.at(1)),
-                              .mRun = end.at(2),
+                              .mRun = decodeNumber<std::uint32_t>(end.at(2)),
                               .mOutcome = outcome,
                               .mCheckpoint = end.at(4) });
   }
@@ -201,8 +223,8 @@
                        .mSentAt = millisFrom(value.at(2), 0, kMaxPeerClockMs) };
     std::string lastPayload;
     for (const auto& row : value.at(3)) {
-      batch.mOrders.push_back(
-        { .mNumber = row.at(0), .mOrder = decodeOrder(row.at(1), batch.mEpoch, lastPayload) });
+      batch.mOrders.push_back({ .mNumber = decodeNumber<std::uint64_t>(row.at(0)),
+                                .mOrder = decodeOrder(row.at(1), batch.mEpoch, lastPayload) });
     }
     return batch;
   } catch (const std::exception& error) {
@@ -216,7 +238,7 @@
     const auto value = parseMsgpack(aBytes);
     order_results results{ .mEpoch = integerFrom<std::uint64_t>(value.at(0), 0, kMaxEpoch) };
     for (const auto& row : value.at(1)) {
-      order_result result{ .mNumber = row.at(0),
+      order_result result{ .mNumber = decodeNumber<std::uint64_t>(row.at(0)),
                            .mOutcome = decodeEnum(row.at(1), scheduler::order_outcome::invalid) };
       if (row.size() > 2) {
         result.mReport = decodeReport(row.at(2));
--- a/standins/overload/overload_cell.h
+++ b/standins/overload/overload_cell.h
@@ -237,7 +237,7 @@
     auto& lane = mInbox[Lanes::laneOf(aKind)];
     // Replies of the store come on a connection of their own, not through the inbox.
     const auto at = aKind == loop_work::stored ? lane.begin() : lane.end();
-    lane.insert(at, { .mKind = aKind, .mWork = std::move(aWork) });
+    lane.insert(at, input{ .mKind = aKind, .mWork = std::move(aWork) });
   }
   void deliverEvents()
   {
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -5,6 +5,8 @@
 #include "order_router.h"
 #include "peer_api.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <functional>
@@ -465,6 +467,38 @@
   CHECK(decoded->mResults[1].mOutcome == scheduler::order_outcome::unanswered);
 }
 
+// Guards against numbers that wrap around, so that a message names another run or epoch.
+TEST(order_batch, numbersOutOfRangeAreRejected)
+{
+  using nlohmann::json;
+  const auto toBytes = [](const json& aValue) {
+    std::string bytes;
+    json::to_msgpack(aValue, bytes);
+    return bytes;
+  };
+  const auto stop = [&](const json& aTask, const json& aRun, const json& aNumber = 1) {
+    const auto order = json::array({ 2, "t", "a:1", aTask, aRun });
+    return toBytes(json::array({ 3, "o:1", 77, json::array({ json::array({ aNumber, order }) }) }));
+  };
+  CHECK(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 0x100000002 }, 1)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, -1)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1.5)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1, -1)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, true)).ok());
+  const auto result = [&](const json& aClock, const json& aBorn, const json& aEnd) {
+    const auto ended = json::array({ json::array({ aEnd, { 7, 0, 1, 2 }, 1, 0, "" }) });
+    const auto report = json::array({ aClock, aBorn, json::array(), ended });
+    return toBytes(json::array({ 3, json::array({ json::array({ 4, 0, report }) }) }));
+  };
+  CHECK(decodeOrderResults(result(5, 6, 8)).ok());
+  CHECK_FALSE(decodeOrderResults(result(0x7fffffffffffffff, 6, 8)).ok());
+  CHECK_FALSE(decodeOrderResults(result(5, -6, 8)).ok());
+  CHECK_FALSE(decodeOrderResults(result(5, 6, 0xffffffffffffffff)).ok());
+  CHECK_FALSE(
+    decodeOrderResults(toBytes(json::array({ 3, json::array({ json::array({ 4, 2.5 }) }) }))).ok());
+}
+
 // Guards against a daemon that ends because of a malformed message on its port.
 TEST(order_batch, malformedOnesAreRejected)
 {
