--- a/standins/overload/overload_cell.h
+++ b/standins/overload/overload_cell.h
@@ -232,12 +232,12 @@
   {
     mEvents.emplace(aTime, std::move(aEvent));
   }
-  void receiveLater(loop_work aKind, std::function<void()> aWork)
+  void receiveLater(loop_work aKind, const std::function<void()>& aWork)
   {
     auto& lane = mInbox[Lanes::laneOf(aKind)];
     // Replies of the store come on a connection of their own, not through the inbox.
     const auto at = aKind == loop_work::stored ? lane.begin() : lane.end();
-    lane.insert(at, input{ .mKind = aKind, .mWork = std::move(aWork) });
+    lane.insert(at, input{ .mKind = aKind, .mWork = aWork });
   }
   void deliverEvents()
   {
