Log what answers orders and from which view ends are shown

order_not_accepted is written by the daemon that makes the call, with status, copies (counted with CURLOPT_PREREQFUNCTION: libcurl calls it before each copy) and time; end_shown names the view; run_gone says how long after the confirmed start its heartbeat was sent. No decision changes.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -20,6 +20,9 @@
   bool mRefused = false;
   /// Whether no byte of the request was sent, so that it had no effect.
   bool mUnsent = false;
+  /// How often the request was sent, at least in part. libcurl sends a request again whose reused
+  /// connection ends before the first byte of the answer; the answer is then that to the last copy.
+  std::uint32_t mCopies = 0;
   /// Reason for the missing answer; empty if there is one.
   std::string mError;
   std::chrono::microseconds mElapsed{ 0 };
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -72,8 +72,31 @@
   std::size_t mMaxBodyBytes = 0;
   steady_clock::time_point mStart;
   CURLM* mMulti = nullptr;
+  CURL* mHandle = nullptr;
+  /// Copies of the request of which at least one byte was sent before the current one.
+  std::uint32_t mFormerCopies = 0;
+  long mFormerBytes = 0;
 };
 
+/// Bytes that were sent of all copies of a request.
+long sentBytes(CURL* aHandle)
+{
+  long bytes = 0;
+  curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes;
+}
+
+/// CURLOPT_PREREQFUNCTION: called before each copy of the request.
+int noteCopy(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
+             int /*aLocalPort*/)
+{
+  auto& self = *static_cast<transfer*>(aTransfer);
+  const auto bytes = sentBytes(self.mHandle);
+  self.mFormerCopies += bytes > self.mFormerBytes ? 1 : 0;
+  self.mFormerBytes = bytes;
+  return CURL_PREREQFUNC_OK;
+}
+
 std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
 {
   auto& self = *static_cast<transfer*>(aTransfer);
@@ -266,6 +289,9 @@
                      static_cast<long>(mOptions.mConnectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
+    active->mHandle = handle;
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &noteCopy);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, active.get());
     if (call.mOnAnswerBegun) {
       curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &noteHeader);
       curl_easy_setopt(handle, CURLOPT_HEADERDATA, active.get());
@@ -371,7 +397,9 @@
       const auto active = std::move(found->second);
       mActive.erase(found);
       mHandleOf.erase(active->mId);
-      loop_reply reply{ .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+      const auto bytes = sentBytes(handle);
+      loop_reply reply{ .mCopies = active->mFormerCopies + (bytes > active->mFormerBytes ? 1 : 0),
+                        .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
                           steady_clock::now() - active->mStart) };
       if (code == CURLE_OK) {
         long status = 0;
@@ -383,10 +411,8 @@
         curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &cause);
         // libcurl repeats a request whose reused connection was closed. If bytes were sent, only
         // the repetition was refused.
-        long sentBytes = 0;
-        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
-        reply.mUnsent = reply.mRefused && sentBytes == 0;
+        reply.mUnsent = reply.mRefused && bytes == 0;
         reply.mError = curl_easy_strerror(code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
           mTimeouts[active->mCall.mAddress] = steady_clock::now();
--- a/node/src/order_sender.cpp
+++ b/node/src/order_sender.cpp
@@ -31,13 +31,30 @@
   mLoop.send(std::move(call));
 }
 
+scheduler::order_outcome order_sender::outcomeOf(const order_subject& aOrder,
+                                                 const edges::loop_reply& aReply)
+{
+  const auto outcome = platform::decodeOutcome(aReply);
+  if (outcome != scheduler::order_outcome::accepted) {
+    mLog.write("order_not_accepted",
+               fmt::format("kind={} task={} run={} target={} epoch={} outcome={} status={} "
+                           "copies={} after_ms={} error=\"{}\"",
+                           aOrder.mKind, toText(aOrder.mTask), aOrder.mRun, aOrder.mTarget,
+                           aOrder.mEpoch, toText(outcome), aReply.mStatus.value_or(0),
+                           aReply.mCopies, aReply.mElapsed / std::chrono::milliseconds(1),
+                           aReply.mError));
+  }
+  return outcome;
+}
+
 void order_sender::sendStart(const scheduler::start_order& aOrder, outcome_callback aDone)
 {
   ++mStarts;
   auto call = platform::encodeStart(aOrder);
-  call.mDone = [this, done = std::move(aDone)](edges::loop_reply&& aReply) {
+  call.mDone = [this, subject = subjectOf("start", aOrder),
+                done = std::move(aDone)](edges::loop_reply&& aReply) {
     mStartTimes.record(aReply.mElapsed);
-    done(platform::decodeOutcome(aReply));
+    done(outcomeOf(subject, aReply));
   };
   mLoop.send(std::move(call));
 }
@@ -45,9 +62,8 @@
 void order_sender::sendStop(const scheduler::stop_order& aOrder, outcome_callback aDone)
 {
   auto call = platform::encodeStop(aOrder);
-  call.mDone = [done = std::move(aDone)](edges::loop_reply&& aReply) {
-    done(platform::decodeOutcome(aReply));
-  };
+  call.mDone = [this, subject = subjectOf("stop", aOrder), done = std::move(aDone)](
+                 edges::loop_reply&& aReply) { done(outcomeOf(subject, aReply)); };
   mLoop.send(std::move(call));
 }
 
--- a/node/src/order_sender.h
+++ b/node/src/order_sender.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace endiveusher::node {
 
@@ -34,6 +35,28 @@
   std::string metrics() const;
 
 private:
+  /// What the log says of an order, without its payload.
+  struct order_subject
+  {
+    std::string_view mKind;
+    std::string mTarget;
+    scheduler::task_key mTask;
+    std::uint32_t mRun = 0;
+    std::uint64_t mEpoch = 0;
+  };
+  template<typename Order>
+  static order_subject subjectOf(std::string_view aKind, const Order& aOrder)
+  {
+    return { .mKind = aKind,
+             .mTarget = aOrder.mTarget,
+             .mTask = aOrder.mTask,
+             .mRun = aOrder.mRun,
+             .mEpoch = aOrder.mEpoch };
+  }
+  /// Decodes the reply to a start or stop order. One that was not accepted is logged by the daemon
+  /// that has made the call: the owner, or a relay.
+  scheduler::order_outcome outcomeOf(const order_subject& aOrder, const edges::loop_reply& aReply);
+
   edges::http_loop& mLoop;
   event_log& mLog;
   std::uint64_t mHeartbeats = 0;
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -171,7 +171,7 @@
   }
   if (const auto* known = mJobTable.find(aId); known != nullptr && mIsStored({ .mJob = aId })) {
     mLog.write("duplicate_submission", subject);
-    aReply({ .mBody = platform::encodeJobState(*known, mIsEndStored(aId)) });
+    replyWithBody(aId, platform::encodeJobState(*known, mIsEndStored(aId)), "table", aReply);
     return;
   }
   auto spec = platform::decodeJob(aBody);
@@ -293,7 +293,7 @@
   const bool ended = found != nullptr && found->mPhase != scheduler::job_phase::active;
   if (!ended && mQueryOwner(aId, aTeam, [this, aId, aTeam, aReply](owner_answer&& aAnswer) {
         if (aAnswer.mBody) {
-          aReply({ .mBody = *std::move(aAnswer.mBody) });
+          replyWithBody(aId, *std::move(aAnswer.mBody), "owner", aReply);
         } else {
           replyWithState(aId, aTeam, aReply, aAnswer.mUnknownJob);
         }
@@ -307,12 +307,22 @@
                                      const reply& aReply, bool aDenied)
 {
   if (const auto* found = findVisible(aId, aTeam)) {
-    aReply({ .mBody = platform::encodeJobState(*found, mIsEndStored(aId)) });
+    replyWithBody(aId, platform::encodeJobState(*found, mIsEndStored(aId)), "table", aReply);
   } else {
     rejectUnknownJob(aReply, fmt::format("job={}", toText(aId)), aDenied);
   }
 }
 
+void request_handler::replyWithBody(scheduler::job_id aId, std::string aBody,
+                                    std::string_view aView, const reply& aReply)
+{
+  if (!platform::isActiveState(aBody)) {
+    mLog.write("end_shown", fmt::format("job={} body={} view={} journal_age_ms={}", toText(aId),
+                                        aBody, aView, ageMs(mCellStatus.mJournalAsOf)));
+  }
+  aReply({ .mBody = std::move(aBody) });
+}
+
 void request_handler::waiting(const std::string& aRoute, const reply& aReply)
 {
   ++mCounters.mStatus;
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveusher::node {
@@ -156,6 +157,10 @@
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
   void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
                       bool aDenied = false);
+  /// Answers with an encoded state of a job. One that has ended is logged with the view that shows
+  /// it: `table`, this daemon's own, or `owner`, the owner's answer.
+  void replyWithBody(scheduler::job_id aId, std::string aBody, std::string_view aView,
+                     const reply& aReply);
   /// Answers the callers for which aChosen returns true that the outcome is not known.
   void answerIf(const std::function<bool(const caller& aCaller)>& aChosen);
   void replyUnknownOutcome(const caller& aCaller, std::string_view aSubject, time_point aSince);
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -320,8 +320,12 @@
       continue;
     }
     if (!found->second.mEnded) {
-      mPort.logDecision("run_gone", fmt::format("task={} run={} target={}", toText(task),
-                                                found->second.mRun, aTarget.mEntry.mId));
+      mPort.logDecision(
+        "run_gone",
+        fmt::format("task={} run={} target={} tries={} confirmed_ms={} reply_ms={}", toText(task),
+                    found->second.mRun, aTarget.mEntry.mId, found->second.mTries,
+                    (aSent - found->second.mMustBeListedFrom) / std::chrono::milliseconds(1),
+                    (aNow - aSent) / std::chrono::milliseconds(1)));
       endRun(aTarget, task, run_end::interrupted, found->second.mCheckpoint, aNow);
       stopGangOf(task, aNow);
     }
