--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -85,7 +85,7 @@
             port = ports.take()
             zone = ZONES[number % len(ZONES)]
             target = Target(f"t{number}", port, zone, TARGET_CPU_MILLI, self.store, self.checker)
-            proxy = Proxy(ports.take(), ("127.0.0.1", port))
+            proxy = Proxy(ports.take(), ("127.0.0.1", port), seed * targets + number)
             target.registry_address = proxy.address
             self.targets.append(target)
             self.target_proxies.append(proxy)
@@ -148,6 +148,25 @@
 
         wait_until(ready, "daemons have read the store")
 
+    def owner(self):
+        """Returns the daemon that has become owner last; it may have ended since."""
+        started = {}
+        for daemon in self.daemons:
+            for line in daemon.process.output().splitlines():
+                if " owner_started " in line:
+                    started[int(line.split(" ", 1)[0])] = daemon
+        return started[max(started)] if started else None
+
+    def submit(self, steps, work_ms, team="red", route="b"):
+        """Submits a job, whose tasks all need the same, and returns it once it is accepted."""
+        job = Job(uuid.uuid4().hex[:16], team, steps, steps[0]["cpu"])
+        self.checker.submitted(job)
+        wait_until(
+            lambda: self._submit(job, route, work_ms, self.random) or job.accepted_at,
+            "the job is accepted",
+        )
+        return job
+
     def start_clients(self, count):
         for number in range(count):
             seed = self.random.random()
@@ -206,6 +225,10 @@
         job.cancelled = answer is not None and answer[0] == 200
         job.accepted_at = None
 
+    def query_state(self, job, daemon):
+        """As _query_state, for a job that was accepted."""
+        return self._query_state(job, job.route, daemon)
+
     def _query_state(self, job, route, daemon):
         """Queries and checks the state of the job at the daemon; None if it reports none."""
         sent = time.monotonic()
--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -6,6 +6,8 @@
 
 # A team may exceed its limit by this fraction plus one task.
 LIMIT_SLACK = 0.1
+# Time after a job was shown as completed from which none of its tasks may start.
+SHOWN_SLACK_S = 1.0
 
 
 class Job:
@@ -16,6 +18,7 @@
         self.cancelled = False
         self.rejected = False  # Every submission was answered with a rejection.
         self.started = False
+        self.shown_completed_at = None
 
     def tasks(self):
         for number, step in enumerate(self.steps):
@@ -40,6 +43,10 @@
         with self._lock:
             return self._random.random() < probability
 
+    def choice(self, options):
+        with self._lock:
+            return self._random.choice(options)
+
     def report_violation(self, what):
         with self._lock:
             self._report_violation(what)
@@ -77,6 +84,11 @@
                 self._report_violation(
                     f"started after its end was acknowledged: {task} run {number} on {target}"
                 )
+            shown = job.shown_completed_at
+            if shown is not None and time.monotonic() - shown > SHOWN_SLACK_S:
+                self._report_violation(
+                    f"started after its job was shown as completed: {task} run {number} on {target}"
+                )
             others.add(target)
             in_use = sum(
                 self._job_of(running).cpu_milli * len(targets)
@@ -103,8 +115,14 @@
             if how == "done":
                 self._acknowledged.add(task)
 
+    def has_ended(self, job):
+        """Whether a target has ended each task of the job as done."""
+        with self._lock:
+            return all(name in self._done for names, _ in job.tasks() for name in names)
+
     def reported_completed(self, job):
         with self._lock:
+            job.shown_completed_at = job.shown_completed_at or time.monotonic()
             for names, gang in job.tasks():
                 count = sum(name in self._done for name in names)
                 if count < (1 if gang else len(names)):
--- a/tests/platform_soak/proxy.py
+++ b/tests/platform_soak/proxy.py
@@ -1,5 +1,6 @@
 """Loopback TCP proxy that delays, drops, stalls or resets the traffic of its connections."""
 
+import random
 import select
 import socket
 import struct
@@ -9,9 +10,14 @@
 
 class Proxy:
     """Faults: `drop_all` drops bytes in both directions, `drop_replies` only those of the server,
-    and `delay_s` delays every chunk."""
+    `delay_s` delays every chunk, and `answer_reset_probability` is that of a connection being reset
+    when the server answers a request, which has then been delivered and carried out."""
 
-    def __init__(self, port, target):
+    def __init__(self, port, target, seed=0):
+        self.answer_reset_probability = 0.0
+        # Decides, from the first line of a request, whether its answer is lost by a reset.
+        self.resets_answer = lambda _: self._random.random() < self.answer_reset_probability
+        self._random = random.Random(seed)
         self.drop_all = False
         self.drop_replies = False
         self.delay_s = 0.0
@@ -67,12 +73,22 @@
 
     def _relay(self, pair):
         client, server = pair
+        request_line = b""
         try:
             while not self._closed:
                 for end in select.select(pair, [], [], 0.1)[0]:
                     data = end.recv(65536)
                     if not data:
                         return
+                    if end is client and data.startswith((b"GET ", b"POST ", b"DELETE ")):
+                        request_line = data.split(b"\r\n", 1)[0]
+                    elif end is server and request_line:
+                        if self.resets_answer(request_line):
+                            client.setsockopt(
+                                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                            )
+                            return
+                        request_line = b""
                     dropped = (
                         self.drop_all or pair in self._stalled
                         or (self.drop_replies and end is server)
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -20,7 +20,7 @@
 # Kinds of planned work. Every request is answered if nothing else happens.
 PLANNED = {"stop", "reload", "evacuate", "revoke", "quota"}
 # Kinds that are injected only if named, so that the seeds of former failures draw the same faults.
-ONLY_IF_NAMED = {"reload", "target_shrinks"}
+ONLY_IF_NAMED = {"reload", "target_shrinks", "target_answer_reset", "target_rejects"}
 
 
 class Fault:
@@ -129,6 +129,12 @@
         "target_silent": lambda: Fault(0, path().stall_open),
         "target_reset": lambda: Fault(0, path().reset),
         "target_lost": lambda: toggled(target(), seconds(), loss_probability=0.4),
+        "target_answer_reset": lambda: toggled(
+            path(), seconds(), answer_reset_probability=rng.uniform(0.05, 0.4)
+        ),
+        "target_rejects": lambda: toggled(
+            target(), seconds(), rejection_probability=rng.uniform(0.1, 0.6)
+        ),
         "target_fails": lambda: toggled(target(), seconds(), fails_tasks=True),
         "target_shrinks": shrink,
         "target_drains": lambda: toggled(target(), seconds(), draining=True),
--- a/tests/platform_soak/store.py
+++ b/tests/platform_soak/store.py
@@ -36,6 +36,7 @@
 
     def __init__(self, port, seed):
         self.down = False  # Every call is rejected with 503 and has no effect.
+        self.journal_down = False  # Appends to the journal are rejected with 503.
         self.delay_s = 0.0  # Before each answer.
         self.loss_probability = 0.0  # Of the answer to an append that was carried out.
         self._random = random.Random(seed)
@@ -59,6 +60,8 @@
     def _serve(self, method, path, query, body):
         if self.down:
             return json_answer(503)
+        if self.journal_down and path == "/log-append" and query.get("topic") == "journal":
+            return json_answer(503)
         time.sleep(self.delay_s)
         if path == "/log-append":
             status, answer = self._append(query, body)
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -7,6 +7,8 @@
 from http_service import HttpService, NoAnswer, json_answer
 
 MAX_LEASE_MS = 6000
+# Answers of a target that has not carried out a start: status and body.
+REJECTIONS = [(429, {}), (503, {}), (409, {"reason": "room"}), (409, {"reason": "ticket"})]
 REGISTRY_INTERVAL_S = 0.5
 # Time after the entry with a smaller capacity is written in which starts may still arrive that fit
 # into the former one: the platform's shortest time for a change to be known, and one heartbeat.
@@ -31,6 +33,9 @@
         self.draining = False
         self.loss_probability = 0.0  # Of the answer to an order that was carried out.
         self.fails_tasks = False
+        self.unhealthy = False  # Starts are answered with 503 and not carried out.
+        self.rejection_probability = 0.0  # Of a start, which is then not carried out.
+        self.status_of_starts = 0  # Replaces the status of the answer to starts that were carried out.
         self._former = []  # Former capacities and the time until which starts may count on each.
         self._stated_cpu_milli = cpu_milli  # In the entry that was written last.
         self._store, self._checker = store, checker
@@ -134,6 +139,12 @@
         if self._crashed:
             raise NoAnswer()
         fields = json.loads(body or b"{}")
+        if path == "/run-start":
+            if self.unhealthy:
+                return json_answer(503)
+            if self._checker.chance(self.rejection_probability):
+                status, answer = self._checker.choice(REJECTIONS)
+                return json_answer(status, **answer)
         with self._lock:
             # `fence` on the wire is the epoch.
             if fields.get("fence", 0) < self._epoch:
@@ -147,6 +158,8 @@
                 return self._heartbeat(fields)
         if self._checker.chance(self.loss_probability):
             raise NoAnswer()
+        if self.status_of_starts and path == "/run-start" and answer[0] == 200:
+            return json_answer(self.status_of_starts)
         return answer
 
     def _answer(self, status, **fields):
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform_soak"))
 
 from main import run_tests  # noqa: E402
+import checker as checker_module  # noqa: E402
 import soak  # noqa: E402
 import target as target_module  # noqa: E402
 from checker import Checker, Job  # noqa: E402
@@ -72,6 +73,17 @@
         self.start(target="t2")
         self.assert_reports("after its end was acknowledged")
 
+    def test_a_start_after_the_job_was_shown_as_completed(self):
+        for index in (0, 1):
+            self.start(index)
+            self.end(index)
+        self.checker.reported_completed(self.job)
+        self.start(0, target="t2")
+        self.assertEqual([], self.checker.violations)
+        self.job.shown_completed_at -= checker_module.SHOWN_SLACK_S
+        self.start(1, target="t3")
+        self.assert_reports("after its job was shown as completed")
+
     def test_a_target_over_its_capacity(self):
         self.start(used=9000)
         self.assert_reports("over capacity")
