A request with effects leaves at most once

Cause: libcurl sends a request again, POST as well, if a reused connection ends before the first byte of the answer. The target had carried out the first copy and rejected the second one; the owner saw only the second answer and took it for proof that nothing ran.

The log of the reproduction shows it: 'order_not_accepted ... outcome=unhealthy status=503 copies=2', and the next run elsewhere 57 ms later. Ruled out by the record: silence (orders take 400 ms to time out), another owner (one epoch).

Every request with a body now leaves at most once: CURLOPT_PREREQFUNCTION, which libcurl calls before each copy, ends the transfer if bytes of a former copy were sent. That holds for orders, batches, callers' records, appends, claims and the clients of the other cell. The end of the connection is then what it is: no answer. Queries without effects (GET, job states, hellos, advice, unstored ends, results that the owner knows by number) may be repeated as before. Ways weighed: a body that libcurl cannot rewind (a second system call for each request), and counting copies in every decoder (each new caller has to remember).

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -20,9 +20,8 @@
   bool mRefused = false;
   /// Whether no byte of the request was sent, so that it had no effect.
   bool mUnsent = false;
-  /// How often the request was sent, at least in part. libcurl sends a request again whose reused
-  /// connection ends before the first byte of the answer; the answer is then that to the last copy.
-  std::uint32_t mCopies = 0;
+  /// Bytes of the request that were sent, without most of a large body.
+  long mSentBytes = 0;
   /// Reason for the missing answer; empty if there is one.
   std::string mError;
   std::chrono::microseconds mElapsed{ 0 };
@@ -41,6 +40,10 @@
   std::string mContentType = "application/json";
   /// Additional header lines, `Name: value`.
   std::vector<std::string> mHeaders;
+  /// Whether the request may be sent again, on a new connection, if a reused one ends before the
+  /// answer: a second copy of it has no effect. Always true for GET. The answer to a copy says
+  /// nothing of an earlier one, so a request that is not repeatable leaves at most once.
+  bool mRepeatable = false;
   /// Time limit of the whole call, including connecting.
   std::chrono::milliseconds mTimeout{ 1000 };
   /// Called when the first bytes of the answer arrive. Must not use the loop.
--- a/edges/src/easy_handles.h
+++ b/edges/src/easy_handles.h
@@ -15,6 +15,34 @@
   return kInitialised;
 }
 
+/// Bytes that were sent of all copies of a request, without most of a large body.
+inline long sentBytes(CURL* aHandle)
+{
+  long bytes = 0;
+  curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes;
+}
+
+/// Makes the transfer fail with CURLE_ABORTED_BY_CALLBACK instead of sending its request again.
+/// libcurl does that, also for POST, if a reused connection ends before the first byte of the
+/// answer. The server may have carried out the first copy and reject the second one.
+inline void forbidRepetition(CURL* aHandle)
+{
+  const auto beforeCopy = [](void* aData, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
+                             int /*aLocalPort*/) -> int {
+    return sentBytes(aData) > 0 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  };
+  curl_easy_setopt(aHandle, CURLOPT_PREREQFUNCTION, +beforeCopy);
+  curl_easy_setopt(aHandle, CURLOPT_PREREQDATA, aHandle);
+}
+
+/// Returns the reason for a missing answer.
+inline const char* describe(CURLcode aCode)
+{
+  return aCode == CURLE_ABORTED_BY_CALLBACK ? "the reused connection ended before the answer"
+                                            : curl_easy_strerror(aCode);
+}
+
 /// Pool of transfer handles; each holds some tens of kB of buffers. Not thread-safe.
 class easy_handles
 {
--- a/edges/src/http_client.cpp
+++ b/edges/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "endiveusher/edges/http_client.h"
 
+#include "easy_handles.h"
+
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 #include <curl/curl.h>
@@ -32,7 +34,7 @@
 absl::Status failure(CURLcode aCode, bool aSent, const client_request& aRequest)
 {
   const std::string message = absl::StrCat(aRequest.mMethod, " ", aRequest.mPath, " at ",
-                                           aRequest.mAddress, ": ", curl_easy_strerror(aCode));
+                                           aRequest.mAddress, ": ", internal::describe(aCode));
   if (!aSent) {
     return absl::UnavailableError(message);
   }
@@ -80,6 +82,7 @@
     if (aRequest.mMethod == "GET") {
       curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
     } else {
+      internal::forbidRepetition(handle);
       curl_easy_setopt(handle, CURLOPT_POST, 1L);
       curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, aRequest.mMethod.c_str());
       curl_easy_setopt(handle, CURLOPT_POSTFIELDS, aRequest.mBody.c_str());
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -72,31 +72,8 @@
   std::size_t mMaxBodyBytes = 0;
   steady_clock::time_point mStart;
   CURLM* mMulti = nullptr;
-  CURL* mHandle = nullptr;
-  /// Copies of the request of which at least one byte was sent before the current one.
-  std::uint32_t mFormerCopies = 0;
-  long mFormerBytes = 0;
 };
 
-/// Bytes that were sent of all copies of a request.
-long sentBytes(CURL* aHandle)
-{
-  long bytes = 0;
-  curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &bytes);
-  return bytes;
-}
-
-/// CURLOPT_PREREQFUNCTION: called before each copy of the request.
-int noteCopy(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
-             int /*aLocalPort*/)
-{
-  auto& self = *static_cast<transfer*>(aTransfer);
-  const auto bytes = sentBytes(self.mHandle);
-  self.mFormerCopies += bytes > self.mFormerBytes ? 1 : 0;
-  self.mFormerBytes = bytes;
-  return CURL_PREREQFUNC_OK;
-}
-
 std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
 {
   auto& self = *static_cast<transfer*>(aTransfer);
@@ -289,9 +266,9 @@
                      static_cast<long>(mOptions.mConnectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
-    active->mHandle = handle;
-    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &noteCopy);
-    curl_easy_setopt(handle, CURLOPT_PREREQDATA, active.get());
+    if (call.mMethod != "GET" && !call.mRepeatable) {
+      internal::forbidRepetition(handle);
+    }
     if (call.mOnAnswerBegun) {
       curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &noteHeader);
       curl_easy_setopt(handle, CURLOPT_HEADERDATA, active.get());
@@ -397,8 +374,8 @@
       const auto active = std::move(found->second);
       mActive.erase(found);
       mHandleOf.erase(active->mId);
-      const auto bytes = sentBytes(handle);
-      loop_reply reply{ .mCopies = active->mFormerCopies + (bytes > active->mFormerBytes ? 1 : 0),
+      const auto bytes = internal::sentBytes(handle);
+      loop_reply reply{ .mSentBytes = bytes,
                         .mElapsed = std::chrono::duration_cast<std::chrono::microseconds>(
                           steady_clock::now() - active->mStart) };
       if (code == CURLE_OK) {
@@ -409,11 +386,11 @@
       } else {
         long cause = 0;
         curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &cause);
-        // libcurl repeats a request whose reused connection was closed. If bytes were sent, only
-        // the repetition was refused.
+        // After a reused connection has ended, libcurl opens another one, which may be refused. If
+        // bytes were sent, the server may have received the request on the first one.
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
         reply.mUnsent = reply.mRefused && bytes == 0;
-        reply.mError = curl_easy_strerror(code);
+        reply.mError = internal::describe(code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
           mTimeouts[active->mCall.mAddress] = steady_clock::now();
         }
--- a/edges/src/http_requests.cpp
+++ b/edges/src/http_requests.cpp
@@ -168,6 +168,7 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, active.get());
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, aQueue.mFreshConnection ? 1L : 0L);
     if (request.mBody) {
+      forbidRepetition(handle);
       curl_easy_setopt(handle, CURLOPT_POST, 1L);
       curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(request.mBody->size()));
@@ -202,9 +203,8 @@
 
   http_result evaluate(CURL* aHandle, CURLcode aCode, transfer& aTransfer)
   {
-    long requestSize = 0;
+    const long requestSize = sentBytes(aHandle);
     long headerSize = 0;
-    curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &requestSize);
     curl_easy_getinfo(aHandle, CURLINFO_HEADER_SIZE, &headerSize);
     if (requestSize > 0) {
       const auto& body = aTransfer.mPending.mRequest.mBody;
@@ -218,9 +218,8 @@
       result.mStatus = status;
       result.mBody = std::move(aTransfer.mResponse);
     } else {
-      // libcurl repeats a request on a new connection if a reused one was closed without a
-      // response; a refused repetition does not prove that the first attempt was not received. The
-      // request size counts all attempts.
+      // After a reused connection has ended, libcurl opens another one; that this one is refused
+      // does not prove that the request was not received on the first one.
       result.mNeverSent = requestSize == 0;
     }
     return result;
--- a/node/src/end_hand_over.cpp
+++ b/node/src/end_hand_over.cpp
@@ -65,6 +65,7 @@
                .mAddress = aAddress,
                .mPath = std::string(kPeerUnstoredEndsPath),
                .mBody = encodeEpoch(mEpoch),
+               .mRepeatable = true,
                .mTimeout = kTimeout,
                .mDone = [this, aAddress, epoch = mEpoch,
                          alive = std::weak_ptr(mAlive)](edges::loop_reply&& aReply) {
--- a/node/src/order_relay.cpp
+++ b/node/src/order_relay.cpp
@@ -131,6 +131,8 @@
       .mPath = std::string(kPeerResultsPath),
       .mBody = encode(*report),
       .mContentType = "application/octet-stream",
+      // The owner ignores results that it has received before.
+      .mRepeatable = true,
       .mTimeout = kReportTimeout,
       .mDone = [this, report, alive = std::weak_ptr(mAlive)](edges::loop_reply&& aReply) {
         if (alive.expired()) {
@@ -144,7 +146,6 @@
         mLog.write("results_unconfirmed",
                    fmt::format("owner={} status={} error=\"{}\" results={}", mOwner,
                                aReply.mStatus.value_or(0), aReply.mError, report->mResults.size()));
-        // The owner ignores results that it has received before.
         if (++mFailures <= kMaxFailures && report->mEpoch == mEpoch) {
           mResults.insert(mResults.begin(), std::make_move_iterator(report->mResults.begin()),
                           std::make_move_iterator(report->mResults.end()));
--- a/node/src/order_sender.cpp
+++ b/node/src/order_sender.cpp
@@ -38,10 +38,10 @@
   if (outcome != scheduler::order_outcome::accepted) {
     mLog.write("order_not_accepted",
                fmt::format("kind={} task={} run={} target={} epoch={} outcome={} status={} "
-                           "copies={} after_ms={} error=\"{}\"",
+                           "sent_bytes={} after_ms={} error=\"{}\"",
                            aOrder.mKind, toText(aOrder.mTask), aOrder.mRun, aOrder.mTarget,
                            aOrder.mEpoch, toText(outcome), aReply.mStatus.value_or(0),
-                           aReply.mCopies, aReply.mElapsed / std::chrono::milliseconds(1),
+                           aReply.mSentBytes, aReply.mElapsed / std::chrono::milliseconds(1),
                            aReply.mError));
   }
   return outcome;
--- a/node/src/owner_client.cpp
+++ b/node/src/owner_client.cpp
@@ -134,6 +134,7 @@
                .mPath = std::string(aPath),
                .mBody = std::move(aBody),
                .mContentType = "application/octet-stream",
+               .mRepeatable = aPath == kPeerStatusPath || aPath == kPeerWaitingPath,
                .mTimeout = aTimeout,
                .mDone = [this, generation = mGeneration,
                          done = std::move(aDone)](edges::loop_reply&& aReply) {
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -85,6 +85,7 @@
            .mPath = std::string(kPeerHelloPath),
            .mBody =
              nlohmann::json::array({ aHello.mAddress, aHello.mCores, aHello.mStandby }).dump(),
+           .mRepeatable = true,
            .mTimeout = std::chrono::milliseconds(500) };
 }
 
@@ -283,6 +284,7 @@
                                             aRequest.mStep.mOccurrence, aRequest.mStep.mStep,
                                             aRequest.mTargets, aRequest.mTimeout.count() })
                       .dump(),
+           .mRepeatable = true,
            .mTimeout = aRequest.mTimeout };
 }
 
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -175,6 +177,65 @@
   CHECK_FALSE(unsent);
 }
 
+/// Answers the first request, closes the connection of the second one without an answer, and
+/// rejects all others.
+scripted_answer rejectCopies(const received_request& aRequest, int& aReceived)
+{
+  ++aReceived;
+  if (aReceived == 2) {
+    return { .mReaction = reaction::close };
+  }
+  return { .mStatus = aReceived == 1 ? 200 : 503, .mBody = aRequest.mBody };
+}
+
+/// Opens a connection, then makes the call; returns its reply.
+loop_reply callOnReusedConnection(http_loop& aLoop, const scripted_server& aServer, loop_call aCall)
+{
+  bool opened = false;
+  aLoop.send({ .mAddress = aServer.address(), .mPath = "/first", .mDone = [&opened](loop_reply&&) {
+                opened = true;
+              } });
+  CHECK(runUntil(aLoop, [&opened] { return opened; }));
+  std::optional<loop_reply> reply;
+  aCall.mAddress = aServer.address();
+  aCall.mDone = [&reply](loop_reply&& aReply) { reply = std::move(aReply); };
+  aLoop.send(std::move(aCall));
+  CHECK(runUntil(aLoop, [&reply] { return reply.has_value(); }));
+  return *std::move(reply);
+}
+
+// Guards against a request that was carried out and is reported with the answer to a second copy.
+TEST(http_loop, sendsOneCopyOfARequestWithEffects)
+{
+  int received = 0;
+  scripted_server server(
+    [&received](const received_request& aRequest) { return rejectCopies(aRequest, received); });
+  http_loop loop;
+  const auto reply = callOnReusedConnection(
+    loop, server, { .mMethod = "POST", .mPath = "/run-start", .mBody = "start" });
+  CHECK_FALSE(reply.mStatus.has_value());
+  CHECK_FALSE(reply.mUnsent);
+  CHECK(reply.mSentBytes > 0);
+  STRCMP_EQUAL("the reused connection ended before the answer", reply.mError.c_str());
+  LONGS_EQUAL(2, received);
+}
+
+// Guards against reads that fail whenever a server closes an idle connection.
+TEST(http_loop, repeatsRequestsWithoutEffects)
+{
+  for (const loop_call& call :
+       { loop_call{ .mPath = "/read" },
+         loop_call{ .mMethod = "POST", .mPath = "/query", .mBody = "id", .mRepeatable = true } }) {
+    int received = 0;
+    scripted_server server(
+      [&received](const received_request& aRequest) { return rejectCopies(aRequest, received); });
+    http_loop loop;
+    const auto reply = callOnReusedConnection(loop, server, call);
+    CHECK(reply.mStatus == 503);
+    LONGS_EQUAL(3, received);
+  }
+}
+
 // Guards against a loop that keeps waiting although another thread has called wake().
 TEST(http_loop, wakeFromAnotherThreadEndsWait)
 {
