A reply that the platform does not define proves nothing

Cause: decodeOutcome mapped every unknown status and every 409 without a known reason to 'invalid', and a first start that is rejected ends its run as not run. Only what the pages name shows that nothing was done: 400, 421, 429, 503, and 409 with fence, old, late, room or ticket. All else is now 'undefined', which counts as no answer to a start; a stop is repeated as before. It is not 'unanswered', because a target that has left is recognised by heartbeats without an answer.

Tests: three expected 'invalid' for an unreadable 409 (messages_test, nesting_test, target_answers_test). That was the fault itself; they now require 'undefined', and more statuses and reasons are checked. owner_runs.doesNotStartTwiceAfterAnUndefinedReply is new.

--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -239,7 +239,7 @@
     order_results results{ .mEpoch = integerFrom<std::uint64_t>(value.at(0), 0, kMaxEpoch) };
     for (const auto& row : value.at(1)) {
       order_result result{ .mNumber = decodeNumber<std::uint64_t>(row.at(0)),
-                           .mOutcome = decodeEnum(row.at(1), scheduler::order_outcome::invalid) };
+                           .mOutcome = decodeEnum(row.at(1), scheduler::order_outcome::undefined) };
       if (row.size() > 2) {
         result.mReport = decodeReport(row.at(2));
       }
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -71,7 +71,11 @@
   /// Another incarnation of the target replied; it does not execute the order.
   other_incarnation,
   unhealthy,
+  /// The target has rejected the order as malformed.
   invalid,
+  /// A reply that the platform does not define, perhaps of something between: it does not tell
+  /// whether the order was executed.
+  undefined,
   /// The relay of the order has not reported in time whether there was a reply.
   unreported,
   /// The order has not left the owner's process, because its ticket has expired there.
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -115,6 +115,8 @@
       return "unhealthy";
     case order_outcome::invalid:
       return "invalid";
+    case order_outcome::undefined:
+      return "undefined";
     case order_outcome::unreported:
       return "unreported";
     case order_outcome::not_sent:
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -247,7 +247,7 @@
   mPort.logDecision("start_rejected", fmt::format("task={} run={} target={} outcome={} tries={}",
                                                   toText(aOrder.mTask), aOrder.mRun, aOrder.mTarget,
                                                   toText(aOutcome), run->mTries));
-  if (aOutcome == order_outcome::unanswered) {
+  if (aOutcome == order_outcome::unanswered || aOutcome == order_outcome::undefined) {
     ++run->mTries;
     run->mUnansweredAt = aNow;
     run->mNextTry = aNow + kRetryPause;
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -116,11 +116,26 @@
   CHECK(outcome(409, R"({"reason":"fence"})") == order_outcome::fenced);
   CHECK(outcome(409, R"({"reason":"old"})") == order_outcome::outdated);
   CHECK(outcome(409, R"({"reason":"ticket"})") == order_outcome::bad_ticket);
-  CHECK(outcome(409, "no json") == order_outcome::invalid);
+  CHECK(outcome(409, R"({"reason":"late"})") == order_outcome::late);
+  CHECK(outcome(409, R"({"reason":"room"})") == order_outcome::no_capacity);
+  CHECK(outcome(400, "") == order_outcome::invalid);
   CHECK(outcome(421, "") == order_outcome::other_incarnation);
+  CHECK(outcome(429, "") == order_outcome::unhealthy);
   CHECK(outcome(503, "") == order_outcome::unhealthy);
 }
 
+// Guards against an answer that proves nothing being taken for a rejection.
+TEST(platform_targets, otherAnswersDoNotShowThatAnOrderWasRejected)
+{
+  for (const int status : { 201, 204, 302, 403, 404, 408, 425, 500, 502, 504 }) {
+    CHECK_TEXT(decodeOutcome({ .mStatus = status }) == order_outcome::undefined,
+               std::to_string(status).c_str());
+  }
+  for (const char* body : { "no json", "", "{}", R"({"reason":""})", R"({"reason":"other"})" }) {
+    CHECK_TEXT(decodeOutcome({ .mStatus = 409, .mBody = body }) == order_outcome::undefined, body);
+  }
+}
+
 TEST(platform_targets, decodesAReport)
 {
   const auto report = decodeReport(
--- a/tests/platform/nesting_test.cpp
+++ b/tests/platform/nesting_test.cpp
@@ -93,11 +93,11 @@
 }
 
 // Guards against the end of the process by the answer to an order or of the advice service.
-TEST(platform_nesting, anAnswerIsInvalid)
+TEST(platform_nesting, anAnswerIsUndefined)
 {
   for (const auto& reason : { nested(kDeep), nestedObjects(kDeep) }) {
     CHECK(decodeOutcome({ .mStatus = 409, .mBody = R"({"reason":)" + reason + "}" }) ==
-          scheduler::order_outcome::invalid);
+          scheduler::order_outcome::undefined);
     CHECK_FALSE(decodeAdvice(R"({"good":)" + reason + "}").ok());
   }
 }
--- a/tests/platform/target_answers_test.cpp
+++ b/tests/platform/target_answers_test.cpp
@@ -9,11 +9,12 @@
 TEST_GROUP(platform_answers){};
 
 // Guards against the end of the process by a target's answer of another form.
-TEST(platform_answers, aReasonOfAnotherTypeIsInvalid)
+TEST(platform_answers, aReasonOfAnotherTypeIsUndefined)
 {
   for (const char* body : { R"({"reason":5})", R"({"reason":null})", R"({"reason":["fence"]})",
                             "[]", "null", "", "{\"reason\":\"\xff\"}" }) {
-    CHECK_TEXT(
-      decodeOutcome({ .mStatus = 409, .mBody = body }) == scheduler::order_outcome::invalid, body);
+    CHECK_TEXT(decodeOutcome({ .mStatus = 409, .mBody = body }) ==
+                 scheduler::order_outcome::undefined,
+               body);
   }
 }
--- a/tests/scheduler/fake_services.h
+++ b/tests/scheduler/fake_services.h
@@ -37,6 +37,8 @@
   time_point mLosesHeartbeatsUntil{};
   /// Whether start orders are executed but their replies are lost.
   bool mLosesReplies = false;
+  /// What the owner receives in place of a lost reply.
+  order_outcome mLostReply = order_outcome::unanswered;
   /// Whether start orders are lost before they are executed.
   bool mLosesStarts = false;
   /// If set, start orders are rejected with this outcome.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -633,7 +633,7 @@
         mNow + step.mEstimate,
         task_end{ .mTarget = aOrder.mTarget, .mTask = aOrder.mTask, .mRun = aOrder.mRun });
     }
-    return target.mLosesReplies ? order_outcome::unanswered : order_outcome::accepted;
+    return target.mLosesReplies ? target.mLostReply : order_outcome::accepted;
   }
 
   order_outcome execute(const stop_order& aOrder)
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -306,6 +306,20 @@
   CHECK_EQUAL(1, cell.running());
 }
 
+// Guards against a status that says nothing of the order being taken for a rejection.
+TEST(owner_runs, doesNotStartTwiceAfterAnUndefinedReply)
+{
+  auto& target = cell.addTarget("t1");
+  target.mLosesReplies = true;
+  target.mLostReply = order_outcome::undefined;
+  cell.startNextOwner();
+  cell.submit(tasks(1));
+  cell.run(milliseconds(200));
+  cell.addTarget("t2");
+  cell.run(milliseconds(3000));
+  CHECK_EQUAL(1, cell.running());
+}
+
 // Runs on an unresponsive target may continue until their lease expires by the slowest permitted
 // clock.
 TEST(owner_runs, startsElsewhereOnlyAfterTheLeaseExpires)
