--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -144,7 +144,7 @@
     });
   });
   mRequestHandler.setIsEndStored(
-    [this](scheduler::job_id aId) { return !mUnstoredEnds.contains(aId); });
+    [this](scheduler::job_id aId) { return !mOwner || mOwner->isEndStored(aId); });
   mOwnerClient.setListener(
     [this](const std::string& aOwner, const hello_reply& aReply, time_point aReceived) {
       onHelloReply(aOwner, aReply, aReceived);
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -287,7 +287,7 @@
     return;
   }
   aRequest.mResponder.answer(
-    { .mBody = platform::encodeJobState(*found, !mUnstoredEnds.contains(*id)) });
+    { .mBody = platform::encodeJobState(*found, mOwner->isEndStored(*id)) });
 }
 
 void cell_node::impl::handleUnstoredEnds(const peer_request& aRequest)
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -321,8 +321,6 @@
   std::optional<time_point> mOldestReport;
   /// Whether passOnLateEnds() has made an append that the loop may not have sent.
   bool mEndsUnsent = false;
-  /// Number of writes in flight that hold an end of the job, by job.
-  std::map<scheduler::job_id, std::uint32_t> mUnstoredEnds;
   /// A follower that makes calls on the owner's behalf.
   struct helper
   {
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -39,58 +39,45 @@
 void cell_node::impl::store(std::vector<journal_record> aRecords)
 {
   std::vector<std::string> bytes;
-  std::vector<scheduler::job_id> ended;
   std::vector<scheduler::run_ended> ends;
   for (const auto& record : aRecords) {
     if (const auto* end = std::get_if<scheduler::run_ended>(&record)) {
-      ended.push_back(end->mTask.mStep.mJob);
       ends.push_back(*end);
-    } else if (const auto* abandoned = std::get_if<scheduler::job_abandoned>(&record)) {
-      ended.push_back(abandoned->mJob);
     }
     bytes.push_back(encode(record));
   }
-  for (const auto id : ended) {
-    ++mUnstoredEnds[id];
-  }
   if (!ends.empty()) {
     mOldestReport.reset();
   }
-  mOwnerWriter->write(std::move(bytes), [this, ended = std::move(ended), ends = std::move(ends),
-                                         epoch = mEpoch](write_outcome aOutcome) {
-    if (!isOwner(epoch)) {
-      return;
-    }
-    if (aOutcome != write_outcome::stored) {
-      mStepDownReason = "journal fenced";
-      return;
-    }
-    mAppendTimes.record(mOwnerWriter->lastElapsed());
-    if (mOwnerWriter->lastElapsed() > kSlowAppendThreshold) {
-      mLog.write("slow_append",
-                 fmt::format("after_ms={} repeats={} waiting={}",
-                             mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1),
-                             mOwnerWriter->repeats(), mOwnerWriter->waiting()));
-    }
-    for (const auto id : ended) {
-      if (const auto found = mUnstoredEnds.find(id);
-          found != mUnstoredEnds.end() && --found->second == 0) {
-        mUnstoredEnds.erase(found);
+  mOwnerWriter->write(
+    std::move(bytes), [this, ends = std::move(ends), epoch = mEpoch](write_outcome aOutcome) {
+      if (!isOwner(epoch)) {
+        return;
       }
-    }
-    const auto now = mClock.now();
-    if (const auto took = mEndTimes.onStored(ends, now); took && *took > kMaxEndStoreTime) {
-      mLog.write("ends_stored_late",
-                 fmt::format("ends={} longest_ms={} append_ms={}", ends.size(),
-                             *took / std::chrono::milliseconds(1),
-                             mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1)));
-    }
-    {
-      const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
-      mOwner->onStored(now);
-    }
-    passOnLateEnds();
-  });
+      if (aOutcome != write_outcome::stored) {
+        mStepDownReason = "journal fenced";
+        return;
+      }
+      mAppendTimes.record(mOwnerWriter->lastElapsed());
+      if (mOwnerWriter->lastElapsed() > kSlowAppendThreshold) {
+        mLog.write("slow_append",
+                   fmt::format("after_ms={} repeats={} waiting={}",
+                               mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1),
+                               mOwnerWriter->repeats(), mOwnerWriter->waiting()));
+      }
+      const auto now = mClock.now();
+      if (const auto took = mEndTimes.onStored(ends, now); took && *took > kMaxEndStoreTime) {
+        mLog.write("ends_stored_late",
+                   fmt::format("ends={} longest_ms={} append_ms={}", ends.size(),
+                               *took / std::chrono::milliseconds(1),
+                               mOwnerWriter->lastElapsed() / std::chrono::milliseconds(1)));
+      }
+      {
+        const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
+        mOwner->onStored(now);
+      }
+      passOnLateEnds();
+    });
 }
 
 void cell_node::impl::onRecordStored(std::uint64_t aToken)
@@ -323,7 +310,6 @@
     return;
   }
   const auto now = mClock.now();
-  mUnstoredEnds.clear();
   mOwner = std::make_unique<scheduler::owner>(
     mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
@@ -366,7 +352,6 @@
   mStandbys.clear();
   // Decisions that were not stored are discarded with the rest of the owner's state, before a
   // caller's record is stored in another way and applied.
-  mUnstoredEnds.clear();
   mJobs.setReadInterval(kJournalReadInterval);
   if (mStandby) {
     mJobs.load();
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
 #include <utility>
+#include <variant>
 
 namespace endiveusher::scheduler {
 
@@ -92,6 +94,25 @@
 
 } // namespace
 
+namespace {
+
+/// Returns the job that the record may end, if it is of such a kind.
+std::optional<job_id> mayEndJob(const journal_record& aRecord)
+{
+  if (const auto* end = std::get_if<run_ended>(&aRecord)) {
+    return end->mTask.mStep.mJob;
+  }
+  if (const auto* abandoned = std::get_if<job_abandoned>(&aRecord)) {
+    return abandoned->mJob;
+  }
+  if (const auto* cancelled = std::get_if<job_cancelled>(&aRecord)) {
+    return cancelled->mJob;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
 std::string_view toText(order_outcome aOutcome)
 {
   switch (aOutcome) {
@@ -396,6 +417,15 @@
 {
   // Only the owner stores such records, so they can be applied before they are stored.
   mJobTable.apply(aRecord, aNow);
+  addPending(std::move(aRecord));
+}
+
+void owner::impl::addPending(journal_record aRecord)
+{
+  if (const auto job = mayEndJob(aRecord)) {
+    ++mUnstoredEnds[*job];
+    mNextBatch.mEndedJobs.push_back(*job);
+  }
   mPendingRecords.push_back(std::move(aRecord));
 }
 
@@ -430,7 +460,7 @@
                          wall_time aWall)
 {
   job* changed = mJobTable.apply(aRecord, aNow);
-  mPendingRecords.push_back(aRecord);
+  addPending(aRecord);
   mNextBatch.mTokens.push_back(aToken);
   if (changed != nullptr) {
     onRecordApplied(*changed, aNow, aWall);
@@ -453,6 +483,11 @@
       found->second.mNextHeartbeat = aNow;
     }
   }
+  for (const auto id : done.mEndedJobs) {
+    if (const auto found = mUnstoredEnds.find(id); --found->second == 0) {
+      mUnstoredEnds.erase(found);
+    }
+  }
   for (const auto token : done.mTokens) {
     mPort.onRecordStored(token);
   }
@@ -715,6 +750,11 @@
   return mImpl->mFenced;
 }
 
+bool owner::isEndStored(job_id aJob) const
+{
+  return mImpl->isEndStored(aJob);
+}
+
 bool owner::allStored() const
 {
   return mImpl->allStored();
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -45,6 +45,7 @@
   std::vector<run_ended> unstoredEnds() const;
   void adoptEnds(std::span<const run_ended> aEnds, time_point aNow);
   time_point tick(time_point aNow, wall_time aWall);
+  bool isEndStored(job_id aJob) const { return !mUnstoredEnds.contains(aJob); }
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
   std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
   owner_counts counts(time_point aNow) const;
@@ -79,6 +80,8 @@
     std::vector<stored_end> mEnds;
     /// Ends that targets have reported, for the next owner if the batch is not stored.
     std::vector<run_ended> mReportedEnds;
+    /// The job of each record that may end a job.
+    std::vector<job_id> mEndedJobs;
     /// Tokens of callers' records.
     std::vector<std::uint64_t> mTokens;
     /// Targets at which leases may be renewed once the batch is stored.
@@ -192,6 +195,8 @@
   /// @param aWasAlone whether no task of another job may have been executing on the last one
   void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
+  /// Adds a record that the table includes to those of the next batch.
+  void addPending(journal_record aRecord);
   void flush(time_point aNow);
 
   // Heartbeats.
@@ -420,6 +425,8 @@
   std::unordered_map<job_id, time_point> mSubmittedAt;
 
   std::vector<journal_record> mPendingRecords;
+  /// Number of records that are not stored and may end the job, by job.
+  std::map<job_id, std::uint32_t> mUnstoredEnds;
   batch mNextBatch;
   std::deque<batch> mBatchesInFlight;
 
--- a/tests/scheduler/reported_ends_test.cpp
+++ b/tests/scheduler/reported_ends_test.cpp
@@ -55,6 +55,28 @@
   CHECK_EQUAL(1, cell.find(job).find(task.mStep)->mTasks[0].mRun);
 }
 
+// Guards against a job that is shown as completed while its end waits behind an open append.
+TEST(reported_ends, areNotStoredWhileTheyWaitForAnAppend)
+{
+  cell.addTarget("a");
+  const auto first = cell.startOwnerAndJob(tasks(1, milliseconds(600)));
+  const auto second = cell.submit(tasks(1, milliseconds(600)));
+  cell.run(milliseconds(300));
+  cell.mStoreDown = true;
+  cell.endTask(first, reported_end::done);
+  cell.run(milliseconds(200));
+  cell.endTask(second, reported_end::done);
+  cell.run(milliseconds(200));
+  for (const auto job : { first, second }) {
+    CHECK(cell.find(job).mPhase == job_phase::completed);
+    CHECK_FALSE(cell.mOwner->isEndStored(job));
+  }
+  cell.mStoreDown = false;
+  cell.run(milliseconds(200));
+  CHECK(cell.mOwner->isEndStored(first));
+  CHECK(cell.mOwner->isEndStored(second));
+}
+
 TEST(reported_ends, thoseOfOtherRunsChangeNothing)
 {
   cell.addTarget("a");
