--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -28,11 +28,22 @@
 ]
 
 
+# Seeds of runs with these kinds only.
+LOST_ANSWERS = ["target_answer_reset", "target_rejects"]
+LOST_ANSWERS_SEEDS = [
+    4401,  # The rejection of the second copy of a start was taken for that of the first one.
+]
+
+
 class PlatformSoak(unittest.TestCase):
     def test_short_runs_violate_no_guarantee(self):
         for seed in SEEDS:
             self.assertTrue(soak.run(seed, RUN_S, []), f"seed {seed}")
 
+    def test_short_runs_with_lost_answers_violate_no_guarantee(self):
+        for seed in LOST_ANSWERS_SEEDS:
+            self.assertTrue(soak.run(seed, RUN_S, LOST_ANSWERS), f"seed {seed}")
+
 
 class SoakChecker(unittest.TestCase):
     """Guards against a checker that misses violations: each kind must be reported."""
