The start of a member that has ended with its gang is not repeated

One done ends all members of a gang's run. If the start of another member had no answer by then, it was sent again, because a repetition asked neither for the end of the run nor for the job's phase; at a target that had restarted meanwhile a task that was done would have started again (TWICE, also after the job was shown as completed). An ended run is stopped instead, which also makes a late first copy ineffective.

--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -157,9 +157,11 @@
       aTarget.mNextOrders = std::min(aTarget.mNextOrders, run.mNextTry);
       continue;
     }
-    // A start order extends the lease, so it is not repeated once renewals have been stopped.
-    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted || run.mLoss ||
-                              !aTarget.mAcquisitionStored || !mayOrderStart(aTarget, run, aNow);
+    // A start order extends the lease, so it is not repeated once renewals have been stopped. The
+    // member of a gang may have ended with another one before its own start was answered.
+    const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted || run.mEnded ||
+                              run.mLoss || !aTarget.mAcquisitionStored ||
+                              !mayOrderStart(aTarget, run, aNow);
     if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget, task)) {
       sendStart(aTarget, task, run, aNow);
     } else if (run.mPhase == run_phase::ordered || run.mPhase == run_phase::stopping ||
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -306,6 +306,30 @@
   CHECK_EQUAL(1, cell.running());
 }
 
+// Guards against a start of a task that is done: the start of one member had no answer when another
+// one reported the end of the gang.
+TEST(owner_runs, doesNotRepeatTheStartOfAMemberThatHasEndedWithItsGang)
+{
+  cell.addTarget("t1", 3000);
+  auto& second = cell.addTarget("t2", 3000);
+  second.mLosesStarts = true;
+  cell.startNextOwner();
+  auto gang = tasks(2);
+  gang.mGang = true;
+  const auto id = cell.submit(gang);
+  auto left = milliseconds(1000);
+  for (; cell.running() == 0 && left.count() > 0; left -= milliseconds(5)) {
+    cell.run(milliseconds(5));
+  }
+  auto& first = cell.target("t1");
+  CHECK_EQUAL(1, first.mRunning.size());
+  first.end(first.mRunning.begin()->first, reported_end::done);
+  second.mLosesStarts = false;
+  cell.run(milliseconds(1000));
+  CHECK(cell.find(id).mPhase == job_phase::completed);
+  CHECK_EQUAL(0, second.mRunning.size() + second.mEnded.size() + second.mLastEndNumber);
+}
+
 // Guards against a status that says nothing of the order being taken for a rejection.
 TEST(owner_runs, doesNotStartTwiceAfterAnUndefinedReply)
 {
