--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -135,8 +135,8 @@
   /// back, or nothing if it is to be accepted. See overload_admission, for an owner whose loop is
   /// behind, and internal::backlog_estimate, for work that would start too late to have any value.
   std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
-  /// Whether the journal holds all records that may have ended the job. A job may be shown as ended
-  /// only then: the next owner knows nothing of the others.
+  /// Whether the journal holds the record that has ended the job, if one has. A job may be shown as
+  /// ended only then: the next owner may not know that record.
   bool isEndStored(job_id aJob) const;
   /// Whether all records of this owner are in the journal.
   bool allStored() const;
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -111,6 +111,11 @@
   return std::nullopt;
 }
 
+bool isActive(const job* aJob)
+{
+  return aJob != nullptr && aJob->mPhase == job_phase::active;
+}
+
 } // namespace
 
 std::string_view toText(order_outcome aOutcome)
@@ -416,17 +421,20 @@
 void owner::impl::append(journal_record aRecord, time_point aNow)
 {
   // Only the owner stores such records, so they can be applied before they are stored.
-  mJobTable.apply(aRecord, aNow);
-  addPending(std::move(aRecord));
+  applyAndAdd(std::move(aRecord), aNow);
 }
 
-void owner::impl::addPending(journal_record aRecord)
+job* owner::impl::applyAndAdd(journal_record aRecord, time_point aNow)
 {
-  if (const auto job = mayEndJob(aRecord)) {
-    ++mUnstoredEnds[*job];
-    mNextBatch.mEndedJobs.push_back(*job);
+  const auto id = mayEndJob(aRecord);
+  const bool wasActive = id && isActive(mJobTable.find(*id));
+  job* changed = mJobTable.apply(aRecord, aNow);
+  if (wasActive && !isActive(mJobTable.find(*id))) {
+    mUnstoredEnds.insert(*id);
+    mNextBatch.mEndedJobs.push_back(*id);
   }
   mPendingRecords.push_back(std::move(aRecord));
+  return changed;
 }
 
 void owner::impl::flush(time_point aNow)
@@ -459,8 +467,7 @@
 void owner::impl::accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
                          wall_time aWall)
 {
-  job* changed = mJobTable.apply(aRecord, aNow);
-  addPending(aRecord);
+  job* changed = applyAndAdd(aRecord, aNow);
   mNextBatch.mTokens.push_back(aToken);
   if (changed != nullptr) {
     onRecordApplied(*changed, aNow, aWall);
@@ -484,9 +491,7 @@
     }
   }
   for (const auto id : done.mEndedJobs) {
-    if (const auto found = mUnstoredEnds.find(id); --found->second == 0) {
-      mUnstoredEnds.erase(found);
-    }
+    mUnstoredEnds.erase(id);
   }
   for (const auto token : done.mTokens) {
     mPort.onRecordStored(token);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -80,7 +80,7 @@
     std::vector<stored_end> mEnds;
     /// Ends that targets have reported, for the next owner if the batch is not stored.
     std::vector<run_ended> mReportedEnds;
-    /// The job of each record that may end a job.
+    /// Jobs that a record of the batch has ended.
     std::vector<job_id> mEndedJobs;
     /// Tokens of callers' records.
     std::vector<std::uint64_t> mTokens;
@@ -195,8 +195,9 @@
   /// @param aWasAlone whether no task of another job may have been executing on the last one
   void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
   void append(journal_record aRecord, time_point aNow);
-  /// Adds a record that the table includes to those of the next batch.
-  void addPending(journal_record aRecord);
+  /// Applies a record to the table and adds it to those of the next batch; returns the job that it
+  /// has changed, if any.
+  job* applyAndAdd(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
 
   // Heartbeats.
@@ -425,8 +426,8 @@
   std::unordered_map<job_id, time_point> mSubmittedAt;
 
   std::vector<journal_record> mPendingRecords;
-  /// Number of records that are not stored and may end the job, by job.
-  std::map<job_id, std::uint32_t> mUnstoredEnds;
+  /// Jobs that have ended by a record which is not stored.
+  std::set<job_id> mUnstoredEnds;
   batch mNextBatch;
   std::deque<batch> mBatchesInFlight;
 
--- a/tests/scheduler/reported_ends_test.cpp
+++ b/tests/scheduler/reported_ends_test.cpp
@@ -77,6 +77,37 @@
   CHECK(cell.mOwner->isEndStored(second));
 }
 
+// Guards against a job that was shown as ended and then as running: its last run is still stopping.
+TEST(reported_ends, ofRunsOfAnEndedJobDoNotHideItsEnd)
+{
+  cell.addTarget("a");
+  const auto job = cell.startOwnerAndJob(tasks(1, milliseconds(600)));
+  cell.target("a").mStopDelay = milliseconds(300);
+  cell.cancel(job);
+  cell.run(milliseconds(200));
+  CHECK(cell.mOwner->isEndStored(job));
+  cell.mStoreDown = true;
+  cell.run(milliseconds(400));
+  CHECK_EQUAL(0, cell.running());
+  CHECK(cell.find(job).mPhase == job_phase::cancelled);
+  CHECK(cell.mOwner->isEndStored(job));
+}
+
+// Guards against a cancellation that is shown to callers and lost with the owner.
+TEST(reported_ends, aCancellationIsAnEnd)
+{
+  cell.addTarget("a");
+  const auto job = cell.startOwnerAndJob(tasks(1, milliseconds(600)));
+  cell.mStoreDown = true;
+  cell.mOwner->accept(job_cancelled{ .mJob = job }, 1, cell.mNow, cell.wall());
+  cell.run(milliseconds(100));
+  CHECK(cell.find(job).mPhase == job_phase::cancelled);
+  CHECK_FALSE(cell.mOwner->isEndStored(job));
+  cell.mStoreDown = false;
+  cell.run(milliseconds(200));
+  CHECK(cell.mOwner->isEndStored(job));
+}
+
 TEST(reported_ends, thoseOfOtherRunsChangeNothing)
 {
   cell.addTarget("a");
