The end of a connection does not make a target silent, and costs no new connection

Heartbeats may not be repeated by libcurl, as their acknowledgement could reach the target's next incarnation; so each reset of a connection counted as a missed heartbeat: an unanswered start was stopped instead of repeated, and one reset was enough to take a drained target for gone. And libcurl opened a connection for each copy that was then not sent; connections are priced.

A heartbeat whose reused connection ends is followed by a query on another connection, without a lease and without an acknowledgement. CURLOPT_OPENSOCKETFUNCTION opens no socket for a copy that may not leave.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -20,6 +20,8 @@
   bool mRefused = false;
   /// Whether no byte of the request was sent, so that it had no effect.
   bool mUnsent = false;
+  /// Whether a reused connection has ended before the answer, after a part of the request was sent.
+  bool mInterrupted = false;
   /// Bytes of the request that were sent, without most of a large body.
   long mSentBytes = 0;
   /// Reason for the missing answer; empty if there is one.
--- a/edges/src/easy_handles.h
+++ b/edges/src/easy_handles.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <cstddef>
 #include <vector>
@@ -23,11 +24,21 @@
   return bytes;
 }
 
-/// Makes the transfer fail with CURLE_ABORTED_BY_CALLBACK instead of sending its request again.
-/// libcurl does that, also for POST, if a reused connection ends before the first byte of the
-/// answer. The server may have carried out the first copy and reject the second one.
+/// Makes the transfer fail instead of sending its request again. libcurl does that, also for POST,
+/// if a reused connection ends before the first byte of the answer. The server may have carried out
+/// the first copy and reject the second one.
 inline void forbidRepetition(CURL* aHandle)
 {
+  // Without a new connection for the copy, as it could not be used.
+  const auto openSocket = [](void* aData, curlsocktype /*aPurpose*/,
+                             curl_sockaddr* aAddress) -> curl_socket_t {
+    return sentBytes(aData) > 0
+             ? CURL_SOCKET_BAD
+             : ::socket(aAddress->family, aAddress->socktype, aAddress->protocol);
+  };
+  curl_easy_setopt(aHandle, CURLOPT_OPENSOCKETFUNCTION, +openSocket);
+  curl_easy_setopt(aHandle, CURLOPT_OPENSOCKETDATA, aHandle);
+  // Another idle connection may be reused for the copy.
   const auto beforeCopy = [](void* aData, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
                              int /*aLocalPort*/) -> int {
     return sentBytes(aData) > 0 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
@@ -36,11 +47,19 @@
   curl_easy_setopt(aHandle, CURLOPT_PREREQDATA, aHandle);
 }
 
+/// Whether a reused connection has ended before the first byte of the answer, after a part of the
+/// request was sent.
+inline bool wasInterrupted(CURL* aHandle, CURLcode aCode)
+{
+  return sentBytes(aHandle) > 0 &&
+         (aCode == CURLE_ABORTED_BY_CALLBACK || aCode == CURLE_COULDNT_CONNECT);
+}
+
 /// Returns the reason for a missing answer.
-inline const char* describe(CURLcode aCode)
+inline const char* describe(CURL* aHandle, CURLcode aCode)
 {
-  return aCode == CURLE_ABORTED_BY_CALLBACK ? "the reused connection ended before the answer"
-                                            : curl_easy_strerror(aCode);
+  return wasInterrupted(aHandle, aCode) ? "the reused connection ended before the answer"
+                                        : curl_easy_strerror(aCode);
 }
 
 /// Pool of transfer handles; each holds some tens of kB of buffers. Not thread-safe.
--- a/edges/src/http_client.cpp
+++ b/edges/src/http_client.cpp
@@ -31,10 +31,11 @@
   return aCount;
 }
 
-absl::Status failure(CURLcode aCode, bool aSent, const client_request& aRequest)
+absl::Status failure(CURL* aHandle, CURLcode aCode, bool aSent, const client_request& aRequest)
 {
-  const std::string message = absl::StrCat(aRequest.mMethod, " ", aRequest.mPath, " at ",
-                                           aRequest.mAddress, ": ", internal::describe(aCode));
+  const std::string message =
+    absl::StrCat(aRequest.mMethod, " ", aRequest.mPath, " at ", aRequest.mAddress, ": ",
+                 internal::describe(aHandle, aCode));
   if (!aSent) {
     return absl::UnavailableError(message);
   }
@@ -94,7 +95,7 @@
       // Zero for any error if no connection was made or reused.
       curl_off_t pretransfer = 0;
       curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
-      return failure(code, pretransfer != 0, aRequest);
+      return failure(handle, code, pretransfer != 0, aRequest);
     }
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -390,7 +390,8 @@
         // bytes were sent, the server may have received the request on the first one.
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
         reply.mUnsent = reply.mRefused && bytes == 0;
-        reply.mError = internal::describe(code);
+        reply.mInterrupted = internal::wasInterrupted(handle, code);
+        reply.mError = internal::describe(handle, code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
           mTimeouts[active->mCall.mAddress] = steady_clock::now();
         }
--- a/node/src/order_sender.cpp
+++ b/node/src/order_sender.cpp
@@ -12,25 +12,49 @@
 {
   ++mHeartbeats;
   auto call = platform::encodeHeartbeat(aOrder);
-  call.mDone = [this, target = aOrder.mTarget,
-                done = std::move(aDone)](edges::loop_reply&& aReply) {
-    auto outcome = platform::decodeOutcome(aReply);
-    scheduler::target_report report;
-    if (outcome == scheduler::order_outcome::accepted) {
-      auto decoded = platform::decodeReport(aReply.mBody);
-      if (decoded.ok()) {
-        report = *std::move(decoded);
-      } else {
-        mLog.write("bad_report", fmt::format("target={} error=\"{}\"", target,
-                                             std::string(decoded.status().message())));
-        outcome = scheduler::order_outcome::invalid;
-      }
+  call.mDone = [this, aOrder, done = std::move(aDone)](edges::loop_reply&& aReply) {
+    if (aReply.mInterrupted) {
+      queryTarget(aOrder, done);
+    } else {
+      onHeartbeatReply(aOrder.mTarget, aReply, done);
     }
-    done(outcome, report);
   };
   mLoop.send(std::move(call));
 }
 
+void order_sender::queryTarget(scheduler::heartbeat_order aOrder, const report_callback& aDone)
+{
+  ++mHeartbeats;
+  // This daemon may not be the owner any more.
+  aOrder.mLeaseUntil.reset();
+  // The query may reach the target's next incarnation, whose ends have other numbers.
+  aOrder.mStoredEndNumber = 0;
+  aOrder.mWait = std::chrono::milliseconds(0);
+  auto call = platform::encodeHeartbeat(aOrder);
+  call.mDone = [this, target = std::move(aOrder.mTarget), aDone](edges::loop_reply&& aReply) {
+    onHeartbeatReply(target, aReply, aDone);
+  };
+  mLoop.send(std::move(call));
+}
+
+void order_sender::onHeartbeatReply(const std::string& aTarget, const edges::loop_reply& aReply,
+                                    const report_callback& aDone)
+{
+  auto outcome = platform::decodeOutcome(aReply);
+  scheduler::target_report report;
+  if (outcome == scheduler::order_outcome::accepted) {
+    auto decoded = platform::decodeReport(aReply.mBody);
+    if (decoded.ok()) {
+      report = *std::move(decoded);
+    } else {
+      mLog.write("bad_report", fmt::format("target={} error=\"{}\"", aTarget,
+                                           std::string(decoded.status().message())));
+      outcome = scheduler::order_outcome::invalid;
+    }
+  }
+  aDone(outcome, report);
+}
+
 scheduler::order_outcome order_sender::outcomeOf(const order_subject& aOrder,
                                                  const edges::loop_reply& aReply)
 {
--- a/node/src/order_sender.h
+++ b/node/src/order_sender.h
@@ -24,6 +24,8 @@
 
   order_sender(edges::http_loop& aLoop, event_log& aLog) : mLoop(aLoop), mLog(aLog) {}
 
+  /// If a reused connection ends before the answer, the target is queried on another one: the end
+  /// of a connection does not show that it is silent.
   void sendHeartbeat(const scheduler::heartbeat_order& aOrder, report_callback aDone);
   void sendStart(const scheduler::start_order& aOrder, outcome_callback aDone);
   void sendStop(const scheduler::stop_order& aOrder, outcome_callback aDone);
@@ -35,6 +37,10 @@
   std::string metrics() const;
 
 private:
+  /// Queries the runs and ends at the target of a heartbeat, without any effect there.
+  void queryTarget(scheduler::heartbeat_order aOrder, const report_callback& aDone);
+  void onHeartbeatReply(const std::string& aTarget, const edges::loop_reply& aReply,
+                        const report_callback& aDone);
   /// What the log says of an order, without its payload.
   struct order_subject
   {
--- a/tests/edges/http_client_test.cpp
+++ b/tests/edges/http_client_test.cpp
@@ -1,12 +1,15 @@
 #include "endiveusher/edges/http_client.h"
 #include "endiveusher/edges/http_server.h"
 #include "endiveusher/edges/url.h"
+#include "tests/clients/scripted_server.h"
 
+#include <atomic>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace endiveusher::edges;
+using namespace endiveusher::testing;
 
 namespace {
 
@@ -65,6 +68,23 @@
 }
 
 // Guards against ids with reserved characters that change the path.
+// Guards against a request that was carried out and is reported with the answer to a second copy.
+TEST(http_client, sendsOneCopyOfARequestWithEffects)
+{
+  std::atomic<int> received = 0;
+  scripted_server server([&received](const received_request& /*aRequest*/) {
+    ++received;
+    return scripted_answer{ .mReaction = received == 2 ? reaction::close : reaction::answer,
+                            .mStatus = received == 1 ? 200 : 503 };
+  });
+  http_client client;
+  CHECK(client.perform({ .mAddress = server.address(), .mPath = "/first" }).ok());
+  const auto response = client.perform(
+    { .mMethod = "POST", .mAddress = server.address(), .mPath = "/job", .mBody = "job" });
+  CHECK_TEXT(absl::IsUnknown(response.status()), response.status().ToString().c_str());
+  LONGS_EQUAL(2, received);
+}
+
 TEST(http_client, percentEncodingIsReversible)
 {
   std::string all;
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -144,7 +144,8 @@
                 return json_answer(503)
             if self._checker.chance(self.rejection_probability):
                 status, answer = self._checker.choice(REJECTIONS)
-                return json_answer(status, **answer)
+                if not self._runs_here(fields) or status != 409:
+                    return json_answer(status, **answer)
         with self._lock:
             # `fence` on the wire is the epoch.
             if fields.get("fence", 0) < self._epoch:
@@ -162,6 +163,12 @@
             return json_answer(self.status_of_starts)
         return answer
 
+    def _runs_here(self, fields):
+        """Whether the run of a start order is there already, which a healthy target confirms."""
+        with self._lock:
+            run = self._runs.get(fields["task"])
+            return run is not None and run.number == fields["run"]
+
     def _answer(self, status, **fields):
         return json_answer(status, wall_clock_ms=self._clock_ms(), born=self.born, **fields)
 
--- a/tests/process/test_repeated_orders.py
+++ b/tests/process/test_repeated_orders.py
@@ -66,6 +66,11 @@
         self.cell.submit(step(1), work_ms=2000)
         wait_until(lambda: lost, "an answer is lost")
         time.sleep(1)
+        # The order has left once, on a connection that ended before the answer.
+        self.assertRegex(
+            "".join(daemon.process.output() for daemon in self.cell.daemons),
+            r"order_not_accepted kind=start \S+ run=1 .* outcome=unanswered status=0 sent_bytes=[1-9]"
+        )
         for target in self.cell.targets:
             target.unhealthy = False
         self.finish()
@@ -94,7 +99,7 @@
         wait_until(lambda: cell.checker.has_ended(second), "the second task has ended")
         shown = []
         for _ in range(10):
-            shown.append(cell.query_state(second, owner))
+            shown += [cell.query_state(second, daemon) for daemon in cell.daemons]
             time.sleep(0.1)
         # The next owner has to start both again, as neither the journal nor a target holds an end.
         owner.process.kill()
@@ -106,6 +111,7 @@
         owner.start()
         self.finish()
         self.assertNotIn("completed", shown)
+        self.assertIn("running", shown)
 
 
 if __name__ == "__main__":
