An answer to an append that the store does not define proves nothing

Callers saw 503, "the store has refused it", for a job that was stored and ran (REFUSED), and 200 for a job that was not stored (LOST), if a daemon appended directly and something in front of the store answered 500, 408 or 302, or 409 without a reason. An owner in the same case took ends for stored that were not, acknowledged them and showed their jobs as completed (TWICE).

Cause: decodeAppend counted every status but 200, 412, 409, 502 and 504 as 'refused', and every 409 without 'fenced' as a wrong sequence number. A refused append is not repeated by the direct writer, and the next records go out under its number, for which the store returns the answer to the first ones. A wrong number after an unanswered try counts as stored.

Ruled out, by reading: election and snapshot_writer treat refused and unanswered alike, and both append on condition of the end.

--- a/tests/node/journal_writer_test.cpp
+++ b/tests/node/journal_writer_test.cpp
@@ -105,6 +105,32 @@
   CHECK_EQUAL(1, stored());
 }
 
+// Guards against a record that is reported as refused although it is stored, and a later one that
+// is reported as stored although it is not: it was sent under the same sequence number.
+TEST(journal_writer, storesEachRecordOnceBesideUndefinedAnswers)
+{
+  open(1, false);
+  for (const int status : { 500, 408, 302, 409 }) {
+    const auto before = stored();
+    store->mOddAnswers = { { .mStatus = status } };
+    CHECK(write({ "a" }) == write_outcome::stored);
+    CHECK(write({ "b" }) == write_outcome::stored);
+    CHECK_EQUAL(before + 2, stored());
+  }
+}
+
+// Guards against records that are reported as stored because of a rejection that gives no reason.
+TEST(journal_writer, aRejectionWithoutAReasonConfirmsNothing)
+{
+  open(1, false);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  store->mOddAnswers = { { .mStatus = 502, .mCarriedOut = false },
+                         { .mStatus = 409, .mCarriedOut = false } };
+  CHECK(write({ "b" }) == write_outcome::stored);
+  CHECK(write({ "c" }) == write_outcome::stored);
+  CHECK_EQUAL(3, stored());
+}
+
 TEST(journal_writer, stopsWhenAHigherEpochHasWritten)
 {
   open(1);
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -49,6 +50,13 @@
   standins::store_model mModel;
   /// Number of next appends that are carried out without an answer.
   int mLoseAnswers = 0;
+  struct odd_answer
+  {
+    int mStatus = 500;
+    bool mCarriedOut = true;
+  };
+  /// Answers to the next appends, without a body.
+  std::deque<odd_answer> mOddAnswers;
   /// Returns the number of calls that were held so far.
   std::size_t held()
   {
@@ -155,6 +163,15 @@
       if (aRequest.mQuery.contains("timestamp")) {
         append.mExpectedEnd = number(aRequest, "timestamp");
       }
+      if (!mOddAnswers.empty()) {
+        const auto odd = mOddAnswers.front();
+        mOddAnswers.pop_front();
+        if (odd.mCarriedOut) {
+          mModel.append(append);
+        }
+        aResponder.answer({ .mStatus = static_cast<std::uint16_t>(odd.mStatus) });
+        return;
+      }
       const auto answer = mModel.append(append);
       if (mLoseAnswers > 0) {
         --mLoseAnswers;
