A job is not appended long after its caller was answered

Cause: a daemon that had no answer to a submission kept its right to append it without limit. A process that was paused appended what it had forwarded before, because the owner's last reply was old by then; a daemon that the store does not answer repeated the same append, or kept it waiting, for as long as that took. Meanwhile the caller submits the job elsewhere, it ends, and after status_s (120 s) all tables forget it. The record that lands then is a new job.

A submission is now not sent later than 10 s after it arrived. One that waits is refused. One that an unanswered append holds is withdrawn: the append is repeated without it under the next epoch of the daemon's own producer, which fences off copies that are under way, and its outcome is unknown. Cancellations are kept, as they do no harm.

Evidence: the tests let 150 s pass on a manual clock; the records were appended before. That the job then runs is read from job_table::removeEnded and applyRecord, not run. Ruled out: the owner's own append, which the next owner fences.

caller_record_writer.storesNoJobThatItsOwnerWasSentLongAgo, storesNoJobLongAfterItsCallerWasAnswered and sendsNoJobThatHasWaitedTooLong failed before and pass. caller_record_writer: 21 passed; journal_writer: 10 passed.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -23,8 +23,8 @@
 /// The pause and the grace double each time that the record is sent again to the same owner, up to
 /// this number.
 constexpr std::uint32_t kMaxDoublings = 3;
-/// Time after which the owner is no longer asked for the outcome of a record; callers that state no
-/// timeout have given up then.
+/// Time after which the owner is no longer asked for the outcome of a record, and a submission is
+/// no longer appended directly; callers that state no timeout have given up then.
 constexpr std::chrono::seconds kMaxForwardAge{ 10 };
 /// Maximum number of open calls. Below the HTTP loop's limit of connections to one address, so that
 /// hellos and status calls never wait for a connection.
@@ -73,27 +73,29 @@
 void caller_record_writer::store(const scheduler::journal_record& aRecord, done_callback aDone)
 {
   const bool isSubmission = std::holds_alternative<scheduler::job_submitted>(aRecord);
-  const done_callback local = [this, aRecord, aDone, isSubmission](caller_outcome aOutcome) {
+  const auto now = mClock.now();
+  const done_callback local = [this, aRecord, aDone, now, isSubmission](caller_outcome aOutcome) {
     if (aOutcome == write_outcome::stored || aOutcome == write_outcome::overloaded ||
         (aOutcome == write_outcome::refused && isSubmission)) {
       aDone(aOutcome);
     } else {
-      append(encode(aRecord), aOutcome != write_outcome::refused, aDone);
+      append(
+        { .mBytes = encode(aRecord), .mDone = aDone, .mSince = now, .mIsSubmission = isSubmission },
+        aOutcome != write_outcome::refused);
     }
   };
   if (mStoreLocally(aRecord, local)) {
     return;
   }
-  const auto now = mClock.now();
-  auto bytes = encode(aRecord);
+  forwarded_record one{ .mBytes = encode(aRecord),
+                        .mDone = std::move(aDone),
+                        .mSince = now,
+                        .mIsSubmission = isSubmission };
   if (!ownerExpected(now)) {
-    append(std::move(bytes), false, std::move(aDone));
+    append(std::move(one), false);
     return;
   }
-  mForwarded[++mLastForwardedId] = { .mBytes = std::move(bytes),
-                                     .mDone = std::move(aDone),
-                                     .mSince = now,
-                                     .mIsSubmission = isSubmission };
+  mForwarded[++mLastForwardedId] = std::move(one);
   flush(now);
 }
 
@@ -206,7 +208,8 @@
       // that a byte of it may have been sent before.
       auto lost = std::move(one);
       mForwarded.erase(found);
-      append(std::move(lost.mBytes), lost.mUncertain || !aReply.mUnsent, std::move(lost.mDone));
+      const bool uncertain = lost.mUncertain || !aReply.mUnsent;
+      append(std::move(lost), uncertain);
     } else if (!hasTimedOut) {
       sendAgain(one, kResendPause);
     } // Otherwise the owner may still have it in its queue, see findLost().
@@ -229,10 +232,9 @@
   } else if (result == forward_result::busy && aRecord.mIsSubmission && ownerUsable(mClock.now())) {
     turnAway(write_outcome::refused);
   } else {
-    append(std::move(aRecord.mBytes),
-           aRecord.mUncertain ||
-             (result != forward_result::refused && result != forward_result::busy),
-           std::move(aRecord.mDone));
+    const bool uncertain =
+      aRecord.mUncertain || (result != forward_result::refused && result != forward_result::busy);
+    append(std::move(aRecord), uncertain);
   }
 }
 
@@ -254,7 +256,7 @@
     if (expected) {
       one.mDone(uncertain ? write_outcome::unknown : write_outcome::refused);
     } else {
-      append(std::move(one.mBytes), uncertain, std::move(one.mDone));
+      append(std::move(one), uncertain);
     }
   }
   findLost(aNow);
@@ -302,13 +304,18 @@
     });
 }
 
-void caller_record_writer::append(std::string aBytes, bool aUncertain, done_callback aDone)
+void caller_record_writer::append(forwarded_record aRecord, bool aUncertain)
 {
+  // Later, a job that another copy of the record has stored may have ended and been forgotten.
+  const auto notAfter =
+    aRecord.mIsSubmission ? std::optional(aRecord.mSince + kMaxForwardAge) : std::nullopt;
   mWriter.write(
-    { std::move(aBytes) }, [aUncertain, done = std::move(aDone)](write_outcome aOutcome) {
+    { std::move(aRecord.mBytes) },
+    [aUncertain, done = std::move(aRecord.mDone)](write_outcome aOutcome) {
       // The owner may have stored a record whose direct append was refused.
       done(aOutcome != write_outcome::stored && aUncertain ? write_outcome::unknown : aOutcome);
-    });
+    },
+    notAfter);
 }
 
 } // namespace endiveusher::node
--- a/node/src/caller_record_writer.h
+++ b/node/src/caller_record_writer.h
@@ -108,7 +108,8 @@
                         const edges::loop_reply& aReply);
   /// Processes the owner's answer for one record, which is no longer among the forwarded ones.
   void finish(forwarded_record aRecord, char aResult);
-  void append(std::string aBytes, bool aUncertain, done_callback aDone);
+  /// Appends a record directly, unless it is a submission that is too old.
+  void append(forwarded_record aRecord, bool aUncertain);
 
   const clock& mClock;
   const platform::store& mStore;
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -3,6 +3,8 @@
 #include "endiveusher/kernel/back_off.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 namespace endiveusher::node {
@@ -22,18 +24,20 @@
 
 journal_writer::journal_writer(platform::store& aStore, const clock& aClock,
                                journal_writer_options aOptions)
-  : mStore(aStore), mClock(aClock), mOptions(std::move(aOptions)),
-    mSequence((mOptions.mEpoch << kSequenceBits) + 1)
+  : mStore(aStore), mClock(aClock), mOptions(std::move(aOptions)), mEpoch(mOptions.mEpoch),
+    mSequence((mEpoch << kSequenceBits) + 1)
 {
 }
 
-void journal_writer::write(std::vector<std::string> aRecords, done_callback aDone)
+void journal_writer::write(std::vector<std::string> aRecords, done_callback aDone,
+                           std::optional<time_point> aNotAfter)
 {
   if (mFenced) {
     aDone(write_outcome::fenced);
     return;
   }
-  mWaiting.push_back({ .mRecords = std::move(aRecords), .mDone = std::move(aDone) });
+  mWaiting.push_back(
+    { .mRecords = std::move(aRecords), .mDone = std::move(aDone), .mNotAfter = aNotAfter });
   tick(mClock.now());
 }
 
@@ -42,27 +46,72 @@
   if (mInFlight || mFenced) {
     return;
   }
+  std::vector<entry> expired;
   if (mCurrent.empty()) {
-    std::size_t bytes = 0;
-    while (!mWaiting.empty() && bytes < kMaxCallBytes) {
-      auto& next = mWaiting.front();
-      for (const auto& record : next.mRecords) {
-        bytes += record.size();
-      }
-      std::ranges::move(next.mRecords, std::back_inserter(mCurrentRecords));
-      mCurrent.push_back(std::move(next));
-      mWaiting.pop_front();
-    }
-    mTries = 0;
-    mUncertain = false;
-    mRetryAt = time_point{};
-    if (!mCurrent.empty()) {
-      mPendingSince = aNow;
-    }
+    expired = takeWaiting(aNow);
+  } else {
+    withdrawExpired(aNow);
   }
   if (!mCurrent.empty() && mRetryAt <= aNow) {
     send();
   }
+  const auto alive = std::weak_ptr(mAlive);
+  for (auto& one : expired) {
+    one.mDone(write_outcome::refused);
+    if (alive.expired()) {
+      return;
+    }
+  }
+}
+
+std::vector<journal_writer::entry> journal_writer::takeWaiting(time_point aNow)
+{
+  std::vector<entry> expired;
+  std::size_t bytes = 0;
+  while (!mWaiting.empty() && bytes < kMaxCallBytes) {
+    auto next = std::move(mWaiting.front());
+    mWaiting.pop_front();
+    if (next.expired(aNow)) {
+      expired.push_back(std::move(next));
+      continue;
+    }
+    for (const auto& record : next.mRecords) {
+      bytes += record.size();
+    }
+    std::ranges::move(next.mRecords, std::back_inserter(mCurrentRecords));
+    mCurrent.push_back(std::move(next));
+  }
+  mTries = 0;
+  mUncertain = false;
+  mRetryAt = time_point{};
+  if (!mCurrent.empty()) {
+    mPendingSince = aNow;
+  }
+  return expired;
+}
+
+void journal_writer::withdrawExpired(time_point aNow)
+{
+  if (std::ranges::none_of(mCurrent, [aNow](const entry& aOne) { return aOne.expired(aNow); })) {
+    return;
+  }
+  ++mEpoch;
+  mSequence = (mEpoch << kSequenceBits) + 1;
+  std::vector<std::string> kept;
+  auto next = mCurrentRecords.begin();
+  for (auto& one : mCurrent) {
+    if (one.mWithdrawn) {
+      continue;
+    }
+    one.mWithdrawn = one.expired(aNow);
+    // Its records were moved to mCurrentRecords, which holds those of all entries in order.
+    const auto end = next + static_cast<std::ptrdiff_t>(one.mRecords.size());
+    if (!one.mWithdrawn) {
+      kept.insert(kept.end(), std::move_iterator(next), std::move_iterator(end));
+    }
+    next = end;
+  }
+  mCurrentRecords = std::move(kept);
 }
 
 void journal_writer::send()
@@ -70,17 +119,17 @@
   mInFlight = true;
   mRepeats += mTries > 0 ? 1 : 0;
   ++mTries;
-  mStore.append({ .mTopic = mOptions.mTopic,
-                  .mRecords = mCurrentRecords,
-                  .mProducer = platform::producer{ .mName = mOptions.mProducer,
-                                                   .mEpoch = mOptions.mEpoch,
-                                                   .mSequence = mSequence },
-                  .mTimeout = mStore.appendTimeout(mTries) },
-                [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
-                  if (!alive.expired()) {
-                    onAppendReply(aReply);
-                  }
-                });
+  mStore.append(
+    { .mTopic = mOptions.mTopic,
+      .mRecords = mCurrentRecords,
+      .mProducer =
+        platform::producer{ .mName = mOptions.mProducer, .mEpoch = mEpoch, .mSequence = mSequence },
+      .mTimeout = mStore.appendTimeout(mTries) },
+    [this, alive = std::weak_ptr(mAlive)](platform::append_reply&& aReply) {
+      if (!alive.expired()) {
+        onAppendReply(aReply);
+      }
+    });
 }
 
 void journal_writer::onAppendReply(const platform::append_reply& aReply)
@@ -136,7 +185,7 @@
   }
   const auto alive = std::weak_ptr(mAlive);
   for (auto& one : finished) {
-    one.mDone(aOutcome);
+    one.mDone(one.mWithdrawn ? write_outcome::unknown : aOutcome);
     if (alive.expired()) {
       return;
     }
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -39,7 +39,8 @@
 
 /// Appends records in order with one call in flight at a time; records written meanwhile are
 /// batched into the next call. An unanswered append is repeated with the same sequence number until
-/// its outcome is known.
+/// its outcome is known. Records that may no longer be stored by then are withdrawn: the append is
+/// repeated without them under the next epoch, so that the store rejects copies that are under way.
 class journal_writer
 {
 public:
@@ -47,7 +48,10 @@
 
   journal_writer(platform::store& aStore, const clock& aClock, journal_writer_options aOptions);
 
-  void write(std::vector<std::string> aRecords, done_callback aDone);
+  /// aNotAfter: time after which the records are not sent. Their outcome is refused then, or
+  /// unknown if they were sent before. Only for a writer whose producer name no other one uses.
+  void write(std::vector<std::string> aRecords, done_callback aDone,
+             std::optional<time_point> aNotAfter = std::nullopt);
   /// Sends the next append or retry if it is due.
   void tick(time_point aNow);
   /// Time at which the current append was first sent; absent if there is none.
@@ -63,7 +67,15 @@
   {
     std::vector<std::string> mRecords;
     done_callback mDone;
+    std::optional<time_point> mNotAfter;
+    bool mWithdrawn = false;
+
+    bool expired(time_point aNow) const { return !mWithdrawn && mNotAfter && *mNotAfter < aNow; }
   };
+  /// Makes the next append of the records that wait. Returns those that have expired.
+  std::vector<entry> takeWaiting(time_point aNow);
+  /// Takes the expired records out of the current append, which may be stored.
+  void withdrawExpired(time_point aNow);
   void send();
   void onAppendReply(const platform::append_reply& aReply);
   void finish(write_outcome aOutcome);
@@ -73,6 +85,7 @@
   const journal_writer_options mOptions;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   std::deque<entry> mWaiting;
+  std::uint64_t mEpoch;
   /// Entries of the current append.
   std::vector<entry> mCurrent;
   std::vector<std::string> mCurrentRecords;
--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -1,4 +1,5 @@
 #include "caller_record_writer.h"
+#include "manual_clock.h"
 #include "peer_api.h"
 #include "store_fixture.h"
 
@@ -122,6 +123,52 @@
                               } };
 };
 
+/// A writer of which the test sets the time.
+class aged_writer
+{
+public:
+  aged_writer(store_fixture& aStore, event_log& aLog)
+    : mStore(aStore), mClient(aStore.mLoop, mTime, { .mAddress = "127.0.0.1:1" }),
+      mDirect(aStore.mStore, mTime, { .mTopic = "journal", .mProducer = "aged" }),
+      mWriter(
+        mTime, aStore.mStore, mClient, mDirect, aLog,
+        [](const journal_record&, const caller_record_writer::done_callback&) { return false; })
+  {
+  }
+
+  void submit(int aJob)
+  {
+    write(job_submitted{ .mSpec = { .mId = static_cast<job_id>(aJob), .mSteps = { {} } } });
+  }
+  void cancel(int aJob) { write(job_cancelled{ .mJob = static_cast<job_id>(aJob) }); }
+  /// Lets a millisecond pass with each turn.
+  bool runUntil(const std::function<bool()>& aReady)
+  {
+    return mStore.runUntil(aReady, [this] {
+      mTime.mNow += milliseconds(1);
+      mWriter.tick(mTime.now());
+      mDirect.tick(mTime.now());
+    });
+  }
+
+private:
+  void write(const journal_record& aRecord)
+  {
+    mWriter.store(aRecord, [this](caller_outcome aOutcome) { mOutcomes.push_back(aOutcome); });
+  }
+
+  store_fixture& mStore;
+
+public:
+  manual_clock mTime;
+  owner_client mClient;
+  std::vector<write_outcome> mOutcomes;
+
+private:
+  journal_writer mDirect;
+  caller_record_writer mWriter;
+};
+
 } // namespace
 
 TEST_GROUP(caller_record_writer)
@@ -431,6 +478,64 @@
   CHECK_EQUAL(4, stored());
 }
 
+// Guards against a job that runs a second time because a process that was paused stores it long
+// after its owner has: the job may have ended and been forgotten.
+TEST(caller_record_writer, storesNoJobThatItsOwnerWasSentLongAgo)
+{
+  aged_writer aged(*store, *log);
+  aged.mClient.setOwner(owner->address());
+  CHECK(store->runUntil([&] { return aged.mClient.reachable(aged.mTime.now()); },
+                        [&] { aged.mClient.tick(aged.mTime.now()); }));
+  aged.submit(1);
+  CHECK(store->runUntil([this] { return owner->records() == 1; }));
+  aged.mTime.mNow += std::chrono::seconds(150);
+  CHECK(aged.runUntil([&] { return aged.mOutcomes.size() == 1; }));
+  CHECK(aged.mOutcomes[0] == write_outcome::unknown);
+  CHECK_EQUAL(0, stored());
+}
+
+// Guards against the same while the store does not answer this daemon, whose callers have long
+// submitted the job elsewhere. Cancellations do no harm.
+TEST(caller_record_writer, storesNoJobLongAfterItsCallerWasAnswered)
+{
+  aged_writer aged(*store, *log);
+  store->setSilent(true);
+  aged.cancel(1);
+  CHECK(aged.runUntil([this] { return store->held() == 1; }));
+  // Both are in the next append, of which the first try and its repetition are unanswered.
+  aged.submit(2);
+  aged.cancel(3);
+  store->answerHeld(0);
+  CHECK(aged.runUntil([this] { return store->held() == 3; }));
+  CHECK_EQUAL(1, aged.mOutcomes.size());
+  aged.mTime.mNow += std::chrono::seconds(150);
+  store->setSilent(false);
+  CHECK(aged.runUntil([&] { return aged.mOutcomes.size() == 3; }));
+  CHECK(aged.mOutcomes[1] == write_outcome::unknown);
+  CHECK(aged.mOutcomes[2] == write_outcome::stored);
+  CHECK_EQUAL(2, stored());
+  // The store carries out a copy late.
+  store->answerHeld(1);
+  CHECK_EQUAL(2, stored());
+}
+
+// Guards against a job that is stored long after its caller was answered because it waited behind
+// another append.
+TEST(caller_record_writer, sendsNoJobThatHasWaitedTooLong)
+{
+  aged_writer aged(*store, *log);
+  store->setSilent(true);
+  aged.cancel(1);
+  aged.submit(2);
+  CHECK(aged.runUntil([this] { return store->held() == 1; }));
+  aged.mTime.mNow += std::chrono::seconds(150);
+  store->answerHeld(0);
+  store->setSilent(false);
+  CHECK(aged.runUntil([&] { return aged.mOutcomes.size() == 2; }));
+  CHECK(aged.mOutcomes[1] == write_outcome::refused);
+  CHECK_EQUAL(1, stored());
+}
+
 // Guards against an owner that is taken for gone, and passed by, because it answers hellos later
 // than their timeout, while it answers other calls.
 TEST(caller_record_writer, anAnsweredCallShowsThatTheOwnerIsReachable)
