A repetition is not told that its job never runs while the first try is being stored

Callers saw 429, "a task is larger than every target" (a job that never runs), for a job that was accepted at an earlier try and ran, if the largest target had left or the team's limit had been lowered between the tries.

Cause: three views that lack the first try were taken for proof.

Ruled out: the other rejections of submissions (onWritten, store) look at mUnknownOutcomes, and 400, 401 and 404 do not depend on earlier tries.

request_handler.aRepetitionIsNotRejectedBeforeTheJournalIsRead, ...WhileTheJobIsBeingStored and ...WhileItsFormerTryMayBeStored failed before and pass. request_handler: 25 passed.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -169,7 +169,8 @@
   if (joinPending(aCall, { .mJob = aId }, aReply)) {
     return;
   }
-  if (const auto* known = mJobTable.find(aId); known != nullptr && mIsStored({ .mJob = aId })) {
+  const auto* known = mJobTable.find(aId);
+  if (known != nullptr && mIsStored({ .mJob = aId })) {
     mLog.write("duplicate_submission", subject);
     replyWithBody(aId, platform::encodeJobState(*known, mIsEndStored(aId)), "table", aReply);
     return;
@@ -189,7 +190,8 @@
     std::chrono::system_clock::now().time_since_epoch());
   const auto reason =
     unschedulableReason(*spec, aRoute, mCellStatus.mConfig->team(aTeam), mCapacity);
-  if (!reason.empty()) {
+  // A known job was accepted before the configuration or the targets changed.
+  if (known == nullptr && !reason.empty()) {
     rejectUnschedulable(aId, aTeam, subject, reason, aReply);
     return;
   }
@@ -204,13 +206,13 @@
   const auto rejectFinally = [this, aSubject, aReason, aReply] {
     reject(aReply, 429, kRetryAfterConfigChange, aSubject, aReason);
   };
-  if (mCellStatus.mKnowsJobs) {
-    rejectFinally();
-    return;
-  }
   const auto replyUnknown = [this, aSubject, aReply, since = mClock.now()] {
     replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, aSubject, since);
   };
+  if (mayBeStored({ .mJob = aId })) {
+    replyUnknown();
+    return;
+  }
   const bool queried =
     mQueryOwner(aId, aTeam, [aReply, rejectFinally, replyUnknown](owner_answer&& aAnswer) {
       if (aAnswer.mBody) {
@@ -221,7 +223,13 @@
         replyUnknown();
       }
     });
-  if (!queried) {
+  if (queried) {
+    return;
+  }
+  // The owner itself, or a daemon whose own view is the best one there is.
+  if (mCellStatus.mKnowsJobs) {
+    rejectFinally();
+  } else {
     replyUnknown();
   }
 }
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -148,9 +148,9 @@
 
   void submit(const platform::caller_request& aCall, scheduler::job_id aId, std::string_view aBody,
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
-  /// Rejects a submission that can never be scheduled. A daemon that does not know the jobs asks
-  /// the owner first: the job may have been accepted before the configuration or the targets
-  /// changed.
+  /// Rejects a submission that can never be scheduled. A daemon that is not the owner asks the
+  /// owner first: the job may have been accepted before the configuration or the targets changed,
+  /// and even a daemon that follows the journal may not have read of it.
   void rejectUnschedulable(scheduler::job_id aId, const std::string& aTeam,
                            const std::string& aSubject, std::string_view aReason,
                            const reply& aReply);
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -395,7 +395,57 @@
   CHECK_EQUAL(0, pendingStores.size());
 }
 
-// A daemon that knows the jobs rejects at once what can never fit.
+// Guards against the same by a daemon that follows the journal, but has not read of the job yet.
+TEST(request_handler, aRepetitionIsNotRejectedBeforeTheJournalIsRead)
+{
+  queriesOwner = true;
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(0, answers.size());
+  ownerReplies[0]({ .mBody = R"({"state":"running"})" });
+  CHECK_EQUAL(200, lastStatus());
+  call(kSubmit, kPath);
+  ownerReplies[1]({ .mUnknownJob = true });
+  CHECK_EQUAL(429, lastStatus());
+}
+
+// Guards against the same by the owner: its table includes a job that another daemon has forwarded,
+// before the journal holds it.
+TEST(request_handler, aRepetitionIsNotRejectedWhileTheJobIsBeingStored)
+{
+  job_spec spec{ .mId = static_cast<job_id>(0xaa), .mRoute = "r", .mTeam = "red" };
+  spec.mSteps.push_back({});
+  jobTable.apply(job_submitted{ .mSpec = spec }, time.now());
+  unstored.insert({ .mJob = spec.mId });
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(0, answers.size());
+  pendingStores[0](write_outcome::stored);
+  CHECK_EQUAL(200, lastStatus());
+}
+
+// Guards against the same if the outcome of the first try is not known.
+TEST(request_handler, aRepetitionIsNotRejectedWhileItsFormerTryMayBeStored)
+{
+  knowsJobs = false;
+  setCellStatus();
+  call(kSubmit, kPath);
+  store->mRefuse = 1;
+  pendingStores[0](write_outcome::unknown);
+  CHECK(store->runUntil([this] { return answers.size() == 1; }));
+  CHECK_EQUAL(504, lastStatus());
+  jobTable.clear();
+  queriesOwner = true;
+  handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
+  call(kSubmit, kPath);
+  for (const auto& ownerReply : ownerReplies) {
+    ownerReply({ .mUnknownJob = true });
+  }
+  CHECK_EQUAL(2, answers.size());
+  CHECK_EQUAL(504, lastStatus());
+}
+
+// A daemon that knows the jobs, with no owner to ask, rejects at once what can never fit.
 TEST(request_handler, rejectsAJobThatNeverFits)
 {
   handler->setCapacity({ .mPools = { { "p", { { .mCpuMilli = 50 } } } } });
