--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -31,6 +31,12 @@
   return timeout > 2 * kReplyMargin ? timeout - kReplyMargin : timeout / 2;
 }
 
+/// Describes a submission in the log.
+std::string describe(scheduler::job_id aId, std::string_view aRoute, std::string_view aTeam)
+{
+  return fmt::format("job={} route={} team={}", toText(aId), aRoute, aTeam);
+}
+
 } // namespace
 
 request_handler::request_handler(const clock& aClock, const scheduler::job_table& aJobTable,
@@ -65,6 +71,13 @@
   return found != mUnknownOutcomes.end() && mClock.now() - found->second < kUnknownOutcomePeriod;
 }
 
+void request_handler::noteUnknownOutcome(const caller_record& aKey)
+{
+  if (mUnknownOutcomes.size() < kMaxUnknownOutcomes) {
+    mUnknownOutcomes[aKey] = mClock.now();
+  }
+}
+
 bool request_handler::joinPending(const platform::caller_request& aCall, caller_record aKey,
                                   const reply& aReply)
 {
@@ -165,7 +178,7 @@
                              const std::string& aTeam, reply aReply)
 {
   ++mCounters.mSubmitted;
-  const auto subject = fmt::format("job={} route={} team={}", toText(aId), aRoute.mName, aTeam);
+  const auto subject = describe(aId, aRoute.mName, aTeam);
   if (joinPending(aCall, { .mJob = aId }, aReply)) {
     return;
   }
@@ -192,37 +205,50 @@
     unschedulableReason(*spec, aRoute, mCellStatus.mConfig->team(aTeam), mCapacity);
   // A known job was accepted before the configuration or the targets changed.
   if (known == nullptr && !reason.empty()) {
-    rejectUnschedulable(aId, aTeam, subject, reason, aReply);
+    rejectUnschedulable(aCall, std::move(*spec), reason, aReply);
     return;
   }
   store(aCall, { .mJob = aId }, scheduler::job_submitted{ .mSpec = std::move(*spec) },
         std::move(aReply));
 }
 
-void request_handler::rejectUnschedulable(scheduler::job_id aId, const std::string& aTeam,
-                                          const std::string& aSubject, std::string_view aReason,
+void request_handler::rejectUnschedulable(const platform::caller_request& aCall,
+                                          scheduler::job_spec aSpec, std::string_view aReason,
                                           const reply& aReply)
 {
-  const auto rejectFinally = [this, aSubject, aReason, aReply] {
-    reject(aReply, 429, kRetryAfterConfigChange, aSubject, aReason);
+  const caller_record key{ .mJob = aSpec.mId };
+  const auto team = aSpec.mTeam;
+  const auto subject = describe(aSpec.mId, aSpec.mRoute, aSpec.mTeam);
+  const auto rejectFinally = [this, subject, aReason, aReply] {
+    reject(aReply, 429, kRetryAfterConfigChange, subject, aReason);
   };
-  const auto replyUnknown = [this, aSubject, aReply, since = mClock.now()] {
-    replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, aSubject, since);
+  const auto replyUnknown = [this, subject, aReply, since = mClock.now()] {
+    replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, subject, since);
   };
-  if (mayBeStored({ .mJob = aId })) {
+  if (mayBeStored(key)) {
     replyUnknown();
     return;
   }
+  const auto repeat = [this, aCall, key, aReply, spec = std::move(aSpec)] {
+    noteUnknownOutcome(key);
+    if (!joinPending(aCall, key, aReply)) {
+      store(aCall, key, scheduler::job_submitted{ .mSpec = spec }, aReply);
+    }
+  };
   const bool queried =
-    mQueryOwner(aId, aTeam, [aReply, rejectFinally, replyUnknown](owner_answer&& aAnswer) {
-      if (aAnswer.mBody) {
-        aReply({ .mBody = *std::move(aAnswer.mBody) });
-      } else if (aAnswer.mUnknownJob) {
-        rejectFinally();
-      } else {
-        replyUnknown();
-      }
-    });
+    mQueryOwner(key.mJob, team,
+                [this, key, aReply, rejectFinally, replyUnknown, repeat](owner_answer&& aAnswer) {
+                  if (aAnswer.mBody && !platform::isActiveState(*aAnswer.mBody)) {
+                    replyWithBody(key.mJob, *std::move(aAnswer.mBody), "owner", aReply);
+                  } else if (aAnswer.mBody) {
+                    // The owner knows a job before the journal holds it.
+                    repeat();
+                  } else if (aAnswer.mUnknownJob) {
+                    rejectFinally();
+                  } else {
+                    replyUnknown();
+                  }
+                });
   if (queried) {
     return;
   }
@@ -269,8 +295,8 @@
   mPending.erase(found);
   if (aOutcome == write_outcome::stored) {
     mUnknownOutcomes.erase(aKey);
-  } else if (aOutcome == write_outcome::unknown && mUnknownOutcomes.size() < kMaxUnknownOutcomes) {
-    mUnknownOutcomes[aKey] = mClock.now();
+  } else if (aOutcome == write_outcome::unknown) {
+    noteUnknownOutcome(aKey);
   } else if (mayBeStored(aKey)) {
     aOutcome = write_outcome::unknown;
   }
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -151,9 +151,8 @@
   /// Rejects a submission that can never be scheduled. A daemon that is not the owner asks the
   /// owner first: the job may have been accepted before the configuration or the targets changed,
   /// and even a daemon that follows the journal may not have read of it.
-  void rejectUnschedulable(scheduler::job_id aId, const std::string& aTeam,
-                           const std::string& aSubject, std::string_view aReason,
-                           const reply& aReply);
+  void rejectUnschedulable(const platform::caller_request& aCall, scheduler::job_spec aSpec,
+                           std::string_view aReason, const reply& aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
   void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
                       bool aDenied = false);
@@ -181,6 +180,8 @@
   /// Whether an earlier try to store the record may still succeed, so that a caller may not be told
   /// that it is not stored.
   bool mayBeStored(const caller_record& aKey) const;
+  /// Notes that a try to store the record may still succeed.
+  void noteUnknownOutcome(const caller_record& aKey);
   /// Adds the caller to those waiting for the record; returns false if the record is not pending.
   bool joinPending(const platform::caller_request& aCall, caller_record aKey, const reply& aReply);
   caller makeCaller(const platform::caller_request& aCall, reply aReply) const;
