--- a/node/src/snapshots.cpp
+++ b/node/src/snapshots.cpp
@@ -109,23 +109,28 @@
 
 std::optional<snapshot> lastSnapshot(const std::vector<std::string>& aRecords)
 {
-  // By base and writer; a writer appends the parts of a snapshot in order.
+  // By base and writer. A writer appends the parts of a snapshot in order, and begins with the
+  // first one again if it does not know that all were stored; the order of the jobs may differ
+  // then.
   std::map<std::pair<std::uint64_t, std::uint64_t>, found_parts> found;
-  std::map<std::pair<std::uint64_t, std::uint64_t>, std::size_t> parts;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, found_parts> complete;
   for (std::size_t at = 0; at < aRecords.size(); ++at) {
     const auto one = decodeHeader(aRecords[at]);
     if (!one || aRecords.size() - at - 1 < one->mCount) {
       continue;
     }
     const std::pair key(one->mBase, one->mWriter);
-    found[key][one->mPart] = at;
-    parts[key] = one->mParts;
+    auto& positions = found[key];
+    if (one->mPart == 0) {
+      positions.clear();
+    }
+    positions[one->mPart] = at;
+    if (positions.size() == one->mParts) {
+      complete[key] = positions;
+    }
     at += one->mCount;
   }
-  for (const auto& [key, positions] : std::views::reverse(found)) {
-    if (positions.size() != parts.at(key)) {
-      continue;
-    }
+  for (const auto& [key, positions] : std::views::reverse(complete)) {
     snapshot result{ .mBase = key.first };
     bool readable = true;
     for (const auto& [part, at] : positions) {
@@ -154,6 +159,9 @@
     }
     const std::pair key(found->mBase, found->mWriter);
     auto& parts = mIncomplete[key];
+    if (found->mPart == 0) {
+      parts.clear();
+    }
     parts.insert(found->mPart);
     if (parts.size() == found->mParts) {
       mIncomplete.erase(key);
--- a/tests/node/snapshots_test.cpp
+++ b/tests/node/snapshots_test.cpp
@@ -2,6 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
 using namespace endiveusher;
 using namespace endiveusher::node;
 using namespace endiveusher::scheduler;
@@ -156,6 +161,49 @@
   CHECK_EQUAL(7, lastSnapshot(records)->mBase);
 }
 
+// Guards against a snapshot that lacks jobs: a writer that got no answer to its last part starts
+// again at the same base, and the order of the jobs in its table has changed since.
+TEST(snapshots, partsOfTwoTriesAreToldApart)
+{
+  const auto partsOf = [](std::vector<int> aJobs) {
+    snapshot made{ .mBase = 17 };
+    for (const int job : aJobs) {
+      job_spec spec{ .mId = static_cast<job_id>(job), .mRoute = "r", .mTeam = "t" };
+      spec.mPayload = std::string(600'000, 'x');
+      spec.mSteps.push_back({ .mCount = 1 });
+      made.mRecords.emplace_back(job_submitted{ .mSpec = spec });
+    }
+    return encodeSnapshot(made, 1);
+  };
+  const auto jobsOf = [](const std::vector<std::string>& aTopic) {
+    std::set<int> jobs;
+    if (const auto found = lastSnapshot(aTopic)) {
+      for (const auto& record : found->mRecords) {
+        jobs.insert(static_cast<int>(std::get<job_submitted>(record).mSpec.mId));
+      }
+    }
+    return jobs;
+  };
+  const auto first = partsOf({ 1, 2 });
+  const auto second = partsOf({ 2, 1 });
+  CHECK_EQUAL(2, first.size());
+  auto topic = first[0];
+  topic.insert(topic.end(), first[1].begin(), first[1].end());
+  topic.insert(topic.end(), second[0].begin(), second[0].end());
+  CHECK(jobsOf(topic) == std::set({ 1, 2 }));
+  topic.insert(topic.end(), second[1].begin(), second[1].end());
+  CHECK(jobsOf(topic) == std::set({ 1, 2 }));
+  // The first try has ended before its last part, and the second one is smaller.
+  const auto larger = partsOf({ 1, 2, 3 });
+  snapshot_index index;
+  index.add(larger[0]);
+  index.add(larger[1]);
+  index.add(second[0]);
+  CHECK_EQUAL(0, index.newestBase());
+  index.add(second[1]);
+  CHECK_EQUAL(17, index.newestBase());
+}
+
 TEST(snapshots, endedJobsKeepTheirState)
 {
   auto table = tableWithOneRun();
