A missing offset in the answer to an append is no offset

Callers would see 503, "the store has refused it", for a job that was stored, and for all later ones that this daemon appends directly, after one answer of 200 without an offset.

Cause: a missing offset was read as 0. journal_writer takes an offset below its own for the answer to an older append and counts itself as fenced, for as long as the process runs. A claim with such an answer got epoch 1. A malformed offset was unanswered already, a missing one not.

Evidence: the tests only; no store was seen that answers so.

--- a/tests/node/journal_writer_test.cpp
+++ b/tests/node/journal_writer_test.cpp
@@ -119,6 +119,20 @@
   }
 }
 
+// Guards against a stored record that is reported as not stored, and against the end of the writer,
+// because a missing offset is taken for that of an older append.
+TEST(journal_writer, anAnswerWithoutAnOffsetIsNone)
+{
+  open(1, false);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  for (const char* body : { "{}", R"({"end":7})", R"({"offset":null,"end":7})" }) {
+    const auto before = stored();
+    store->mOddAnswers = { { .mStatus = 200, .mBody = body } };
+    CHECK(write({ "b" }) == write_outcome::stored);
+    CHECK_EQUAL(before + 1, stored());
+  }
+}
+
 // Guards against records that are reported as stored because of a rejection that gives no reason.
 TEST(journal_writer, aRejectionWithoutAReasonConfirmsNothing)
 {
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -54,8 +54,9 @@
   {
     int mStatus = 500;
     bool mCarriedOut = true;
+    std::string mBody;
   };
-  /// Answers to the next appends, without a body.
+  /// Answers to the next appends.
   std::deque<odd_answer> mOddAnswers;
   /// Returns the number of calls that were held so far.
   std::size_t held()
@@ -169,7 +170,8 @@
         if (odd.mCarriedOut) {
           mModel.append(append);
         }
-        aResponder.answer({ .mStatus = static_cast<std::uint16_t>(odd.mStatus) });
+        aResponder.answer(
+          { .mStatus = static_cast<std::uint16_t>(odd.mStatus), .mBody = odd.mBody });
         return;
       }
       const auto answer = mModel.append(append);
--- a/tests/platform/store_replies_test.cpp
+++ b/tests/platform/store_replies_test.cpp
@@ -190,6 +190,10 @@
                             R"({"reason":"other","end":3})", R"({"reason":"SEQ","end":3})" }) {
     CHECK_TEXT(append(409, body).mOutcome == append_outcome::unanswered, body);
   }
+  CHECK(append(200, R"({"end":5})").mOutcome == append_outcome::unanswered);
+  // Without records, at the start of a partition.
+  CHECK(append(200, R"({"offset":0,"end":0})").mOutcome == append_outcome::appended);
+  CHECK(append(200, "{}").mOutcome == append_outcome::appended);
   for (const char* body : { "", "{}", "[]", "<html>", R"({"reason":"seq"})" }) {
     CHECK_TEXT(append(412, body).mOutcome == append_outcome::unanswered, body);
   }
