A daemon that stops answers the calls in its queue before its connections close

Cause: when a stopping daemon closes its caller port, it has 0.4 s for what it has read. Calls that wait for a record are answered 504 after 0.2 s, but those still in the event loop's queue were handled in full, one after the other, each with the decoding of its body. What did not fit into 0.4 s was closed without an answer. After 0.2 s the request handler now answers each further call at once: 503 for reads, 504 for submissions and cancellations, an earlier copy of which may be stored.

--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -109,6 +109,15 @@
   using verb = platform::caller_request::verb;
   const auto now = mClock.now();
   const auto subject = fmt::format("path={}", aCall.mPath);
+  if (mStopping) {
+    if (aCall.mVerb == verb::submit || aCall.mVerb == verb::cancel) {
+      // An earlier copy of it may be stored.
+      replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, subject, now);
+    } else {
+      reject(aReply, 503, kRetryAfterTransient, subject, "stopping");
+    }
+    return;
+  }
   if (!mCellStatus.mConfig || (mCellStatus.mKnowsJobs && !mCellStatus.mCaughtUp)) {
     reject(aReply, 503, kRetryAfterTransient, subject, "not ready");
     return;
@@ -415,6 +424,7 @@
 
 void request_handler::answerWaiting()
 {
+  mStopping = true;
   answerIf([](const caller& /*aOne*/) { return true; });
 }
 
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -128,7 +128,8 @@
   void handle(const platform::caller_request& aCall, std::string_view aBody, reply aReply);
   /// Answers callers whose timeout has passed.
   void tick(time_point aNow);
-  /// Answers all callers that wait for a record that its outcome is not known.
+  /// Answers all callers that wait for a record that its outcome is not known. Later calls are
+  /// answered at once: the process ends before their work could be done.
   void answerWaiting();
   const request_counters& counters() const { return mCounters; }
   /// Number of submissions and cancellations that are being stored.
@@ -210,6 +211,8 @@
   /// Records whose last outcome was unknown, with the time of it; at most kMaxUnknownOutcomes.
   std::map<caller_record, time_point> mUnknownOutcomes;
   time_point mNextPurge{};
+  /// Whether answerWaiting() has been called.
+  bool mStopping = false;
 };
 
 } // namespace endiveusher::node
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -403,3 +403,20 @@
   CHECK_EQUAL(429, lastStatus());
   CHECK(answers.back().mRetryAfter.has_value());
 }
+
+// Guards against calls that wait in the queue of a daemon that stops, and are not answered before
+// its connections are closed.
+TEST(request_handler, answersCallsAtOnceWhenTheProcessIsAboutToEnd)
+{
+  call(kSubmit, kPath);
+  handler->answerWaiting();
+  CHECK_EQUAL(504, lastStatus());
+  call(kSubmit, "/r/00000000000000bb");
+  call(kCancel, kPath);
+  call(kStatus, kPath);
+  CHECK_EQUAL(4, answers.size());
+  CHECK_EQUAL(504, answers[1].mStatus);
+  CHECK_EQUAL(504, answers[2].mStatus);
+  CHECK_EQUAL(503, answers[3].mStatus);
+  CHECK_EQUAL(1, pendingStores.size());
+}
