The idle timeout does not close a connection on which a request has arrived

A connection without a request for 75 s is closed by the thread that enforces the timeouts. A request that had arrived by then, and that the server's own thread had not read yet, ended without an answer.

Not seen on real daemons: it takes a caller that is silent for exactly 75 s and a thread that is late at that moment.

--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -257,7 +257,7 @@
     if (elapsed > options.mReceiveTimeout) {
       rejectLocked(408, "request_timeout", "the request did not arrive in time");
     }
-  } else if (elapsed > options.mIdleTimeout) {
+  } else if (elapsed > options.mIdleTimeout && !unreadLocked()) {
     abortLocked();
   }
 }
--- a/tests/edges/http_server_test.cpp
+++ b/tests/edges/http_server_test.cpp
@@ -457,6 +457,23 @@
   LONGS_EQUAL(503, waiting.status());
 }
 
+// Guards against a request that has arrived when the idle timeout of its connection ends.
+TEST(http_server, idleTimeoutKeepsConnectionsWithUnreadRequests)
+{
+  blocking_echo echo;
+  http_server server({ .mThreads = 1, .mIdleTimeout = milliseconds(300) }, echo.handler());
+  raw_client blocking(server.port());
+  raw_client waiting(server.port());
+  waiting.send(getRequest("/first"));
+  STRCMP_EQUAL("/first", waiting.receiveAnswer().c_str());
+  blocking.send(getRequest("/block"));
+  STRCMP_EQUAL("/block", blocking.receiveAnswer().c_str());
+  waiting.send(getRequest("/second"));
+  std::this_thread::sleep_for(milliseconds(600));
+  echo.release();
+  STRCMP_EQUAL("/second", waiting.receiveAnswer().c_str());
+}
+
 // Guards against sockets that remain open after their connection or server has ended.
 TEST(http_server, stoppedServersLeakNoSockets)
 {
