--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <pistache/http.h>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -256,7 +257,7 @@
     if (elapsed > options.mReceiveTimeout) {
       rejectLocked(408, "request_timeout", "the request did not arrive in time");
     }
-  } else if (elapsed > options.mIdleTimeout) {
+  } else if (elapsed > options.mIdleTimeout && !unreadLocked()) {
     abortLocked();
   }
 }
@@ -270,7 +271,13 @@
 bool connection::busy() const
 {
   const std::lock_guard lock(mMutex);
-  return mOpen && (mActiveRequest != 0 || !mOutput.empty());
+  return mOpen && (mActiveRequest != 0 || !mOutput.empty() || (!mClosing && unreadLocked()));
+}
+
+bool connection::unreadLocked() const
+{
+  int bytes = 0;
+  return ::ioctl(mSocket, FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
 void connection::sendLocked(const http_answer& aAnswer)
