--- a/tests/platform/store_replies_test.cpp
+++ b/tests/platform/store_replies_test.cpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace endiveusher;
 using namespace endiveusher::platform;
@@ -62,11 +63,13 @@
     return receive<newest_reply>(
       [&](auto aDone) { client->newest("keyed.servers", aAfter, std::move(aDone)); });
   }
-  append_reply append(int aStatus, const std::string& aBody)
+  append_reply append(int aStatus, const std::string& aBody, std::size_t aRecords = 1)
   {
     answerWith(aStatus, aBody);
-    return receive<append_reply>(
-      [&](auto aDone) { client->append({ .mTopic = "t" }, std::move(aDone)); });
+    const std::vector<std::string> records(aRecords, "record");
+    return receive<append_reply>([&](auto aDone) {
+      client->append({ .mTopic = "t", .mRecords = records }, std::move(aDone));
+    });
   }
   read_reply read(int aStatus, const std::string& aBody)
   {
@@ -193,7 +196,11 @@
   CHECK(append(200, R"({"end":5})").mOutcome == append_outcome::unanswered);
   // Without records, at the start of a partition.
   CHECK(append(200, R"({"offset":0,"end":0})").mOutcome == append_outcome::appended);
-  CHECK(append(200, "{}").mOutcome == append_outcome::appended);
+  CHECK(append(200, "{}").mOutcome == append_outcome::unanswered);
+  CHECK(append(200, R"({"end":1})").mOutcome == append_outcome::appended);
+  // An append without records only sets the epoch.
+  CHECK(append(200, "{}", 0).mOutcome == append_outcome::appended);
+  CHECK(append(200, R"({"end":5})", 0).mOutcome == append_outcome::appended);
   for (const char* body : { "", "{}", "[]", "<html>", R"({"reason":"seq"})" }) {
     CHECK_TEXT(append(412, body).mOutcome == append_outcome::unanswered, body);
   }
