Questions for a job whose end is being stored wait for the append

An answer about an ended job waits until its end is stored, 100 ms at most, at the owner for callers and for followers (end_waiters). An end that ends a job is stored at the latest 5 ms after the former append instead of 15 to 35 ms.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -145,6 +145,9 @@
   });
   mRequestHandler.setIsEndStored(
     [this](scheduler::job_id aId) { return !mOwner || mOwner->isEndStored(aId); });
+  mRequestHandler.setAwaitEnd([this](scheduler::job_id aId, std::function<void()> aAnswer) {
+    mEndWaiters.add(aId, std::move(aAnswer), mClock.now());
+  });
   mOwnerClient.setListener(
     [this](const std::string& aOwner, const hello_reply& aReply, time_point aReceived) {
       onHelloReply(aOwner, aReply, aReceived);
@@ -339,6 +342,7 @@
     storeLateEnds();
     mRecordWriter.tick(now);
     mRequestHandler.tick(now);
+    answerEndWaiters();
     {
       const loop_profiler::scope storing(mProfiler, loop_phase::store);
       // The inputs may have taken long.
@@ -422,6 +426,12 @@
   mInputsLeft = std::ranges::any_of(left, [](bool aOne) { return aOne; });
 }
 
+void cell_node::impl::answerEndWaiters()
+{
+  mEndWaiters.tick(mClock.now(),
+                   [this](scheduler::job_id aJob) { return !mOwner || mOwner->isEndStored(aJob); });
+}
+
 void cell_node::impl::passOnLateEnds()
 {
   const auto now = mClock.now();
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -286,8 +286,19 @@
     aRequest.mResponder.answer({ .mStatus = static_cast<std::uint16_t>(current ? 404 : 503) });
     return;
   }
-  aRequest.mResponder.answer(
-    { .mBody = platform::encodeJobState(*found, mOwner->isEndStored(*id)) });
+  const auto answer = [this, id = *id, responder = aRequest.mResponder] {
+    const auto* known = mOwner ? mJobs.table().find(id) : nullptr;
+    if (known == nullptr) {
+      responder.answer({ .mStatus = 503 });
+      return;
+    }
+    responder.answer({ .mBody = platform::encodeJobState(*known, mOwner->isEndStored(id)) });
+  };
+  if (mOwner->isEndStored(*id)) {
+    answer();
+  } else {
+    mEndWaiters.add(*id, answer, mClock.now());
+  }
 }
 
 void cell_node::impl::handleUnstoredEnds(const peer_request& aRequest)
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -6,6 +6,7 @@
 #include "election.h"
 #include "end_hand_over.h"
 #include "end_times.h"
+#include "end_waiters.h"
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/edges/http_server.h"
 #include "endiveusher/node/cell_node.h"
@@ -214,6 +215,8 @@
   void handleHello(const peer_request& aRequest);
 
   void handleStatus(const peer_request& aRequest);
+  /// Answers callers that wait for the end of a job to be stored.
+  void answerEndWaiters();
 
   void handleWaiting(const peer_request& aRequest);
 
@@ -317,6 +320,7 @@
   std::map<std::uint64_t, unstored_caller_record> mUnstoredCallerRecords;
   std::uint64_t mLastToken = 0;
   end_times mEndTimes;
+  end_waiters mEndWaiters;
   /// Arrival of the oldest report with ends since the owner has last passed on ends to be stored.
   std::optional<time_point> mOldestReport;
   /// Whether passOnLateEnds() has made an append that the loop may not have sent.
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -76,6 +76,7 @@
         const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
         mOwner->onStored(now);
       }
+      answerEndWaiters();
       passOnLateEnds();
     });
 }
@@ -361,6 +362,7 @@
   for (auto& [token, record] : std::exchange(mUnstoredCallerRecords, {})) {
     record.mDone(write_outcome::unknown);
   }
+  mEndWaiters.answerAll();
 }
 
 std::optional<snapshot_source> cell_node::impl::snapshotSource() const
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -348,6 +348,18 @@
 
 void request_handler::replyWithState(scheduler::job_id aId, const std::string& aTeam,
                                      const reply& aReply, bool aDenied)
+{
+  const auto* found = findVisible(aId, aTeam);
+  if (found != nullptr && found->mPhase != scheduler::job_phase::active && !mIsEndStored(aId)) {
+    mAwaitEnd(aId,
+              [this, aId, aTeam, aReply] { replyWithCurrentState(aId, aTeam, aReply, false); });
+    return;
+  }
+  replyWithCurrentState(aId, aTeam, aReply, aDenied);
+}
+
+void request_handler::replyWithCurrentState(scheduler::job_id aId, const std::string& aTeam,
+                                            const reply& aReply, bool aDenied)
 {
   if (const auto* found = findVisible(aId, aTeam)) {
     replyWithBody(aId, platform::encodeJobState(*found, mIsEndStored(aId)), "table", aReply);
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -125,6 +125,10 @@
     mIsEndStored = std::move(aIsEndStored);
   }
 
+  /// Sets a function that runs an answer about a job once its end is stored, or after a short time.
+  using await_end_callback = std::function<void(scheduler::job_id, std::function<void()> aAnswer)>;
+  void setAwaitEnd(await_end_callback aAwaitEnd) { mAwaitEnd = std::move(aAwaitEnd); }
+
   void handle(const platform::caller_request& aCall, std::string_view aBody, reply aReply);
   /// Answers callers whose timeout has passed.
   void tick(time_point aNow);
@@ -155,8 +159,11 @@
   void rejectUnschedulable(const platform::caller_request& aCall, scheduler::job_spec aSpec,
                            std::string_view aReason, const reply& aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
+  /// Answers with the state of a job, after a wait if its end is being stored.
   void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
                       bool aDenied = false);
+  void replyWithCurrentState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
+                             bool aDenied);
   /// Answers with an encoded state of a job. One that has ended is logged with the view that shows
   /// it: `table`, this daemon's own, or `owner`, the owner's answer.
   void replyWithBody(scheduler::job_id aId, std::string aBody, std::string_view aView,
@@ -202,6 +209,8 @@
   record_stored_callback mOnStored;
   std::function<bool(scheduler::job_id)> mIsEndStored;
   std::function<bool(const caller_record&)> mIsStored;
+  await_end_callback mAwaitEnd = [](scheduler::job_id /*aJob*/,
+                                    const std::function<void()>& aAnswer) { aAnswer(); };
   query_owner_callback mQueryOwner;
   query_waiting_callback mQueryWaiting;
   cell_status mCellStatus;
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -21,6 +21,9 @@
 constexpr auto kLongRunningWaitLimit = std::chrono::seconds(2);
 /// Minimum time between two store() calls, so that one call carries several records.
 constexpr auto kStoreInterval = std::chrono::milliseconds(15);
+/// The same, if a job has ended: callers are told only when its end is stored, and ask soon after
+/// it.
+constexpr auto kEndedJobStoreInterval = std::chrono::milliseconds(5);
 /// The same, if there are only ends of runs to store: neither starts nor callers' records.
 constexpr auto kEndStoreInterval = std::chrono::milliseconds(35);
 /// Planning pauses while an append is unanswered for longer than this, because tickets expire and
@@ -576,13 +579,17 @@
   }
   updateBacklog(aNow);
   const bool urgent = !mNextBatch.mStarts.empty() || !mNextBatch.mTokens.empty();
-  const auto interval = urgent ? kStoreInterval : kEndStoreInterval;
+  auto interval = urgent ? kStoreInterval : kEndStoreInterval;
+  if (!mNextBatch.mEndedJobs.empty()) {
+    interval = kEndedJobStoreInterval;
+  }
   if (mBatchesInFlight.empty() && mLastFlush + interval <= aNow) {
     flush(aNow);
     mLastFlush = aNow;
   }
   const bool busy = mPlanNeeded || !mPendingRecords.empty();
-  mNextTick = aNow + (busy ? duration(kStoreInterval) : duration(kTickInterval));
+  const auto pause = mNextBatch.mEndedJobs.empty() ? kStoreInterval : kEndedJobStoreInterval;
+  mNextTick = aNow + (busy ? duration(pause) : duration(kTickInterval));
   return mNextTick;
 }
 
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -150,6 +150,25 @@
   CHECK_EQUAL(200, lastStatus());
 }
 
+// Guards against callers that have to ask again for a job whose end is stored a moment later.
+TEST(request_handler, showsTheEndOfAJobOnceItIsStored)
+{
+  call(kSubmit, kPath);
+  pendingStores[0](write_outcome::stored);
+  jobTable.apply(job_abandoned{ .mJob = static_cast<job_id>(0xaa) }, time.now());
+  endStored = false;
+  std::function<void()> waiting;
+  handler->setAwaitEnd(
+    [&waiting](job_id, std::function<void()> aAnswer) { waiting = std::move(aAnswer); });
+  call(kStatus, kPath);
+  CHECK_EQUAL(1, answers.size());
+  CHECK(waiting != nullptr);
+  endStored = true;
+  waiting();
+  CHECK_EQUAL(2, answers.size());
+  STRCMP_EQUAL(R"({"state":"failed"})", answers.back().mBody.c_str());
+}
+
 // Guards against the same loss of a cancellation.
 TEST(request_handler, doesNotConfirmARepeatedCancellationBeforeItIsStored)
 {
