One function for records of the owner, one check whether an end is stored

scheduler_tests 241 and platform_tests 47 passed, test_repeated_orders.py 3 passed, groups request_handler, caller_record_writer and cell_node of node_tests passed, format and lint of the changed files are clean.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -204,8 +204,8 @@
     }
     auto& one = found->second;
     if (aReply.mRefused) {
-      // The owner's process has ended. libcurl repeats a request whose reused connection ends, so
-      // that a byte of it may have been sent before.
+      // The owner's process has ended. It may have received the record on a reused connection that
+      // ended with it.
       auto lost = std::move(one);
       mForwarded.erase(found);
       const bool uncertain = lost.mUncertain || !aReply.mUnsent;
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -143,8 +143,7 @@
       return aOne.second.mRecord == aRecord;
     });
   });
-  mRequestHandler.setIsEndStored(
-    [this](scheduler::job_id aId) { return !mOwner || mOwner->isEndStored(aId); });
+  mRequestHandler.setIsEndStored([this](scheduler::job_id aId) { return isEndStored(aId); });
   mRequestHandler.setAwaitEnd([this](scheduler::job_id aId, std::function<void()> aAnswer) {
     mEndWaiters.add(aId, std::move(aAnswer), mClock.now());
   });
@@ -428,8 +427,7 @@
 
 void cell_node::impl::answerEndWaiters()
 {
-  mEndWaiters.tick(mClock.now(),
-                   [this](scheduler::job_id aJob) { return !mOwner || mOwner->isEndStored(aJob); });
+  mEndWaiters.tick(mClock.now(), [this](scheduler::job_id aJob) { return isEndStored(aJob); });
 }
 
 void cell_node::impl::passOnLateEnds()
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -215,6 +215,8 @@
   void handleHello(const peer_request& aRequest);
 
   void handleStatus(const peer_request& aRequest);
+  /// Whether the journal holds the end of a job that this daemon's table shows as ended.
+  bool isEndStored(scheduler::job_id aJob) const { return !mOwner || mOwner->isEndStored(aJob); }
   /// Answers callers that wait for the end of a job to be stored.
   void answerEndWaiters();
 
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -95,10 +95,6 @@
   return next;
 }
 
-} // namespace
-
-namespace {
-
 /// Returns the job that the record may end, if it is of such a kind.
 std::optional<job_id> mayEndJob(const journal_record& aRecord)
 {
@@ -421,13 +417,7 @@
   }
 }
 
-void owner::impl::append(journal_record aRecord, time_point aNow)
-{
-  // Only the owner stores such records, so they can be applied before they are stored.
-  applyAndAdd(std::move(aRecord), aNow);
-}
-
-job* owner::impl::applyAndAdd(journal_record aRecord, time_point aNow)
+job* owner::impl::append(journal_record aRecord, time_point aNow)
 {
   const auto id = mayEndJob(aRecord);
   const bool wasActive = id && isActive(mJobTable.find(*id));
@@ -470,7 +460,7 @@
 void owner::impl::accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
                          wall_time aWall)
 {
-  job* changed = applyAndAdd(aRecord, aNow);
+  job* changed = append(aRecord, aNow);
   mNextBatch.mTokens.push_back(aToken);
   if (changed != nullptr) {
     onRecordApplied(*changed, aNow, aWall);
