--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -195,8 +195,7 @@
   /// @param aWasAlone whether no task of another job may have been executing on the last one
   void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
   /// Applies a record to the table and adds it to those of the next batch; returns the job that it
-  /// has changed, if any. Only the owner stores such records, so they can be applied before they
-  /// are stored.
+  /// has changed, if any. The owner's table is ahead of the journal.
   job* append(journal_record aRecord, time_point aNow);
   void flush(time_point aNow);
 
