Load the job table again when a record shows that it lacks others

Class of fault: a table that is not the whole state is used as if it were. A record of the owner that refers to a job or run which the table lacks proves that, whatever the reason.

job_replica is not complete any more after such a record, and has itself loaded again; an owner steps down first, as it does after a gap. If a load of less than 10 s ago lacks the same, the store lacks it too, and the cell goes on with what there is and says so.

job_replica.isNotCompleteAfterARecordThatRefersToWhatItLacks fails without the check (there is no callback and the table stays complete).

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -66,10 +66,10 @@
               [this](std::uint64_t aBase, std::uint64_t aTopicEnd) {
                 mSnapshotWriter.onLoaded(aBase, aTopicEnd);
               },
-            .mOnGap =
-              [this] {
+            .mOnIncomplete =
+              [this](std::string_view aReason) {
                 if (mOwner) {
-                  mStepDownReason = "journal records were deleted before they were read";
+                  mStepDownReason = aReason;
                 } else {
                   mJobs.load();
                 }
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -18,7 +18,7 @@
             .mOnGap =
               [this](std::uint64_t aFirst) {
                 mLog.write("journal_gap", fmt::format("first_offset={}", aFirst));
-                mCallbacks.mOnGap();
+                mCallbacks.mOnIncomplete("journal records were deleted before they were read");
               },
             .mOnEvent = [this](std::string_view aEvent,
                                std::string_view aDetail) { mLog.write(aEvent, aDetail); } })
@@ -29,6 +29,7 @@
 {
   mTable.clear();
   mFollows = true;
+  mLacksRecords = false;
   mTail.restart(0);
   mCallbacks.mOnEmptied();
   mSnapshots.load([this](const std::optional<snapshot>& aFound) { onLoaded(aFound); });
@@ -47,6 +48,7 @@
 void job_replica::onLoaded(const std::optional<snapshot>& aFound)
 {
   const auto now = mClock.now();
+  mLoadedAt = now;
   const auto base = aFound ? aFound->mBase : 0;
   if (aFound) {
     for (const auto& record : aFound->mRecords) {
@@ -88,15 +90,26 @@
                                            std::string(record.status().message())));
       continue;
     }
-    if (!mTable.hasPlaceFor(*record)) {
-      ++mPassedOver;
-      mLog.write("unplaced_record",
-                 fmt::format("offset={} {}", aOffset + index, scheduler::describe(*record)));
+    if (!mTable.hasPlaceFor(*record) && onUnplaced(*record, aOffset + index)) {
+      return;
     }
     apply(*record);
   }
 }
 
+bool job_replica::onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset)
+{
+  mLacksRecords = mClock.now() - mLoadedAt > kMinReloadInterval;
+  ++mPassedOver;
+  mLog.write("unplaced_record", fmt::format("offset={} reloads={} {}", aOffset, mLacksRecords,
+                                            scheduler::describe(aRecord)));
+  const bool reloads = mLacksRecords;
+  if (reloads) {
+    mCallbacks.mOnIncomplete("a record of the journal refers to what the job table lacks");
+  }
+  return reloads;
+}
+
 void job_replica::applyStored(const scheduler::journal_record& aRecord)
 {
   if (complete()) {
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -13,12 +13,16 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveusher::node {
 
 /// Interval at which followers read the journal. They query the owner for the states of live jobs.
 inline constexpr std::chrono::milliseconds kJournalReadInterval{ 200 };
+/// Time after a load in which a table that lacks records is not loaded again, but used: the store
+/// lacks them as well.
+inline constexpr std::chrono::seconds kMinReloadInterval{ 10 };
 
 struct job_replica_options
 {
@@ -32,7 +36,8 @@
 /// loaded and the journal behind it has been read to its end. Only a complete table may answer
 /// callers, be written to a snapshot, be scheduled from, or take records out of the journal's
 /// order: a record of a job whose snapshot has not been loaded would take the place of the job's
-/// runs.
+/// runs. A record that refers to a job or run which the table lacks shows that it is not complete,
+/// whatever the reason; the table is then loaded again.
 class job_replica
 {
 public:
@@ -46,8 +51,8 @@
     /// snapshot topic.
     std::function<void(std::uint64_t aBase, std::uint64_t aTopicEnd)> mOnLoaded =
       [](std::uint64_t, std::uint64_t) {};
-    /// Reports that records were deleted before they were read. The table has to be loaded again.
-    std::function<void()> mOnGap = [] {};
+    /// Reports that the table lacks records of the journal, and why. It has to be loaded again.
+    std::function<void(std::string_view aReason)> mOnIncomplete = [](std::string_view) {};
   };
 
   job_replica(platform::store& aStore, const clock& aClock, event_log& aLog,
@@ -61,7 +66,10 @@
 
   /// Whether the table is loaded or being loaded.
   bool follows() const { return mFollows; }
-  bool complete() const { return mFollows && !mSnapshots.active() && mTail.caughtUp(); }
+  bool complete() const
+  {
+    return mFollows && !mLacksRecords && !mSnapshots.active() && mTail.caughtUp();
+  }
   /// Offset of the first journal record that the table does not include.
   std::uint64_t position() const { return mTail.next(); }
   /// The table includes all journal records that were acknowledged before this time.
@@ -73,7 +81,8 @@
   /// Reads the journal now. The store may be holding the read in flight open.
   void readNow();
   void setReadInterval(std::chrono::milliseconds aInterval) { mTail.setInterval(aInterval); }
-  /// Number of records that were read and could not be decoded, or refer to what the table lacks.
+  /// Number of records that were read and not applied because they could not be decoded, or because
+  /// the table lacks what they refer to.
   std::uint64_t passedOver() const { return mPassedOver; }
   /// The table, to which the owner applies its records before they are stored.
   scheduler::job_table& table() { return mTable; }
@@ -83,6 +92,9 @@
   void onLoaded(const std::optional<snapshot>& aFound);
   /// @param aOffset offset of the first record
   void readRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset);
+  /// Handles a record that refers to what the table lacks. Returns whether the table has to be
+  /// loaded again.
+  bool onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset);
   void apply(const scheduler::journal_record& aRecord);
 
   const clock& mClock;
@@ -92,6 +104,9 @@
   scheduler::job_table mTable;
   bool mFollows = false;
   std::uint64_t mPassedOver = 0;
+  /// Whether a record was read that refers to what the table lacks.
+  bool mLacksRecords = false;
+  time_point mLoadedAt{};
   snapshot_loader mSnapshots;
   log_tail mTail;
 };
--- a/tests/node/job_replica_test.cpp
+++ b/tests/node/job_replica_test.cpp
@@ -15,6 +15,19 @@
 constexpr auto kJob = static_cast<job_id>(5);
 const task_key kTask{ .mStep = { .mJob = kJob } };
 
+/// The clock of the process, and time that the test adds.
+struct adjustable_clock final : endiveusher::clock
+{
+  time_point now() const override { return mClock.now() + mAhead; }
+  boot_clock mClock;
+  duration mAhead{ 0 };
+};
+
+run_ended endWithoutStart()
+{
+  return { .mTask = { .mStep = kTask.mStep, .mIndex = 1 }, .mRun = 1, .mOutcome = run_end::done };
+}
+
 job_submitted submission(job_id aJob = kJob)
 {
   job_spec spec{ .mId = aJob, .mRoute = "r", .mTeam = "t" };
@@ -28,17 +41,18 @@
 TEST_GROUP(job_replica)
 {
   store_fixture store;
+  adjustable_clock clock;
   event_log log{ "node" };
-  loop_profiler profiler{ store.mClock };
-  bool gap = false;
+  loop_profiler profiler{ clock };
+  bool isIncomplete = false;
   std::unique_ptr<job_replica> jobs;
 
   void setup() override
   {
     jobs = std::make_unique<job_replica>(
-      store.mStore, store.mClock, log, profiler,
+      store.mStore, clock, log, profiler,
       job_replica_options{ .mJournalTopic = "journal", .mSnapshotTopic = "snapshot" },
-      job_replica::callbacks{ .mOnGap = [this] { gap = true; } });
+      job_replica::callbacks{ .mOnIncomplete = [this](std::string_view) { isIncomplete = true; } });
     for (const journal_record& record : history()) {
       append("journal", { encode(record) });
     }
@@ -58,17 +72,20 @@
   {
     job_table table;
     for (const auto& record : history()) {
-      table.apply(record, store.mClock.now());
+      table.apply(record, clock.now());
     }
-    const auto records = table.snapshot(store.mClock.now());
+    const auto records = table.snapshot(clock.now());
     append("snapshot", encodeSnapshot({ .mBase = history().size(), .mRecords = records }, 1).at(0));
     const std::lock_guard lock(store.mMutex);
     store.mModel.trim("journal", history().size());
   }
+  bool runUntil(const std::function<bool()>& aReady)
+  {
+    return store.runUntil(aReady, [this] { jobs->tick(clock.now()); });
+  }
   bool runUntilComplete()
   {
-    return store.runUntil([this] { return jobs->complete(); },
-                          [this] { jobs->tick(store.mClock.now()); });
+    return runUntil([this] { return jobs->complete(); });
   }
   void checkTaskIsDone()
   {
@@ -123,11 +140,10 @@
 TEST(job_replica, ignoresAReadThatWasSentBeforeTheTableWasEmptied)
 {
   jobs->load();
-  CHECK(store.runUntil([this] { return store.mReads["journal"] > 0; },
-                       [this] { jobs->tick(store.mClock.now()); }));
+  CHECK(runUntil([this] { return store.mReads["journal"] > 0; }));
   jobs->drop();
   for (int turn = 0; turn < 100; ++turn) {
-    jobs->tick(store.mClock.now());
+    jobs->tick(clock.now());
     store.mLoop.run(std::chrono::milliseconds(1));
   }
   CHECK_EQUAL(0, jobs->table().size());
@@ -150,5 +166,33 @@
     store.mModel.append({ .mTopic = "journal", .mRecords = std::vector<std::string>(4) });
     store.mModel.trim("journal", 5);
   }
-  CHECK(store.runUntil([this] { return gap; }, [this] { jobs->tick(store.mClock.now()); }));
+  CHECK(runUntil([this] { return isIncomplete; }));
+}
+
+// Guards against records that vanish without a trace: one that cannot be decoded, and an end whose
+// start the table lacks. The store lacks it as well, so that another load would not help.
+TEST(job_replica, countsRecordsThatFindNoPlace)
+{
+  jobs->load();
+  CHECK(runUntilComplete());
+  CHECK_EQUAL(0, jobs->passedOver());
+  append("journal", { "?", encode(endWithoutStart()) });
+  CHECK(runUntil([this] { return jobs->passedOver() == 2; }));
+  CHECK_FALSE(isIncomplete);
+  CHECK(jobs->complete());
+}
+
+// Guards against a table that lacks a record and is used for answers, snapshots and decisions.
+TEST(job_replica, isNotCompleteAfterARecordThatRefersToWhatItLacks)
+{
+  jobs->load();
+  CHECK(runUntilComplete());
+  clock.mAhead = kMinReloadInterval + std::chrono::seconds(1);
+  append("journal", { encode(endWithoutStart()), encode(submission(static_cast<job_id>(6))) });
+  CHECK(runUntil([this] { return isIncomplete; }));
+  CHECK_FALSE(jobs->complete());
+  CHECK(jobs->table().find(static_cast<job_id>(6)) == nullptr);
+  jobs->load();
+  CHECK(runUntilComplete());
+  CHECK(jobs->table().find(static_cast<job_id>(6)) != nullptr);
 }
