A restarted target rejects orders that were meant for its former incarnation

A heartbeat that is carried out late makes it forget ends that nobody has read, and sets a lease by the clock of the former incarnation.

Orders carried the owner's epoch. Now each new incarnation of a target gets a higher number, that of the owner's newest renewal: above its epoch and below that of the next owner, so that hand-over and daemons of the former version see nothing new. A target is acquired only after it has answered a heartbeat with the higher number: from then on nothing from before can be carried out, and what was carried out earlier is in its answer. An order that is rejected for its lower number does not end the ownership.

Ruled out: an own number per target in the store (a write for each restart); fences of epoch and counter in one number (a daemon of the former version could not follow); waiting 12 s after each unanswered start (callers' objectives are 0.25 to 3 s).

target_restarts.aLateStart..., aLateStartDoesNotTakeRoom..., aLateAcknowledgement..., aRunIsNotLostBeforeTheLongestLease... and anIncarnationGetsNoTask... fail with the number left at the epoch and the entry unchecked (2 runs at once; a start over capacity; 3 starts after done; lost after 6 s of 10; a start at an unknown capacity) and pass now.

Two tests changed: the registry now lists a target that restarted, 0.2 or 2 s later, where it never did before: a target writes its entry when it starts. What they ask is the same. numbersOutOfRange... and restoresOrders check the new number as well.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -360,6 +360,7 @@
       const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
       mOwner->setStoreResponsive(!mStoreLost && mStore.latency() < kMaxResponsiveLatency &&
                                  mStoreConnectivity.timeSinceReply(now) < kMaxResponsiveAge);
+      mOwner->setNewestRecord(mElection.newestRecord());
       next = std::min(next, mOwner->tick(mClock.now(), wallNow()));
       if (mOwner->fenced()) {
         mStepDownReason = "fenced by a target";
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -314,6 +314,7 @@
   mOwner = std::make_unique<scheduler::owner>(
     mJobs.table(), static_cast<scheduler::owner_port&>(*this),
     scheduler::owner_options{ .mLease = std::min(mSettings.mMaxLease, kLease),
+                              .mMaxLease = mSettings.mMaxLease,
                               .mEpochs = mElection.epochs(),
                               .mLatestActs = mElection.history().latestActs(),
                               .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval,
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -68,6 +68,7 @@
     mOwnersSeen[aRecord.mPeerAddress] = aNow;
   }
   if (isOwn(aRecord)) {
+    mNewestRecord = std::max(mNewestRecord, epochOf(aOffset));
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < epochOf(aOffset)) {
       mEpoch = epochOf(aOffset);
       mRole = role::owner;
@@ -173,6 +174,7 @@
   mAppendInFlight = false;
   // Records behind this one are known, and tell who owns the cell by now.
   const bool overtaken = aOffset + 1 < mEnd;
+  mNewestRecord = std::max(mNewestRecord, epochOf(aOffset));
   mEnd = std::max(mEnd, aOffset + 1);
   mHistory.onRecord(record(aAction), aOffset, aSent);
   if (!overtaken) {
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -131,6 +131,9 @@
   role state() const { return mRole; }
   /// Epoch of this daemon's newest ownership.
   std::uint64_t epoch() const { return mEpoch; }
+  /// Number of this daemon's newest record: its epoch, or that of a renewal, which is higher and
+  /// below the epoch of each later owner.
+  std::uint64_t newestRecord() const { return mNewestRecord; }
   /// Whether this daemon is the owner and its renewal is recent enough to send orders.
   bool mayAct(time_point aNow) const
   {
@@ -159,6 +162,7 @@
   const election_options mOptions;
   role mRole = role::follower;
   std::uint64_t mEpoch = 0;
+  std::uint64_t mNewestRecord = 0;
   std::uint64_t mEnd = 0;
   std::map<std::uint64_t, time_point> mEpochs;
   epoch_history mHistory;
--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -47,6 +47,11 @@
   return integerFrom<Integer>(aValue, 0, std::numeric_limits<Integer>::max());
 }
 
+std::uint64_t decodeFence(const json& aValue)
+{
+  return integerFrom<std::uint64_t>(aValue, 0, kMaxEpoch);
+}
+
 target_time decodeLease(const json& aValue)
 {
   return target_time(integerFrom<std::int64_t>(aValue, 0, kMaxLeaseMs));
@@ -71,16 +76,16 @@
 {
   return json::array({ order_kind::heartbeat, aOrder.mTarget, aOrder.mAddress,
                        aOrder.mLeaseUntil ? json(aOrder.mLeaseUntil->count()) : json(),
-                       aOrder.mStoredEndNumber, aOrder.mWait.count() });
+                       aOrder.mStoredEndNumber, aOrder.mWait.count(), aOrder.mFence });
 }
 
 /// The payload follows only if it differs from that of the start before: the tasks of a step share
 /// it.
 json encodeOrder(const scheduler::start_order& aOrder, const std::string*& aLastPayload)
 {
-  auto order =
-    json::array({ order_kind::start, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask),
-                  aOrder.mRun, aOrder.mLeaseUntil.count(), aOrder.mCheckpoint, aOrder.mTicket });
+  auto order = json::array({ order_kind::start, aOrder.mTarget, aOrder.mAddress,
+                             encodeTask(aOrder.mTask), aOrder.mRun, aOrder.mLeaseUntil.count(),
+                             aOrder.mCheckpoint, aOrder.mTicket, aOrder.mFence });
   if (aLastPayload == nullptr || *aLastPayload != aOrder.mPayload) {
     order.push_back(json::binary({ aOrder.mPayload.begin(), aOrder.mPayload.end() }));
     aLastPayload = &aOrder.mPayload;
@@ -90,8 +95,8 @@
 
 json encodeOrder(const scheduler::stop_order& aOrder)
 {
-  return json::array(
-    { order_kind::stop, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask), aOrder.mRun });
+  return json::array({ order_kind::stop, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask),
+                       aOrder.mRun, aOrder.mFence });
 }
 
 target_order decodeOrder(const json& aOrder, std::uint64_t aEpoch, std::string& aLastPayload)
@@ -101,6 +106,7 @@
       scheduler::heartbeat_order order{ .mTarget = aOrder.at(1),
                                         .mAddress = aOrder.at(2),
                                         .mEpoch = aEpoch,
+                                        .mFence = decodeFence(aOrder.at(6)),
                                         .mStoredEndNumber =
                                           decodeNumber<std::uint64_t>(aOrder.at(4)),
                                         .mWait = millisFrom(aOrder.at(5), 0, kMaxPeerSpanMs) };
@@ -110,8 +116,8 @@
       return order;
     }
     case order_kind::start: {
-      if (aOrder.size() > 8) {
-        const auto& payload = aOrder.at(8).get_binary();
+      if (aOrder.size() > 9) {
+        const auto& payload = aOrder.at(9).get_binary();
         aLastPayload.assign(payload.begin(), payload.end());
       }
       return scheduler::start_order{ .mTarget = aOrder.at(1),
@@ -121,6 +127,7 @@
                                      .mPayload = aLastPayload,
                                      .mLeaseUntil = decodeLease(aOrder.at(5)),
                                      .mEpoch = aEpoch,
+                                     .mFence = decodeFence(aOrder.at(8)),
                                      .mCheckpoint = aOrder.at(6),
                                      .mTicket = aOrder.at(7) };
     }
@@ -129,7 +136,8 @@
                                     .mAddress = aOrder.at(2),
                                     .mTask = decodeTask(aOrder.at(3)),
                                     .mRun = decodeNumber<std::uint32_t>(aOrder.at(4)),
-                                    .mEpoch = aEpoch };
+                                    .mEpoch = aEpoch,
+                                    .mFence = decodeFence(aOrder.at(5)) };
   }
   throw std::invalid_argument("unknown kind of order");
 }
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -23,6 +23,8 @@
 {
   /// Duration of the lease under which runs continue at a target without a renewal.
   std::chrono::milliseconds mLease{ 6000 };
+  /// Longest lease that a target grants, whatever an order states.
+  std::chrono::milliseconds mMaxLease{ 10000 };
   /// How long a former owner that has lost the connection to the store may still renew leases.
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
   /// Known epochs and the time at which this daemon saw each of them begin.
@@ -92,6 +94,10 @@
   void setStoreResponsive(bool aResponsive);
   /// Replaces owner_options::mLatestActs.
   void setLatestActs(std::map<std::uint64_t, time_point> aLatestActs);
+  /// Sets the number of this owner's newest record in the topic of owners, which is above its epoch
+  /// and below that of the next owner. A target that restarts under its id gets orders with a newer
+  /// number than its former incarnation, so that it rejects orders that were meant for that one.
+  void setNewestRecord(std::uint64_t aNumber);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
   /// Called after setTarget() if the target has just written its entry.
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -18,6 +18,9 @@
   std::string mTarget;
   std::string mAddress;
   std::uint64_t mEpoch = 0;
+  /// Number that the target compares with the highest that it has seen: the epoch, or a later
+  /// record of the same owner, see owner::setNewestRecord().
+  std::uint64_t mFence = 0;
   /// New end of the lease of all runs at the target, on the target's clock; absent if the lease is
   /// not renewed.
   std::optional<target_time> mLeaseUntil;
@@ -37,6 +40,8 @@
   std::string mPayload;
   target_time mLeaseUntil{ 0 };
   std::uint64_t mEpoch = 0;
+  /// As for heartbeats.
+  std::uint64_t mFence = 0;
   std::string mCheckpoint;
   /// Proof that the step may run on the target; empty if the route needs none.
   std::string mTicket;
@@ -52,6 +57,8 @@
   task_key mTask;
   std::uint32_t mRun = 0;
   std::uint64_t mEpoch = 0;
+  /// As for heartbeats.
+  std::uint64_t mFence = 0;
 };
 
 enum class order_outcome : std::uint8_t
@@ -59,7 +66,7 @@
   accepted,
   /// No reply: the order may have been or may still be executed.
   unanswered,
-  /// The target has seen a higher epoch.
+  /// The target has seen an order with a higher fence.
   fenced,
   /// The run number is not higher than that of a run of the task that has ended or was stopped
   /// there.
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -156,6 +156,7 @@
     mEpochStart(aNow), mStoreUnresponsiveAt(aNow)
 {
   mLatestActs = mOptions.mLatestActs;
+  mNewestRecord = mEpoch;
 }
 
 void owner::impl::configure(std::shared_ptr<const cell_config> aConfig)
@@ -655,6 +656,11 @@
   mImpl->mStoreResponsive = aResponsive;
 }
 
+void owner::setNewestRecord(std::uint64_t aNumber)
+{
+  mImpl->mNewestRecord = std::max(mImpl->mNewestRecord, aNumber);
+}
+
 void owner::setLatestActs(std::map<std::uint64_t, time_point> aLatestActs)
 {
   mImpl->mLatestActs = std::move(aLatestActs);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -55,6 +55,8 @@
   bool mFenced = false;
   internal::advice_dispatcher mAdviceDispatcher;
   bool mPlanNeeded = true;
+  /// See owner::setNewestRecord().
+  std::uint64_t mNewestRecord = 0;
   /// See owner::setStoreResponsive().
   bool mStoreResponsive = true;
   /// See owner::setLatestActs().
@@ -218,17 +220,19 @@
   /// Ends the runs of a target that has left. Those whose start order may still be executed by a
   /// later incarnation stay allocated until their leases end.
   void endRunsOfLeftTarget(target_state& aTarget, time_point aNow);
+  /// Raises the number that orders to a restarted target carry, if it can be raised by now.
+  void raiseFence(target_state& aTarget, time_point aNow) const;
   /// Resets what is known of the former incarnation, except its runs.
   void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
   void readRunning(target_state& aTarget, const target_report& aReport, time_point aSent,
                    time_point aNow);
+  /// Returns what the table knows of the task, for the log.
+  std::string describeTask(const task_key& aTask) const;
   /// Whether a usable target other than aTarget may run the step and has the capacity for a task.
   bool hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
                       time_point aNow) const;
   /// Whether other usable targets of the pool have each of the target's labels and the capacity for
-  /// Returns what the table knows of the task, for the log.
-  std::string describeTask(const task_key& aTask) const;
   /// aNeeds, so that steps do not depend on this target.
   bool isReplaceable(const target_state& aTarget, const resources& aNeeds, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
@@ -272,9 +276,10 @@
                             time_point aNow);
   void sendStop(target_state& aTarget, const task_key& aTask, allocated_run& aRun);
   /// Marks the order of a run as no longer in flight. Returns the run; nullptr if it is not
-  /// allocated any more or the target rejected this epoch.
+  /// allocated any more or the target rejected this epoch. An order to a former incarnation that
+  /// the present one has rejected gets that outcome.
   template<typename Order>
-  allocated_run* closeOrder(const Order& aOrder, order_outcome aOutcome);
+  allocated_run* closeOrder(const Order& aOrder, order_outcome& aOutcome);
   allocated_run* findRun(const std::string& aTarget, const task_key& aTask, std::uint32_t aRun);
 
   // Placement.
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -49,7 +49,7 @@
 bool owner::impl::mayStartAt(const target_state& aTarget, const job& aJob,
                              const step_key& aStep) const
 {
-  return aTarget.mListed && !aTarget.mEntry.mDraining &&
+  return aTarget.mListed && aTarget.isDescribed() && !aTarget.mEntry.mDraining &&
          !mClosedZones.contains(aTarget.mEntry.mZone) &&
          isSuitable(aTarget, routeOf(aJob.mSpec), aJob.mSpec.mSteps[aStep.mStep]);
 }
@@ -195,6 +195,7 @@
                 .mPayload = owning->mSpec.mPayload,
                 .mLeaseUntil = extendLease(aTarget, aNow),
                 .mEpoch = mEpoch,
+                .mFence = aTarget.mFence,
                 .mCheckpoint = state.mCheckpoint,
                 .mTicket = aRun.mTicket,
                 .mTicketExpiry = aRun.mTicketExpiry });
@@ -212,15 +213,20 @@
                .mAddress = aTarget.mEntry.mAddress,
                .mTask = aTask,
                .mRun = aRun.mRun,
-               .mEpoch = mEpoch });
+               .mEpoch = mEpoch,
+               .mFence = aTarget.mFence });
 }
 
 template<typename Order>
-owner::impl::allocated_run* owner::impl::closeOrder(const Order& aOrder, order_outcome aOutcome)
+owner::impl::allocated_run* owner::impl::closeOrder(const Order& aOrder, order_outcome& aOutcome)
 {
   if (aOutcome == order_outcome::fenced) {
-    mFenced = true;
-    return nullptr;
+    const auto target = mTargets.find(aOrder.mTarget);
+    if (target == mTargets.end() || aOrder.mFence >= target->second.mFence) {
+      mFenced = true;
+      return nullptr;
+    }
+    aOutcome = order_outcome::other_incarnation;
   }
   auto* run = findRun(aOrder.mTarget, aOrder.mTask, aOrder.mRun);
   if (run != nullptr) {
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -60,9 +60,9 @@
 
 bool owner::impl::usable(const target_state& aTarget, time_point aNow) const
 {
-  return aTarget.mListed && aTarget.mAcquisitionStored && !aTarget.mRestartListed &&
-         aTarget.mMissedHeartbeats == 0 && aTarget.mClock && !aTarget.mHasUnknownRuns &&
-         !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
+  return aTarget.mListed && aTarget.isDescribed() && aTarget.mAcquisitionStored &&
+         !aTarget.mRestartListed && aTarget.mMissedHeartbeats == 0 && aTarget.mClock &&
+         !aTarget.mHasUnknownRuns && !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
          !mClosedZones.contains(aTarget.mEntry.mZone);
 }
 
--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -43,6 +43,7 @@
     return;
   }
   aTarget.mRestartPlanned = aIsPlanned;
+  aTarget.mFormerFence = aTarget.mFence;
   // The heartbeat in flight was sent to the former incarnation.
   aTarget.mRestartListedAt = aNow;
   aTarget.mHeartbeatInFlight = false;
@@ -146,9 +147,20 @@
   }
 }
 
+void owner::impl::raiseFence(target_state& aTarget, time_point aNow) const
+{
+  if (aTarget.mFence <= aTarget.mFormerFence && mNewestRecord > aTarget.mFence) {
+    aTarget.mFence = mNewestRecord;
+    aTarget.mFencedFrom = aNow;
+  }
+}
+
 void owner::impl::beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart)
 {
   aTarget.mEntry.mIncarnationStart = aIncarnationStart;
+  if (!aTarget.mRestartListed) {
+    aTarget.mFormerFence = aTarget.mFence;
+  }
   aTarget.mRestartListed = false;
   aTarget.mAcquired = false;
   aTarget.mAcquisitionStored = false;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -77,6 +77,7 @@
   const bool isNew = target.mEntry.mAddress.empty();
   target.mListed = true;
   target.mEntry = aEntry;
+  target.mDescribedIncarnation = aEntry.mIncarnationStart;
   if (restarted && !target.mRuns.empty()) {
     // Its first reply tells which of the runs it executes.
     target.mEntry.mIncarnationStart = known;
@@ -131,9 +132,11 @@
 
 void owner::impl::sendHeartbeat(target_state& aTarget, time_point aNow)
 {
+  raiseFence(aTarget, aNow);
   heartbeat_order order{ .mTarget = aTarget.mEntry.mId,
                          .mAddress = aTarget.mEntry.mAddress,
-                         .mEpoch = mEpoch };
+                         .mEpoch = mEpoch,
+                         .mFence = aTarget.mFence };
   // Ends are numbered anew after a restart: an acknowledgement that reaches the next incarnation
   // would make it forget ends that were not read.
   const bool inContact =
@@ -165,7 +168,8 @@
   }
   auto& target = found->second;
   if (aOutcome == order_outcome::fenced) {
-    mFenced = true;
+    // An earlier heartbeat may have been overtaken by one with a higher number of this owner.
+    mFenced = mFenced || aSent >= target.mFencedFrom;
     return;
   }
   const bool isNewest = aSent >= target.mHeartbeatSentAt;
@@ -222,18 +226,20 @@
   target.mLastReply = std::max(target.mLastReply, isNewest ? aNow : aSent);
   readEnds(target, aReport, aNow);
   readRunning(target, aReport, aSent, aNow);
-  if (!target.mAcquired) {
+  if (!target.mAcquired && target.isFencedBy(aSent)) {
     target.mAcquired = true;
     // Former owners may have renewed a lease up to this heartbeat; from now on the target rejects
-    // their epochs.
-    target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + mOptions.mLease);
+    // their orders. One that was meant for a former incarnation states a time of another clock.
+    const auto longest =
+      target.mFormerFence == 0 ? mOptions.mLease : std::max(mOptions.mLease, mOptions.mMaxLease);
+    target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + longest);
     append(target_acquired{ .mTarget = aTarget, .mEpoch = mEpoch, .mVm = target.mEntry.mVm }, aNow);
     // Leases are renewed only after the journal records that this epoch does so.
     mNextBatch.mAcquired.push_back(aTarget);
     endRunsOfFormerTargets(target, aNow);
   }
-  target.mNextHeartbeat =
-    aNow + (target.mAcquisitionStored ? heartbeatPause() : duration(kAcquisitionPause));
+  const bool isBeingStored = target.mAcquired && !target.mAcquisitionStored;
+  target.mNextHeartbeat = aNow + (isBeingStored ? duration(kAcquisitionPause) : heartbeatPause());
   mPlanNeeded = true;
 }
 
@@ -286,7 +292,8 @@
                    .mAddress = aTarget.mEntry.mAddress,
                    .mTask = running.mTask,
                    .mRun = running.mRun,
-                   .mEpoch = mEpoch });
+                   .mEpoch = mEpoch,
+                   .mFence = aTarget.mFence });
       continue;
     }
     listed.insert(running.mTask);
@@ -334,13 +341,6 @@
   }
 }
 
-bool owner::impl::hasOtherTarget(const waiting_step& aStep, const target_state& aTarget,
-                                 time_point aNow) const
-{
-  return std::ranges::any_of(mTargets, [&](const auto& aOne) {
-    return &aOne.second != &aTarget && usable(aOne.second, aNow) &&
-           allowed(aStep, aOne.second, aNow) && aStep.mNeeds.fitsIn(aOne.second.mEntry.mCapacity);
-  });
 std::string owner::impl::describeTask(const task_key& aTask) const
 {
   const job* owning = mJobTable.find(aTask.mStep.mJob);
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -110,6 +110,16 @@
   /// Whether the former incarnation was draining.
   bool mRestartPlanned = false;
 
+  /// Number that orders carry, of which an incarnation keeps the highest.
+  std::uint64_t mFence = 0;
+  /// Highest number of orders to former incarnations; 0 if there were none. The present one may
+  /// still execute them until it has received a heartbeat with a higher number.
+  std::uint64_t mFormerFence = 0;
+  /// Time from which heartbeats have carried mFence.
+  time_point mFencedFrom{};
+  /// Incarnation that mEntry describes apart from mIncarnationStart; 0 if the entry does not tell.
+  std::int64_t mDescribedIncarnation = 0;
+
   bool mHeartbeatInFlight = false;
   /// Time at which the newest heartbeat was sent. A relay may report the reply to an earlier one.
   time_point mHeartbeatSentAt{};
@@ -173,6 +183,15 @@
       std::max(mLeaseSent - *mClock, target_time{ 0 }) / (1.0 - kMaxClockDrift));
     return mClockAt + std::chrono::duration_cast<duration>(left) + kLeaseMargin;
   }
+  /// Whether a heartbeat that was sent at aSent has a higher number than all orders to former
+  /// incarnations.
+  bool isFencedBy(time_point aSent) const { return mFence > mFormerFence && aSent >= mFencedFrom; }
+  /// Whether the registry's entry is that of the incarnation that the target has reported: another
+  /// one may have other labels and another capacity.
+  bool isDescribed() const
+  {
+    return mDescribedIncarnation == 0 || mDescribedIncarnation >= mEntry.mIncarnationStart;
+  }
   void wantStop(allocated_run& aRun)
   {
     aRun.mStopWanted = true;
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -55,6 +55,25 @@
   CHECK(next() == election::action::renew);
 }
 
+// Orders to restarted targets carry these numbers: above the epoch, and below that of the next
+// owner.
+TEST(election, numbersItsRecordsBetweenItsEpochAndTheNextOne)
+{
+  becomeOwner();
+  CHECK_EQUAL(1, one.newestRecord());
+  now += milliseconds(400);
+  CHECK(next() == election::action::renew);
+  CHECK_EQUAL(1, one.newestRecord());
+  one.onAppended(election::action::renew, 1, now);
+  CHECK_EQUAL(2, one.newestRecord());
+  // A renewal without an answer counts only once it is read.
+  one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 2, now);
+  CHECK_EQUAL(3, one.newestRecord());
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 3, now);
+  CHECK_EQUAL(3, one.newestRecord());
+  CHECK(one.newestRecord() < epochOf(3));
+}
+
 // Guards against claims and renewals that are sent again while one is in flight.
 TEST(election, sendsOneAppendAtATime)
 {
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -414,6 +414,7 @@
                                       .mPayload = std::string("x\0\xff", 3),
                                       .mLeaseUntil = target_time(5000),
                                       .mEpoch = 9,
+                                      .mFence = 14,
                                       .mCheckpoint = "c",
                                       .mTicket = "k" };
   order_batch batch{ .mEpoch = 9, .mOwner = "o:1", .mSentAt = milliseconds(77) };
@@ -423,12 +424,14 @@
                             .mOrder = scheduler::heartbeat_order{ .mTarget = "t",
                                                                   .mAddress = "a:1",
                                                                   .mEpoch = 9,
+                                                                  .mFence = 15,
                                                                   .mLeaseUntil = target_time(8),
                                                                   .mStoredEndNumber = 12,
                                                                   .mWait = milliseconds(1000) } });
-  batch.mOrders.push_back({ .mNumber = 4,
-                            .mOrder = scheduler::stop_order{
-                              .mTarget = "t", .mAddress = "a:1", .mTask = task, .mRun = 4 } });
+  batch.mOrders.push_back(
+    { .mNumber = 4,
+      .mOrder = scheduler::stop_order{
+        .mTarget = "t", .mAddress = "a:1", .mTask = task, .mRun = 4, .mFence = 16 } });
   const auto decoded = decodeOrderBatch(encode(batch));
   CHECK(decoded.ok());
   CHECK(decoded->mSentAt == batch.mSentAt);
@@ -439,10 +442,14 @@
   CHECK(second.mLeaseUntil == start.mLeaseUntil);
   CHECK_EQUAL("k", second.mTicket);
   CHECK_EQUAL(9, second.mEpoch);
+  CHECK_EQUAL(14, second.mFence);
   const auto& heartbeat = std::get<scheduler::heartbeat_order>(decoded->mOrders[2].mOrder);
   CHECK(heartbeat.mLeaseUntil == target_time(8));
   CHECK_EQUAL(12, heartbeat.mStoredEndNumber);
-  CHECK(std::get<scheduler::stop_order>(decoded->mOrders[3].mOrder).mTask == task);
+  CHECK_EQUAL(15, heartbeat.mFence);
+  const auto& stop = std::get<scheduler::stop_order>(decoded->mOrders[3].mOrder);
+  CHECK(stop.mTask == task);
+  CHECK_EQUAL(16, stop.mFence);
 }
 
 TEST(order_batch, restoresResults)
@@ -476,8 +483,9 @@
     json::to_msgpack(aValue, bytes);
     return bytes;
   };
-  const auto stop = [&](const json& aTask, const json& aRun, const json& aNumber = 1) {
-    const auto order = json::array({ 2, "t", "a:1", aTask, aRun });
+  const auto stop = [&](const json& aTask, const json& aRun, const json& aNumber = 1,
+                        const json& aFence = 3) {
+    const auto order = json::array({ 2, "t", "a:1", aTask, aRun, aFence });
     return toBytes(json::array({ 3, "o:1", 77, json::array({ json::array({ aNumber, order }) }) }));
   };
   CHECK(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1)).ok());
@@ -486,6 +494,8 @@
   CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1.5)).ok());
   CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1, -1)).ok());
   CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, true)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1, 1, -1)).ok());
+  CHECK_FALSE(decodeOrderBatch(stop({ 7, 0, 1, 2 }, 1, 1, 0x80000000)).ok());
   const auto result = [&](const json& aClock, const json& aBorn, const json& aEnd) {
     const auto ended = json::array({ json::array({ aEnd, { 7, 0, 1, 2 }, 1, 0, "" }) });
     const auto report = json::array({ aClock, aBorn, json::array(), ended });
--- a/tests/node/order_sender_test.cpp
+++ b/tests/node/order_sender_test.cpp
@@ -46,6 +46,7 @@
       { .mTarget = "t",
         .mAddress = target.address(),
         .mEpoch = 3,
+        .mFence = 5,
         .mLeaseUntil = target_time(7000),
         .mStoredEndNumber = 4 },
       [this](order_outcome aOutcome, const scheduler::target_report&) { outcome = aOutcome; });
@@ -65,7 +66,7 @@
   CHECK(outcome == order_outcome::accepted);
   LONGS_EQUAL(3, received.size());
   const auto query = nlohmann::json::parse(received[2]);
-  LONGS_EQUAL(3, query.at("fence").get<int>());
+  LONGS_EQUAL(5, query.at("fence").get<int>());
   LONGS_EQUAL(0, query.at("acked_upto").get<int>());
   CHECK_FALSE(query.contains("deadline_ms"));
   CHECK_FALSE(query.contains("wait_ms"));
--- a/tests/scheduler/fake_services.h
+++ b/tests/scheduler/fake_services.h
@@ -16,11 +16,12 @@
 
 using std::chrono::milliseconds;
 
-/// A target that executes start orders, rejects lower epochs and reports its runs.
+/// A target that executes start orders, rejects those with lower numbers and reports its runs.
 struct fake_target
 {
   target_entry mEntry;
-  std::uint64_t mEpoch = 0;
+  /// Highest number that orders have carried.
+  std::uint64_t mFence = 0;
   std::map<task_key, std::uint32_t> mRunning;
   std::vector<ended_run> mEnded;
   std::uint64_t mLastEndNumber = 0;
@@ -41,6 +42,10 @@
   order_outcome mLostReply = order_outcome::unanswered;
   /// Whether start orders are lost before they are executed.
   bool mLosesStarts = false;
+  /// Whether orders get no answer and are kept to be executed later, see
+  /// owner_fixture::deliverLateOrders().
+  bool mDelaysStarts = false;
+  bool mDelaysHeartbeats = false;
   /// If set, start orders are rejected with this outcome.
   std::optional<order_outcome> mRejectStarts;
   /// Time that a run takes to end after a stop order.
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -153,7 +153,7 @@
   /// Replaces the owner by one of the next epoch, as after the loss of the former owner.
   void startNextOwner()
   {
-    ++mEpoch;
+    mEpoch = ++mNewestRecord;
     mOwner.reset();
     mPending.clear();
     mUnstored.clear();
@@ -237,6 +237,7 @@
       restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
+      renewOwnership();
       deliverReplies();
       // As cell_node does, from the latency of its own calls.
       mOwner->setStoreResponsive(!mStoreDown && mStoreDelay <= milliseconds(500));
@@ -246,6 +247,17 @@
     }
   }
 
+  /// Has the targets execute the orders that they have delayed. Nobody waits for their answers.
+  void deliverLateOrders()
+  {
+    for (const auto& order : std::exchange(mLateStarts, {})) {
+      execute(order);
+    }
+    for (const auto& order : std::exchange(mLateHeartbeats, {})) {
+      receive(order);
+    }
+  }
+
   fake_target& target(const std::string& aId) { return mTargets.at(aId); }
   const std::map<std::string, fake_target>& targets() const { return mTargets; }
   std::vector<job_id> submitted() const
@@ -313,7 +325,8 @@
   /// Jobs whose tasks crash the targets that start them.
   std::set<job_id> mDeadlyJobs;
   std::map<task_key, deadly_task> mDeadlyTasks;
-  /// Time after which crashed targets are back, and whether the registry tells so at once.
+  /// Time after which crashed targets are back, and whether the registry tells so at once or only
+  /// after kWriteInterval.
   milliseconds mRestartDelay{ 2000 };
   bool mRestartsAreListed = true;
   int mRenewals = 0;
@@ -329,6 +342,8 @@
   /// registry removes an entry.
   static constexpr milliseconds kWriteInterval{ 1500 };
   static constexpr milliseconds kEntryLapse = 3 * kWriteInterval;
+  /// Interval at which the owner renews its ownership.
+  static constexpr milliseconds kRenewInterval{ 400 };
   /// Number of start orders whose ticket had expired when they were sent.
   int mStartsWithExpiredTickets = 0;
   /// Starts that brought their target over its capacity.
@@ -506,10 +521,9 @@
         ++at;
         continue;
       }
-      const auto& target = restartUnlisted(at->first);
-      if (mRestartsAreListed) {
-        mOwner->setTarget(target.mEntry, mNow);
-      }
+      auto& target = restartUnlisted(at->first);
+      target.mEntryReadAt = mRestartsAreListed ? mNow : mNow + kWriteInterval;
+      readChangedEntries();
       at = mRestarts.erase(at);
     }
   }
@@ -578,16 +592,16 @@
       mOwner->onHeartbeatReply(aOrder.mTarget, aSent, order_outcome::unanswered, {}, mNow);
       return;
     }
-    if (aOrder.mEpoch < target.mEpoch) {
+    if (target.mDelaysHeartbeats) {
+      mLateHeartbeats.push_back(aOrder);
+      mOwner->onHeartbeatReply(aOrder.mTarget, aSent, order_outcome::unanswered, {}, mNow);
+      return;
+    }
+    if (!receive(aOrder)) {
       mOwner->onHeartbeatReply(aOrder.mTarget, aSent, order_outcome::fenced, {}, mNow);
       return;
     }
-    target.mEpoch = aOrder.mEpoch;
     mRenewals += aOrder.mLeaseUntil ? 1 : 0;
-    target.mStoredEndNumber = aOrder.mStoredEndNumber;
-    std::erase_if(target.mEnded, [&aOrder](const ended_run& aOne) {
-      return aOne.mNumber <= aOrder.mStoredEndNumber;
-    });
     target_report report{ .mClock = target.mClock,
                           .mIncarnationStart = target.mEntry.mIncarnationStart };
     for (const auto& [task, run] : target.mRunning) {
@@ -597,13 +611,40 @@
     mOwner->onHeartbeatReply(aOrder.mTarget, aSent, order_outcome::accepted, report, mNow);
   }
 
+  /// Has the target note what a heartbeat tells it; returns false if a later order was executed.
+  bool receive(const heartbeat_order& aOrder)
+  {
+    auto& target = mTargets.at(aOrder.mTarget);
+    if (aOrder.mFence < target.mFence) {
+      return false;
+    }
+    target.mFence = aOrder.mFence;
+    target.mStoredEndNumber = aOrder.mStoredEndNumber;
+    std::erase_if(target.mEnded, [&aOrder](const ended_run& aOne) {
+      return aOne.mNumber <= aOrder.mStoredEndNumber;
+    });
+    return true;
+  }
+
+  void renewOwnership()
+  {
+    if (mNextRenewal <= mNow && mOwner) {
+      mNextRenewal = mNow + kRenewInterval;
+      mOwner->setNewestRecord(++mNewestRecord);
+    }
+  }
+
   order_outcome execute(const start_order& aOrder)
   {
     auto& target = mTargets.at(aOrder.mTarget);
     if (!target.mReachable || target.mLosesStarts) {
       return order_outcome::unanswered;
     }
-    if (aOrder.mEpoch < target.mEpoch) {
+    if (target.mDelaysStarts) {
+      mLateStarts.push_back(aOrder);
+      return order_outcome::unanswered;
+    }
+    if (aOrder.mFence < target.mFence) {
       return order_outcome::fenced;
     }
     if (target.mRejectStarts) {
@@ -660,7 +701,12 @@
   std::map<std::string, time_point> mRestarts;
   std::deque<std::vector<journal_record>> mUnstored;
   time_point mAppendSince{};
+  std::vector<start_order> mLateStarts;
+  std::vector<heartbeat_order> mLateHeartbeats;
   std::uint64_t mEpoch = 0;
+  /// Number of the newest record in the topic of owners.
+  std::uint64_t mNewestRecord = 0;
+  time_point mNextRenewal{};
   std::uint64_t mLastJob = 0;
 };
 
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -122,7 +122,7 @@
   CHECK_EQUAL(2, cell.running());
   const auto left = cell.targetRunning(id, 0, 0) == "t1" ? 1U : 0U;
   lost.mRunning.clear();
-  lost.mEpoch = 0;
+  lost.mFence = 0;
   lost.mEntry.mIncarnationStart = 2;
   cell.mOwner->setTarget(lost.mEntry, cell.mNow);
   cell.run(milliseconds(200));
@@ -491,7 +491,7 @@
 
 TEST(owner_failover, isFencedWhenATargetHasSeenAHigherEpoch)
 {
-  cell.addTarget("t1").mEpoch = 9;
+  cell.addTarget("t1").mFence = 9;
   cell.startNextOwner();
   cell.run(milliseconds(100));
   CHECK(cell.mOwner->fenced());
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -63,10 +63,7 @@
       cell.run(after);
       auto& target = cell.restartUnlisted("a");
       target.mLosesHeartbeatsUntil = cell.mNow + kHeartbeatTimeout;
-      cell.run(milliseconds(200));
-      if (listed) {
-        cell.mOwner->setTarget(target.mEntry, cell.mNow);
-      }
+      target.mEntryReadAt = listed ? cell.mNow + milliseconds(200) : cell.mNow + seconds(2);
       cell.run(seconds(12));
       CHECK(cell.find(job).mPhase == job_phase::completed);
       CHECK_EQUAL(0, cell.mStartsAfterDone.size());
@@ -120,10 +117,8 @@
     const auto job = cell.submit(tasks(1, milliseconds(600)));
     cell.run(milliseconds(300));
     CHECK_EQUAL("a", cell.targetRunning(job));
-    const auto& target = cell.restartUnlisted("a");
-    if (listed) {
-      cell.mOwner->setTarget(target.mEntry, cell.mNow);
-    }
+    auto& target = cell.restartUnlisted("a");
+    target.mEntryReadAt = cell.mNow + milliseconds(listed ? 0 : 200);
     cell.run(milliseconds(500));
     CHECK_EQUAL("a", cell.targetRunning(job));
     CHECK_EQUAL(2, cell.target("a").mRunning.begin()->second);
@@ -199,3 +194,99 @@
   cell.run(milliseconds(100));
   CHECK_FALSE(cell.find(job).find({ .mJob = job })->mTasks[0].mOpen.has_value());
 }
+
+// Guards against two runs of a task at a time: a start that the owner has stopped and given up is
+// carried out by the next incarnation of its target.
+TEST(target_restarts, aLateStartIsNotExecutedByTheNextIncarnation)
+{
+  cell.mTasksEnd = false;
+  cell.target("a").mDelaysStarts = true;
+  const auto job = cell.submit(tasks(1, milliseconds(600)));
+  cell.run(milliseconds(400));
+  cell.addTarget("b");
+  cell.run(seconds(2));
+  CHECK_EQUAL("b", cell.targetRunning(job));
+  cell.restartTarget("a");
+  cell.run(seconds(1));
+  cell.deliverLateOrders();
+  CHECK_EQUAL(1, cell.running());
+}
+
+// The same for the room at that target, which is given to another task.
+TEST(target_restarts, aLateStartDoesNotTakeRoomAtTheNextIncarnation)
+{
+  cell.mTasksEnd = false;
+  auto whole = tasks(1, seconds(600));
+  whole.mNeeds.mCpuMilli = 8000;
+  cell.target("a").mDelaysStarts = true;
+  cell.submit(whole);
+  cell.run(milliseconds(400));
+  cell.addTarget("b");
+  cell.run(seconds(2));
+  cell.restartTarget("a");
+  cell.submit(whole);
+  cell.run(seconds(2));
+  CHECK_EQUAL(2, cell.running());
+  cell.deliverLateOrders();
+  CHECK_EQUAL(0, cell.mStartsOverCapacity.size());
+}
+
+// Guards against ends that are forgotten before they are read, and the tasks started again: an
+// acknowledgement to the former incarnation is carried out seconds later by the new one.
+TEST(target_restarts, aLateAcknowledgementIsNotTakenByTheNextIncarnation)
+{
+  executeTasks(5);
+  cell.target("a").mDelaysHeartbeats = true;
+  cell.run(milliseconds(100));
+  cell.restartTarget("a");
+  cell.run(seconds(1));
+  const auto job = cell.submit(tasks(3, milliseconds(100)));
+  cell.run(milliseconds(90));
+  cell.target("a").mIsSilent = true;
+  cell.run(milliseconds(200));
+  CHECK_EQUAL(3, cell.target("a").mEnded.size());
+  cell.deliverLateOrders();
+  cell.target("a").mIsSilent = false;
+  cell.run(seconds(12));
+  CHECK(cell.find(job).mPhase == job_phase::completed);
+  CHECK_EQUAL(0, cell.mStartsAfterDone.size());
+}
+
+// Guards against two runs of a task at a time: the lease of an order to the former incarnation ends
+// by the clock of that one, so that the new one holds it for as long as it can.
+TEST(target_restarts, aRunIsNotLostBeforeTheLongestLeaseOfALateOrderHasEnded)
+{
+  cell.mTasksEnd = false;
+  cell.restartTarget("a");
+  cell.run(milliseconds(100));
+  const auto job = cell.submit(tasks(1, seconds(30)));
+  cell.run(milliseconds(200));
+  CHECK_EQUAL("a", cell.targetRunning(job));
+  cell.addTarget("b");
+  const auto acquired = cell.mNow - milliseconds(300);
+  cell.target("a").mReachable = false;
+  while (cell.mNow < acquired + cell.mOptions.mMaxLease) {
+    cell.run(milliseconds(100));
+    CHECK(cell.find(job).find({ .mJob = job })->mTasks[0].mRun == 1);
+  }
+  cell.run(seconds(2));
+  CHECK_EQUAL(2, cell.find(job).find({ .mJob = job })->mTasks[0].mRun);
+}
+
+// Guards against a target over its capacity: its next incarnation has less, and is known before its
+// entry is.
+TEST(target_restarts, anIncarnationGetsNoTaskBeforeItsOwnEntryIsRead)
+{
+  cell.mTasksEnd = false;
+  auto& target = cell.restartUnlisted("a");
+  target.mEntry.mCapacity = { .mCpuMilli = 400, .mMemoryMb = 50 };
+  cell.run(milliseconds(200));
+  const auto job = cell.submit(tasks(1, milliseconds(600)));
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(0, cell.running());
+  cell.addTarget("b");
+  cell.mOwner->setTarget(target.mEntry, cell.mNow);
+  cell.run(milliseconds(500));
+  CHECK_EQUAL("b", cell.targetRunning(job));
+  CHECK_EQUAL(0, cell.mStartsOverCapacity.size());
+}
