--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -79,9 +79,10 @@
     run.mNextTry = aNow;
   }
   mPort.logDecision("target_restarted",
-                    fmt::format("target={} former_born={} born={} runs_lost={} runs_kept={}",
+                    fmt::format("target={} former_born={} born={} fence={} runs_lost={} "
+                                "runs_kept={}",
                                 aTarget.mEntry.mId, aTarget.mEntry.mIncarnationStart,
-                                aReport.mIncarnationStart, lost.size(), kept));
+                                aReport.mIncarnationStart, aTarget.mFence, lost.size(), kept));
   for (const auto& task : lost) {
     const auto loss = losses.find(task);
     const bool isCounted = !isPlanned && loss != losses.end();
