--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -47,9 +47,12 @@
   return integerFrom<Integer>(aValue, 0, std::numeric_limits<Integer>::max());
 }
 
-std::uint64_t decodeFence(const json& aValue)
+/// Decodes the number of an order, which is the batch's epoch unless the order has an element for
+/// it.
+std::uint64_t decodeFence(const json& aOrder, std::size_t aElement, std::uint64_t aEpoch)
 {
-  return integerFrom<std::uint64_t>(aValue, 0, kMaxEpoch);
+  return aOrder.size() > aElement ? integerFrom<std::uint64_t>(aOrder.at(aElement), 0, kMaxEpoch)
+                                  : aEpoch;
 }
 
 target_time decodeLease(const json& aValue)
@@ -72,31 +75,45 @@
            .mIndex = decodeNumber<std::uint32_t>(aTask.at(3)) };
 }
 
+/// The number follows only if it is not the epoch: relays of the former version ignore it after a
+/// heartbeat or stop, and accept no start with it.
 json encodeOrder(const scheduler::heartbeat_order& aOrder)
 {
-  return json::array({ order_kind::heartbeat, aOrder.mTarget, aOrder.mAddress,
-                       aOrder.mLeaseUntil ? json(aOrder.mLeaseUntil->count()) : json(),
-                       aOrder.mStoredEndNumber, aOrder.mWait.count(), aOrder.mFence });
+  auto order = json::array({ order_kind::heartbeat, aOrder.mTarget, aOrder.mAddress,
+                             aOrder.mLeaseUntil ? json(aOrder.mLeaseUntil->count()) : json(),
+                             aOrder.mStoredEndNumber, aOrder.mWait.count() });
+  if (aOrder.mFence != aOrder.mEpoch) {
+    order.push_back(aOrder.mFence);
+  }
+  return order;
 }
 
-/// The payload follows only if it differs from that of the start before: the tasks of a step share
-/// it.
+/// The payload follows only if it differs from that of the start before, as the tasks of a step
+/// share it, or if the number follows.
 json encodeOrder(const scheduler::start_order& aOrder, const std::string*& aLastPayload)
 {
-  auto order = json::array({ order_kind::start, aOrder.mTarget, aOrder.mAddress,
-                             encodeTask(aOrder.mTask), aOrder.mRun, aOrder.mLeaseUntil.count(),
-                             aOrder.mCheckpoint, aOrder.mTicket, aOrder.mFence });
-  if (aLastPayload == nullptr || *aLastPayload != aOrder.mPayload) {
+  auto order =
+    json::array({ order_kind::start, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask),
+                  aOrder.mRun, aOrder.mLeaseUntil.count(), aOrder.mCheckpoint, aOrder.mTicket });
+  const bool hasFence = aOrder.mFence != aOrder.mEpoch;
+  if (hasFence || aLastPayload == nullptr || *aLastPayload != aOrder.mPayload) {
     order.push_back(json::binary({ aOrder.mPayload.begin(), aOrder.mPayload.end() }));
     aLastPayload = &aOrder.mPayload;
   }
+  if (hasFence) {
+    order.push_back(aOrder.mFence);
+  }
   return order;
 }
 
 json encodeOrder(const scheduler::stop_order& aOrder)
 {
-  return json::array({ order_kind::stop, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask),
-                       aOrder.mRun, aOrder.mFence });
+  auto order = json::array(
+    { order_kind::stop, aOrder.mTarget, aOrder.mAddress, encodeTask(aOrder.mTask), aOrder.mRun });
+  if (aOrder.mFence != aOrder.mEpoch) {
+    order.push_back(aOrder.mFence);
+  }
+  return order;
 }
 
 target_order decodeOrder(const json& aOrder, std::uint64_t aEpoch, std::string& aLastPayload)
@@ -106,7 +123,7 @@
       scheduler::heartbeat_order order{ .mTarget = aOrder.at(1),
                                         .mAddress = aOrder.at(2),
                                         .mEpoch = aEpoch,
-                                        .mFence = decodeFence(aOrder.at(6)),
+                                        .mFence = decodeFence(aOrder, 6, aEpoch),
                                         .mStoredEndNumber =
                                           decodeNumber<std::uint64_t>(aOrder.at(4)),
                                         .mWait = millisFrom(aOrder.at(5), 0, kMaxPeerSpanMs) };
@@ -116,8 +133,8 @@
       return order;
     }
     case order_kind::start: {
-      if (aOrder.size() > 9) {
-        const auto& payload = aOrder.at(9).get_binary();
+      if (aOrder.size() > 8) {
+        const auto& payload = aOrder.at(8).get_binary();
         aLastPayload.assign(payload.begin(), payload.end());
       }
       return scheduler::start_order{ .mTarget = aOrder.at(1),
@@ -127,7 +144,7 @@
                                      .mPayload = aLastPayload,
                                      .mLeaseUntil = decodeLease(aOrder.at(5)),
                                      .mEpoch = aEpoch,
-                                     .mFence = decodeFence(aOrder.at(8)),
+                                     .mFence = decodeFence(aOrder, 9, aEpoch),
                                      .mCheckpoint = aOrder.at(6),
                                      .mTicket = aOrder.at(7) };
     }
@@ -137,7 +154,7 @@
                                     .mTask = decodeTask(aOrder.at(3)),
                                     .mRun = decodeNumber<std::uint32_t>(aOrder.at(4)),
                                     .mEpoch = aEpoch,
-                                    .mFence = decodeFence(aOrder.at(5)) };
+                                    .mFence = decodeFence(aOrder, 5, aEpoch) };
   }
   throw std::invalid_argument("unknown kind of order");
 }
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -220,8 +220,12 @@
   /// Ends the runs of a target that has left. Those whose start order may still be executed by a
   /// later incarnation stay allocated until their leases end.
   void endRunsOfLeftTarget(target_state& aTarget, time_point aNow);
-  /// Raises the number that orders to a restarted target carry, if it can be raised by now.
-  void raiseFence(target_state& aTarget, time_point aNow) const;
+  /// Has the next heartbeats carry a higher number than all orders so far: the target may restart,
+  /// or has.
+  static void expectNewFence(target_state& aTarget);
+  /// Sets the number that orders to the target carry, if a new one is expected and there is one.
+  void raiseFence(target_state& aTarget, time_point aNow);
+  bool mayRaiseFence(const target_state& aTarget) const;
   /// Resets what is known of the former incarnation, except its runs.
   void beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart);
   void readEnds(target_state& aTarget, const target_report& aReport, time_point aNow);
@@ -411,6 +415,8 @@
   std::map<std::string, target_state, std::less<>> mTargets;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
   std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
+  /// Last numbers that orders to targets have carried, by id. Entries are never removed.
+  std::unordered_map<std::string, std::uint64_t> mLastFences;
   /// Entries of mTargets by number; null for targets that are gone.
   std::vector<target_state*> mTargetsByNumber;
   /// Positions of the targets in the candidates of the current planning pass, by number.
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -221,8 +221,8 @@
 owner::impl::allocated_run* owner::impl::closeOrder(const Order& aOrder, order_outcome& aOutcome)
 {
   if (aOutcome == order_outcome::fenced) {
-    const auto target = mTargets.find(aOrder.mTarget);
-    if (target == mTargets.end() || aOrder.mFence >= target->second.mFence) {
+    const auto newest = mLastFences.find(aOrder.mTarget);
+    if (newest == mLastFences.end() || aOrder.mFence >= newest->second) {
       mFenced = true;
       return nullptr;
     }
--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -43,7 +43,8 @@
     return;
   }
   aTarget.mRestartPlanned = aIsPlanned;
-  aTarget.mFormerFence = aTarget.mFence;
+  expectNewFence(aTarget);
+  aTarget.mHasRestarted = true;
   // The heartbeat in flight was sent to the former incarnation.
   aTarget.mRestartListedAt = aNow;
   aTarget.mHeartbeatInFlight = false;
@@ -148,20 +149,35 @@
   }
 }
 
-void owner::impl::raiseFence(target_state& aTarget, time_point aNow) const
+void owner::impl::expectNewFence(target_state& aTarget)
 {
-  if (aTarget.mFence <= aTarget.mFormerFence && mNewestRecord > aTarget.mFence) {
-    aTarget.mFence = mNewestRecord;
-    aTarget.mFencedFrom = aNow;
+  aTarget.mFormerFence = std::max(aTarget.mFormerFence, aTarget.mFence);
+}
+
+void owner::impl::raiseFence(target_state& aTarget, time_point aNow)
+{
+  if (aTarget.mFence > aTarget.mFormerFence || !mayRaiseFence(aTarget)) {
+    return;
   }
+  aTarget.mFence = aTarget.mFormerFence == 0 ? mEpoch : mNewestRecord;
+  aTarget.mFencedFrom = aNow;
+  mLastFences[aTarget.mEntry.mId] = aTarget.mFence;
+}
+
+bool owner::impl::mayRaiseFence(const target_state& aTarget) const
+{
+  return mNewestRecord > aTarget.mFormerFence;
 }
 
 void owner::impl::beginIncarnation(target_state& aTarget, std::int64_t aIncarnationStart)
 {
   aTarget.mEntry.mIncarnationStart = aIncarnationStart;
   if (!aTarget.mRestartListed) {
-    aTarget.mFormerFence = aTarget.mFence;
+    expectNewFence(aTarget);
+    // A heartbeat in flight may have been sent to the former incarnation.
+    aTarget.mHeartbeatInFlight = false;
   }
+  aTarget.mHasRestarted = true;
   aTarget.mRestartListed = false;
   aTarget.mAcquired = false;
   aTarget.mAcquisitionStored = false;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -28,8 +28,8 @@
 /// Duration of the first such pause, doubled with each further failure, and its upper limit.
 constexpr auto kAvoidPeriod = std::chrono::milliseconds(1000);
 constexpr auto kMaxAvoidPeriod = std::chrono::milliseconds(8000);
-/// Pause between two heartbeats to a target whose acquisition is being stored: they cannot renew
-/// its lease yet, and it answers them at once.
+/// Pause between two heartbeats to a target whose acquisition is being stored, or for which there
+/// is no higher number yet: they cannot renew its lease, and it answers them at once.
 constexpr auto kAcquisitionPause = std::chrono::milliseconds(200);
 /// Time after a target's last reply in which it cannot have restarted: the shortest loss of power
 /// that was seen to end in a restart. Exceeds kMaxHeartbeatPause.
@@ -59,6 +59,9 @@
   if (isNew) {
     at->second.mEntry.mId = aId;
     at->second.mEntry.mVm = mJobTable.vmOf(aId);
+    if (const auto known = mLastFences.find(aId); known != mLastFences.end()) {
+      at->second.mFormerFence = known->second;
+    }
     const auto next = static_cast<std::uint32_t>(mTargetNumbers.size());
     at->second.mNumber = mTargetNumbers.try_emplace(aId, next).first->second;
     mTargetsByNumber.resize(mTargetNumbers.size());
@@ -184,6 +187,7 @@
   if (aOutcome != order_outcome::accepted) {
     if (target.mMissedHeartbeats++ == 0) {
       target.mUnresponsiveSince = aNow;
+      expectNewFence(target);
       // A connection that ends before the target's wait is over tells when; a timeout does not.
       target.mLostContactAt = aNow - aSent < kHeartbeatWait ? aNow : aSent;
       mPort.logDecision("target_unresponsive",
@@ -226,20 +230,24 @@
   target.mLastReply = std::max(target.mLastReply, isNewest ? aNow : aSent);
   readEnds(target, aReport, aNow);
   readRunning(target, aReport, aSent, aNow);
-  if (!target.mAcquired && target.isFencedBy(aSent)) {
-    target.mAcquired = true;
-    // Former owners may have renewed a lease up to this heartbeat; from now on the target rejects
-    // their orders. One that was meant for a former incarnation states a time of another clock.
+  if (!target.mAcquired) {
+    // Former owners may have renewed a lease up to this heartbeat. An order that was meant for a
+    // former incarnation states a time of another clock.
     const auto longest =
-      target.mFormerFence == 0 ? mOptions.mLease : std::max(mOptions.mLease, mOptions.mMaxLease);
+      target.mHasRestarted ? std::max(mOptions.mLease, mOptions.mMaxLease) : mOptions.mLease;
     target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + longest);
+  }
+  if (!target.mAcquired && target.isFencedBy(aSent)) {
+    // From now on the target rejects the orders of former owners, and those to former incarnations.
+    target.mAcquired = true;
+    target.mHasRestarted = false;
     append(target_acquired{ .mTarget = aTarget, .mEpoch = mEpoch, .mVm = target.mEntry.mVm }, aNow);
     // Leases are renewed only after the journal records that this epoch does so.
     mNextBatch.mAcquired.push_back(aTarget);
     endRunsOfFormerTargets(target, aNow);
   }
-  const bool isBeingStored = target.mAcquired && !target.mAcquisitionStored;
-  target.mNextHeartbeat = aNow + (isBeingStored ? duration(kAcquisitionPause) : heartbeatPause());
+  const bool waits = target.mAcquired ? !target.mAcquisitionStored : !mayRaiseFence(target);
+  target.mNextHeartbeat = aNow + (waits ? duration(kAcquisitionPause) : heartbeatPause());
   mPlanNeeded = true;
 }
 
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -112,11 +112,14 @@
 
   /// Number that orders carry, of which an incarnation keeps the highest.
   std::uint64_t mFence = 0;
-  /// Highest number of orders to former incarnations; 0 if there were none. The present one may
-  /// still execute them until it has received a heartbeat with a higher number.
+  /// Highest number of the orders that a former incarnation may have been sent; 0 if there are
+  /// none. The present one may still execute them until it has received a heartbeat with a higher
+  /// number.
   std::uint64_t mFormerFence = 0;
   /// Time from which heartbeats have carried mFence.
   time_point mFencedFrom{};
+  /// Whether a former incarnation is known of, since when the target has not been acquired.
+  bool mHasRestarted = false;
   /// Incarnation that mEntry describes apart from mIncarnationStart; 0 if the entry does not tell.
   std::int64_t mDescribedIncarnation = 0;
 
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -290,3 +290,61 @@
   CHECK_EQUAL("b", cell.targetRunning(job));
   CHECK_EQUAL(0, cell.mStartsOverCapacity.size());
 }
+
+// Guards against a run that is taken for lost although the new incarnation has just listed it: the
+// replies to the next heartbeats are lost.
+TEST(target_restarts, aRunOfTheNewIncarnationIsNotLostBeforeTheTargetIsAcquired)
+{
+  cell.mTasksEnd = false;
+  cell.target("a").mLosesReplies = true;
+  const auto job = cell.submit(tasks(1, seconds(30)));
+  cell.run(milliseconds(40));
+  cell.addTarget("b");
+  auto& target = cell.restartUnlisted("a");
+  target.mEntryReadAt = cell.mNow + seconds(10);
+  target.mRunning[{ .mStep = { .mJob = job } }] = 1;
+  while (std::ranges::find(cell.mEvents, "target_restarted") == cell.mEvents.end()) {
+    cell.run(milliseconds(5));
+  }
+  target.mLosesHeartbeatsUntil = cell.mNow + milliseconds(1000);
+  cell.run(milliseconds(900));
+  CHECK_EQUAL(1, cell.running());
+  CHECK_EQUAL("a", cell.targetRunning(job));
+}
+
+// Guards against a late start that an idle target executes after a restart that nobody has noticed:
+// the first heartbeat after a missed one has a higher number already.
+TEST(target_restarts, theFirstHeartbeatAfterAMissedOneRejectsEarlierOrders)
+{
+  cell.mTasksEnd = false;
+  cell.target("a").mDelaysStarts = true;
+  const auto job = cell.submit(tasks(1, seconds(30)));
+  cell.run(milliseconds(400));
+  cell.addTarget("b");
+  cell.run(seconds(2));
+  CHECK_EQUAL("b", cell.targetRunning(job));
+  cell.target("a").mReachable = false;
+  cell.run(milliseconds(500));
+  auto& target = cell.restartUnlisted("a");
+  while (target.mFence == 0) {
+    cell.run(milliseconds(5));
+  }
+  cell.deliverLateOrders();
+  CHECK_EQUAL(1, cell.running());
+}
+
+// Guards against orders to a former incarnation that are valid again because the owner has
+// forgotten the target meanwhile.
+TEST(target_restarts, aTargetThatWasForgottenGetsAHigherNumber)
+{
+  executeTasks(1);
+  const auto before = cell.target("a").mFence;
+  cell.leaveTarget("a");
+  cell.unlistTarget("a");
+  cell.run(seconds(1));
+  auto& target = cell.restartUnlisted("a");
+  target.mListed = true;
+  cell.mOwner->setTarget(target.mEntry, cell.mNow);
+  cell.run(seconds(1));
+  CHECK(target.mFence > before);
+}
