Load a table that lacks records once more, also soon after its first load

An end whose start the table lacks is applied with its start: that is what a table of the users' record lacks, and what keeps the task from running again from run 1. A start whose number skips one shows a lack as well.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -68,6 +68,7 @@
               },
             .mOnIncomplete =
               [this](std::string_view aReason) {
+                mSnapshotWriter.abandon();
                 if (mOwner) {
                   mStepDownReason = aReason;
                 } else {
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -1,5 +1,7 @@
 #include "job_replica.h"
 
+#include "endiveusher/kernel/back_off.h"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -48,7 +50,6 @@
 void job_replica::onLoaded(const std::optional<snapshot>& aFound)
 {
   const auto now = mClock.now();
-  mLoadedAt = now;
   const auto base = aFound ? aFound->mBase : 0;
   if (aFound) {
     for (const auto& record : aFound->mRecords) {
@@ -90,21 +91,26 @@
                                            std::string(record.status().message())));
       continue;
     }
-    if (!mTable.hasPlaceFor(*record) && onUnplaced(*record, aOffset + index)) {
+    if (!mTable.hasPlaceFor(*record) &&
+        onUnplaced(*record, aOffset + index, aOffset + aRecords.size())) {
       return;
     }
     apply(*record);
   }
 }
 
-bool job_replica::onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset)
+bool job_replica::onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset,
+                             std::uint64_t aReadEnd)
 {
-  mLacksRecords = mClock.now() - mLoadedAt > kMinReloadInterval;
+  const auto now = mClock.now();
+  const bool reloads = aOffset >= mCheckedUpTo && mNextReload <= now;
   ++mPassedOver;
-  mLog.write("unplaced_record", fmt::format("offset={} reloads={} {}", aOffset, mLacksRecords,
+  mLog.write("unplaced_record", fmt::format("offset={} reloads={} {}", aOffset, reloads,
                                             scheduler::describe(aRecord)));
-  const bool reloads = mLacksRecords;
   if (reloads) {
+    mLacksRecords = true;
+    mCheckedUpTo = aReadEnd;
+    mNextReload = now + doubled(kMinReloadInterval, mReloads++, kMaxReloadInterval);
     mCallbacks.mOnIncomplete("a record of the journal refers to what the job table lacks");
   }
   return reloads;
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -20,9 +20,10 @@
 
 /// Interval at which followers read the journal. They query the owner for the states of live jobs.
 inline constexpr std::chrono::milliseconds kJournalReadInterval{ 200 };
-/// Time after a load in which a table that lacks records is not loaded again, but used: the store
-/// lacks them as well.
-inline constexpr std::chrono::seconds kMinReloadInterval{ 10 };
+/// Time after a load for a table that lacked records before it is loaded again for the same reason,
+/// doubled with each such load, and its upper limit.
+inline constexpr std::chrono::milliseconds kMinReloadInterval{ 10'000 };
+inline constexpr std::chrono::milliseconds kMaxReloadInterval{ 160'000 };
 
 struct job_replica_options
 {
@@ -94,7 +95,9 @@
   void readRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset);
   /// Handles a record that refers to what the table lacks. Returns whether the table has to be
   /// loaded again.
-  bool onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset);
+  /// @param aReadEnd offset behind the records that were read with this one
+  bool onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset,
+                  std::uint64_t aReadEnd);
   void apply(const scheduler::journal_record& aRecord);
 
   const clock& mClock;
@@ -106,7 +109,11 @@
   std::uint64_t mPassedOver = 0;
   /// Whether a record was read that refers to what the table lacks.
   bool mLacksRecords = false;
-  time_point mLoadedAt{};
+  /// Offset up to which the table was loaded again for such records: if they still have no place,
+  /// the store lacks the same, and the cell goes on without it.
+  std::uint64_t mCheckedUpTo = 0;
+  time_point mNextReload{};
+  std::uint32_t mReloads = 0;
   snapshot_loader mSnapshots;
   log_tail mTail;
 };
--- a/node/src/snapshot_writer.cpp
+++ b/node/src/snapshot_writer.cpp
@@ -31,6 +31,19 @@
   mIndex.add(aBase);
 }
 
+void snapshot_writer::abandon()
+{
+  if (mPhase == phase::encoding || mPhase == phase::appending) {
+    mLog.write("snapshot", fmt::format("base={} stored=false part={} reason=incomplete_table",
+                                       mBase, mNextPart));
+    mSchedule.onWriteFailed(mClock.now());
+    mTries = 0;
+    mEncoder.reset();
+    mParts.clear();
+    mPhase = phase::idle;
+  }
+}
+
 void snapshot_writer::tick(time_point aNow, const std::optional<snapshot_source>& aSource)
 {
   if (aSource && mPhase == phase::idle) {
@@ -133,6 +146,9 @@
 void snapshot_writer::onAppendReply(const platform::append_reply& aReply)
 {
   mCallInFlight = false;
+  if (mPhase != phase::appending) {
+    return; // Abandoned. What was stored is read with the next check.
+  }
   switch (aReply.mOutcome) {
     case platform::append_outcome::appended:
       if (mNextPart == 0) {
--- a/node/src/snapshot_writer.h
+++ b/node/src/snapshot_writer.h
@@ -51,6 +51,8 @@
 
   /// Reports the newest snapshot that was loaded, and the end of the topic at that time.
   void onLoaded(std::uint64_t aBase, std::uint64_t aTopicEnd);
+  /// Gives up the snapshot that is being written, because its table lacks records.
+  void abandon();
   /// Starts a snapshot if one is due, and continues the current one. aSource is absent while this
   /// daemon is not to write snapshots or its table cannot be used.
   void tick(time_point aNow, const std::optional<snapshot_source>& aSource);
--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -24,9 +24,9 @@
 public:
   /// Applies a record. Returns the job that it changed; nullptr if it changed none.
   job* apply(const journal_record& aRecord, time_point aNow);
-  /// Whether the table holds what a record of the owner refers to: the job, and the task with the
-  /// run that a record ends. Otherwise the table lacks an earlier record of the journal. Records of
-  /// jobs that have ended always have a place, as the table may hold less of these.
+  /// Whether the table holds what a record of the owner refers to: the job, the task and its
+  /// earlier run. Otherwise the table lacks an earlier record of the journal. Records of jobs that
+  /// have ended always have a place, as the table may hold less of these.
   bool hasPlaceFor(const journal_record& aRecord) const;
   /// Creates the steps of an occurrence if they do not exist yet. The owner does so shortly before
   /// the occurrence is due, the other daemons when its first run starts. Returns nullptr if the job
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -67,11 +67,11 @@
       task.mIndex >= steps[task.mStep.mStep].mCount) {
     return false;
   }
-  if (started != nullptr) {
-    return true;
-  }
   const auto* step = found->find(task.mStep);
-  return step != nullptr && step->mTasks[task.mIndex].mRun >= ended->mRun;
+  const auto known = step == nullptr ? 0 : step->mTasks[task.mIndex].mRun;
+  // The members of a gang share a number, which is above that of each.
+  return started == nullptr ? known >= ended->mRun
+                            : steps[task.mStep.mStep].mGang || started->mRun <= known + 1;
 }
 
 job* job_table::applyRecord(const job_submitted& aRecord, time_point /*aNow*/)
@@ -132,6 +132,10 @@
     return nullptr;
   }
   auto& task = step->mTasks[aRecord.mTask.mIndex];
+  if (aRecord.mRun > task.mRun) {
+    // The end shows a start that the table lacks.
+    applyRecord(run_started{ .mTask = aRecord.mTask, .mRun = aRecord.mRun }, aNow);
+  }
   if (aRecord.mRun != task.mRun || !task.mOpen) {
     return nullptr;
   }
--- a/tests/scheduler/job_table_test.cpp
+++ b/tests/scheduler/job_table_test.cpp
@@ -52,6 +52,19 @@
   CHECK(table.hasPlaceFor(ended(task())));
   CHECK_FALSE(table.hasPlaceFor(ended(task(), 2)));
   CHECK_FALSE(table.hasPlaceFor(ended(task(1))));
+  CHECK(table.hasPlaceFor(started(task(), 2)));
+  CHECK_FALSE(table.hasPlaceFor(started(task(), 3)));
+}
+
+// Guards against a second run 1 of a task whose start the table lacks, and whose end it holds.
+TEST(job_table, anEndShowsAStartThatTheTableLacks)
+{
+  table.apply(ended(task(), 2), time_point{});
+  const auto* step = table.find(kJob)->find(task().mStep);
+  CHECK(step->mTasks[0].mDone);
+  CHECK_EQUAL(2, step->mTasks[0].mRun);
+  CHECK_EQUAL(0, step->mOpen);
+  CHECK(table.find(kJob)->mStarted);
 }
 
 TEST(job_table, recordsThatAreReadAgainHaveAPlace)
