--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(ROOT / "tests/process"))
 
 from checker import Checker, Job  # noqa: E402
+from journal_model import STATUS_RETENTION_S  # noqa: E402
 from programs import Ports, Program, wait_until  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from store import Store  # noqa: E402
@@ -32,6 +33,8 @@
 # A connection that ends later after a request than this, without an answer, counts as unanswered.
 END_SLACK_S = 0.2
 SUBMIT_ATTEMPTS = 6
+# The daemons write a snapshot every quarter of it. The store's stand-in deletes nothing by age.
+RECORD_RETENTION_S = 16
 
 
 class Daemon:
@@ -45,7 +48,8 @@
             f"listen.readiness=127.0.0.1:{ports.take()}\nport_range={ports.take()},0\n"
             f"platform.addr={self.store.address}\nbounds.hold_max_ms=6000\n"
             f"bounds.revoke_ms={int(REVOCATION_LIMIT_S * 1000)}\n"
-            f"bounds.grace_s=6\nbounds.status_s=120\n"
+            f"bounds.grace_s=6\nbounds.status_s={STATUS_RETENTION_S}\n"
+            f"platform.keep_s={RECORD_RETENTION_S}\n"
         )
         binary = pathlib.Path(os.environ.get("ENDIVEUSHER_BUILD", ROOT / "build"))
         self._command = [str(binary / "daemon/endiveusherd"), "--platform"]
@@ -59,7 +63,7 @@
     def reload(self):
         """Changes the settings file and tells the daemon so."""
         with self._settings.open("a") as settings:
-            settings.write("bounds.status_s=120\n")
+            settings.write(f"bounds.status_s={STATUS_RETENTION_S}\n")
         self.process.send(signal.SIGHUP)
 
     def close(self):
@@ -74,7 +78,7 @@
         ports = Ports(os.getpid() * 37)
         store_port = ports.take()
         self.checker = Checker(seed, TEAM_LIMIT_CPU_MILLI)
-        self.store = Store(store_port, seed)
+        self.store = Store(store_port, seed, self.checker.report_violation)
         self.version = 0
         self.spare_key_revoked_at = None
         self.unanswered = []  # Requests that were sent and not answered.
--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -43,6 +43,10 @@
         with self._lock:
             return self._random.random() < probability
 
+    def uniform(self, least, most):
+        with self._lock:
+            return self._random.uniform(least, most)
+
     def choice(self, options):
         with self._lock:
             return self._random.choice(options)
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -20,7 +20,10 @@
 # Kinds of planned work. Every request is answered if nothing else happens.
 PLANNED = {"stop", "reload", "evacuate", "revoke", "quota"}
 # Kinds that are injected only if named, so that the seeds of former failures draw the same faults.
-ONLY_IF_NAMED = {"reload", "target_shrinks", "target_answer_reset", "target_rejects"}
+ONLY_IF_NAMED = {
+    "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
+    "target_rejects",
+}
 
 
 class Fault:
@@ -118,6 +121,9 @@
         "store_down": lambda: toggled(cell.store, seconds(), down=True),
         "store_slow": lambda: toggled(cell.store, seconds(), delay_s=rng.uniform(0.05, 0.5)),
         "store_lost": lambda: toggled(cell.store, seconds(), loss_probability=0.4),
+        "store_late": lambda: toggled(
+            cell.store, seconds(), late_probability=rng.uniform(0.05, 0.3)
+        ),
         "store_cut": lambda: toggled(daemon().store, seconds(), drop_all=True),
         "store_one_way": lambda: toggled(daemon().store, seconds(), drop_replies=True),
         "store_silent": lambda: Fault(0, daemon().store.stall_open),
@@ -132,6 +138,9 @@
         "target_answer_reset": lambda: toggled(
             path(), seconds(), answer_reset_probability=rng.uniform(0.05, 0.4)
         ),
+        "target_late": lambda: toggled(
+            target(), seconds(), late_probability=rng.uniform(0.1, 0.5)
+        ),
         "target_rejects": lambda: toggled(
             target(), seconds(), rejection_probability=rng.uniform(0.1, 0.6)
         ),
@@ -199,7 +208,8 @@
     found = cell.checker.violations
     print(
         f"seed {seed}: {len(applied)} faults, {len(cell.checker.jobs())} jobs, "
-        f"{cell.checker.starts} starts, {len(found)} violations",
+        f"{cell.checker.starts} starts, {cell.store.snapshots()} snapshots, "
+        f"{len(found)} violations",
         flush=True,
     )
     for violation in found[:20]:
--- a/tests/platform_soak/store.py
+++ b/tests/platform_soak/store.py
@@ -8,9 +8,12 @@
 import time
 
 from http_service import HttpService, NoAnswer, json_answer
+from journal_model import JournalModel
 
 # Answers kept per producer for repeated appends.
 KEPT_APPEND_ANSWERS = 5
+# Range of the time after which a late append is executed.
+LATE_S = (1, 6)
 
 
 class Topic:
@@ -32,19 +35,25 @@
 
 
 class Store:
-    """Keeps every acknowledged record. Faults are attributes set by the test."""
+    """Keeps every acknowledged record. Faults are attributes set by the test.
 
-    def __init__(self, port, seed):
+    The model gets the whole journal, each snapshot and each trim, and reports differences."""
+
+    def __init__(self, port, seed, report):
         self.down = False  # Every call is rejected with 503 and has no effect.
         self.journal_down = False  # Appends to the journal are rejected with 503.
         self.delay_s = 0.0  # Before each answer.
         self.loss_probability = 0.0  # Of the answer to an append that was carried out.
+        self.late_probability = 0.0  # Of an append, which gets no answer and is executed later.
         self._random = random.Random(seed)
         self._lock = threading.Condition()
         self._topics = {}
+        self._model = JournalModel(report)
+        self._closed = threading.Event()
         self._service = HttpService(port, self._serve)
 
     def close(self):
+        self._closed.set()
         self._service.close()
 
     def put(self, topic, key, value):
@@ -54,6 +63,15 @@
             self._topic(topic).records.append(bytes([len(name)]) + name + (value or b""))
             self._lock.notify_all()
 
+    def has_start(self, task, run, target):
+        """Whether the journal holds the record of the start, also if it was deleted since."""
+        with self._lock:
+            return self._model.has_start(task, run, target)
+
+    def snapshots(self):
+        """Returns the number of snapshots that were compared with the journal."""
+        return self._model.snapshots
+
     def _topic(self, name):
         return self._topics.setdefault(name, Topic())
 
@@ -64,6 +82,10 @@
             return json_answer(503)
         time.sleep(self.delay_s)
         if path == "/log-append":
+            if self.late_probability and self._random.random() < self.late_probability:
+                if not self._closed.wait(self._random.uniform(*LATE_S)):
+                    self._append(query, body)
+                raise NoAnswer()
             status, answer = self._append(query, body)
             if status == 200 and self._random.random() < self.loss_probability:
                 raise NoAnswer()
@@ -103,6 +125,10 @@
                 producer.epoch, producer.sequence = epoch, sequence
             offset = topic.end
             topic.records += records
+            if query["topic"] == "journal":
+                self._model.append(records)
+            elif query["topic"] == "snapshot" and records:
+                self._model.append_snapshot(records, offset)
             answer = json_answer(200, offset=offset, end=topic.end)
             if producer is not None and records:
                 producer.answers[sequence] = answer
@@ -147,4 +173,5 @@
             if before > topic.first:
                 del topic.records[: before - topic.first]
                 topic.first = before
+                self._model.trimmed(self._topic("journal").first, self._topic("snapshot").first)
             return json_answer(200)
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -7,6 +7,8 @@
 from http_service import HttpService, NoAnswer, json_answer
 
 MAX_LEASE_MS = 6000
+# Range of the time after which a late order is carried out, whichever incarnation there is then.
+LATE_S = (2, 12)
 # Answers of a target that has not carried out a start: status and body.
 REJECTIONS = [(429, {}), (503, {}), (409, {"reason": "room"}), (409, {"reason": "ticket"})]
 REGISTRY_INTERVAL_S = 0.5
@@ -32,6 +34,7 @@
         self.registry_address = self.address  # That of the proxy, if there is one.
         self.draining = False
         self.loss_probability = 0.0  # Of the answer to an order that was carried out.
+        self.late_probability = 0.0  # Of an order, which gets no answer and is carried out later.
         self.fails_tasks = False
         self.unhealthy = False  # Starts are answered with 503 and not carried out.
         self.rejection_probability = 0.0  # Of a start, which is then not carried out.
@@ -139,6 +142,23 @@
         if self._crashed:
             raise NoAnswer()
         fields = json.loads(body or b"{}")
+        if path == "/run-start":
+            self._check_stored(fields)
+        if self.late_probability and self._checker.chance(self.late_probability):
+            if not self._stop.wait(self._checker.uniform(*LATE_S)) and not self._crashed:
+                # Nobody waits for an end any more.
+                self._execute(path, {**fields, "wait_ms": 0})
+            raise NoAnswer()
+        return self._execute(path, fields)
+
+    def _check_stored(self, start):
+        task, run = start["task"], start["run"]
+        if not self._store.has_start(task, run, self.name):
+            self._checker.report_violation(
+                f"started before it was stored: {task} run {run} on {self.name}"
+            )
+
+    def _execute(self, path, fields):
         if path == "/run-start":
             if self.unhealthy:
                 return json_answer(503)
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -3,7 +3,9 @@
 import json
 import os
 import pathlib
+import struct
 import sys
+import threading
 import time
 import types
 import unittest
@@ -13,10 +15,15 @@
 
 from main import run_tests  # noqa: E402
 import checker as checker_module  # noqa: E402
+import journal_model  # noqa: E402
 import soak  # noqa: E402
+import store as store_module  # noqa: E402
 import target as target_module  # noqa: E402
 from checker import Checker, Job  # noqa: E402
+from http_service import NoAnswer  # noqa: E402
+from journal_model import JournalModel  # noqa: E402
 from programs import Ports  # noqa: E402
+from store import Store  # noqa: E402
 from target import Target  # noqa: E402
 
 RUN_S = 14
@@ -132,6 +139,290 @@
         self.assert_reports("run of an unknown job")
 
 
+def pack(value):
+    """Encodes a value as MessagePack, with 32-bit lengths and 64-bit numbers."""
+    if isinstance(value, list):
+        return struct.pack(">BI", 0xDD, len(value)) + b"".join(pack(one) for one in value)
+    if isinstance(value, bool):
+        return b"\xc3" if value else b"\xc2"
+    if isinstance(value, int):
+        return struct.pack(">BQ", 0xCF, value)
+    return struct.pack(">BI", 0xDB, len(value)) + value.encode()
+
+
+def spec(job=1, count=2, gang=False):
+    step = [count, 500, 10, 0, 100, [], False, gang, False, False, False, False, "", "", 0, 0]
+    return [job, "r", "red", "", [step], 0, 0, 0, 0]
+
+
+def submitted(job=1, **fields):
+    return [journal_model.SUBMITTED, spec(job, **fields)]
+
+
+def started(index=0, run=1, target="t1"):
+    return [journal_model.STARTED, 1, 0, 0, index, run, target, 1000]
+
+
+def ended(index=0, run=1, outcome=journal_model.RUN_DONE):
+    return [journal_model.ENDED, 1, 0, 0, index, run, outcome, ""]
+
+
+def job(*tasks, phase=journal_model.ACTIVE, gang=False):
+    """A job with one step in a snapshot; a task is run, failures, done, and the target if open."""
+    rows = [[run, failures, done, "", *([target[0], 1000] if target else [])]
+            for run, failures, done, *target in tasks]
+    occurrences = [[0, [[0, rows]]]]
+    steps = spec(count=len(tasks), gang=gang)
+    return [journal_model.SNAPSHOT, [steps, phase, True, 0, occurrences]]
+
+
+def ended_job(phase=journal_model.COMPLETED):
+    return [journal_model.SNAPSHOT, [[*spec()[:4], [], 0, 0, 0, 0], phase, True, 0, []]]
+
+
+# The journal of most tests: task 0 of two has ended as done, run 2 of task 1 is open on t2.
+JOURNAL = [
+    submitted(), started(0), started(1), ended(0), ended(1, outcome=journal_model.RUN_FAILED),
+    started(1, run=2, target="t2"),
+]
+EQUAL = job((1, 0, True), (2, 1, False, "t2"))
+
+
+class SoakJournalModel(unittest.TestCase):
+    """Guards against a model that misses differences of snapshot and journal."""
+
+    def setUp(self):
+        self.reports = []
+        self.model = JournalModel(self.reports.append)
+
+    def append(self, *records):
+        self.model.append([pack(record) for record in records])
+
+    def part(self, records, base, part=0, parts=1, offset=0):
+        header = [journal_model.PART_HEADER, base, len(records), part, parts, 7]
+        self.model.append_snapshot([pack(one) for one in [header, *records]], offset)
+
+    def compare(self, *records, base=len(JOURNAL), journal=JOURNAL):
+        self.append(*journal)
+        self.part(list(records), base)
+        self.assertEqual(1, self.model.snapshots)
+
+    def assert_reports(self, text):
+        self.assertEqual(1, len(self.reports), self.reports)
+        self.assertIn(text, self.reports[0])
+
+    def test_decodes_each_form_of_a_value(self):
+        for data, value in [
+            (b"\x07", 7), (b"\xff", -1), (b"\xcc\xff", 255), (b"\xcd\x01\x00", 256),
+            (b"\xce\x00\x01\x00\x00", 65536), (b"\xd0\x80", -128), (b"\xd1\x80\x00", -32768),
+            (b"\xd3" + b"\xff" * 8, -1), (b"\xc0", None), (b"\xa2ab", b"ab"), (b"\xd9\x01a", b"a"),
+            (b"\xc4\x01a", b"a"), (b"\x92\x01\xc3", [1, True]), (b"\xdc\x00\x01\xc2", [False]),
+            (pack([1, "a", True]), [1, b"a", True]),
+        ]:
+            self.assertEqual(value, journal_model.decode(data))
+        for data in (b"", b"\x92\x01", b"\x01\x02", b"\xc1", b"\xa2a"):
+            self.assertRaises(ValueError, journal_model.decode, data)
+
+    def test_an_equal_snapshot_is_clean(self):
+        self.compare(EQUAL)
+        self.assertEqual([], self.reports)
+
+    def test_a_snapshot_ahead_of_its_base_is_clean(self):
+        for base in range(len(JOURNAL)):
+            self.setUp()
+            self.compare(EQUAL, base=base)
+            self.assertEqual([], self.reports)
+
+    def test_a_snapshot_of_its_base_is_clean_when_the_journal_is_ahead(self):
+        self.compare(job((1, 0, True), (1, 1, False)), base=5)
+        self.assertEqual([], self.reports)
+
+    def test_a_lost_start(self):
+        self.compare(job((0, 0, False), (0, 0, False)), base=3)
+        self.assertEqual(2, len(self.reports), self.reports)
+        self.assertIn(
+            "base 3: job 0000000000000001: (0, 0, 0) run is 0, not from 1 to 1", self.reports[0]
+        )
+
+    def test_a_lost_end(self):
+        self.compare(job((1, 0, False, "t1"), (2, 1, False, "t2")))
+        self.assertEqual(2, len(self.reports), self.reports)
+        self.assertIn("(0, 0, 0) done is False, not from True to True", self.reports[0])
+        self.assertIn("run 1 is open on t1 and has ended", self.reports[1])
+
+    def test_a_start_that_is_not_stored(self):
+        self.compare(job((1, 0, True), (3, 1, False, "t2")))
+        self.assertEqual(2, len(self.reports), self.reports)
+        self.assertIn("(0, 0, 1) run is 3, not from 2 to 2", self.reports[0])
+        self.assertIn("run 3 is open on t2, which has no such start", self.reports[1])
+
+    def test_an_end_that_is_not_stored(self):
+        self.compare(job((1, 0, True), (2, 1, True, "t2")))
+        self.assert_reports("(0, 0, 1) done is True, not from False to False")
+
+    def test_a_lost_failure(self):
+        self.compare(job((1, 0, True), (2, 0, False, "t2")))
+        self.assert_reports("(0, 0, 1) failures is 0, not from 1 to 1")
+
+    def test_an_open_run_that_is_lost(self):
+        self.compare(job((1, 0, True), (2, 1, False)))
+        self.assert_reports("(0, 0, 1) run 2 is not open on t2")
+
+    def test_an_open_run_on_another_target(self):
+        self.compare(job((1, 0, True), (2, 1, False, "t1")))
+        self.assert_reports("(0, 0, 1) run 2 is open on t1, which has no such start")
+
+    def test_a_missing_job(self):
+        self.compare()
+        self.assert_reports("job 0000000000000001: missing")
+
+    def test_a_job_that_is_not_in_the_journal(self):
+        self.compare(EQUAL, base=0, journal=[])
+        self.assert_reports("not in the journal")
+
+    def test_a_job_whose_steps_differ(self):
+        self.compare(job((1, 0, True), (2, 1, False, "t2"), (0, 0, False)))
+        self.assert_reports("steps are")
+
+    def test_a_wrong_phase(self):
+        self.compare(job((1, 0, True), (2, 1, False, "t2"), phase=journal_model.FAILED))
+        self.assert_reports("phase is 2, not from 0 to 0")
+
+    def test_an_ended_job(self):
+        done = [*JOURNAL, ended(1, run=2)]
+        self.compare(ended_job(), base=len(done), journal=done)
+        self.assertEqual([], self.reports)
+
+    def test_an_ended_job_that_is_active_again(self):
+        done = [*JOURNAL, ended(1, run=2)]
+        self.compare(job((1, 0, True), (2, 1, True)), base=len(done), journal=done)
+        self.assert_reports("phase is 0, not from 1 to 1")
+
+    def test_one_end_completes_a_gang(self):
+        journal = [submitted(gang=True), started(0), started(1), ended(0)]
+        completed = job(
+            (1, 0, True), (1, 0, True, "t1"), phase=journal_model.COMPLETED, gang=True
+        )
+        self.compare(completed, base=4, journal=journal)
+        self.append(ended(1))
+        self.part([ended_job()], base=5)
+        self.assertEqual([], self.reports)
+
+    def test_an_ended_job_that_has_an_open_run(self):
+        for end in ([journal_model.CANCELLED, 1], [journal_model.ABANDONED, 1]):
+            self.setUp()
+            phase = (journal_model.PHASE_CANCELLED if end[0] == journal_model.CANCELLED
+                     else journal_model.FAILED)
+            self.compare(ended_job(phase), base=7, journal=[*JOURNAL, end])
+            self.assert_reports("(0, 0, 1) run 2 is not open on t2")
+
+    def test_only_jobs_that_ended_long_ago_may_be_missing(self):
+        self.append(*JOURNAL, ended(1, run=2))
+        with unittest.mock.patch.object(journal_model, "STATUS_RETENTION_S", 0):
+            self.part([], base=7)
+        self.assertEqual([], self.reports)
+        self.part([], base=7)
+        self.assert_reports("missing")
+
+    def test_a_target_in_a_wrong_epoch(self):
+        acquired = lambda epoch: [journal_model.ACQUIRED, "t1", epoch, ""]  # noqa: E731
+        for epochs, text in [([5], ""), ([], "epoch 0, not from 5"), ([6], "epoch 6, not from 5")]:
+            self.setUp()
+            snapshot = [acquired(epoch) for epoch in epochs]
+            self.compare(*snapshot, base=2, journal=[acquired(5), acquired(4)])
+            self.assertEqual(bool(text), bool(self.reports))
+            self.assertIn(text, "".join(self.reports))
+
+    def test_a_snapshot_is_compared_when_its_last_part_is_stored(self):
+        self.append(*JOURNAL)
+        self.part([EQUAL], base=6, part=0, parts=2)
+        self.part([EQUAL], base=6, part=0, parts=2)  # The writer begins again.
+        self.assertEqual(0, self.model.snapshots)
+        self.part([], base=6, part=1, parts=2)
+        self.assertEqual(1, self.model.snapshots)
+        self.assertEqual([], self.reports)
+
+    def test_a_snapshot_beyond_the_journal(self):
+        self.compare(EQUAL, base=7)
+        self.assert_reports("the journal ends at 6")
+
+    def test_an_older_snapshot_is_compared_with_its_own_base(self):
+        self.append(*JOURNAL)
+        self.part([EQUAL], base=6)
+        self.part([job((1, 0, False, "t1"), (1, 0, False, "t1"))], base=3)
+        self.assertEqual([], self.reports)
+
+    def test_records_that_cannot_be_decoded(self):
+        self.model.append([b"\xc1"])
+        self.assert_reports("journal record 0 cannot be decoded")
+        self.model.append_snapshot([b"\xc1"], 4)
+        self.assertIn("part of a snapshot at 4 cannot be decoded", self.reports[1])
+
+    def test_a_part_with_a_wrong_header(self):
+        header = [journal_model.PART_HEADER, 0, 2, 0, 1, 7]
+        self.model.append_snapshot([pack(header), pack(EQUAL)], 0)
+        self.assert_reports("has the header")
+
+    def test_a_trim_that_deletes_what_no_snapshot_holds(self):
+        self.append(*JOURNAL)
+        self.part([EQUAL], base=6, offset=10)
+        self.model.trimmed(0, 99)
+        self.model.trimmed(6, 10)
+        self.assertEqual([], self.reports)
+        self.part([EQUAL], base=6, part=0, parts=2, offset=12)
+        self.model.trimmed(6, 11)
+        self.assert_reports("journal before 6 is deleted")
+
+    def test_a_start_is_stored_for_its_target_only(self):
+        self.append(*JOURNAL)
+        task = "0000000000000001.0.0.1"
+        self.assertTrue(self.model.has_start(task, 1, "t1"))
+        self.assertTrue(self.model.has_start(task, 2, "t2"))
+        self.assertFalse(self.model.has_start(task, 2, "t1"))
+        self.assertFalse(self.model.has_start(task, 3, "t2"))
+        self.assertFalse(self.model.has_start("0000000000000002.0.0.1", 1, "t1"))
+
+
+class SoakStore(unittest.TestCase):
+    """That the store passes its records to the model, and executes late appends."""
+
+    def setUp(self):
+        self.reports = []
+        self.store = Store(Ports(os.getpid() * 43).take(), 1, self.reports.append)
+
+    def tearDown(self):
+        self.store.close()
+
+    def append(self, topic, *records, **query):
+        body = b"".join(struct.pack(">I", len(data)) + data for data in map(pack, records))
+        return self.store._serve("POST", "/log-append", {"topic": topic, **query}, body)
+
+    def test_reports_a_snapshot_that_lacks_a_start(self):
+        self.append("journal", submitted(), started(0))
+        header = [journal_model.PART_HEADER, 2, 1, 0, 1, 7]
+        self.append("snapshot", header, job((1, 0, False, "t1"), (0, 0, False)))
+        self.assertEqual([], self.reports)
+        self.append("snapshot", header, job((0, 0, False), (0, 0, False)))
+        self.assertIn("run is 0, not from 1 to 1", "".join(self.reports))
+        self.assertEqual(2, self.store.snapshots())
+
+    def test_reports_a_trim_without_a_snapshot_and_still_knows_the_starts(self):
+        self.append("journal", submitted(), started(0))
+        trim = json.dumps({"topic": "journal", "before": 2}).encode()
+        self.store._serve("POST", "/log-trim", {}, trim)
+        self.assertIn("journal before 2 is deleted", "".join(self.reports))
+        self.assertTrue(self.store.has_start("0000000000000001.0.0.0", 1, "t1"))
+
+    def test_a_late_append_is_executed_only_if_its_condition_holds(self):
+        self.store.late_probability = 1.0
+        with unittest.mock.patch.object(store_module, "LATE_S", (0.1, 0.1)):
+            for _ in range(2):
+                with self.assertRaises(NoAnswer):
+                    self.append("owner", [1], timestamp="0")
+        status, body = self.store._serve("GET", "/log-read", {"topic": "owner", "from": "0"}, b"")
+        self.assertEqual((200, 1), (status, struct.unpack(">QQ", body[:16])[0]))
+
+
 class SoakTarget(unittest.TestCase):
     """Which acknowledged ends and which capacities are passed to the checker."""
 
@@ -141,7 +432,7 @@
         checker.submitted(Job("j", "red", [{"count": 1, "cpu": 500}], 500))
         reported = []
         checker.end_acknowledged = lambda task, how: reported.append((task, how))
-        store = types.SimpleNamespace(down=True)
+        store = types.SimpleNamespace(down=True, has_start=lambda *_: True)
         target = Target("t", Ports(os.getpid() * 41).take(), "a", 8000, store, checker)
         try:
             start = {"task": "j.0.0.0", "run": 1, "spec": "20:500:0", "deadline_ms": lease_ms}
@@ -158,13 +449,72 @@
     def test_an_end_acknowledged_after_the_lease_is_not_reported(self):
         self.assertEqual([], self.acknowledge(100, 0.3))
 
+    def order(self, target, path, **fields):
+        return target._serve("POST", path, {}, json.dumps(fields).encode())
+
+    def start(self, target, run=1, **fields):
+        return self.order(
+            target, "/run-start", task="j.0.0.0", run=run, spec="5000:500:0", deadline_ms=6000,
+            **fields
+        )
+
+    def test_a_start_whose_record_is_not_stored_is_reported(self):
+        checker = Checker(1, team_limit_cpu_milli=4000)
+        checker.submitted(Job("j", "red", [{"count": 1, "cpu": 500}], 500))
+        store = types.SimpleNamespace(
+            down=True, has_start=lambda *start: start == ("j.0.0.0", 1, "t")
+        )
+        target = Target("t", Ports(os.getpid() * 41).take(), "a", 8000, store, checker)
+        try:
+            self.start(target)
+            self.assertEqual([], checker.violations)
+            self.order(target, "/run-stop", task="j.0.0.0", run=1)
+            self.start(target, run=2)
+        finally:
+            target.close()
+        self.assertEqual(1, len(checker.violations), checker.violations)
+        self.assertIn("started before it was stored: j.0.0.0 run 2 on t", checker.violations[0])
+
+    def test_a_late_order_is_carried_out_by_the_next_incarnation(self):
+        checker = Checker(1, team_limit_cpu_milli=4000)
+        checker.submitted(Job("j", "red", [{"count": 1, "cpu": 500}], 500))
+        store = types.SimpleNamespace(down=True, has_start=lambda *_: True)
+        target = Target("t", Ports(os.getpid() * 41).take(), "a", 8000, store, checker)
+        answers = []
+
+        def send(fence):
+            try:
+                answers.append(self.start(target, fence=fence))
+            except NoAnswer:
+                answers.append(None)
+
+        try:
+            for fence, heard, running in [(1, 0, 1), (1, 2, 0)]:
+                target.late_probability = 1.0
+                with unittest.mock.patch.object(target_module, "LATE_S", (0.5, 0.5)):
+                    late = threading.Thread(target=send, args=(fence,))
+                    late.start()
+                    time.sleep(0.2)
+                target.late_probability = 0.0
+                target.crash()
+                target.restart()
+                if heard:
+                    self.order(target, "/hold", acked_upto=0, fence=heard)
+                late.join()
+                self.assertEqual(running, len(target._runs))
+        finally:
+            target.close()
+        self.assertEqual([None, None], answers)
+
     def capacities_after_shrinking(self, grace_s):
         """Shrinks a target from 8000 to 1000 between two starts; returns the capacities reported."""
         checker = Checker(1, team_limit_cpu_milli=4000)
         reported = []
         checker.run_started = lambda *fields: reported.append(fields[4])
         checker.run_ended = lambda *fields: None
-        store = types.SimpleNamespace(down=False, put=lambda *fields: None)
+        store = types.SimpleNamespace(
+            down=False, put=lambda *fields: None, has_start=lambda *_: True
+        )
         with unittest.mock.patch.object(target_module, "SHRINK_GRACE_S", grace_s):
             target = Target("t", Ports(os.getpid() * 41).take(), "a", 8000, store, checker)
             try:
