--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -31,6 +31,7 @@
     def __init__(self, seed, team_limit_cpu_milli):
         self.violations = []
         self.starts = 0
+        self.events = []  # What targets and faults did, for the trace of a violation.
         self._limit = team_limit_cpu_milli
         self._random = random.Random(seed)
         self._lock = threading.Lock()
@@ -51,6 +52,9 @@
         with self._lock:
             return self._random.choice(options)
 
+    def note(self, what):
+        self.events.append(f"{time.time():.3f} {what}\n")
+
     def report_violation(self, what):
         with self._lock:
             self._report_violation(what)
@@ -70,6 +74,7 @@
         return self._jobs.get(task.split(".")[0])
 
     def run_started(self, target, task, number, used, capacity):
+        self.note(f"{target} started {task} run {number} used {used}")
         with self._lock:
             self.starts += 1
             job = self._job_of(task)
@@ -104,7 +109,8 @@
                     f"team limit exceeded: {job.team} uses {in_use} of {self._limit} with {task}"
                 )
 
-    def run_ended(self, target, task, _number, how):
+    def run_ended(self, target, task, number, how):
+        self.note(f"{target} ended {task} run {number} {how}")
         with self._lock:
             self._running.get(task, set()).discard(target)
             if how == "done":
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -162,11 +162,13 @@
         name = cell.random.choice(names or sorted(set(makers) - ONLY_IF_NAMED))
         fault = makers[name]()
         applied.append(name)
+        cell.checker.note(f"fault {name} for {fault.lasts_s:.1f} s")
         fault.apply()
         healing.append((time.monotonic() + fault.lasts_s, fault))
         time.sleep(cell.random.uniform(0.1, 1.5))
         for due, active in list(healing):
             if due <= time.monotonic():
+                cell.checker.note(f"fault healed that was due for {time.monotonic() - due:.1f} s")
                 active.heal()
                 healing.remove((due, active))
     for _, active in healing:
@@ -215,6 +217,7 @@
     for violation in found[:20]:
         print(f"  {violation}")
     if found:
+        (cell.folder / "events.log").write_text("".join(cell.checker.events))
         print(f"  faults: {' '.join(applied)}\n  logs: {cell.folder}", flush=True)
     else:
         shutil.rmtree(cell.folder)
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -62,6 +62,7 @@
         """Loses all runs; does not answer until restart()."""
         with self._lock:
             self._crashed = True
+            self._checker.note(f"{self.name} crashed")
             for task, run in self._runs.items():
                 self._checker.run_lost(self.name, task, run.number)
             self._runs.clear()
@@ -69,8 +70,11 @@
 
     def restart(self):
         with self._lock:
-            self._start_incarnation()
-            self._crashed = False
+            # The crashes of two faults may overlap; the first to be healed restarts the target.
+            if self._crashed:
+                self._start_incarnation()
+                self._crashed = False
+                self._checker.note(f"{self.name} restarted, born {self.born}")
 
     def _start_incarnation(self):
         self.born = int(time.time() * 1000)
@@ -145,7 +149,10 @@
         if path == "/run-start":
             self._check_stored(fields)
         if self.late_probability and self._checker.chance(self.late_probability):
-            if not self._stop.wait(self._checker.uniform(*LATE_S)) and not self._crashed:
+            delay_s, born = self._checker.uniform(*LATE_S), self.born
+            self._checker.note(f"{self.name} gets late in {delay_s:.1f} s: {path} {fields}")
+            if not self._stop.wait(delay_s) and not self._crashed:
+                self._checker.note(f"{self.name} born {born} late: {path} {fields}")
                 # Nobody waits for an end any more.
                 self._execute(path, {**fields, "wait_ms": 0})
             raise NoAnswer()
