--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -20,7 +20,10 @@
 # Kinds of planned work. Every request is answered if nothing else happens.
 PLANNED = {"stop", "reload", "evacuate", "revoke", "quota"}
 # Kinds that are injected only if named, so that the seeds of former failures draw the same faults.
-ONLY_IF_NAMED = {"reload", "target_shrinks", "target_answer_reset", "target_rejects"}
+ONLY_IF_NAMED = {
+    "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
+    "target_late_any", "target_rejects",
+}
 
 
 class Fault:
@@ -118,6 +121,9 @@
         "store_down": lambda: toggled(cell.store, seconds(), down=True),
         "store_slow": lambda: toggled(cell.store, seconds(), delay_s=rng.uniform(0.05, 0.5)),
         "store_lost": lambda: toggled(cell.store, seconds(), loss_probability=0.4),
+        "store_late": lambda: toggled(
+            cell.store, seconds(), late_probability=rng.uniform(0.05, 0.3)
+        ),
         "store_cut": lambda: toggled(daemon().store, seconds(), drop_all=True),
         "store_one_way": lambda: toggled(daemon().store, seconds(), drop_replies=True),
         "store_silent": lambda: Fault(0, daemon().store.stall_open),
@@ -132,6 +138,13 @@
         "target_answer_reset": lambda: toggled(
             path(), seconds(), answer_reset_probability=rng.uniform(0.05, 0.4)
         ),
+        "target_late": lambda: toggled(
+            target(), seconds(), late_probability=rng.uniform(0.1, 0.5)
+        ),
+        # Breaks guarantees: a start may be carried out between a restart and the first orders.
+        "target_late_any": lambda: toggled(
+            target(), seconds(), late_probability=rng.uniform(0.1, 0.5), late_to_any=True
+        ),
         "target_rejects": lambda: toggled(
             target(), seconds(), rejection_probability=rng.uniform(0.1, 0.6)
         ),
@@ -153,11 +166,13 @@
         name = cell.random.choice(names or sorted(set(makers) - ONLY_IF_NAMED))
         fault = makers[name]()
         applied.append(name)
+        cell.checker.note(f"fault {name} for {fault.lasts_s:.1f} s")
         fault.apply()
         healing.append((time.monotonic() + fault.lasts_s, fault))
         time.sleep(cell.random.uniform(0.1, 1.5))
         for due, active in list(healing):
             if due <= time.monotonic():
+                cell.checker.note(f"fault healed that was due for {time.monotonic() - due:.1f} s")
                 active.heal()
                 healing.remove((due, active))
     for _, active in healing:
@@ -199,12 +214,14 @@
     found = cell.checker.violations
     print(
         f"seed {seed}: {len(applied)} faults, {len(cell.checker.jobs())} jobs, "
-        f"{cell.checker.starts} starts, {len(found)} violations",
+        f"{cell.checker.starts} starts, {cell.store.snapshots()} snapshots, "
+        f"{len(found)} violations",
         flush=True,
     )
     for violation in found[:20]:
         print(f"  {violation}")
     if found:
+        (cell.folder / "events.log").write_text("".join(cell.checker.events))
         print(f"  faults: {' '.join(applied)}\n  logs: {cell.folder}", flush=True)
     else:
         shutil.rmtree(cell.folder)
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -7,6 +7,8 @@
 from http_service import HttpService, NoAnswer, json_answer
 
 MAX_LEASE_MS = 6000
+# Range of the time after which a late order is carried out, whichever incarnation there is then.
+LATE_S = (2, 12)
 # Answers of a target that has not carried out a start: status and body.
 REJECTIONS = [(429, {}), (503, {}), (409, {"reason": "room"}), (409, {"reason": "ticket"})]
 REGISTRY_INTERVAL_S = 0.5
@@ -32,6 +34,9 @@
         self.registry_address = self.address  # That of the proxy, if there is one.
         self.draining = False
         self.loss_probability = 0.0  # Of the answer to an order that was carried out.
+        self.late_probability = 0.0  # Of an order, which gets no answer and is carried out later.
+        # Whether late orders may be carried out by an incarnation that has not got a start yet.
+        self.late_to_any = False
         self.fails_tasks = False
         self.unhealthy = False  # Starts are answered with 503 and not carried out.
         self.rejection_probability = 0.0  # Of a start, which is then not carried out.
@@ -59,6 +64,7 @@
         """Loses all runs; does not answer until restart()."""
         with self._lock:
             self._crashed = True
+            self._checker.note(f"{self.name} crashed")
             for task, run in self._runs.items():
                 self._checker.run_lost(self.name, task, run.number)
             self._runs.clear()
@@ -66,8 +72,11 @@
 
     def restart(self):
         with self._lock:
-            self._start_incarnation()
-            self._crashed = False
+            # The crashes of two faults may overlap; the first to be healed restarts the target.
+            if self._crashed:
+                self._start_incarnation()
+                self._crashed = False
+                self._checker.note(f"{self.name} restarted, born {self.born}")
 
     def _start_incarnation(self):
         self.born = int(time.time() * 1000)
@@ -80,6 +89,7 @@
         self._last_end_number = 0
         self._lapsed_upto = 0  # Number of the last end that was listed when the lease lapsed.
         self._sequence = 0
+        self._got_start = False
 
     def _clock_ms(self):
         """Time since the start of the incarnation."""
@@ -139,6 +149,36 @@
         if self._crashed:
             raise NoAnswer()
         fields = json.loads(body or b"{}")
+        if path == "/run-start":
+            self._check_stored(fields)
+        if self.late_probability and self._checker.chance(self.late_probability):
+            self._execute_late(path, fields)
+            raise NoAnswer()
+        self._got_start = self._got_start or path == "/run-start"
+        return self._execute(path, fields)
+
+    def _execute_late(self, path, fields):
+        delay_s, born, to_any = self._checker.uniform(*LATE_S), self.born, self.late_to_any
+        self._checker.note(f"{self.name} gets late in {delay_s:.1f} s: {path} {fields}")
+        if self._stop.wait(delay_s):
+            return
+        # Until the owner's first orders, nothing tells an incarnation that these are not for it.
+        while self.born != born and not (to_any or self._got_start):
+            if self._stop.wait(0.01):
+                return
+        if not self._crashed:
+            self._checker.note(f"{self.name} born {born} late: {path} {fields}")
+            # Nobody waits for an end any more.
+            self._execute(path, {**fields, "wait_ms": 0})
+
+    def _check_stored(self, start):
+        task, run = start["task"], start["run"]
+        if not self._store.has_start(task, run, self.name):
+            self._checker.report_violation(
+                f"started before it was stored: {task} run {run} on {self.name}"
+            )
+
+    def _execute(self, path, fields):
         if path == "/run-start":
             if self.unhealthy:
                 return json_answer(503)
