Measure a target's silence from when its entry was written, not read

Callers would see two runs of a task at once. A draining target that lives and is cut off counted as left if its last write and the removal of its entry were read within 3 s, and its tasks started elsewhere at once, while its lease had seconds to go. Reads that were late were noticed only by the latency of all calls to the store. If the partition of the registry alone is down, or slow, the other calls answer and both records are read together.

Now the age of a write counts from the last read before the one that brought it: whatever was stored before that read was sent is known, so that the write is not older. log_tail states this time with the records, and registry_view passes it on to the owner. The guards by the store's latency and the owner's pauses stay.

Ruled out: a limit on the age of the registry when the removal is read, which is new by then; the latency of reads of this topic alone, which has no sample while they fail.

left_targets.aDrainingTargetKeepsItsRunsIfOnlyTheRegistryWasReadLate and log_tail.tellsHowOldTheRecordsOfALateReadMayBe fail with the time of the read in place of that time (the task runs elsewhere before the lease ends), and pass now.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -107,9 +107,9 @@
                     }
                   },
                 .mOnWritten =
-                  [this](const std::string& aId) {
+                  [this](const std::string& aId, time_point aSince) {
                     if (mOwner) {
-                      mOwner->onEntryWritten(aId, mClock.now());
+                      mOwner->onEntryWritten(aId, aSince);
                     }
                   },
                 .mOnRemoved =
@@ -264,11 +264,13 @@
     log_tail_options{ .mTopic = std::string(platform::kRegistryTopic),
                       .mKeyed = true,
                       .mWait = std::chrono::milliseconds(0) },
-    log_tail::callbacks{
-      .mOnRecords = [this](const auto& aRecords, std::uint64_t) { mRegistry.read(aRecords); },
-      .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); },
-      .mOnUnreadable = unreadable(platform::kRegistryTopic),
-      .mOnEvent = logEvent });
+    log_tail::callbacks{ .mOnRecords =
+                           [this](const auto& aRecords, std::uint64_t) {
+                             mRegistry.read(aRecords, mRegistryTail->recordsSince());
+                           },
+                         .mOnNewest = [this](const auto& aRecords) { mRegistry.replace(aRecords); },
+                         .mOnUnreadable = unreadable(platform::kRegistryTopic),
+                         .mOnEvent = logEvent });
   mOwnerTail = std::make_unique<log_tail>(
     mStore, mClock, log_tail_options{ .mTopic = kOwnerTopic, .mInterval = kOwnerTopicReadInterval },
     log_tail::callbacks{
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -26,8 +26,8 @@
 /// sooner on others.
 constexpr std::chrono::milliseconds kLease{ 7000 };
 
-/// Number of the targets' registry intervals between the reads of a silent target's last write and
-/// of its removal, at least: the registry waits for three, and the first read may be late by one.
+/// Number of the targets' registry intervals between a silent target's last write and its removal,
+/// at least: the registry waits for three, and measures them on another clock.
 constexpr int kMinSilentIntervals = 2;
 
 /// Time since an owner's last record in which it may hold ends that the journal lacks, and targets
--- a/node/src/log_tail.cpp
+++ b/node/src/log_tail.cpp
@@ -185,6 +185,7 @@
     return;
   }
   const auto offset = mNext;
+  mRecordsSince = mFreshAsOf;
   mNext += aReply.mRecords.size();
   noteEnd(aReply.mEnd, aReceipt.mSent);
   succeed();
--- a/node/src/log_tail.h
+++ b/node/src/log_tail.h
@@ -63,6 +63,9 @@
   /// newest read was sent whose end of the topic has been reached: an answer holds a limited number
   /// of records.
   time_point freshAsOf() const { return mFreshAsOf; }
+  /// The records that are being reported were stored at or after this time, unless the tail was
+  /// restarted before them.
+  time_point recordsSince() const { return mRecordsSince; }
   /// Whether the end of the topic has been reached once.
   bool caughtUp() const { return mCaughtUp; }
   std::uint64_t next() const { return mNext; }
@@ -97,6 +100,7 @@
   std::optional<topic_end> mAwaitedEnd;
   time_point mNextReadAt{};
   time_point mFreshAsOf{};
+  time_point mRecordsSince{};
   std::uint32_t mFailures = 0;
   /// Time at which the read in flight, or the last one, was sent.
   time_point mSentAt{};
--- a/node/src/registry_view.cpp
+++ b/node/src/registry_view.cpp
@@ -20,12 +20,12 @@
 {
 }
 
-void registry_view::read(const std::vector<std::string>& aRecords)
+void registry_view::read(const std::vector<std::string>& aRecords, time_point aSince)
 {
   for (const auto& bytes : aRecords) {
     if (const auto record = platform::decodeKeyed(bytes)) {
       if (readRecord(*record)) {
-        mCallbacks.mOnWritten(record->mKey);
+        mCallbacks.mOnWritten(record->mKey, aSince);
       } else if (!record->mValue) {
         mCallbacks.mOnRemoved(record->mKey);
       }
--- a/node/src/registry_view.h
+++ b/node/src/registry_view.h
@@ -24,16 +24,18 @@
   {
     std::function<void(const scheduler::target_entry& aEntry)> mOnListed;
     std::function<void(const std::string& aId)> mOnUnlisted;
-    /// Called after mOnListed for an entry that was read as the target wrote it, not from a
-    /// listing.
-    std::function<void(const std::string& aId)> mOnWritten = [](const std::string&) {};
+    /// Called after mOnListed for an entry that was read as the target wrote it, at or after
+    /// aSince, not from a listing.
+    std::function<void(const std::string& aId, time_point aSince)> mOnWritten =
+      [](const std::string&, time_point) {};
     /// Called after mOnUnlisted if the registry has removed the entry.
     std::function<void(const std::string& aId)> mOnRemoved = [](const std::string&) {};
   };
 
   registry_view(event_log& aLog, const clock& aClock, callbacks aCallbacks);
 
-  void read(const std::vector<std::string>& aRecords);
+  /// @param aSince time at or after which the records were stored
+  void read(const std::vector<std::string>& aRecords, time_point aSince);
   /// Replaces all known targets by those of aRecords, the newest record of each key.
   void replace(const std::vector<platform::keyed_record>& aRecords);
 
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -32,9 +32,8 @@
   /// Latest times at which former owners may have renewed leases, by epoch. Without one, they may
   /// have done so for mMaxRenewalAge after the next epoch began.
   std::map<std::uint64_t, time_point> mLatestActs{};
-  /// Shortest time between the reads of a target's last write and of the removal of its entry,
-  /// unless it has left: what the registry waits for, less the time by which the first read may be
-  /// late.
+  /// Shortest time between a target's last write and the removal of its entry, unless it has left:
+  /// what the registry waits for, less a margin for its clock.
   std::chrono::milliseconds mMinEntryLapse{ 3000 };
   /// Minimum time between two planning passes.
   std::chrono::milliseconds mPlanInterval{ 20 };
@@ -100,8 +99,9 @@
   void setNewestRecord(std::uint64_t aNumber);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
-  /// Called after setTarget() if the target has just written its entry.
-  void onEntryWritten(std::string_view aId, time_point aNow);
+  /// Called after setTarget() if the target's last write of its entry was read, which the registry
+  /// took at or after aSince.
+  void onEntryWritten(std::string_view aId, time_point aSince);
   /// Called after removeTarget() if the registry has just removed the entry: its target has left,
   /// or was silent.
   void onEntryRemoved(std::string_view aId, time_point aNow);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -676,9 +676,9 @@
   mImpl->removeTarget(aId, aNow);
 }
 
-void owner::onEntryWritten(std::string_view aId, time_point aNow)
+void owner::onEntryWritten(std::string_view aId, time_point aSince)
 {
-  mImpl->onEntryWritten(aId, aNow);
+  mImpl->onEntryWritten(aId, aSince);
 }
 
 void owner::onEntryRemoved(std::string_view aId, time_point aNow)
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -30,7 +30,7 @@
   void configure(std::shared_ptr<const cell_config> aConfig);
   void setTarget(const target_entry& aEntry, time_point aNow);
   void removeTarget(std::string_view aId, time_point aNow);
-  void onEntryWritten(std::string_view aId, time_point aNow);
+  void onEntryWritten(std::string_view aId, time_point aSince);
   void onEntryRemoved(std::string_view aId, time_point aNow);
   void onRecordApplied(job& aJob, time_point aNow, wall_time aWall);
   void accept(const journal_record& aRecord, std::uint64_t aToken, time_point aNow,
--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -97,16 +97,17 @@
 
 bool owner::impl::hasLeft(const target_state& aTarget, time_point aNow) const
 {
-  // A read that was late may have brought the last write only shortly before its removal.
-  return aTarget.mEntry.mDraining && aTarget.mWrittenAt &&
-         aNow - *aTarget.mWrittenAt < mOptions.mMinEntryLapse && !wasPaused(aNow) &&
+  // How long ago the last write was, at most, not when it was read: the registry may have been read
+  // too late to tell a write from its removal, while the rest of the store answered.
+  return aTarget.mEntry.mDraining && aTarget.mWrittenSince &&
+         aNow - *aTarget.mWrittenSince < mOptions.mMinEntryLapse && !wasPaused(aNow) &&
          aNow - mStoreUnresponsiveAt > mOptions.mMinEntryLapse;
 }
 
-void owner::impl::onEntryWritten(std::string_view aId, time_point aNow)
+void owner::impl::onEntryWritten(std::string_view aId, time_point aSince)
 {
   if (const auto found = mTargets.find(aId); found != mTargets.end()) {
-    found->second.mWrittenAt = aNow;
+    found->second.mWrittenSince = aSince;
   }
 }
 
@@ -121,8 +122,8 @@
   if (left) {
     target.mLeftAt = aNow;
   }
-  const auto writeAge = target.mWrittenAt
-                          ? (aNow - *target.mWrittenAt) / std::chrono::milliseconds(1)
+  const auto writeAge = target.mWrittenSince
+                          ? (aNow - *target.mWrittenSince) / std::chrono::milliseconds(1)
                           : std::chrono::milliseconds::rep{ -1 };
   mPort.logDecision("entry_removed",
                     fmt::format("target={} draining={} has_left={} write_age_ms={} runs={}", aId,
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -125,8 +125,9 @@
   time_point mHeartbeatSentAt{};
   time_point mNextHeartbeat{};
   time_point mLastReply{};
-  /// Time at which the target's last write of its entry was read, not from a listing.
-  std::optional<time_point> mWrittenAt;
+  /// Time at or after which the registry took the target's last write of its entry; absent if that
+  /// was read from a listing.
+  std::optional<time_point> mWrittenSince;
   /// Time at which the removal of its entry was read, if it shows that the target has left unless
   /// it answers a later heartbeat.
   std::optional<time_point> mLeftAt;
--- a/tests/node/log_tail_test.cpp
+++ b/tests/node/log_tail_test.cpp
@@ -23,6 +23,8 @@
   manual_clock time;
   log_tail* tail = nullptr;
   std::vector<std::string> records;
+  /// See log_tail::recordsSince(), of the records that were reported last.
+  time_point since{};
 
   void setup() override
   {
@@ -31,6 +33,7 @@
     tail = new log_tail(store->mStore, time, { .mTopic = "topic" },
                         { .mOnRecords = [this](const auto& aRecords, std::uint64_t) {
                           records.insert(records.end(), aRecords.begin(), aRecords.end());
+                          since = tail->recordsSince();
                         } });
   }
   void teardown() override
@@ -74,3 +77,24 @@
   CHECK(readTo(3));
   CHECK(tail->freshAsOf() == first + seconds(1));
 }
+
+// Guards against a record that is taken for new because it was read late: nobody knows how long
+// before the read it was stored.
+TEST(log_tail, tellsHowOldTheRecordsOfALateReadMayBe)
+{
+  store->append("topic", { "a" });
+  const auto first = time.now();
+  CHECK(readTo(1));
+  time.mNow += seconds(1);
+  store->append("topic", { "b", "c" });
+  time.mNow += seconds(3);
+  CHECK(readTo(2));
+  CHECK(since == first);
+  time.mNow += seconds(1);
+  CHECK(readTo(3));
+  CHECK(since == first);
+  store->append("topic", { "d" });
+  time.mNow += seconds(1);
+  CHECK(readTo(4));
+  CHECK(since == first + seconds(5));
+}
--- a/tests/node/registry_entries_test.cpp
+++ b/tests/node/registry_entries_test.cpp
@@ -48,7 +48,8 @@
     tail = new log_tail(
       store->mStore, store->mClock,
       { .mTopic = topic, .mKeyed = true, .mWait = std::chrono::milliseconds(0) },
-      { .mOnRecords = [this](const auto& aRecords, std::uint64_t) { view->read(aRecords); },
+      { .mOnRecords = [this](const auto& aRecords,
+                             std::uint64_t) { view->read(aRecords, tail->recordsSince()); },
         .mOnNewest = [this](const auto& aRecords) { view->replace(aRecords); },
         .mOnFailure = [this] { ++failures; } });
   }
--- a/tests/node/registry_view_test.cpp
+++ b/tests/node/registry_view_test.cpp
@@ -75,10 +75,12 @@
 
   void write(const std::string& aCapacity, int aBorn = 1, const std::string& aId = "t1")
   {
-    view->read({ platform::encodeKeyed(
-      aId, fmt::format(R"({{"service":"p","addr":"10.0.0.1:1","zone":"a","state":"ready",)"
-                       R"("born":{},"labels":["k","r1"],"capacity":{}}})",
-                       aBorn, aCapacity)) });
+    view->read(
+      { platform::encodeKeyed(
+        aId, fmt::format(R"({{"service":"p","addr":"10.0.0.1:1","zone":"a","state":"ready",)"
+                         R"("born":{},"labels":["k","r1"],"capacity":{}}})",
+                         aBorn, aCapacity)) },
+      time.now());
   }
   /// Whether a job of one task is rejected as one that can never run.
   bool rejects(const resources& aNeeds) const
--- a/tests/scheduler/fake_services.h
+++ b/tests/scheduler/fake_services.h
@@ -34,6 +34,8 @@
   bool mReachesStore = true;
   time_point mNextWrite{};
   time_point mWrittenAt{};
+  /// Whether the owner has not read the last write.
+  bool mHasUnreadWrite = false;
   /// Heartbeats that were sent before this time stay open until then, and get no reply.
   time_point mLosesHeartbeatsUntil{};
   /// Whether start orders are executed but their replies are lost.
--- a/tests/scheduler/left_targets_test.cpp
+++ b/tests/scheduler/left_targets_test.cpp
@@ -162,6 +162,24 @@
   CHECK(timeUntilOnB() >= cell.mOptions.mLease - milliseconds(1500));
 }
 
+// The same for an outage of the registry's partition alone, while the owner's other calls to the
+// store are answered: the last write and the removal are read together.
+TEST(left_targets, aDrainingTargetKeepsItsRunsIfOnlyTheRegistryWasReadLate)
+{
+  cell.run(milliseconds(5000));
+  startOnA(tasks(1));
+  cell.drainTarget("a");
+  cell.mReadsRegistry = false;
+  cell.run(milliseconds(1000));
+  cell.target("a").mReachesStore = false;
+  cell.run(milliseconds(3000));
+  cell.mReadsRegistry = true;
+  cell.run(milliseconds(5));
+  cell.unlistTarget("a");
+  cell.target("a").mReachable = false;
+  CHECK(timeUntilOnB() >= cell.mOptions.mLease - milliseconds(1500));
+}
+
 // The same for an owner that was paused and reads both at once, before its next tick.
 TEST(left_targets, aDrainingTargetKeepsItsRunsIfItsRemovalIsReadAfterAPause)
 {
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -234,6 +234,7 @@
       }
       readChangedEntries();
       writeEntries();
+      readWrites();
       restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
@@ -318,6 +319,9 @@
   /// Whether tasks end as done after their estimate, except long-running ones.
   bool mTasksEnd = false;
   bool mStoreDown = false;
+  /// Whether the store answers reads of the registry, and when the last one was sent.
+  bool mReadsRegistry = true;
+  time_point mRegistryReadAt{};
   /// Whether the owner is not ticked, as long as its last accepted renewal is too old.
   bool mPaused = false;
   /// Duration of one append; the store executes appends sequentially.
@@ -439,7 +443,20 @@
           target.mReachesStore && !mStoreDown) {
         target.mNextWrite = mNow + kWriteInterval;
         target.mWrittenAt = mNow;
-        mOwner->onEntryWritten(id, mNow);
+        target.mHasUnreadWrite = true;
+      }
+    }
+  }
+
+  void readWrites()
+  {
+    if (!mReadsRegistry) {
+      return;
+    }
+    const auto since = std::exchange(mRegistryReadAt, mNow);
+    for (auto& [id, target] : mTargets) {
+      if (std::exchange(target.mHasUnreadWrite, false) && target.mListed) {
+        mOwner->onEntryWritten(id, since);
       }
     }
   }
