--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -18,7 +18,8 @@
 inline constexpr auto kTargetLossMemory = std::chrono::minutes(10);
 
 /// Table of all jobs, built by applying the journal. Deterministic: inapplicable records, such as
-/// the second submission of a job, change nothing.
+/// the second submission of a job, change nothing. A cancellation also takes effect if it precedes
+/// the submission: another daemon may store it while the owner's append is behind.
 class job_table
 {
 public:
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -77,10 +77,14 @@
 job* job_table::applyRecord(const job_submitted& aRecord, time_point /*aNow*/)
 {
   const auto [at, isNew] = mJobs.try_emplace(aRecord.mSpec.mId);
+  job& made = at->second;
   if (!isNew) {
+    if (made.mPhase == job_phase::cancelled && made.mSpec.mRoute.empty()) {
+      made.mSpec.mRoute = aRecord.mSpec.mRoute;
+      made.mSpec.mTeam = aRecord.mSpec.mTeam;
+    }
     return nullptr;
   }
-  job& made = at->second;
   made.mSpec = aRecord.mSpec;
   if (made.mSpec.mRepeat == 0) {
     openOccurrence(made, 0);
@@ -91,12 +95,18 @@
 
 job* job_table::applyRecord(const job_cancelled& aRecord, time_point aNow)
 {
-  job* found = find(aRecord.mJob);
-  if (found == nullptr || found->mPhase != job_phase::active) {
+  const auto [at, isNew] = mJobs.try_emplace(aRecord.mJob);
+  job& found = at->second;
+  if (isNew) {
+    // The owner knew the job before its submission was stored, which may still be.
+    found.mSpec.mId = aRecord.mJob;
+    found.mStarted = true;
+  }
+  if (found.mPhase != job_phase::active) {
     return nullptr;
   }
-  finish(*found, job_phase::cancelled, aNow);
-  return found;
+  finish(found, job_phase::cancelled, aNow);
+  return &found;
 }
 
 job* job_table::applyRecord(const run_started& aRecord, time_point /*aNow*/)
--- a/tests/scheduler/job_table_test.cpp
+++ b/tests/scheduler/job_table_test.cpp
@@ -75,3 +75,26 @@
   CHECK(restored.hasPlaceFor(ended(task())));
   CHECK(restored.hasPlaceFor(job_abandoned{ .mJob = kJob }));
 }
+
+// Guards against a task of a job whose cancellation was confirmed: it was stored while the owner's
+// append with the submission was behind, so that it comes first in the journal.
+TEST(job_table, aCancellationBeforeTheSubmissionTakesEffect)
+{
+  constexpr auto kOther = static_cast<job_id>(6);
+  table.apply(job_cancelled{ .mJob = kOther }, time_point{});
+  job_table restored;
+  for (const auto& record : table.snapshot(time_point{})) {
+    restored.apply(*decodeRecord(encode(record)), time_point{});
+  }
+  for (auto* one : { &table, &restored }) {
+    job_spec spec{ .mId = kOther, .mRoute = "r", .mTeam = "t" };
+    spec.mSteps.push_back({ .mCount = 1 });
+    CHECK(one->apply(job_submitted{ .mSpec = spec }, time_point{}) == nullptr);
+    const auto* found = one->find(kOther);
+    CHECK(found->mPhase == job_phase::cancelled);
+    CHECK_EQUAL("t", found->mSpec.mTeam);
+    CHECK_EQUAL(1, one->waitingJobs("r"));
+    one->removeEnded(time_point{} + std::chrono::seconds(1));
+    CHECK(one->find(kOther) == nullptr);
+  }
+}
