Append only what the store takes

Callers would see a cell that accepts and starts nothing any more. The store refuses an append of over 2 MB, or a record of over 256 KB, each time; the owner repeats it for ever, and all later records wait. Three inputs lead there: a job of 13 steps of 4,096 tasks, whose starts are one batch of 2.28 MB; a job whose body has 256 KB to 1 MB, which the callers' server takes; and a checkpoint of that size in a target's report.

journal_writer splits a write at the boundaries of records, and counts their lengths when it joins writes. Of a write that is split a reader may find the first part only; each prefix of the owner's records is a valid state, as after any append. A job whose record would be too large is rejected with 400.

Ruled out: stepping down after a refusal of 400 (the next owner reads the same reports); reading the limits from the settings (they are the platform's, and the daemons use constants for them already).

--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-/// Size at which an append takes no further records; the platform's limit is 2 MB.
-constexpr std::size_t kMaxCallBytes = std::size_t{ 1 } << 20U;
+/// Size of an append beyond which it takes no further records.
+constexpr std::size_t kMaxCallBytes = platform::kMaxAppendBytes / 2;
+/// Length of a record in front of it.
+constexpr std::size_t kLengthBytes = 4;
 /// Bits of the sequence number within an epoch; more appends than a daemon makes in a year.
 constexpr unsigned kSequenceBits = 32;
 /// Pause before an append is retried. It doubles with each try after a refusal, but not after a
@@ -20,6 +22,32 @@
 constexpr auto kRetryPause = std::chrono::milliseconds(10);
 constexpr auto kMaxRetryPause = std::chrono::milliseconds(160);
 
+std::size_t sizeOf(const std::vector<std::string>& aRecords)
+{
+  std::size_t bytes = 0;
+  for (const auto& record : aRecords) {
+    bytes += record.size() + kLengthBytes;
+  }
+  return bytes;
+}
+
+/// Returns the records in order, in parts each of which the store takes in one append.
+std::vector<std::vector<std::string>> splitForStore(std::vector<std::string> aRecords)
+{
+  std::vector<std::vector<std::string>> parts(1);
+  std::size_t bytes = 0;
+  for (auto& record : aRecords) {
+    const auto size = record.size() + kLengthBytes;
+    if (!parts.back().empty() && bytes + size > kMaxCallBytes) {
+      parts.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    parts.back().push_back(std::move(record));
+  }
+  return parts;
+}
+
 } // namespace
 
 journal_writer::journal_writer(platform::store& aStore, const clock& aClock,
@@ -36,8 +64,25 @@
     aDone(write_outcome::fenced);
     return;
   }
+  auto parts = splitForStore(std::move(aRecords));
+  if (parts.size() > 1) {
+    const auto allStored = std::make_shared<bool>(true);
+    for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
+      mWaiting.push_back({ .mRecords = std::move(parts[part]),
+                           .mDone =
+                             [allStored](write_outcome aOutcome) {
+                               *allStored = *allStored && aOutcome == write_outcome::stored;
+                             },
+                           .mNotAfter = aNotAfter });
+    }
+    aDone = [allStored, done = std::move(aDone)](write_outcome aOutcome) {
+      const bool known =
+        aOutcome == write_outcome::fenced || (aOutcome == write_outcome::stored && *allStored);
+      done(known ? aOutcome : write_outcome::unknown);
+    };
+  }
   mWaiting.push_back(
-    { .mRecords = std::move(aRecords), .mDone = std::move(aDone), .mNotAfter = aNotAfter });
+    { .mRecords = std::move(parts.back()), .mDone = std::move(aDone), .mNotAfter = aNotAfter });
   tick(mClock.now());
 }
 
@@ -68,16 +113,19 @@
 {
   std::vector<entry> expired;
   std::size_t bytes = 0;
-  while (!mWaiting.empty() && bytes < kMaxCallBytes) {
+  while (!mWaiting.empty()) {
+    const bool isExpired = mWaiting.front().expired(aNow);
+    const auto size = isExpired ? 0 : sizeOf(mWaiting.front().mRecords);
+    if (!mCurrent.empty() && bytes + size > kMaxCallBytes) {
+      break;
+    }
     auto next = std::move(mWaiting.front());
     mWaiting.pop_front();
-    if (next.expired(aNow)) {
+    if (isExpired) {
       expired.push_back(std::move(next));
       continue;
     }
-    for (const auto& record : next.mRecords) {
-      bytes += record.size();
-    }
+    bytes += size;
     std::ranges::move(next.mRecords, std::back_inserter(mCurrentRecords));
     mCurrent.push_back(std::move(next));
   }
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -38,9 +38,11 @@
 };
 
 /// Appends records in order with one call in flight at a time; records written meanwhile are
-/// batched into the next call. An unanswered append is repeated with the same sequence number until
-/// its outcome is known. Records that may no longer be stored by then are withdrawn: the append is
-/// repeated without them under the next epoch, so that the store rejects copies that are under way.
+/// batched into the next call. The records of one write that are more than the store takes in one
+/// append are stored in several, so that a reader may find only the first of them. An unanswered
+/// append is repeated with the same sequence number until its outcome is known. Records that may no
+/// longer be stored by then are withdrawn: the append is repeated without them under the next
+/// epoch, so that the store rejects copies that are under way.
 class journal_writer
 {
 public:
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -37,6 +37,13 @@
   return fmt::format("job={} route={} team={}", toText(aId), aRoute, aTeam);
 }
 
+/// Whether the job's record is larger than the store takes. Only long bodies make long records.
+bool isTooLarge(const scheduler::job_spec& aSpec, std::size_t aBodyBytes)
+{
+  return aBodyBytes > platform::kMaxRecordBytes / 2 &&
+         encode(scheduler::job_submitted{ .mSpec = aSpec }).size() > platform::kMaxRecordBytes;
+}
+
 } // namespace
 
 request_handler::request_handler(const clock& aClock, const scheduler::job_table& aJobTable,
@@ -210,6 +217,11 @@
   spec->mAcceptedBy = jobTermsOf(aRoute);
   spec->mSubmitted = std::chrono::duration_cast<scheduler::wall_time>(
     std::chrono::system_clock::now().time_since_epoch());
+  if (isTooLarge(*spec, aBody.size())) {
+    // Such a record would be repeated for ever, and all later ones would wait for it.
+    reject(aReply, 400, kRetryAfterConfigChange, subject, "job too large");
+    return;
+  }
   const auto reason =
     unschedulableReason(*spec, aRoute, mCellStatus.mConfig->team(aTeam), mCapacity);
   // A known job was accepted before the configuration or the targets changed.
--- a/scheduler/include/endiveusher/scheduler/job_limits.h
+++ b/scheduler/include/endiveusher/scheduler/job_limits.h
@@ -10,4 +10,8 @@
 inline constexpr std::uint32_t kMaxTasksPerStep = 4096;
 inline constexpr std::uint32_t kMaxOccurrences = 1'000'000;
 
+/// Largest checkpoint of a task, in bytes. The record of the end of a run has to be one that the
+/// store takes.
+inline constexpr std::size_t kMaxCheckpointBytes = 4096;
+
 } // namespace endiveusher::scheduler
--- a/tests/node/journal_writer_test.cpp
+++ b/tests/node/journal_writer_test.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 
@@ -78,6 +79,45 @@
   CHECK(writer->repeats() > 0);
 }
 
+// Load pattern: a job of 13 steps of 4,096 tasks starts. Guards against an owner that stores
+// nothing more, because the store refuses its append as too large each time that it is repeated.
+TEST(journal_writer, storesWhatIsTooLargeForOneAppend)
+{
+  open(1);
+  constexpr std::size_t kRecords = 53'248;
+  std::vector<std::string> records;
+  for (std::size_t record = 0; record < kRecords; ++record) {
+    records.push_back(std::to_string(record) + std::string(40, '.'));
+  }
+  CHECK(write(records) == write_outcome::stored);
+  const std::lock_guard lock(store->mMutex);
+  CHECK(store->mModel.read("journal", 0) == records);
+}
+
+// The same for writes that wait for an append, each of which the store would take by itself.
+TEST(journal_writer, storesWhatWaitsInAppendsThatTheStoreTakes)
+{
+  open(1);
+  const std::array<std::size_t, 3> records{ 1, 9000, 15'000 };
+  std::size_t written = 0;
+  for (const auto count : records) {
+    writer->write(
+      std::vector<std::string>(count, std::string(100, 'r')),
+      [&written](write_outcome aOne) { written += aOne == write_outcome::stored ? 1 : 0; });
+  }
+  CHECK(store->runUntil([&written, &records] { return written == records.size(); },
+                        [this] { writer->tick(store->mClock.now()); }));
+  CHECK_EQUAL(24'001, stored());
+}
+
+// Guards against records that are reported as not stored although the first of them are.
+TEST(journal_writer, theOutcomeOfAWriteThatIsStoredInPartIsNotKnown)
+{
+  open(1, false);
+  store->mOddAnswers = { { .mStatus = 503, .mCarriedOut = false } };
+  CHECK(write(std::vector<std::string>(20, std::string(200'000, 'r'))) == write_outcome::unknown);
+}
+
 TEST(journal_writer, reportsARefusedAppend)
 {
   open(1, false);
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -516,3 +516,19 @@
   CHECK_EQUAL(503, answers[3].mStatus);
   CHECK_EQUAL(1, pendingStores.size());
 }
+
+// Guards against an owner that stores nothing more, because the store refuses one job as too large
+// each time that it is repeated.
+TEST(request_handler, rejectsAJobWhoseRecordTheStoreWouldRefuse)
+{
+  const auto bodyOf = [](std::size_t aBytes) {
+    return R"({"spec":")" + std::string(aBytes, 'x') + R"(","steps":[{"count":1,"cpu":100}]})";
+  };
+  call(platform::caller_request::verb::submit, "/r/0000000000000001", "k1",
+       bodyOf(platform::kMaxRecordBytes));
+  CHECK_EQUAL(400, lastStatus());
+  CHECK_EQUAL(0, pendingStores.size());
+  call(platform::caller_request::verb::submit, "/r/0000000000000002", "k1",
+       bodyOf(platform::kMaxRecordBytes - 1000));
+  CHECK_EQUAL(1, pendingStores.size());
+}
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -27,8 +27,10 @@
 {
 public:
   store_fixture()
-    : mServer({}, [this](edges::http_request aRequest,
-                         edges::responder aResponder) { serve(aRequest, aResponder); }),
+    : mServer({ .mMaxRequestBytes = std::size_t{ 16 } << 20U },
+              [this](edges::http_request aRequest, edges::responder aResponder) {
+                serve(aRequest, aResponder);
+              }),
       mStore(mLoop, "127.0.0.1:" + std::to_string(mServer.port()))
   {
   }
@@ -81,6 +83,8 @@
     mModel.append({ .mTopic = aTopic, .mRecords = aRecords });
   }
 
+  /// Maximum size of an append.
+  std::size_t mMaxCallBytes = std::size_t{ 2 } << 20U;
   /// Maximum number of records in the answer to a read.
   std::size_t mMaxRecordsPerRead = 1'000'000;
   /// Number of reads, by topic.
@@ -149,6 +153,10 @@
     }
     const auto topic = aRequest.mQuery.at("topic");
     if (aRequest.mPath == "/log-append") {
+      if (aRequest.mBody.size() > mMaxCallBytes) {
+        aResponder.answer({ .mStatus = 400 });
+        return;
+      }
       if (topic == mRefusedTopic) {
         ++mRefusedAppends;
         aResponder.answer({ .mStatus = 503 });
--- a/tests/platform/target_answers_test.cpp
+++ b/tests/platform/target_answers_test.cpp
@@ -1,4 +1,5 @@
 #include "endiveusher/platform/messages.h"
+#include "endiveusher/scheduler/job_limits.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -18,3 +19,19 @@
                body);
   }
 }
+
+// Guards against an owner that stores nothing more, because the store refuses a record with the
+// checkpoint as too large each time that it is repeated.
+TEST(platform_answers, anOverlongCheckpointIsNone)
+{
+  const std::string longest(scheduler::kMaxCheckpointBytes, 'c');
+  const auto reportWith = [](const std::string& aCheckpoint) {
+    return decodeReport(R"({"running":[["5c0e7a21d94b36f8.0.1.17",2,")" + aCheckpoint +
+                        R"(",41]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"stopped",")" +
+                        aCheckpoint + R"("]]})");
+  };
+  CHECK_EQUAL(longest, reportWith(longest)->mRunning.at(0).mCheckpoint);
+  CHECK_EQUAL(longest, reportWith(longest)->mEnded.at(0).mCheckpoint);
+  CHECK_EQUAL("", reportWith(longest + "c")->mRunning.at(0).mCheckpoint);
+  CHECK_EQUAL("", reportWith(longest + "c")->mEnded.at(0).mCheckpoint);
+}
