Limit the size of calls with forwarded records

Callers would get no answer for 10 s at one daemon. Up to 200 records go to the owner in one call, whose server takes 1 MB; a call above it is rejected (413), and the same records are sent together again until they are given up as unknown. Records of 5 KB and more suffice.

A call takes no further records from 512 KB on, so that it stays below 1 MB with the largest record.

Ruled out: a larger limit at the owner (one call would hold up its loop).

caller_record_writer.forwardsNoMoreInACallThanTheOwnerTakes fails without the limit (no outcome within 3 s) and passes now.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -33,8 +33,10 @@
 /// records.
 constexpr std::uint32_t kMaxUnbatchedCalls = 2;
 constexpr std::chrono::milliseconds kBatchInterval{ 20 };
-/// Maximum number of records in one call.
+/// Maximum number of records in one call, and their size from which on a call takes no further
+/// ones: with the largest record it stays below the body limit of the owner's server, 1 MB.
 constexpr std::size_t kMaxRecordsPerCall = 200;
+constexpr std::size_t kMaxCallBytes = std::size_t{ 512 } << 10U;
 
 } // namespace
 
@@ -135,12 +137,17 @@
   }
   std::vector<std::uint64_t> numbers;
   std::vector<std::string> records;
+  std::size_t bytes = 0;
   for (auto& [number, one] : mForwarded) {
-    if (one.mCall == 0 && one.mNotBefore <= aNow && records.size() < kMaxRecordsPerCall) {
+    if (records.size() >= kMaxRecordsPerCall || bytes >= kMaxCallBytes) {
+      break;
+    }
+    if (one.mCall == 0 && one.mNotBefore <= aNow) {
       one.mCall = mLastCall + 1;
       one.mSentAt = aNow;
       numbers.push_back(number);
       records.push_back(one.mBytes);
+      bytes += one.mBytes.size();
     }
   }
   if (records.empty()) {
--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -550,3 +550,20 @@
   CHECK_EQUAL(12, owner->records());
   CHECK_EQUAL(0, stored());
 }
+
+// Load pattern: 200 jobs with long specs wait for the owner. Guards against a call that is larger
+// than its server takes, with which all of them are sent again until their callers give up.
+TEST(caller_record_writer, forwardsNoMoreInACallThanTheOwnerTakes)
+{
+  owner->release('s');
+  constexpr std::size_t kJobs = 200;
+  for (std::size_t job = 1; job <= kJobs; ++job) {
+    recordWriter->store(job_submitted{ .mSpec = { .mId = static_cast<job_id>(job),
+                                                  .mPayload = std::string(60'000, 'x'),
+                                                  .mSteps = { {} } } },
+                        [this](caller_outcome aOutcome) { outcomes.push_back(aOutcome); });
+  }
+  CHECK(runUntil([this] { return outcomes.size() == kJobs; }));
+  CHECK_EQUAL(kJobs, std::ranges::count(outcomes, write_outcome::stored));
+  CHECK_EQUAL(kJobs, owner->records());
+}
