Write jobs that are too large for one record in pieces

Callers would lose all jobs that are older than the store keeps records, at the next change of owner.

Ruled out: several job records with some tasks each (each new field would have to be split as well).

--- a/node/src/snapshots.cpp
+++ b/node/src/snapshots.cpp
@@ -67,6 +67,66 @@
   return std::nullopt;
 }
 
+/// Size of a part from which on further pieces of a record go into the next one.
+constexpr std::size_t kMaxPiecedPartBytes = platform::kMaxAppendBytes / 2;
+/// Size of the pieces of a record that is larger than the store takes. Each is the kind, whether it
+/// is the last one of the record, and its bytes.
+constexpr std::size_t kPieceBytes = platform::kMaxRecordBytes / 2;
+constexpr int kPieceKind = 102;
+constexpr std::size_t kPieceFields = 3;
+
+std::string encodePiece(std::string_view aBytes, bool aIsLast)
+{
+  std::string bytes;
+  json::to_msgpack(
+    json::array({ kPieceKind, aIsLast, json::binary({ aBytes.begin(), aBytes.end() }) }), bytes);
+  return bytes;
+}
+
+/// Puts the records of a snapshot together again, some of which are in pieces.
+class record_assembler
+{
+public:
+  /// Adds the next record of the topic to aRecords, or what it completes. Returns false if it is
+  /// neither a record nor a piece.
+  bool add(const std::string& aBytes, std::vector<scheduler::journal_record>& aRecords)
+  {
+    if (aBytes.size() > 1 && aBytes[1] == kPieceKind) {
+      return addPiece(aBytes, aRecords);
+    }
+    return mPieces.empty() && addWhole(aBytes, aRecords);
+  }
+  /// Whether the last piece of a record is missing.
+  bool isPending() const { return !mPieces.empty(); }
+
+private:
+  bool addPiece(const std::string& aBytes, std::vector<scheduler::journal_record>& aRecords)
+  {
+    try {
+      const auto value = parseMsgpack(aBytes);
+      if (!value.is_array() || value.size() != kPieceFields || value[0] != kPieceKind) {
+        return false;
+      }
+      const auto& piece = value[2].get_binary();
+      mPieces.append(piece.begin(), piece.end());
+      return !value[1].get<bool>() || addWhole(std::exchange(mPieces, {}), aRecords);
+    } catch (const std::exception& /*aError*/) {
+      return false;
+    }
+  }
+  static bool addWhole(std::string_view aBytes, std::vector<scheduler::journal_record>& aRecords)
+  {
+    auto record = scheduler::decodeRecord(aBytes);
+    if (!record.ok()) {
+      return false;
+    }
+    aRecords.push_back(*std::move(record));
+    return true;
+  }
+
+  std::string mPieces;
+};
+
 /// Parts of one snapshot that were found, as positions of their headers by part.
 using found_parts = std::map<std::size_t, std::size_t>;
 
@@ -77,16 +137,29 @@
   const auto& records = mSnapshot.mRecords;
   for (const auto end = mNext + std::min(aRecords, records.size() - mNext); mNext < end; ++mNext) {
     auto record = scheduler::encode(records[mNext]);
-    if (mPartBytes > kMaxPartBytes) {
-      mParts.emplace_back();
-      mPartBytes = 0;
+    if (record.size() <= platform::kMaxRecordBytes) {
+      add(std::move(record), kMaxPartBytes);
+      continue;
+    }
+    for (std::size_t at = 0; at < record.size(); at += kPieceBytes) {
+      const auto piece = std::string_view(record).substr(at, kPieceBytes);
+      add(encodePiece(piece, at + piece.size() == record.size()),
+          at == 0 ? kMaxPartBytes : kMaxPiecedPartBytes);
     }
-    mPartBytes += record.size();
-    mParts.back().push_back(std::move(record));
   }
   return mNext == records.size();
 }
 
+void snapshot_encoder::add(std::string aRecord, std::size_t aMaxPartBytes)
+{
+  if (mPartBytes > aMaxPartBytes) {
+    mParts.emplace_back();
+    mPartBytes = 0;
+  }
+  mPartBytes += aRecord.size();
+  mParts.back().push_back(std::move(aRecord));
+}
+
 std::vector<std::vector<std::string>> snapshot_encoder::takeParts()
 {
   for (std::size_t part = 0; part < mParts.size(); ++part) {
@@ -137,17 +210,14 @@
                      .mParts = positions.size(),
                      .mUnreadable = unreadable };
     bool readable = true;
+    record_assembler assembler;
     for (const auto& [part, at] : positions) {
       const auto count = decodeHeader(aRecords[at])->mCount;
       for (std::size_t next = at + 1; next <= at + count && readable; ++next) {
-        auto record = scheduler::decodeRecord(aRecords[next]);
-        readable = record.ok();
-        if (readable) {
-          result.mRecords.push_back(*std::move(record));
-        }
+        readable = assembler.add(aRecords[next], result.mRecords);
       }
     }
-    if (readable) {
+    if (readable && !assembler.isPending()) {
       return result;
     }
     ++unreadable;
--- a/node/src/snapshots.h
+++ b/node/src/snapshots.h
@@ -93,6 +93,9 @@
   std::uint64_t base() const { return mSnapshot.mBase; }
 
 private:
+  /// Adds a record to the last part, or to a new one if that is larger than aMaxPartBytes.
+  void add(std::string aRecord, std::size_t aMaxPartBytes);
+
   const snapshot mSnapshot;
   const std::uint64_t mWriter;
   std::size_t mNext = 0;
@@ -105,7 +108,8 @@
 /// a header, then records. aWriter tells the parts of different writers apart.
 ///
 /// Load pattern: a busy cell has thousands of unfinished and recently ended jobs, more than the
-/// store takes in one append.
+/// store takes in one append. A job with thousands of open runs is more than it takes in one
+/// record, and is written in pieces.
 std::vector<std::vector<std::string>> encodeSnapshot(const snapshot& aSnapshot,
                                                      std::uint64_t aWriter);
 /// Returns the complete snapshot with the highest base among the records; absent if there is none.
--- a/tests/node/snapshots_test.cpp
+++ b/tests/node/snapshots_test.cpp
@@ -261,3 +261,44 @@
   CHECK(parts.size() > 1);
   CHECK(parts == encodeSnapshot(whole, 1));
 }
+
+// Load pattern: a job of 13 steps of 4,096 tasks, all of which are open. Guards against a snapshot
+// that the store refuses each time, so that the journal expires before there is another one.
+TEST(snapshots, aJobThatIsTooLargeForOneRecordIsWrittenInPieces)
+{
+  constexpr std::uint32_t kSteps = 13;
+  constexpr std::uint32_t kTasks = 4096;
+  auto table = tableWithOneRun();
+  job_spec spec{ .mId = static_cast<job_id>(6), .mRoute = "r", .mTeam = "t" };
+  spec.mSteps.resize(kSteps, { .mCount = kTasks });
+  table.apply(job_submitted{ .mSpec = spec }, time_point{});
+  for (std::uint32_t step = 0; step < kSteps; ++step) {
+    for (std::uint32_t index = 0; index < kTasks; ++index) {
+      table.apply(
+        run_started{ .mTask = { .mStep = { .mJob = spec.mId, .mStep = step }, .mIndex = index },
+                     .mRun = 1 + index,
+                     .mAt = { .mTarget = "i-85fbebe574", .mIncarnationStart = 3 } },
+        time_point{});
+    }
+  }
+  const snapshot made{ .mBase = 9, .mRecords = table.snapshot(time_point{}) };
+  std::vector<std::string> topic;
+  snapshot_index index;
+  for (const auto& part : encodeSnapshot(made, 1)) {
+    std::size_t bytes = 0;
+    for (const auto& record : part) {
+      CHECK(record.size() <= platform::kMaxRecordBytes);
+      bytes += record.size() + 4;
+    }
+    CHECK(bytes <= platform::kMaxAppendBytes);
+    topic.insert(topic.end(), part.begin(), part.end());
+    index.add(part);
+  }
+  CHECK_EQUAL(9, index.newestBase());
+  const auto found = lastSnapshot(topic);
+  CHECK(found.has_value());
+  CHECK_EQUAL(made.mRecords.size(), found->mRecords.size());
+  for (std::size_t record = 0; record < made.mRecords.size(); ++record) {
+    CHECK(encode(made.mRecords[record]) == encode(found->mRecords[record]));
+  }
+}
