--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -15,11 +15,7 @@
           { .mTopic = std::move(aOptions.mJournalTopic), .mInterval = kJournalReadInterval },
           { .mOnRecords = [this](const auto& aRecords,
                                  std::uint64_t aOffset) { readRecords(aRecords, aOffset); },
-            .mOnGap =
-              [this](std::uint64_t aFirst) {
-                mLog.write("journal_gap", fmt::format("first_offset={}", aFirst));
-                mCallbacks.mOnIncomplete("journal records were deleted before they were read");
-              },
+            .mOnGap = [this](std::uint64_t aFirst) { onGap(aFirst); },
             .mOnEvent = [this](std::string_view aEvent,
                                std::string_view aDetail) { mLog.write(aEvent, aDetail); } })
 {
@@ -50,6 +46,7 @@
   const auto now = mClock.now();
   mLoadedAt = now;
   const auto base = aFound ? aFound->mBase : 0;
+  mBase = base;
   if (aFound) {
     for (const auto& record : aFound->mRecords) {
       mTable.apply(record, now);
@@ -97,6 +94,21 @@
   }
 }
 
+void job_replica::onGap(std::uint64_t aFirst)
+{
+  const bool loading = !mTail.caughtUp();
+  const bool isLost = loading && mGapBehind == mBase;
+  mLog.write("journal_gap", fmt::format("first_offset={} base={} lost={}", aFirst, mBase, isLost));
+  mGapBehind = loading && !isLost ? std::optional(mBase) : std::nullopt;
+  if (!isLost) {
+    mCallbacks.mOnIncomplete("journal records were deleted before they were read");
+    return;
+  }
+  // Records are deleted after a newer snapshot was stored, which a second load would have found: so
+  // they have expired. What the snapshot says of its jobs may have been changed by them.
+  mTable.clear();
+}
+
 bool job_replica::onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset)
 {
   mLacksRecords = mClock.now() - mLoadedAt > kMinReloadInterval;
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +38,9 @@
 /// callers, be written to a snapshot, be scheduled from, or take records out of the journal's
 /// order: a record of a job whose snapshot has not been loaded would take the place of the job's
 /// runs. A record that refers to a job or run which the table lacks shows that it is not complete,
-/// whatever the reason; the table is then loaded again.
+/// whatever the reason; the table is then loaded again. What the store itself has lost, after an
+/// outage of all daemons for longer than it keeps records, is lost: the table then begins with the
+/// oldest record that is left.
 class job_replica
 {
 public:
@@ -90,6 +93,8 @@
 
 private:
   void onLoaded(const std::optional<snapshot>& aFound);
+  /// Handles the deletion of records before aFirst that were not read.
+  void onGap(std::uint64_t aFirst);
   /// @param aOffset offset of the first record
   void readRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset);
   /// Handles a record that refers to what the table lacks. Returns whether the table has to be
@@ -107,6 +112,10 @@
   /// Whether a record was read that refers to what the table lacks.
   bool mLacksRecords = false;
   time_point mLoadedAt{};
+  /// Base of the snapshot that was loaded last, 0 if there was none.
+  std::uint64_t mBase = 0;
+  /// Base of the snapshot whose load has found that the journal behind it is deleted.
+  std::optional<std::uint64_t> mGapBehind;
   snapshot_loader mSnapshots;
   log_tail mTail;
 };
--- a/tests/node/job_replica_test.cpp
+++ b/tests/node/job_replica_test.cpp
@@ -196,3 +196,62 @@
   CHECK(runUntilComplete());
   CHECK(jobs->table().find(static_cast<job_id>(6)) != nullptr);
 }
+
+// Guards against a cell that never works again: all its daemons were off for longer than the store
+// keeps records, and each load finds the same gap.
+TEST(job_replica, beginsAnewAfterTheStoreHasLostTheJournal)
+{
+  {
+    const std::lock_guard lock(store.mMutex);
+    store.mModel.trim("journal", history().size());
+  }
+  append("journal", { encode(submission(static_cast<job_id>(6))) });
+  jobs->load();
+  CHECK(runUntil([this] { return isIncomplete; }));
+  CHECK_FALSE(jobs->complete());
+  isIncomplete = false;
+  jobs->load();
+  CHECK(runUntilComplete());
+  CHECK_FALSE(isIncomplete);
+  CHECK(jobs->table().find(kJob) == nullptr);
+  CHECK(jobs->table().find(static_cast<job_id>(6)) != nullptr);
+}
+
+// Guards against a second run of a task that is done, because the journal behind an older snapshot
+// is gone and nobody knows what it said.
+TEST(job_replica, keepsNoJobOfASnapshotBehindWhichTheJournalIsLost)
+{
+  job_table table;
+  table.apply(submission(), clock.now());
+  append("snapshot",
+         encodeSnapshot({ .mBase = 1, .mRecords = table.snapshot(clock.now()) }, 1).at(0));
+  {
+    const std::lock_guard lock(store.mMutex);
+    store.mModel.trim("journal", history().size());
+  }
+  append("journal", { encode(submission(static_cast<job_id>(6))) });
+  jobs->load();
+  CHECK(runUntil([this] { return isIncomplete; }));
+  jobs->load();
+  CHECK(runUntilComplete());
+  CHECK(jobs->table().find(kJob) == nullptr);
+  CHECK(jobs->table().find(static_cast<job_id>(6)) != nullptr);
+}
+
+// Guards against jobs that are dropped because the journal was deleted while it was being loaded,
+// behind a newer snapshot.
+TEST(job_replica, loadsTheNewerSnapshotBehindWhichTheJournalWasDeleted)
+{
+  jobs->load();
+  CHECK(runUntilComplete());
+  {
+    const std::lock_guard lock(store.mMutex);
+    store.mModel.trim("journal", 1);
+  }
+  jobs->load();
+  CHECK(runUntil([this] { return isIncomplete; }));
+  storeSnapshot();
+  jobs->load();
+  CHECK(runUntilComplete());
+  checkTaskIsDone();
+}
