--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -368,8 +368,8 @@
 
 std::optional<snapshot_source> cell_node::impl::snapshotSource() const
 {
-  const bool writes =
-    mOwner ? mStandbys.empty() && mOwner->allStored() : mStandby && mWritesSnapshots;
+  const bool writes = mOwner ? mStandbys.empty() && mOwner->allStored()
+                             : mStandby && mWritesSnapshots && !mJobs.hasLost();
   if (!writes || !mJobs.complete()) {
     return std::nullopt;
   }
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -28,6 +28,7 @@
   mTable.clear();
   mFollows = true;
   mLacksRecords = false;
+  mHasLost = false;
   mTail.restart(0);
   mCallbacks.mOnEmptied();
   mSnapshots.load([this](const std::optional<snapshot>& aFound) { onLoaded(aFound); });
@@ -48,6 +49,7 @@
   const auto now = mClock.now();
   const auto base = aFound ? aFound->mBase : 0;
   mBase = base;
+  mHasUnreadable = aFound && aFound->mUnreadable > 0;
   if (aFound) {
     for (const auto& record : aFound->mRecords) {
       mTable.apply(record, now);
@@ -99,7 +101,7 @@
 void job_replica::onGap(std::uint64_t aFirst)
 {
   const bool loading = !mTail.caughtUp();
-  const bool isLost = loading && mGapBehind == mBase;
+  const bool isLost = loading && mGapBehind == mBase && !mHasUnreadable;
   mLog.write("journal_gap", fmt::format("first_offset={} base={} lost={}", aFirst, mBase, isLost));
   mGapBehind = loading && !isLost ? std::optional(mBase) : std::nullopt;
   if (!isLost) {
@@ -109,6 +111,7 @@
   // Records are deleted after a newer snapshot was stored, which a second load would have found: so
   // they have expired. What the snapshot says of its jobs may have been changed by them.
   mTable.clear();
+  mHasLost = true;
 }
 
 bool job_replica::onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset,
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -74,6 +74,9 @@
   {
     return mFollows && !mLacksRecords && !mSnapshots.active() && mTail.caughtUp();
   }
+  /// Whether the table has begun anew because the store has lost the journal. An owner that lives
+  /// may still have all of it.
+  bool hasLost() const { return mHasLost; }
   /// Offset of the first journal record that the table does not include.
   std::uint64_t position() const { return mTail.next(); }
   /// The table includes all journal records that were acknowledged before this time.
@@ -121,8 +124,12 @@
   std::uint32_t mReloads = 0;
   /// Base of the snapshot that was loaded last, 0 if there was none.
   std::uint64_t mBase = 0;
-  /// Base of the snapshot whose load has found that the journal behind it is deleted.
+  /// Whether a newer snapshot could not be decoded.
+  bool mHasUnreadable = false;
+  /// Base of the snapshot whose load has found that the journal behind it is deleted. The state is
+  /// then loaded again; if that finds the same base, the store has lost the journal.
   std::optional<std::uint64_t> mGapBehind;
+  bool mHasLost = false;
   snapshot_loader mSnapshots;
   log_tail mTail;
 };
--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -75,8 +75,8 @@
            .mIndex = decodeNumber<std::uint32_t>(aTask.at(3)) };
 }
 
-/// The number follows only if it is not the epoch: relays of the former version ignore it after a
-/// heartbeat or stop, and accept no start with it.
+/// The number follows only if it is not the epoch. Relays of the former version ignore it and send
+/// the epoch, which a target rejects that has had a higher number.
 json encodeOrder(const scheduler::heartbeat_order& aOrder)
 {
   auto order = json::array({ order_kind::heartbeat, aOrder.mTarget, aOrder.mAddress,
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -15,6 +15,12 @@
   });
 }
 
+/// Whether only the cancellation of the job is known. Every submission has a route.
+bool isOnlyCancelled(const job& aJob)
+{
+  return aJob.mPhase == job_phase::cancelled && aJob.mSpec.mRoute.empty();
+}
+
 /// Whether nothing shows that a run of the job has ever begun.
 bool nothingHasBegun(const job& aJob)
 {
@@ -78,17 +84,18 @@
 {
   const auto [at, isNew] = mJobs.try_emplace(aRecord.mSpec.mId);
   job& made = at->second;
-  if (!isNew) {
-    if (made.mPhase == job_phase::cancelled && made.mSpec.mRoute.empty()) {
-      made.mSpec.mRoute = aRecord.mSpec.mRoute;
-      made.mSpec.mTeam = aRecord.mSpec.mTeam;
-    }
+  const bool isCancelledBefore = !isNew && isOnlyCancelled(made);
+  if (!isNew && !isCancelledBefore) {
     return nullptr;
   }
   made.mSpec = aRecord.mSpec;
   if (made.mSpec.mRepeat == 0) {
     openOccurrence(made, 0);
   }
+  if (isCancelledBefore) {
+    // Its runs are read next: the cancellation was taken out of the journal's order.
+    return nullptr;
+  }
   countWaiting(made, 1);
   return &made;
 }
@@ -100,6 +107,7 @@
   if (isNew) {
     // The owner knew the job before its submission was stored, which may still be.
     found.mSpec.mId = aRecord.mJob;
+    // It was never counted as waiting.
     found.mStarted = true;
   }
   if (found.mPhase != job_phase::active) {
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -60,6 +60,8 @@
     at->second.mEntry.mId = aId;
     at->second.mEntry.mVm = mJobTable.vmOf(aId);
     if (const auto known = mLastFences.find(aId); known != mLastFences.end()) {
+      // Lower numbers would be rejected, and count as those of a former owner.
+      at->second.mFence = known->second;
       at->second.mFormerFence = known->second;
     }
     const auto next = static_cast<std::uint32_t>(mTargetNumbers.size());
--- a/tests/node/job_replica_test.cpp
+++ b/tests/node/job_replica_test.cpp
@@ -242,6 +242,7 @@
   jobs->load();
   CHECK(runUntilComplete());
   CHECK_FALSE(isIncomplete);
+  CHECK(jobs->hasLost());
   CHECK(jobs->table().find(kJob) == nullptr);
   CHECK(jobs->table().find(static_cast<job_id>(6)) != nullptr);
 }
@@ -267,6 +268,25 @@
   CHECK(jobs->table().find(static_cast<job_id>(6)) != nullptr);
 }
 
+// Guards against a cell that drops its jobs because the newest snapshot cannot be decoded.
+TEST(job_replica, doesNotTakeTheJournalForLostBehindASnapshotThatCannotBeRead)
+{
+  append("snapshot", encodeSnapshot({ .mBase = 1 }, 1).at(0));
+  auto unreadable = encodeSnapshot({ .mBase = 2, .mRecords = { submission() } }, 1).at(0);
+  unreadable.back() = "?";
+  append("snapshot", unreadable);
+  {
+    const std::lock_guard lock(store.mMutex);
+    store.mModel.trim("journal", 2);
+  }
+  for (int load = 0; load < 3; ++load) {
+    isIncomplete = false;
+    jobs->load();
+    CHECK(runUntil([this] { return isIncomplete; }));
+    CHECK_FALSE(jobs->hasLost());
+  }
+}
+
 // Guards against jobs that are dropped because the journal was deleted while it was being loaded,
 // behind a newer snapshot.
 TEST(job_replica, loadsTheNewerSnapshotBehindWhichTheJournalWasDeleted)
--- a/tests/scheduler/job_table_test.cpp
+++ b/tests/scheduler/job_table_test.cpp
@@ -111,3 +111,26 @@
     CHECK(one->find(kOther) == nullptr);
   }
 }
+
+// Guards against runs that are forgotten, and their room given away: a daemon that reads the
+// journal late takes a confirmed cancellation before the submission and the starts of the job.
+TEST(job_table, aJobThatIsCancelledBeforeItIsKnownKeepsItsOpenRuns)
+{
+  constexpr auto kOther = static_cast<job_id>(6);
+  table.apply(job_cancelled{ .mJob = kOther }, time_point{});
+  job_spec spec{ .mId = kOther, .mRoute = "r", .mTeam = "t" };
+  spec.mSteps.push_back({ .mCount = 2 });
+  table.apply(job_submitted{ .mSpec = spec }, time_point{});
+  table.apply(started(task(1, kOther)), time_point{});
+  job_table restored;
+  for (const auto& record : table.snapshot(time_point{})) {
+    restored.apply(*decodeRecord(encode(record)), time_point{});
+  }
+  for (auto* one : { &table, &restored }) {
+    const auto* step = one->find(kOther)->find(task(1, kOther).mStep);
+    CHECK(step != nullptr);
+    CHECK_EQUAL(1, step->mOpen);
+    CHECK(step->mTasks[1].mOpen.has_value());
+    CHECK(one->find(kOther)->mPhase == job_phase::cancelled);
+  }
+}
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -319,6 +319,8 @@
   /// Whether tasks end as done after their estimate, except long-running ones.
   bool mTasksEnd = false;
   bool mStoreDown = false;
+  /// Whether the owner's renewals are stored.
+  bool mRenews = true;
   /// Whether the store answers reads of the registry, and when the last one was sent.
   bool mReadsRegistry = true;
   time_point mRegistryReadAt{};
@@ -645,7 +647,7 @@
 
   void renewOwnership()
   {
-    if (mNextRenewal <= mNow && mOwner) {
+    if (mNextRenewal <= mNow && mOwner && mRenews) {
       mNextRenewal = mNow + kRenewInterval;
       mOwner->setNewestRecord(++mNewestRecord);
     }
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -348,3 +348,25 @@
   cell.run(seconds(1));
   CHECK(target.mFence > before);
 }
+
+// Guards against an owner that steps down because it sends a target that it has forgotten a lower
+// number than before: it cannot renew, and the target has not restarted.
+TEST(target_restarts, aForgottenTargetThatHasNotRestartedDoesNotEndTheOwnership)
+{
+  cell.run(milliseconds(500));
+  cell.target("a").mReachable = false;
+  cell.run(milliseconds(800));
+  cell.target("a").mReachable = true;
+  cell.run(seconds(1));
+  cell.mRenews = false;
+  cell.unlistTarget("a");
+  cell.run(seconds(2));
+  cell.target("a").mListed = true;
+  cell.mOwner->setTarget(cell.target("a").mEntry, cell.mNow);
+  cell.run(milliseconds(300));
+  CHECK_FALSE(cell.mOwner->fenced());
+  cell.mRenews = true;
+  const auto job = cell.submit(tasks(1, seconds(30)));
+  cell.run(seconds(1));
+  CHECK_EQUAL("a", cell.targetRunning(job));
+}
