--- a/node/src/order_batch.cpp
+++ b/node/src/order_batch.cpp
@@ -60,6 +60,11 @@
   return target_time(integerFrom<std::int64_t>(aValue, 0, kMaxLeaseMs));
 }
 
+/// Elements of orders that hold the number.
+constexpr std::size_t kHeartbeatFence = 6;
+constexpr std::size_t kStartFence = 9;
+constexpr std::size_t kStopFence = 5;
+
 json encodeTask(const scheduler::task_key& aTask)
 {
   return json::array({ static_cast<std::uint64_t>(aTask.mStep.mJob), aTask.mStep.mOccurrence,
@@ -123,7 +128,7 @@
       scheduler::heartbeat_order order{ .mTarget = aOrder.at(1),
                                         .mAddress = aOrder.at(2),
                                         .mEpoch = aEpoch,
-                                        .mFence = decodeFence(aOrder, 6, aEpoch),
+                                        .mFence = decodeFence(aOrder, kHeartbeatFence, aEpoch),
                                         .mStoredEndNumber =
                                           decodeNumber<std::uint64_t>(aOrder.at(4)),
                                         .mWait = millisFrom(aOrder.at(5), 0, kMaxPeerSpanMs) };
@@ -144,7 +149,7 @@
                                      .mPayload = aLastPayload,
                                      .mLeaseUntil = decodeLease(aOrder.at(5)),
                                      .mEpoch = aEpoch,
-                                     .mFence = decodeFence(aOrder, 9, aEpoch),
+                                     .mFence = decodeFence(aOrder, kStartFence, aEpoch),
                                      .mCheckpoint = aOrder.at(6),
                                      .mTicket = aOrder.at(7) };
     }
@@ -154,7 +159,7 @@
                                     .mTask = decodeTask(aOrder.at(3)),
                                     .mRun = decodeNumber<std::uint32_t>(aOrder.at(4)),
                                     .mEpoch = aEpoch,
-                                    .mFence = decodeFence(aOrder, 5, aEpoch) };
+                                    .mFence = decodeFence(aOrder, kStopFence, aEpoch) };
   }
   throw std::invalid_argument("unknown kind of order");
 }
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -75,7 +75,8 @@
   late,
   no_capacity,
   bad_ticket,
-  /// Another incarnation of the target replied; it does not execute the order.
+  /// Another incarnation of the target replied, or it has had an order with a later number of this
+  /// owner; it does not execute the order.
   other_incarnation,
   unhealthy,
   /// The target has rejected the order as malformed.
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -112,9 +112,9 @@
 
   /// Number that orders carry, of which an incarnation keeps the highest.
   std::uint64_t mFence = 0;
-  /// Highest number of the orders that a former incarnation may have been sent; 0 if there are
-  /// none. The present one may still execute them until it has received a heartbeat with a higher
-  /// number.
+  /// Highest number of the orders that may be meant for a former incarnation, sent before a restart
+  /// or a missed heartbeat; 0 if there are none. The present one may still execute them until it
+  /// has received a heartbeat with a higher number.
   std::uint64_t mFormerFence = 0;
   /// Time from which heartbeats have carried mFence.
   time_point mFencedFrom{};
