--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -122,8 +122,9 @@
 {
 public:
   virtual ~owner_port() = default;
-  /// Appends the records to the journal, in order and atomically. owner::onStored() reports
-  /// completion, in the order of the calls.
+  /// Appends the records to the journal, in order. Many records may take several appends, of which
+  /// a reader may find the first ones only. owner::onStored() reports completion, in the order of
+  /// the calls.
   virtual void store(std::vector<journal_record> aRecords) = 0;
   /// Reports that the record passed to owner::accept() with this token is stored.
   virtual void onRecordStored(std::uint64_t aToken) = 0;
--- a/tests/scheduler/target_restart_test.cpp
+++ b/tests/scheduler/target_restart_test.cpp
@@ -354,11 +354,11 @@
 TEST(target_restarts, aForgottenTargetThatHasNotRestartedDoesNotEndTheOwnership)
 {
   cell.run(milliseconds(500));
+  cell.mRenews = false;
   cell.target("a").mReachable = false;
   cell.run(milliseconds(800));
   cell.target("a").mReachable = true;
   cell.run(seconds(1));
-  cell.mRenews = false;
   cell.unlistTarget("a");
   cell.run(seconds(2));
   cell.target("a").mListed = true;
