Log how cancellations are acknowledged and learned, and the age of an owner's view

Cause: the logs could not tell the hypotheses on tasks of cancelled jobs apart. A cancellation that is answered from the table wrote no line, a stored one did not say who had appended it, and nothing said when a daemon learns of one, or how old the owner's view is.

Ruled out: a line for each start with the age of the view; 750 starts a second on the grown sites. The transitions of the owner's view are enough.

No decision depends on it yet.

--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -320,7 +320,9 @@
     { std::move(aRecord.mBytes) },
     [aUncertain, done = std::move(aRecord.mDone)](write_outcome aOutcome) {
       // The owner may have stored a record whose direct append was refused.
-      done(aOutcome != write_outcome::stored && aUncertain ? write_outcome::unknown : aOutcome);
+      done(aOutcome == write_outcome::stored ? caller_outcome(aOutcome, {}, "itself")
+           : aUncertain                      ? caller_outcome(write_outcome::unknown)
+                                             : caller_outcome(aOutcome));
     },
     notAfter);
 }
--- a/node/src/caller_record_writer.h
+++ b/node/src/caller_record_writer.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveusher::node {
@@ -19,8 +20,9 @@
 /// Outcome of writing a caller's record; used as a write_outcome wherever that is enough.
 struct caller_outcome
 {
-  caller_outcome(write_outcome aOutcome, std::chrono::seconds aRetryAfter = {})
-    : mOutcome(aOutcome), mRetryAfter(aRetryAfter)
+  caller_outcome(write_outcome aOutcome, std::chrono::seconds aRetryAfter = {},
+                 std::string_view aWriter = "owner")
+    : mOutcome(aOutcome), mRetryAfter(aRetryAfter), mWriter(aWriter)
   {
   }
   operator write_outcome() const { return mOutcome; }
@@ -28,6 +30,10 @@
   write_outcome mOutcome;
   /// Time after which the caller of an overloaded owner should come back; 0 if it is not known.
   std::chrono::seconds mRetryAfter;
+  /// Who has stored the record, for the log: `owner`, or `itself` if this daemon has appended it
+  /// directly, so that the owner learns of it by reading the journal. An owner that has stored a
+  /// record of its own callers counts as `owner`.
+  std::string_view mWriter;
 };
 
 /// Writes the records of callers to the journal: through the owner while it can be reached, else
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -126,6 +126,9 @@
                       .mJournalTopic = kJournalTopic,
                       .mWriter = mIncarnation,
                       .mRetention = mSettings.mRecordRetention }),
+    mOwnerView({ .mCancelPeriod = mSettings.mCancelPeriod,
+                 .mConfigPeriod = mSettings.mConfigPeriod,
+                 .mDrainPeriod = mSettings.mDrainPeriod }),
     mHandOver(mLoop, mClock, mLog,
               [this](const std::string& aAddress, const std::vector<scheduler::run_ended>& aEnds) {
                 onEndsHandedOver(aAddress, aEnds);
@@ -340,6 +343,7 @@
     }
     updateCapacity();
     updateCellStatus();
+    updateOwnerView(now);
     handleInputs();
     storeLateEnds();
     mRecordWriter.tick(now);
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -22,6 +22,7 @@
 #include "order_router.h"
 #include "order_sender.h"
 #include "owner_client.h"
+#include "owner_view.h"
 #include "peer_api.h"
 #include "registry_view.h"
 #include "request_handler.h"
@@ -174,6 +175,9 @@
   // Election and ownership.
   void readOwnerRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset);
 
+  /// Checks whether this daemon, as the owner, knows enough of what others have stored.
+  void updateOwnerView(time_point aNow);
+
   void tickElection(time_point aNow);
 
   void appendOwnerRecord(election::action aAction, time_point aNow);
@@ -305,6 +309,7 @@
   /// Whether the owner has chosen this daemon to write the snapshots.
   bool mWritesSnapshots = false;
   std::unique_ptr<scheduler::owner> mOwner;
+  owner_view mOwnerView;
   end_hand_over mHandOver;
   /// Ends that were reported to this daemon as an owner, or handed over to it, and that may not be
   /// in the journal. Empty while it schedules.
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -112,6 +112,12 @@
       return true;
     }
   }
+  if (const auto* cancelled = std::get_if<scheduler::job_cancelled>(&aRecord)) {
+    const auto* job = mJobs.table().find(cancelled->mJob);
+    mLog.write("cancellation_accepted",
+               fmt::format("job={} epoch={} phase={}", toText(cancelled->mJob), mEpoch,
+                           job == nullptr ? -1 : static_cast<int>(job->mPhase)));
+  }
   mUnstoredCallerRecords[++mLastToken] = { .mDone = aDone, .mRecord = recordKey(aRecord) };
   const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
   mOwner->accept(aRecord, mLastToken, now, wallNow());
@@ -213,6 +219,23 @@
   }
 }
 
+void cell_node::impl::updateOwnerView(time_point aNow)
+{
+  if (!mOwner) {
+    return;
+  }
+  const bool wasCurrent = mOwnerView.current();
+  mOwnerView.update({ .mJournal = mJobs.freshAsOf(),
+                      .mOperator = mOperatorTail->freshAsOf(),
+                      .mRegistry = mRegistryTail->freshAsOf() },
+                    mStore.latency(), aNow);
+  if (mOwnerView.current() != wasCurrent) {
+    mLog.write(wasCurrent ? "owner_view_old" : "owner_view_current",
+               fmt::format("epoch={} store_delay_ms={} {}", mEpoch, mStore.latency().count(),
+                           mOwnerView.describe()));
+  }
+}
+
 void cell_node::impl::tickElection(time_point aNow)
 {
   if (mEpoch != 0 && mElection.state() != election::role::owner) {
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -94,10 +94,22 @@
         onUnplaced(*record, aOffset + index, aOffset + aRecords.size())) {
       return;
     }
-    apply(*record);
+    applyRead(*record, aOffset + index);
   }
 }
 
+void job_replica::applyRead(const scheduler::journal_record& aRecord, std::uint64_t aOffset)
+{
+  if (const auto* cancelled = std::get_if<scheduler::job_cancelled>(&aRecord)) {
+    const auto* known = mTable.find(cancelled->mJob);
+    mLog.write("cancellation_read",
+               fmt::format("job={} offset={} phase={} max_age_ms={}", toText(cancelled->mJob),
+                           aOffset, known == nullptr ? -1 : static_cast<int>(known->mPhase),
+                           (mClock.now() - mTail.recordsSince()) / std::chrono::milliseconds(1)));
+  }
+  apply(aRecord);
+}
+
 void job_replica::onGap(std::uint64_t aFirst)
 {
   const bool loading = !mTail.caughtUp();
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -106,6 +106,8 @@
   /// @param aReadEnd offset behind the records that were read with this one
   bool onUnplaced(const scheduler::journal_record& aRecord, std::uint64_t aOffset,
                   std::uint64_t aReadEnd);
+  /// Applies a record that was read.
+  void applyRead(const scheduler::journal_record& aRecord, std::uint64_t aOffset);
   void apply(const scheduler::journal_record& aRecord);
 
   const clock& mClock;
--- /dev/null
+++ b/node/src/owner_view.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "endiveusher/kernel/time.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace endiveusher::node {
+
+/// Times within which an owner has to act on what others have stored. From the settings.
+struct owner_view_bounds
+{
+  /// After a cancellation no task of the job may start.
+  std::chrono::milliseconds mCancelPeriod{ 3000 };
+  /// After a change of the configuration, or of the closed zones, no task may start against it.
+  std::chrono::milliseconds mConfigPeriod{ 2000 };
+  /// After a target has stated that it is draining, no task may start there.
+  std::chrono::milliseconds mDrainPeriod{ 2000 };
+};
+
+/// Times since which an owner knows all that was stored in the topics by which it decides.
+struct owner_view_times
+{
+  time_point mJournal;
+  time_point mOperator;
+  time_point mRegistry;
+};
+
+/// Decides whether an owner knows enough of what others have stored to start tasks.
+///
+/// Load pattern: the reads of an owner stand still while its appends, renewals and heartbeats go on
+/// over other connections, or its process was paused. Callers' cancellations that other daemons
+/// have appended, withdrawn limits, closed zones and draining targets then reach it late or not at
+/// all.
+///
+/// The owner starts nothing on a view that is older than a bound of its own for each topic. If the
+/// view does not recover while the store is quick and others can take over, it hands the cell over:
+/// the running tasks of a cancelled job have to be stopped as well, and waiting ones to start.
+class owner_view
+{
+public:
+  explicit owner_view(owner_view_bounds aBounds) : mBounds(aBounds) {}
+
+  /// Updates the decisions. Called in each pass of the loop.
+  /// @param aLatency latency of the store; a slow store makes every daemon's view older
+  void update(const owner_view_times& aTimes, std::chrono::milliseconds aLatency, time_point aNow);
+
+  /// Whether tasks may be started.
+  bool current() const { return mOldest == topic::none; }
+  /// Whether the view has been too old for so long, while the process ran, that another daemon
+  /// should own the cell.
+  bool lost() const;
+  /// Describes the ages of the topics, for the log.
+  std::string describe() const;
+
+private:
+  enum class topic : std::uint8_t
+  {
+    journal,
+    operators,
+    registry,
+    none,
+  };
+  static constexpr std::size_t kTopics = 3;
+
+  const owner_view_bounds mBounds;
+  std::array<duration, kTopics> mAges{};
+  std::array<duration, kTopics> mLimits{};
+  /// The topic that is older than its limit by most; none if all are current.
+  topic mOldest = topic::none;
+  /// Time for which the view has been too old, without the pauses of the process.
+  duration mOldFor{ 0 };
+  time_point mLastUpdate{};
+};
+
+} // namespace endiveusher::node
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -324,7 +324,8 @@
   const auto subject = fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel);
   if (aOutcome == write_outcome::stored) {
     ++(aKey.mCancel ? mCounters.mCancelled : mCounters.mAccepted);
-    mLog.write("stored", fmt::format("{} after_ms={}", subject, ageMs(pending.mSince)));
+    mLog.write("stored", fmt::format("{} by={} after_ms={}", subject, aOutcome.mWriter,
+                                     ageMs(pending.mSince)));
   }
   for (const auto& one : pending.mCallers) {
     if (aOutcome == write_outcome::unknown) {
@@ -427,7 +428,11 @@
   }
   if (found->mPhase != scheduler::job_phase::active && mIsEndStored(aId) &&
       mIsStored({ .mJob = aId, .mCancel = true })) {
-    aReply({ .mBody = platform::encodeJobState(*found, true) });
+    auto body = platform::encodeJobState(*found, true);
+    mLog.write("cancellation_needless",
+               fmt::format("job={} body={} view=table journal_age_ms={}", toText(aId), body,
+                           ageMs(mCellStatus.mJournalAsOf)));
+    aReply({ .mBody = std::move(body) });
     return;
   }
   storeCancellation(aCall, aId, std::move(aReply));
