An owner that does not read what others have stored starts nothing, and hands over

What callers saw: tasks of a job whose cancellation had been confirmed by another daemon started seconds later, and ran on to their end.

The owner learns of it by its own read only, and nothing bounded the age of what it had read: its renewals, appends and heartbeats use other connections and go on while its reads have no answer. The same holds for withdrawn limits, closed zones and draining targets, and for a process that was paused: it planned and sent starts before its first read.

Ruled out: ending the ownership at the first old read; a read that is lost once is repeated within a second, and a slow or silent store makes the views of all daemons as old.

Change: owner_view bounds the age of the three topics by the settings. On an older view no start is planned, and none that was stored is sent; work that runs goes on. If the view stays old for 0.5 s while the store is quick and takes the renewals, the owner releases the cell; a daemon with an old view does not claim. A release that was sent is not taken back, and no longer keeps a later ownership of the same daemon from acting.

--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -175,7 +175,7 @@
   // Election and ownership.
   void readOwnerRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset);
 
-  /// Checks whether this daemon, as the owner, knows enough of what others have stored.
+  /// Checks whether this daemon knows enough of what others have stored to own the cell.
   void updateOwnerView(time_point aNow);
 
   void tickElection(time_point aNow);
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -21,6 +21,9 @@
 /// Time from the arrival of an end to its completed append above which it is logged: after it, an
 /// end counts as noted.
 constexpr std::chrono::milliseconds kMaxEndStoreTime{ 100 };
+/// Time since the last accepted renewal up to which the store takes this daemon's appends: more
+/// than two renewals. An owner that cannot read hands the cell over only then.
+constexpr std::chrono::milliseconds kMaxBlindRenewalAge{ 1000 };
 /// Lease of the tasks on a target; covers a network partition of some five seconds. With a longer
 /// lease more tasks survive a partition; with a shorter one the tasks of lost targets are restarted
 /// sooner on others.
@@ -221,14 +224,16 @@
 
 void cell_node::impl::updateOwnerView(time_point aNow)
 {
-  if (!mOwner) {
-    return;
-  }
   const bool wasCurrent = mOwnerView.current();
-  mOwnerView.update({ .mJournal = mJobs.freshAsOf(),
+  // What a daemon does not follow it reads when it becomes owner, before it schedules.
+  mOwnerView.update({ .mJournal = followsJournal() ? mJobs.freshAsOf() : aNow,
                       .mOperator = mOperatorTail->freshAsOf(),
-                      .mRegistry = mRegistryTail->freshAsOf() },
+                      .mRegistry = mOwner ? mRegistryTail->freshAsOf() : aNow },
                     mStore.latency(), aNow);
+  if (!mOwner) {
+    return;
+  }
+  mOwner->setViewCurrent(mOwnerView.current());
   if (mOwnerView.current() != wasCurrent) {
     mLog.write(wasCurrent ? "owner_view_old" : "owner_view_current",
                fmt::format("epoch={} store_delay_ms={} {}", mEpoch, mStore.latency().count(),
@@ -258,10 +263,16 @@
   mElection.setOwnerSuspected(
     mOwnerClient.refusedAt(),
     mOwnerClient.unresponsive(aNow) || mOwnerClient.ownerPartitioned(mStore.latency()), aNow);
-  const bool eligible = caughtUp() && mOperator.config() && !mStoreLost;
+  const bool eligible = caughtUp() && mOperator.config() && !mStoreLost && mOwnerView.current();
+  // A store that is slow or down makes the views of others as old; one that does not take renewals
+  // ends the ownership anyway.
+  const bool isBlind = mOwner && mOwnerView.lost() && !mHelpers.empty() &&
+                       mElection.renewalAge(aNow) < kMaxBlindRenewalAge &&
+                       mStore.latency() < kSlowStoreLatency;
   // Pending records are stored before another daemon may become owner.
   const bool mayRelease =
-    mStopping && (!mOwnerWriter || (!mOwnerWriter->pendingSince() && mOwnerWriter->waiting() == 0));
+    (mStopping || isBlind) &&
+    (!mOwnerWriter || (!mOwnerWriter->pendingSince() && mOwnerWriter->waiting() == 0));
   const auto action = mElection.next(aNow, eligible && !mStopping, mayRelease);
   if (action != election::action::none) {
     appendOwnerRecord(action, aNow);
@@ -284,7 +295,7 @@
       if (aReply.mOutcome == platform::append_outcome::appended) {
         mElection.onAppended(aAction, aReply.mOffset, sent);
         if (aAction == election::action::release) {
-          stepDown("released");
+          stepDown(mStopping ? "released" : "released because its view of the cell is too old");
         }
       } else if (aReply.mOutcome == platform::append_outcome::conflict) {
         mElection.onRejected(aAction);
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -70,8 +70,7 @@
   if (isOwn(aRecord)) {
     mNewestRecord = std::max(mNewestRecord, epochOf(aOffset));
     if (aRecord.mKind == owner_record::kind::claim && mEpoch < epochOf(aOffset)) {
-      mEpoch = epochOf(aOffset);
-      mRole = role::owner;
+      begin(epochOf(aOffset));
       mRenewedAt = std::max(mRenewedAt, mUncertainSince.value_or(mAppendSentAt));
     } else if (aRecord.mKind == owner_record::kind::renewal && mRole == role::owner &&
                mUncertainSince && aOffset >= mUncertainEnd) {
@@ -101,9 +100,16 @@
   mConnectedSince.reset();
 }
 
-election::action election::next(time_point aNow, bool aEligible, bool aStopping)
+void election::begin(std::uint64_t aEpoch)
 {
-  const auto chosen = chooseAction(aNow, aEligible, aStopping);
+  mEpoch = aEpoch;
+  mRole = role::owner;
+  mReleasing = false;
+}
+
+election::action election::next(time_point aNow, bool aEligible, bool aReleases)
+{
+  const auto chosen = chooseAction(aNow, aEligible, aReleases);
   if (chosen != action::none) {
     mAppendInFlight = true;
     mAppendSentAt = aNow;
@@ -113,18 +119,18 @@
   return chosen;
 }
 
-election::action election::chooseAction(time_point aNow, bool aEligible, bool aStopping) const
+election::action election::chooseAction(time_point aNow, bool aEligible, bool aReleases) const
 {
   if (mAppendInFlight || mHasUnreadRecords || mRetryAt > aNow || !mEndKnown) {
     return action::none;
   }
   if (mRole == role::owner) {
-    if (aStopping) {
+    if (aReleases || mReleasing) {
       return action::release;
     }
     return mNextRenewal <= aNow ? action::renew : action::none;
   }
-  if (!aEligible || aStopping || !mConnectedSince) {
+  if (!aEligible || aReleases || !mConnectedSince) {
     return action::none;
   }
   // An earlier incarnation of this daemon has ended and cannot own the cell.
@@ -187,8 +193,7 @@
     return;
   }
   if (aAction == action::claim && !overtaken) {
-    mEpoch = epochOf(aOffset);
-    mRole = role::owner;
+    begin(epochOf(aOffset));
     mEpochs.try_emplace(mEpoch, aSent);
   }
   mRenewedAt = std::max(mRenewedAt, aSent);
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -106,7 +106,10 @@
 
   /// Returns the record to append now, on condition that the topic ends at expectedEnd(). The
   /// caller reports the result with onAppended(), onRejected() or onUnanswered().
-  action next(time_point aNow, bool aEligible, bool aStopping);
+  /// @param aEligible whether this daemon may claim
+  /// @param aReleases whether this daemon gives up the ownership; once it has sent a release, it
+  /// does so in any case
+  action next(time_point aNow, bool aEligible, bool aReleases);
   /// Sets when a call that the owner has refused was sent, which shows that its process has ended,
   /// and whether it is unresponsive. A refusal counts only if the store has answered since before.
   void setOwnerSuspected(std::optional<time_point> aRefusedAt, bool aUnresponsive, time_point aNow)
@@ -154,7 +157,9 @@
   std::vector<std::string> formerOwners(time_point aNow, duration aPeriod) const;
 
 private:
-  action chooseAction(time_point aNow, bool aEligible, bool aStopping) const;
+  action chooseAction(time_point aNow, bool aEligible, bool aReleases) const;
+  /// Takes the ownership with the epoch of a claim of this daemon.
+  void begin(std::uint64_t aEpoch);
   bool isOwn(const owner_record& aRecord) const;
   /// Returns the delay of this daemon's claim in favour of larger VMs.
   std::chrono::milliseconds reluctance() const;
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -91,6 +91,9 @@
   /// Sets whether the store answers appends soon enough for records that delay the renewal of
   /// leases.
   void setStoreResponsive(bool aResponsive);
+  /// Sets whether the owner knows what others have stored until a moment ago: cancellations,
+  /// limits, closed zones, targets that drain. Otherwise it starts nothing; work that runs goes on.
+  void setViewCurrent(bool aCurrent);
   /// Replaces owner_options::mLatestActs.
   void setLatestActs(std::map<std::uint64_t, time_point> aLatestActs);
   /// Sets the number of this owner's newest record in the topic of owners, which is above its epoch
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -561,7 +561,7 @@
       ++at;
     }
   }
-  if (mNextPlan <= aNow && !overdue) {
+  if (mNextPlan <= aNow && !overdue && mViewCurrent) {
     if (mPlanNeeded || mNextPlan + kIdlePlanInterval <= aNow) {
       mPlanNeeded = false;
       planAndMeasure(aNow);
@@ -656,6 +656,12 @@
   mImpl->mStoreResponsive = aResponsive;
 }
 
+void owner::setViewCurrent(bool aCurrent)
+{
+  mImpl->mPlanNeeded = mImpl->mPlanNeeded || (aCurrent && !mImpl->mViewCurrent);
+  mImpl->mViewCurrent = aCurrent;
+}
+
 void owner::setNewestRecord(std::uint64_t aNumber)
 {
   mImpl->mNewestRecord = std::max(mImpl->mNewestRecord, aNumber);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -59,6 +59,8 @@
   std::uint64_t mNewestRecord = 0;
   /// See owner::setStoreResponsive().
   bool mStoreResponsive = true;
+  /// See owner::setViewCurrent().
+  bool mViewCurrent = true;
   /// See owner::setLatestActs().
   std::map<std::uint64_t, time_point> mLatestActs;
 
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -287,6 +287,31 @@
   CHECK(!one.mayAct(now + milliseconds(600)));
 }
 
+// Guards against an owner that never acts, because it has released an earlier ownership.
+TEST(election, actsAgainWhenItOwnsTheCellAfterARelease)
+{
+  becomeOwner();
+  CHECK(next(true) == election::action::release);
+  one.onAppended(election::action::release, 1, now);
+  one.onRecordRead(recordOf(owner_record::kind::release, "a", 7), 1, now);
+  now += seconds(5);
+  CHECK(next() == election::action::claim);
+  one.onAppended(election::action::claim, 2, now);
+  CHECK(one.mayAct(now));
+  CHECK_EQUAL(3, one.epoch());
+}
+
+// The next owner may rely on a release whose answer was lost.
+TEST(election, aReleaseThatWasSentIsNotTakenBack)
+{
+  becomeOwner();
+  CHECK(next(true) == election::action::release);
+  one.onUnanswered(election::action::release, now, now);
+  now += milliseconds(500);
+  CHECK(next(false) == election::action::release);
+  CHECK_FALSE(one.mayAct(now));
+}
+
 // Guards against two owners after a hand-over: the answer to the claim arrives after the
 // successor's claim has been read, because the daemon was paused or the answers overtook each
 // other.
--- /dev/null
+++ b/tests/node/owner_view_test.cpp
@@ -0,0 +1,95 @@
+#include "owner_view.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endiveusher;
+using namespace endiveusher::node;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(owner_view)
+{
+  owner_view view{ { .mCancelPeriod = milliseconds(3000),
+                     .mConfigPeriod = milliseconds(2000),
+                     .mDrainPeriod = milliseconds(2000) } };
+  time_point now{ seconds(100) };
+  milliseconds latency{ 4 };
+  milliseconds journalAge{ 0 };
+  milliseconds operatorAge{ 0 };
+  milliseconds registryAge{ 0 };
+
+  bool current()
+  {
+    view.update({ .mJournal = now - journalAge,
+                  .mOperator = now - operatorAge,
+                  .mRegistry = now - registryAge },
+                latency, now);
+    return view.current();
+  }
+  /// Runs the loop for a time, in which the ages do not change; returns whether the view is lost.
+  bool lostAfter(milliseconds aTime)
+  {
+    for (milliseconds passed{ 0 }; passed < aTime; passed += milliseconds(20)) {
+      now += milliseconds(20);
+      current();
+    }
+    return view.lost();
+  }
+};
+
+// A start has to be stored and to reach its target before the time is over in which what others
+// have stored must be in force.
+TEST(owner_view, isOldBeforeWhatOthersHaveStoredMustBeInForce)
+{
+  CHECK(current());
+  journalAge = milliseconds(2100);
+  CHECK_FALSE(current());
+  journalAge = milliseconds(0);
+  operatorAge = milliseconds(1600);
+  CHECK_FALSE(current());
+  operatorAge = milliseconds(0);
+  registryAge = milliseconds(1600);
+  CHECK_FALSE(current());
+  registryAge = milliseconds(0);
+  CHECK(current());
+}
+
+// A read that is held open for 0.7 s, and lost once, makes no view old.
+TEST(owner_view, isCurrentWithTheUsualReads)
+{
+  journalAge = operatorAge = registryAge = milliseconds(1200);
+  CHECK(current());
+}
+
+// Load pattern: the store is slow for all. Reads are further apart, and no daemon knows more.
+TEST(owner_view, allowsForTheLatencyOfTheStore)
+{
+  latency = milliseconds(400);
+  journalAge = operatorAge = registryAge = milliseconds(2500);
+  CHECK(current());
+  latency = milliseconds(5000);
+  journalAge = milliseconds(5100);
+  CHECK_FALSE(current());
+}
+
+TEST(owner_view, isLostIfItStaysOld)
+{
+  journalAge = milliseconds(2100);
+  CHECK_FALSE(lostAfter(milliseconds(400)));
+  CHECK(lostAfter(milliseconds(200)));
+  journalAge = milliseconds(0);
+  current();
+  CHECK_FALSE(view.lost());
+}
+
+// Guards against hand-overs by an owner that was paused, before its reads could be answered.
+TEST(owner_view, aPauseOfTheProcessDoesNotLoseIt)
+{
+  CHECK(current());
+  now += seconds(4);
+  journalAge = operatorAge = registryAge = seconds(4);
+  CHECK_FALSE(current());
+  CHECK_FALSE(view.lost());
+  journalAge = operatorAge = registryAge = milliseconds(0);
+  CHECK(current());
+}
--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -227,6 +227,8 @@
         )
         # Without an answer, the job may have been cancelled or not; neither is checked then.
         job.cancelled = answer is not None and answer[0] == 200
+        if job.cancelled:
+            job.cancelled_at = time.monotonic()
         job.accepted_at = None
 
     def query_state(self, job, daemon):
--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -8,6 +8,8 @@
 LIMIT_SLACK = 0.1
 # Time after a job was shown as completed from which none of its tasks may start.
 SHOWN_SLACK_S = 1.0
+# Time after a job's cancellation was confirmed from which none of its tasks may start.
+CANCEL_LIMIT_S = 3.0
 
 
 class Job:
@@ -16,6 +18,7 @@
         self.cpu_milli = cpu_milli  # Of one task.
         self.accepted_at = None
         self.cancelled = False
+        self.cancelled_at = None  # When a caller was first told so.
         self.rejected = False  # Every submission was answered with a rejection.
         self.started = False
         self.shown_completed_at = None
@@ -98,6 +101,11 @@
                 self._report_violation(
                     f"started after its job was shown as completed: {task} run {number} on {target}"
                 )
+            if job.cancelled_at and time.monotonic() - job.cancelled_at > CANCEL_LIMIT_S:
+                self._report_violation(
+                    f"started {time.monotonic() - job.cancelled_at:.1f} s after its cancellation: "
+                    f"{task} run {number} on {target}"
+                )
             others.add(target)
             in_use = sum(
                 self._job_of(running).cpu_milli * len(targets)
@@ -125,6 +133,11 @@
             if how == "done":
                 self._acknowledged.add(task)
 
+    def running(self, job):
+        """Returns the tasks of the job that run."""
+        with self._lock:
+            return [task for names, _ in job.tasks() for task in names if self._running.get(task)]
+
     def has_ended(self, job):
         """Whether a target has ended each task of the job as done."""
         with self._lock:
--- a/tests/platform_soak/journal_model.py
+++ b/tests/platform_soak/journal_model.py
@@ -72,6 +72,15 @@
         self.tasks = {}  # By occurrence, step and index; those without a run may be missing.
         self._left = max(1, spec[7])  # Occurrences that are not complete.
 
+    @classmethod
+    def unknown(cls, name):
+        """A job of which only the id is known."""
+        return cls([name, b"", b"", b"", [], 0, 0, 0])
+
+    def is_only_cancelled(self):
+        """Whether the cancellation was stored and the submission was not."""
+        return self.phase == PHASE_CANCELLED and not self.steps
+
     def finish(self, phase):
         if self.phase == ACTIVE:
             self.phase, self.ended_at = phase, time.monotonic()
@@ -124,11 +133,15 @@
             return
         kind = record[0]
         if kind == SUBMITTED:
-            self.jobs.setdefault(record[1][0], JobState(record[1]))
+            known = self.jobs.setdefault(record[1][0], JobState(record[1]))
+            if known.is_only_cancelled():
+                known.steps = JobState(record[1]).steps
+        elif kind == CANCELLED:
+            self.jobs.setdefault(record[1], JobState.unknown(record[1])).finish(PHASE_CANCELLED)
         elif kind == ACQUIRED:
             self.epochs[record[1]] = max(record[2], self.epochs.get(record[1], 0))
-        elif kind in (CANCELLED, ABANDONED) and record[1] in self.jobs:
-            self.jobs[record[1]].finish(PHASE_CANCELLED if kind == CANCELLED else FAILED)
+        elif kind == ABANDONED and record[1] in self.jobs:
+            self.jobs[record[1]].finish(FAILED)
         elif kind in (STARTED, ENDED) and record[1] in self.jobs:
             job, key, run = self.jobs[record[1]], tuple(record[2:5]), record[5]
             if kind == STARTED:
@@ -271,7 +284,7 @@
         if now is None:
             yield "not in the journal"
         elif name in snapshot.jobs:
-            before = self._base.jobs.get(name, JobState([name, b"", b"", b"", [], 0, 0, 0]))
+            before = self._base.jobs.get(name, JobState.unknown(name))
             yield from job_differences(
                 name, before, snapshot.jobs[name], now, self._now.targets
             )
--- a/tests/platform_soak/proxy.py
+++ b/tests/platform_soak/proxy.py
@@ -11,12 +11,14 @@
 class Proxy:
     """Faults: `drop_all` drops bytes in both directions, `drop_replies` only those of the server,
     `delay_s` delays every chunk, and `answer_reset_probability` is that of a connection being reset
-    when the server answers a request, which has then been delivered and carried out."""
+    when the server answers a request, which has then been delivered and carried out. A connection
+    falls silent with the first request that `swallows` chooses by its first line."""
 
     def __init__(self, port, target, seed=0):
         self.answer_reset_probability = 0.0
         # Decides, from the first line of a request, whether its answer is lost by a reset.
         self.resets_answer = lambda _: self._random.random() < self.answer_reset_probability
+        self.swallows = lambda _: False
         self._random = random.Random(seed)
         self.drop_all = False
         self.drop_replies = False
@@ -82,6 +84,9 @@
                         return
                     if end is client and data.startswith((b"GET ", b"POST ", b"DELETE ")):
                         request_line = data.split(b"\r\n", 1)[0]
+                        if self.swallows(request_line):
+                            with self._lock:
+                                self._stalled.add(pair)
                     elif end is server and request_line:
                         if self.resets_answer(request_line):
                             client.setsockopt(
