--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -90,8 +90,7 @@
         return acceptLocally(aRecord, aDone);
       }),
     mRequestHandler(mClock, mJobs.table(), mRecordWriter, mLog,
-                    { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 },
-                    [this](const journal_record& aRecord) { mJobs.applyStored(aRecord); }),
+                    { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 }),
     mRegistry(mLog, mClock,
               { .mOnListed =
                   [this](const scheduler::target_entry& aEntry) {
--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -107,7 +107,10 @@
                            aOffset, known == nullptr ? -1 : static_cast<int>(known->mPhase),
                            (mClock.now() - mTail.recordsSince()) / std::chrono::milliseconds(1)));
   }
-  apply(aRecord);
+  // Null for this owner's records, which were applied to the table when they were created.
+  if (auto* changed = mTable.apply(aRecord, mClock.now())) {
+    mCallbacks.mOnChanged(*changed);
+  }
 }
 
 void job_replica::onGap(std::uint64_t aFirst)
@@ -143,19 +146,4 @@
   return reloads;
 }
 
-void job_replica::applyStored(const scheduler::journal_record& aRecord)
-{
-  if (complete()) {
-    apply(aRecord);
-  }
-}
-
-void job_replica::apply(const scheduler::journal_record& aRecord)
-{
-  // Null for this owner's records, which were applied to the table when they were created.
-  if (auto* changed = mTable.apply(aRecord, mClock.now())) {
-    mCallbacks.mOnChanged(*changed);
-  }
-}
-
 } // namespace endiveusher::node
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -36,12 +36,12 @@
 ///
 /// The copy is absent, being loaded, or complete. It is complete once the newest snapshot has been
 /// loaded and the journal behind it has been read to its end. Only a complete table may answer
-/// callers, be written to a snapshot, be scheduled from, or take records out of the journal's
-/// order: a record of a job whose snapshot has not been loaded would take the place of the job's
-/// runs. A record that refers to a job or run which the table lacks shows that it is not complete,
-/// whatever the reason; the table is then loaded again. What the store itself has lost, after an
-/// outage of all daemons for longer than it keeps records, is lost: the table then begins with the
-/// oldest record that is left.
+/// callers, be written to a snapshot, or be scheduled from. Records are applied in the order of the
+/// journal only, also those that this daemon has stored itself: the state of a job depends on the
+/// order, and must be the same at all daemons. A record that refers to a job or run which the table
+/// lacks shows that it is not complete, whatever the reason; the table is then loaded again. What
+/// the store itself has lost, after an outage of all daemons for longer than it keeps records, is
+/// lost: the table then begins with the oldest record that is left.
 class job_replica
 {
 public:
@@ -82,9 +82,6 @@
   /// The table includes all journal records that were acknowledged before this time.
   time_point freshAsOf() const { return mTail.freshAsOf(); }
 
-  /// Applies a record that is in the journal but may not have been read yet. Has no effect unless
-  /// the table is complete; the record is then read with the others.
-  void applyStored(const scheduler::journal_record& aRecord);
   /// Reads the journal now. The store may be holding the read in flight open.
   void readNow();
   void setReadInterval(std::chrono::milliseconds aInterval) { mTail.setInterval(aInterval); }
@@ -108,7 +105,6 @@
                   std::uint64_t aReadEnd);
   /// Applies a record that was read.
   void applyRead(const scheduler::journal_record& aRecord, std::uint64_t aOffset);
-  void apply(const scheduler::journal_record& aRecord);
 
   const clock& mClock;
   event_log& mLog;
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -23,8 +23,14 @@
 /// in a queue of the owner, or for an append that is repeated. Longer than callers' timeouts.
 constexpr std::chrono::seconds kUnknownOutcomePeriod{ 15 };
 constexpr std::size_t kMaxUnknownOutcomes = 20'000;
+/// Time after which a stored job has been read by a daemon, or by the owner that it asks. Exceeds
+/// the age up to which a view is good enough to deny that there is a job.
+constexpr std::chrono::seconds kStoredJobPeriod{ 5 };
 constexpr std::chrono::seconds kPurgeInterval{ 1 };
 
+constexpr std::string_view kQueuedState = R"({"state":"queued"})";
+constexpr std::string_view kCancelledState = R"({"state":"cancelled"})";
+
 std::chrono::milliseconds callerTimeout(const platform::caller_request& aCall)
 {
   const auto timeout = aCall.mTimeout.value_or(kDefaultCallerTimeout);
@@ -48,9 +54,9 @@
 
 request_handler::request_handler(const clock& aClock, const scheduler::job_table& aJobTable,
                                  caller_record_writer& aRecordWriter, event_log& aLog,
-                                 request_handler_options aOptions, record_stored_callback aOnStored)
+                                 request_handler_options aOptions)
   : mClock(aClock), mJobTable(aJobTable), mRecordWriter(aRecordWriter), mLog(aLog),
-    mOptions(aOptions), mOnStored(std::move(aOnStored))
+    mOptions(aOptions)
 {
 }
 
@@ -66,6 +72,16 @@
   return found != nullptr && found->mSpec.visibleTo(aTeam) ? found : nullptr;
 }
 
+bool request_handler::isStoredUnread(scheduler::job_id aId, std::string_view aTeam) const
+{
+  const auto found = mStoredJobs.find(aId);
+  if (found == mStoredJobs.end() || mClock.now() - found->second.mAt >= kStoredJobPeriod ||
+      !mCellStatus.mKnowsJobs || mCellStatus.mJournalAsOf >= found->second.mAt) {
+    return false;
+  }
+  return aTeam.empty() || aTeam == found->second.mTeam;
+}
+
 request_handler::caller request_handler::makeCaller(const platform::caller_request& aCall,
                                                     reply aReply) const
 {
@@ -204,6 +220,11 @@
     replyWithBody(aId, platform::encodeJobState(*known, mIsEndStored(aId)), "table", aReply);
     return;
   }
+  if (known == nullptr && isStoredUnread(aId, aTeam)) {
+    mLog.write("duplicate_submission", subject);
+    aReply({ .mBody = std::string(kQueuedState) });
+    return;
+  }
   auto spec = platform::decodeJob(aBody);
   if (!spec.ok()) {
     reject(aReply, 400, kRetryAfterConfigChange, subject, "malformed job");
@@ -305,8 +326,9 @@
 void request_handler::onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
                                 caller_outcome aOutcome)
 {
-  if (aOutcome == write_outcome::stored) {
-    mOnStored(aRecord);
+  if (const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
+      submitted != nullptr && aOutcome == write_outcome::stored) {
+    mStoredJobs[submitted->mSpec.mId] = { .mAt = mClock.now(), .mTeam = submitted->mSpec.mTeam };
   }
   const auto found = mPending.find(aKey);
   if (found == mPending.end()) {
@@ -337,7 +359,7 @@
     } else if (aOutcome != write_outcome::stored) {
       reject(one.mReply, 503, kRetryAfterTransient, subject, "the store has refused it");
     } else {
-      one.mReply({ .mBody = aKey.mCancel ? R"({"state":"cancelled"})" : R"({"state":"queued"})" });
+      one.mReply({ .mBody = std::string(aKey.mCancel ? kCancelledState : kQueuedState) });
     }
   }
 }
@@ -376,6 +398,9 @@
 {
   if (const auto* found = findVisible(aId, aTeam)) {
     replyWithBody(aId, platform::encodeJobState(*found, mIsEndStored(aId)), "table", aReply);
+  } else if (isStoredUnread(aId, aTeam)) {
+    // What is known of it is that it is stored.
+    aReply({ .mBody = std::string(kQueuedState) });
   } else {
     rejectUnknownJob(aReply, fmt::format("job={}", toText(aId)), aDenied);
   }
@@ -418,15 +443,15 @@
                              const std::string& aTeam, reply aReply)
 {
   const auto* found = mJobTable.find(aId);
-  if (found == nullptr) {
+  if (found == nullptr && !isStoredUnread(aId, aTeam)) {
     cancelAtOwner(aCall, aId, aTeam, aReply);
     return;
   }
-  if (!found->mSpec.visibleTo(aTeam)) {
+  if (found != nullptr && !found->mSpec.visibleTo(aTeam)) {
     rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)));
     return;
   }
-  if (found->mPhase != scheduler::job_phase::active && mIsEndStored(aId) &&
+  if (found != nullptr && found->mPhase != scheduler::job_phase::active && mIsEndStored(aId) &&
       mIsStored({ .mJob = aId, .mCancel = true })) {
     auto body = platform::encodeJobState(*found, true);
     mLog.write("cancellation_needless",
@@ -482,6 +507,8 @@
     mNextPurge = aNow + kPurgeInterval;
     std::erase_if(mUnknownOutcomes,
                   [aNow](const auto& aOne) { return aNow - aOne.second >= kUnknownOutcomePeriod; });
+    std::erase_if(mStoredJobs,
+                  [aNow](const auto& aOne) { return aNow - aOne.second.mAt >= kStoredJobPeriod; });
   }
 }
 
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -91,12 +91,10 @@
 {
 public:
   using reply = std::function<void(caller_response&&)>;
-  /// Called with each record that has been stored in the journal.
-  using record_stored_callback = std::function<void(const scheduler::journal_record&)>;
 
   request_handler(const clock& aClock, const scheduler::job_table& aJobTable,
                   caller_record_writer& aRecordWriter, event_log& aLog,
-                  request_handler_options aOptions, record_stored_callback aOnStored);
+                  request_handler_options aOptions);
 
   void setCellStatus(cell_status aCellStatus) { mCellStatus = std::move(aCellStatus); }
   /// Sets the sizes of the targets, against which jobs that can never fit are rejected.
@@ -182,6 +180,9 @@
              const scheduler::journal_record& aRecord, reply aReply);
   void onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
                  caller_outcome aOutcome);
+  /// Whether this daemon follows the journal, has stored the job and may not have read it yet, and
+  /// callers of the team may see it.
+  bool isStoredUnread(scheduler::job_id aId, std::string_view aTeam) const;
   /// Returns the job if callers of the team may see it, else null; jobs of public routes are
   /// visible to all.
   const scheduler::job* findVisible(scheduler::job_id aId, std::string_view aTeam) const;
@@ -206,7 +207,6 @@
   caller_record_writer& mRecordWriter;
   event_log& mLog;
   const request_handler_options mOptions;
-  record_stored_callback mOnStored;
   std::function<bool(scheduler::job_id)> mIsEndStored;
   std::function<bool(const caller_record&)> mIsStored;
   await_end_callback mAwaitEnd = [](scheduler::job_id /*aJob*/,
@@ -220,6 +220,15 @@
   std::map<caller_record, pending> mPending;
   /// Records whose last outcome was unknown, with the time of it; at most kMaxUnknownOutcomes.
   std::map<caller_record, time_point> mUnknownOutcomes;
+  /// A job that was stored through this daemon.
+  struct stored_job
+  {
+    time_point mAt;
+    std::string mTeam;
+  };
+  /// Jobs that were stored lately. The job table takes them in the order of the journal, when they
+  /// are read.
+  std::map<scheduler::job_id, stored_job> mStoredJobs;
   time_point mNextPurge{};
   /// Whether answerWaiting() has been called.
   bool mStopping = false;
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -8,6 +8,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <nlohmann/json.hpp>
 #include <poll.h>
 
 #include <array>
@@ -38,6 +39,9 @@
   std::atomic<bool> mWritesSnapshots = false;
   /// Status of the answers to queries for jobs; there is none if it is 0.
   std::atomic<std::uint16_t> mStatusOfJobs = 0;
+  /// Whether it answers forwarded records that it is not the owner, so that they are appended
+  /// directly.
+  std::atomic<bool> mRefusesRecords = false;
   /// Number of requests for a path.
   int count(std::string_view aPath)
   {
@@ -65,6 +69,12 @@
         aResponder.answer({ .mBody = encodeHelloReply({ .mWritesSnapshots = mWritesSnapshots }) });
         return;
       }
+      if (aRequest.mPath == kPeerStorePath && mRefusesRecords) {
+        const auto records = decodeForwardedRecords(aRequest.mBody);
+        aResponder.answer(
+          { .mBody = std::string(records->size(), static_cast<char>(forward_result::refused)) });
+        return;
+      }
       if (aRequest.mPath == kPeerStatusPath && mStatusOfJobs != 0) {
         aResponder.answer({ .mStatus = mStatusOfJobs.load() });
         return;
@@ -175,6 +185,15 @@
     client.receiveAnswer();
     return client.status();
   }
+  /// Returns the state of the job of call(), as this daemon answers it; empty if it does not.
+  std::string stateOfJob() const
+  {
+    edges::raw_client client(port);
+    client.send("GET /r/00000000000000aa HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const auto answer = client.receiveAnswer();
+    const auto body = nlohmann::json::parse(answer, nullptr, false);
+    return body.is_object() ? body.value("state", "") : "";
+  }
   /// Sends a request of another daemon; returns the status of the answer.
   int post(std::string_view aPath, const std::string& aBody) const
   {
@@ -440,6 +459,34 @@
   CHECK_EQUAL('s', repetitionResult);
 }
 
+// Guards against daemons that answer different things about a job, and against a snapshot that says
+// so for good: the job was completed, which this daemon had not read, before it was cancelled
+// there.
+TEST(cell_node, aDaemonTakesItsOwnRecordsInTheOrderOfTheJournal)
+{
+  constexpr auto kJob = static_cast<scheduler::job_id>(0xaa);
+  constexpr scheduler::task_key kTask{ .mStep = { .mJob = kJob } };
+  owner->mRefusesRecords = true;
+  owner->mStatusOfJobs = 503;
+  appendToStore("journal",
+                scheduler::encode(scheduler::job_submitted{
+                  .mSpec = { .mId = kJob, .mRoute = "r", .mSteps = { { .mCount = 1 } } } }));
+  appendToStore("journal", scheduler::encode(scheduler::run_started{
+                             .mTask = kTask, .mRun = 1, .mAt = { .mTarget = "w" } }));
+  CHECK(renewUntil([this] { return stateOfJob() == "running"; }));
+  const auto setUnreadTopic = [this](const std::string& aTopic) {
+    const std::lock_guard lock(store->mMutex);
+    store->mUnreadTopic = aTopic;
+  };
+  setUnreadTopic("journal");
+  appendToStore("journal", scheduler::encode(scheduler::run_ended{
+                             .mTask = kTask, .mRun = 1, .mOutcome = scheduler::run_end::done }));
+  CHECK_EQUAL(200, call("DELETE"));
+  setUnreadTopic("");
+  CHECK(renewUntil([this] { return stateOfJob() != "running"; }));
+  STRCMP_EQUAL("completed", stateOfJob().c_str());
+}
+
 // Guards against the loss of the cell: a daemon that was cut off while it stored a snapshot
 // replaced newer ones, whose journal records had been deleted.
 TEST(cell_node, aDaemonThatWasCutOffDoesNotReplaceNewerSnapshots)
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -93,6 +93,8 @@
   int mRefuse = 0;
   /// Whether calls are held, neither carried out nor answered.
   bool mSilent = false;
+  /// Topic whose reads get no answer.
+  std::string mUnreadTopic;
   /// Topic whose appends are answered with 503 without being carried out, and their number.
   std::string mRefusedTopic;
   int mRefusedAppends = 0;
@@ -195,6 +197,10 @@
       return;
     }
     ++mReads[topic];
+    if (topic == mUnreadTopic) {
+      mUnanswered.push_back(aResponder);
+      return;
+    }
     if (aRequest.mPath == "/log-newest") {
       std::map<std::string, std::string> newest;
       const auto records = mModel.read(topic, mModel.first(topic));
