An owner that cannot read hands over only to a daemon that can

What callers saw: running tasks lapsed and started again while one topic of the store had no answer for any daemon.

Cause: the owner released the cell because its view of the operator's records was old, and no other daemon claimed it, as their views were as old. Nobody renewed the leases.

Ruled out: a longer wait before the release; the outage may last longer.

Change: a follower's hello says whether its view is current, and the owner releases the cell only if that of one is. A daemon with an old view may claim, but 1.5 s later than others.

CancelledJobs.test_work_runs_on_while_no_daemon_reads_the_operators_records: fails on (5 starts, not 3), passes now. election.aDaemonWithAnOldView ClaimsLater. node_tests of election 29, cell_node 16 passed.

--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -250,6 +250,7 @@
     helper.mLastHello = now;
     helper.mCores = from->mCores;
     helper.mStandby = from->mStandby;
+    helper.mViewCurrent = from->mViewCurrent;
   }
   aRequest.mResponder.answer(
     { .mBody = encodeHelloReply(
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -339,6 +339,7 @@
     time_point mLastHello;
     double mCores = 0;
     bool mStandby = false;
+    bool mViewCurrent = false;
   };
   /// Helpers by address.
   std::map<std::string, helper> mHelpers;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -230,6 +230,8 @@
                       .mOperator = mOperatorTail->freshAsOf(),
                       .mRegistry = mOwner ? mRegistryTail->freshAsOf() : aNow },
                     mStore.latency(), aNow);
+  mElection.setViewCurrent(mOwnerView.current());
+  mOwnerClient.setViewCurrent(mOwnerView.current());
   if (!mOwner) {
     return;
   }
@@ -263,12 +265,13 @@
   mElection.setOwnerSuspected(
     mOwnerClient.refusedAt(),
     mOwnerClient.unresponsive(aNow) || mOwnerClient.ownerPartitioned(mStore.latency()), aNow);
-  const bool eligible = caughtUp() && mOperator.config() && !mStoreLost && mOwnerView.current();
-  // A store that is slow or down makes the views of others as old; one that does not take renewals
-  // ends the ownership anyway.
-  const bool isBlind = mOwner && mOwnerView.lost() && !mHelpers.empty() &&
-                       mElection.renewalAge(aNow) < kMaxBlindRenewalAge &&
-                       mStore.latency() < kSlowStoreLatency;
+  const bool eligible = caughtUp() && mOperator.config() && !mStoreLost;
+  // The leases are renewed until another daemon can do better. A store that is slow makes the views
+  // of others old as well; one that does not take renewals ends the ownership anyway.
+  const bool isBlind =
+    mOwner && mOwnerView.lost() && mElection.renewalAge(aNow) < kMaxBlindRenewalAge &&
+    mStore.latency() < kSlowStoreLatency &&
+    std::ranges::any_of(mHelpers, [](const auto& aOne) { return aOne.second.mViewCurrent; });
   // Pending records are stored before another daemon may become owner.
   const bool mayRelease =
     (mStopping || isBlind) &&
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -169,10 +169,11 @@
 
 std::chrono::milliseconds election::reluctance() const
 {
-  if (mOptions.mLarge) {
-    return std::chrono::milliseconds(0);
+  std::chrono::milliseconds delay{ 0 };
+  if (!mOptions.mLarge) {
+    delay = mHasRecord && mLastRecord.mLarge ? mOptions.mReluctanceToLarge : mOptions.mReluctance;
   }
-  return mHasRecord && mLastRecord.mLarge ? mOptions.mReluctanceToLarge : mOptions.mReluctance;
+  return mViewCurrent ? delay : delay + mOptions.mOldViewReluctance;
 }
 
 void election::onAppended(action aAction, std::uint64_t aOffset, time_point aSent)
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -71,6 +71,9 @@
   /// The same delay if the last owner ran on a large VM, so that there are such: one that has just
   /// started has to read the state of the cell before it can claim.
   std::chrono::milliseconds mReluctanceToLarge{ 3000 };
+  /// Further delay of a daemon that does not know what others have stored: as owner it could only
+  /// renew leases. Longer than the delays of others.
+  std::chrono::milliseconds mOldViewReluctance{ 1500 };
   /// Time since the last accepted renewal after which an owner stops renewing leases.
   std::chrono::milliseconds mMaxRenewalAge{ 5000 };
 };
@@ -122,6 +125,8 @@
     mOwnerEnded = ended;
     mOwnerUnresponsive = aUnresponsive;
   }
+  /// Sets whether this daemon knows enough of what others have stored to own the cell.
+  void setViewCurrent(bool aCurrent) { mViewCurrent = aCurrent; }
   owner_record record(action aAction) const;
   std::uint64_t expectedEnd() const { return mEnd; }
   /// Reports that the append sent at aSent was stored at aOffset.
@@ -161,7 +166,8 @@
   /// Takes the ownership with the epoch of a claim of this daemon.
   void begin(std::uint64_t aEpoch);
   bool isOwn(const owner_record& aRecord) const;
-  /// Returns the delay of this daemon's claim in favour of larger VMs.
+  /// Returns the delay of this daemon's claim in favour of larger VMs, and of those with a newer
+  /// view.
   std::chrono::milliseconds reluctance() const;
 
   const election_options mOptions;
@@ -195,6 +201,7 @@
   bool mOwnerEnded = false;
   time_point mOwnerEndedSince{};
   bool mOwnerUnresponsive = false;
+  bool mViewCurrent = true;
   time_point mRetryAt{};
 };
 
--- a/node/src/owner_client.h
+++ b/node/src/owner_client.h
@@ -40,6 +40,8 @@
   /// because it is the one that has to notice the loss of the owner; other daemons send them at the
   /// interval that the owner requests.
   void setStandby(bool aStandby) { mHello.mStandby = aStandby; }
+  /// Sets whether this daemon knows enough of what others have stored to own the cell.
+  void setViewCurrent(bool aCurrent) { mHello.mViewCurrent = aCurrent; }
   /// Sets whether the store does not answer this daemon. Only the owner then connects it to the
   /// cell, so hellos are sent at the shortest interval.
   void setStoreLost(bool aLost);
--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -74,6 +74,8 @@
   double mCores = 0;
   /// Whether the follower follows the journal.
   bool mStandby = false;
+  /// Whether the follower knows enough of what others have stored to own the cell.
+  bool mViewCurrent = false;
   bool operator==(const hello&) const = default;
 };
 
@@ -83,8 +85,9 @@
   return { .mMethod = "POST",
            .mAddress = aOwner,
            .mPath = std::string(kPeerHelloPath),
-           .mBody =
-             nlohmann::json::array({ aHello.mAddress, aHello.mCores, aHello.mStandby }).dump(),
+           .mBody = nlohmann::json::array(
+                      { aHello.mAddress, aHello.mCores, aHello.mStandby, aHello.mViewCurrent })
+                      .dump(),
            .mRepeatable = true,
            .mTimeout = std::chrono::milliseconds(500) };
 }
@@ -93,7 +96,11 @@
 {
   try {
     const auto value = nlohmann::json::parse(aBody);
-    hello decoded{ .mAddress = value.at(0), .mCores = value.at(1), .mStandby = value.at(2) };
+    hello decoded{ .mAddress = value.at(0),
+                   .mCores = value.at(1),
+                   .mStandby = value.at(2),
+                   // Earlier versions did not write it.
+                   .mViewCurrent = value.size() > 3 && value.at(3).get<bool>() };
     if (!decoded.mAddress.empty() && !edges::isIpAndPort(decoded.mAddress)) {
       throw std::invalid_argument("the address is not ip:port");
     }
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -301,6 +301,19 @@
   CHECK_EQUAL(3, one.epoch());
 }
 
+// An owner that has released the cell because it cannot read must not claim it before those that
+// can. If there are none, its renewals of leases keep the running work.
+TEST(election, aDaemonWithAnOldViewClaimsLater)
+{
+  one.onRecordRead(recordOf(owner_record::kind::release, "b"), 0, now);
+  one.onEndRead(1, now);
+  one.setViewCurrent(false);
+  now += milliseconds(1400);
+  CHECK(next() == election::action::none);
+  now += milliseconds(200);
+  CHECK(next() == election::action::claim);
+}
+
 // The next owner may rely on a release whose answer was lost.
 TEST(election, aReleaseThatWasSentIsNotTakenBack)
 {
--- a/tests/process/test_cancelled_jobs.py
+++ b/tests/process/test_cancelled_jobs.py
@@ -1,4 +1,4 @@
-"""Cancellations that a daemon appends beside a busy owner, with real daemons and sockets."""
+"""Owners that do not know what others have stored, with real daemons and sockets."""
 
 import json
 import pathlib
@@ -20,6 +20,7 @@
 TASKS_IN_CELL = TARGETS * TARGET_CPU_MILLI // TASK_CPU_MILLI
 JOURNAL_APPEND = b"/log-append?topic=journal"
 JOURNAL_READ = b"/log-read?topic=journal"
+OPERATOR_READ = b"topic=keyed.op&"
 # An owner turns cancellations away while an append has been unanswered for 1.5 s.
 APPEND_LIMIT_S = 2.0
 # Time in which an owner that cannot read hands the cell over and the next one stops runs.
@@ -40,9 +41,10 @@
         self.owner = self.cell.owner()
         self.follower = next(one for one in self.cell.daemons if one is not self.owner)
 
-    def silence(self, *requests):
-        """The owner gets no answer of the store to these requests."""
-        self.owner.store.swallows = lambda line: any(one in line for one in requests)
+    def silence(self, *requests, daemons=None):
+        """The owner, or each of the daemons, gets no answer of the store to these requests."""
+        for daemon in daemons or [self.owner]:
+            daemon.store.swallows = lambda line: any(one in line for one in requests)
 
     def submit_in_background(self, work_ms):
         """Submits a job at the follower, without waiting for the answer."""
@@ -113,6 +115,19 @@
         self.check_running(job, CANCEL_LIMIT_S + HAND_OVER_S)
         self.assertEqual([], self.cell.checker.violations)
 
+    # Guards against leases that nobody renews, because the owner hands over to daemons that know
+    # no more than it does.
+    def test_work_runs_on_while_no_daemon_reads_the_operators_records(self):
+        job = self.cell.submit(step(2), work_ms=9000)
+        wait_until(lambda: len(self.cell.checker.running(job)) == 2, "both tasks run")
+        starts = self.cell.checker.starts
+        self.silence(OPERATOR_READ, daemons=self.cell.daemons)
+        time.sleep(9)
+        self.silence(daemons=self.cell.daemons)
+        wait_until(lambda: not self.cell.unfinished(), "the job has ended")
+        self.assertEqual(starts, self.cell.checker.starts)
+        self.assertEqual([], self.cell.checker.violations)
+
 
 if __name__ == "__main__":
     run_tests()
