Take an append for stored only if the expected number shows it

Cause: journal_writer took a 409 with the reason `seq` after an unanswered try for proof that the try had been stored, and counted on from there. The store says which number it expects. Only the number after the append's own shows that it was stored; a smaller one shows that it was not.

Ruled out as a cause of a recorded case: a store that keeps the protocol answers a repetition of a stored append with its first response, so `seq` needs a store that has lost the producer's state.

Change: the expected number is decoded. A daemon's own writer continues under its next epoch, which the store takes with any number and which fences copies under way; if the answer leaves open whether the records are stored, their outcome is unknown. The owner's writer keeps the epoch of its claim, so it ends and the owner steps down. An append without records has only set the epoch, for which the store keeps no response; for it an answer without a number is enough.

Tests: on with the field decoded by nobody, storesWhatTheStoreHasNotTaken (expected 2 records, but was 1), numbersAnewWhereTheStoreExpectsAnotherNumber, withoutAUsableExpectedNumberTheOutcomeIsNotKnown and anOwnerOutOfSequenceStoresNothingMore fail. The other two new tests of journal_writer passed before and guard what stays.

--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -321,7 +321,8 @@
                                        journal_writer_options{ .mTopic = kJournalTopic,
                                                                .mProducer = kOwnerProducer,
                                                                .mEpoch = epoch,
-                                                               .mRetryRefused = true });
+                                                               .mRetryRefused = true,
+                                                               .mSharedProducer = true });
     mOrderRouter.begin(epoch);
     mHandOver.begin(epoch, mElection.formerOwners(mClock.now(), kHandOverPeriod));
     mLog.write("owner_starting", fmt::format("epoch={}", epoch));
--- a/node/src/journal_writer.cpp
+++ b/node/src/journal_writer.cpp
@@ -143,8 +143,7 @@
   if (std::ranges::none_of(mCurrent, [aNow](const entry& aOne) { return aOne.expired(aNow); })) {
     return;
   }
-  ++mEpoch;
-  mSequence = (mEpoch << kSequenceBits) + 1;
+  beginNextEpoch();
   std::vector<std::string> kept;
   auto next = mCurrentRecords.begin();
   for (auto& one : mCurrent) {
@@ -202,10 +201,7 @@
       finish(write_outcome::fenced);
       return;
     case append_outcome::out_of_sequence:
-      // Only this object uses the producer name, so the store is ahead because an unanswered try
-      // was stored.
-      ++mSequence;
-      finish(mUncertain ? write_outcome::stored : write_outcome::refused);
+      onOutOfSequence(aReply.mExpectedSequence);
       return;
     case append_outcome::conflict:
     case append_outcome::refused:
@@ -222,6 +218,39 @@
   mRetryAt = mClock.now() + doubled(kRetryPause, doublings, kMaxRetryPause);
 }
 
+void journal_writer::onOutOfSequence(std::optional<std::uint64_t> aExpected)
+{
+  // The store expects the next number only if it has taken this one. An append without records only
+  // sets the epoch, which is in force: otherwise the store would have rejected it as too low, or
+  // taken any number.
+  const bool taken = aExpected ? *aExpected == mSequence + 1 : mCurrentRecords.empty();
+  if (mUncertain && taken) {
+    ++mSequence;
+    finish(write_outcome::stored);
+    return;
+  }
+  if (mOptions.mSharedProducer) {
+    mFenced = true;
+    finish(write_outcome::fenced);
+    return;
+  }
+  // The numbers no longer follow those that the store has taken. Under the next epoch it takes any,
+  // and rejects copies that are under way.
+  const bool mayBeStored = mUncertain && (!aExpected || *aExpected > mSequence);
+  beginNextEpoch();
+  if (mayBeStored) {
+    finish(write_outcome::unknown);
+    return;
+  }
+  mRetryAt = mClock.now() + doubled(kRetryPause, mTries, kMaxRetryPause);
+}
+
+void journal_writer::beginNextEpoch()
+{
+  ++mEpoch;
+  mSequence = (mEpoch << kSequenceBits) + 1;
+}
+
 void journal_writer::finish(write_outcome aOutcome)
 {
   mPendingSince.reset();
--- a/node/src/journal_writer.h
+++ b/node/src/journal_writer.h
@@ -21,6 +21,8 @@
   std::uint64_t mEpoch = 1;
   /// Whether to retry appends that the store refuses; otherwise they are reported as refused.
   bool mRetryRefused = false;
+  /// Whether others use the producer name under higher epochs. The writer keeps its epoch then.
+  bool mSharedProducer = false;
 };
 
 /// Result of a write.
@@ -80,6 +82,9 @@
   void withdrawExpired(time_point aNow);
   void send();
   void onAppendReply(const platform::append_reply& aReply);
+  /// Handles an answer that the number of the current append is not aExpected.
+  void onOutOfSequence(std::optional<std::uint64_t> aExpected);
+  void beginNextEpoch();
   void finish(write_outcome aOutcome);
 
   platform::store& mStore;
--- a/standins/include/endiveusher/standins/store_model.h
+++ b/standins/include/endiveusher/standins/store_model.h
@@ -28,6 +28,8 @@
   std::string mReason;
   std::uint64_t mOffset = 0;
   std::uint64_t mEnd = 0;
+  /// Sequence number that is taken next, if the reason is `seq`.
+  std::uint64_t mExpected = 0;
 };
 
 /// Model of the platform's log, with one partition per topic: conditional appends, producers with
@@ -57,7 +59,9 @@
       }
       if (aAppend.mEpoch == producer.mEpoch && producer.mSequence != 0 &&
           aAppend.mSequence != producer.mSequence + 1) {
-        return { .mStatus = 409, .mReason = "seq", .mEnd = end };
+        return {
+          .mStatus = 409, .mReason = "seq", .mEnd = end, .mExpected = producer.mSequence + 1
+        };
       }
       producer.mEpoch = aAppend.mEpoch;
       producer.mSequence = aAppend.mSequence;
--- a/tests/node/journal_writer_test.cpp
+++ b/tests/node/journal_writer_test.cpp
@@ -4,13 +4,30 @@
 #include <CppUTest/TestHarness.h>
 
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace endiveusher;
 using namespace endiveusher::node;
 using namespace endiveusher::node::testing;
 
+namespace {
+
+/// Number of a writer's second append under epoch 1.
+constexpr std::uint64_t kSecondNumber = (std::uint64_t{ 1 } << 32U) + 2;
+
+store_fixture::odd_answer outOfSequence(std::uint64_t aExpected)
+{
+  return { .mStatus = 409,
+           .mCarriedOut = false,
+           .mBody = R"({"reason":"seq","expected":)" + std::to_string(aExpected) + "}" };
+}
+
+} // namespace
+
 TEST_GROUP(journal_writer)
 {
   std::unique_ptr<store_fixture> store = std::make_unique<store_fixture>();
@@ -22,14 +39,15 @@
     store.reset();
   }
 
-  void open(std::uint64_t aEpoch, bool aRetryRefused = true)
+  void open(std::uint64_t aEpoch, bool aRetryRefused = true, bool aSharedProducer = false)
   {
-    writer =
-      std::make_unique<journal_writer>(store->mStore, store->mClock,
-                                       journal_writer_options{ .mTopic = "journal",
-                                                               .mProducer = "owner",
-                                                               .mEpoch = aEpoch,
-                                                               .mRetryRefused = aRetryRefused });
+    writer = std::make_unique<journal_writer>(
+      store->mStore, store->mClock,
+      journal_writer_options{ .mTopic = "journal",
+                              .mProducer = "owner",
+                              .mEpoch = aEpoch,
+                              .mRetryRefused = aRetryRefused,
+                              .mSharedProducer = aSharedProducer });
   }
 
   write_outcome write(std::vector<std::string> aRecords)
@@ -185,6 +203,82 @@
   CHECK_EQUAL(3, stored());
 }
 
+// Guards against a record that is reported as stored although the store has not taken its number,
+// and against a writer that stores nothing more because it counts on from there.
+TEST(journal_writer, storesWhatTheStoreHasNotTaken)
+{
+  open(1, false);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  store->mOddAnswers = { { .mStatus = 500, .mCarriedOut = false }, outOfSequence(kSecondNumber) };
+  CHECK(write({ "b" }) == write_outcome::stored);
+  CHECK_EQUAL(2, stored());
+  CHECK(write({ "c" }) == write_outcome::stored);
+  CHECK_EQUAL(3, stored());
+}
+
+// The same for a store that does not know the producer any more.
+TEST(journal_writer, numbersAnewWhereTheStoreExpectsAnotherNumber)
+{
+  open(1, false);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  store->mOddAnswers = { outOfSequence(1) };
+  CHECK(write({ "b" }) == write_outcome::stored);
+  CHECK(write({ "c" }) == write_outcome::stored);
+  CHECK_EQUAL(3, stored());
+}
+
+TEST(journal_writer, theNextExpectedNumberShowsThatAnAppendIsStored)
+{
+  open(1, false);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  store->mOddAnswers = { { .mStatus = 500 }, outOfSequence(kSecondNumber + 1) };
+  CHECK(write({ "b" }) == write_outcome::stored);
+  CHECK_EQUAL(2, stored());
+  CHECK(write({ "c" }) == write_outcome::stored);
+  CHECK_EQUAL(3, stored());
+}
+
+// Guards against a record that is reported as stored by an answer that shows nothing of the kind.
+TEST(journal_writer, withoutAUsableExpectedNumberTheOutcomeIsNotKnown)
+{
+  open(1, false);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  for (const auto& answer :
+       { store_fixture::odd_answer{
+           .mStatus = 409, .mCarriedOut = false, .mBody = R"({"reason":"seq"})" },
+         outOfSequence(std::uint64_t{ 1 } << 40U) }) {
+    const auto before = stored();
+    store->mOddAnswers = { { .mStatus = 500, .mCarriedOut = false }, answer };
+    CHECK(write({ "b" }) == write_outcome::unknown);
+    CHECK_EQUAL(before, stored());
+    CHECK(write({ "c" }) == write_outcome::stored);
+    CHECK_EQUAL(before + 1, stored());
+  }
+}
+
+// Guards against an owner that goes on while the journal lacks one of its records: its epoch is
+// that of its claim, so it cannot take the next one.
+TEST(journal_writer, anOwnerOutOfSequenceStoresNothingMore)
+{
+  open(1, true, true);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  store->mOddAnswers = { { .mStatus = 500, .mCarriedOut = false }, outOfSequence(kSecondNumber) };
+  CHECK(write({ "b" }) == write_outcome::fenced);
+  CHECK(write({ "c" }) == write_outcome::fenced);
+  CHECK_EQUAL(1, stored());
+}
+
+// The store keeps no answer to an append without records, which only sets the epoch.
+TEST(journal_writer, anUnansweredAppendWithoutRecordsHasSetTheEpoch)
+{
+  open(1, true, true);
+  store->mOddAnswers = { { .mStatus = 500 },
+                         { .mStatus = 409, .mCarriedOut = false, .mBody = R"({"reason":"seq"})" } };
+  CHECK(write({}) == write_outcome::stored);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  CHECK_EQUAL(1, stored());
+}
+
 TEST(journal_writer, stopsWhenAHigherEpochHasWritten)
 {
   open(1);
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -193,7 +193,8 @@
       aResponder.answer({ .mStatus = static_cast<std::uint16_t>(answer.mStatus),
                           .mBody = R"({"reason":")" + answer.mReason + R"(","offset":)" +
                                    std::to_string(answer.mOffset) + R"(,"end":)" +
-                                   std::to_string(answer.mEnd) + "}" });
+                                   std::to_string(answer.mEnd) + R"(,"expected":)" +
+                                   std::to_string(answer.mExpected) + "}" });
       return;
     }
     ++mReads[topic];
--- a/tests/platform/store_replies_test.cpp
+++ b/tests/platform/store_replies_test.cpp
@@ -213,8 +213,16 @@
     CHECK_TEXT(append(status, "").mOutcome == append_outcome::refused,
                std::to_string(status).c_str());
   }
-  CHECK(append(409, R"({"reason":"seq","expected":4})").mOutcome ==
-        append_outcome::out_of_sequence);
+  const auto outOfSequence = append(409, R"({"reason":"seq","expected":4})");
+  CHECK(outOfSequence.mOutcome == append_outcome::out_of_sequence);
+  CHECK(outOfSequence.mExpectedSequence == 4U);
+  for (const char* body :
+       { R"({"reason":"seq"})", R"({"reason":"seq","expected":null})",
+         R"({"reason":"seq","expected":-1})", R"({"reason":"seq","expected":"4"})" }) {
+    const auto without = append(409, body);
+    CHECK_TEXT(without.mOutcome == append_outcome::out_of_sequence, body);
+    CHECK_FALSE_TEXT(without.mExpectedSequence.has_value(), body);
+  }
   CHECK(append(409, R"({"reason":"fenced"})").mOutcome == append_outcome::fenced);
   const auto conflict = append(412, R"({"end":3})");
   CHECK(conflict.mOutcome == append_outcome::conflict);
