--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -217,6 +217,10 @@
       if (record->mKind == owner_record::kind::claim) {
         mOrderRelay.setEpoch(epochOf(aOffset));
       }
+    } else {
+      mLog.write("bad_record", fmt::format("topic=owner offset={} error=\"{}\"", aOffset,
+                                           std::string(record.status().message())));
+      mElection.onUnreadableRecord(aOffset, mClock.now());
     }
     ++aOffset;
   }
@@ -324,7 +328,8 @@
                                        journal_writer_options{ .mTopic = kJournalTopic,
                                                                .mProducer = kOwnerProducer,
                                                                .mEpoch = epoch,
-                                                               .mRetryRefused = true });
+                                                               .mRetryRefused = true,
+                                                               .mSharedProducer = true });
     mOrderRouter.begin(epoch);
     mHandOver.begin(epoch, mElection.formerOwners(mClock.now(), kHandOverPeriod));
     mLog.write("owner_starting", fmt::format("epoch={}", epoch));
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -85,6 +85,15 @@
   }
 }
 
+void election::onUnreadableRecord(std::uint64_t aOffset, time_point aNow)
+{
+  mEnd = std::max(mEnd, aOffset + 1);
+  mLastSeen = aNow;
+  if (mRole == role::owner && epochOf(aOffset) > mEpoch) {
+    stepDown();
+  }
+}
+
 void election::onEndRead(std::uint64_t aEnd, time_point aNow)
 {
   mEndKnown = true;
@@ -193,7 +202,9 @@
     mRole = role::follower;
     return;
   }
-  if (aAction == action::claim && !overtaken) {
+  // The claim may have been read before its answer, and the ownership have ended since. Under the
+  // same epoch the appends to the journal would have the same numbers once more.
+  if (aAction == action::claim && !overtaken && epochOf(aOffset) > mEpoch) {
     begin(epochOf(aOffset));
     mEpochs.try_emplace(mEpoch, aSent);
   }
