--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -221,6 +221,23 @@
                        aJob.mOccurrencesDone, std::move(occurrences) });
 }
 
+/// Throws unless the states are those of the job's occurrences, steps and tasks: a daemon that uses
+/// others reads beyond the job's steps.
+void checkStates(const job& aJob)
+{
+  const auto& specs = aJob.mSpec.mSteps;
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    const bool fits =
+      occurrence < aJob.mSpec.occurrences() &&
+      std::ranges::equal(steps, specs, [](const step_state& aState, const step_spec& aSpec) {
+        return aState.mTasks.size() == aSpec.mCount;
+      });
+    if (!fits) {
+      throw std::out_of_range(absl::StrCat("occurrence ", occurrence, " has other steps"));
+    }
+  }
+}
+
 job jobFrom(const json& aValue)
 {
   job result{ .mSpec = specFrom(aValue.at(0)),
@@ -243,6 +260,7 @@
       steps.push_back(std::move(step));
     }
   }
+  checkStates(result);
   return result;
 }
 
