--- a/node/src/job_replica.cpp
+++ b/node/src/job_replica.cpp
@@ -2,6 +2,7 @@
 
 #include "endiveusher/kernel/back_off.h"
 
+#include <exception>
 #include <fmt/format.h>
 
 #include <utility>
@@ -46,13 +47,12 @@
 
 void job_replica::onLoaded(const std::optional<snapshot>& aFound)
 {
-  const auto now = mClock.now();
   const auto base = aFound ? aFound->mBase : 0;
   mBase = base;
   mHasUnreadable = aFound && aFound->mUnreadable > 0;
   if (aFound) {
     for (const auto& record : aFound->mRecords) {
-      mTable.apply(record, now);
+      applyToTable(record, base);
     }
     mTail.restart(base);
   }
@@ -82,6 +82,7 @@
 void job_replica::readRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset)
 {
   const loop_profiler::scope storing(mProfiler, loop_phase::store);
+  std::exception_ptr firstError;
   for (std::size_t index = 0; index < aRecords.size(); ++index) {
     const auto record = scheduler::decodeRecord(aRecords[index]);
     if (!record.ok()) {
@@ -94,7 +95,31 @@
         onUnplaced(*record, aOffset + index, aOffset + aRecords.size())) {
       return;
     }
-    applyRead(*record, aOffset + index);
+    try {
+      applyRead(*record, aOffset + index);
+    } catch (const std::exception& error) {
+      // The records behind it are not read again.
+      firstError = firstError ? firstError : std::current_exception();
+      mLog.write("change_not_followed", fmt::format("offset={} error=\"{}\" {}", aOffset + index,
+                                                    error.what(), scheduler::describe(*record)));
+    }
+  }
+  if (firstError) {
+    std::rethrow_exception(firstError);
+  }
+}
+
+scheduler::job* job_replica::applyToTable(const scheduler::journal_record& aRecord,
+                                          std::uint64_t aOffset)
+{
+  try {
+    return mTable.apply(aRecord, mClock.now());
+  } catch (const std::exception& error) {
+    // Each daemon that reads it would fail in the same way, and no owner could begin.
+    ++mPassedOver;
+    mLog.write("bad_record", fmt::format("topic=journal offset={} error=\"{}\" {}", aOffset,
+                                         error.what(), scheduler::describe(aRecord)));
+    return nullptr;
   }
 }
 
@@ -108,7 +133,7 @@
                            (mClock.now() - mTail.recordsSince()) / std::chrono::milliseconds(1)));
   }
   // Null for this owner's records, which were applied to the table when they were created.
-  if (auto* changed = mTable.apply(aRecord, mClock.now())) {
+  if (auto* changed = applyToTable(aRecord, aOffset)) {
     mCallbacks.mOnChanged(*changed);
   }
 }
--- a/node/src/job_replica.h
+++ b/node/src/job_replica.h
@@ -105,6 +105,9 @@
                   std::uint64_t aReadEnd);
   /// Applies a record that was read.
   void applyRead(const scheduler::journal_record& aRecord, std::uint64_t aOffset);
+  /// Applies a record, or passes it over if the table cannot. Returns the job that it changed;
+  /// nullptr if it changed none.
+  scheduler::job* applyToTable(const scheduler::journal_record& aRecord, std::uint64_t aOffset);
 
   const clock& mClock;
   event_log& mLog;
--- a/tests/node/job_replica_test.cpp
+++ b/tests/node/job_replica_test.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <memory>
+#include <stdexcept>
 
 using namespace endiveusher;
 using namespace endiveusher::node;
@@ -47,6 +48,8 @@
   event_log log{ "node" };
   loop_profiler profiler{ clock };
   bool isIncomplete = false;
+  /// Whether the owner cannot follow the change of a job.
+  bool changesFail = false;
   std::unique_ptr<job_replica> jobs;
 
   void setup() override
@@ -54,7 +57,13 @@
     jobs = std::make_unique<job_replica>(
       store.mStore, clock, log, profiler,
       job_replica_options{ .mJournalTopic = "journal", .mSnapshotTopic = "snapshot" },
-      job_replica::callbacks{ .mOnIncomplete = [this](std::string_view) { isIncomplete = true; } });
+      job_replica::callbacks{ .mOnChanged =
+                                [this](job& /*aJob*/) {
+                                  if (changesFail) {
+                                    throw std::out_of_range("no such step");
+                                  }
+                                },
+                              .mOnIncomplete = [this](std::string_view) { isIncomplete = true; } });
     for (const journal_record& record : history()) {
       append("journal", { encode(record) });
     }
@@ -109,6 +118,18 @@
   checkTaskIsDone();
 }
 
+// Guards against a table that lacks the records behind one that the owner could not follow, all of
+// which had been read.
+TEST(job_replica, readsOnBehindAChangeThatIsNotFollowed)
+{
+  jobs->load();
+  changesFail = true;
+  CHECK_THROWS(std::out_of_range, runUntilComplete());
+  changesFail = false;
+  CHECK(runUntilComplete());
+  checkTaskIsDone();
+}
+
 // The same, where the state is loaded again because of a gap in the journal.
 TEST(job_replica, aRecordThatIsStoredDuringAReloadDoesNotEmptyItsJob)
 {
