Ask for advice also on targets whose ids are not UTF-8

The id of a target is the key of its registry entry, whose bytes nothing checks. encodeAdvice() and encodePeerAdvice() wrote ids with dump(), which throws at bytes that are no UTF-8: the owner that asked for advice with such a target among its candidates ended, and the next one at its first call.

Ruled out: refusing such entries. Orders to these targets work; they replace such bytes in what they write.

malformed_bytes.adviceOnTargetsWhoseIdsAreNotText ended the process on the code before (type_error.316, invalid UTF-8 byte at index 0: 0xFF). Whether an owner gets such an entry from the platform was not tried.

--- a/node/src/peer_api.h
+++ b/node/src/peer_api.h
@@ -283,7 +283,8 @@
            .mBody = nlohmann::json::array({ static_cast<std::uint64_t>(aRequest.mStep.mJob),
                                             aRequest.mStep.mOccurrence, aRequest.mStep.mStep,
                                             aRequest.mTargets, aRequest.mTimeout.count() })
-                      .dump(),
+                      // Targets' ids are keys of the registry, which may be no valid UTF-8.
+                      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
            .mRepeatable = true,
            .mTimeout = aRequest.mTimeout };
 }
--- a/tests/node/malformed_bytes_test.cpp
+++ b/tests/node/malformed_bytes_test.cpp
@@ -188,6 +188,22 @@
   CHECK_FALSE(isOk(otherOccurrence));
 }
 
+// Guards against an owner, and then the next one, that ends when it asks for advice on a target
+// whose key in the registry is not UTF-8.
+TEST(malformed_bytes, adviceOnTargetsWhoseIdsAreNotText)
+{
+  const advice_request request{ .mDaemon = "10.0.0.1:80",
+                                .mStep = { .mJob = kJob },
+                                .mTargets = { "good", "\xff\xfe" },
+                                .mTimeout = std::chrono::milliseconds(400) };
+  const auto row = json::parse(platform::encodeAdvice("10.0.0.1:81", request).mBody).at("workers");
+  CHECK_EQUAL(2, row.size());
+  CHECK_EQUAL("good", row[0].get<std::string>());
+  const auto relayed = decodePeerAdvice(encodePeerAdvice(request).mBody);
+  CHECK(relayed.ok());
+  CHECK_EQUAL(2, relayed->mTargets.size());
+}
+
 // Guards against a process, and then the next owner's, that ends because of one record.
 TEST(malformed_bytes, recordsOfTheJournal)
 {
