Check cancelled jobs and lost calls in the soak of real daemons while it runs

Cause: clients of the soak cancelled at once after the submission, no task took longer than 0.8 s, and tasks of cancelled jobs were looked for only at the end, when they had ended by themselves. Calls without an answer were reported in runs of planned work only, and ended jobs were not asked for again.

Change, cancellations: jobs of long tasks, also gangs, with a step that is released later, long-running or recurring, are cancelled 0 to 2 s after their submission, at one to three daemons at once, until one confirms it. Every 0.1 s the checker reports tasks that run over 3.4 s after the first confirmation with no fault in the last 3 s, and over 12 s after it in any state of the cell.

Change, lost calls: under every kind of fault, each call that gets no complete answer is reported unless its daemon was killed or paused meanwhile. Accepted jobs must be known after 3 s instead of 5 s. Accepted, ended and cancelled jobs are asked for again during the run; an end that was shown must be shown by all daemons 5 s later, and is not forgotten.

New kinds, only if named: journal_reads, journal_appends, journal_blind (both, then the reads alone), operator_reads, registry_reads.

The final check of cancelled jobs waits for the same bounds (6.4 s at most): the last jobs may have been cancelled a moment ago.

--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -15,7 +15,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "tests/process"))
 
-from checker import Checker, Job  # noqa: E402
+from checker import READ_LIMIT_S, Checker, Job  # noqa: E402
 from journal_model import STATUS_RETENTION_S  # noqa: E402
 from programs import Ports, Program, wait_until  # noqa: E402
 from proxy import Proxy  # noqa: E402
@@ -27,12 +27,24 @@
 TEAM_LIMIT_CPU_MILLI = 24000
 # Time within which a revoked key must stop being accepted.
 REVOCATION_LIMIT_S = 5.0
-# Time within which every daemon must know an acknowledged job, also under overlapping faults.
-VISIBILITY_LIMIT_S = 5.0
+# Time within which every daemon must know an acknowledged job, also under overlapping faults:
+# bounds.visible_ms.
+VISIBILITY_LIMIT_S = 3.0
 CALL_TIMEOUT_S = 4.0
 # A connection that ends later after a request than this, without an answer, counts as unanswered.
 END_SLACK_S = 0.2
 SUBMIT_ATTEMPTS = 6
+CANCEL_ATTEMPTS = 8
+# Jobs of long tasks are always cancelled, and need few processors, so that the cell isn't full of
+# them. The longest tasks end only if they are stopped before RUN_LIMIT_S of the checker; the others
+# release their job's next step more than CANCEL_LIMIT_S after the cancellation.
+LONGEST_WORK_MS, RELEASING_WORK_MS = 15000, 4500
+LONG_CPU_MILLI, LONG_SHARE = 500, 0.35
+# Share of the jobs that recur, and are cancelled meanwhile.
+RECURRING_SHARE = 0.15
+# Time from the submission to the cancellation.
+CANCEL_DELAYS_S = [0, 0.05, 0.3, 1, 2]
+CHECK_INTERVAL_S = 0.1
 # The daemons write a snapshot every quarter of it. The store's stand-in deletes nothing by age.
 RECORD_RETENTION_S = 16
 
@@ -55,8 +67,36 @@
         self._command = [str(binary / "daemon/endiveusherd"), "--platform"]
         self._folder = folder
         self._environment = {"ENDIVEUSHER_BOOT": str(self._settings)}
+        self._paused = False
+        self._disturbed_at = 0.0
+        self.silenced = []  # Parts of request lines to which the store's answers are lost.
+        self.store.swallows = lambda line: any(part in line for part in self.silenced)
         self.start()
 
+    def pause(self):
+        self._paused = True
+        self.process.send(signal.SIGSTOP)
+
+    def resume(self):
+        if self._paused:
+            self._disturbed_at = time.monotonic()
+        self._paused = False
+        self.process.send(signal.SIGCONT)
+
+    def restart(self, signal_number):
+        # A process that a pause has stopped receives SIGTERM only when it continues.
+        self.resume()
+        if signal_number == signal.SIGKILL:
+            self._disturbed_at = time.monotonic()
+        self.process.send(signal_number)
+        self.process.wait()
+        self.process.close()
+        self.start()
+
+    def disturbed(self, since):
+        """Whether the process has been killed or paused since a time."""
+        return self._paused or self._disturbed_at >= since
+
     def start(self):
         self.process = Program(self.name, self._command, self._folder, self._environment)
 
@@ -81,7 +121,6 @@
         self.store = Store(store_port, seed, self.checker.report_violation)
         self.version = 0
         self.spare_key_revoked_at = None
-        self.unanswered = []  # Requests that were sent and not answered.
         self.limit_cpu_milli = TEAM_LIMIT_CPU_MILLI
         self.configure()
         self.targets, self.target_proxies = [], []
@@ -98,6 +137,7 @@
             for number in range(daemons)
         ]
         self._stop = threading.Event()
+        self._asker_seed = seed
         self._clients = []
 
     def configure(self):
@@ -137,8 +177,11 @@
             response = connection.getresponse()
             return response.status, response.read()
         except (OSError, http.client.HTTPException) as error:
-            if sent is not None and time.monotonic() - sent > END_SLACK_S:
-                self.unanswered.append(f"{method} {path} at {daemon.name}: {error!r}")
+            after = time.monotonic() - (sent or time.monotonic())
+            if after > END_SLACK_S and not daemon.disturbed(sent):
+                self.checker.report_violation(
+                    f"not answered: {method} {path} at {daemon.name} after {after:.1f} s: {error!r}"
+                )
             return None
         finally:
             connection.close()
@@ -175,7 +218,8 @@
         for number in range(count):
             seed = self.random.random()
             self._clients.append(threading.Thread(target=self._client, args=(number, seed)))
-        self._clients.append(threading.Thread(target=self._revoked_client))
+        for loop in (self._revoked_client, self._asker, self._watch_cancelled):
+            self._clients.append(threading.Thread(target=loop))
         for client in self._clients:
             client.start()
 
@@ -188,26 +232,41 @@
         rng = random.Random(seed)
         team = ["red", "blue"][number % 2]
         while not self._stop.wait(rng.uniform(0.05, 0.6)):
-            cpu = rng.choice([500, 1000, 2000])
-            work_ms = rng.choice([100, 300, 800])
-            steps = [{"count": rng.randint(1, 4), "cpu": cpu, "mem_mb": 10,
-                      "estimate_ms": work_ms}]
-            if rng.random() < 0.3:
-                steps[0]["gang"] = True
-            if rng.random() < 0.3:
-                steps.append({**steps[0], "count": 2, "after": [0]})
-            job = Job(uuid.uuid4().hex[:16], team, steps, cpu)
+            job, work_ms = self._draw_job(team, rng)
             self.checker.submitted(job)
             route = rng.choice(["u", "b"])
             self._submit(job, route, work_ms, rng)
-            if job.accepted_at and rng.random() < 0.1:
+            if job.accepted_at and (work_ms >= RELEASING_WORK_MS or job.extra or rng.random() < 0.1):
                 self._cancel(job, route, rng)
             if job.accepted_at:
                 self._query_state(job, route, rng.choice(self.daemons))
 
+    def _draw_job(self, team, rng):
+        """Returns a job and the time that each of its tasks takes."""
+        cpu, work_ms, count = rng.choice([500, 1000, 2000]), rng.choice([100, 300, 800]), 4
+        is_long = rng.random() < LONG_SHARE
+        if is_long:
+            cpu, work_ms = LONG_CPU_MILLI, rng.choice([LONGEST_WORK_MS, RELEASING_WORK_MS])
+            count = 2
+        steps = [{"count": rng.randint(1, count), "cpu": cpu, "mem_mb": 10,
+                  "estimate_ms": work_ms}]
+        kind = rng.random()
+        if kind < 0.3:
+            steps[0]["gang"] = True
+        if work_ms == RELEASING_WORK_MS or rng.random() < 0.3:
+            steps.append({**steps[0], "count": 2, "after": [0]})
+        elif is_long and kind > 0.7:
+            steps[0]["long_running"] = True
+        job = Job(uuid.uuid4().hex[:16], team, steps, cpu)
+        if not is_long and rng.random() < RECURRING_SHARE:
+            job.extra = {"first_ms": int(time.time() * 1000), "interval_ms": 500,
+                         "repeat_count": 40}
+        return job, work_ms
+
     def _submit(self, job, route, work_ms, rng):
         gang = int(job.steps[0].get("gang", False))
-        body = json.dumps({"spec": f"{work_ms}:{job.cpu_milli}:{gang}", "steps": job.steps})
+        body = json.dumps({"spec": f"{work_ms}:{job.cpu_milli}:{gang}", "steps": job.steps,
+                           **job.extra})
         rejections = 0
         for _ in range(SUBMIT_ATTEMPTS):
             answer = self.call(
@@ -222,14 +281,28 @@
         job.rejected = rejections == SUBMIT_ATTEMPTS
 
     def _cancel(self, job, route, rng):
-        answer = self.call(
-            rng.choice(self.daemons), "DELETE", f"/{route}/{job.name}", f"k{job.team}"
-        )
-        # Without an answer, the job may have been cancelled or not; neither is checked then.
-        job.cancelled = answer is not None and answer[0] == 200
-        if job.cancelled:
-            job.cancelled_at = time.monotonic()
-        job.accepted_at = None
+        """Cancels the job after a while, at up to three daemons at once, until one confirms it."""
+        time.sleep(rng.choice(CANCEL_DELAYS_S))
+        # From now on the job may be cancelled or not, until a daemon confirms it.
+        job.cancel_sent, job.accepted_at = True, None
+        path = f"/{route}/{job.name}"
+
+        def cancel_at(daemon):
+            answer = self.call(daemon, "DELETE", path, f"k{job.team}")
+            self.checker.note(f"cancel {job.name} at {daemon.name}: {answer}")
+            if answer is not None and answer[0] == 200:
+                self.checker.confirmed_cancelled(job)
+
+        for _ in range(CANCEL_ATTEMPTS):
+            chosen = rng.sample(self.daemons, rng.choice([1, 1, 2, 3]))
+            callers = [threading.Thread(target=cancel_at, args=(one,)) for one in chosen]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+            if job.cancelled:
+                return
+            time.sleep(0.1)
 
     def query_state(self, job, daemon):
         """As _query_state, for a job that was accepted."""
@@ -237,21 +310,45 @@
 
     def _query_state(self, job, route, daemon):
         """Queries and checks the state of the job at the daemon; None if it reports none."""
-        sent = time.monotonic()
+        sent, accepted_at, shown = time.monotonic(), job.accepted_at, job.shown_end
         answer = self.call(daemon, "GET", f"/{route}/{job.name}", f"k{job.team}")
         if answer is None:
             return None
-        if answer[0] == 410 and sent - job.accepted_at > VISIBILITY_LIMIT_S:
+        # A job is kept for STATUS_RETENTION_S after its end, cancelled or not.
+        known = accepted_at and sent - accepted_at > VISIBILITY_LIMIT_S
+        kept = shown and sent - shown[2] > READ_LIMIT_S
+        is_early = time.monotonic() - job.submitted_at < STATUS_RETENTION_S
+        if answer[0] == 410 and (known or (kept and is_early)):
             self.checker.report_violation(f"accepted but unknown: {job.name} at {daemon.name}")
         if answer[0] != 200:
             return None
         state = json.loads(answer[1])["state"]
+        self.checker.state_shown(job, state, daemon.name, sent)
         if state == "completed":
             self.checker.reported_completed(job)
-        elif state in ("failed", "cancelled"):
+        elif state in ("failed", "cancelled") and not job.cancel_sent:
             self.checker.report_violation(f"accepted but {state}: {job.name} at {daemon.name}")
         return state
 
+    def _asker(self):
+        """Asks for earlier jobs again, also for cancelled ones."""
+        rng = random.Random(self._asker_seed)
+        while not self._stop.wait(CHECK_INTERVAL_S):
+            known = [job for job in self.checker.jobs() if job.route and not job.rejected]
+            if known:
+                job = rng.choice(known[-200:])
+                self._query_state(job, job.route, rng.choice(self.daemons))
+
+    def _watch_cancelled(self):
+        while not self._stop.wait(CHECK_INTERVAL_S):
+            self.checker.check_cancelled()
+
+    def ask_for_cancelled(self):
+        """Asks each daemon for the last cancelled jobs."""
+        for job in [one for one in self.checker.jobs() if one.cancelled][-20:]:
+            for daemon in self.daemons:
+                self._query_state(job, job.route, daemon)
+
     def _revoked_client(self):
         """Submits jobs with the spare key and checks REVOCATION_LIMIT_S once it is revoked."""
         while not self._stop.wait(0.3):
--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -10,6 +10,18 @@
 SHOWN_SLACK_S = 1.0
 # Time after a job's cancellation was confirmed from which none of its tasks may start.
 CANCEL_LIMIT_S = 3.0
+# Time after that in which its tasks are stopped: bounds.stop_ms, the longest of the sites.
+STOP_LIMIT_S = 0.4
+# Time after the end of a fault from which such bounds hold: bounds.contact_ms.
+CONTACT_S = 3.0
+# Time after a job's cancellation was confirmed from which none of its tasks runs, whatever state the
+# cell is in: an owner acts on a view of at most 5 s (kMaxLimit in node/src/owner_view.cpp) until it
+# is lost (kLossPeriod, 0.5 s), the last order that it then sends is answered within 0.5 s, and the
+# lease that it renews ends after 6 s (bounds.hold_max_ms).
+RUN_LIMIT_S = 12.0
+# Time after which all daemons have read a record that one of them has shown the effect of.
+READ_LIMIT_S = 5.0
+ENDED_STATES = ("completed", "failed", "cancelled")
 
 
 class Job:
@@ -17,11 +29,16 @@
         self.name, self.team, self.steps = name, team, steps
         self.cpu_milli = cpu_milli  # Of one task.
         self.accepted_at = None
+        self.route = None  # Of the accepted submission.
+        self.extra = {}  # Fields of the submission besides its steps.
+        self.submitted_at = time.monotonic()
+        self.cancel_sent = False
         self.cancelled = False
         self.cancelled_at = None  # When a caller was first told so.
         self.rejected = False  # Every submission was answered with a rejection.
         self.started = False
         self.shown_completed_at = None
+        self.shown_end = None  # State, daemon and time of the first answer that named an end.
 
     def tasks(self):
         for number, step in enumerate(self.steps):
@@ -42,6 +59,10 @@
         self._running = {}  # Targets that run a task, by task.
         self._done = set()
         self._acknowledged = set()
+        self._run_since = {}  # Time of the last start, by task.
+        self._run_on = set()  # Tasks that were reported to run on after a cancellation.
+        self._faults = 0
+        self._calm_since = 0.0  # Time of the end of the last fault.
 
     def chance(self, probability):
         with self._lock:
@@ -107,6 +128,7 @@
                     f"{task} run {number} on {target}"
                 )
             others.add(target)
+            self._run_since[task] = time.monotonic()
             in_use = sum(
                 self._job_of(running).cpu_milli * len(targets)
                 for running, targets in self._running.items()
@@ -138,6 +160,61 @@
         with self._lock:
             return [task for names, _ in job.tasks() for task in names if self._running.get(task)]
 
+    def fault_began(self, disturbs=True):
+        with self._lock:
+            self._faults += disturbs
+
+    def fault_ended(self, disturbs=True):
+        with self._lock:
+            self._faults -= disturbs
+            if disturbs:
+                self._calm_since = time.monotonic()
+
+    def confirmed_cancelled(self, job):
+        """A caller has been told that the job is cancelled, or had ended."""
+        with self._lock:
+            job.cancelled_at = job.cancelled_at or time.monotonic()
+            job.cancelled = True
+
+    def runs_of_cancelled(self):
+        """Returns the tasks of cancelled jobs that run."""
+        with self._lock:
+            return [task for task, targets in self._running.items()
+                    if targets and self._job_of(task).cancelled]
+
+    def check_cancelled(self):
+        """Reports tasks that run too long after their jobs' cancellation. Called periodically."""
+        for task in self.runs_of_cancelled():
+            with self._lock:
+                targets, now = self._running[task], time.monotonic()
+                if not targets or task in self._run_on:
+                    continue
+                after = now - self._job_of(task).cancelled_at
+                calm = now - max(
+                    now - after, self._run_since[task], self._calm_since + CONTACT_S
+                )
+                in_touch = not self._faults and calm > CANCEL_LIMIT_S + STOP_LIMIT_S
+                if in_touch or after > RUN_LIMIT_S:
+                    self._run_on.add(task)
+                    self._report_violation(
+                        f"runs on {after:.1f} s after its cancellation, in touch {in_touch}: "
+                        f"{task} on {targets}"
+                    )
+
+    def state_shown(self, job, state, daemon, sent):
+        """A daemon has answered a query that was sent at a time; an end that was shown is final."""
+        with self._lock:
+            if job.shown_end is None:
+                if state in ENDED_STATES:
+                    job.shown_end = (state, daemon, time.monotonic())
+                return
+            first, by, since = job.shown_end
+            if state != first and sent - since > READ_LIMIT_S:
+                self._report_violation(
+                    f"shown as {state} by {daemon}, {sent - since:.1f} s after {first} by {by}: "
+                    f"{job.name}"
+                )
+
     def has_ended(self, job):
         """Whether a target has ended each task of the job as done."""
         with self._lock:
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -13,17 +13,25 @@
 import time
 
 from cell import Cell, TARGET_CPU_MILLI, ZONES
+from checker import CANCEL_LIMIT_S, CONTACT_S, STOP_LIMIT_S
 
 # Time limit after the last fault for all accepted jobs to end.
 SETTLE_S = 40.0
 CLIENTS = 6
-# Kinds of planned work. Every request is answered if nothing else happens.
-PLANNED = {"stop", "reload", "evacuate", "revoke", "quota"}
 # Kinds that are injected only if named, so that the seeds of former failures draw the same faults.
 ONLY_IF_NAMED = {
     "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
-    "target_late_any", "target_rejects",
+    "target_late_any", "target_rejects", "journal_reads", "journal_appends", "journal_blind",
+    "operator_reads", "registry_reads",
 }
+# Kinds beside which the bounds hold that are counted without a fault.
+CALM = {"evacuate", "revoke", "quota", "target_drains"}
+# Share of the faults of one daemon's requests to the store that hit the owner.
+OWNER_SHARE = 0.8
+JOURNAL_READS, JOURNAL_APPENDS = b"/log-read?topic=journal", b"/log-append?topic=journal"
+# An owner turns cancellations away while an append has been unanswered for 1.5 s; other daemons then
+# append them.
+APPEND_LIMIT_S = 2.0
 
 
 class Fault:
@@ -33,15 +41,6 @@
         self.lasts_s, self.apply, self.heal = lasts_s, apply, heal
 
 
-def restart(daemon, signal_number):
-    # A process that a pause has stopped receives SIGTERM only when it continues.
-    daemon.process.send(signal.SIGCONT)
-    daemon.process.send(signal_number)
-    daemon.process.wait()
-    daemon.process.close()
-    daemon.start()
-
-
 def set_fields(component, **fields):
     for name, value in fields.items():
         setattr(component, name, value)
@@ -62,15 +61,32 @@
 
     def pause():
         daemon = rng.choice(cell.daemons)
-        return Fault(
-            rng.uniform(0.5, 4),
-            lambda: daemon.process.send(signal.SIGSTOP),
-            lambda: daemon.process.send(signal.SIGCONT),
-        )
+        return Fault(rng.uniform(0.5, 4), daemon.pause, daemon.resume)
+
+    def silent(lasts_s, parts, first_s=0.0, first_parts=()):
+        """The store's answers to requests with these parts are lost, first to others as well. Mostly
+        the owner's requests, of the time when the fault begins."""
+        chosen = daemon()
+        of_owner = rng.random() < OWNER_SHARE
+        place = []
+
+        def apply():
+            place.append(cell.owner() if of_owner else chosen)
+            place[0].silenced.extend([*parts, *first_parts])
+            if first_parts:
+                time.sleep(first_s)
+                for part in first_parts:
+                    place[0].silenced.remove(part)
+
+        def heal():
+            for part in parts:
+                place[0].silenced.remove(part)
+
+        return Fault(lasts_s, apply, heal)
 
     def herd():
         chosen = rng.sample(cell.daemons, rng.randint(2, len(cell.daemons)))
-        return Fault(0, lambda: [restart(daemon, signal.SIGKILL) for daemon in chosen])
+        return Fault(0, lambda: [daemon.restart(signal.SIGKILL) for daemon in chosen])
 
     def crash():
         target = rng.choice(cell.targets)
@@ -113,8 +129,8 @@
     path = lambda: rng.choice(cell.target_proxies)  # noqa: E731
     seconds = lambda: rng.uniform(0.5, 5)  # noqa: E731
     return {
-        "kill": lambda: Fault(0, lambda chosen=daemon(): restart(chosen, signal.SIGKILL)),
-        "stop": lambda: Fault(0, lambda chosen=daemon(): restart(chosen, signal.SIGTERM)),
+        "kill": lambda: Fault(0, lambda chosen=daemon(): chosen.restart(signal.SIGKILL)),
+        "stop": lambda: Fault(0, lambda chosen=daemon(): chosen.restart(signal.SIGTERM)),
         "reload": lambda: Fault(0, daemon().reload),
         "herd": herd,
         "pause": pause,
@@ -128,6 +144,14 @@
         "store_one_way": lambda: toggled(daemon().store, seconds(), drop_replies=True),
         "store_silent": lambda: Fault(0, daemon().store.stall_open),
         "store_reset": lambda: Fault(0, daemon().store.reset),
+        "journal_reads": lambda: silent(rng.uniform(2, 8), [JOURNAL_READS]),
+        "journal_appends": lambda: silent(rng.uniform(0.5, 4), [JOURNAL_APPENDS]),
+        # The reads stay without an answer after cancellations were appended past the owner.
+        "journal_blind": lambda: silent(
+            rng.uniform(5, 10), [JOURNAL_READS], APPEND_LIMIT_S, [JOURNAL_APPENDS]
+        ),
+        "operator_reads": lambda: silent(rng.uniform(2, 8), [b"topic=keyed.op"]),
+        "registry_reads": lambda: silent(rng.uniform(2, 8), [b"topic=keyed.servers"]),
         "target_crash": crash,
         "target_cut": lambda: toggled(path(), rng.uniform(0.5, 9), drop_all=True),
         "target_one_way": lambda: toggled(path(), rng.uniform(0.5, 9), drop_replies=True),
@@ -167,16 +191,20 @@
         fault = makers[name]()
         applied.append(name)
         cell.checker.note(f"fault {name} for {fault.lasts_s:.1f} s")
+        disturbs = name not in CALM
+        cell.checker.fault_began(disturbs)
         fault.apply()
-        healing.append((time.monotonic() + fault.lasts_s, fault))
+        healing.append((time.monotonic() + fault.lasts_s, fault, disturbs))
         time.sleep(cell.random.uniform(0.1, 1.5))
-        for due, active in list(healing):
+        for due, active, disturbs in list(healing):
             if due <= time.monotonic():
                 cell.checker.note(f"fault healed that was due for {time.monotonic() - due:.1f} s")
                 active.heal()
-                healing.remove((due, active))
-    for _, active in healing:
+                cell.checker.fault_ended(disturbs)
+                healing.remove((due, active, disturbs))
+    for _, active, disturbs in healing:
         active.heal()
+        cell.checker.fault_ended(disturbs)
     return applied
 
 
@@ -186,6 +214,7 @@
     left = cell.unfinished()
     while left and time.monotonic() < end:
         time.sleep(0.5)
+        cell.checker.check_cancelled()
         left = cell.unfinished()
     if left:
         # On SIGUSR1, the daemons log their state, which helps to find the cause.
@@ -194,6 +223,12 @@
         time.sleep(0.5)
     for name in left:
         cell.checker.report_violation(f"accepted but not finished after {SETTLE_S:.0f} s: {name}")
+    cell.ask_for_cancelled()
+    # The last jobs may have been cancelled a moment ago.
+    end = time.monotonic() + CONTACT_S + CANCEL_LIMIT_S + STOP_LIMIT_S
+    while cell.checker.runs_of_cancelled() and time.monotonic() < end:
+        time.sleep(0.1)
+        cell.checker.check_cancelled()
     cell.checker.finish()
 
 
@@ -205,9 +240,6 @@
         cell.start_clients(CLIENTS)
         applied = inject_faults(cell, seconds, names)
         cell.stop_clients()
-        if names and PLANNED.issuperset(names):
-            for request in cell.unanswered:
-                cell.checker.report_violation(f"not answered: {request}")
         settle(cell)
     finally:
         cell.close()
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -14,13 +14,15 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform_soak"))
 
 from main import run_tests  # noqa: E402
+import cell as cell_module  # noqa: E402
 import checker as checker_module  # noqa: E402
 import journal_model  # noqa: E402
 import soak  # noqa: E402
 import store as store_module  # noqa: E402
 import target as target_module  # noqa: E402
 from checker import Checker, Job  # noqa: E402
-from http_service import NoAnswer  # noqa: E402
+from cell import Cell, Daemon  # noqa: E402
+from http_service import HttpService, NoAnswer, json_answer  # noqa: E402
 from journal_model import JournalModel  # noqa: E402
 from programs import Ports  # noqa: E402
 from store import Store  # noqa: E402
@@ -148,11 +150,168 @@
         self.checker.finish()
         self.assert_reports("running after its cancellation")
 
+    def cancel(self, ago):
+        """The job's cancellation was confirmed a time ago."""
+        self.checker.confirmed_cancelled(self.job)
+        self.job.cancelled_at -= ago
+
+    def run_for(self, index, seconds):
+        self.start(index)
+        self.checker._run_since[f"j.0.0.{index}"] -= seconds
+
+    def test_a_start_long_after_its_cancellation(self):
+        self.cancel(ago=checker_module.CANCEL_LIMIT_S - 1)
+        self.start(0)
+        self.assertEqual([], self.checker.violations)
+        self.job.cancelled_at -= 1
+        self.start(1)
+        self.assert_reports("3.0 s after its cancellation")
+
+    def test_a_cancellation_counts_from_its_first_confirmation(self):
+        self.cancel(ago=10)
+        self.checker.confirmed_cancelled(self.job)
+        self.start(0)
+        self.assert_reports("10.0 s after its cancellation")
+
+    def test_a_task_that_runs_on_while_the_cell_is_in_touch(self):
+        limit_s = checker_module.CANCEL_LIMIT_S + checker_module.STOP_LIMIT_S
+        self.checker._calm_since = time.monotonic() - checker_module.CONTACT_S - limit_s
+        self.run_for(0, limit_s)
+        self.cancel(ago=limit_s - 1)
+        self.checker.check_cancelled()
+        self.assertEqual([], self.checker.violations)
+        self.job.cancelled_at -= 1
+        for _ in range(2):
+            self.checker.check_cancelled()
+        self.assert_reports("runs on 3.4 s after its cancellation, in touch True: j.0.0.0")
+
+    def test_a_task_may_run_on_near_a_fault_until_the_limit_for_any_state(self):
+        self.run_for(0, 20)
+        self.cancel(ago=checker_module.RUN_LIMIT_S - 1)
+        self.checker.fault_began()
+        self.checker.check_cancelled()
+        self.checker.fault_ended()
+        self.checker.check_cancelled()
+        self.assertEqual([], self.checker.violations)
+        self.checker.fault_began()
+        self.job.cancelled_at -= 1
+        self.checker.check_cancelled()
+        self.assert_reports("runs on 12.0 s after its cancellation, in touch False: j.0.0.0")
+
+    def test_a_task_that_ended_after_its_cancellation_is_clean(self):
+        self.run_for(0, 20)
+        self.cancel(ago=20)
+        self.end(0, "stopped")
+        self.checker.check_cancelled()
+        self.checker.finish()
+        self.assertEqual([], self.checker.violations)
+
+    def test_an_end_that_is_taken_back(self):
+        for first, later in [("cancelled", "completed"), ("completed", "cancelled"),
+                             ("cancelled", "running")]:
+            self.setUp()
+            sent = time.monotonic()
+            self.checker.state_shown(self.job, "running", "d0", sent)
+            self.checker.state_shown(self.job, first, "d0", sent)
+            self.checker.state_shown(self.job, later, "d1", sent)
+            self.assertEqual([], self.checker.violations)
+            sent += checker_module.READ_LIMIT_S + 1
+            self.checker.state_shown(self.job, first, "d1", sent)
+            self.assertEqual([], self.checker.violations)
+            self.checker.state_shown(self.job, later, "d1", sent)
+            self.assert_reports(f"shown as {later} by d1, 6.0 s after {first} by d0: j")
+
     def test_a_run_of_an_unknown_job(self):
         self.start(0, name="unknown")
         self.assert_reports("run of an unknown job")
 
 
+class SoakCalls(unittest.TestCase):
+    """Which calls of the clients are reported, with a server in place of the daemon."""
+
+    def setUp(self):
+        self.answer = lambda *_: json_answer(200, state="queued")
+        self.port = Ports(os.getpid() * 47).take()
+        service = HttpService(self.port, lambda *call: self.answer(*call))
+        self.addCleanup(service.close)
+        self.daemon = Daemon.__new__(Daemon)
+        self.daemon.name, self.daemon.address = "d", f"127.0.0.1:{self.port}"
+        self.daemon._paused, self.daemon._disturbed_at = False, 0.0
+        self.daemon.process = types.SimpleNamespace(send=lambda _: None)
+        self.cell = Cell.__new__(Cell)
+        self.cell.checker = Checker(1, team_limit_cpu_milli=4000)
+        self.cell.daemons = [self.daemon]
+        self.job = Job("j", "red", [{"count": 2, "cpu": 2000}], 2000)
+        self.job.route = "b"
+        self.cell.checker.submitted(self.job)
+
+    def query(self, status, state=""):
+        self.answer = lambda *_: json_answer(status, state=state)
+        return self.cell.query_state(self.job, self.daemon)
+
+    def lose_answer(self, after_s=2 * cell_module.END_SLACK_S, meanwhile=lambda: None):
+        def answer(*_):
+            time.sleep(after_s)
+            meanwhile()
+            raise NoAnswer()
+
+        self.answer = answer
+        self.assertIsNone(self.cell.call(self.daemon, "GET", "/b/j", "kred"))
+
+    def assert_reports(self, text):
+        violations = self.cell.checker.violations
+        self.assertEqual(1, len(violations), violations)
+        self.assertIn(text, violations[0])
+
+    def test_a_call_without_an_answer(self):
+        self.lose_answer()
+        self.assert_reports("not answered: GET /b/j at d after 0.")
+
+    def test_a_call_that_ends_at_once_may_have_no_answer(self):
+        self.lose_answer(after_s=0)
+        self.assertEqual([], self.cell.checker.violations)
+
+    def test_a_call_may_have_no_answer_from_a_daemon_that_was_paused_meanwhile(self):
+        self.lose_answer(meanwhile=self.daemon.pause)
+        self.lose_answer(meanwhile=self.daemon.resume)
+        self.assertEqual([], self.cell.checker.violations)
+        self.lose_answer()
+        self.assert_reports("not answered")
+
+    def test_an_accepted_job_that_is_unknown(self):
+        self.job.accepted_at = time.monotonic() - cell_module.VISIBILITY_LIMIT_S + 1
+        self.query(410)
+        self.assertEqual([], self.cell.checker.violations)
+        self.job.accepted_at -= 1
+        self.query(410)
+        self.assert_reports("accepted but unknown: j at d")
+
+    def test_a_cancelled_job_that_is_unknown_after_it_was_shown(self):
+        self.job.cancel_sent = True
+        self.assertEqual("cancelled", self.query(200, "cancelled"))
+        self.query(410)
+        self.assertEqual([], self.cell.checker.violations)
+        state, daemon, shown_at = self.job.shown_end
+        self.job.shown_end = (state, daemon, shown_at - checker_module.READ_LIMIT_S)
+        self.query(410)
+        self.assert_reports("accepted but unknown: j at d")
+
+    def test_an_accepted_job_that_nobody_cancelled_is_shown_as_ended(self):
+        self.job.accepted_at = time.monotonic()
+        self.query(200, "cancelled")
+        self.assert_reports("accepted but cancelled: j at d")
+
+    def test_a_cancellation_is_repeated_until_it_is_confirmed(self):
+        answers = [json_answer(503), json_answer(504), json_answer(200, state="cancelled")]
+        self.answer = lambda *_: answers.pop(0)
+        self.job.accepted_at = time.monotonic()
+        rng = types.SimpleNamespace(choice=lambda some: some[0], sample=lambda some, _: some)
+        self.cell._cancel(self.job, "b", rng)
+        self.assertEqual([], answers)
+        self.assertTrue(self.job.cancelled)
+        self.assertIsNone(self.job.accepted_at)
+
+
 def pack(value):
     """Encodes a value as MessagePack, with 32-bit lengths and 64-bit numbers."""
     if isinstance(value, list):
