Probe a read of the store whose answer stalls after its first bytes

What callers saw: nothing yet; found by reading. A cancellation, a limit or a draining target can stay unread for the whole time limit of a read.

Cause: probed_read sent no probe once an answer had begun. A connection that stalls after the headers held the topic for the read's time limit, several seconds, although new reads were served.

Ruled out: a shorter time limit; a large answer takes seconds on a slow link.

Change: http_loop reports each part of an answer, and a probe is held back for the overdue time after each. A probe's answer counts if no part of the first one has arrived since the probe was sent.

Tests: isNotProbedOnceItsAnswerHasBegun asked for the fault, as it let an answer stand still after its headers for 62 s and wanted no probe. Replaced by three: an answer in ten pieces 0.3 s apart is not probed, one that stands still is, from the beginning or after three pieces. With the former rule the last two fail; if progress does not hold probes back, the first one does (expected 1).

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -48,8 +48,8 @@
   bool mRepeatable = false;
   /// Time limit of the whole call, including connecting.
   std::chrono::milliseconds mTimeout{ 1000 };
-  /// Called when the first bytes of the answer arrive. Must not use the loop.
-  std::function<void()> mOnAnswerBegun;
+  /// Called for each part of the answer that arrives. Must not use the loop.
+  std::function<void()> mOnProgress;
   /// Called with the result on the thread that calls http_loop::run() or progress().
   std::function<void(loop_reply&&)> mDone;
 };
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -74,9 +74,17 @@
   CURLM* mMulti = nullptr;
 };
 
+void noteProgress(const transfer& aTransfer)
+{
+  if (aTransfer.mCall.mOnProgress) {
+    aTransfer.mCall.mOnProgress();
+  }
+}
+
 std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
 {
   auto& self = *static_cast<transfer*>(aTransfer);
+  noteProgress(self);
   if (aCount > self.mMaxBodyBytes - self.mBody.size()) {
     return 0; // libcurl then aborts the transfer with an error.
   }
@@ -86,10 +94,7 @@
 
 std::size_t noteHeader(char* /*aBytes*/, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
 {
-  auto& self = *static_cast<transfer*>(aTransfer);
-  if (const auto begun = std::exchange(self.mCall.mOnAnswerBegun, nullptr)) {
-    begun();
-  }
+  noteProgress(*static_cast<const transfer*>(aTransfer));
   return aCount;
 }
 
@@ -269,7 +274,7 @@
     if (call.mMethod != "GET" && !call.mRepeatable) {
       internal::forbidRepetition(handle);
     }
-    if (call.mOnAnswerBegun) {
+    if (call.mOnProgress) {
       curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &noteHeader);
       curl_easy_setopt(handle, CURLOPT_HEADERDATA, active.get());
     }
--- a/node/src/probed_read.cpp
+++ b/node/src/probed_read.cpp
@@ -30,25 +30,31 @@
 
 void probed_read::tick(time_point aNow)
 {
-  if (mSendProbe && !mAnswerBegun && mProbe == 0 && mNextProbeAt <= aNow) {
+  if (mSendProbe && mProbe == 0 && mNextProbeAt <= aNow) {
     mSendProbe(aNow);
   }
 }
 
+void probed_read::onProgress()
+{
+  mProgressed = true;
+  // The store no longer holds the read open.
+  mNextProbeAt = mClock.now() + overdueAfter(mStore.latency());
+}
+
 template<typename Reply>
 void probed_read::start(std::chrono::milliseconds aWait, sender<Reply> aSend,
                         done_callback<Reply> aDone)
 {
   const auto now = mClock.now();
   mNextProbeAt = now + aWait + overdueAfter(mStore.latency());
-  mAnswerBegun = false;
   mFirst = aSend(aWait,
                  [this, now, aDone](Reply&& aReply) {
                    mFirst = 0;
                    cancel();
                    aDone(std::move(aReply), { .mSent = now });
                  },
-                 { .mOnAnswerBegun = [this] { mAnswerBegun = true; } });
+                 { .mOnProgress = [this] { onProgress(); } });
   mSendProbe = [this, aSend, aDone](time_point aNow) { sendProbe<Reply>(aNow, aSend, aDone); };
 }
 
@@ -58,10 +64,11 @@
 {
   const auto limit = overdueAfter(mStore.latency());
   mNextProbeAt = aNow + limit;
+  mProgressed = false;
   mProbe = aSend(std::chrono::milliseconds(0),
                  [this, aNow, done = aDone](Reply&& aReply) {
                    mProbe = 0;
-                   if (!mAnswerBegun && !failed(aReply)) {
+                   if (!mProgressed && !failed(aReply)) {
                      cancel();
                      done(std::move(aReply), { .mSent = aNow, .mByProbe = true });
                    }
--- a/node/src/probed_read.h
+++ b/node/src/probed_read.h
@@ -28,12 +28,13 @@
   return std::clamp(kLatencies * aLatency, kMinDelay, kMaxDelay);
 }
 
-/// One read of the store at a time. While nothing of the answer arrives, small probes repeat the
+/// One read of the store at a time. While no part of the answer arrives, small probes repeat the
 /// read one after the other. The first answer is the answer of the read, and the other try is given
 /// up.
 ///
 /// A failed first try fails the read. A store that is merely slow still answers the first try,
-/// because the probes do not shorten its time limit.
+/// because the probes do not shorten its time limit, and a probe's answer is ignored if a part of
+/// the first one has arrived since the probe was sent: a slow link still delivers it.
 class probed_read
 {
 public:
@@ -72,6 +73,7 @@
 
   template<typename Reply>
   void start(std::chrono::milliseconds aWait, sender<Reply> aSend, done_callback<Reply> aDone);
+  void onProgress();
   template<typename Reply>
   void sendProbe(time_point aNow, const sender<Reply>& aSend, const done_callback<Reply>& aDone);
 
@@ -80,8 +82,8 @@
   /// The open tries; 0 if there is none.
   edges::call_id mFirst = 0;
   edges::call_id mProbe = 0;
-  /// Whether an answer to the first try has begun to arrive.
-  bool mAnswerBegun = false;
+  /// Whether a part of the answer to the first try has arrived since the last probe was sent.
+  bool mProgressed = false;
   time_point mNextProbeAt{};
   std::function<void(time_point aNow)> mSendProbe;
 };
--- a/tests/clients/scripted_server.h
+++ b/tests/clients/scripted_server.h
@@ -26,6 +26,7 @@
   close,   ///< Closes the connection without an answer.
   silent,  ///< Sends no answer to this and all later requests of the connection.
   headers, ///< Sends the headers of an answer, and then as `silent`.
+  pieces,  ///< Sends the headers of an answer, then its body in pieces, and then as `silent`.
 };
 
 struct scripted_answer
@@ -33,6 +34,9 @@
   reaction mReaction = reaction::answer;
   int mStatus = 200;
   std::string mBody;
+  /// Waits for the next piece and returns it; empty after the last one. For `pieces`; called while
+  /// other requests are answered.
+  std::function<std::string()> mNextPiece;
 };
 
 /// HTTP server on a free loopback port whose answers are determined by a function of the test.
