Check the age of the owner's view when a start is sent, not once a pass

Cause: owner_view was evaluated at the beginning of a pass of the loop, as a flag. A process that was paused behind it, in inputs or in planning, planned and sent starts in the same pass on a view that had become too old. Starts that waited in order_router, for a relay or for the permission to act, were not checked at all. A new owner's first tick came before the first look at its view.

Ruled out: starts behind a pause in the wait of the loop; they are only marked when their record is stored, and the next pass looks at the view first.

Change: the owner gets the time until which its view is current. order_router returns starts that have waited as not_sent once the view is older; nothing ran, so that they are planned again.

Tests: startsNothingAfterAPauseBehindTheLastLookAtItsAge, and two of order_router. Without the checks all three fail (the first: expected 0). The other tests of old_view set a time instead of the flag, with the same checks.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -156,6 +156,7 @@
     });
   mOwnerClient.setStandby(mStandby);
   mOrderRouter.setPermission([this] { return mElection.mayAct(mClock.now()); });
+  mOrderRouter.setStartPermission([this] { return mClock.now() <= mOwnerView.currentUntil(); });
   makeTails();
   if (mStandby) {
     mJobs.load();
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -233,7 +233,7 @@
   if (!mOwner) {
     return;
   }
-  mOwner->setViewCurrent(mOwnerView.current());
+  mOwner->setViewCurrentUntil(mOwnerView.currentUntil());
   if (mOwnerView.current() != wasCurrent) {
     mLog.write(wasCurrent ? "owner_view_old" : "owner_view_current",
                fmt::format("epoch={} store_delay_ms={} {}", mEpoch, mStore.latency().count(),
@@ -364,6 +364,7 @@
   for (const auto& [id, entry] : mRegistry.targets()) {
     mOwner->setTarget(entry, now);
   }
+  updateOwnerView(now);
   mLog.write("owner_started", fmt::format("epoch={} jobs={} targets={}", epoch,
                                           mJobs.table().size(), mRegistry.targets().size()));
 }
--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -121,6 +121,10 @@
 void order_router::sendKept()
 {
   for (auto& [number, order] : std::exchange(mKept, {})) {
+    if (std::holds_alternative<scheduler::start_order>(order) && !mMayStart()) {
+      finish(number, scheduler::order_outcome::not_sent, {});
+      continue;
+    }
     if (const auto found = mOpen.extract(number)) {
       std::visit([&](const auto& aOrder) { sendDirectly(aOrder, found.mapped().mDone); }, order);
     }
@@ -164,12 +168,13 @@
 }
 
 /// Load pattern: more orders than the relays take. A start whose ticket has expired in the queue
-/// would only be rejected by its target.
-void order_router::returnExpired(queue& aQueue, time_point aNow)
+/// would only be rejected by its target; that of an owner that was paused meanwhile may be of a job
+/// that has been cancelled.
+void order_router::returnStarts(queue& aQueue, time_point aNow)
 {
-  const auto isExpired = [aNow](const numbered_order& aOne) {
+  const auto isExpired = [aNow, mayStart = mMayStart()](const numbered_order& aOne) {
     const auto* start = std::get_if<scheduler::start_order>(&aOne.mOrder);
-    return start != nullptr && start->mTicketExpiry <= aNow;
+    return start != nullptr && (!mayStart || start->mTicketExpiry <= aNow);
   };
   std::vector<std::uint64_t> expired;
   for (const auto& one : aQueue.mOrders) {
@@ -189,7 +194,7 @@
     const auto open = mOpen.find(aOne.mNumber);
     return open == mOpen.end() || open->second.mIsOverdue;
   });
-  returnExpired(aQueue, aNow);
+  returnStarts(aQueue, aNow);
   if (aQueue.mOrders.empty()) {
     return;
   }
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -37,6 +37,9 @@
   /// Sets a function that tells whether this daemon may send orders now. Direct orders that it may
   /// not send are kept until tick() is told that it may, or their time is over.
   void setPermission(std::function<bool()> aMayAct) { mMayAct = std::move(aMayAct); }
+  /// Sets a function that tells whether tasks may be started now. Starts that have waited here are
+  /// returned otherwise.
+  void setStartPermission(std::function<bool()> aMayStart) { mMayStart = std::move(aMayStart); }
   /// Begins an epoch of this daemon's ownership; orders of former epochs are forgotten.
   void begin(std::uint64_t aEpoch);
   /// Sets the number of targets and the followers that may be relays.
@@ -89,8 +92,9 @@
   std::uint64_t open(open_order aOrder, std::chrono::milliseconds aTimeout);
   void sendKept();
   void sendBatch(const std::string& aRelay, queue& aQueue, time_point aNow);
-  /// Returns starts in the queue whose ticket has expired to the owner.
-  void returnExpired(queue& aQueue, time_point aNow);
+  /// Returns starts in the queue to the owner whose ticket has expired, or that are not permitted
+  /// any more.
+  void returnStarts(queue& aQueue, time_point aNow);
   void onRelayLost(const std::string& aRelay, const std::string& aError);
   /// Reports that the order has no answer in time.
   void expire(std::uint64_t aNumber);
@@ -103,6 +107,7 @@
   event_log& mLog;
   const std::string mOwnAddress;
   std::function<bool()> mMayAct = [] { return true; };
+  std::function<bool()> mMayStart = [] { return true; };
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   std::uint64_t mEpoch = 0;
   std::uint64_t mLastNumber = 0;
--- a/node/src/owner_view.cpp
+++ b/node/src/owner_view.cpp
@@ -39,8 +39,10 @@
               limitOf(mBounds.mConfigPeriod, kStartPeriod, aLatency),
               limitOf(mBounds.mDrainPeriod, kStartPeriod, aLatency) };
   mOldest = topic::none;
+  mCurrentUntil = time_point::max();
   duration most{ 0 };
   for (std::size_t index = 0; index < kTopics; ++index) {
+    mCurrentUntil = std::min(mCurrentUntil, aNow - mAges[index] + mLimits[index]);
     if (const auto excess = mAges[index] - mLimits[index]; excess > most) {
       most = excess;
       mOldest = static_cast<topic>(index);
--- a/node/src/owner_view.h
+++ b/node/src/owner_view.h
@@ -49,6 +49,8 @@
 
   /// Whether tasks may be started.
   bool current() const { return mOldest == topic::none; }
+  /// Returns the last time at which tasks may be started unless another update comes before.
+  time_point currentUntil() const { return mCurrentUntil; }
   /// Whether the view has been too old for so long, while the process ran, that another daemon
   /// should own the cell.
   bool lost() const;
@@ -70,6 +72,7 @@
   std::array<duration, kTopics> mLimits{};
   /// The topic that is older than its limit by most; none if all are current.
   topic mOldest = topic::none;
+  time_point mCurrentUntil{};
   /// Time for which the view has been too old, without the pauses of the process.
   duration mOldFor{ 0 };
   time_point mLastUpdate{};
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -91,9 +91,10 @@
   /// Sets whether the store answers appends soon enough for records that delay the renewal of
   /// leases.
   void setStoreResponsive(bool aResponsive);
-  /// Sets whether the owner knows what others have stored until a moment ago: cancellations,
-  /// limits, closed zones, targets that drain. Otherwise it starts nothing; work that runs goes on.
-  void setViewCurrent(bool aCurrent);
+  /// Sets the time until which the owner knows enough of what others have stored: cancellations,
+  /// limits, closed zones, targets that drain. After it, it starts nothing; work that runs goes on.
+  /// A time and no flag, because the process may be paused between this call and a start.
+  void setViewCurrentUntil(time_point aUntil);
   /// Replaces owner_options::mLatestActs.
   void setLatestActs(std::map<std::uint64_t, time_point> aLatestActs);
   /// Sets the number of this owner's newest record in the topic of owners, which is above its epoch
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -561,7 +561,10 @@
       ++at;
     }
   }
-  if (mNextPlan <= aNow && !overdue && mViewCurrent) {
+  const bool viewCurrent = aNow <= mViewCurrentUntil;
+  mPlanNeeded = mPlanNeeded || (viewCurrent && !mWasViewCurrent);
+  mWasViewCurrent = viewCurrent;
+  if (mNextPlan <= aNow && !overdue && viewCurrent) {
     if (mPlanNeeded || mNextPlan + kIdlePlanInterval <= aNow) {
       mPlanNeeded = false;
       planAndMeasure(aNow);
@@ -656,10 +659,9 @@
   mImpl->mStoreResponsive = aResponsive;
 }
 
-void owner::setViewCurrent(bool aCurrent)
+void owner::setViewCurrentUntil(time_point aUntil)
 {
-  mImpl->mPlanNeeded = mImpl->mPlanNeeded || (aCurrent && !mImpl->mViewCurrent);
-  mImpl->mViewCurrent = aCurrent;
+  mImpl->mViewCurrentUntil = aUntil;
 }
 
 void owner::setNewestRecord(std::uint64_t aNumber)
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -59,8 +59,10 @@
   std::uint64_t mNewestRecord = 0;
   /// See owner::setStoreResponsive().
   bool mStoreResponsive = true;
-  /// See owner::setViewCurrent().
-  bool mViewCurrent = true;
+  /// See owner::setViewCurrentUntil().
+  time_point mViewCurrentUntil = time_point::max();
+  /// Whether the view was current in the last tick.
+  bool mWasViewCurrent = true;
   /// See owner::setLatestActs().
   std::map<std::uint64_t, time_point> mLatestActs;
 
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -162,7 +162,8 @@
     const bool abandonStart = run.mTries >= kMaxStartTries || run.mStopWanted || run.mEnded ||
                               run.mLoss || !aTarget.mAcquisitionStored ||
                               !mayOrderStart(aTarget, run, aNow);
-    if (run.mPhase == run_phase::ordered && run.mTries == 0 && !abandonStart && !mViewCurrent) {
+    if (run.mPhase == run_phase::ordered && run.mTries == 0 && !abandonStart &&
+        aNow > mViewCurrentUntil) {
       // The process was paused since the start was decided, or reads stand still.
       aTarget.mNextOrders = aNow;
     } else if (run.mPhase == run_phase::ordered && !abandonStart && repeatable(aTarget, task)) {
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -276,6 +276,32 @@
   CHECK_EQUAL(0, router->openOrders());
 }
 
+// Guards against starts of jobs that were cancelled while the owner was paused, or while it did not
+// read: they were decided before.
+TEST(order_router, returnsQueuedStartsThatAreNotPermittedAnyMore)
+{
+  start();
+  router->setStartPermission([] { return false; });
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, batches());
+}
+
+TEST(order_router, returnsKeptStartsThatAreNotPermittedAnyMore)
+{
+  bool mayAct = false;
+  router->setPermission([&mayAct] { return mayAct; });
+  router->setStartPermission([] { return false; });
+  setTargets(48);
+  start();
+  router->tick(time.mNow, false);
+  CHECK_EQUAL(0, outcomes.size());
+  mayAct = true;
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, target.count(kStartPath));
+}
+
 // Guards against an owner that acts on beside its successor until a target rejects its epoch.
 TEST(order_router, learnsFromARelayThatItIsSuperseded)
 {
--- a/tests/scheduler/old_view_test.cpp
+++ b/tests/scheduler/old_view_test.cpp
@@ -24,11 +24,11 @@
 // were lowered meanwhile.
 TEST(old_view, startsNothing)
 {
-  cell.mOwner->setViewCurrent(false);
+  cell.mOwner->setViewCurrentUntil(cell.mNow - milliseconds(1));
   cell.submit(step);
   cell.run(milliseconds(3000));
   CHECK_EQUAL(0, cell.running());
-  cell.mOwner->setViewCurrent(true);
+  cell.mOwner->setViewCurrentUntil(time_point::max());
   cell.run(milliseconds(200));
   CHECK_EQUAL(1, cell.running());
 }
@@ -40,11 +40,11 @@
   cell.mStoreDelay = milliseconds(400);
   const auto job = cell.submit(step);
   cell.run(milliseconds(200));
-  cell.mOwner->setViewCurrent(false);
+  cell.mOwner->setViewCurrentUntil(cell.mNow - milliseconds(1));
   cell.run(milliseconds(3000));
   CHECK_EQUAL(0, cell.running());
   cell.cancel(job);
-  cell.mOwner->setViewCurrent(true);
+  cell.mOwner->setViewCurrentUntil(time_point::max());
   cell.run(milliseconds(2000));
   CHECK_EQUAL(0, cell.running());
 }
@@ -55,10 +55,25 @@
   const auto job = cell.submit(step);
   cell.run(milliseconds(500));
   CHECK_EQUAL(1, cell.running());
-  cell.mOwner->setViewCurrent(false);
+  cell.mOwner->setViewCurrentUntil(cell.mNow - milliseconds(1));
   cell.run(seconds(10));
   CHECK_EQUAL(1, cell.running());
   cell.endTask(job, reported_end::done);
   cell.run(milliseconds(500));
   CHECK(cell.find(job).mPhase == job_phase::completed);
 }
+
+// Guards against a process that is paused after it has looked at the age of its view and before it
+// sends the starts that are stored, or plans others.
+TEST(old_view, startsNothingAfterAPauseBehindTheLastLookAtItsAge)
+{
+  cell.mStoreDelay = milliseconds(400);
+  cell.submit(step);
+  cell.run(milliseconds(300));
+  cell.mOwner->setViewCurrentUntil(cell.mNow + milliseconds(1500));
+  cell.run(milliseconds(6000), milliseconds(3000));
+  CHECK_EQUAL(0, cell.running());
+  cell.mOwner->setViewCurrentUntil(time_point::max());
+  cell.run(milliseconds(2000));
+  CHECK_EQUAL(1, cell.running());
+}
