Ask for the permission of a start right before its request is sent

Cause: an order that is handed to http_loop leaves when the loop makes progress: after planning, and after connecting. libcurl's time limit begins only then. An owner that is paused in between sent starts on an old view, and also after its renewals had run out.

Ruled out: heartbeats and stops; a lease is a time of the target's clock and does not grow by waiting, and both are fenced.

Change: loop_call::mMaySend is asked on the open connection. A start that is withheld counts as not_sent.

Tests: http_loop.withholdsARequestThatIsNotPermittedAnyMore on a new and on a reused connection, order_router.sendsNoStartThatIsNotPermittedAnyMoreWhenItIsSent. Both fail without the question.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -20,6 +20,8 @@
   bool mRefused = false;
   /// Whether no byte of the request was sent, so that it had no effect.
   bool mUnsent = false;
+  /// Whether loop_call::mMaySend has withheld the request; no byte of it was sent.
+  bool mWithheld = false;
   /// Whether a reused connection has ended before the answer, after a part of the request was sent.
   bool mInterrupted = false;
   /// Bytes of the request that were sent, without most of a large body.
@@ -48,6 +50,10 @@
   bool mRepeatable = false;
   /// Time limit of the whole call, including connecting.
   std::chrono::milliseconds mTimeout{ 1000 };
+  /// Asked right before the request is sent, on an open connection; the request is withheld if it
+  /// denies that. Between send() and then other work, a pause of the process and connecting pass,
+  /// and mTimeout does not count all of it. Must not use the loop.
+  std::function<bool()> mMaySend;
   /// Called for each part of the answer that arrives. Must not use the loop.
   std::function<void()> mOnProgress;
   /// Called with the result on the thread that calls http_loop::run() or progress().
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -72,8 +72,23 @@
   std::size_t mMaxBodyBytes = 0;
   steady_clock::time_point mStart;
   CURLM* mMulti = nullptr;
+  CURL* mHandle = nullptr;
+  bool mWithheld = false;
 };
 
+/// CURLOPT_PREREQFUNCTION of a request that needs a permission.
+int askPermission(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
+                  int /*aLocalPort*/)
+{
+  auto& self = *static_cast<transfer*>(aTransfer);
+  if (internal::sentBytes(self.mHandle) > 0) {
+    // As forbidRepetition() does.
+    return self.mCall.mRepeatable ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  }
+  self.mWithheld = !self.mCall.mMaySend();
+  return self.mWithheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 void noteProgress(const transfer& aTransfer)
 {
   if (aTransfer.mCall.mOnProgress) {
@@ -274,6 +289,11 @@
     if (call.mMethod != "GET" && !call.mRepeatable) {
       internal::forbidRepetition(handle);
     }
+    if (call.mMaySend) {
+      active->mHandle = handle;
+      curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &askPermission);
+      curl_easy_setopt(handle, CURLOPT_PREREQDATA, active.get());
+    }
     if (call.mOnProgress) {
       curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &noteHeader);
       curl_easy_setopt(handle, CURLOPT_HEADERDATA, active.get());
@@ -394,7 +414,8 @@
         // After a reused connection has ended, libcurl opens another one, which may be refused. If
         // bytes were sent, the server may have received the request on the first one.
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
-        reply.mUnsent = reply.mRefused && bytes == 0;
+        reply.mWithheld = active->mWithheld;
+        reply.mUnsent = (reply.mRefused || reply.mWithheld) && bytes == 0;
         reply.mInterrupted = internal::wasInterrupted(handle, code);
         reply.mError = internal::describe(handle, code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -140,7 +140,9 @@
 void order_router::sendDirectly(const scheduler::start_order& aOrder,
                                 const order_sender::report_callback& aDone)
 {
-  mDirect.sendStart(aOrder, withEmptyReport(aDone));
+  mDirect.sendStart(aOrder, withEmptyReport(aDone), [this, alive = std::weak_ptr(mAlive)] {
+    return !alive.expired() && mMayAct() && mMayStart();
+  });
 }
 
 void order_router::sendDirectly(const scheduler::stop_order& aOrder,
--- a/node/src/order_sender.cpp
+++ b/node/src/order_sender.cpp
@@ -71,12 +71,18 @@
   return outcome;
 }
 
-void order_sender::sendStart(const scheduler::start_order& aOrder, outcome_callback aDone)
+void order_sender::sendStart(const scheduler::start_order& aOrder, outcome_callback aDone,
+                             std::function<bool()> aMayStart)
 {
   ++mStarts;
   auto call = platform::encodeStart(aOrder);
+  call.mMaySend = std::move(aMayStart);
   call.mDone = [this, subject = subjectOf("start", aOrder),
                 done = std::move(aDone)](edges::loop_reply&& aReply) {
+    if (aReply.mWithheld) {
+      done(scheduler::order_outcome::not_sent);
+      return;
+    }
     mStartTimes.record(aReply.mElapsed);
     done(outcomeOf(subject, aReply));
   };
--- a/node/src/order_sender.h
+++ b/node/src/order_sender.h
@@ -27,7 +27,10 @@
   /// If a reused connection ends before the answer, the target is queried on another one: the end
   /// of a connection does not show that it is silent.
   void sendHeartbeat(const scheduler::heartbeat_order& aOrder, report_callback aDone);
-  void sendStart(const scheduler::start_order& aOrder, outcome_callback aDone);
+  /// @param aMayStart asked right before the order is sent; if it denies that, the outcome is
+  ///   not_sent
+  void sendStart(const scheduler::start_order& aOrder, outcome_callback aDone,
+                 std::function<bool()> aMayStart = {});
   void sendStop(const scheduler::stop_order& aOrder, outcome_callback aDone);
   /// Sends the request through the daemon that it names, or directly to aService.
   void requestAdvice(const scheduler::advice_request& aRequest, const std::string& aService,
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -236,6 +236,45 @@
   }
 }
 
+// Guards against a request that was permitted when it was handed over, but not any more when it is
+// sent: the process was paused, or the loop was busy, in between.
+TEST(http_loop, withholdsARequestThatIsNotPermittedAnyMore)
+{
+  int received = 0;
+  scripted_server server([&received](const received_request& /*aRequest*/) {
+    ++received;
+    return scripted_answer{};
+  });
+  http_loop loop;
+  bool permitted = true;
+  std::optional<loop_reply> reply;
+  const auto send = [&] {
+    reply.reset();
+    loop.send({ .mMethod = "POST",
+                .mAddress = server.address(),
+                .mPath = "/run-start",
+                .mBody = "start",
+                .mMaySend = [&permitted] { return permitted; },
+                .mDone = [&reply](loop_reply&& aReply) { reply = std::move(aReply); } });
+  };
+  // On a new connection, and on a reused one.
+  for (int connection = 0; connection < 2; ++connection) {
+    permitted = true;
+    send();
+    permitted = false;
+    CHECK(runUntil(loop, [&reply] { return reply.has_value(); }));
+    CHECK_FALSE(reply->mStatus.has_value());
+    CHECK(reply->mWithheld);
+    CHECK(reply->mUnsent);
+    LONGS_EQUAL(connection, received);
+    permitted = true;
+    send();
+    CHECK(runUntil(loop, [&reply] { return reply.has_value(); }));
+    CHECK(reply->mStatus == 200);
+    CHECK_FALSE(reply->mWithheld);
+  }
+}
+
 // Guards against a loop that keeps waiting although another thread has called wake().
 TEST(http_loop, wakeFromAnotherThreadEndsWait)
 {
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -302,6 +302,19 @@
   CHECK_EQUAL(0, target.count(kStartPath));
 }
 
+// Guards against a pause between the decision and the call: the owner plans in between.
+TEST(order_router, sendsNoStartThatIsNotPermittedAnyMoreWhenItIsSent)
+{
+  bool mayStart = true;
+  router->setStartPermission([&mayStart] { return mayStart; });
+  setTargets(48);
+  start();
+  mayStart = false;
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, target.count(kStartPath));
+}
+
 // Guards against an owner that acts on beside its successor until a target rejects its epoch.
 TEST(order_router, learnsFromARelayThatItIsSuperseded)
 {
