A relay checks the age of a batch again before it sends a start

Cause: order_relay compared a batch's age and epoch when it received it only. A relay that is paused before the calls have left carries out starts that the owner has given up, or of an owner that has been replaced.

Change: starts are withheld if the batch is older than kMaxBatchAge by then or a higher epoch is known. The result is unanswered, as the results' format has no not_sent, and older owners would not decode it.

Tests: two of order_relay; both fail without the check (the first: expected 0).

--- a/node/src/order_relay.cpp
+++ b/node/src/order_relay.cpp
@@ -60,12 +60,15 @@
   setEpoch(aBatch.mEpoch);
   mOwner = aBatch.mOwner;
   for (const auto& [number, order] : aBatch.mOrders) {
-    std::visit([this, number = number](const auto& aOrder) { send(aOrder, number); }, order);
+    std::visit([&, number = number](
+                 const auto& aOrder) { send(aOrder, number, now + (kMaxBatchAge - age)); },
+               order);
   }
   return reception::accepted;
 }
 
-void order_relay::send(const scheduler::heartbeat_order& aOrder, std::uint64_t aNumber)
+void order_relay::send(const scheduler::heartbeat_order& aOrder, std::uint64_t aNumber,
+                       time_point /*aSendBy*/)
 {
   mSender.sendHeartbeat(
     aOrder, [this, epoch = aOrder.mEpoch, aNumber, alive = std::weak_ptr(mAlive)](
@@ -81,17 +84,28 @@
     });
 }
 
-void order_relay::send(const scheduler::start_order& aOrder, std::uint64_t aNumber)
+void order_relay::send(const scheduler::start_order& aOrder, std::uint64_t aNumber,
+                       time_point aSendBy)
 {
-  mSender.sendStart(aOrder, [this, epoch = aOrder.mEpoch, aNumber,
-                             alive = std::weak_ptr(mAlive)](scheduler::order_outcome aOutcome) {
-    if (!alive.expired()) {
-      addResult(epoch, { .mNumber = aNumber, .mOutcome = aOutcome });
-    }
-  });
+  mSender.sendStart(
+    aOrder,
+    [this, epoch = aOrder.mEpoch, aNumber,
+     alive = std::weak_ptr(mAlive)](scheduler::order_outcome aOutcome) {
+      if (!alive.expired()) {
+        // Results have no value for it; the owner repeats the order or stops the run.
+        addResult(epoch, { .mNumber = aNumber,
+                           .mOutcome = aOutcome == scheduler::order_outcome::not_sent
+                                         ? scheduler::order_outcome::unanswered
+                                         : aOutcome });
+      }
+    },
+    [this, epoch = aOrder.mEpoch, aSendBy, alive = std::weak_ptr(mAlive)] {
+      return !alive.expired() && epoch >= mEpoch && mClock.now() <= aSendBy;
+    });
 }
 
-void order_relay::send(const scheduler::stop_order& aOrder, std::uint64_t aNumber)
+void order_relay::send(const scheduler::stop_order& aOrder, std::uint64_t aNumber,
+                       time_point /*aSendBy*/)
 {
   mSender.sendStop(aOrder, [this, epoch = aOrder.mEpoch, aNumber,
                             alive = std::weak_ptr(mAlive)](scheduler::order_outcome aOutcome) {
--- a/node/src/order_relay.h
+++ b/node/src/order_relay.h
@@ -20,7 +20,8 @@
 ///
 /// A relay that was paused or cut off may hold batches whose orders the owner has given up and
 /// replaced by others. It drops a batch of a lower epoch than the highest one it knows, and one
-/// that is older than kMaxBatchAge by the owner's clock.
+/// that is older than kMaxBatchAge by the owner's clock. A start is checked again right before it
+/// is sent.
 class order_relay
 {
 public:
@@ -47,9 +48,10 @@
   void tick(time_point aNow);
 
 private:
-  void send(const scheduler::heartbeat_order& aOrder, std::uint64_t aNumber);
-  void send(const scheduler::start_order& aOrder, std::uint64_t aNumber);
-  void send(const scheduler::stop_order& aOrder, std::uint64_t aNumber);
+  /// @param aSendBy time at which the batch will be older than kMaxBatchAge
+  void send(const scheduler::heartbeat_order& aOrder, std::uint64_t aNumber, time_point aSendBy);
+  void send(const scheduler::start_order& aOrder, std::uint64_t aNumber, time_point aSendBy);
+  void send(const scheduler::stop_order& aOrder, std::uint64_t aNumber, time_point aSendBy);
   void addResult(std::uint64_t aEpoch, order_result aResult);
   void sendResults(time_point aNow);
 
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -122,6 +122,24 @@
   CHECK(relay->onBatch(batch(3, ownTime())) == order_relay::reception::accepted);
 }
 
+// The same for a pause between the acceptance of the batch and the calls to the targets.
+TEST(order_relay, sendsNoStartOfABatchThatHasBecomeTooOld)
+{
+  relay->setOwnerClock(owner.address(), ownTime(), time.mNow);
+  CHECK(relay->onBatch(batch(3, ownTime())) == order_relay::reception::accepted);
+  time.mNow += order_relay::kMaxBatchAge + milliseconds(1);
+  CHECK(runUntil([this] { return owner.count(std::string(kPeerResultsPath)) == 1; }));
+  CHECK_EQUAL(0, target.count(kStartPath));
+}
+
+TEST(order_relay, sendsNoStartOfAnEpochThatHasEnded)
+{
+  relay->setOwnerClock(owner.address(), ownTime(), time.mNow);
+  CHECK(relay->onBatch(batch(3, ownTime())) == order_relay::reception::accepted);
+  relay->setEpoch(4);
+  CHECK_FALSE(runUntil([this] { return target.count(kStartPath) > 0; }));
+}
+
 // Guards against a batch whose age is not known: the owner's clock has another origin.
 TEST(order_relay, dropsABatchOfAnOwnerWhoseClockItDoesNotKnow)
 {
