Bound the age of an owner's view by what reads allow

Cause: under short bounds in the settings (bounds.config_ms of 0.3 s, for example) the limit is shorter than the 0.7 s for which the store holds a read of the operator's records open. The owner would start next to nothing, and hand the cell over again and again, while all reads are answered.

Change: the limit is 1.2 s at least.

Test: isCurrentWithTheUsualReadsAlsoUnderVeryShortBounds, with bounds of 0, 0.3 and 1.5 s; fails without the lower limit.

--- a/node/src/owner_view.cpp
+++ b/node/src/owner_view.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds kLossPeriod{ 500 };
 /// Limits of the ages in latencies of the store: a slow store is read less often, and answers late.
 constexpr int kLimitLatencies = 8;
+/// Lower limit: the age of the operator's records is 0.7 s while the store holds a
+/// read open, and 0.4 s more if a try is lost.
+constexpr std::chrono::milliseconds kMinLimit{ 1200 };
 /// Upper limit of those: an owner whose renewals are older may not act either.
 constexpr std::chrono::milliseconds kMaxLimit{ 5000 };
 /// Longest time between two passes of the loop that counts as time in which reads could have been
@@ -25,7 +28,7 @@
 duration limitOf(std::chrono::milliseconds aBound, std::chrono::milliseconds aMargin,
                  std::chrono::milliseconds aLatency)
 {
-  const auto least = std::max(aBound - aMargin, aBound / 2);
+  const auto least = std::max({ aBound - aMargin, aBound / 2, kMinLimit });
   return std::min(std::max(least, kLimitLatencies * aLatency), kMaxLimit);
 }
 
--- a/tests/node/owner_view_test.cpp
+++ b/tests/node/owner_view_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
+
 using namespace endiveusher;
 using namespace endiveusher::node;
 using std::chrono::milliseconds;
@@ -9,22 +11,34 @@
 
 TEST_GROUP(owner_view)
 {
-  owner_view view{ { .mCancelPeriod = milliseconds(3000),
-                     .mConfigPeriod = milliseconds(2000),
-                     .mDrainPeriod = milliseconds(2000) } };
+  std::unique_ptr<owner_view> view;
   time_point now{ seconds(100) };
   milliseconds latency{ 4 };
   milliseconds journalAge{ 0 };
   milliseconds operatorAge{ 0 };
   milliseconds registryAge{ 0 };
 
+  void setup() override
+  {
+    setBounds({ .mCancelPeriod = milliseconds(3000),
+                .mConfigPeriod = milliseconds(2000),
+                .mDrainPeriod = milliseconds(2000) });
+  }
+  void teardown() override
+  {
+    view.reset();
+  }
+  void setBounds(const owner_view_bounds& aBounds)
+  {
+    view = std::make_unique<owner_view>(aBounds);
+  }
   bool current()
   {
-    view.update({ .mJournal = now - journalAge,
-                  .mOperator = now - operatorAge,
-                  .mRegistry = now - registryAge },
-                latency, now);
-    return view.current();
+    view->update({ .mJournal = now - journalAge,
+                   .mOperator = now - operatorAge,
+                   .mRegistry = now - registryAge },
+                 latency, now);
+    return view->current();
   }
   /// Runs the loop for a time, in which the ages do not change; returns whether the view is lost.
   bool lostAfter(milliseconds aTime)
@@ -33,7 +47,7 @@
       now += milliseconds(20);
       current();
     }
-    return view.lost();
+    return view->lost();
   }
 };
 
@@ -79,7 +93,7 @@
   CHECK(lostAfter(milliseconds(200)));
   journalAge = milliseconds(0);
   current();
-  CHECK_FALSE(view.lost());
+  CHECK_FALSE(view->lost());
 }
 
 // Guards against hand-overs by an owner that was paused, before its reads could be answered.
@@ -89,7 +103,21 @@
   now += seconds(4);
   journalAge = operatorAge = registryAge = seconds(4);
   CHECK_FALSE(current());
-  CHECK_FALSE(view.lost());
+  CHECK_FALSE(view->lost());
   journalAge = operatorAge = registryAge = milliseconds(0);
   CHECK(current());
 }
+
+// Guards against bounds that are shorter than reads allow: the owner would start next to nothing,
+// and hand the cell over again and again, although all reads are answered.
+TEST(owner_view, isCurrentWithTheUsualReadsAlsoUnderVeryShortBounds)
+{
+  for (const milliseconds bound : { milliseconds(0), milliseconds(300), milliseconds(1500) }) {
+    setBounds({ .mCancelPeriod = bound, .mConfigPeriod = bound, .mDrainPeriod = bound });
+    journalAge = operatorAge = registryAge = milliseconds(1200);
+    CHECK(current());
+    CHECK_FALSE(lostAfter(milliseconds(1000)));
+    journalAge = operatorAge = registryAge = milliseconds(2100);
+    CHECK_FALSE(current());
+  }
+}
