--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -73,37 +73,65 @@
   const http_loop_options* mOptions = nullptr;
   steady_clock::time_point mStart;
   CURLM* mMulti = nullptr;
+  CURL* mHandle = nullptr;
+  bool mWithheld = false;
 };
 
-std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
+/// CURLOPT_PREREQFUNCTION of a request that needs a permission.
+int askPermission(void* aTransfer, char* /*aPeer*/, char* /*aLocal*/, int /*aPeerPort*/,
+                  int /*aLocalPort*/)
 {
   auto& self = *static_cast<transfer*>(aTransfer);
-  if (aCount > self.mMaxBodyBytes - self.mBody.size()) {
-    return 0; // libcurl then aborts the transfer with an error.
+  if (internal::sentBytes(self.mHandle) > 0) {
+    // As forbidRepetition() does.
+    return self.mCall.mRepeatable ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
   }
-  self.mBody.append(aBytes, aCount);
-  return aCount;
+  try {
+    self.mWithheld = !self.mCall.mMaySend();
+  } catch (const std::exception& error) {
+    // Exceptions cannot pass through libcurl, which is written in C.
+    self.mWithheld = true;
+    if (self.mOptions->mOnError) {
+      self.mOptions->mOnError(self.mCall.mAddress, error);
+    }
+  }
+  return self.mWithheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-std::size_t noteHeader(char* /*aBytes*/, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
+/// Returns false if the transfer has to end because its callback has thrown and there is no error
+/// handler.
+bool noteProgress(const transfer& aTransfer)
 {
-  auto& self = *static_cast<transfer*>(aTransfer);
-  const auto begun = std::exchange(self.mCall.mOnAnswerBegun, nullptr);
-  if (!begun) {
-    return aCount;
+  if (!aTransfer.mCall.mOnProgress) {
+    return true;
   }
   try {
-    begun();
+    aTransfer.mCall.mOnProgress();
   } catch (const std::exception& error) {
     // Exceptions cannot pass through libcurl, which is written in C.
-    if (!self.mOptions->mOnError) {
-      return 0;
+    if (!aTransfer.mOptions->mOnError) {
+      return false;
     }
-    self.mOptions->mOnError(self.mCall.mAddress, error);
+    aTransfer.mOptions->mOnError(aTransfer.mCall.mAddress, error);
   }
+  return true;
+}
+
+std::size_t appendBody(char* aBytes, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
+{
+  auto& self = *static_cast<transfer*>(aTransfer);
+  if (!noteProgress(self) || aCount > self.mMaxBodyBytes - self.mBody.size()) {
+    return 0; // libcurl then aborts the transfer with an error.
+  }
+  self.mBody.append(aBytes, aCount);
   return aCount;
 }
 
+std::size_t noteHeader(char* /*aBytes*/, std::size_t /*aOne*/, std::size_t aCount, void* aTransfer)
+{
+  return noteProgress(*static_cast<const transfer*>(aTransfer)) ? aCount : 0;
+}
+
 } // namespace
 
 class file_descriptor
@@ -281,7 +309,12 @@
     if (call.mMethod != "GET" && !call.mRepeatable) {
       internal::forbidRepetition(handle);
     }
-    if (call.mOnAnswerBegun) {
+    if (call.mMaySend) {
+      active->mHandle = handle;
+      curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &askPermission);
+      curl_easy_setopt(handle, CURLOPT_PREREQDATA, active.get());
+    }
+    if (call.mOnProgress) {
       curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &noteHeader);
       curl_easy_setopt(handle, CURLOPT_HEADERDATA, active.get());
     }
@@ -401,7 +434,8 @@
         // After a reused connection has ended, libcurl opens another one, which may be refused. If
         // bytes were sent, the server may have received the request on the first one.
         reply.mRefused = code == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
-        reply.mUnsent = reply.mRefused && bytes == 0;
+        reply.mWithheld = active->mWithheld;
+        reply.mUnsent = (reply.mRefused || reply.mWithheld) && bytes == 0;
         reply.mInterrupted = internal::wasInterrupted(handle, code);
         reply.mError = internal::describe(handle, code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -122,6 +122,24 @@
   CHECK(relay->onBatch(batch(3, ownTime())) == order_relay::reception::accepted);
 }
 
+// The same for a pause between the acceptance of the batch and the calls to the targets.
+TEST(order_relay, sendsNoStartOfABatchThatHasBecomeTooOld)
+{
+  relay->setOwnerClock(owner.address(), ownTime(), time.mNow);
+  CHECK(relay->onBatch(batch(3, ownTime())) == order_relay::reception::accepted);
+  time.mNow += order_relay::kMaxBatchAge + milliseconds(1);
+  CHECK(runUntil([this] { return owner.count(std::string(kPeerResultsPath)) == 1; }));
+  CHECK_EQUAL(0, target.count(kStartPath));
+}
+
+TEST(order_relay, sendsNoStartOfAnEpochThatHasEnded)
+{
+  relay->setOwnerClock(owner.address(), ownTime(), time.mNow);
+  CHECK(relay->onBatch(batch(3, ownTime())) == order_relay::reception::accepted);
+  relay->setEpoch(4);
+  CHECK_FALSE(runUntil([this] { return target.count(kStartPath) > 0; }));
+}
+
 // Guards against a batch whose age is not known: the owner's clock has another origin.
 TEST(order_relay, dropsABatchOfAnOwnerWhoseClockItDoesNotKnow)
 {
@@ -276,6 +294,45 @@
   CHECK_EQUAL(0, router->openOrders());
 }
 
+// Guards against starts of jobs that were cancelled while the owner was paused, or while it did not
+// read: they were decided before.
+TEST(order_router, returnsQueuedStartsThatAreNotPermittedAnyMore)
+{
+  start();
+  router->setStartPermission([] { return false; });
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, batches());
+}
+
+TEST(order_router, returnsKeptStartsThatAreNotPermittedAnyMore)
+{
+  bool mayAct = false;
+  router->setPermission([&mayAct] { return mayAct; });
+  router->setStartPermission([] { return false; });
+  setTargets(48);
+  start();
+  router->tick(time.mNow, false);
+  CHECK_EQUAL(0, outcomes.size());
+  mayAct = true;
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, target.count(kStartPath));
+}
+
+// Guards against a pause between the decision and the call: the owner plans in between.
+TEST(order_router, sendsNoStartThatIsNotPermittedAnyMoreWhenItIsSent)
+{
+  bool mayStart = true;
+  router->setStartPermission([&mayStart] { return mayStart; });
+  setTargets(48);
+  start();
+  mayStart = false;
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == scheduler::order_outcome::not_sent);
+  CHECK_EQUAL(0, target.count(kStartPath));
+}
+
 // Guards against an owner that acts on beside its successor until a target rejects its epoch.
 TEST(order_router, learnsFromARelayThatItIsSuperseded)
 {
