Begin no ownership a second time under the epoch of the first

Cause: a claim may be read back before its append is answered.

Ruled out: onRecordRead, which compares the epochs already.

Change: the answer to a claim begins an ownership only if its epoch is higher than that of the newest one, as the read of the claim does.

--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -192,7 +192,9 @@
     mRole = role::follower;
     return;
   }
-  if (aAction == action::claim && !overtaken) {
+  // The claim may have been read before its answer, and the ownership have ended since. Under the
+  // same epoch the appends to the journal would have the same numbers once more.
+  if (aAction == action::claim && !overtaken && epochOf(aOffset) > mEpoch) {
     begin(epochOf(aOffset));
     mEpochs.try_emplace(mEpoch, aSent);
   }
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -392,3 +392,19 @@
   one.onRecordRead(recordOf(owner_record::kind::renewal, "a", 7), 2, now);
   CHECK(one.mayAct(renewed + milliseconds(5000)));
 }
+
+// Guards against a second ownership under one epoch: its appends to the journal would have the
+// numbers of the first one's, so the store would confirm them without storing them.
+TEST(election, aLateAnswerToAClaimDoesNotBeginItsOwnershipAgain)
+{
+  one.onEndRead(0, now);
+  now += milliseconds(1);
+  CHECK(next() == election::action::claim);
+  const auto sent = now;
+  one.onRecordRead(recordOf(owner_record::kind::claim, "a", 7), 0, now);
+  CHECK(one.state() == election::role::owner);
+  one.stepDown();
+  now += milliseconds(100);
+  one.onAppended(election::action::claim, 0, sent);
+  CHECK(one.state() == election::role::follower);
+}
