Count an owner record that cannot be read as a sign of another owner

Cause: records of the owner topic that cannot be decoded, for example those of another version, were dropped without a line of log. The end of the topic advanced all the same with the answer to the read, so an owner went on renewing behind the claim of another one, and a follower claimed although an owner was writing.

Ruled out: an election that stands still at such a record; onEndRead takes the end from the store's answer.

Change: the record is logged with its offset. An owner steps down for one behind its claim, as it does for the records of others that it can read. For a follower it is a sign of an owner, after which the usual timeout runs.

Tests: election.anOwnerStepsDownForARecordThatItCannotRead and election.recordsThatCannotBeReadAreSignsOfAnOwner fail on, with a function that does nothing in the place of the new one, as the records were dropped.

--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -217,6 +217,10 @@
       if (record->mKind == owner_record::kind::claim) {
         mOrderRelay.setEpoch(epochOf(aOffset));
       }
+    } else {
+      mLog.write("bad_record", fmt::format("topic=owner offset={} error=\"{}\"", aOffset,
+                                           std::string(record.status().message())));
+      mElection.onUnreadableRecord(aOffset, mClock.now());
     }
     ++aOffset;
   }
--- a/node/src/election.cpp
+++ b/node/src/election.cpp
@@ -85,6 +85,15 @@
   }
 }
 
+void election::onUnreadableRecord(std::uint64_t aOffset, time_point aNow)
+{
+  mEnd = std::max(mEnd, aOffset + 1);
+  mLastSeen = aNow;
+  if (mRole == role::owner && epochOf(aOffset) > mEpoch) {
+    stepDown();
+  }
+}
+
 void election::onEndRead(std::uint64_t aEnd, time_point aNow)
 {
   mEndKnown = true;
--- a/node/src/election.h
+++ b/node/src/election.h
@@ -99,6 +99,9 @@
 
   /// Reports a record that was read from the topic at aOffset.
   void onRecordRead(const owner_record& aRecord, std::uint64_t aOffset, time_point aNow);
+  /// Reports a record at aOffset that cannot be decoded. Only other versions write such records, so
+  /// it counts as a sign of another owner.
+  void onUnreadableRecord(std::uint64_t aOffset, time_point aNow);
   /// Reports an answered read of the topic, which ends at aEnd. Unanswered reads are not reported.
   void onEndRead(std::uint64_t aEnd, time_point aNow);
   /// Reports a failed read of the topic.
--- a/tests/node/election_test.cpp
+++ b/tests/node/election_test.cpp
@@ -408,3 +408,27 @@
   one.onAppended(election::action::claim, 0, sent);
   CHECK(one.state() == election::role::follower);
 }
+
+// Guards against an owner that goes on beside one of another version, whose claim it cannot read.
+TEST(election, anOwnerStepsDownForARecordThatItCannotRead)
+{
+  becomeOwner();
+  one.onUnreadableRecord(1, now);
+  CHECK(one.state() == election::role::follower);
+  CHECK_EQUAL(2, one.expectedEnd());
+}
+
+// Guards against claims in place of an owner that writes records of another version.
+TEST(election, recordsThatCannotBeReadAreSignsOfAnOwner)
+{
+  one.onEndRead(0, now);
+  one.onRecordRead(recordOf(owner_record::kind::claim, "b"), 0, now);
+  for (std::uint64_t offset = 1; offset < 20; ++offset) {
+    now += milliseconds(400);
+    one.onUnreadableRecord(offset, now);
+    one.onEndRead(offset + 1, now);
+    CHECK(next() == election::action::none);
+  }
+  now += seconds(10);
+  CHECK(next() == election::action::claim);
+}
