--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -466,19 +466,59 @@
 void request_handler::cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
                                     const std::string& aTeam, const reply& aReply)
 {
-  const auto rejectUnknown = [this, aId, aReply](bool aDenied) {
-    rejectUnknownJob(aReply, fmt::format("job={} cancel=true", toText(aId)), aDenied);
-  };
-  const bool queried =
-    mQueryOwner(aId, aTeam, [this, aCall, aId, aReply, rejectUnknown](const owner_answer& aAnswer) {
-      if (aAnswer.mBody) {
-        storeCancellation(aCall, aId, aReply);
-      } else {
-        rejectUnknown(aAnswer.mUnknownJob);
-      }
-    });
+  unread_cancellation one{ .mCall = aCall,
+                           .mJob = aId,
+                           .mTeam = aTeam,
+                           .mCaller = makeCaller(aCall, aReply),
+                           .mSince = mClock.now() };
+  const bool queried = mQueryOwner(aId, aTeam, [this, one](const owner_answer& aAnswer) {
+    if (aAnswer.mBody) {
+      storeCancellation(one.mCall, one.mJob, one.mCaller.mReply);
+    } else if (aAnswer.mUnknownJob) {
+      rejectUnknownJob(one.mCaller.mReply, fmt::format("job={} cancel=true", toText(one.mJob)),
+                       true);
+    } else {
+      cancelOrDeny(one);
+    }
+  });
   if (!queried) {
-    rejectUnknown(false);
+    cancelOrDeny(std::move(one));
+  }
+}
+
+bool request_handler::isDecidable(const unread_cancellation& aCancellation) const
+{
+  return mStopping || aCancellation.mCaller.mUntil <= mClock.now() || !mCellStatus.mKnowsJobs ||
+         !mCellStatus.mCaughtUp || mCellStatus.mJournalAsOf >= aCancellation.mSince ||
+         mJobTable.find(aCancellation.mJob) != nullptr ||
+         isStoredUnread(aCancellation.mJob, {}); // Perhaps one of another team.
+}
+
+void request_handler::cancelOrDeny(unread_cancellation aCancellation)
+{
+  if (!isDecidable(aCancellation)) {
+    mUnreadCancellations.push_back(std::move(aCancellation));
+    return;
+  }
+  const auto& [call, id, team, caller, since] = aCancellation;
+  const auto now = mClock.now();
+  const auto subject = fmt::format("job={} cancel=true", toText(id));
+  if (mStopping || caller.mUntil <= now) {
+    reject(caller.mReply, 503, kRetryAfterTransient, subject, "the journal is not read in time");
+  } else if (mJobTable.find(id) != nullptr || isStoredUnread(id, team)) {
+    auto rest = call;
+    rest.mTimeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(caller.mUntil - now) + kReplyMargin;
+    cancel(rest, id, team, caller.mReply);
+  } else {
+    rejectUnknownJob(caller.mReply, subject);
+  }
+}
+
+void request_handler::decideCancellations()
+{
+  for (auto& one : std::exchange(mUnreadCancellations, {})) {
+    cancelOrDeny(std::move(one));
   }
 }
 
@@ -503,6 +543,7 @@
 void request_handler::tick(time_point aNow)
 {
   answerIf([aNow](const caller& aOne) { return aOne.mUntil <= aNow; });
+  decideCancellations();
   if (mNextPurge <= aNow) {
     mNextPurge = aNow + kPurgeInterval;
     std::erase_if(mUnknownOutcomes,
@@ -516,6 +557,7 @@
 {
   mStopping = true;
   answerIf([](const caller& /*aOne*/) { return true; });
+  decideCancellations();
 }
 
 void request_handler::answerIf(const std::function<bool(const caller& aCaller)>& aChosen)
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -171,6 +171,22 @@
   void replyUnknownOutcome(const caller& aCaller, std::string_view aSubject, time_point aSince);
   void cancel(const platform::caller_request& aCall, scheduler::job_id aId,
               const std::string& aTeam, reply aReply);
+  /// A cancellation of a job that this daemon does not know, which waits for the journal.
+  struct unread_cancellation
+  {
+    platform::caller_request mCall;
+    scheduler::job_id mJob{};
+    std::string mTeam;
+    caller mCaller;
+    time_point mSince;
+  };
+  /// Denies the job once the journal has been read to where it ended when the request arrived;
+  /// cancels it if it has been read by then.
+  void cancelOrDeny(unread_cancellation aCancellation);
+  /// Answers the cancellations that wait for the journal, where it can.
+  void decideCancellations();
+  /// Whether an answer to such a request can be given by now.
+  bool isDecidable(const unread_cancellation& aCancellation) const;
   /// Cancels a job that this daemon has not read of, if the owner knows it.
   void cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
                      const std::string& aTeam, const reply& aReply);
@@ -229,6 +245,7 @@
   /// Jobs that were stored lately. The job table takes them in the order of the journal, when they
   /// are read.
   std::map<scheduler::job_id, stored_job> mStoredJobs;
+  std::vector<unread_cancellation> mUnreadCancellations;
   time_point mNextPurge{};
   /// Whether answerWaiting() has been called.
   bool mStopping = false;
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -281,6 +281,54 @@
   CHECK_EQUAL(0, pendingStores.size());
 }
 
+// Guards against a cancellation that is answered with 410 while the job goes on: the owner does not
+// answer, and another daemon has stored the job after this one last read the journal.
+TEST(request_handler, cancelsAJobThatIsReadAfterTheRequest)
+{
+  setCellStatus(milliseconds(100));
+  call(kCancel, kPath);
+  CHECK_EQUAL(0, answers.size());
+  jobTable.apply(job_submitted{ .mSpec = { .mId = static_cast<job_id>(0xaa),
+                                           .mRoute = "r",
+                                           .mTeam = "red",
+                                           .mSteps = { { .mCount = 1 } } } },
+                 time.now());
+  handler->tick(time.now());
+  CHECK_EQUAL(1, pendingStores.size());
+  pendingStores[0](write_outcome::stored);
+  CHECK_EQUAL(1, answers.size());
+  CHECK_EQUAL(200, lastStatus());
+}
+
+TEST(request_handler, deniesACancelledJobOnceTheJournalIsReadBehindTheRequest)
+{
+  setCellStatus(milliseconds(100));
+  call(kCancel, kPath);
+  time.mNow += milliseconds(50);
+  setCellStatus(milliseconds(60));
+  handler->tick(time.now());
+  CHECK_EQUAL(0, answers.size());
+  setCellStatus(milliseconds(50));
+  handler->tick(time.now());
+  CHECK_EQUAL(1, answers.size());
+  CHECK_EQUAL(410, lastStatus());
+  CHECK_EQUAL(0, pendingStores.size());
+}
+
+TEST(request_handler, confirmsNoCancellationOnAnOldViewAtTheCallersTimeout)
+{
+  setCellStatus(milliseconds(100));
+  call(kCancel, kPath);
+  time.mNow += milliseconds(2850);
+  handler->tick(time.now());
+  CHECK_EQUAL(1, answers.size());
+  CHECK_EQUAL(503, lastStatus());
+  call(kCancel, kPath);
+  handler->answerWaiting();
+  CHECK_EQUAL(2, answers.size());
+  CHECK_EQUAL(503, lastStatus());
+}
+
 // Guards against a job that is reported as unknown because the job table is being loaded anew when
 // a query to the owner fails.
 TEST(request_handler, reportsNoUnknownJobWhileTheJournalIsRead)
