--- a/tests/node/journal_writer_test.cpp
+++ b/tests/node/journal_writer_test.cpp
@@ -268,6 +268,21 @@
   CHECK_EQUAL(1, stored());
 }
 
+// Guards against records that are reported as stored although the store takes them for repetitions:
+// the first answer to a second writer under one epoch is lost.
+TEST(journal_writer, aSecondWriterUnderOneEpochConfirmsNothing)
+{
+  open(1, true, true);
+  CHECK(write({}) == write_outcome::stored);
+  CHECK(write({ "a" }) == write_outcome::stored);
+  CHECK(write({ "b" }) == write_outcome::stored);
+  open(1, true, true);
+  store->mLoseAnswers = 1;
+  CHECK(write({}) == write_outcome::fenced);
+  CHECK(write({ "c" }) == write_outcome::fenced);
+  CHECK_EQUAL(2, stored());
+}
+
 // The store keeps no answer to an append without records, which only sets the epoch.
 TEST(journal_writer, anUnansweredAppendWithoutRecordsHasSetTheEpoch)
 {
