Test that a stopping owner with little processor time answers its requests

The users saw requests that ended without an answer, without lines of log. A daemon that is stopped closes its connections after 0.4 s at most; one that gets 15 ms of each 100 ms may have requests then that are neither read nor in its queue.

The test stops and continues the owner in turn, with 22 callers that send status queries and jobs on open and on new connections, and sends SIGTERM.

--- a/tests/process/test_unanswered_requests.py
+++ b/tests/process/test_unanswered_requests.py
@@ -1,5 +1,6 @@
 """Requests on open connections around planned work, and hostile ones, with real daemons and sockets."""
 
+import functools
 import json
 import pathlib
 import random
@@ -26,6 +27,10 @@
 LARGE_CALLERS = 20
 # More than the backlog of the daemons' listeners.
 MANY_CONNECTIONS = 300
+# Share of time in which a daemon on a small VM may run, as the length of a period and of its part.
+SMALL_VM_PERIOD_S = 0.1
+SMALL_VM_RUN_S = 0.015
+SMALL_VM_CALLERS = 10
 HOSTILE_SEED = 44
 # Time to read the answer to a message that the daemon may be waiting for the rest of.
 HOSTILE_WAIT_S = 0.01
@@ -189,6 +194,22 @@
         return not connection.closes
 
 
+class SmallVm(threading.Thread):
+    """Lets a daemon run for a part of each period only, as a VM with a tenth of a core does."""
+
+    def __init__(self, process):
+        super().__init__()
+        self._process = process
+        self.stopping = threading.Event()
+
+    def run(self):
+        while not self.stopping.is_set() and self._process.running():
+            self._process.send(signal.SIGSTOP)
+            time.sleep(SMALL_VM_PERIOD_S - SMALL_VM_RUN_S)
+            self._process.send(signal.SIGCONT)
+            time.sleep(SMALL_VM_RUN_S)
+
+
 class UnansweredRequests(unittest.TestCase):
     def setUp(self):
         self.cell = Cell(1, daemons=2, targets=2)
@@ -317,6 +338,30 @@
         time.sleep(1)
         self.stop(daemon)
 
+    # Guards against requests of a daemon that has little processor time, which are neither read nor
+    # in its queue when its connections close.
+    def test_sigterm_on_a_small_vm_answers_requests(self):
+        daemon = wait_until(self.cell.owner, "a daemon is owner")
+        for headers in ("", "Connection: close\r\n"):
+            for _ in range(SMALL_VM_CALLERS):
+                make = functools.partial(http_request, "GET", "/b/", headers=headers)
+                self.callers.append(Caller(daemon, make))
+            self.callers.append(Caller(daemon, lambda: self.submission()[1]))
+        small = SmallVm(daemon.process)
+        for thread in (*self.callers, small):
+            thread.start()
+        try:
+            time.sleep(1)
+            daemon.process.send(signal.SIGTERM)
+            code = daemon.process.wait()
+        finally:
+            small.stopping.set()
+            small.join()
+        statuses = set().union(*(caller.statuses for caller in self.callers))
+        self.end_callers()
+        self.assertEqual(0, code)
+        self.assertIn(200, statuses)
+
     # Guards against requests that are dropped when the settings or the configuration change.
     def test_changes_of_settings_and_configuration_answer_requests(self):
         cell = self.cell
