The blind owner of the soak always has a cancellation to miss

Change: each such fault submits a recurring job before it, and cancels it at another daemon 2.2 s into a silence of 3 s.

--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -260,10 +260,22 @@
             steps[0]["long_running"] = True
         job = Job(uuid.uuid4().hex[:16], team, steps, cpu)
         if not is_long and rng.random() < RECURRING_SHARE:
-            job.extra = {"first_ms": int(time.time() * 1000), "interval_ms": 500,
-                         "repeat_count": 40}
+            self._make_recurring(job)
         return job, work_ms
 
+    @staticmethod
+    def _make_recurring(job):
+        job.extra = {"first_ms": int(time.time() * 1000), "interval_ms": 500, "repeat_count": 40}
+
+    def submit_recurring(self):
+        """Submits a job of short tasks, one each half second; None if it is not accepted."""
+        steps = [{"count": 1, "cpu": LONG_CPU_MILLI, "mem_mb": 10, "estimate_ms": 100}]
+        job = Job(uuid.uuid4().hex[:16], "red", steps, LONG_CPU_MILLI)
+        self._make_recurring(job)
+        self.checker.submitted(job)
+        self._submit(job, "b", 100, self.random)
+        return job if job.accepted_at else None
+
     def _submit(self, job, route, work_ms, rng):
         gang = int(job.steps[0].get("gang", False))
         body = json.dumps({"spec": f"{work_ms}:{job.cpu_milli}:{gang}", "steps": job.steps,
@@ -284,19 +296,11 @@
     def _cancel(self, job, route, rng):
         """Cancels the job after a while, at up to three daemons at once, until one confirms it."""
         time.sleep(rng.choice(CANCEL_DELAYS_S))
-        # From now on the job may be cancelled or not, until a daemon confirms it.
-        job.cancel_sent, job.accepted_at = True, None
-        path = f"/{route}/{job.name}"
-
-        def cancel_at(daemon):
-            answer = self.call(daemon, "DELETE", path, f"k{job.team}")
-            self.checker.note(f"cancel {job.name} at {daemon.name}: {answer}")
-            if answer is not None and answer[0] == 200:
-                self.checker.confirmed_cancelled(job)
-
         for _ in range(CANCEL_ATTEMPTS):
             chosen = rng.sample(self.daemons, rng.choice([1, 1, 2, 3]))
-            callers = [threading.Thread(target=cancel_at, args=(one,)) for one in chosen]
+            callers = [
+                threading.Thread(target=self.cancel_at, args=(job, route, one)) for one in chosen
+            ]
             for caller in callers:
                 caller.start()
             for caller in callers:
@@ -305,6 +309,15 @@
                 return
             time.sleep(0.1)
 
+    def cancel_at(self, job, route, daemon):
+        """Sends one cancellation to the daemon."""
+        # From now on the job may be cancelled or not, until a daemon confirms it.
+        job.cancel_sent, job.accepted_at = True, None
+        answer = self.call(daemon, "DELETE", f"/{route}/{job.name}", f"k{job.team}")
+        self.checker.note(f"cancel {job.name} at {daemon.name}: {answer}")
+        if answer is not None and answer[0] == 200:
+            self.checker.confirmed_cancelled(job)
+
     def query_state(self, job, daemon):
         """As _query_state, for a job that was accepted."""
         return self._query_state(job, job.route, daemon)
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -29,9 +29,9 @@
 # Share of the faults of one daemon's requests to the store that hit the owner.
 OWNER_SHARE = 0.8
 JOURNAL_READS, JOURNAL_APPENDS = b"/log-read?topic=journal", b"/log-append?topic=journal"
-# An owner turns cancellations away while an append has been unanswered for 1.5 s; other daemons
-# then append them.
-APPEND_LIMIT_S = 2.0
+# An owner turns cancellations away while an append has been unanswered for 1.5 s, and other daemons
+# then append them: time for which its appends have no answer, and of a cancellation in it.
+APPEND_SILENCE_S, CANCELLATION_AT_S = 3.0, 2.2
 
 
 class Fault:
@@ -63,20 +63,17 @@
         daemon = rng.choice(cell.daemons)
         return Fault(rng.uniform(0.5, 4), daemon.pause, daemon.resume)
 
-    def silent(lasts_s, parts, first_s=0.0, first_parts=()):
-        """The store's answers to requests with these parts are lost, first to others as well.
-        Mostly the owner's requests, of the time when the fault begins."""
+    def silent(lasts_s, parts, before=lambda _: None):
+        """The store's answers to requests with these parts are lost. Mostly the owner's requests, of
+        the time when the fault begins. First calls before(daemon)."""
         chosen = daemon()
         of_owner = rng.random() < OWNER_SHARE
         place = []
 
         def apply():
             place.append((of_owner and cell.owner()) or chosen)
-            place[0].silenced.extend([*parts, *first_parts])
-            if first_parts:
-                time.sleep(first_s)
-                for part in first_parts:
-                    place[0].silenced.remove(part)
+            place[0].silenced.extend(parts)
+            before(place[0])
 
         def heal():
             for part in parts:
@@ -84,6 +81,17 @@
 
         return Fault(lasts_s, apply, heal)
 
+    def cancel_past(owner):
+        """Another daemon appends the cancellation of a job whose tasks the owner goes on to start.
+        """
+        job = cell.submit_recurring()
+        owner.silenced.append(JOURNAL_APPENDS)
+        time.sleep(CANCELLATION_AT_S)
+        if job is not None:
+            cell.cancel_at(job, "b", next(one for one in cell.daemons if one is not owner))
+        time.sleep(APPEND_SILENCE_S - CANCELLATION_AT_S)
+        owner.silenced.remove(JOURNAL_APPENDS)
+
     def herd():
         chosen = rng.sample(cell.daemons, rng.randint(2, len(cell.daemons)))
         return Fault(0, lambda: [daemon.restart(signal.SIGKILL) for daemon in chosen])
@@ -146,10 +154,8 @@
         "store_reset": lambda: Fault(0, daemon().store.reset),
         "journal_reads": lambda: silent(rng.uniform(2, 8), [JOURNAL_READS]),
         "journal_appends": lambda: silent(rng.uniform(0.5, 4), [JOURNAL_APPENDS]),
-        # The reads stay without an answer after cancellations were appended past the owner.
-        "journal_blind": lambda: silent(
-            rng.uniform(5, 10), [JOURNAL_READS], APPEND_LIMIT_S, [JOURNAL_APPENDS]
-        ),
+        # The reads stay without an answer after a cancellation was appended past the owner.
+        "journal_blind": lambda: silent(rng.uniform(5, 10), [JOURNAL_READS], cancel_past),
         "operator_reads": lambda: silent(rng.uniform(2, 8), [b"topic=keyed.op"]),
         "registry_reads": lambda: silent(rng.uniform(2, 8), [b"topic=keyed.servers"]),
         "target_crash": crash,
