Hand over only to a daemon that knows the jobs, and also with an open append

The cell was handed over to a daemon that waits for what it cannot read and renews no lease. And a release waited for the open append. After an exception an owner went on with callbacks and decisions until the next election tick.

Change: a hello calls the view current only if the copy of the jobs is complete. An old view of the registry still holds starts back, but does not end the ownership. An owner that cannot read releases also while an append has been unanswered for 1.5 s; the next epoch fences it off. An owner that is to step down decides, accepts and sends nothing more.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -157,7 +157,7 @@
       onHelloReply(aOwner, aReply, aReceived);
     });
   mOwnerClient.setStandby(mStandby);
-  mOrderRouter.setPermission([this] { return mElection.mayAct(mClock.now()); });
+  mOrderRouter.setPermission([this] { return !mStepDownReason && mElection.mayAct(mClock.now()); });
   mOrderRouter.setStartPermission([this] { return mClock.now() <= mOwnerView.currentUntil(); });
   makeTails();
   if (mStandby) {
@@ -355,7 +355,7 @@
 time_point cell_node::impl::decide(time_point aNow)
 {
   const auto latest = aNow + kMaxLoopWait;
-  if (!mOwner || !mElection.mayAct(mClock.now())) {
+  if (!mOwner || mStepDownReason || !mElection.mayAct(mClock.now())) {
     return latest;
   }
   const loop_profiler::scope deciding(mProfiler, loop_phase::decisions);
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -147,7 +147,11 @@
   void requestAdvice(const scheduler::advice_request& aRequest) override;
 
   /// Whether this daemon is still the owner of aEpoch; replies to another epoch are ignored.
-  bool isOwner(std::uint64_t aEpoch) const { return aEpoch == mEpoch && mOwner != nullptr; }
+  /// After an exception its state may be changed in part.
+  bool isOwner(std::uint64_t aEpoch) const
+  {
+    return aEpoch == mEpoch && mOwner != nullptr && !mStepDownReason;
+  }
 
   void logDecision(std::string_view aEvent, std::string_view aDetail) override;
 
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -98,7 +98,7 @@
                                     const caller_record_writer::done_callback& aDone)
 {
   const auto now = mClock.now();
-  if (!mOwner || !mElection.mayAct(now)) {
+  if (!mOwner || mStepDownReason || !mElection.mayAct(now)) {
     return false;
   }
   const auto* submitted = std::get_if<scheduler::job_submitted>(&aRecord);
@@ -235,7 +235,8 @@
                       .mRegistry = mOwner ? mRegistryTail->freshAsOf() : aNow },
                     mStore.latency(), aNow);
   mElection.setViewCurrent(mOwnerView.current());
-  mOwnerClient.setViewCurrent(mOwnerView.current());
+  // Another daemon would have to load the jobs first.
+  mOwnerClient.setViewCurrent(mJobs.complete() && mOwnerView.current());
   if (!mOwner) {
     return;
   }
@@ -276,10 +277,13 @@
     mOwner && mOwnerView.lost() && mElection.renewalAge(aNow) < kMaxBlindRenewalAge &&
     mStore.latency() < kSlowStoreLatency &&
     std::ranges::any_of(mHelpers, [](const auto& aOne) { return aOne.second.mViewCurrent; });
-  // Pending records are stored before another daemon may become owner.
-  const bool mayRelease =
-    (mStopping || isBlind) &&
-    (!mOwnerWriter || (!mOwnerWriter->pendingSince() && mOwnerWriter->waiting() == 0));
+  // Pending records are stored before another daemon may become owner, unless the store does not
+  // take them: the next epoch fences off copies that are under way.
+  const bool allWritten =
+    !mOwnerWriter || (!mOwnerWriter->pendingSince() && mOwnerWriter->waiting() == 0);
+  const bool isStuck = mOwnerWriter && mOwnerWriter->pendingSince() &&
+                       aNow - *mOwnerWriter->pendingSince() > kMaxAppendAge;
+  const bool mayRelease = (mStopping && allWritten) || (isBlind && (allWritten || isStuck));
   const auto action = mElection.next(aNow, eligible && !mStopping, mayRelease);
   if (action != election::action::none) {
     appendOwnerRecord(action, aNow);
--- a/node/src/owner_view.cpp
+++ b/node/src/owner_view.cpp
@@ -52,7 +52,9 @@
     }
   }
   const auto pass = std::min<duration>(aNow - mLastUpdate, kMaxPass);
-  mOldFor = current() ? duration{ 0 } : mOldFor + pass;
+  // No other daemon follows the registry, so that none is known to read it.
+  const bool othersMayKnowMore = mAges[0] > mLimits[0] || mAges[1] > mLimits[1];
+  mOldFor = othersMayKnowMore ? mOldFor + pass : duration{ 0 };
   mLastUpdate = aNow;
 }
 
--- a/node/src/owner_view.h
+++ b/node/src/owner_view.h
@@ -36,7 +36,8 @@
 /// all.
 ///
 /// The owner starts nothing on a view that is older than a bound of its own for each topic. If the
-/// view does not recover while the store is quick and others can take over, it hands the cell over:
+/// view of the journal or of the operator's records does not recover while the store is quick and
+/// others can take over, it hands the cell over:
 /// the running tasks of a cancelled job have to be stopped as well, and waiting ones to start.
 class owner_view
 {
@@ -51,8 +52,8 @@
   bool current() const { return mOldest == topic::none; }
   /// Returns the last time at which tasks may be started unless another update comes before.
   time_point currentUntil() const { return mCurrentUntil; }
-  /// Whether the view has been too old for so long, while the process ran, that another daemon
-  /// should own the cell.
+  /// Whether the view of what other daemons read as well has been too old for so long, while the
+  /// process ran, that another one should own the cell.
   bool lost() const;
   /// Describes the ages of the topics, for the log.
   std::string describe() const;
--- a/tests/node/owner_view_test.cpp
+++ b/tests/node/owner_view_test.cpp
@@ -96,6 +96,15 @@
   CHECK_FALSE(view->lost());
 }
 
+// Guards against a hand-over to a daemon that cannot read the registry either: only the owner
+// follows it.
+TEST(owner_view, anOldViewOfTheRegistryDoesNotLoseIt)
+{
+  registryAge = seconds(10);
+  CHECK_FALSE(lostAfter(milliseconds(2000)));
+  CHECK_FALSE(current());
+}
+
 // Guards against hand-overs by an owner that was paused, before its reads could be answered.
 TEST(owner_view, aPauseOfTheProcessDoesNotLoseIt)
 {
--- a/tests/process/test_cancelled_jobs.py
+++ b/tests/process/test_cancelled_jobs.py
@@ -21,6 +21,7 @@
 JOURNAL_APPEND = b"/log-append?topic=journal"
 JOURNAL_READ = b"/log-read?topic=journal"
 OPERATOR_READ = b"topic=keyed.op&"
+REGISTRY_READ = b"topic=keyed.servers&"
 # An owner turns cancellations away while an append has been unanswered for 1.5 s.
 APPEND_LIMIT_S = 2.0
 # Time in which an owner that cannot read hands the cell over and the next one stops runs.
@@ -115,15 +116,38 @@
         self.check_running(job, CANCEL_LIMIT_S + HAND_OVER_S)
         self.assertEqual([], self.cell.checker.violations)
 
+    # The same, while its appends have no answer either.
+    def test_tasks_are_stopped_though_the_owner_neither_reads_nor_appends(self):
+        job = self.cell.submit(step(2), work_ms=30000)
+        wait_until(lambda: len(self.cell.checker.running(job)) == 2, "both tasks run")
+        self.silence(JOURNAL_APPEND, JOURNAL_READ)
+        self.submit_in_background(work_ms=100)
+        time.sleep(APPEND_LIMIT_S)
+        self.cancel(job)
+        self.check_running(job, CANCEL_LIMIT_S + HAND_OVER_S)
+        self.assertEqual([], self.cell.checker.violations)
+
     # Guards against leases that nobody renews, because the owner hands over to daemons that know
     # no more than it does.
     def test_work_runs_on_while_no_daemon_reads_the_operators_records(self):
+        self.check_work_runs_on(OPERATOR_READ, self.cell.daemons)
+
+    def test_work_runs_on_while_no_daemon_reads_the_journal(self):
+        self.check_work_runs_on(JOURNAL_READ, self.cell.daemons)
+
+    def test_work_runs_on_while_no_daemon_reads_the_registry(self):
+        self.check_work_runs_on(REGISTRY_READ, self.cell.daemons)
+
+    def test_work_runs_on_while_the_owner_does_not_read_the_registry(self):
+        self.check_work_runs_on(REGISTRY_READ, [self.owner])
+
+    def check_work_runs_on(self, request, daemons):
         job = self.cell.submit(step(2), work_ms=9000)
         wait_until(lambda: len(self.cell.checker.running(job)) == 2, "both tasks run")
         starts = self.cell.checker.starts
-        self.silence(OPERATOR_READ, daemons=self.cell.daemons)
+        self.silence(request, daemons=daemons)
         time.sleep(9)
-        self.silence(daemons=self.cell.daemons)
+        self.silence(daemons=daemons)
         wait_until(lambda: not self.cell.unfinished(), "the job has ended")
         self.assertEqual(starts, self.cell.checker.starts)
         self.assertEqual([], self.cell.checker.violations)
