An old view of the operator's records counts only if another daemon reads them

What callers saw: nothing was started for up to 6 s while the store did not serve one of its topics to anyone (the part of the operator's records answered 503).

Cause: the age of each topic held starts back by itself.

Ruled out: a longer limit; the outage lasts longer than any that bounds the rule.

That of the operator's records does if a follower's hello says that its own view is current. The registry's does not any more: only the owner reads it, so that nobody knows more; its bound is gone.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -127,9 +127,8 @@
                       .mJournalTopic = kJournalTopic,
                       .mWriter = mIncarnation,
                       .mRetention = mSettings.mRecordRetention }),
-    mOwnerView({ .mCancelPeriod = mSettings.mCancelPeriod,
-                 .mConfigPeriod = mSettings.mConfigPeriod,
-                 .mDrainPeriod = mSettings.mDrainPeriod }),
+    mOwnerView(
+      { .mCancelPeriod = mSettings.mCancelPeriod, .mConfigPeriod = mSettings.mConfigPeriod }),
     mHandOver(mLoop, mClock, mLog,
               [this](const std::string& aAddress, const std::vector<scheduler::run_ended>& aEnds) {
                 onEndsHandedOver(aAddress, aEnds);
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -229,11 +229,13 @@
 void cell_node::impl::updateOwnerView(time_point aNow)
 {
   const bool wasCurrent = mOwnerView.current();
+  const bool othersKnowMore = !mOwner || std::ranges::any_of(mHelpers, [](const auto& aOne) {
+    return aOne.second.mViewCurrent;
+  });
   // What a daemon does not follow it reads when it becomes owner, before it schedules.
   mOwnerView.update({ .mJournal = followsJournal() ? mJobs.freshAsOf() : aNow,
-                      .mOperator = mOperatorTail->freshAsOf(),
-                      .mRegistry = mOwner ? mRegistryTail->freshAsOf() : aNow },
-                    mStore.latency(), aNow);
+                      .mOperator = mOperatorTail->freshAsOf() },
+                    mStore.latency(), othersKnowMore, aNow);
   mElection.setViewCurrent(mOwnerView.current());
   // Another daemon would have to load the jobs first.
   mOwnerClient.setViewCurrent(mJobs.complete() && mOwnerView.current());
--- a/node/src/owner_view.cpp
+++ b/node/src/owner_view.cpp
@@ -35,16 +35,18 @@
 } // namespace
 
 void owner_view::update(const owner_view_times& aTimes, std::chrono::milliseconds aLatency,
-                        time_point aNow)
+                        bool aOthersKnowMore, time_point aNow)
 {
-  mAges = { aNow - aTimes.mJournal, aNow - aTimes.mOperator, aNow - aTimes.mRegistry };
+  mAges = { aNow - aTimes.mJournal, aNow - aTimes.mOperator };
   mLimits = { limitOf(mBounds.mCancelPeriod, kHandOverPeriod, aLatency),
-              limitOf(mBounds.mConfigPeriod, kStartPeriod, aLatency),
-              limitOf(mBounds.mDrainPeriod, kStartPeriod, aLatency) };
+              limitOf(mBounds.mConfigPeriod, kStartPeriod, aLatency) };
   mOldest = topic::none;
   mCurrentUntil = time_point::max();
   duration most{ 0 };
   for (std::size_t index = 0; index < kTopics; ++index) {
+    if (static_cast<topic>(index) == topic::operators && !aOthersKnowMore) {
+      continue;
+    }
     mCurrentUntil = std::min(mCurrentUntil, aNow - mAges[index] + mLimits[index]);
     if (const auto excess = mAges[index] - mLimits[index]; excess > most) {
       most = excess;
@@ -52,9 +54,7 @@
     }
   }
   const auto pass = std::min<duration>(aNow - mLastUpdate, kMaxPass);
-  // No other daemon follows the registry, so that none is known to read it.
-  const bool othersMayKnowMore = mAges[0] > mLimits[0] || mAges[1] > mLimits[1];
-  mOldFor = othersMayKnowMore ? mOldFor + pass : duration{ 0 };
+  mOldFor = current() ? duration{ 0 } : mOldFor + pass;
   mLastUpdate = aNow;
 }
 
@@ -66,10 +66,9 @@
 std::string owner_view::describe() const
 {
   const auto ms = [](duration aTime) { return aTime / std::chrono::milliseconds(1); };
-  return fmt::format("journal_age_ms={} operator_age_ms={} registry_age_ms={} journal_limit_ms={} "
-                     "operator_limit_ms={} registry_limit_ms={}",
-                     ms(mAges[0]), ms(mAges[1]), ms(mAges[2]), ms(mLimits[0]), ms(mLimits[1]),
-                     ms(mLimits[2]));
+  return fmt::format("journal_age_ms={} operator_age_ms={} journal_limit_ms={} "
+                     "operator_limit_ms={}",
+                     ms(mAges[0]), ms(mAges[1]), ms(mLimits[0]), ms(mLimits[1]));
 }
 
 } // namespace endiveusher::node
--- a/node/src/owner_view.h
+++ b/node/src/owner_view.h
@@ -16,8 +16,6 @@
   std::chrono::milliseconds mCancelPeriod{ 3000 };
   /// After a change of the configuration, or of the closed zones, no task may start against it.
   std::chrono::milliseconds mConfigPeriod{ 2000 };
-  /// After a target has stated that it is draining, no task may start there.
-  std::chrono::milliseconds mDrainPeriod{ 2000 };
 };
 
 /// Times since which an owner knows all that was stored in the topics by which it decides.
@@ -25,20 +23,20 @@
 {
   time_point mJournal;
   time_point mOperator;
-  time_point mRegistry;
 };
 
 /// Decides whether an owner knows enough of what others have stored to start tasks.
 ///
 /// Load pattern: the reads of an owner stand still while its appends, renewals and heartbeats go on
 /// over other connections, or its process was paused. Callers' cancellations that other daemons
-/// have appended, withdrawn limits, closed zones and draining targets then reach it late or not at
-/// all.
+/// have appended, lowered limits and closed zones then reach it late or not at all.
 ///
-/// The owner starts nothing on a view that is older than a bound of its own for each topic. If the
-/// view of the journal or of the operator's records does not recover while the store is quick and
-/// others can take over, it hands the cell over:
-/// the running tasks of a cancelled job have to be stopped as well, and waiting ones to start.
+/// Each topic has a limit of age of its own. The owner starts nothing on an old view of the
+/// journal, without which nothing can be started anyway. An old view of the operator's records
+/// counts if another daemon reads them; otherwise the store does not serve them, and to stop the
+/// cell until it does would help nobody. If the view does not recover while the store is quick and
+/// others can take over, the owner hands the cell over: the running tasks of a cancelled job have
+/// to be stopped as well, and waiting ones to start.
 class owner_view
 {
 public:
@@ -46,7 +44,9 @@
 
   /// Updates the decisions. Called in each pass of the loop.
   /// @param aLatency latency of the store; a slow store makes every daemon's view older
-  void update(const owner_view_times& aTimes, std::chrono::milliseconds aLatency, time_point aNow);
+  /// @param aOthersKnowMore whether another daemon reads the operator's records
+  void update(const owner_view_times& aTimes, std::chrono::milliseconds aLatency,
+              bool aOthersKnowMore, time_point aNow);
 
   /// Whether tasks may be started.
   bool current() const { return mOldest == topic::none; }
@@ -63,10 +63,9 @@
   {
     journal,
     operators,
-    registry,
     none,
   };
-  static constexpr std::size_t kTopics = 3;
+  static constexpr std::size_t kTopics = 2;
 
   const owner_view_bounds mBounds;
   std::array<duration, kTopics> mAges{};
