--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -92,7 +92,7 @@
   /// leases.
   void setStoreResponsive(bool aResponsive);
   /// Sets the time until which the owner knows enough of what others have stored: cancellations,
-  /// limits, closed zones, targets that drain. After it, it starts nothing; work that runs goes on.
+  /// limits, closed zones. After it, it starts nothing; work that runs goes on.
   /// A time and no flag, because the process may be paused between this call and a start.
   void setViewCurrentUntil(time_point aUntil);
   /// Replaces owner_options::mLatestActs.
