Derive whether a view is current from the time until which it is

Cause: owner_view kept an enumeration of topics, two arrays and a loop to find the topic that is older than its limit by most, which nothing reads; two places asked in the same words whether a follower's view is current, and two tests of cancelled jobs began with the same six lines.

Change: current() compares with currentUntil(); followerIsCurrent() and cancel_running_past_the_owner() serve both places. No bound, check or decision changes.

Ran: owner_view 7 and cell_node 16 passed, the 8 tests of test_cancelled_jobs.py, each in a process of its own at once, format, and lint of the two sources.

--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -182,6 +182,8 @@
 
   /// Checks whether this daemon knows enough of what others have stored to own the cell.
   void updateOwnerView(time_point aNow);
+  /// Whether a follower knows enough of what others have stored to own the cell.
+  bool followerIsCurrent() const;
 
   void tickElection(time_point aNow);
 
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -226,12 +226,15 @@
   }
 }
 
+bool cell_node::impl::followerIsCurrent() const
+{
+  return std::ranges::any_of(mHelpers, [](const auto& aOne) { return aOne.second.mViewCurrent; });
+}
+
 void cell_node::impl::updateOwnerView(time_point aNow)
 {
   const bool wasCurrent = mOwnerView.current();
-  const bool othersKnowMore = !mOwner || std::ranges::any_of(mHelpers, [](const auto& aOne) {
-    return aOne.second.mViewCurrent;
-  });
+  const bool othersKnowMore = !mOwner || followerIsCurrent();
   // What a daemon does not follow it reads when it becomes owner, before it schedules.
   mOwnerView.update({ .mJournal = followsJournal() ? mJobs.freshAsOf() : aNow,
                       .mOperator = mOperatorTail->freshAsOf() },
@@ -275,10 +278,9 @@
   const bool eligible = caughtUp() && mOperator.config() && !mStoreLost;
   // The leases are renewed until another daemon can do better. A store that is slow makes the views
   // of others old as well; one that does not take renewals ends the ownership anyway.
-  const bool isBlind =
-    mOwner && mOwnerView.lost() && mElection.renewalAge(aNow) < kMaxBlindRenewalAge &&
-    mStore.latency() < kSlowStoreLatency &&
-    std::ranges::any_of(mHelpers, [](const auto& aOne) { return aOne.second.mViewCurrent; });
+  const bool isBlind = mOwner && mOwnerView.lost() &&
+                       mElection.renewalAge(aNow) < kMaxBlindRenewalAge &&
+                       mStore.latency() < kSlowStoreLatency && followerIsCurrent();
   // Pending records are stored before another daemon may become owner, unless the store does not
   // take them: the next epoch fences off copies that are under way.
   const bool allWritten =
--- a/node/src/owner_view.cpp
+++ b/node/src/owner_view.cpp
@@ -37,22 +37,15 @@
 void owner_view::update(const owner_view_times& aTimes, std::chrono::milliseconds aLatency,
                         bool aOthersKnowMore, time_point aNow)
 {
-  mAges = { aNow - aTimes.mJournal, aNow - aTimes.mOperator };
-  mLimits = { limitOf(mBounds.mCancelPeriod, kHandOverPeriod, aLatency),
-              limitOf(mBounds.mConfigPeriod, kStartPeriod, aLatency) };
-  mOldest = topic::none;
-  mCurrentUntil = time_point::max();
-  duration most{ 0 };
-  for (std::size_t index = 0; index < kTopics; ++index) {
-    if (static_cast<topic>(index) == topic::operators && !aOthersKnowMore) {
-      continue;
-    }
-    mCurrentUntil = std::min(mCurrentUntil, aNow - mAges[index] + mLimits[index]);
-    if (const auto excess = mAges[index] - mLimits[index]; excess > most) {
-      most = excess;
-      mOldest = static_cast<topic>(index);
-    }
+  mJournalAge = aNow - aTimes.mJournal;
+  mOperatorAge = aNow - aTimes.mOperator;
+  mJournalLimit = limitOf(mBounds.mCancelPeriod, kHandOverPeriod, aLatency);
+  mOperatorLimit = limitOf(mBounds.mConfigPeriod, kStartPeriod, aLatency);
+  mCurrentUntil = aTimes.mJournal + mJournalLimit;
+  if (aOthersKnowMore) {
+    mCurrentUntil = std::min(mCurrentUntil, aTimes.mOperator + mOperatorLimit);
   }
+  mCurrent = aNow <= mCurrentUntil;
   const auto pass = std::min<duration>(aNow - mLastUpdate, kMaxPass);
   mOldFor = current() ? duration{ 0 } : mOldFor + pass;
   mLastUpdate = aNow;
@@ -68,7 +61,7 @@
   const auto ms = [](duration aTime) { return aTime / std::chrono::milliseconds(1); };
   return fmt::format("journal_age_ms={} operator_age_ms={} journal_limit_ms={} "
                      "operator_limit_ms={}",
-                     ms(mAges[0]), ms(mAges[1]), ms(mLimits[0]), ms(mLimits[1]));
+                     ms(mJournalAge), ms(mOperatorAge), ms(mJournalLimit), ms(mOperatorLimit));
 }
 
 } // namespace endiveusher::node
--- a/node/src/owner_view.h
+++ b/node/src/owner_view.h
@@ -2,9 +2,7 @@
 
 #include "endiveusher/kernel/time.h"
 
-#include <array>
 #include <chrono>
-#include <cstdint>
 #include <string>
 
 namespace endiveusher::node {
@@ -49,7 +47,7 @@
               bool aOthersKnowMore, time_point aNow);
 
   /// Whether tasks may be started.
-  bool current() const { return mOldest == topic::none; }
+  bool current() const { return mCurrent; }
   /// Returns the last time at which tasks may be started unless another update comes before.
   time_point currentUntil() const { return mCurrentUntil; }
   /// Whether the view of what other daemons read as well has been too old for so long, while the
@@ -59,19 +57,12 @@
   std::string describe() const;
 
 private:
-  enum class topic : std::uint8_t
-  {
-    journal,
-    operators,
-    none,
-  };
-  static constexpr std::size_t kTopics = 2;
-
   const owner_view_bounds mBounds;
-  std::array<duration, kTopics> mAges{};
-  std::array<duration, kTopics> mLimits{};
-  /// The topic that is older than its limit by most; none if all are current.
-  topic mOldest = topic::none;
+  duration mJournalAge{ 0 };
+  duration mOperatorAge{ 0 };
+  duration mJournalLimit{ 0 };
+  duration mOperatorLimit{ 0 };
+  bool mCurrent = true;
   time_point mCurrentUntil{};
   /// Time for which the view has been too old, without the pauses of the process.
   duration mOldFor{ 0 };
--- a/tests/process/test_cancelled_jobs.py
+++ b/tests/process/test_cancelled_jobs.py
@@ -69,6 +69,16 @@
             "the follower has appended the cancellation",
         )
 
+    def cancel_running_past_the_owner(self):
+        """Cancels a running job while the owner neither reads the journal nor appends to it."""
+        job = self.cell.submit(step(2), work_ms=30000)
+        wait_until(lambda: len(self.cell.checker.running(job)) == 2, "both tasks run")
+        self.silence(JOURNAL_APPEND, JOURNAL_READ)
+        self.submit_in_background(work_ms=100)
+        time.sleep(APPEND_LIMIT_S)
+        self.cancel(job)
+        return job
+
     def check_running(self, job, limit_s):
         """Checks that nothing of the job runs a time after its cancellation, nor starts then."""
         time.sleep(max(0, job.cancelled_at + limit_s - time.monotonic()))
@@ -106,24 +116,14 @@
 
     # Guards against tasks that run on because the owner does not learn of the cancellation.
     def test_tasks_are_stopped_though_the_owner_does_not_read_the_journal(self):
-        job = self.cell.submit(step(2), work_ms=30000)
-        wait_until(lambda: len(self.cell.checker.running(job)) == 2, "both tasks run")
-        self.silence(JOURNAL_APPEND, JOURNAL_READ)
-        self.submit_in_background(work_ms=100)
-        time.sleep(APPEND_LIMIT_S)
-        self.cancel(job)
+        job = self.cancel_running_past_the_owner()
         self.silence(JOURNAL_READ)
         self.check_running(job, CANCEL_LIMIT_S + HAND_OVER_S)
         self.assertEqual([], self.cell.checker.violations)
 
     # The same, while its appends have no answer either.
     def test_tasks_are_stopped_though_the_owner_neither_reads_nor_appends(self):
-        job = self.cell.submit(step(2), work_ms=30000)
-        wait_until(lambda: len(self.cell.checker.running(job)) == 2, "both tasks run")
-        self.silence(JOURNAL_APPEND, JOURNAL_READ)
-        self.submit_in_background(work_ms=100)
-        time.sleep(APPEND_LIMIT_S)
-        self.cancel(job)
+        job = self.cancel_running_past_the_owner()
         self.check_running(job, CANCEL_LIMIT_S + HAND_OVER_S)
         self.assertEqual([], self.cell.checker.violations)
 
