Name the ends that count against a job in job_failed

What callers saw: jobs shown as failed with attempts left. The record could not tell which ends had counted, and job_failed had only their number. Tests changed: snapshotsAreReadableInBothVersions asked for a row of exactly three elements; it now asks that what an earlier version reads stands in its place, that the row has exactly one element more, and that a row without either is read. scheduler_tests: 266 passed.

--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -140,6 +140,9 @@
   std::int64_t mIncarnationStart = 0;
 };
 
+/// Returns the outcome's name, for the log.
+std::string_view toText(run_end aOutcome);
+
 struct task_state
 {
   /// Number of the latest run, from 1; 0 if there was none.
@@ -156,6 +159,18 @@
   time_point mLastTargetLoss{};
 };
 
+/// An end of a run that counts against its task or gang, kept for the log.
+struct counted_end
+{
+  std::uint32_t mIndex = 0;
+  std::uint32_t mRun = 0;
+  run_end mOutcome = run_end::failed;
+  std::string mTarget;
+};
+
+/// Largest number of ends that a step keeps for the log; the oldest are dropped.
+inline constexpr std::size_t kMaxCountedEnds = 32;
+
 struct step_state
 {
   std::vector<task_state> mTasks;
@@ -163,6 +178,8 @@
   std::uint32_t mOpen = 0;
   /// Number of failed runs of the gang.
   std::uint32_t mGangFailures = 0;
+  /// The latest ends that count against a task or the gang, the oldest first.
+  std::vector<counted_end> mCountedEnds;
 
   bool complete() const { return mDone == mTasks.size(); }
 };
--- a/scheduler/src/job.cpp
+++ b/scheduler/src/job.cpp
@@ -68,6 +68,25 @@
   return key;
 }
 
+std::string_view toText(run_end aOutcome)
+{
+  switch (aOutcome) {
+    case run_end::done:
+      return "done";
+    case run_end::failed:
+      return "failed";
+    case run_end::interrupted:
+      return "interrupted";
+    case run_end::not_run:
+      return "not_run";
+    case run_end::target_lost:
+      return "target_lost";
+    case run_end::target_lost_at_start:
+      return "target_lost_at_start";
+  }
+  return "unknown";
+}
+
 const step_state* job::find(const step_key& aKey) const
 {
   const auto found = mOccurrences.find(aKey.mOccurrence);
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -46,6 +46,17 @@
   aTask.mLastTargetLoss = aNow;
 }
 
+void keepForLog(step_state& aStep, const run_ended& aEnd, std::string aTarget)
+{
+  if (aStep.mCountedEnds.size() == kMaxCountedEnds) {
+    aStep.mCountedEnds.erase(aStep.mCountedEnds.begin());
+  }
+  aStep.mCountedEnds.push_back({ .mIndex = aEnd.mTask.mIndex,
+                                 .mRun = aEnd.mRun,
+                                 .mOutcome = aEnd.mOutcome,
+                                 .mTarget = std::move(aTarget) });
+}
+
 } // namespace
 
 job* job_table::apply(const journal_record& aRecord, time_point aNow)
@@ -157,7 +168,7 @@
   if (aRecord.mRun != task.mRun || !task.mOpen) {
     return nullptr;
   }
-  task.mOpen.reset();
+  auto target = std::exchange(task.mOpen, std::nullopt)->mTarget;
   --step->mOpen;
   const bool gang = found->mSpec.mSteps[aRecord.mTask.mStep.mStep].mGang;
   if (!aRecord.mCheckpoint.empty()) {
@@ -184,9 +195,11 @@
   } else if (aRecord.mOutcome == run_end::failed) {
     ++task.mFailures;
     step->mGangFailures += gang ? 1 : 0;
+    keepForLog(*step, aRecord, std::move(target));
   } else if (aRecord.mOutcome == run_end::target_lost ||
              aRecord.mOutcome == run_end::target_lost_at_start) {
     countTargetLoss(task, aRecord.mOutcome == run_end::target_lost_at_start, aNow);
+    keepForLog(*step, aRecord, std::move(target));
   }
   const bool mayNotHaveBegun =
     aRecord.mOutcome == run_end::not_run || aRecord.mOutcome == run_end::target_lost_at_start;
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -198,6 +198,27 @@
   }
 }
 
+/// Returns the counted ends of a step: index, run, outcome and target of each.
+json countedEndsToJson(const step_state& aStep)
+{
+  json ends = json::array();
+  for (const auto& end : aStep.mCountedEnds) {
+    ends.push_back(
+      json::array({ end.mIndex, end.mRun, static_cast<int>(end.mOutcome), end.mTarget }));
+  }
+  return ends;
+}
+
+void readCountedEnds(const json& aEnds, step_state& aStep)
+{
+  for (const auto& end : aEnds) {
+    aStep.mCountedEnds.push_back({ .mIndex = end.at(0),
+                                   .mRun = end.at(1),
+                                   .mOutcome = static_cast<run_end>(end.at(2).get<int>()),
+                                   .mTarget = end.at(3) });
+  }
+}
+
 json toJson(const job& aJob, time_point aTakenAt)
 {
   json occurrences = json::array();
@@ -210,8 +231,11 @@
       }
       auto state = json::array({ step.mGangFailures, std::move(tasks) });
       // Earlier versions ignore further elements of a step's row, but not of a task's.
-      if (auto losses = lossesToJson(step, aTakenAt); !losses.empty()) {
+      auto losses = lossesToJson(step, aTakenAt);
+      auto ends = countedEndsToJson(step);
+      if (!losses.empty() || !ends.empty()) {
         state.push_back(std::move(losses));
+        state.push_back(std::move(ends));
       }
       states.push_back(std::move(state));
     }
@@ -257,6 +281,9 @@
       if (state.size() > 2) {
         readLosses(state.at(2), step);
       }
+      if (state.size() > 3) {
+        readCountedEnds(state.at(3), step);
+      }
       steps.push_back(std::move(step));
     }
   }
--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -25,6 +25,23 @@
   return aJob.find(aTask.mStep)->mTasks[aTask.mIndex];
 }
 
+/// Returns the ends that count against the task, or against its gang, as
+/// `INDEX:RUN:OUTCOME@TARGET`.
+std::string describeCountedEnds(const job& aJob, const task_key& aTask)
+{
+  const auto& step = *aJob.find(aTask.mStep);
+  const bool gang = aJob.mSpec.mSteps[aTask.mStep.mStep].mGang;
+  std::string text;
+  for (const auto& end : step.mCountedEnds) {
+    const bool counts = end.mIndex == aTask.mIndex || (gang && end.mOutcome == run_end::failed);
+    if (counts) {
+      text += fmt::format("{}{}:{}:{}@{}", text.empty() ? "" : ",", end.mIndex, end.mRun,
+                          toText(end.mOutcome), end.mTarget);
+    }
+  }
+  return text.empty() ? "-" : text;
+}
+
 /// How a run ends at a target that is lost unplanned.
 run_end lossOf(const internal::target_state& aTarget, const internal::allocated_run& aRun)
 {
@@ -81,12 +98,12 @@
                           time_point aNow)
 {
   const auto id = aJob.mSpec.mId;
-  mPort.logDecision("job_failed",
-                    fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
-                                "start_losses={}",
-                                toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
-                                routeOf(aJob.mSpec).mMaxAttempts, taskOf(aJob, aTask).mTargetLosses,
-                                taskOf(aJob, aTask).mStartLosses));
+  mPort.logDecision(
+    "job_failed", fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
+                              "start_losses={} counted={}",
+                              toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
+                              routeOf(aJob.mSpec).mMaxAttempts, taskOf(aJob, aTask).mTargetLosses,
+                              taskOf(aJob, aTask).mStartLosses, describeCountedEnds(aJob, aTask)));
   append(job_abandoned{ .mJob = id }, aNow);
   stopRuns(aJob, aNow);
   dropSteps(id);
--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -65,7 +65,8 @@
   } else if (mJobTable.leaseExpiryAt(aTarget.mEntry.mId)) {
     source = "journal";
   }
-  return fmt::format("lease_left_ms={} lease_known_from={}",
+  return fmt::format("born={} lease_left_ms={} lease_known_from={}",
+                     aTarget.mEntry.mIncarnationStart,
                      (leaseEnd(aTarget) - aNow) / std::chrono::milliseconds(1), source);
 }
 
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -86,6 +86,8 @@
   CHECK(logged("step_suspect", "losses=2"));
   CHECK(logged("job_failed", "reason=targets_lost"));
   CHECK(logged("job_failed", "losses=3"));
+  CHECK(logged("job_failed", "counted=0:1:target_lost_at_start@t"));
+  CHECK(logged("job_failed", ",0:3:target_lost_at_start@t"));
 }
 
 // Guards against a job that never ends because a task of another job crashes the targets it runs
@@ -395,6 +397,12 @@
   CHECK_EQUAL(0, tasksAfter[0].mTargetLosses);
   CHECK_EQUAL(2, tasksAfter[1].mTargetLosses);
   CHECK(tasksAfter[1].mLastTargetLoss == restoredAt - seconds(5));
+  const auto& ends = restored.find(task.mStep.mJob)->find(task.mStep)->mCountedEnds;
+  CHECK_EQUAL(2, ends.size());
+  CHECK_EQUAL(1, ends[1].mIndex);
+  CHECK_EQUAL(2, ends[1].mRun);
+  CHECK_EQUAL(std::string("t"), ends[1].mTarget);
+  CHECK(ends[1].mOutcome == run_end::target_lost);
 }
 
 // Guards against snapshots that an earlier version cannot read, or that cannot be read from one:
@@ -412,7 +420,11 @@
   auto value = nlohmann::json::from_msgpack(encode(table.snapshot(time_point{}).front()));
   auto& step = value.at(1).at(4).at(0).at(1).at(0);
   CHECK_EQUAL(4, step.at(1).at(0).size());
-  CHECK_EQUAL(3, step.size());
+  // An earlier version reads the row up to the losses.
+  CHECK_EQUAL(1, step.at(2).size());
+  CHECK_EQUAL(4, step.at(2).at(0).size());
+  CHECK_EQUAL(4, step.size());
+  step.erase(3);
   step.erase(2);
   std::string bytes;
   nlohmann::json::to_msgpack(value, bytes);
