Count one attempt for each failed run of a gang

What callers saw: a job was shown as failed although it had attempts left (LOST). Several members of one run of its gang had failed together. Cause: job_table counted an attempt for each member that ended as failed, so that one run with three of them used up three. Ruled out: counting an end twice; a repeated record finds its run closed (anEndThatIsReadAgainDoesNotCount passes before). Tests changed: snapshotsAreReadableInBothVersions expects the new element.

--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -176,8 +176,10 @@
   std::vector<task_state> mTasks;
   std::uint32_t mDone = 0;
   std::uint32_t mOpen = 0;
-  /// Number of failed runs of the gang.
+  /// Number of failed runs of the gang, and the latest of them. Each counts once, however many
+  /// members have failed in it.
   std::uint32_t mGangFailures = 0;
+  std::uint32_t mLastFailedRun = 0;
   /// The latest ends that count against a task or the gang, the oldest first.
   std::vector<counted_end> mCountedEnds;
 
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -194,7 +194,10 @@
     }
   } else if (aRecord.mOutcome == run_end::failed) {
     ++task.mFailures;
-    step->mGangFailures += gang ? 1 : 0;
+    if (gang && aRecord.mRun > step->mLastFailedRun) {
+      step->mLastFailedRun = aRecord.mRun;
+      ++step->mGangFailures;
+    }
     keepForLog(*step, aRecord, std::move(target));
   } else if (aRecord.mOutcome == run_end::target_lost ||
              aRecord.mOutcome == run_end::target_lost_at_start) {
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -219,6 +219,15 @@
   }
 }
 
+/// Earlier versions have counted each failed member of a gang's run. No member fails in more runs
+/// than the gang.
+void limitGangFailures(step_state& aStep)
+{
+  const auto most = std::ranges::max_element(aStep.mTasks, {}, &task_state::mFailures);
+  aStep.mGangFailures =
+    std::min(aStep.mGangFailures, most == aStep.mTasks.end() ? 0 : most->mFailures);
+}
+
 json toJson(const job& aJob, time_point aTakenAt)
 {
   json occurrences = json::array();
@@ -236,6 +245,7 @@
       if (!losses.empty() || !ends.empty()) {
         state.push_back(std::move(losses));
         state.push_back(std::move(ends));
+        state.push_back(step.mLastFailedRun);
       }
       states.push_back(std::move(state));
     }
@@ -281,8 +291,11 @@
       if (state.size() > 2) {
         readLosses(state.at(2), step);
       }
-      if (state.size() > 3) {
+      if (state.size() > 4) {
         readCountedEnds(state.at(3), step);
+        step.mLastFailedRun = state.at(4);
+      } else {
+        limitGangFailures(step);
       }
       steps.push_back(std::move(step));
     }
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -423,9 +423,10 @@
   // An earlier version reads the row up to the losses.
   CHECK_EQUAL(1, step.at(2).size());
   CHECK_EQUAL(4, step.at(2).at(0).size());
-  CHECK_EQUAL(4, step.size());
-  step.erase(3);
-  step.erase(2);
+  CHECK_EQUAL(5, step.size());
+  while (step.size() > 2) {
+    step.erase(step.size() - 1);
+  }
   std::string bytes;
   nlohmann::json::to_msgpack(value, bytes);
   const auto read = decodeRecord(bytes);
