Count only shown crashes against a task

Cause: the owner counted each target that was lost unplanned under a task, and gave the job up after three to five. A lease that runs out at a target that was cut off counted like a crash, and an order without an answer like a run. Class: an end that shows no fault uses up what only faults may use up. Change: a lease that expires at a silent target ends its run as target_silent, which counts nothing.

Not shown: that the users' cases on real processes have this cause; their record shows lapsed ends only.

--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -126,12 +126,31 @@
   interrupted,
   /// Did not start and cannot start any more.
   not_run,
-  /// Its target was lost, without a planned leave, while the run may have been executing.
+  /// Its target has crashed, without a planned leave, while the run may have been executing.
   target_lost,
   /// As target_lost, soon after the run was ordered.
   target_lost_at_start,
+  /// Its lease has expired at a target that has been silent since. Does not count against the task,
+  /// unless a further record of the run's end says that the target has crashed.
+  target_silent,
+  /// As target_silent, if contact was lost soon after the run was ordered.
+  target_silent_at_start,
 };
 
+/// Whether a run that ends so ends with the contact to its target, soon after it was ordered.
+constexpr bool isAtStart(run_end aOutcome)
+{
+  return aOutcome == run_end::target_lost_at_start || aOutcome == run_end::target_silent_at_start;
+}
+constexpr bool isTargetLost(run_end aOutcome)
+{
+  return aOutcome == run_end::target_lost || aOutcome == run_end::target_lost_at_start;
+}
+constexpr bool isTargetSilent(run_end aOutcome)
+{
+  return aOutcome == run_end::target_silent || aOutcome == run_end::target_silent_at_start;
+}
+
 /// Location of a run that may still be executing.
 struct open_run
 {
@@ -151,11 +170,14 @@
   bool mDone = false;
   std::optional<open_run> mOpen;
   std::string mCheckpoint;
-  /// Number of targets lost under the task, each within kTargetLossMemory of the one before, and
-  /// the time of the last loss on the local clock.
+  /// Number of targets that have crashed while a run of the task may have been executing there,
+  /// each within kTargetLossMemory of the one before, and the time of the last on the local clock.
   std::uint32_t mTargetLosses = 0;
   /// Those of them that came soon after the start of the task's run.
   std::uint32_t mStartLosses = 0;
+  /// Those of them whose run is known to have begun. The others may have crashed before the order
+  /// arrived.
+  std::uint32_t mCertainLosses = 0;
   time_point mLastTargetLoss{};
 };
 
@@ -168,8 +190,20 @@
   std::string mTarget;
 };
 
+/// A run that has ended as target_silent, as long as it is not known whether its target has
+/// crashed.
+struct silent_run
+{
+  std::uint32_t mIndex = 0;
+  std::uint32_t mRun = 0;
+  open_run mAt;
+  bool mAtStart = false;
+};
+
 /// Largest number of ends that a step keeps for the log; the oldest are dropped.
 inline constexpr std::size_t kMaxCountedEnds = 32;
+/// Largest number of silent runs that a step keeps; a crash under an older one does not count.
+inline constexpr std::size_t kMaxSilentRuns = 64;
 
 struct step_state
 {
@@ -182,6 +216,8 @@
   std::uint32_t mLastFailedRun = 0;
   /// The latest ends that count against a task or the gang, the oldest first.
   std::vector<counted_end> mCountedEnds;
+  /// The latest ones, the oldest first.
+  std::vector<silent_run> mSilentRuns;
 
   bool complete() const { return mDone == mTasks.size(); }
 };
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -33,7 +33,9 @@
   open_run mAt;
 };
 
-/// A run has ended, as observed or concluded by the owner.
+/// A run has ended, as observed or concluded by the owner. If it has ended as target_silent, a
+/// second record tells whether its target has crashed; any outcome but target_lost says that it has
+/// not.
 struct run_ended
 {
   task_key mTask;
@@ -41,6 +43,12 @@
   run_end mOutcome = run_end::done;
   /// Latest known checkpoint; empty if there is none.
   std::string mCheckpoint;
+  /// Whether the owner knows that the run had begun: its target has accepted or listed it. Stored
+  /// only with the outcomes of lost and silent targets.
+  bool mHasBegun = false;
+  /// Start of the incarnation of the target that has listed the run last, Unix milliseconds; 0 if
+  /// it is that of the run's start. Stored only with mHasBegun.
+  std::int64_t mIncarnationStart = 0;
 };
 
 /// The owner abandoned a job because a task has used up its attempts or crashes its targets.
--- a/scheduler/src/job.cpp
+++ b/scheduler/src/job.cpp
@@ -83,6 +83,10 @@
       return "target_lost";
     case run_end::target_lost_at_start:
       return "target_lost_at_start";
+    case run_end::target_silent:
+      return "target_silent";
+    case run_end::target_silent_at_start:
+      return "target_silent_at_start";
   }
   return "unknown";
 }
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -1,6 +1,7 @@
 #include "endiveusher/scheduler/job_table.h"
 
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 
 namespace endiveusher::scheduler {
@@ -29,32 +30,63 @@
       return aStep.mGangFailures == 0 &&
              std::ranges::all_of(aStep.mTasks, [](const task_state& aTask) {
                return !aTask.mOpen && !aTask.mDone && aTask.mFailures == 0 &&
-                      aTask.mCheckpoint.empty() && aTask.mTargetLosses == aTask.mStartLosses;
+                      aTask.mCheckpoint.empty() && aTask.mCertainLosses == 0 &&
+                      aTask.mTargetLosses == aTask.mStartLosses;
              });
     });
   });
 }
 
-void countTargetLoss(task_state& aTask, bool aAtStart, time_point aNow)
+/// Counts the crash of a target under a run of the task.
+void countTargetLoss(task_state& aTask, const run_ended& aEnd, time_point aNow)
 {
   if (aNow - aTask.mLastTargetLoss > kTargetLossMemory) {
     aTask.mTargetLosses = 0;
     aTask.mStartLosses = 0;
+    aTask.mCertainLosses = 0;
   }
   ++aTask.mTargetLosses;
-  aTask.mStartLosses += aAtStart ? 1 : 0;
+  aTask.mStartLosses += isAtStart(aEnd.mOutcome) ? 1 : 0;
+  aTask.mCertainLosses += aEnd.mHasBegun ? 1 : 0;
   aTask.mLastTargetLoss = aNow;
 }
 
+template<typename Element>
+void pushBounded(std::vector<Element>& aElements, std::type_identity_t<Element> aElement,
+                 std::size_t aMost)
+{
+  if (aElements.size() == aMost) {
+    aElements.erase(aElements.begin());
+  }
+  aElements.push_back(std::move(aElement));
+}
+
 void keepForLog(step_state& aStep, const run_ended& aEnd, std::string aTarget)
 {
-  if (aStep.mCountedEnds.size() == kMaxCountedEnds) {
-    aStep.mCountedEnds.erase(aStep.mCountedEnds.begin());
+  pushBounded(aStep.mCountedEnds,
+              { .mIndex = aEnd.mTask.mIndex,
+                .mRun = aEnd.mRun,
+                .mOutcome = aEnd.mOutcome,
+                .mTarget = std::move(aTarget) },
+              kMaxCountedEnds);
+}
+
+/// Applies the record that tells whether the target of a silent run has crashed. Returns whether
+/// the run is one.
+bool resolveSilentRun(step_state& aStep, const run_ended& aEnd, time_point aNow)
+{
+  const auto found = std::ranges::find_if(aStep.mSilentRuns, [&aEnd](const silent_run& aRun) {
+    return aRun.mIndex == aEnd.mTask.mIndex && aRun.mRun == aEnd.mRun;
+  });
+  if (found == aStep.mSilentRuns.end()) {
+    return false;
   }
-  aStep.mCountedEnds.push_back({ .mIndex = aEnd.mTask.mIndex,
-                                 .mRun = aEnd.mRun,
-                                 .mOutcome = aEnd.mOutcome,
-                                 .mTarget = std::move(aTarget) });
+  if (isTargetLost(aEnd.mOutcome)) {
+    countTargetLoss(aStep.mTasks[aEnd.mTask.mIndex], aEnd, aNow);
+    keepForLog(aStep, aEnd, std::move(found->mAt.mTarget));
+  }
+  aStep.mSilentRuns.erase(found);
+  return true;
 }
 
 } // namespace
@@ -166,9 +198,9 @@
     applyRecord(run_started{ .mTask = aRecord.mTask, .mRun = aRecord.mRun }, aNow);
   }
   if (aRecord.mRun != task.mRun || !task.mOpen) {
-    return nullptr;
+    return resolveSilentRun(*step, aRecord, aNow) ? found : nullptr;
   }
-  auto target = std::exchange(task.mOpen, std::nullopt)->mTarget;
+  auto at = *std::exchange(task.mOpen, std::nullopt);
   --step->mOpen;
   const bool gang = found->mSpec.mSteps[aRecord.mTask.mStep.mStep].mGang;
   if (!aRecord.mCheckpoint.empty()) {
@@ -198,14 +230,21 @@
       step->mLastFailedRun = aRecord.mRun;
       ++step->mGangFailures;
     }
-    keepForLog(*step, aRecord, std::move(target));
-  } else if (aRecord.mOutcome == run_end::target_lost ||
-             aRecord.mOutcome == run_end::target_lost_at_start) {
-    countTargetLoss(task, aRecord.mOutcome == run_end::target_lost_at_start, aNow);
-    keepForLog(*step, aRecord, std::move(target));
+    keepForLog(*step, aRecord, std::move(at.mTarget));
+  } else if (isTargetLost(aRecord.mOutcome)) {
+    countTargetLoss(task, aRecord, aNow);
+    keepForLog(*step, aRecord, std::move(at.mTarget));
+  } else if (isTargetSilent(aRecord.mOutcome)) {
+    at.mIncarnationStart = std::max(at.mIncarnationStart, aRecord.mIncarnationStart);
+    pushBounded(step->mSilentRuns,
+                { .mIndex = aRecord.mTask.mIndex,
+                  .mRun = aRecord.mRun,
+                  .mAt = std::move(at),
+                  .mAtStart = isAtStart(aRecord.mOutcome) },
+                kMaxSilentRuns);
   }
   const bool mayNotHaveBegun =
-    aRecord.mOutcome == run_end::not_run || aRecord.mOutcome == run_end::target_lost_at_start;
+    aRecord.mOutcome == run_end::not_run || (isAtStart(aRecord.mOutcome) && !aRecord.mHasBegun);
   if (mayNotHaveBegun && found->mPhase == job_phase::active && found->mStarted &&
       nothingHasBegun(*found)) {
     found->mStarted = false;
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -171,8 +171,8 @@
   return task;
 }
 
-/// Returns the target losses of a step's tasks: index, number, age of the last one in ms, and
-/// number at the start.
+/// Returns the target losses of a step's tasks: index, number, age of the last one in ms, number at
+/// the start, and number of those whose run had begun.
 json lossesToJson(const step_state& aStep, time_point aTakenAt)
 {
   json losses = json::array();
@@ -182,7 +182,7 @@
       losses.push_back(json::array(
         { index, task.mTargetLosses,
           std::chrono::floor<std::chrono::milliseconds>(aTakenAt - task.mLastTargetLoss).count(),
-          task.mStartLosses }));
+          task.mStartLosses, task.mCertainLosses }));
     }
   }
   return losses;
@@ -195,6 +195,8 @@
     task.mTargetLosses = loss.at(1);
     task.mLastTargetLoss = time_point{} - std::chrono::milliseconds(loss.at(2).get<std::int64_t>());
     task.mStartLosses = loss.at(3);
+    // Snapshots of earlier versions do not tell.
+    task.mCertainLosses = loss.size() > 4 ? loss.at(4).get<std::uint32_t>() : 0;
   }
 }
 
@@ -219,6 +221,27 @@
   }
 }
 
+/// Returns the silent runs of a step: index, run, target, its incarnation, whether at the start.
+json silentRunsToJson(const step_state& aStep)
+{
+  json runs = json::array();
+  for (const auto& run : aStep.mSilentRuns) {
+    runs.push_back(json::array(
+      { run.mIndex, run.mRun, run.mAt.mTarget, run.mAt.mIncarnationStart, run.mAtStart }));
+  }
+  return runs;
+}
+
+void readSilentRuns(const json& aRuns, step_state& aStep)
+{
+  for (const auto& run : aRuns) {
+    aStep.mSilentRuns.push_back({ .mIndex = run.at(0),
+                                  .mRun = run.at(1),
+                                  .mAt = { .mTarget = run.at(2), .mIncarnationStart = run.at(3) },
+                                  .mAtStart = run.at(4) });
+  }
+}
+
 /// Earlier versions have counted each failed member of a gang's run. No member fails in more runs
 /// than the gang.
 void limitGangFailures(step_state& aStep)
@@ -242,10 +265,12 @@
       // Earlier versions ignore further elements of a step's row, but not of a task's.
       auto losses = lossesToJson(step, aTakenAt);
       auto ends = countedEndsToJson(step);
-      if (!losses.empty() || !ends.empty()) {
+      auto silent = silentRunsToJson(step);
+      if (!losses.empty() || !ends.empty() || !silent.empty()) {
         state.push_back(std::move(losses));
         state.push_back(std::move(ends));
         state.push_back(step.mLastFailedRun);
+        state.push_back(std::move(silent));
       }
       states.push_back(std::move(state));
     }
@@ -264,7 +289,10 @@
     const bool fits =
       occurrence < aJob.mSpec.occurrences() &&
       std::ranges::equal(steps, specs, [](const step_state& aState, const step_spec& aSpec) {
-        return aState.mTasks.size() == aSpec.mCount;
+        return aState.mTasks.size() == aSpec.mCount &&
+               std::ranges::all_of(aState.mSilentRuns, [&aSpec](const silent_run& aRun) {
+                 return aRun.mIndex < aSpec.mCount;
+               });
       });
     if (!fits) {
       throw std::out_of_range(absl::StrCat("occurrence ", occurrence, " has other steps"));
@@ -294,6 +322,7 @@
       if (state.size() > 4) {
         readCountedEnds(state.at(3), step);
         step.mLastFailedRun = state.at(4);
+        readSilentRuns(state.at(5), step);
       } else {
         limitGangFailures(step);
       }
@@ -355,6 +384,11 @@
     value.push_back(aRecord.mRun);
     value.push_back(static_cast<int>(aRecord.mOutcome));
     value.push_back(aRecord.mCheckpoint);
+    // Earlier versions ignore further elements.
+    if (aRecord.mHasBegun) {
+      value.push_back(true);
+      value.push_back(aRecord.mIncarnationStart);
+    }
     return value;
   }
   json operator()(const job_abandoned& aRecord) const
@@ -403,7 +437,10 @@
       return run_ended{ .mTask = taskKeyFrom(aValue),
                         .mRun = aValue.at(5),
                         .mOutcome = static_cast<run_end>(aValue.at(6).get<int>()),
-                        .mCheckpoint = aValue.at(7) };
+                        .mCheckpoint = aValue.at(7),
+                        .mHasBegun = aValue.size() > 8 && aValue.at(8).get<bool>(),
+                        .mIncarnationStart =
+                          aValue.size() > 9 ? aValue.at(9).get<std::int64_t>() : 0 };
     case record_kind::abandoned:
       return job_abandoned{ .mJob = jobOf() };
     case record_kind::snapshot:
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -204,6 +204,7 @@
 void owner::impl::onRecordApplied(job& aJob, time_point aNow, wall_time aWall)
 {
   adoptRuns(aJob);
+  noteSilentRuns(aJob, aNow);
   if (aJob.mPhase == job_phase::active) {
     registerJob(aJob, aNow, aWall);
   } else {
@@ -550,7 +551,9 @@
     if (!target.mRuns.empty()) {
       if (leaseEnd(target) + reportGrace(target) < aNow) {
         const bool isHeardOf = target.mClock && target.mMissedHeartbeats == 0;
-        endLostRuns(target, "lease_expired", target.mEntry.mDraining || isHeardOf, aNow);
+        const bool isSilent = !target.mEntry.mDraining && !isHeardOf;
+        endLostRuns(target, "lease_expired",
+                    isSilent ? loss_evidence::silence : loss_evidence::none, aNow);
       }
     }
     const bool removable = !target.mListed && target.mRuns.empty() && !target.mHeartbeatInFlight;
--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -9,12 +9,17 @@
 
 namespace {
 
-/// Number of targets lost under a task after which its job is given up if nothing of other jobs ran
-/// on the last of them. The users' rule allows two further starts after three crashes.
+/// Number of targets that have crashed under a task after which its job is given up if nothing of
+/// other jobs ran on the last of them. The users' rule allows two further starts after three
+/// crashes.
 constexpr std::uint32_t kMaxTargetLossesAlone = 3;
-/// The same for losses soon after the task's start, whatever ran beside it.
+/// The same for crashes soon after the task's start, whatever ran beside it.
 constexpr std::uint32_t kMaxStartLosses = 3;
-/// The same if other jobs may be at fault: the two further starts have been made.
+/// The number of them under runs that are known to have begun from which the users' rule permits to
+/// give up a job.
+constexpr std::uint32_t kMinCertainLosses = 2;
+/// The number of crashes if other jobs may be at fault, or runs may not have begun: the two further
+/// starts have been made.
 constexpr std::uint32_t kMaxTargetLosses = 5;
 /// A target that is lost within this time of the order to start a run may have been crashed by the
 /// start: tasks beside it that have run for longer are not suspected.
@@ -117,8 +122,7 @@
       const task_key task{ .mStep = key, .mIndex = index };
       if (attemptsUsedUp(*step.mJob, task) && knowsAttempts(*step.mJob, aNow)) {
         failed.try_emplace(key.mJob, task, "attempts");
-      } else if (taskOf(*step.mJob, task).mTargetLosses >= kMaxTargetLosses ||
-                 taskOf(*step.mJob, task).mStartLosses >= kMaxStartLosses) {
+      } else if (crashesTooOften(taskOf(*step.mJob, task), false)) {
         failed.try_emplace(key.mJob, task, "targets_lost");
       }
     }
@@ -128,13 +132,20 @@
   }
 }
 
+bool owner::impl::crashesTooOften(const task_state& aTask, bool aWasAlone)
+{
+  const bool mayBeLower = aTask.mCertainLosses >= kMinCertainLosses;
+  if (aTask.mStartLosses >= (mayBeLower ? kMaxStartLosses : kMaxTargetLosses)) {
+    return true;
+  }
+  return aTask.mTargetLosses >=
+         (mayBeLower && aWasAlone ? kMaxTargetLossesAlone : kMaxTargetLosses);
+}
+
 void owner::impl::abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone,
                                          time_point aNow)
 {
-  const auto most = aWasAlone ? kMaxTargetLossesAlone : kMaxTargetLosses;
-  const auto& task = taskOf(aJob, aTask);
-  if (aJob.mPhase == job_phase::active &&
-      (task.mTargetLosses >= most || task.mStartLosses >= kMaxStartLosses)) {
+  if (aJob.mPhase == job_phase::active && crashesTooOften(taskOf(aJob, aTask), aWasAlone)) {
     abandon(aJob, aTask, "targets_lost", aNow);
   }
 }
@@ -147,7 +158,9 @@
     if (run.mPhase != run_phase::storing) {
       losses.emplace(
         task, run_loss{ .mOutcome = lossOf(aTarget, run),
-                        .mWasAlone = !aTarget.mHasUnknownRuns && jobs.onlyOf(task.mStep.mJob) });
+                        .mWasAlone = !aTarget.mHasUnknownRuns && jobs.onlyOf(task.mStep.mJob),
+                        .mHasBegun = run.mHasBegun,
+                        .mListedBy = run.mListedBy });
     }
   }
   return losses;
@@ -160,15 +173,18 @@
   const auto& lost = aTarget.mRuns.at(aTask);
   if (!lost.mEnded) {
     const auto run = lost.mRun;
+    const bool hadBegun = lost.mHasBegun;
     const auto checkpoint = lost.mCheckpoint;
     const bool hasBegun = lost.mPhase == run_phase::confirmed && !lost.mLoss;
-    endRun(aTarget, aTask, aLoss ? aLoss->mOutcome : run_end::interrupted, checkpoint, aNow);
+    endRun(aTarget, aTask, aLoss ? aLoss->mOutcome : run_end::interrupted, checkpoint, aNow, aLoss);
     job* owning = mJobTable.find(aTask.mStep.mJob);
-    mPort.logDecision("run_lost",
-                      fmt::format("task={} run={} target={} reason={} losses={} start_losses={}",
-                                  toText(aTask), run, aTarget.mEntry.mId, aReason,
-                                  owning == nullptr ? 0 : taskOf(*owning, aTask).mTargetLosses,
-                                  owning == nullptr ? 0 : taskOf(*owning, aTask).mStartLosses));
+    mPort.logDecision(
+      "run_lost", fmt::format("task={} run={} target={} reason={} outcome={} begun={} losses={} "
+                              "start_losses={}",
+                              toText(aTask), run, aTarget.mEntry.mId, aReason,
+                              toText(aLoss ? aLoss->mOutcome : run_end::interrupted), hadBegun,
+                              owning == nullptr ? 0 : taskOf(*owning, aTask).mTargetLosses,
+                              owning == nullptr ? 0 : taskOf(*owning, aTask).mStartLosses));
     if (!hasBegun) {
       stopGangOf(aTask, aNow);
     }
@@ -179,9 +195,12 @@
   release(aTarget, aTask);
 }
 
-void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
-                              time_point aNow)
+void owner::impl::endLostRuns(target_state& aTarget, std::string_view aReason,
+                              loss_evidence aEvidence, time_point aNow)
 {
+  if (aEvidence == loss_evidence::silence) {
+    dropOldSilentRuns(aNow);
+  }
   const auto losses = lossesAt(aTarget);
   std::vector<task_key> tasks;
   tasks.reserve(aTarget.mRuns.size());
@@ -189,10 +208,102 @@
     tasks.push_back(task);
   }
   for (const auto& task : tasks) {
-    const auto loss = losses.find(task);
-    const bool isCounted = !aIsPlanned && loss != losses.end();
-    endLostRun(aTarget, task, isCounted ? std::optional(loss->second) : std::nullopt, aReason,
-               aNow);
+    // A former incarnation of a silent target has crashed under a run with mLoss.
+    auto loss = aTarget.mRuns.at(task).mLoss;
+    if (const auto found = losses.find(task); !loss && found != losses.end()) {
+      loss = found->second;
+      if (aEvidence == loss_evidence::silence) {
+        loss->mOutcome =
+          isAtStart(loss->mOutcome) ? run_end::target_silent_at_start : run_end::target_silent;
+      }
+    }
+    if (aEvidence == loss_evidence::none) {
+      loss.reset();
+    }
+    const auto run = aTarget.mRuns.at(task).mRun;
+    endLostRun(aTarget, task, loss, aReason, aNow);
+    if (loss && isTargetSilent(loss->mOutcome)) {
+      noteSilentRun(aTarget.mEntry.mId, { .mTask = task,
+                                          .mRun = run,
+                                          .mIncarnationStart = aTarget.mEntry.mIncarnationStart,
+                                          .mAtStart = isAtStart(loss->mOutcome),
+                                          .mSince = aNow });
+    }
+  }
+}
+
+void owner::impl::noteSilentRuns(const job& aJob, time_point aNow)
+{
+  if (aJob.mPhase != job_phase::active) {
+    return;
+  }
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      for (const auto& silent : steps[step].mSilentRuns) {
+        const step_key key{ .mJob = aJob.mSpec.mId, .mOccurrence = occurrence, .mStep = step };
+        noteSilentRun(silent.mAt.mTarget, { .mTask = { .mStep = key, .mIndex = silent.mIndex },
+                                            .mRun = silent.mRun,
+                                            .mIncarnationStart = silent.mAt.mIncarnationStart,
+                                            .mAtStart = silent.mAtStart,
+                                            .mSince = aNow });
+      }
+    }
+  }
+}
+
+void owner::impl::noteSilentRun(const std::string& aTarget, const internal::silent_run_ref& aRun)
+{
+  auto& known = mSilentRuns[aTarget];
+  const bool isKnown = std::ranges::any_of(known, [&aRun](const auto& aOne) {
+    return aOne.mTask == aRun.mTask && aOne.mRun == aRun.mRun;
+  });
+  if (!isKnown) {
+    known.push_back(aRun);
+  }
+}
+
+void owner::impl::dropOldSilentRuns(time_point aNow)
+{
+  for (auto& [id, runs] : mSilentRuns) {
+    std::erase_if(runs,
+                  [aNow](const auto& aOne) { return aNow - aOne.mSince > kTargetLossMemory; });
+  }
+  std::erase_if(mSilentRuns, [](const auto& aOne) { return aOne.second.empty(); });
+}
+
+void owner::impl::resolveSilentRuns(const std::string& aTarget, std::int64_t aIncarnationStart,
+                                    time_point aNow)
+{
+  const auto found = mSilentRuns.find(aTarget);
+  if (found == mSilentRuns.end()) {
+    return;
+  }
+  const auto runs = std::move(found->second);
+  mSilentRuns.erase(found);
+  for (const auto& run : runs) {
+    job* owning = mJobTable.find(run.mTask.mStep.mJob);
+    if (owning == nullptr || owning->mPhase != job_phase::active) {
+      continue;
+    }
+    const bool hasCrashed = run.mIncarnationStart != 0 && aIncarnationStart > run.mIncarnationStart;
+    auto outcome = run_end::interrupted;
+    if (hasCrashed) {
+      outcome = run.mAtStart ? run_end::target_lost_at_start : run_end::target_lost;
+    }
+    // Whether the target crashed before or after the lease had expired is not known.
+    append(run_ended{ .mTask = run.mTask, .mRun = run.mRun, .mOutcome = outcome }, aNow);
+    if (!hasCrashed) {
+      continue;
+    }
+    mPort.logDecision("crash_shown_late",
+                      fmt::format("task={} run={} target={} losses={} start_losses={}",
+                                  toText(run.mTask), run.mRun, aTarget,
+                                  taskOf(*owning, run.mTask).mTargetLosses,
+                                  taskOf(*owning, run.mTask).mStartLosses));
+    if (const auto step = mWaiting.find(run.mTask.mStep); step != mWaiting.end()) {
+      updateSuspicion(step->second, *owning->find(run.mTask.mStep), aNow);
+    }
+    abandonAfterTargetLoss(*owning, run.mTask, false, aNow);
   }
 }
 
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -70,6 +70,7 @@
   using target_state = internal::target_state;
   using allocated_run = internal::allocated_run;
   using run_loss = internal::run_loss;
+  using loss_evidence = internal::loss_evidence;
   using waiting_step = internal::waiting_step;
 
   /// Records of one owner_port::store() call, in order, and what to do when they are stored.
@@ -176,8 +177,10 @@
   target_state& findOrCreateTarget(const std::string& aId);
   void allocate(target_state& aTarget, const task_key& aTask, allocated_run aRun);
   void release(target_state& aTarget, const task_key& aTask);
+  /// @param aLoss what is known of the run, if its target is lost
   void endRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
-              const std::string& aCheckpoint, time_point aNow);
+              const std::string& aCheckpoint, time_point aNow,
+              const std::optional<run_loss>& aLoss = std::nullopt);
   /// Ends a run as its target has reported, to this owner or to a former one.
   void endReportedRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
                       const std::string& aCheckpoint, time_point aNow);
@@ -194,9 +197,22 @@
   /// Ends a run whose target is lost or has restarted; aLoss is absent if that does not count.
   void endLostRun(target_state& aTarget, const task_key& aTask,
                   const std::optional<run_loss>& aLoss, std::string_view aReason, time_point aNow);
-  /// Ends all runs of a target that is lost. A planned leave is not counted as a loss under them.
-  void endLostRuns(target_state& aTarget, std::string_view aReason, bool aIsPlanned,
+  /// Ends all runs of a target that is lost. Only a crash counts as a loss under them.
+  void endLostRuns(target_state& aTarget, std::string_view aReason, loss_evidence aEvidence,
                    time_point aNow);
+  /// Notes runs that this or a former owner has ended because their target was silent.
+  void noteSilentRuns(const job& aJob, time_point aNow);
+  void noteSilentRun(const std::string& aTarget, const internal::silent_run_ref& aRun);
+  /// Forgets silent runs after kTargetLossMemory: a crash that shows later is unrelated.
+  void dropOldSilentRuns(time_point aNow);
+  /// Records whether the runs that were ended while the target was silent have crashed with it.
+  /// @param aIncarnationStart incarnation that has been heard of since, of the target or of a later
+  /// one on its VM
+  void resolveSilentRuns(const std::string& aTarget, std::int64_t aIncarnationStart,
+                         time_point aNow);
+  /// Whether the targets that have crashed under a task are as many as permitted.
+  /// @param aWasAlone whether no task of another job may have been executing on the last one
+  static bool crashesTooOften(const task_state& aTask, bool aWasAlone);
   /// Abandons the job if the task, whose target is lost, has lost as many as it may.
   /// @param aWasAlone whether no task of another job may have been executing on the last one
   void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
@@ -417,6 +433,8 @@
   bool mUnknownRoutesChecked = false;
   bool mUnlistedTargetsLogged = false;
   std::map<std::string, target_state, std::less<>> mTargets;
+  /// Silent runs by the id of their target.
+  std::map<std::string, std::vector<internal::silent_run_ref>, std::less<>> mSilentRuns;
   /// Target numbers by id. Entries are never removed, because steps keep verdicts by number.
   std::unordered_map<std::string, std::uint32_t> mTargetNumbers;
   /// Last numbers that orders to targets have carried, by id. Entries are never removed.
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -249,6 +249,7 @@
   auto& target = mTargets.find(aOrder.mTarget)->second;
   if (aOutcome == order_outcome::accepted) {
     target.mRejectedStarts = 0;
+    run->mHasBegun = true;
     countStart(aOrder.mTask, aNow);
     if (run->mPhase == run_phase::ordered) {
       run->mPhase = run_phase::confirmed;
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -121,9 +121,19 @@
         former.mEntry.mIncarnationStart != 0 &&
         former.mEntry.mIncarnationStart < aTarget.mEntry.mIncarnationStart) {
       former.mListed = false;
-      endLostRuns(former, "vm_restarted", former.mEntry.mDraining, aNow);
+      endLostRuns(former, "vm_restarted",
+                  former.mEntry.mDraining ? loss_evidence::none : loss_evidence::crash, aNow);
     }
   }
+  std::vector<std::string> silent;
+  for (const auto& [id, runs] : mSilentRuns) {
+    if (id != aTarget.mEntry.mId && mJobTable.vmOf(id) == aTarget.mEntry.mVm) {
+      silent.push_back(id);
+    }
+  }
+  for (const auto& id : silent) {
+    resolveSilentRuns(id, aTarget.mEntry.mIncarnationStart, aNow);
+  }
 }
 
 /// Load pattern: a burst saturates the event loop. Heartbeats are half of its calls; with a longer
@@ -221,6 +231,7 @@
     }
     target.mEntry.mIncarnationStart = aReport.mIncarnationStart;
   }
+  resolveSilentRuns(aTarget, aReport.mIncarnationStart, aNow);
   if (!target.mClock || aReport.mClock >= *target.mClock) {
     target.mClock = aReport.mClock;
     target.mClockAt = aNow;
@@ -309,6 +320,8 @@
     listed.insert(running.mTask);
     auto& run = found->second;
     run.mLoss.reset();
+    run.mHasBegun = true;
+    run.mListedBy = aReport.mIncarnationStart;
     if (!running.mCheckpoint.empty()) {
       run.mCheckpoint = running.mCheckpoint;
     }
@@ -444,7 +457,8 @@
 }
 
 void owner::impl::endRun(target_state& aTarget, const task_key& aTask, run_end aOutcome,
-                         const std::string& aCheckpoint, time_point aNow)
+                         const std::string& aCheckpoint, time_point aNow,
+                         const std::optional<run_loss>& aLoss)
 {
   auto& run = aTarget.mRuns.find(aTask)->second;
   run.mEnded = true;
@@ -453,9 +467,13 @@
   if (owning == nullptr) {
     return;
   }
-  append(
-    run_ended{ .mTask = aTask, .mRun = number, .mOutcome = aOutcome, .mCheckpoint = aCheckpoint },
-    aNow);
+  append(run_ended{ .mTask = aTask,
+                    .mRun = number,
+                    .mOutcome = aOutcome,
+                    .mCheckpoint = aCheckpoint,
+                    .mHasBegun = aLoss && aLoss->mHasBegun,
+                    .mIncarnationStart = aLoss ? aLoss->mListedBy : 0 },
+         aNow);
   const bool gang = owning->mSpec.mSteps[aTask.mStep.mStep].mGang;
   if (gang && aOutcome == run_end::done) {
     completeGang(aTask, number, aNow);
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -30,12 +30,38 @@
   stopping,
 };
 
-/// How the loss of a run's target counts for its task.
+/// How the crash of a run's target counts for its task.
 struct run_loss
 {
   run_end mOutcome = run_end::target_lost;
   /// Whether no task of another job may have been executing at the target.
   bool mWasAlone = false;
+  /// See allocated_run.
+  bool mHasBegun = false;
+  std::int64_t mListedBy = 0;
+};
+
+/// What is known of a target whose runs are over.
+enum class loss_evidence : std::uint8_t
+{
+  /// It has left as planned, or its leases ended while it was heard of.
+  none,
+  /// It has not been heard of until its leases ended: it may have been cut off.
+  silence,
+  /// Another incarnation, or another target on its VM, has been heard of.
+  crash,
+};
+
+/// A run whose lease has expired at a silent target, see run_end::target_silent.
+struct silent_run_ref
+{
+  task_key mTask;
+  std::uint32_t mRun = 0;
+  /// Start of the incarnation of the target at which it ran.
+  std::int64_t mIncarnationStart = 0;
+  bool mAtStart = false;
+  /// When this owner came to know of it.
+  time_point mSince{};
 };
 
 /// A run that occupies capacity at a target, from the decision to start it until it is confirmed to
@@ -46,6 +72,10 @@
   resources mNeeds;
   team_state* mTeam = nullptr;
   run_phase mPhase = run_phase::storing;
+  /// Whether the target has accepted or listed the run, and the incarnation that has listed it
+  /// last.
+  bool mHasBegun = false;
+  std::int64_t mListedBy = 0;
   /// Whether the end of the run is recorded, so that it only occupies capacity.
   bool mEnded = false;
   bool mStopWanted = false;
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -235,6 +235,7 @@
       readChangedEntries();
       writeEntries();
       readWrites();
+      crashDueTargets();
       restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
@@ -330,6 +331,8 @@
   milliseconds mStoreDelay{ 0 };
   /// Jobs whose tasks crash the targets that start them.
   std::set<job_id> mDeadlyJobs;
+  /// If set, these targets accept the start, and crash after this time.
+  std::optional<milliseconds> mCrashDelay;
   std::map<task_key, deadly_task> mDeadlyTasks;
   /// Time after which crashed targets are back, and whether the registry tells so at once or only
   /// after kWriteInterval.
@@ -533,6 +536,16 @@
     }
   }
 
+  void crashDueTargets()
+  {
+    while (!mCrashes.empty() && mCrashes.begin()->first <= mNow) {
+      const auto id = std::move(mCrashes.extract(mCrashes.begin()).mapped());
+      if (mTargets.at(id).mReachable) {
+        crashTarget(id);
+      }
+    }
+  }
+
   void restartCrashedTargets()
   {
     for (auto at = mRestarts.begin(); at != mRestarts.end();) {
@@ -682,6 +695,10 @@
       auto& deadly = mDeadlyTasks[aOrder.mTask];
       deadly.mStartsAfterThirdCrash += deadly.mCrashes >= 3 ? 1 : 0;
       ++deadly.mCrashes;
+      if (mCrashDelay) {
+        mCrashes.emplace(mNow + *mCrashDelay, aOrder.mTarget);
+        return order_outcome::accepted;
+      }
       crashTarget(aOrder.mTarget);
       return order_outcome::unanswered;
     }
@@ -716,6 +733,8 @@
   std::map<std::string, fake_target> mTargets;
   std::vector<pending_call> mPending;
   std::multimap<time_point, task_end> mTaskEnds;
+  /// Targets that are about to crash.
+  std::multimap<time_point, std::string> mCrashes;
   /// Crashed targets and the times at which they are back.
   std::map<std::string, time_point> mRestarts;
   std::deque<std::vector<journal_record>> mUnstored;
