Do not give up a long-running task for targets that crash later

Cause: the limits for tasks that crash their targets held for tasks that run for months, which meet unrelated crashes.

--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -122,7 +122,7 @@
       const task_key task{ .mStep = key, .mIndex = index };
       if (attemptsUsedUp(*step.mJob, task) && knowsAttempts(*step.mJob, aNow)) {
         failed.try_emplace(key.mJob, task, "attempts");
-      } else if (crashesTooOften(taskOf(*step.mJob, task), false)) {
+      } else if (crashesTooOften(taskOf(*step.mJob, task), step.spec().mLongRunning, false)) {
         failed.try_emplace(key.mJob, task, "targets_lost");
       }
     }
@@ -132,20 +132,23 @@
   }
 }
 
-bool owner::impl::crashesTooOften(const task_state& aTask, bool aWasAlone)
+bool owner::impl::crashesTooOften(const task_state& aTask, bool aIsLongRunning, bool aWasAlone)
 {
   const bool mayBeLower = aTask.mCertainLosses >= kMinCertainLosses;
   if (aTask.mStartLosses >= (mayBeLower ? kMaxStartLosses : kMaxTargetLosses)) {
     return true;
   }
-  return aTask.mTargetLosses >=
-         (mayBeLower && aWasAlone ? kMaxTargetLossesAlone : kMaxTargetLosses);
+  // A task that runs until it is cancelled loses targets that crash for other reasons.
+  return !aIsLongRunning && aTask.mTargetLosses >=
+                              (mayBeLower && aWasAlone ? kMaxTargetLossesAlone : kMaxTargetLosses);
 }
 
 void owner::impl::abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone,
                                          time_point aNow)
 {
-  if (aJob.mPhase == job_phase::active && crashesTooOften(taskOf(aJob, aTask), aWasAlone)) {
+  if (aJob.mPhase == job_phase::active &&
+      crashesTooOften(taskOf(aJob, aTask), aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning,
+                      aWasAlone)) {
     abandon(aJob, aTask, "targets_lost", aNow);
   }
 }
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -212,7 +212,7 @@
                          time_point aNow);
   /// Whether the targets that have crashed under a task are as many as permitted.
   /// @param aWasAlone whether no task of another job may have been executing on the last one
-  static bool crashesTooOften(const task_state& aTask, bool aWasAlone);
+  static bool crashesTooOften(const task_state& aTask, bool aIsLongRunning, bool aWasAlone);
   /// Abandons the job if the task, whose target is lost, has lost as many as it may.
   /// @param aWasAlone whether no task of another job may have been executing on the last one
   void abandonAfterTargetLoss(job& aJob, const task_key& aTask, bool aWasAlone, time_point aNow);
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -241,6 +241,20 @@
   checkDeadlyStarts();
 }
 
+// Guards against a service that is given up because its targets have crashed for other reasons.
+TEST(target_losses, aLongRunningTaskIsNotGivenUpForTargetsThatCrashLater)
+{
+  addTargets(3);
+  step_spec service = tasks(1);
+  service.mLongRunning = true;
+  const auto id = cell.startOwnerAndJob(service);
+  for (int loss = 0; loss < 8; ++loss) {
+    cell.run(seconds(2));
+    losePowerUnder(id);
+  }
+  CHECK(cell.find(id).mPhase == job_phase::active);
+}
+
 // Guards against members of a gang that are blamed for the target of another one.
 TEST(target_losses, onlyMembersOnTheLostTargetCount)
 {
