Restart a long-running task that ends as done

Cause: the owner recorded the end as done, which completes the task. Change: the owner records it as an interruption, which every version restarts.

--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -467,6 +467,11 @@
   if (owning == nullptr) {
     return;
   }
+  const auto& step = owning->mSpec.mSteps[aTask.mStep.mStep];
+  if (step.mLongRunning && aOutcome == run_end::done) {
+    // It runs until it is cancelled.
+    aOutcome = run_end::interrupted;
+  }
   append(run_ended{ .mTask = aTask,
                     .mRun = number,
                     .mOutcome = aOutcome,
@@ -474,8 +479,7 @@
                     .mHasBegun = aLoss && aLoss->mHasBegun,
                     .mIncarnationStart = aLoss ? aLoss->mListedBy : 0 },
          aNow);
-  const bool gang = owning->mSpec.mSteps[aTask.mStep.mStep].mGang;
-  if (gang && aOutcome == run_end::done) {
+  if (step.mGang && aOutcome == run_end::done) {
     completeGang(aTask, number, aNow);
   }
   onRunEnded(*owning, aTask, aOutcome, aNow);
--- a/tests/scheduler/long_running_test.cpp
+++ b/tests/scheduler/long_running_test.cpp
@@ -139,6 +139,21 @@
   }
 };
 
+// Guards against a service that stays down because its task has ended as done.
+TEST(long_running, aTaskThatEndsAsDoneIsRestarted)
+{
+  addTargets(2);
+  step_spec step{ .mNeeds = { .mCpuMilli = 1000, .mMemoryMb = 100 }, .mLongRunning = true };
+  const auto id = cell.startOwnerAndJob(step);
+  for (int end = 0; end < 3; ++end) {
+    CHECK_FALSE(cell.targetRunning(id).empty());
+    cell.endTask(id, reported_end::done);
+    cell.run(seconds(1));
+    CHECK(cell.find(id).mPhase == job_phase::active);
+  }
+  CHECK_FALSE(cell.targetRunning(id).empty());
+}
+
 // Guards against long-running tasks that stay down in a cell whose load needs about all of its CPU,
 // while the owner changes every 15 s.
 TEST(long_running, restartsInABusyCellWithChangesOfOwner)
