Tell the next owner that a target has restarted

Cause: a target that is back under its id takes orders that were meant for its former life. Class: a bound that only the former owner knows. Ruled out as sufficient: the longest lease at every acquisition; it would delay tasks after each ordinary change of the owner. Change: the record of an acquisition names the incarnation. Older versions ignore the new elements; records without them count as a restart. Target stand-ins of the tests hold leases now and take orders of a former life.

--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -47,6 +47,13 @@
   /// Returns the time by which all leases at the target have expired, if the last epoch that
   /// acquired it has stopped renewing them.
   std::optional<time_point> leaseExpiryAt(std::string_view aTarget) const;
+  /// Returns the time since which the target is fenced against orders to its former incarnation, or
+  /// a later one; absent if the journal knows of no other incarnation. Until the longest lease has
+  /// passed since then, it may hold one by such an order.
+  std::optional<time_point> restartedAt(std::string_view aTarget) const;
+  /// Whether the journal knows the target, in another incarnation than the one that began at
+  /// aIncarnationStart.
+  bool isKnownInOther(std::string_view aTarget, std::int64_t aIncarnationStart) const;
   /// Returns the VM of the target; empty if it is unknown.
   std::string vmOf(std::string_view aTarget) const;
   /// Returns records that rebuild this state in an empty table. Ended jobs without open runs are
@@ -83,6 +90,10 @@
   {
     std::uint64_t mEpoch = 0;
     std::string mVm;
+    /// Incarnation that was acquired; 0 if it is unknown.
+    std::int64_t mIncarnationStart = 0;
+    /// See restartedAt().
+    std::optional<time_point> mRestartedAt;
     /// Set while no lease is renewed there, see leaseExpiryAt().
     std::optional<time_point> mLeaseExpiry;
   };
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -64,6 +65,11 @@
   std::uint64_t mEpoch = 0;
   /// The target's VM; empty if it is unknown.
   std::string mVm;
+  /// Start of the incarnation that was acquired, Unix milliseconds; 0 if it is unknown.
+  std::int64_t mIncarnationStart = 0;
+  /// In snapshots: time since the target was first acquired after a restart; absent if none was
+  /// seen.
+  std::optional<std::chrono::milliseconds> mRestartAge;
 };
 
 /// The owner of an epoch renews no lease at a target until it acquires it again. Tells later owners
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -287,15 +287,39 @@
   return &made;
 }
 
-job* job_table::applyRecord(const target_acquired& aRecord, time_point /*aNow*/)
+job* job_table::applyRecord(const target_acquired& aRecord, time_point aNow)
 {
-  auto& latest = mAcquisitions[aRecord.mTarget];
-  if (aRecord.mEpoch >= latest.mEpoch) {
-    latest = { .mEpoch = aRecord.mEpoch, .mVm = aRecord.mVm };
+  const auto [at, isNew] = mAcquisitions.try_emplace(aRecord.mTarget);
+  auto& latest = at->second;
+  if (aRecord.mEpoch < latest.mEpoch) {
+    return nullptr;
   }
+  const auto incarnation = aRecord.mIncarnationStart;
+  auto restartedAt = latest.mRestartedAt;
+  if (aRecord.mRestartAge) {
+    restartedAt = aNow - *aRecord.mRestartAge;
+  } else if (incarnation == 0 || (!isNew && incarnation != latest.mIncarnationStart)) {
+    restartedAt = aNow;
+  }
+  latest = { .mEpoch = aRecord.mEpoch,
+             .mVm = aRecord.mVm,
+             .mIncarnationStart = incarnation,
+             .mRestartedAt = restartedAt };
   return nullptr;
 }
 
+std::optional<time_point> job_table::restartedAt(std::string_view aTarget) const
+{
+  const auto found = mAcquisitions.find(aTarget);
+  return found == mAcquisitions.end() ? std::nullopt : found->second.mRestartedAt;
+}
+
+bool job_table::isKnownInOther(std::string_view aTarget, std::int64_t aIncarnationStart) const
+{
+  const auto found = mAcquisitions.find(aTarget);
+  return found != mAcquisitions.end() && found->second.mIncarnationStart != aIncarnationStart;
+}
+
 job* job_table::applyRecord(const renewals_stopped& aRecord, time_point aNow)
 {
   const auto found = mAcquisitions.find(aRecord.mTarget);
@@ -417,8 +441,15 @@
   std::vector<journal_record> records;
   records.reserve(mJobs.size() + mAcquisitions.size());
   for (const auto& [target, latest] : mAcquisitions) {
-    records.emplace_back(
-      target_acquired{ .mTarget = target, .mEpoch = latest.mEpoch, .mVm = latest.mVm });
+    target_acquired acquired{ .mTarget = target,
+                              .mEpoch = latest.mEpoch,
+                              .mVm = latest.mVm,
+                              .mIncarnationStart = latest.mIncarnationStart };
+    if (latest.mRestartedAt) {
+      acquired.mRestartAge =
+        std::chrono::floor<std::chrono::milliseconds>(aNow - *latest.mRestartedAt);
+    }
+    records.emplace_back(std::move(acquired));
     if (latest.mLeaseExpiry) {
       const auto left = std::max(*latest.mLeaseExpiry - aNow, duration{ 0 });
       records.emplace_back(
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -409,6 +409,11 @@
     value.push_back(aRecord.mTarget);
     value.push_back(aRecord.mEpoch);
     value.push_back(aRecord.mVm);
+    // Earlier versions ignore further elements.
+    value.push_back(aRecord.mIncarnationStart);
+    if (aRecord.mRestartAge) {
+      value.push_back(aRecord.mRestartAge->count());
+    }
     return value;
   }
   json operator()(const renewals_stopped& aRecord) const
@@ -421,6 +426,22 @@
   }
 };
 
+target_acquired acquisitionFrom(const json& aValue)
+{
+  // Records of earlier versions have no VM, or no incarnation.
+  target_acquired record{ .mTarget = aValue.at(1), .mEpoch = aValue.at(2) };
+  if (aValue.size() > 3) {
+    record.mVm = aValue.at(3);
+  }
+  if (aValue.size() > 4) {
+    record.mIncarnationStart = aValue.at(4);
+  }
+  if (aValue.size() > 5) {
+    record.mRestartAge = std::chrono::milliseconds(aValue.at(5).get<std::int64_t>());
+  }
+  return record;
+}
+
 journal_record recordFrom(const json& aValue)
 {
   const auto jobOf = [&aValue] { return static_cast<job_id>(aValue.at(1).get<std::uint64_t>()); };
@@ -446,10 +467,7 @@
     case record_kind::snapshot:
       return job_snapshot{ .mJob = jobFrom(aValue.at(1)) };
     case record_kind::target_acquired:
-      // Records of earlier versions have no VM.
-      return target_acquired{ .mTarget = aValue.at(1),
-                              .mEpoch = aValue.at(2),
-                              .mVm = aValue.size() > 3 ? aValue.at(3) : json("") };
+      return acquisitionFrom(aValue);
     case record_kind::renewals_stopped:
       return renewals_stopped{ .mTarget = aValue.at(1),
                                .mEpoch = aValue.at(2),
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -260,6 +260,12 @@
   /// aNeeds, so that steps do not depend on this target.
   bool isReplaceable(const target_state& aTarget, const resources& aNeeds, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
+  /// Returns the longest lease that the target may hold, from now on, by orders of former owners or
+  /// to former incarnations.
+  /// @param aIncarnationStart incarnation that has replied
+  std::chrono::milliseconds longestFormerLease(const target_state& aTarget,
+                                               std::int64_t aIncarnationStart,
+                                               time_point aNow) const;
   /// Returns the time by which every lease that former owners sent to the target has expired.
   time_point formerLeaseExpiry(const target_state& aTarget) const;
   /// Returns the time by which all leases at the target have expired.
--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -19,6 +19,14 @@
 /// registry drops a target that is gone sooner.
 constexpr auto kReportGrace = std::chrono::milliseconds(5000);
 
+/// Returns the time by which a lease that a target has granted for aLease, at the latest at aSince,
+/// has expired by the slowest permitted clock.
+time_point expiryOf(std::chrono::milliseconds aLease, time_point aSince)
+{
+  return aSince + internal::kLeaseMargin +
+         std::chrono::duration_cast<duration>(aLease / (1.0 - internal::kMaxClockDrift));
+}
+
 } // namespace
 
 target_time owner::impl::extendLease(target_state& aTarget, time_point aNow) const
@@ -28,27 +36,60 @@
   return until;
 }
 
+std::chrono::milliseconds owner::impl::longestFormerLease(const target_state& aTarget,
+                                                          std::int64_t aIncarnationStart,
+                                                          time_point aNow) const
+{
+  // An order that was meant for a former incarnation states a time of another clock.
+  const auto longest = std::max(mOptions.mLease, mOptions.mMaxLease);
+  const auto& id = aTarget.mEntry.mId;
+  if (aTarget.mHasRestarted || mJobTable.isKnownInOther(id, aIncarnationStart)) {
+    return longest;
+  }
+  const auto restartedAt = mJobTable.restartedAt(id);
+  if (!restartedAt) {
+    return mOptions.mLease;
+  }
+  const auto left =
+    std::chrono::ceil<std::chrono::milliseconds>(expiryOf(longest, *restartedAt) - aNow);
+  return std::clamp(left, mOptions.mLease, longest);
+}
+
 time_point owner::impl::formerLeaseExpiry(const target_state& aTarget) const
 {
   // The successor of the last owner that acquired the target has renewed no lease there. Unless
   // more is known, its predecessor had renewed its ownership for the last time when the successor
   // claimed its epoch.
-  const auto successor = mOptions.mEpochs.upper_bound(mJobTable.lastEpochAt(aTarget.mEntry.mId));
+  const auto& id = aTarget.mEntry.mId;
+  const auto successor = mOptions.mEpochs.upper_bound(mJobTable.lastEpochAt(id));
   const auto since = successor == mOptions.mEpochs.end() ? mEpochStart : successor->second;
-  const auto lastAct = mLatestActs.find(mJobTable.lastEpochAt(aTarget.mEntry.mId));
+  const auto lastAct = mLatestActs.find(mJobTable.lastEpochAt(id));
   const auto renewed =
     lastAct == mLatestActs.end() ? since + mOptions.mMaxRenewalAge : lastAct->second;
-  const auto assumed =
-    renewed + internal::kLeaseMargin +
-    std::chrono::duration_cast<duration>(mOptions.mLease / (1.0 - internal::kMaxClockDrift));
-  const auto recorded = mJobTable.leaseExpiryAt(aTarget.mEntry.mId);
+  const auto longest = std::max(mOptions.mLease, mOptions.mMaxLease);
+  if (aTarget.mHasRestarted) {
+    // What a former owner has recorded of the leases is about another clock.
+    return expiryOf(longest, renewed);
+  }
+  auto assumed = expiryOf(mOptions.mLease, renewed);
+  if (const auto restartedAt = mJobTable.restartedAt(id)) {
+    assumed = std::max(assumed, expiryOf(longest, *restartedAt));
+  }
+  const auto recorded = mJobTable.leaseExpiryAt(id);
   return recorded ? std::min(*recorded, assumed) : assumed;
 }
 
 time_point owner::impl::leaseEnd(const target_state& aTarget) const
 {
   const auto known = aTarget.leaseExpiry();
-  return known ? *known : formerLeaseExpiry(aTarget);
+  const auto end = known ? *known : formerLeaseExpiry(aTarget);
+  if (!known || !aTarget.mRestartListed) {
+    return end;
+  }
+  // The clock and the leases are those of the former incarnation. The new one may have executed
+  // orders that were sent until its entry was read.
+  return std::max(
+    end, expiryOf(std::max(mOptions.mLease, mOptions.mMaxLease), aTarget.mRestartListedAt));
 }
 
 duration owner::impl::reportGrace(const target_state& aTarget)
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -244,17 +244,19 @@
   readEnds(target, aReport, aNow);
   readRunning(target, aReport, aSent, aNow);
   if (!target.mAcquired) {
-    // Former owners may have renewed a lease up to this heartbeat. An order that was meant for a
-    // former incarnation states a time of another clock.
-    const auto longest =
-      target.mHasRestarted ? std::max(mOptions.mLease, mOptions.mMaxLease) : mOptions.mLease;
+    // Former owners may have renewed a lease up to this heartbeat.
+    const auto longest = longestFormerLease(target, aReport.mIncarnationStart, aNow);
     target.mLeaseSent = std::max(target.mLeaseSent, aReport.mClock + longest);
   }
   if (!target.mAcquired && target.isFencedBy(aSent)) {
     // From now on the target rejects the orders of former owners, and those to former incarnations.
     target.mAcquired = true;
     target.mHasRestarted = false;
-    append(target_acquired{ .mTarget = aTarget, .mEpoch = mEpoch, .mVm = target.mEntry.mVm }, aNow);
+    append(target_acquired{ .mTarget = aTarget,
+                            .mEpoch = mEpoch,
+                            .mVm = target.mEntry.mVm,
+                            .mIncarnationStart = aReport.mIncarnationStart },
+           aNow);
     // Leases are renewed only after the journal records that this epoch does so.
     mNextBatch.mAcquired.push_back(aTarget);
     endRunsOfFormerTargets(target, aNow);
--- a/tests/scheduler/fake_services.h
+++ b/tests/scheduler/fake_services.h
@@ -55,6 +55,9 @@
   /// Runs that are being stopped, and the time of their end.
   std::map<task_key, time_point> mStopping;
   target_time mClock{ 1000 };
+  /// End of the lease on mClock. Orders name the target by its id alone, so that it also takes the
+  /// times that were meant for the clock of a former incarnation.
+  target_time mLeaseUntil{ 0 };
   capacity_history mFormerCapacities;
   /// Time at which the owner reads a change of the entry; time_point::max() if there is none.
   time_point mEntryReadAt = time_point::max();
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -239,6 +239,7 @@
       restartCrashedTargets();
       endDueTasks();
       endStoppedRuns();
+      endLeases();
       renewOwnership();
       deliverReplies();
       // As cell_node does, from the latency of its own calls.
@@ -331,6 +332,10 @@
   milliseconds mStoreDelay{ 0 };
   /// Jobs whose tasks crash the targets that start them.
   std::set<job_id> mDeadlyJobs;
+  /// Whether runs end with their lease.
+  bool mLeasesEnd = false;
+  /// Starts of tasks that were running at another target.
+  std::vector<std::string> mConcurrentStarts;
   /// If set, these targets accept the start, and crash after this time.
   std::optional<milliseconds> mCrashDelay;
   std::map<task_key, deadly_task> mDeadlyTasks;
@@ -560,6 +565,21 @@
     }
   }
 
+  void extendLease(fake_target& aTarget, target_time aUntil) const
+  {
+    aTarget.mLeaseUntil =
+      std::max(aTarget.mLeaseUntil, std::min(aUntil, aTarget.mClock + mOptions.mMaxLease));
+  }
+
+  void endLeases()
+  {
+    for (auto& [id, target] : mTargets) {
+      while (mLeasesEnd && target.mLeaseUntil <= target.mClock && !target.mRunning.empty()) {
+        target.end(target.mRunning.begin()->first, reported_end::lease_expired);
+      }
+    }
+  }
+
   void endStoppedRuns()
   {
     for (auto& [id, target] : mTargets) {
@@ -651,6 +671,9 @@
       return false;
     }
     target.mFence = aOrder.mFence;
+    if (aOrder.mLeaseUntil) {
+      extendLease(target, *aOrder.mLeaseUntil);
+    }
     target.mStoredEndNumber = aOrder.mStoredEndNumber;
     std::erase_if(target.mEnded, [&aOrder](const ended_run& aOne) {
       return aOne.mNumber <= aOrder.mStoredEndNumber;
@@ -685,8 +708,14 @@
     if (mAdviceService && !mAdviceService->valid(aOrder.mTicket, mNow)) {
       return order_outcome::bad_ticket;
     }
+    extendLease(target, aOrder.mLeaseUntil);
     if (std::exchange(target.mRunning[aOrder.mTask], aOrder.mRun) != aOrder.mRun) {
       checkCapacity(target, aOrder.mTask);
+      for (const auto& [id, other] : mTargets) {
+        if (id != aOrder.mTarget && other.mRunning.contains(aOrder.mTask)) {
+          mConcurrentStarts.push_back(toText(aOrder.mTask) + " on " + aOrder.mTarget);
+        }
+      }
       if (mDoneTasks.contains(aOrder.mTask)) {
         mStartsAfterDone.push_back(toText(aOrder.mTask) + " on " + aOrder.mTarget);
       }
