--- a/tests/scheduler/hand_over_lease_test.cpp
+++ b/tests/scheduler/hand_over_lease_test.cpp
@@ -57,6 +57,23 @@
     cell.addTarget("b");
     cell.run(milliseconds(100));
   }
+  /// Target a takes the start of a task without an answer and restarts before it has executed it.
+  fake_target& restartBeforeStart()
+  {
+    cell.target("a").mDelaysStarts = true;
+    job =
+      cell.submit({ .mNeeds = { .mCpuMilli = 500, .mMemoryMb = 100 }, .mEstimate = seconds(600) });
+    cell.run(milliseconds(70));
+    cell.addTarget("b");
+    return cell.restartUnlisted("a");
+  }
+  /// The present incarnation executes it.
+  void executeLateStart()
+  {
+    cell.target("a").mReachable = true;
+    cell.deliverLateOrders();
+    CHECK_EQUAL("a", cell.targetRunning(job));
+  }
   /// The former owner has ended for certain.
   void changeOwner()
   {
@@ -193,3 +210,112 @@
   cutOff();
   CHECK(timeUntilRestarted() <= onSlowClock(cell.mOptions.mLease) + kRestartTime);
 }
+
+// Guards against two runs of a task at a time: an owner that knows of a restart from the registry
+// alone has recorded the longer lease, and the next one, which finds no entry, takes its own.
+TEST(hand_over_leases, aLongerLeaseThatAFormerOwnerHasRecordedHolds)
+{
+  restartBeforeStart();
+  executeLateStart();
+  cutOff();
+  changeOwner();
+  cell.run(owner_fixture::kEntryLapse);
+  cell.unlistTarget("a");
+  changeOwner();
+  timeUntilRestarted();
+}
+
+// The same if the former owner has recorded a shorter lease before it knew of the restart.
+TEST(hand_over_leases, aLongerLeaseThatIsRecordedAfterAShorterOneHolds)
+{
+  auto& target = restartBeforeStart();
+  cutOff();
+  cell.run(seconds(2));
+  executeLateStart();
+  cutOff();
+  cell.mOwner->setTarget(target.mEntry, cell.mNow);
+  cell.run(seconds(2));
+  cell.unlistTarget("a");
+  changeOwner();
+  timeUntilRestarted();
+}
+
+// The same if the former owner has acquired the new incarnation and could not store that: the
+// registry has the entry of the former one.
+TEST(hand_over_leases, aRestartThatOnlyTheFormerOwnerHasHeardOfProlongsTheWait)
+{
+  const auto formerEntry = cell.target("a").mEntry;
+  auto& target = restartBeforeStart();
+  cell.mStoreDown = true;
+  executeLateStart();
+  cell.run(milliseconds(300));
+  CHECK_EQUAL("a", cell.targetRunning(job));
+  CHECK(std::ranges::find(cell.mEvents, "target_restarted") != cell.mEvents.end());
+  cutOff();
+  target.mListed = false;
+  changeOwner();
+  cell.mOwner->setTarget(formerEntry, cell.mNow);
+  cell.mStoreDown = false;
+  timeUntilRestarted();
+}
+
+// The same for the owner that has ordered the start, if it hears of the restart in no way: the
+// target is cut off before it has written its entry.
+TEST(hand_over_leases, theOwnerWaitsForTheLongestLeaseAfterARestartThatNobodyHasSeen)
+{
+  restartBeforeStart();
+  executeLateStart();
+  cutOff();
+  timeUntilRestarted();
+}
+
+// The same for the next owner.
+TEST(hand_over_leases, theNextOwnerWaitsForTheLongestLeaseIfItReadsTheFormerEntry)
+{
+  const auto formerEntry = cell.target("a").mEntry;
+  auto& target = restartBeforeStart();
+  executeLateStart();
+  cutOff();
+  target.mListed = false;
+  changeOwner();
+  cell.mOwner->setTarget(formerEntry, cell.mNow);
+  timeUntilRestarted();
+}
+
+// The same for a start that is executed a second after the registry has listed the restart.
+TEST(hand_over_leases, theOwnerWaitsForTheLeaseOfAnOrderThatIsExecutedAfterTheRestartIsListed)
+{
+  auto& target = restartBeforeStart();
+  cutOff();
+  cell.mOwner->setTarget(target.mEntry, cell.mNow);
+  cell.run(seconds(1));
+  executeLateStart();
+  cutOff();
+  timeUntilRestarted();
+}
+
+// The same for a second restart that is listed before the target has answered after the first.
+TEST(hand_over_leases, theOwnerWaitsForTheLongestLeaseAfterTheSecondOfTwoListedRestarts)
+{
+  const auto& first = restartBeforeStart();
+  cutOff();
+  cell.mOwner->setTarget(first.mEntry, cell.mNow);
+  cell.run(seconds(3));
+  const auto& second = cell.restartUnlisted("a");
+  executeLateStart();
+  cutOff();
+  cell.mOwner->setTarget(second.mEntry, cell.mNow);
+  timeUntilRestarted();
+}
+
+// The same for a start that is executed a second after its owner has ended.
+TEST(hand_over_leases, theNextOwnerWaitsForTheLeaseOfAnOrderThatIsExecutedAfterTheFormerOwnersEnd)
+{
+  restartBeforeStart();
+  cutOff();
+  changeOwner();
+  cell.run(seconds(1));
+  executeLateStart();
+  cutOff();
+  timeUntilRestarted();
+}
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -697,3 +697,187 @@
   CHECK_EQUAL(0, unfinished);
   CHECK_EQUAL(0, active);
 }
+
+// Guards against a job that is given up because orders went to targets that had crashed before,
+// five times or more: no run of it had begun there.
+TEST(target_losses, anyNumberOfOrdersThatReachNoTargetGivesUpNoJob)
+{
+  constexpr std::uint32_t kLosses = 6;
+  addTargets(8);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  const auto id = cell.submit(tasks(1, seconds(30)));
+  const auto setLosesStarts = [this](bool aLoses) {
+    for (const auto& [name, target] : cell.targets()) {
+      cell.target(name).mLosesStarts = aLoses;
+    }
+  };
+  std::uint32_t lastRun = 0;
+  for (std::uint32_t lost = 0; lost < kLosses;) {
+    setLosesStarts(true);
+    cell.run(milliseconds(5));
+    CHECK(cell.running() == 0);
+    CHECK(cell.find(id).mPhase == job_phase::active);
+    const auto& task = cell.find(id).find({ .mJob = id })->mTasks[0];
+    if (task.mOpen && task.mRun > lastRun) {
+      lastRun = task.mRun;
+      ++lost;
+      cell.crashTarget(task.mOpen->mTarget);
+    }
+  }
+  cell.run(seconds(3));
+  setLosesStarts(false);
+  cell.run(seconds(40));
+  CHECK(cell.find(id).mPhase == job_phase::completed);
+}
+
+// Guards against more than two starts of a task after its third crash: its targets are dark for
+// longer than their leases, so that each crash shows after the next start.
+TEST(target_losses, aTaskWhoseTargetsStayDarkForLongKeepsTheBound)
+{
+  cell.mCrashDelay = milliseconds(10);
+  cell.mRestartDelay = seconds(12);
+  addTargets(8);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  submitDeadly(tasks(1));
+  cell.run(seconds(90));
+  checkDeadlyStarts();
+}
+
+// Guards against a service that is given up because it was lost several times together with the
+// owner: the next one takes every run that it has not seen for one that was lost at its start.
+TEST(target_losses, aLongRunningTaskIsNotGivenUpForTargetsThatAreLostWithTheOwner)
+{
+  addTargets(3);
+  step_spec service = tasks(1);
+  service.mLongRunning = true;
+  const auto id = cell.startOwnerAndJob(service);
+  for (int loss = 0; loss < 6; ++loss) {
+    cell.run(seconds(20));
+    const auto at = cell.targetRunning(id);
+    CHECK_FALSE(at.empty());
+    cell.crashTarget(at);
+    cell.startNextOwner();
+    for (int wait = 0; wait < 400 && cell.targetRunning(id).empty(); ++wait) {
+      cell.run(milliseconds(50));
+    }
+    CHECK(cell.find(id).mPhase == job_phase::active);
+  }
+}
+
+// Guards against a deadly service that is started without end because the owner changes soon after
+// each start: the next owner does not know that the crash comes soon after it.
+TEST(target_losses, aDeadlyLongRunningTaskIsGivenUpAcrossChangesOfTheOwner)
+{
+  cell.mCrashDelay = milliseconds(70);
+  addTargets(4);
+  cell.startNextOwner();
+  cell.run(milliseconds(100));
+  step_spec service = tasks(1);
+  service.mLongRunning = true;
+  submitDeadly(service);
+  unsigned crashes = 0;
+  for (int change = 0; change < 8; ++change) {
+    for (int wait = 0; wait < 2000 && (cell.mDeadlyTasks.empty() ||
+                                       cell.mDeadlyTasks.begin()->second.mCrashes == crashes);
+         ++wait) {
+      cell.run(milliseconds(5));
+    }
+    crashes = cell.mDeadlyTasks.begin()->second.mCrashes;
+    cell.startNextOwner();
+  }
+  checkDeadlyStarts();
+}
+
+// Guards against a job that is given up for a task that is done: a crash under an earlier run of it
+// shows late.
+TEST(target_losses, aLateCrashUnderATaskThatIsDoneGivesUpNoJob)
+{
+  cell.mTasksEnd = false;
+  const auto id = static_cast<job_id>(100);
+  const task_key task{ .mStep = { .mJob = id } };
+  const auto add = [this](journal_record aRecord) {
+    cell.mJournal.push_back(std::move(aRecord));
+    cell.mStoredAt.push_back(cell.mNow);
+  };
+  add(job_submitted{ .mSpec = { .mId = id,
+                                .mRoute = "batch",
+                                .mTeam = "red",
+                                .mPayload = "p",
+                                .mSteps = { tasks(2, seconds(60)) },
+                                .mSubmitted = cell.wall() } });
+  // Two runs have crashed their targets, the third was cut off, the fourth is done.
+  std::uint32_t run = 0;
+  for (const auto outcome : { run_end::target_lost_at_start, run_end::target_lost_at_start,
+                              run_end::target_silent_at_start, run_end::done }) {
+    add(run_started{
+      .mTask = task, .mRun = ++run, .mAt = { .mTarget = "t0", .mIncarnationStart = 1 } });
+    add(run_ended{
+      .mTask = task, .mRun = run, .mOutcome = outcome, .mHasBegun = outcome != run_end::done });
+  }
+  addTargets(2);
+  ++cell.target("t0").mEntry.mIncarnationStart;
+  cell.startNextOwner();
+  CHECK(cell.find(id).find(task.mStep)->mTasks[0].mDone);
+  CHECK(cell.find(id).mPhase == job_phase::active);
+  cell.run(seconds(1));
+  CHECK(cell.find(id).mPhase == job_phase::active);
+  CHECK_FALSE(cell.targetRunning(id, 0, 1).empty());
+}
+
+// Guards against crashes that do not count because many runs of a wide step were silent.
+TEST(target_losses, aLateCrashCountsInAStepWithManySilentRuns)
+{
+  constexpr std::uint32_t kCount = 100;
+  const auto id = static_cast<job_id>(1);
+  job_table table;
+  table.apply(
+    job_submitted{ .mSpec = { .mId = id, .mRoute = "batch", .mSteps = { tasks(kCount) } } },
+    time_point{});
+  const auto keyOf = [id](std::uint32_t aIndex) {
+    return task_key{ .mStep = { .mJob = id }, .mIndex = aIndex };
+  };
+  for (std::uint32_t index = 0; index < kCount; ++index) {
+    table.apply(run_started{ .mTask = keyOf(index), .mRun = 1, .mAt = { .mTarget = "t" } },
+                time_point{});
+  }
+  for (std::uint32_t index = 0; index < kCount; ++index) {
+    table.apply(
+      run_ended{ .mTask = keyOf(index), .mRun = 1, .mOutcome = run_end::target_silent_at_start },
+      time_point{});
+  }
+  for (std::uint32_t index = 0; index < kCount; ++index) {
+    table.apply(
+      run_ended{ .mTask = keyOf(index), .mRun = 1, .mOutcome = run_end::target_lost_at_start },
+      time_point{});
+    CHECK_EQUAL(1, table.find(id)->find({ .mJob = id })->mTasks[index].mTargetLosses);
+  }
+}
+
+// Guards against a crash that is counted although there was none: the run was started late by the
+// incarnation that answers again, which the next owner does not know.
+TEST(target_losses, aRunThatTheNewIncarnationHasExecutedCountsNoCrashWhenItIsCutOff)
+{
+  addTargets(2);
+  const auto id = cell.startOwnerAndJob(tasks(1, seconds(60)));
+  const auto at = cell.targetRunning(id);
+  const task_key task{ .mStep = { .mJob = id } };
+  const auto run = cell.find(id).find(task.mStep)->mTasks[0].mRun;
+  // A start that was sent before the restart is executed after it.
+  cell.restartUnlisted(at).mRunning[task] = run;
+  cell.mOwner->setTarget(cell.target(at).mEntry, cell.mNow);
+  cell.run(seconds(1));
+  CHECK_EQUAL(at, cell.targetRunning(id));
+  CHECK_EQUAL(0, losses(id));
+  cell.target(at).mReachable = false;
+  cell.startNextOwner();
+  cell.run(seconds(18));
+  auto& target = cell.target(at);
+  while (!target.mRunning.empty()) {
+    target.end(target.mRunning.begin()->first, reported_end::lease_expired);
+  }
+  target.mReachable = true;
+  cell.run(seconds(2));
+  CHECK_EQUAL(0, losses(id));
+}
