Start a task elsewhere at once if its order has not left

What callers saw: jobs whose first starts went to targets that were cut off waited for the end of leases there, were given up after some of them, and counted as begun meanwhile. Cause: an order of which no byte had left counted as one without an answer. Change: such an order is reported as unreachable; if no earlier copy has left, its run has not begun, and its target is avoided for a while like one that has rejected a start. Relays report it as unanswered, as before, since older owners do not know the value. owner_runs.startsElsewhereAtOnceIfTheOrderHasNotLeft, doesNotStartElsewhereIfOnlyTheLastCopyOfAnOrderHasNotLeft and order_sender.tellsAnOrderThatHasNotLeftFromOneWithoutAnAnswer are new; they need the new outcome, so they do not compile before. scheduler_tests: 295 passed, node_tests passed (beside load, with the sources of this commit).

--- a/node/src/order_relay.cpp
+++ b/node/src/order_relay.cpp
@@ -92,11 +92,7 @@
     [this, epoch = aOrder.mEpoch, aNumber,
      alive = std::weak_ptr(mAlive)](scheduler::order_outcome aOutcome) {
       if (!alive.expired()) {
-        // Results have no value for it; the owner repeats the order or stops the run.
-        addResult(epoch, { .mNumber = aNumber,
-                           .mOutcome = aOutcome == scheduler::order_outcome::not_sent
-                                         ? scheduler::order_outcome::unanswered
-                                         : aOutcome });
+        addResult(epoch, { .mNumber = aNumber, .mOutcome = aOutcome });
       }
     },
     [this, epoch = aOrder.mEpoch, aSendBy, alive = std::weak_ptr(mAlive)] {
@@ -117,6 +113,11 @@
 
 void order_relay::addResult(std::uint64_t aEpoch, order_result aResult)
 {
+  if (aResult.mOutcome == scheduler::order_outcome::not_sent ||
+      aResult.mOutcome == scheduler::order_outcome::unreachable) {
+    // Results have no value for it; the owner repeats the order or stops the run.
+    aResult.mOutcome = scheduler::order_outcome::unanswered;
+  }
   if (aEpoch == mEpoch) {
     mResults.push_back(std::move(aResult));
   }
--- a/node/src/order_sender.cpp
+++ b/node/src/order_sender.cpp
@@ -58,7 +58,10 @@
 scheduler::order_outcome order_sender::outcomeOf(const order_subject& aOrder,
                                                  const edges::loop_reply& aReply)
 {
-  const auto outcome = platform::decodeOutcome(aReply);
+  auto outcome = platform::decodeOutcome(aReply);
+  if (!aReply.mStatus && aReply.mSentBytes == 0) {
+    outcome = scheduler::order_outcome::unreachable;
+  }
   if (outcome != scheduler::order_outcome::accepted) {
     mLog.write("order_not_accepted",
                fmt::format("kind={} task={} run={} target={} epoch={} outcome={} status={} "
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -88,6 +88,8 @@
   unreported,
   /// The order has not left the owner's process, because its ticket has expired there.
   not_sent,
+  /// No connection to the target came about, so that nothing of the order has left.
+  unreachable,
 };
 
 std::string_view toText(order_outcome aOutcome);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -146,6 +146,8 @@
       return "unreported";
     case order_outcome::not_sent:
       return "not_sent";
+    case order_outcome::unreachable:
+      return "unreachable";
   }
   return "unknown";
 }
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -260,7 +260,11 @@
   mPort.logDecision("start_rejected", fmt::format("task={} run={} target={} outcome={} tries={}",
                                                   toText(aOrder.mTask), aOrder.mRun, aOrder.mTarget,
                                                   toText(aOutcome), run->mTries));
-  if (aOutcome == order_outcome::unanswered || aOutcome == order_outcome::undefined) {
+  // An earlier copy of the order may have left.
+  const bool mayHaveLeft = aOutcome == order_outcome::unreachable &&
+                           (run->mTries > 0 || run->mPhase != run_phase::ordered);
+  if (aOutcome == order_outcome::unanswered || aOutcome == order_outcome::undefined ||
+      mayHaveLeft) {
     ++run->mTries;
     run->mUnansweredAt = aNow;
     run->mNextTry = aNow + kRetryPause;
--- a/tests/node/order_sender_test.cpp
+++ b/tests/node/order_sender_test.cpp
@@ -55,6 +55,16 @@
     }
     CHECK(outcome.has_value());
   }
+  void start(const std::string& aAddress)
+  {
+    outcome.reset();
+    sender.sendStart({ .mTarget = "t", .mAddress = aAddress, .mRun = 1 },
+                     [this](order_outcome aOutcome) { outcome = aOutcome; });
+    for (int pass = 0; pass < kMaxPasses && !outcome; ++pass) {
+      loop.run(milliseconds(10));
+    }
+    CHECK(outcome.has_value());
+  }
 };
 
 // Guards against a target that is taken for silent because one of its connections has ended, and
@@ -81,3 +91,20 @@
   CHECK(outcome == order_outcome::unanswered);
   LONGS_EQUAL(3, received.size());
 }
+
+// Guards against a task that waits for the lease of a run that cannot have begun: no connection to
+// its target came about. Once bytes have left, the run may have begun.
+TEST(order_sender, tellsAnOrderThatHasNotLeftFromOneWithoutAnAnswer)
+{
+  const auto address = target.address();
+  start(address);
+  CHECK(outcome == order_outcome::accepted);
+  start(address);
+  CHECK(outcome == order_outcome::unanswered);
+  const std::string closedPort = [] {
+    const scripted_server other([](const received_request&) { return scripted_answer{}; });
+    return other.address();
+  }();
+  start(closedPort);
+  CHECK(outcome == order_outcome::unreachable);
+}
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -294,6 +294,39 @@
   CHECK_EQUAL(0, cell.running());
 }
 
+// Guards against a task that waits for the end of leases at a target that cannot have begun its
+// run, and counts as begun meanwhile.
+TEST(owner_runs, startsElsewhereAtOnceIfTheOrderHasNotLeft)
+{
+  cell.addTarget("t1").mRejectStarts = order_outcome::unreachable;
+  const auto id = cell.startOwnerAndJob(tasks(1));
+  CHECK_EQUAL(0, cell.running());
+  CHECK_EQUAL(1, cell.mJobTable.waitingJobs("batch"));
+  cell.addTarget("t2");
+  cell.run(milliseconds(300));
+  CHECK_EQUAL(std::string("t2"), cell.targetRunning(id));
+}
+
+// Guards against two runs of a task at a time: an earlier copy of the order has left.
+TEST(owner_runs, doesNotStartElsewhereIfOnlyTheLastCopyOfAnOrderHasNotLeft)
+{
+  auto& first = cell.addTarget("t1");
+  first.mLosesReplies = true;
+  cell.startNextOwner();
+  const auto id = cell.submit(tasks(1));
+  while (cell.running() == 0) {
+    cell.run(milliseconds(5));
+  }
+  first.mRejectStarts = order_outcome::unreachable;
+  first.mIsSilent = true;
+  cell.addTarget("t2");
+  for (int step = 0; step < 200; ++step) {
+    cell.run(milliseconds(5));
+    CHECK(cell.running() <= 1);
+  }
+  CHECK_EQUAL(std::string("t1"), cell.targetRunning(id));
+}
+
 // An unanswered start order may have been executed, so the task must not start elsewhere as well.
 TEST(owner_runs, doesNotStartTwiceAfterALostReply)
 {
