Answer the requests that are open when a daemon stops

Callers saw their connections end without an answer 0.3 to 2.5 s after they had sent a request to a daemon that was being stopped (LOST).

Cause: http_server::stop() closed all connections at the end of its period, and only the event loop could answer. A loop that is behind leaves what the server has read in its inbox. The stop also overlooked requests read in part, and connections that Pistache has accepted and passed to no thread: their sockets stayed open until the process ended. Callers that had their answer connected again and were cut off in the next request, as the listener was open until the end. The stop began on the loop, and counted from its first pass after the signal.

Evidence: a log line of what is open at the end of a stop.

Ruled out: idle timeouts, SIGHUP. An unread answer survives the reset of a connection on Linux (checked with a small script).

Change: http_server_options::mStopAnswer. At the end of the period the server ends accepting, answers what is open itself (504 to POST and DELETE, which may be stored; 503 with Retry-After to GET), takes over the connections that no thread has, and closes the sockets itself instead of waiting for Pistache. cell_node::stop() counts from the signal and stops the server on a thread of its own.

A POST that arrives during the stop now gets 504 instead of 503, since an earlier copy of it may be stored.

Tests: the four new ones of http_server and that of cell_node fail without the change (mutants of it: answerStopped() without effect, adoptSockets() not called) and pass now.

--- a/edges/include/endiveusher/edges/http_server.h
+++ b/edges/include/endiveusher/edges/http_server.h
@@ -88,6 +88,23 @@
   std::chrono::milliseconds mSendTimeout{ 10'000 };
   /// Time after which a connection without a request is closed.
   std::chrono::milliseconds mIdleTimeout{ 75'000 };
+  /// Returns the answer to a request of the given method that the server gives itself because it
+  /// stops: the handler has not answered by the end of the period of stop(), or is not given the
+  /// request at all. The request may have taken effect. The method is empty if it is not known.
+  /// Without this function such requests get status 503 if they arrive during stop(), and no answer
+  /// if they are open at its end.
+  std::function<http_answer(std::string_view aMethod)> mStopAnswer;
+};
+
+/// Requests that were open at the end of the period of http_server::stop().
+struct stop_report
+{
+  /// Requests that the handler had not answered.
+  std::size_t mUnanswered = 0;
+  /// Requests of which some bytes had arrived, and which the handler did not have.
+  std::size_t mUnread = 0;
+  /// Answers that were not completely sent when their connections were closed.
+  std::size_t mUnsent = 0;
 };
 
 /// Minimal HTTP/1.1 server. Each connection handles one request at a time: a request that arrives
@@ -113,9 +130,10 @@
   http_server& operator=(const http_server&) = delete;
 
   std::uint16_t port() const;
-  /// Rejects new requests with status 503, waits at most aPeriod until the pending ones are
-  /// answered and sent, then closes all connections. Later answers are discarded.
-  void stop(std::chrono::milliseconds aPeriod = std::chrono::milliseconds(0));
+  /// Gives new requests the answer of a stop, waits at most aPeriod until the pending ones are
+  /// answered and sent, gives the others the answer of a stop, then closes all connections. Later
+  /// answers are discarded.
+  stop_report stop(std::chrono::milliseconds aPeriod = std::chrono::milliseconds(0));
 
 private:
   class impl;
--- a/edges/src/connection_registry.cpp
+++ b/edges/src/connection_registry.cpp
@@ -57,21 +57,36 @@
   return std::ranges::any_of(snapshot(), [](const auto& aOne) { return aOne->busy(); });
 }
 
-std::vector<std::shared_ptr<connection>> connection_registry::closeAll()
+stop_report connection_registry::answerStopped()
 {
-  auto closed = snapshot();
-  for (const auto& one : closed) {
-    one->close();
+  stop_report report;
+  for (const auto& one : snapshot()) {
+    one->answerStopped(report);
   }
-  return closed;
+  return report;
 }
 
-bool connection_registry::containsAny(
-  std::span<const std::shared_ptr<connection>> aConnections) const
+std::size_t connection_registry::countUnsent() const
+{
+  const auto all = snapshot();
+  return static_cast<std::size_t>(
+    std::ranges::count_if(all, [](const auto& aOne) { return aOne->socketToWrite() >= 0; }));
+}
+
+bool connection_registry::containsSocket(int aSocket) const
 {
   const std::lock_guard lock(mMutex);
-  return std::ranges::any_of(aConnections,
-                             [this](const auto& aOne) { return mConnections.contains(aOne); });
+  return std::ranges::any_of(mConnections,
+                             [aSocket](const auto& aOne) { return aOne->socket() == aSocket; });
+}
+
+void connection_registry::closeAll()
+{
+  for (const auto& one : snapshot()) {
+    one->close();
+    one->closeSocket();
+    remove(one);
+  }
 }
 
 void connection_registry::stop()
--- a/edges/src/connection_registry.h
+++ b/edges/src/connection_registry.h
@@ -5,7 +5,6 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
-#include <span>
 #include <thread>
 #include <unordered_set>
 #include <vector>
@@ -27,9 +26,13 @@
   /// Makes the thread visit all connections immediately.
   void wake() const;
   bool anyBusy() const;
-  /// Ends all connections and returns them. Each remains registered until its socket is closed.
-  std::vector<std::shared_ptr<connection>> closeAll();
-  bool containsAny(std::span<const std::shared_ptr<connection>> aConnections) const;
+  /// Gives all open requests the answer of a stop; returns their numbers, without mUnsent.
+  stop_report answerStopped();
+  /// Number of answers that are not completely sent.
+  std::size_t countUnsent() const;
+  bool containsSocket(int aSocket) const;
+  /// Ends all connections and closes their sockets. Call only when nothing else uses the sockets.
+  void closeAll();
   /// Ends the thread.
   void stop();
 
--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -8,6 +8,7 @@
 
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <utility>
@@ -102,6 +103,11 @@
     return std::nullopt;
   }
   if (frame.mFraming == framing::incomplete) {
+    if (mShared->mStopping && mShared->mOptions.mStopAnswer) {
+      // The rest of a large request could take longer to read than the stop.
+      rejectStoppedLocked();
+      return std::nullopt;
+    }
     if (frame.mExpectsContinue && !mContinueSent) {
       mContinueSent = true;
       mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -110,7 +116,7 @@
     return std::nullopt;
   }
   if (mShared->mStopping) {
-    rejectLocked(503, "stopping", "this server is stopping");
+    rejectStoppedLocked();
     return std::nullopt;
   }
   auto request = parse(frame);
@@ -123,7 +129,7 @@
   mInput.clear();
   mContinueSent = false;
   mActiveRequest = ++mLastRequest;
-  mHeadRequest = request->mMethod == "HEAD";
+  mMethod = request->mMethod;
   return ready_request{ .mRequest = std::move(*request), .mNumber = mActiveRequest };
 }
 
@@ -223,6 +229,11 @@
   }
 }
 
+void connection::closeSocket() const
+{
+  ::close(mSocket);
+}
+
 void connection::reject()
 {
   const std::lock_guard lock(mMutex);
@@ -271,7 +282,54 @@
 bool connection::busy() const
 {
   const std::lock_guard lock(mMutex);
-  return mOpen && (mActiveRequest != 0 || !mOutput.empty() || (!mClosing && unreadLocked()));
+  return mOpen && (mActiveRequest != 0 || !mOutput.empty() || arrivingLocked());
+}
+
+void connection::answerStopped(stop_report& aReport)
+{
+  std::function<void()> callback;
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mOpen) {
+      return;
+    }
+    if (mActiveRequest != 0) {
+      ++aReport.mUnanswered;
+      if (!mShared->mOptions.mStopAnswer) {
+        return;
+      }
+      mActiveRequest = 0;
+      mClosing = true;
+      callback.swap(mOnDisconnect);
+      sendLocked(mShared->mOptions.mStopAnswer(mMethod));
+    } else if (mOutput.empty() && arrivingLocked()) {
+      ++aReport.mUnread;
+      if (mShared->mOptions.mStopAnswer) {
+        rejectStoppedLocked();
+      }
+    }
+  }
+  if (callback) {
+    callback();
+  }
+}
+
+bool connection::arrivingLocked() const
+{
+  return !mClosing && (!mInput.empty() || unreadLocked());
+}
+
+void connection::rejectStoppedLocked()
+{
+  if (!mShared->mOptions.mStopAnswer) {
+    rejectLocked(503, "stopping", "this server is stopping");
+    return;
+  }
+  // Empty if nothing has been read.
+  mMethod = mInput.substr(0, mInput.find(' '));
+  mInput = {};
+  mClosing = true;
+  sendLocked(mShared->mOptions.mStopAnswer(mMethod));
 }
 
 bool connection::unreadLocked() const
@@ -283,7 +341,7 @@
 void connection::sendLocked(const http_answer& aAnswer)
 {
   mOutput += responseHead(aAnswer, mClosing);
-  if (!mHeadRequest) {
+  if (mMethod != "HEAD") {
     mOutput += aAnswer.mBody;
   }
   mStateStart = std::chrono::steady_clock::now();
--- a/edges/src/http_connection.h
+++ b/edges/src/http_connection.h
@@ -50,6 +50,8 @@
   void receive(std::string_view aBytes);
   /// Ends the connection before its socket is closed; nothing is sent afterwards.
   void close();
+  /// Closes the socket of an ended connection, which Pistache does otherwise.
+  void closeSocket() const;
   /// Rejects the connection because the server has too many.
   void reject();
 
@@ -59,10 +61,13 @@
 
   /// Sends the rest of a partly sent answer and enforces the timeouts.
   void maintain(socket_time aNow);
+  int socket() const { return mSocket; }
   /// Returns the socket if there are bytes to send, otherwise -1.
   int socketToWrite() const;
-  /// Whether a request is in progress or has arrived unread, or an answer is not completely sent.
+  /// Whether a request is in progress or has arrived in part, or an answer is not completely sent.
   bool busy() const;
+  /// Gives an open request the answer of a stop, and counts it in aReport.
+  void answerStopped(stop_report& aReport);
 
 private:
   /// A complete request that is not yet passed to the handler.
@@ -76,6 +81,10 @@
   void rejectLocked(std::uint16_t aStatus, const char* aCode, const char* aMessage);
   /// Whether bytes have arrived that the server's thread has not read yet.
   bool unreadLocked() const;
+  /// Whether a request has arrived in part, or has not been read yet.
+  bool arrivingLocked() const;
+  /// Sends the answer of a stop to a request that the handler does not get.
+  void rejectStoppedLocked();
   void sendLocked(const http_answer& aAnswer);
   void flushLocked();
   void countUnsentLocked();
@@ -89,10 +98,11 @@
   /// Whether further input is ignored; the connection ends when its last answer is sent.
   bool mClosing = false;
   bool mContinueSent = false;
-  bool mHeadRequest = false;
   /// Number of the request in progress; zero if there is none.
   std::uint64_t mActiveRequest = 0;
   std::uint64_t mLastRequest = 0;
+  /// Method of the last request that the handler has got.
+  std::string mMethod;
   /// Called if the caller disconnects before the request in progress is answered.
   std::function<void()> mOnDisconnect;
   std::string mInput;
--- a/edges/src/http_server.cpp
+++ b/edges/src/http_server.cpp
@@ -6,12 +6,19 @@
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+#include <system_error>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace endiveusher::edges {
 
@@ -23,8 +30,32 @@
 /// server.
 constexpr std::chrono::hours kDisabledTimeout{ 24 * 365 };
 
-/// Longest wait of stop() for Pistache to close the sockets of ended connections.
-constexpr std::chrono::milliseconds kCloseTimeout{ 1000 };
+/// Longest wait of stop() for the answers that it gives itself to be sent.
+constexpr std::chrono::milliseconds kLastSendTimeout{ 100 };
+
+/// Returns the connected sockets of this process whose own address is that of a server; aHost may
+/// be 0.0.0.0.
+std::vector<int> connectedSockets(const std::string& aHost, std::uint16_t aPort)
+{
+  std::vector<int> result;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd", error)) {
+    const int fd = std::atoi(entry.path().filename().c_str());
+    sockaddr_in own{};
+    sockaddr_in peer{};
+    socklen_t ownSize = sizeof own;
+    socklen_t peerSize = sizeof peer;
+    std::array<char, INET_ADDRSTRLEN> host{};
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &ownSize) == 0 &&
+        own.sin_family == AF_INET && ntohs(own.sin_port) == aPort &&
+        ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0 &&
+        ::inet_ntop(AF_INET, &own.sin_addr, host.data(), host.size()) != nullptr &&
+        (aHost == "0.0.0.0" || aHost == host.data())) {
+      result.push_back(fd);
+    }
+  }
+  return result;
+}
 
 struct server_parts
 {
@@ -118,34 +149,53 @@
 
   ~impl() { stop(std::chrono::milliseconds(0)); }
 
-  void stop(std::chrono::milliseconds aPeriod)
+  stop_report stop(std::chrono::milliseconds aPeriod)
   {
     if (!mEndpoint) {
-      return;
+      return {};
     }
     mParts.mShared->mStopping = true;
-    const auto deadline = std::chrono::steady_clock::now() + aPeriod;
-    while (std::chrono::steady_clock::now() < deadline && mParts.mRegistry->anyBusy()) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(2));
-    }
-    // Before Pistache closes the sockets, so that no late answer is sent to a reused descriptor.
-    const auto closed = mParts.mRegistry->closeAll();
-    // Pistache closes a socket when it notices the end of the connection, not in shutdown().
-    // Callers may go on to connect; these connections are not waited for.
-    const auto closeDeadline = std::chrono::steady_clock::now() + kCloseTimeout;
-    while (std::chrono::steady_clock::now() < closeDeadline &&
-           mParts.mRegistry->containsAny(closed)) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
+    waitUntil(aPeriod, [this] { return !mParts.mRegistry->anyBusy(); });
+    // Ends accepting and reading. Otherwise callers that get their answers now connect again, and
+    // are cut off in the middle of their next request.
     mEndpoint->shutdown();
-    mParts.mRegistry->closeAll();
+    stop_report report = mParts.mRegistry->answerStopped();
+    waitUntil(kLastSendTimeout, [this] { return mParts.mRegistry->countUnsent() == 0; });
+    // Waits for Pistache's threads, and leaves the sockets of open connections to this server.
     mEndpoint.reset();
+    adoptSockets();
+    // Requests that have arrived meanwhile.
+    mParts.mRegistry->answerStopped();
     mParts.mRegistry->stop();
+    report.mUnsent = mParts.mRegistry->countUnsent();
+    mParts.mRegistry->closeAll();
+    return report;
   }
 
   std::uint16_t port() const { return mPort; }
 
 private:
+  /// Takes over the connections that Pistache has accepted and has passed to none of its threads.
+  /// It neither closes their sockets nor tells of them.
+  void adoptSockets()
+  {
+    const auto& address = mParts.mShared->mOptions.mAddress;
+    for (const int socket : connectedSockets(address.substr(0, address.rfind(':')), mPort)) {
+      if (!mParts.mRegistry->containsSocket(socket)) {
+        mParts.mRegistry->add(std::make_shared<internal::connection>(mParts.mShared, socket));
+      }
+    }
+  }
+
+  template<typename Condition>
+  static void waitUntil(std::chrono::milliseconds aTimeout, const Condition& aCondition)
+  {
+    const auto deadline = std::chrono::steady_clock::now() + aTimeout;
+    while (std::chrono::steady_clock::now() < deadline && !aCondition()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  }
+
   server_parts mParts;
   std::unique_ptr<Pistache::Http::Endpoint> mEndpoint;
   std::uint16_t mPort = 0;
@@ -163,9 +213,9 @@
   return mImpl->port();
 }
 
-void http_server::stop(std::chrono::milliseconds aPeriod)
+stop_report http_server::stop(std::chrono::milliseconds aPeriod)
 {
-  mImpl->stop(aPeriod);
+  return mImpl->stop(aPeriod);
 }
 
 } // namespace endiveusher::edges
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -15,12 +15,13 @@
 constexpr std::chrono::milliseconds kMaxLoopWait{ 50 };
 /// Time without a reply of the store after which a daemon is not ready, as it could store nothing.
 constexpr std::chrono::milliseconds kReadyStoreTimeout{ 2500 };
-/// Part of the shutdown period that is left when the process ends.
+/// Part of the shutdown period that is left when the server of callers begins to stop. Exceeds the
+/// longest stop: kServerStopPeriod, and the time to send the last answers and to end threads.
 constexpr std::chrono::milliseconds kShutdownMargin{ 1500 };
 /// Time into a shutdown after which no new connections are expected: the platform removes a daemon
 /// after two failed readiness checks, a second apart.
 constexpr std::chrono::milliseconds kDeregistrationPeriod{ 2800 };
-/// Time in which the open requests are answered before all connections are closed. Exceeds the
+/// Time in which the event loop answers the open requests before the server does. Exceeds the
 /// timeout of a status query to the owner, the longest wait of an answer that is not for a record.
 constexpr std::chrono::milliseconds kServerStopPeriod{ 400 };
 /// Time into kServerStopPeriod after which callers are answered that the outcome is not known.
@@ -50,6 +51,18 @@
   return std::chrono::milliseconds(aIncarnation % kMaxStaggerMs);
 }
 
+/// Returns the answer to a request that the event loop has not answered. It may hold the request,
+/// or an earlier copy of it may be stored.
+edges::http_answer stopAnswer(std::string_view aMethod)
+{
+  if (aMethod == "GET" || aMethod == "HEAD") {
+    return { .mStatus = 503,
+             .mBody = R"({"error":"stopping"})",
+             .mHeaders = { { "Retry-After", "1" } } };
+  }
+  return { .mStatus = 504, .mBody = R"({"error":"the outcome is not known"})" };
+}
+
 } // namespace
 
 cell_node::impl::impl(platform::node_settings aSettings)
@@ -167,6 +180,7 @@
 cell_node::impl::~impl()
 {
   mQuit = true;
+  mMayStopServer.release();
   mLoop.wake();
   if (mThread.joinable()) {
     mThread.join();
@@ -182,7 +196,8 @@
   mCallerServer = std::make_unique<edges::http_server>(
     edges::http_server_options{ .mAddress = mSettings.mCallerAddress,
                                 .mThreads = 1,
-                                .mMaxConnections = mSettings.mMaxConnections },
+                                .mMaxConnections = mSettings.mMaxConnections,
+                                .mStopAnswer = stopAnswer },
     [this](edges::http_request aRequest, const edges::responder& aResponder) {
       inbox_item item = queued_caller_request{ .mCall = platform::decodeCallerRequest(aRequest),
                                                .mBody = std::move(aRequest.mBody),
@@ -213,8 +228,28 @@
 
 void cell_node::impl::stop()
 {
+  if (mStopping) {
+    return;
+  }
+  mStopSince = mClock.now();
   mStopping = true;
   mLoop.wake();
+  mServerStop = std::jthread([this] { stopServer(); });
+}
+
+void cell_node::impl::stopServer()
+{
+  // Not on the event loop, which may be held up at the end of this time.
+  static_cast<void>(mMayStopServer.try_acquire_for(mSettings.mShutdownPeriod - kShutdownMargin));
+  if (mQuit) {
+    return;
+  }
+  mServerStopSince = mClock.now();
+  mServerStopping = true;
+  mLoop.wake();
+  mServerReport = mCallerServer->stop(kServerStopPeriod);
+  mServerStopped = true;
+  mLoop.wake();
 }
 
 void cell_node::impl::reload(platform::node_settings aSettings)
@@ -523,36 +558,34 @@
   if (!mStopping) {
     return false;
   }
-  if (!mStopSince) {
-    mStopSince = aNow;
+  if (!std::exchange(mStopNoted, true)) {
     // A call for advice may take longer than the rest of the shutdown.
     mOwnerClient.endAdviceOffer();
     mLog.write("stop",
                fmt::format("waiting={} owner={}", mRequestHandler.waiting(), mOwner != nullptr));
   }
-  if (mServerStopSince) {
-    if (aNow - *mServerStopSince > kRecordStopPeriod) {
+  if (mServerStopping) {
+    if (aNow - mServerStopSince > kRecordStopPeriod) {
       mRequestHandler.answerWaiting();
     }
     if (!mServerStopped) {
       return false;
     }
-    mLog.write("stopped", fmt::format("waiting={}", mRequestHandler.waiting()));
+    mLog.write("stopped",
+               fmt::format("waiting={} inputs_left={} unanswered={} unread={} unsent={} "
+                           "server_ms={}",
+                           mRequestHandler.waiting(), mInputsLeft, mServerReport.mUnanswered,
+                           mServerReport.mUnread, mServerReport.mUnsent,
+                           (aNow - mServerStopSince) / std::chrono::milliseconds(1)));
     mLog.flush();
     mStopped();
     return true;
   }
-  const auto elapsed = aNow - *mStopSince;
+  const auto elapsed = aNow - mStopSince;
   const bool idle =
     mRequestHandler.waiting() == 0 && !mInputsLeft && mElection.state() != election::role::owner;
-  if ((elapsed > kDeregistrationPeriod && idle) ||
-      elapsed > mSettings.mShutdownPeriod - kShutdownMargin) {
-    mServerStopSince = aNow;
-    mServerStop = std::jthread([this] {
-      mCallerServer->stop(kServerStopPeriod);
-      mServerStopped = true;
-      mLoop.wake();
-    });
+  if (elapsed > kDeregistrationPeriod && idle && !std::exchange(mServerStopAllowed, true)) {
+    mMayStopServer.release();
   }
   return false;
 }
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -42,6 +42,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <semaphore>
 #include <set>
 #include <string>
 #include <string_view>
@@ -282,6 +283,9 @@
   /// Returns true when the loop has to end.
   bool tickShutdown(time_point aNow);
 
+  /// Stops mCallerServer once mMayStopServer is released, or the shutdown period nears its end.
+  void stopServer();
+
   void applyReload();
 
   std::string metrics() const;
@@ -386,7 +390,9 @@
   /// Error of the last unanswered call to the store.
   std::string mLastStoreError;
   time_point mNextPurge{};
-  std::optional<time_point> mStopSince;
+  /// Written before mStopping is set.
+  time_point mStopSince{};
+  bool mStopNoted = false;
 
   daemon::quantile_summary mCallTimes;
   daemon::quantile_summary mAppendTimes;
@@ -402,10 +408,17 @@
   std::unique_ptr<edges::http_server> mReadinessServer;
   std::unique_ptr<edges::http_server> mPeerServer;
   std::thread mThread;
-  /// Stops mCallerServer, while the event loop answers the requests that are open.
-  std::jthread mServerStop;
-  std::optional<time_point> mServerStopSince;
+  /// Released by the event loop when it has nothing more to answer, and by the destructor.
+  std::counting_semaphore<2> mMayStopServer{ 0 };
+  bool mServerStopAllowed = false;
+  /// Written before mServerStopping is set.
+  time_point mServerStopSince{};
+  std::atomic<bool> mServerStopping{ false };
+  /// Written before mServerStopped is set.
+  edges::stop_report mServerReport;
   std::atomic<bool> mServerStopped{ false };
+  /// Runs stopServer(), while the event loop answers the requests that are open.
+  std::jthread mServerStop;
 };
 
 } // namespace endiveusher::node
--- a/tests/edges/http_server_test.cpp
+++ b/tests/edges/http_server_test.cpp
@@ -79,6 +79,11 @@
   std::promise<void> mReleased;
 };
 
+http_answer stopAnswer(std::string_view aMethod)
+{
+  return { .mStatus = 504, .mBody = "stopped " + std::string(aMethod) };
+}
+
 void echoPath(const http_request& aRequest, const responder& aResponder)
 {
   aResponder.answer({ .mBody = aRequest.mPath });
@@ -457,6 +462,90 @@
   LONGS_EQUAL(503, waiting.status());
 }
 
+// Guards against requests whose connections end without an answer because their handler is behind
+// at the end of a stop.
+TEST(http_server, stopAnswersRequestsThatTheHandlerHolds)
+{
+  kept_requests kept;
+  http_server server({ .mStopAnswer = stopAnswer }, kept.handler());
+  raw_client get(server.port());
+  raw_client post(server.port());
+  get.send(getRequest("/"));
+  kept.wait(0);
+  post.send(postRequest("/", "body"));
+  const auto held = kept.wait(1);
+  std::atomic<bool> givenUp = false;
+  held.onDisconnect([&] { givenUp = true; });
+  const auto report = server.stop(milliseconds(50));
+  STRCMP_EQUAL("stopped GET", get.receiveAnswer().c_str());
+  LONGS_EQUAL(504, get.status());
+  STRCMP_EQUAL("stopped POST", post.receiveAnswer().c_str());
+  CHECK(contains(post.mHead, "Connection: close"));
+  CHECK(post.ended());
+  CHECK(givenUp);
+  CHECK_FALSE(held.answer({ .mBody = "late" }));
+  LONGS_EQUAL(2, report.mUnanswered);
+  LONGS_EQUAL(0, report.mUnread);
+  LONGS_EQUAL(0, report.mUnsent);
+}
+
+// Guards against a request that has arrived, and whose connection ends without an answer because
+// the server's thread is held up for longer than the stop may take.
+TEST(http_server, stopAnswersRequestsThatItsThreadDoesNotRead)
+{
+  blocking_echo echo;
+  http_server server({ .mThreads = 1, .mStopAnswer = stopAnswer }, echo.handler());
+  raw_client blocking(server.port());
+  raw_client waiting(server.port());
+  waiting.send(getRequest("/first"));
+  STRCMP_EQUAL("/first", waiting.receiveAnswer().c_str());
+  blocking.send(getRequest("/block"));
+  STRCMP_EQUAL("/block", blocking.receiveAnswer().c_str());
+  waiting.send(getRequest("/second"));
+  std::thread stopping([&] { server.stop(milliseconds(50)); });
+  const auto body = waiting.receiveAnswer();
+  echo.release();
+  stopping.join();
+  STRCMP_EQUAL("stopped ", body.c_str());
+  LONGS_EQUAL(504, waiting.status());
+}
+
+// Guards against a request on a connection that is accepted, and that no thread of the server has
+// taken over when it stops.
+TEST(http_server, stopAnswersRequestsOnConnectionsThatNoThreadHas)
+{
+  blocking_echo echo;
+  http_server server({ .mThreads = 1, .mStopAnswer = stopAnswer }, echo.handler());
+  raw_client blocking(server.port());
+  blocking.send(getRequest("/block"));
+  STRCMP_EQUAL("/block", blocking.receiveAnswer().c_str());
+  raw_client waiting(server.port());
+  waiting.send(getRequest("/first"));
+  std::this_thread::sleep_for(milliseconds(100));
+  std::thread stopping([&] { server.stop(milliseconds(50)); });
+  std::this_thread::sleep_for(milliseconds(200));
+  echo.release();
+  const auto body = waiting.receiveAnswer();
+  stopping.join();
+  STRCMP_EQUAL("stopped ", body.c_str());
+}
+
+// Guards against a stop that cuts off a request of which a part has been read.
+TEST(http_server, stopAnswersRequestsThatAreReadInPart)
+{
+  http_server server({ .mStopAnswer = stopAnswer }, echoPath);
+  raw_client client(server.port());
+  const auto request = postRequest("/", std::string(1000, 'x'));
+  client.send(request.substr(0, 500));
+  std::this_thread::sleep_for(milliseconds(100));
+  std::thread stopping([&] { server.stop(milliseconds(20'000)); });
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(client.send(request.substr(500)));
+  const auto body = client.receiveAnswer();
+  stopping.join();
+  STRCMP_EQUAL("stopped POST", body.c_str());
+}
+
 // Guards against a request that has arrived when the idle timeout of its connection ends.
 TEST(http_server, idleTimeoutKeepsConnectionsWithUnreadRequests)
 {
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -8,8 +8,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
@@ -84,6 +86,38 @@
   };
 };
 
+/// A full pipe in place of the standard output, so that a thread that writes to it is held up until
+/// the destructor.
+class unread_output
+{
+public:
+  unread_output() : mOutput(::dup(STDOUT_FILENO))
+  {
+    CHECK_EQUAL(0, ::pipe(mPipe.data()));
+    ::fcntl(mPipe[1], F_SETFL, O_NONBLOCK);
+    while (::write(mPipe[1], "", 1) > 0) {
+    }
+    ::fcntl(mPipe[1], F_SETFL, 0);
+    ::dup2(mPipe[1], STDOUT_FILENO);
+    ::close(mPipe[1]);
+  }
+  ~unread_output()
+  {
+    ::dup2(mOutput, STDOUT_FILENO);
+    ::close(mOutput);
+    std::array<char, 4096> skipped;
+    while (::read(mPipe[0], skipped.data(), skipped.size()) > 0) {
+    }
+    ::close(mPipe[0]);
+  }
+  unread_output(const unread_output&) = delete;
+  unread_output& operator=(const unread_output&) = delete;
+
+private:
+  const int mOutput;
+  std::array<int, 2> mPipe{};
+};
+
 std::uint16_t unusedPort()
 {
   const edges::http_server server({}, [](auto, auto) {});
@@ -120,7 +154,8 @@
     delete store;
   }
 
-  void startFollower(double aCores = 1.0, std::chrono::seconds aRetention = std::chrono::minutes(5))
+  void startFollower(double aCores = 1.0, std::chrono::seconds aRetention = std::chrono::minutes(5),
+                     milliseconds aShutdownPeriod = milliseconds(6000))
   {
     port = unusedPort();
     peerPort = unusedPort();
@@ -132,6 +167,7 @@
                       .mPeerPort = peerPort,
                       .mStoreAddress = "127.0.0.1:" + std::to_string(store->mServer.port()),
                       .mAdviceAddress = owner->address(),
+                      .mShutdownPeriod = aShutdownPeriod,
                       .mRecordRetention = aRetention,
                       .mCores = aCores });
     follower->start([this] { stopped = true; });
@@ -263,6 +299,38 @@
   CHECK_EQUAL(0, unanswered);
 }
 
+// Guards against requests whose connections end without an answer because the event loop is held up
+// when the daemon is stopped.
+TEST(cell_node, aStopAnswersRequestsThatTheLoopHasNotReached)
+{
+  constexpr milliseconds kShutdownPeriod{ 2000 };
+  delete std::exchange(follower, nullptr);
+  startFollower(1.0, std::chrono::minutes(5), kShutdownPeriod);
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  const auto stopping = std::chrono::steady_clock::now();
+  edges::raw_client get(port);
+  edges::raw_client post(port);
+  {
+    const unread_output output;
+    // The loop writes its log in each pass that has rejected a request.
+    edges::raw_client first(port);
+    first.send(edges::getRequest("/none"));
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(get.send(edges::getRequest("/r/00000000000000aa")));
+    CHECK(post.send(edges::postRequest("/r/00000000000000aa", "{}")));
+    std::this_thread::sleep_for(milliseconds(100));
+    follower->stop();
+    get.receiveAnswer();
+    post.receiveAnswer();
+    CHECK(std::chrono::steady_clock::now() - stopping < kShutdownPeriod);
+    CHECK_FALSE(stopped);
+  }
+  CHECK(waitUntil([this] { return stopped.load(); }));
+  LONGS_EQUAL(503, get.status());
+  CHECK(get.mHead.find("Retry-After: ") != std::string::npos);
+  LONGS_EQUAL(504, post.status());
+}
+
 // Guards against a call for advice whose caller gives up before it is told that the service does
 // not answer, and then takes the daemon that made the call as unresponsive.
 TEST(cell_node, anAdviceCallIsAnsweredBeforeItsTimeout)
