Check in the soak why a job is shown as failed

Cause: the soak reported each job that was shown as failed and not cancelled, and ran with so many attempts that none fails for a reason. Change: a job may be shown as failed, cancelled or not, only if max_attempts runs of a task, or of a gang, have ended as failed at the targets, or if two targets have crashed while one of its tasks ran there. A run of a gang counts once; tasks that run until they are cancelled have no limit. Such a job counts as finished. Tests changed: none asked for less. A job that is shown as failed is reported as before unless the cause above holds.

--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -20,7 +20,7 @@
 from programs import Ports, Program, wait_until  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from store import Store  # noqa: E402
-from target import Target  # noqa: E402
+from target import ALONE, GANG, LONG_RUNNING, Target  # noqa: E402
 
 ZONES = ["a", "b"]
 TARGET_CPU_MILLI = 8000
@@ -277,8 +277,9 @@
         return job if job.accepted_at else None
 
     def _submit(self, job, route, work_ms, rng):
-        gang = int(job.steps[0].get("gang", False))
-        body = json.dumps({"spec": f"{work_ms}:{job.cpu_milli}:{gang}", "steps": job.steps,
+        step = job.steps[0]
+        kind = (GANG if step.get("gang") else LONG_RUNNING if step.get("long_running") else ALONE)
+        body = json.dumps({"spec": f"{work_ms}:{job.cpu_milli}:{kind}", "steps": job.steps,
                            **job.extra})
         rejections = 0
         for _ in range(SUBMIT_ATTEMPTS):
@@ -340,7 +341,9 @@
         self.checker.state_shown(job, state, daemon.name, sent)
         if state == "completed":
             self.checker.reported_completed(job)
-        elif state in ("failed", "cancelled") and not job.cancel_sent:
+        elif state == "failed":
+            self.checker.reported_failed(job, daemon.name)
+        elif state == "cancelled" and not job.cancel_sent:
             self.checker.report_violation(f"accepted but {state}: {job.name} at {daemon.name}")
         return state
 
@@ -380,12 +383,13 @@
                 )
 
     def unfinished(self):
-        """Returns the accepted jobs that have not been reported as completed."""
+        """Returns the accepted jobs that have not been reported as completed, or failed with cause."""
         left = []
         for job in self.checker.jobs():
             if job.accepted_at is None:
                 continue
-            if self._query_state(job, job.route, self.random.choice(self.daemons)) == "completed":
+            state = self._query_state(job, job.route, self.random.choice(self.daemons))
+            if state == "completed" or (state == "failed" and self.checker.may_fail(job)):
                 job.accepted_at = None
             else:
                 left.append(job.name)
--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -22,6 +22,8 @@
 # Time after which all daemons have read a record that one of them has shown the effect of.
 READ_LIMIT_S = 5.0
 ENDED_STATES = ("completed", "failed", "cancelled")
+# Number of targets that have crashed under a task from which its job may be given up.
+MIN_CRASHED_TARGETS = 2
 
 
 class Job:
@@ -48,7 +50,7 @@
 
 
 class Checker:
-    def __init__(self, seed, team_limit_cpu_milli):
+    def __init__(self, seed, team_limit_cpu_milli, max_attempts=50):
         self.violations = []
         self.starts = 0
         self.events = []  # What targets and faults did, for the trace of a violation.
@@ -59,6 +61,9 @@
         self._running = {}  # Targets that run a task, by task.
         self._done = set()
         self._acknowledged = set()
+        self._max_attempts = max_attempts
+        self._failed_runs = {}  # Numbers of the runs that ended as failed, by task.
+        self._crashed_targets = {}  # Targets that crashed while they ran the task, by task.
         self._run_since = {}  # Time of the last start, by task.
         self._run_on = set()  # Tasks that were reported to run on after a cancellation.
         self._faults = 0
@@ -145,10 +150,15 @@
             self._running.get(task, set()).discard(target)
             if how == "done":
                 self._done.add(task)
+            elif how == "failed":
+                self._failed_runs.setdefault(task, set()).add(number)
 
-    def run_lost(self, target, task, _number):
+    def run_lost(self, target, task, number):
+        """The target has crashed and ran the task."""
+        self.note(f"{target} lost {task} run {number}")
         with self._lock:
             self._running.get(task, set()).discard(target)
+            self._crashed_targets.setdefault(task, set()).add(target)
 
     def end_acknowledged(self, task, how):
         with self._lock:
@@ -215,6 +225,42 @@
                     f"{job.name}"
                 )
 
+    def may_fail(self, job):
+        """Whether a task or gang of the job has used up its attempts, or targets have crashed under
+        one of its tasks."""
+        with self._lock:
+            return any(
+                len(runs) >= self._max_attempts for runs in self._attempts(job)
+            ) or any(
+                task.startswith(f"{job.name}.") and len(targets) >= MIN_CRASHED_TARGETS
+                for task, targets in self._crashed_targets.items()
+            )
+
+    def _attempts(self, job):
+        """Yields the failed runs of each task, or gang, with a limit of attempts."""
+        gangs = {}
+        for task, runs in self._failed_runs.items():
+            name, occurrence, number, _ = task.split(".")
+            if name != job.name or job.steps[int(number)].get("long_running"):
+                continue
+            if job.steps[int(number)].get("gang"):
+                # A run in which several members fail is one attempt.
+                gangs.setdefault((occurrence, number), set()).update(runs)
+            else:
+                yield runs
+        yield from gangs.values()
+
+    def reported_failed(self, job, daemon):
+        if not self.may_fail(job):
+            with self._lock:
+                failed = sorted(
+                    (task, sorted(runs)) for task, runs in self._failed_runs.items()
+                    if task.startswith(f"{job.name}.")
+                )
+                self._report_violation(
+                    f"shown as failed with attempts left: {job.name} at {daemon}, failed {failed}"
+                )
+
     def has_ended(self, job):
         """Whether a target has ended each task of the job as done."""
         with self._lock:
--- a/tests/platform_soak/journal_model.py
+++ b/tests/platform_soak/journal_model.py
@@ -65,9 +65,22 @@
         self.run, self.failures, self.done, self.target = run, failures, done, target
 
 
+class Gang:
+    """Number of the runs of a step, if it is a gang, in which a member failed, and the last one."""
+
+    def __init__(self, failures=0, last_failed=0):
+        self.failures, self.last_failed = failures, last_failed
+        self._failed = set()
+
+    def fail(self, run):
+        self._failed.add(run)
+        self.failures, self.last_failed = len(self._failed), max(self._failed)
+
+
 class JobState:
     def __init__(self, spec, phase=ACTIVE):
         self.steps = [(step[0], step[7]) for step in spec[4]]  # Count, whether a gang.
+        self.gangs = {}  # By occurrence and step; those without a failed run may be missing.
         self.phase, self.ended_at = phase, None
         self.tasks = {}  # By occurrence, step and index; those without a run may be missing.
         self._left = max(1, spec[7])  # Occurrences that are not complete.
@@ -95,7 +108,10 @@
         if task is None or task.run != run or task.target is None:
             return
         task.target = None
-        task.failures += outcome == RUN_FAILED
+        if outcome == RUN_FAILED:
+            task.failures += 1
+            if self.steps[key[1]][1]:
+                self.gangs.setdefault(key[:2], Gang()).fail(run)
         if outcome != RUN_DONE:
             return
         complete = self._complete(key[0])
@@ -162,6 +178,8 @@
         job = fold.jobs[spec[0]] = JobState(spec, phase)
         for occurrence, steps in occurrences:
             for number, step in enumerate(steps):
+                # Elements from the third on are left out if all of them are empty.
+                job.gangs[occurrence, number] = Gang(step[0], step[4] if len(step) > 4 else 0)
                 for index, (run, failures, done, _, *opened) in enumerate(step[1]):
                     target = opened[0] if opened else None
                     job.tasks[occurrence, number, index] = Task(run, failures, done, target)
@@ -179,6 +197,12 @@
     compact = job.phase != ACTIVE and not job.steps
     if not compact and job.steps != now.steps:
         yield f"steps are {job.steps}, not {now.steps}"
+    for key in sorted(before.gangs.keys() | job.gangs.keys()) if not compact else []:
+        low, gang, high = (one.gangs.get(key, Gang()) for one in (before, job, now))
+        for field in ("failures", "last_failed"):
+            least, value, most = (getattr(one, field) for one in (low, gang, high))
+            if not least <= value <= most:
+                yield f"gang {key} {field} is {value}, not from {least} to {most}"
     for key in sorted(before.tasks.keys() | job.tasks.keys()):
         low, task, high = (one.tasks.get(key, Task()) for one in (before, job, now))
         if compact:
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -7,6 +7,10 @@
 from http_service import HttpService, NoAnswer, json_answer
 
 MAX_LEASE_MS = 6000
+# Time after which a long-running task fails on a target that fails tasks.
+LONG_RUNNING_FAILURE_S = 0.5
+# Kinds of tasks in their payloads.
+ALONE, GANG, LONG_RUNNING = range(3)
 # Range of the time after which a late order is carried out, whichever incarnation there is then.
 LATE_S = (2, 12)
 # Answers of a target that has not carried out a start: status and body.
@@ -18,11 +22,11 @@
 
 
 class Run:
-    def __init__(self, number, ends_at, cpu_milli, gang):
+    def __init__(self, number, ends_at, cpu_milli, kind):
         self.number = number
         self.ends_at = ends_at  # time.monotonic()
         self.cpu_milli = cpu_milli
-        self.gang = gang
+        self.kind = kind
 
 
 class Target:
@@ -131,11 +135,18 @@
                 for task, run in list(self._runs.items()):
                     if self._lease_until_ms <= now:
                         self._end(task, "lapsed")
-                    elif run.ends_at <= time.monotonic():
-                        # The members of a gang must end together, but the stand-ins do not
-                        # communicate, so no member fails.
-                        failed = self.fails_tasks and not run.gang
-                        self._end(task, "failed" if failed else "done")
+                    elif how := self._own_end(run):
+                        self._end(task, how)
+
+    def _own_end(self, run):
+        """Returns how a run with a lease ends now, None if it runs on."""
+        if run.ends_at > time.monotonic():
+            return None
+        # The members of a gang must end together, but the stand-ins do not communicate, so no
+        # member fails.
+        if self.fails_tasks and run.kind != GANG:
+            return "failed"
+        return None if run.kind == LONG_RUNNING else "done"
 
     def _end(self, task, how):
         run = self._runs.pop(task)
@@ -226,9 +237,9 @@
             return self._answer(200)
         if running is not None or number <= self._last_runs.get(task, 0):
             return self._answer(409, reason="old")
-        work_ms, cpu_milli, gang = (int(part) for part in fields["spec"].split(":"))
-        ends_at = time.monotonic() + work_ms / 1000
-        self._runs[task] = Run(number, ends_at, cpu_milli, bool(gang))
+        work_ms, cpu_milli, kind = (int(part) for part in fields["spec"].split(":"))
+        work_s = LONG_RUNNING_FAILURE_S if kind == LONG_RUNNING else work_ms / 1000
+        self._runs[task] = Run(number, time.monotonic() + work_s, cpu_milli, kind)
         used = sum(run.cpu_milli for run in self._runs.values())
         self._checker.run_started(self.name, task, number, used, self._permitted_cpu_milli())
         return self._answer(200)
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -213,6 +213,76 @@
         self.checker.finish()
         self.assertEqual([], self.checker.violations)
 
+    def fail_runs(self, runs, indexes=(0,), step=None):
+        """Reports the job as failed after these runs of these tasks have failed."""
+        self.checker = Checker(1, team_limit_cpu_milli=100000, max_attempts=3)
+        steps = [{"count": 4, "cpu": 500, **(step or {})}]
+        self.job = Job("j", "red", steps, 500)
+        self.checker.submitted(self.job)
+        for run in runs:
+            for index in indexes:
+                self.checker.run_started("t1", f"j.0.0.{index}", run, 500, 8000)
+                self.checker.run_ended("t1", f"j.0.0.{index}", run, "failed")
+        self.checker.reported_failed(self.job, "d0")
+
+    def test_a_job_that_is_failed_with_attempts_left(self):
+        self.fail_runs([1, 2])
+        self.assert_reports("shown as failed with attempts left: j at d0")
+        self.assertIn("('j.0.0.0', [1, 2])", self.checker.violations[0])
+
+    def test_a_job_that_is_failed_after_the_last_attempt_is_clean(self):
+        self.fail_runs([1, 2, 3])
+        self.assertEqual([], self.checker.violations)
+
+    def test_failures_of_different_tasks_do_not_add_up(self):
+        self.fail_runs([1, 2], indexes=range(4))
+        self.assert_reports("attempts left")
+
+    def test_only_failures_use_up_attempts(self):
+        for how in ("lapsed", "broken", "alone", "stopped", "done"):
+            self.fail_runs([1, 2])
+            self.checker.violations.clear()
+            self.checker.run_ended("t1", "j.0.0.0", 3, how)
+            self.checker.reported_failed(self.job, "d0")
+            self.assert_reports("attempts left")
+
+    def test_a_run_of_a_gang_counts_once(self):
+        self.fail_runs([1, 2], indexes=range(4), step={"gang": True})
+        self.assert_reports("attempts left")
+        self.checker.violations.clear()
+        self.checker.run_ended("t2", "j.0.0.2", 3, "failed")
+        self.checker.reported_failed(self.job, "d0")
+        self.assertEqual([], self.checker.violations)
+
+    def test_a_long_running_task_has_no_limit_of_attempts(self):
+        self.fail_runs(range(1, 9), step={"long_running": True})
+        self.assert_reports("attempts left")
+
+    def test_failures_of_other_jobs_do_not_count(self):
+        self.fail_runs([1, 2, 3])
+        other = Job("k", "red", [{"count": 1, "cpu": 500}], 500)
+        self.checker.submitted(other)
+        self.checker.reported_failed(other, "d0")
+        self.assert_reports("attempts left: k at d0")
+
+    def test_a_job_under_which_two_targets_have_crashed_may_be_given_up(self):
+        self.fail_runs([])
+        self.checker.violations.clear()
+        for target, violations in [("t1", 1), ("t1", 2), ("t2", 2)]:
+            self.checker.run_started(target, "j.0.0.0", 1, 500, 8000)
+            self.checker.run_lost(target, "j.0.0.0", 1)
+            self.checker.reported_failed(self.job, "d0")
+            self.assertEqual(violations, len(self.checker.violations))
+
+    def test_crashes_under_different_tasks_do_not_add_up(self):
+        self.fail_runs([])
+        self.checker.violations.clear()
+        for index in (0, 1):
+            self.checker.run_started(f"t{index}", f"j.0.0.{index}", 1, 500, 8000)
+            self.checker.run_lost(f"t{index}", f"j.0.0.{index}", 1)
+        self.checker.reported_failed(self.job, "d0")
+        self.assert_reports("attempts left")
+
     def test_an_end_that_is_taken_back(self):
         for first, later in [("cancelled", "completed"), ("completed", "cancelled"),
                              ("cancelled", "running")]:
@@ -308,6 +378,24 @@
         self.query(200, "cancelled")
         self.assert_reports("accepted but cancelled: j at d")
 
+    def test_a_job_that_is_shown_as_failed_with_attempts_left(self):
+        for cancel_sent in (False, True):
+            self.cell.checker.violations.clear()
+            self.job.cancel_sent = cancel_sent
+            self.query(200, "failed")
+            self.assert_reports("shown as failed with attempts left: j at d")
+
+    def test_a_job_that_failed_with_cause_is_finished(self):
+        self.job.accepted_at = time.monotonic()
+        self.cell.random = types.SimpleNamespace(choice=lambda some: some[0])
+        self.answer = lambda *_: json_answer(200, state="failed")
+        self.assertEqual(["j"], self.cell.unfinished())
+        self.assertEqual(1, len(self.cell.checker.violations))
+        for run in range(50):
+            self.cell.checker.run_ended("t", "j.0.0.0", run, "failed")
+        self.assertEqual([], self.cell.unfinished())
+        self.assertEqual(1, len(self.cell.checker.violations))
+
     def test_a_cancellation_is_repeated_until_it_is_confirmed(self):
         answers = [json_answer(503), json_answer(504), json_answer(200, state="cancelled")]
         self.answer = lambda *_: answers.pop(0)
@@ -347,11 +435,12 @@
     return [journal_model.ENDED, 1, 0, 0, index, run, outcome, ""]
 
 
-def job(*tasks, phase=journal_model.ACTIVE, gang=False):
+def job(*tasks, phase=journal_model.ACTIVE, gang=False, failed_runs=0, last_failed=0):
     """A job with one step in a snapshot; a task is run, failures, done, and the target if open."""
     rows = [[run, failures, done, "", *([target[0], 1000] if target else [])]
             for run, failures, done, *target in tasks]
-    occurrences = [[0, [[0, rows]]]]
+    details = [[], [], last_failed, []] if last_failed else []
+    occurrences = [[0, [[failed_runs, rows, *details]]]]
     steps = spec(count=len(tasks), gang=gang)
     return [journal_model.SNAPSHOT, [steps, phase, True, 0, occurrences]]
 
@@ -488,6 +577,40 @@
         self.part([ended_job()], base=5)
         self.assertEqual([], self.reports)
 
+    def compare_gang(self, failed_runs, last_failed):
+        """Of a gang of two, both members failed in run 1, and one in run 2."""
+        failed = journal_model.RUN_FAILED
+        journal = [
+            submitted(gang=True), started(0), started(1), ended(0, outcome=failed),
+            ended(1, outcome=failed), started(0, run=2), started(1, run=2),
+            ended(1, run=2, outcome=failed), ended(0, run=2, outcome=2),
+        ]
+        snapshot = job((2, 1, False), (2, 2, False), gang=True, failed_runs=failed_runs,
+                       last_failed=last_failed)
+        self.compare(snapshot, base=len(journal), journal=journal)
+
+    def test_a_failed_run_of_a_gang_counts_once(self):
+        self.compare_gang(failed_runs=2, last_failed=2)
+        self.assertEqual([], self.reports)
+
+    def test_a_gang_whose_failed_members_were_counted(self):
+        self.compare_gang(failed_runs=3, last_failed=2)
+        self.assert_reports("gang (0, 0) failures is 3, not from 2 to 2")
+
+    def test_a_gang_whose_failed_run_is_lost(self):
+        self.compare_gang(failed_runs=1, last_failed=1)
+        self.assertEqual(2, len(self.reports), self.reports)
+        self.assertIn("gang (0, 0) failures is 1, not from 2 to 2", self.reports[0])
+        self.assertIn("gang (0, 0) last_failed is 1, not from 2 to 2", self.reports[1])
+
+    def test_a_gang_whose_last_failed_run_is_not_kept(self):
+        self.compare_gang(failed_runs=2, last_failed=0)
+        self.assert_reports("gang (0, 0) last_failed is 0, not from 2 to 2")
+
+    def test_a_step_that_is_no_gang_has_no_failed_runs_of_one(self):
+        self.compare(job((1, 0, True), (2, 1, False, "t2"), failed_runs=1))
+        self.assert_reports("gang (0, 0) failures is 1, not from 0 to 0")
+
     def test_an_ended_job_that_has_an_open_run(self):
         for end in ([journal_model.CANCELLED, 1], [journal_model.ABANDONED, 1]):
             self.setUp()
@@ -712,6 +835,30 @@
         finally:
             target.close()
 
+    def make_target(self, number=0, **options):
+        """Returns a target and its checker, which knows a job of four tasks."""
+        checker = Checker(1, team_limit_cpu_milli=100000)
+        checker.submitted(Job("j", "red", [{"count": 4, "cpu": 500}], 500))
+        store = types.SimpleNamespace(down=True, has_start=lambda *_: True)
+        port = Ports(os.getpid() * 41 + number).take()
+        target = Target("t", port, "a", 8000, store, checker, **options)
+        self.addCleanup(target.close)
+        return target, checker
+
+    def end_of(self, seconds, fails_tasks):
+        """Returns how a long-running task of 10 ms has ended after a time; None if it runs."""
+        target, _ = self.make_target()
+        target.fails_tasks = fails_tasks
+        spec = f"10:500:{target_module.LONG_RUNNING}"
+        self.order(target, "/run-start", task="j.0.0.0", run=1, spec=spec, deadline_ms=6000)
+        time.sleep(seconds)
+        return target._ends[0][3] if target._ends else None
+
+    def test_a_long_running_task_ends_only_by_a_failure(self):
+        limit_s = target_module.LONG_RUNNING_FAILURE_S
+        self.assertIsNone(self.end_of(limit_s + 0.2, fails_tasks=False))
+        self.assertEqual("failed", self.end_of(limit_s + 0.2, fails_tasks=True))
+
     def capacities_after_shrinking(self, grace_s):
         """Shrinks a target from 8000 to 1000 between two starts; returns the capacities reported."""
         checker = Checker(1, team_limit_cpu_milli=4000)
