Let members of gangs fail together in the soak

Cause: members of a gang never failed at the stand-ins, which did not communicate, so that no run could show how a run with several failed members counts. Change: all targets share the ends of the gangs' runs. A job then has three attempts.

--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -20,7 +20,7 @@
 from programs import Ports, Program, wait_until  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from store import Store  # noqa: E402
-from target import ALONE, GANG, LONG_RUNNING, Target  # noqa: E402
+from target import ALONE, GANG, LONG_RUNNING, GangRuns, Target  # noqa: E402
 
 ZONES = ["a", "b"]
 TARGET_CPU_MILLI = 8000
@@ -112,12 +112,14 @@
 
 
 class Cell:
-    def __init__(self, seed, daemons=4, targets=6):
+    def __init__(self, seed, daemons=4, targets=6, max_attempts=50):
         self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         ports = Ports(os.getpid() * 37)
         store_port = ports.take()
-        self.checker = Checker(seed, TEAM_LIMIT_CPU_MILLI)
+        self._max_attempts = max_attempts
+        self.checker = Checker(seed, TEAM_LIMIT_CPU_MILLI, max_attempts)
+        self.gangs = GangRuns(self.checker)
         self.store = Store(store_port, seed, self.checker.report_violation)
         self.version = 0
         self.spare_key_revoked_at = None
@@ -127,7 +129,9 @@
         for number in range(targets):
             port = ports.take()
             zone = ZONES[number % len(ZONES)]
-            target = Target(f"t{number}", port, zone, TARGET_CPU_MILLI, self.store, self.checker)
+            target = Target(
+                f"t{number}", port, zone, TARGET_CPU_MILLI, self.store, self.checker, self.gangs
+            )
             proxy = Proxy(ports.take(), ("127.0.0.1", port), seed * targets + number)
             target.registry_address = proxy.address
             self.targets.append(target)
@@ -146,7 +150,8 @@
         keys = {"red": ["kred"], "blue": ["kblue"]}
         if self.spare_key_revoked_at is None:
             keys["red"].append("kspare")
-        route = {"host": "h", "service": "pool", "max_attempts": 50, "stretch": 3.0, "slo_ms": 500}
+        route = {"host": "h", "service": "pool", "max_attempts": self._max_attempts,
+                 "stretch": 3.0, "slo_ms": 500}
         config = {
             "version": self.version,
             "routes": [
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -22,8 +22,10 @@
 ONLY_IF_NAMED = {
     "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
     "target_late_any", "target_rejects", "journal_reads", "journal_appends", "journal_blind",
-    "operator_reads", "registry_reads",
+    "operator_reads", "registry_reads", "gang_fails",
 }
+# Kinds in whose runs a job has few attempts.
+FEW_ATTEMPTS, MAX_ATTEMPTS = {"gang_fails"}, 3
 # Kinds beside which the bounds hold that are counted without a fault.
 CALM = {"evacuate", "revoke", "quota", "target_drains"}
 # Share of the faults of one daemon's requests to the store that hit the owner.
@@ -179,6 +181,7 @@
             target(), seconds(), rejection_probability=rng.uniform(0.1, 0.6)
         ),
         "target_fails": lambda: toggled(target(), seconds(), fails_tasks=True),
+        "gang_fails": lambda: toggled(cell.gangs, rng.uniform(1, 4), failing=True),
         "target_shrinks": shrink,
         "target_drains": lambda: toggled(target(), seconds(), draining=True),
         "evacuate": evacuate,
@@ -240,7 +243,7 @@
 
 def run(seed, seconds, names):
     """Returns whether the run violated no guarantee."""
-    cell = Cell(seed)
+    cell = Cell(seed, max_attempts=MAX_ATTEMPTS if FEW_ATTEMPTS & set(names) else 50)
     try:
         cell.wait_until_ready()
         cell.start_clients(CLIENTS)
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -11,6 +11,8 @@
 LONG_RUNNING_FAILURE_S = 0.5
 # Kinds of tasks in their payloads.
 ALONE, GANG, LONG_RUNNING = range(3)
+# Share of the gangs' runs that fail while gangs fail, and of the members that then fail themselves.
+FAILED_RUNS_SHARE, FAILED_MEMBERS_SHARE = 0.7, 0.7
 # Range of the time after which a late order is carried out, whichever incarnation there is then.
 LATE_S = (2, 12)
 # Answers of a target that has not carried out a start: status and body.
@@ -29,10 +31,33 @@
         self.kind = kind
 
 
+class GangRuns:
+    """The ends of the gangs' runs, shared by all targets: the members of a run end as done, or
+    several of them fail at once and break the others."""
+
+    def __init__(self, checker):
+        self.failing = False  # Most runs whose first member would end as done fail.
+        self._checker = checker
+        self._lock = threading.Lock()
+        self._failed = {}  # Whether the run failed, by gang and run.
+
+    def end(self, task, number, is_due):
+        """Returns how a member ends now, None if it runs on."""
+        run = (task.rsplit(".", 1)[0], number)
+        with self._lock:
+            if run not in self._failed and is_due:
+                self._failed[run] = self.failing and self._checker.chance(FAILED_RUNS_SHARE)
+                if self._failed[run]:
+                    return "failed"
+            if self._failed.get(run):
+                return "failed" if self._checker.chance(FAILED_MEMBERS_SHARE) else "broken"
+            return "done" if is_due else None
+
+
 class Target:
     """Does not enforce its capacity: every start is carried out and reported to the checker."""
 
-    def __init__(self, name, port, zone, cpu_milli, store, checker):
+    def __init__(self, name, port, zone, cpu_milli, store, checker, gangs=None):
         self.name, self.zone, self.cpu_milli = name, zone, cpu_milli
         self.address = f"127.0.0.1:{port}"
         self.registry_address = self.address  # That of the proxy, if there is one.
@@ -48,6 +73,7 @@
         self._former = []  # Former capacities and the time until which starts may count on each.
         self._stated_cpu_milli = cpu_milli  # In the entry that was written last.
         self._store, self._checker = store, checker
+        self._gangs = gangs or GangRuns(checker)
         self._lock = threading.Condition()
         self._stop = threading.Event()
         self._crashed = False
@@ -135,16 +161,17 @@
                 for task, run in list(self._runs.items()):
                     if self._lease_until_ms <= now:
                         self._end(task, "lapsed")
-                    elif how := self._own_end(run):
+                    elif how := self._own_end(task, run):
                         self._end(task, how)
 
-    def _own_end(self, run):
+    def _own_end(self, task, run):
         """Returns how a run with a lease ends now, None if it runs on."""
-        if run.ends_at > time.monotonic():
+        is_due = run.ends_at <= time.monotonic()
+        if run.kind == GANG:
+            return self._gangs.end(task, run.number, is_due)
+        if not is_due:
             return None
-        # The members of a gang must end together, but the stand-ins do not communicate, so no
-        # member fails.
-        if self.fails_tasks and run.kind != GANG:
+        if self.fails_tasks:
             return "failed"
         return None if run.kind == LONG_RUNNING else "done"
 
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -51,6 +51,9 @@
 # An owner that goes on without the bound of its view's age starts tasks of cancelled jobs.
 BLIND_OWNER = ["journal_blind"]
 BLIND_OWNER_SEEDS = [9322]
+# Each failed member of a gang counted as an attempt.
+FAILED_GANGS = ["gang_fails"]
+FAILED_GANGS_SEEDS = [9401]
 
 
 class PlatformSoak(unittest.TestCase):
@@ -74,6 +77,10 @@
         for seed in BLIND_OWNER_SEEDS:
             self.assertTrue(soak.run(seed, RUN_S, BLIND_OWNER), f"seed {seed}")
 
+    def test_short_runs_with_failed_gangs_violate_no_guarantee(self):
+        for seed in FAILED_GANGS_SEEDS:
+            self.assertTrue(soak.run(seed, RUN_S, FAILED_GANGS), f"seed {seed}")
+
 
 class SoakChecker(unittest.TestCase):
     """Guards against a checker that misses violations: each kind must be reported."""
@@ -859,6 +866,24 @@
         self.assertIsNone(self.end_of(limit_s + 0.2, fails_tasks=False))
         self.assertEqual("failed", self.end_of(limit_s + 0.2, fails_tasks=True))
 
+    def test_the_members_of_a_gang_fail_at_several_targets_at_once(self):
+        gangs = target_module.GangRuns(Checker(1, team_limit_cpu_milli=100000))
+        targets = [self.make_target(number, gangs=gangs)[0] for number in range(4)]
+        for run, failing in [(1, True), (2, False)]:
+            gangs.failing = failing
+            with unittest.mock.patch.object(target_module, "FAILED_RUNS_SHARE", 1.0):
+                for index, target in enumerate(targets):
+                    spec = f"{[200, 5000][failing and index > 0]}:500:{target_module.GANG}"
+                    self.order(target, "/run-start", task=f"j.0.0.{index}", run=run, spec=spec,
+                               deadline_ms=6000)
+                time.sleep(0.6)
+            ends = [target._ends[-1][2:4] for target in targets]
+            if failing:
+                self.assertTrue(all(end in ([1, "failed"], [1, "broken"]) for end in ends), ends)
+                self.assertGreater(ends.count([1, "failed"]), 1, ends)
+            else:
+                self.assertEqual([[2, "done"]] * 4, ends)
+
     def capacities_after_shrinking(self, grace_s):
         """Shrinks a target from 8000 to 1000 between two starts; returns the capacities reported."""
         checker = Checker(1, team_limit_cpu_milli=4000)
