Let targets restart and be cut off soon after in the soak

Cause: the daemons and targets of the soak had bounds.hold_max_ms of 6 s, so that the owner's lease of 7 s and the longest lease did not differ; the targets' clocks showed seconds only, so that a call for a former life stated no time far ahead; and no fault let an owner change between the restart of a target and its loss. Change: target_recut, only if named. The targets of a zone crash, restart under their ids 0.15 to 0.6 s later, carry out heartbeats that were held back before the restart (their leases are cut to the longest one, from the arrival on the new clock), and are cut off 0.7 to 1.5 s after it for over 10 s; the owner is killed before that in 0.8 of the cases. Two jobs run tasks of 12 s, three of which fill a target: each order to a target that is cut off makes its owner wait longer, and hides the fault. hold_max is 10 s in these runs, and the time for which a cancelled task may run on in any state of the cell follows it (6 s and hold_max; 12 s as before otherwise).

--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -24,6 +24,9 @@
 
 ZONES = ["a", "b"]
 TARGET_CPU_MILLI = 8000
+# Time on the clocks of the first incarnations. Those of later ones begin at 0, so that orders to a
+# former one state a time that is far ahead.
+TARGET_UP_S = 3600
 TEAM_LIMIT_CPU_MILLI = 24000
 # Time within which a revoked key must stop being accepted.
 REVOCATION_LIMIT_S = 5.0
@@ -50,7 +53,7 @@
 
 
 class Daemon:
-    def __init__(self, name, zone, folder, ports, store_port):
+    def __init__(self, name, zone, folder, ports, store_port, hold_max_ms):
         self.name = name
         self.address = f"127.0.0.1:{ports.take()}"
         self.store = Proxy(ports.take(), ("127.0.0.1", store_port))
@@ -58,7 +61,7 @@
         self._settings.write_text(
             f"node={name}\nzone={zone}\nip=127.0.0.1\nlisten.front={self.address}\n"
             f"listen.readiness=127.0.0.1:{ports.take()}\nport_range={ports.take()},0\n"
-            f"platform.addr={self.store.address}\nbounds.hold_max_ms=6000\n"
+            f"platform.addr={self.store.address}\nbounds.hold_max_ms={hold_max_ms}\n"
             f"bounds.revoke_ms={int(REVOCATION_LIMIT_S * 1000)}\n"
             f"bounds.grace_s=6\nbounds.status_s={STATUS_RETENTION_S}\n"
             f"platform.keep_s={RECORD_RETENTION_S}\n"
@@ -112,14 +115,15 @@
 
 
 class Cell:
-    def __init__(self, seed, daemons=4, targets=6, max_attempts=50):
+    def __init__(self, seed, daemons=4, targets=6, max_attempts=50, hold_max_ms=6000):
         self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         ports = Ports(os.getpid() * 37)
         store_port = ports.take()
         self._max_attempts = max_attempts
-        self.checker = Checker(seed, TEAM_LIMIT_CPU_MILLI, max_attempts)
+        self.checker = Checker(seed, TEAM_LIMIT_CPU_MILLI, max_attempts, hold_max_ms / 1000)
         self.gangs = GangRuns(self.checker)
+        self.recut = None  # The fault that restarts targets and cuts them off, while it lasts.
         self.store = Store(store_port, seed, self.checker.report_violation)
         self.version = 0
         self.spare_key_revoked_at = None
@@ -130,14 +134,16 @@
             port = ports.take()
             zone = ZONES[number % len(ZONES)]
             target = Target(
-                f"t{number}", port, zone, TARGET_CPU_MILLI, self.store, self.checker, self.gangs
+                f"t{number}", port, zone, TARGET_CPU_MILLI, self.store, self.checker, self.gangs,
+                hold_max_ms, TARGET_UP_S,
             )
             proxy = Proxy(ports.take(), ("127.0.0.1", port), seed * targets + number)
             target.registry_address = proxy.address
             self.targets.append(target)
             self.target_proxies.append(proxy)
         self.daemons = [
-            Daemon(f"d{number}", ZONES[number % len(ZONES)], self.folder, ports, store_port)
+            Daemon(f"d{number}", ZONES[number % len(ZONES)], self.folder, ports, store_port,
+                   hold_max_ms)
             for number in range(daemons)
         ]
         self._stop = threading.Event()
@@ -281,6 +287,13 @@
         self._submit(job, "b", 100, self.random)
         return job if job.accepted_at else None
 
+    def submit_long(self, team, count, cpu_milli, work_ms, rng):
+        """Submits an urgent job that nobody cancels."""
+        steps = [{"count": count, "cpu": cpu_milli, "mem_mb": 10, "estimate_ms": work_ms}]
+        job = Job(uuid.uuid4().hex[:16], team, steps, cpu_milli)
+        self.checker.submitted(job)
+        self._submit(job, "u", work_ms, rng)
+
     def _submit(self, job, route, work_ms, rng):
         step = job.steps[0]
         kind = (GANG if step.get("gang") else LONG_RUNNING if step.get("long_running") else ALONE)
@@ -388,7 +401,7 @@
                 )
 
     def unfinished(self):
-        """Returns the accepted jobs that have not been reported as completed, or failed with cause."""
+        """Returns the accepted jobs that are not reported as completed, or as failed with cause."""
         left = []
         for job in self.checker.jobs():
             if job.accepted_at is None:
--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -15,10 +15,10 @@
 # Time after the end of a fault from which such bounds hold: bounds.contact_ms.
 CONTACT_S = 3.0
 # Time after a job's cancellation was confirmed from which none of its tasks runs, in any state of
-# the cell: an owner acts on a view of at most 5 s (kMaxLimit in node/src/owner_view.cpp) until it
-# is lost (kLossPeriod, 0.5 s), the last order that it then sends is answered within 0.5 s, and the
-# lease that it renews ends after 6 s (bounds.hold_max_ms).
-RUN_LIMIT_S = 12.0
+# the cell, without the longest lease (bounds.hold_max_ms): an owner acts on a view of at most 5 s
+# (kMaxLimit in node/src/owner_view.cpp) until it is lost (kLossPeriod, 0.5 s), and the last order
+# that it then sends, which may renew a lease, is answered within 0.5 s.
+LAST_ORDER_S = 6.0
 # Time after which all daemons have read a record that one of them has shown the effect of.
 READ_LIMIT_S = 5.0
 ENDED_STATES = ("completed", "failed", "cancelled")
@@ -50,7 +50,8 @@
 
 
 class Checker:
-    def __init__(self, seed, team_limit_cpu_milli, max_attempts=50):
+    def __init__(self, seed, team_limit_cpu_milli, max_attempts=50, hold_max_s=6.0):
+        self.run_limit_s = LAST_ORDER_S + hold_max_s
         self.violations = []
         self.starts = 0
         self.events = []  # What targets and faults did, for the trace of a violation.
@@ -204,7 +205,7 @@
                     now - after, self._run_since[task], self._calm_since + CONTACT_S
                 )
                 in_touch = not self._faults and calm > CANCEL_LIMIT_S + STOP_LIMIT_S
-                if in_touch or after > RUN_LIMIT_S:
+                if in_touch or after > self.run_limit_s:
                     self._run_on.add(task)
                     self._report_violation(
                         f"runs on {after:.1f} s after its cancellation, in touch {in_touch}: "
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -7,9 +7,11 @@
 """
 
 import argparse
+import random
 import shutil
 import signal
 import sys
+import threading
 import time
 
 from cell import Cell, TARGET_CPU_MILLI, ZONES
@@ -22,10 +24,12 @@
 ONLY_IF_NAMED = {
     "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
     "target_late_any", "target_rejects", "journal_reads", "journal_appends", "journal_blind",
-    "operator_reads", "registry_reads", "gang_fails",
+    "operator_reads", "registry_reads", "gang_fails", "target_recut",
 }
-# Kinds in whose runs a job has few attempts.
+# Kinds in whose runs a job has few attempts, and in whose runs the longest lease
+# (bounds.hold_max_ms) exceeds the owner's of 7 s (kLease in node/src/cell_node_owner.cpp).
 FEW_ATTEMPTS, MAX_ATTEMPTS = {"gang_fails"}, 3
+LONG_HOLD, HOLD_MAX_MS = {"target_recut"}, 10000
 # Kinds beside which the bounds hold that are counted without a fault.
 CALM = {"evacuate", "revoke", "quota", "target_drains"}
 # Share of the faults of one daemon's requests to the store that hit the owner.
@@ -34,13 +38,101 @@
 # An owner turns cancellations away while an append has been unanswered for 1.5 s, and other daemons
 # then append them: time for which its appends have no answer, and of a cancellation in it.
 APPEND_SILENCE_S, CANCELLATION_AT_S = 3.0, 2.2
+# Tasks of the two jobs that run while targets restart and are cut off. They outlast the longest
+# lease, and three of them fill a target: an order to one that is cut off would make its owner wait
+# longer.
+LONG_TASKS, LONG_TASK_CPU_MILLI, LONG_WORK_MS = (1, 8), 2600, 12000
+# Time before a crash from which heartbeats may be held back: longer than one waits for an end.
+HELD_BACK_S = 1.0
 
 
 class Fault:
-    """A fault that starts with apply(); heal() is due `lasts_s` later."""
+    """A fault that starts with apply(); heal() is due `lasts_s` later, and each call of `later` the
+    time after apply() that stands before it."""
 
-    def __init__(self, lasts_s, apply, heal=lambda: None):
-        self.lasts_s, self.apply, self.heal = lasts_s, apply, heal
+    def __init__(self, lasts_s, apply, heal=lambda: None, later=()):
+        self.lasts_s, self.apply, self.heal, self.later = lasts_s, apply, heal, later
+
+
+class Recut:
+    """The targets of a zone restart under their ids after a short time dark, take heartbeats that
+    were meant for their former incarnations, and are cut off soon after for longer than the longest
+    lease. Between the two, the owner may be killed. Long tasks start before and after the restart.
+    Does nothing while another such fault lasts."""
+
+    def __init__(self, cell):
+        rng = cell.random
+        zone = rng.choice(ZONES)
+        self._cell, self._random = cell, random.Random(rng.random())
+        self._targets = [
+            (target, proxy) for target, proxy in zip(cell.targets, cell.target_proxies)
+            if target.zone == zone
+        ]
+        self._kills, self._held_back_probability = rng.random() < 0.8, rng.choice([0.3, 0.7])
+        self._submitters = []
+        crash_at = rng.uniform(1, 2)
+        restart_at = crash_at + rng.uniform(0.15, 0.6)
+        kill_at = restart_at + rng.uniform(0.5, 1.0)
+        cut_at = kill_at + rng.uniform(0.2, 0.5)
+        self._steps = [
+            (crash_at - HELD_BACK_S, self._hold_back), (crash_at - 0.1, self._submit),
+            (crash_at, self._crash), (restart_at, self._restart), (restart_at + 0.1, self._submit),
+            (kill_at, self._kill_owner), (cut_at, self._cut),
+        ]
+        self._lasts_s = cut_at + HOLD_MAX_MS / 1000 + rng.uniform(0.5, 2)
+
+    def fault(self):
+        def if_active(call):
+            return lambda: self._cell.recut is self and call()
+
+        steps = [(after_s, if_active(call)) for after_s, call in self._steps]
+        return Fault(self._lasts_s, self._begin, if_active(self._heal), steps)
+
+    def _begin(self):
+        if self._cell.recut is None:
+            self._cell.recut = self
+
+    def _hold_back(self):
+        for target, _ in self._targets:
+            target.held_back_probability = self._held_back_probability
+
+    def _submit(self):
+        number = len(self._submitters)
+        submitter = threading.Thread(
+            target=self._cell.submit_long,
+            args=(["red", "blue"][number], LONG_TASKS[number], LONG_TASK_CPU_MILLI, LONG_WORK_MS,
+                  self._random),
+        )
+        self._submitters.append(submitter)
+        submitter.start()
+
+    def _crash(self):
+        for target, _ in self._targets:
+            target.crash()
+
+    def _restart(self):
+        for target, _ in self._targets:
+            target.held_back_probability = 0.0
+            target.restart()
+
+    def _kill_owner(self):
+        owner = self._cell.owner()
+        if self._kills and owner is not None:
+            self._cell.checker.note(f"owner {owner.name} killed")
+            owner.restart(signal.SIGKILL)
+
+    def _cut(self):
+        self._cell.checker.note(f"cut off: {[target.name for target, _ in self._targets]}")
+        for _, proxy in self._targets:
+            proxy.drop_all = True
+
+    def _heal(self):
+        self._restart()
+        for _, proxy in self._targets:
+            proxy.drop_all = False
+        for submitter in self._submitters:
+            submitter.join()
+        self._cell.recut = None
 
 
 def set_fields(component, **fields):
@@ -182,6 +274,7 @@
         ),
         "target_fails": lambda: toggled(target(), seconds(), fails_tasks=True),
         "gang_fails": lambda: toggled(cell.gangs, rng.uniform(1, 4), failing=True),
+        "target_recut": lambda: Recut(cell).fault(),
         "target_shrinks": shrink,
         "target_drains": lambda: toggled(target(), seconds(), draining=True),
         "evacuate": evacuate,
@@ -193,7 +286,19 @@
 def inject_faults(cell, seconds, names):
     """Applies overlapping faults for a time, then heals all; returns their kinds."""
     makers = faults(cell)
-    applied, healing = [], []
+    applied, healing, later = [], [], []
+
+    def act_until(end):
+        """Waits until a time and makes the later calls of faults that are due meanwhile."""
+        while True:
+            for due, call in [one for one in later if one[0] <= time.monotonic()]:
+                call()
+                later.remove((due, call))
+            now = time.monotonic()
+            if now >= end:
+                return
+            time.sleep(max(0, min([end] + [due for due, _ in later]) - now))
+
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         name = cell.random.choice(names or sorted(set(makers) - ONLY_IF_NAMED))
@@ -202,9 +307,11 @@
         cell.checker.note(f"fault {name} for {fault.lasts_s:.1f} s")
         disturbs = name not in CALM
         cell.checker.fault_began(disturbs)
+        later.extend((time.monotonic() + after_s, call) for after_s, call in fault.later)
+        later.sort(key=lambda one: one[0])
         fault.apply()
         healing.append((time.monotonic() + fault.lasts_s, fault, disturbs))
-        time.sleep(cell.random.uniform(0.1, 1.5))
+        act_until(time.monotonic() + cell.random.uniform(0.1, 1.5))
         for due, active, disturbs in list(healing):
             if due <= time.monotonic():
                 cell.checker.note(f"fault healed that was due for {time.monotonic() - due:.1f} s")
@@ -243,7 +350,11 @@
 
 def run(seed, seconds, names):
     """Returns whether the run violated no guarantee."""
-    cell = Cell(seed, max_attempts=MAX_ATTEMPTS if FEW_ATTEMPTS & set(names) else 50)
+    cell = Cell(
+        seed,
+        max_attempts=MAX_ATTEMPTS if FEW_ATTEMPTS & set(names) else 50,
+        hold_max_ms=HOLD_MAX_MS if LONG_HOLD & set(names) else 6000,
+    )
     try:
         cell.wait_until_ready()
         cell.start_clients(CLIENTS)
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -57,7 +57,9 @@
 class Target:
     """Does not enforce its capacity: every start is carried out and reported to the checker."""
 
-    def __init__(self, name, port, zone, cpu_milli, store, checker, gangs=None):
+    def __init__(self, name, port, zone, cpu_milli, store, checker, gangs=None,
+                 max_lease_ms=MAX_LEASE_MS, up_s=0):
+        """The clock of its first incarnation shows that it has been up for up_s."""
         self.name, self.zone, self.cpu_milli = name, zone, cpu_milli
         self.address = f"127.0.0.1:{port}"
         self.registry_address = self.address  # That of the proxy, if there is one.
@@ -66,6 +68,10 @@
         self.late_probability = 0.0  # Of an order, which gets no answer and is carried out later.
         # Whether late orders may be carried out by an incarnation that has not got a start yet.
         self.late_to_any = False
+        # Of a heartbeat, which gets no answer; the next incarnation carries it out before any other
+        # call.
+        self.held_back_probability = 0.0
+        self._held_back = []
         self.fails_tasks = False
         self.unhealthy = False  # Starts are answered with 503 and not carried out.
         self.rejection_probability = 0.0  # Of a start, which is then not carried out.
@@ -73,11 +79,12 @@
         self._former = []  # Former capacities and the time until which starts may count on each.
         self._stated_cpu_milli = cpu_milli  # In the entry that was written last.
         self._store, self._checker = store, checker
-        self._gangs = gangs or GangRuns(checker)
+        self._gangs, self._max_lease_ms = gangs or GangRuns(checker), max_lease_ms
         self._lock = threading.Condition()
         self._stop = threading.Event()
         self._crashed = False
         self._start_incarnation()
+        self._started -= up_s
         self._service = HttpService(port, self._serve)
         loops = (self._publish_entry, self._run_tasks)
         self._threads = [threading.Thread(target=loop) for loop in loops]
@@ -107,6 +114,10 @@
                 self._start_incarnation()
                 self._crashed = False
                 self._checker.note(f"{self.name} restarted, born {self.born}")
+                held_back, self._held_back = self._held_back, []
+                for fields in held_back:
+                    self._checker.note(f"{self.name} carries out what was held back: {fields}")
+                    self._execute("/hold", {**fields, "wait_ms": 0})
 
     def _start_incarnation(self):
         self.born = int(time.time() * 1000)
@@ -184,9 +195,12 @@
         self._lock.notify_all()
 
     def _serve(self, method, path, query, body):
+        fields = json.loads(body or b"{}")
+        if path == "/hold" and self._checker.chance(self.held_back_probability):
+            self._held_back.append(fields)
+            raise NoAnswer()
         if self._crashed:
             raise NoAnswer()
-        fields = json.loads(body or b"{}")
         if path == "/run-start":
             self._check_stored(fields)
         if self.late_probability and self._checker.chance(self.late_probability):
@@ -251,7 +265,10 @@
         return json_answer(status, wall_clock_ms=self._clock_ms(), born=self.born, **fields)
 
     def _extend(self, fields):
-        until_ms = min(fields.get("deadline_ms", 0), self._clock_ms() + MAX_LEASE_MS)
+        longest_ms = self._clock_ms() + self._max_lease_ms
+        if fields.get("deadline_ms", 0) > longest_ms:
+            self._checker.note(f"{self.name} grants the longest lease")
+        until_ms = min(fields.get("deadline_ms", 0), longest_ms)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
 
     def _start(self, fields):
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -54,6 +54,9 @@
 # Each failed member of a gang counted as an attempt.
 FAILED_GANGS = ["gang_fails"]
 FAILED_GANGS_SEEDS = [9401]
+# The next owner did not know of the leases that a target had granted to orders to its former life.
+RECUT = ["target_recut"]
+RECUT_SEEDS = [9520]
 
 
 class PlatformSoak(unittest.TestCase):
@@ -81,6 +84,10 @@
         for seed in FAILED_GANGS_SEEDS:
             self.assertTrue(soak.run(seed, RUN_S, FAILED_GANGS), f"seed {seed}")
 
+    def test_short_runs_with_targets_that_restart_and_are_cut_off_violate_no_guarantee(self):
+        for seed in RECUT_SEEDS:
+            self.assertTrue(soak.run(seed, RUN_S, RECUT), f"seed {seed}")
+
 
 class SoakChecker(unittest.TestCase):
     """Guards against a checker that misses violations: each kind must be reported."""
@@ -201,7 +208,7 @@
 
     def test_a_task_may_run_on_near_a_fault_until_the_limit_for_any_state(self):
         self.run_for(0, 20)
-        self.cancel(ago=checker_module.RUN_LIMIT_S - 1)
+        self.cancel(ago=self.checker.run_limit_s - 1)
         self.checker.fault_began()
         self.checker.check_cancelled()
         self.checker.fault_ended()
@@ -220,6 +227,10 @@
         self.checker.finish()
         self.assertEqual([], self.checker.violations)
 
+    def test_a_longer_lease_permits_a_task_to_run_on_for_longer(self):
+        self.assertEqual(12.0, self.checker.run_limit_s)
+        self.assertEqual(16.0, Checker(1, 4000, hold_max_s=10.0).run_limit_s)
+
     def fail_runs(self, runs, indexes=(0,), step=None):
         """Reports the job as failed after these runs of these tasks have failed."""
         self.checker = Checker(1, team_limit_cpu_milli=100000, max_attempts=3)
@@ -852,6 +863,27 @@
         self.addCleanup(target.close)
         return target, checker
 
+    def hold_back(self, target):
+        target.held_back_probability = 1.0
+        with self.assertRaises(NoAnswer):
+            self.order(target, "/hold", acked_upto=7, fence=5, deadline_ms=3600000, wait_ms=1000)
+        target.held_back_probability = 0.0
+
+    def test_a_heartbeat_that_is_held_back_extends_the_leases_of_the_next_incarnation(self):
+        target, _ = self.make_target(max_lease_ms=10000, up_s=3600)
+        self.assertGreaterEqual(target._clock_ms(), 3600000)
+        self.hold_back(target)
+        self.assertEqual(0, target._lease_until_ms)
+        target.crash()
+        self.hold_back(target)
+        target.restart()
+        self.assertLess(target._clock_ms(), 1000)
+        # The longest lease counts from the arrival on the new clock.
+        self.assertTrue(10000 <= target._lease_until_ms < 11000, target._lease_until_ms)
+        self.assertEqual([], target._held_back)
+        status, body = self.order(target, "/hold", acked_upto=0, fence=4)
+        self.assertEqual((409, "fence"), (status, json.loads(body)["reason"]))
+
     def end_of(self, seconds, fails_tasks):
         """Returns how a long-running task of 10 ms has ended after a time; None if it runs."""
         target, _ = self.make_target()
