--- a/tests/platform_soak/checker.py
+++ b/tests/platform_soak/checker.py
@@ -15,13 +15,15 @@
 # Time after the end of a fault from which such bounds hold: bounds.contact_ms.
 CONTACT_S = 3.0
 # Time after a job's cancellation was confirmed from which none of its tasks runs, in any state of
-# the cell: an owner acts on a view of at most 5 s (kMaxLimit in node/src/owner_view.cpp) until it
-# is lost (kLossPeriod, 0.5 s), the last order that it then sends is answered within 0.5 s, and the
-# lease that it renews ends after 6 s (bounds.hold_max_ms).
-RUN_LIMIT_S = 12.0
+# the cell, without the longest lease (bounds.hold_max_ms): an owner acts on a view of at most 5 s
+# (kMaxLimit in node/src/owner_view.cpp) until it is lost (kLossPeriod, 0.5 s), and the last order
+# that it then sends, which may renew a lease, is answered within 0.5 s.
+LAST_ORDER_S = 6.0
 # Time after which all daemons have read a record that one of them has shown the effect of.
 READ_LIMIT_S = 5.0
 ENDED_STATES = ("completed", "failed", "cancelled")
+# Number of targets that have crashed under a task from which its job may be given up.
+MIN_CRASHED_TARGETS = 2
 
 
 class Job:
@@ -48,7 +50,8 @@
 
 
 class Checker:
-    def __init__(self, seed, team_limit_cpu_milli):
+    def __init__(self, seed, team_limit_cpu_milli, max_attempts=50, hold_max_s=6.0):
+        self.run_limit_s = LAST_ORDER_S + hold_max_s
         self.violations = []
         self.starts = 0
         self.events = []  # What targets and faults did, for the trace of a violation.
@@ -59,6 +62,9 @@
         self._running = {}  # Targets that run a task, by task.
         self._done = set()
         self._acknowledged = set()
+        self._max_attempts = max_attempts
+        self._failed_runs = {}  # Numbers of the runs that ended as failed, by task.
+        self._crashed_targets = {}  # Targets that crashed while they ran the task, by task.
         self._run_since = {}  # Time of the last start, by task.
         self._run_on = set()  # Tasks that were reported to run on after a cancellation.
         self._faults = 0
@@ -145,10 +151,15 @@
             self._running.get(task, set()).discard(target)
             if how == "done":
                 self._done.add(task)
+            elif how == "failed":
+                self._failed_runs.setdefault(task, set()).add(number)
 
-    def run_lost(self, target, task, _number):
+    def run_lost(self, target, task, number):
+        """The target has crashed and ran the task."""
+        self.note(f"{target} lost {task} run {number}")
         with self._lock:
             self._running.get(task, set()).discard(target)
+            self._crashed_targets.setdefault(task, set()).add(target)
 
     def end_acknowledged(self, task, how):
         with self._lock:
@@ -194,7 +205,7 @@
                     now - after, self._run_since[task], self._calm_since + CONTACT_S
                 )
                 in_touch = not self._faults and calm > CANCEL_LIMIT_S + STOP_LIMIT_S
-                if in_touch or after > RUN_LIMIT_S:
+                if in_touch or after > self.run_limit_s:
                     self._run_on.add(task)
                     self._report_violation(
                         f"runs on {after:.1f} s after its cancellation, in touch {in_touch}: "
@@ -215,6 +226,42 @@
                     f"{job.name}"
                 )
 
+    def may_fail(self, job):
+        """Whether a task or gang of the job has used up its attempts, or targets have crashed under
+        one of its tasks."""
+        with self._lock:
+            return any(
+                len(runs) >= self._max_attempts for runs in self._attempts(job)
+            ) or any(
+                task.startswith(f"{job.name}.") and len(targets) >= MIN_CRASHED_TARGETS
+                for task, targets in self._crashed_targets.items()
+            )
+
+    def _attempts(self, job):
+        """Yields the failed runs of each task, or gang, with a limit of attempts."""
+        gangs = {}
+        for task, runs in self._failed_runs.items():
+            name, occurrence, number, _ = task.split(".")
+            if name != job.name or job.steps[int(number)].get("long_running"):
+                continue
+            if job.steps[int(number)].get("gang"):
+                # A run in which several members fail is one attempt.
+                gangs.setdefault((occurrence, number), set()).update(runs)
+            else:
+                yield runs
+        yield from gangs.values()
+
+    def reported_failed(self, job, daemon):
+        if not self.may_fail(job):
+            with self._lock:
+                failed = sorted(
+                    (task, sorted(runs)) for task, runs in self._failed_runs.items()
+                    if task.startswith(f"{job.name}.")
+                )
+                self._report_violation(
+                    f"shown as failed with attempts left: {job.name} at {daemon}, failed {failed}"
+                )
+
     def has_ended(self, job):
         """Whether a target has ended each task of the job as done."""
         with self._lock:
--- a/tests/platform_soak/target.py
+++ b/tests/platform_soak/target.py
@@ -7,6 +7,12 @@
 from http_service import HttpService, NoAnswer, json_answer
 
 MAX_LEASE_MS = 6000
+# Time after which a long-running task fails on a target that fails tasks.
+LONG_RUNNING_FAILURE_S = 0.5
+# Kinds of tasks in their payloads.
+ALONE, GANG, LONG_RUNNING = range(3)
+# Share of the gangs' runs that fail while gangs fail, and of the members that then fail themselves.
+FAILED_RUNS_SHARE, FAILED_MEMBERS_SHARE = 0.7, 0.7
 # Range of the time after which a late order is carried out, whichever incarnation there is then.
 LATE_S = (2, 12)
 # Answers of a target that has not carried out a start: status and body.
@@ -18,17 +24,42 @@
 
 
 class Run:
-    def __init__(self, number, ends_at, cpu_milli, gang):
+    def __init__(self, number, ends_at, cpu_milli, kind):
         self.number = number
         self.ends_at = ends_at  # time.monotonic()
         self.cpu_milli = cpu_milli
-        self.gang = gang
+        self.kind = kind
+
+
+class GangRuns:
+    """The ends of the gangs' runs, shared by all targets: the members of a run end as done, or
+    several of them fail at once and break the others."""
+
+    def __init__(self, checker):
+        self.failing = False  # Most runs whose first member would end as done fail.
+        self._checker = checker
+        self._lock = threading.Lock()
+        self._failed = {}  # Whether the run failed, by gang and run.
+
+    def end(self, task, number, is_due):
+        """Returns how a member ends now, None if it runs on."""
+        run = (task.rsplit(".", 1)[0], number)
+        with self._lock:
+            if run not in self._failed and is_due:
+                self._failed[run] = self.failing and self._checker.chance(FAILED_RUNS_SHARE)
+                if self._failed[run]:
+                    return "failed"
+            if self._failed.get(run):
+                return "failed" if self._checker.chance(FAILED_MEMBERS_SHARE) else "broken"
+            return "done" if is_due else None
 
 
 class Target:
     """Does not enforce its capacity: every start is carried out and reported to the checker."""
 
-    def __init__(self, name, port, zone, cpu_milli, store, checker):
+    def __init__(self, name, port, zone, cpu_milli, store, checker, gangs=None,
+                 max_lease_ms=MAX_LEASE_MS, up_s=0):
+        """The clock of its first incarnation shows that it has been up for up_s."""
         self.name, self.zone, self.cpu_milli = name, zone, cpu_milli
         self.address = f"127.0.0.1:{port}"
         self.registry_address = self.address  # That of the proxy, if there is one.
@@ -37,6 +68,10 @@
         self.late_probability = 0.0  # Of an order, which gets no answer and is carried out later.
         # Whether late orders may be carried out by an incarnation that has not got a start yet.
         self.late_to_any = False
+        # Of a heartbeat, which gets no answer; the next incarnation carries it out before any other
+        # call.
+        self.held_back_probability = 0.0
+        self._held_back = []
         self.fails_tasks = False
         self.unhealthy = False  # Starts are answered with 503 and not carried out.
         self.rejection_probability = 0.0  # Of a start, which is then not carried out.
@@ -44,10 +79,12 @@
         self._former = []  # Former capacities and the time until which starts may count on each.
         self._stated_cpu_milli = cpu_milli  # In the entry that was written last.
         self._store, self._checker = store, checker
+        self._gangs, self._max_lease_ms = gangs or GangRuns(checker), max_lease_ms
         self._lock = threading.Condition()
         self._stop = threading.Event()
         self._crashed = False
         self._start_incarnation()
+        self._started -= up_s
         self._service = HttpService(port, self._serve)
         loops = (self._publish_entry, self._run_tasks)
         self._threads = [threading.Thread(target=loop) for loop in loops]
@@ -77,6 +114,10 @@
                 self._start_incarnation()
                 self._crashed = False
                 self._checker.note(f"{self.name} restarted, born {self.born}")
+                held_back, self._held_back = self._held_back, []
+                for fields in held_back:
+                    self._checker.note(f"{self.name} carries out what was held back: {fields}")
+                    self._execute("/hold", {**fields, "wait_ms": 0})
 
     def _start_incarnation(self):
         self.born = int(time.time() * 1000)
@@ -131,11 +172,19 @@
                 for task, run in list(self._runs.items()):
                     if self._lease_until_ms <= now:
                         self._end(task, "lapsed")
-                    elif run.ends_at <= time.monotonic():
-                        # The members of a gang must end together, but the stand-ins do not
-                        # communicate, so no member fails.
-                        failed = self.fails_tasks and not run.gang
-                        self._end(task, "failed" if failed else "done")
+                    elif how := self._own_end(task, run):
+                        self._end(task, how)
+
+    def _own_end(self, task, run):
+        """Returns how a run with a lease ends now, None if it runs on."""
+        is_due = run.ends_at <= time.monotonic()
+        if run.kind == GANG:
+            return self._gangs.end(task, run.number, is_due)
+        if not is_due:
+            return None
+        if self.fails_tasks:
+            return "failed"
+        return None if run.kind == LONG_RUNNING else "done"
 
     def _end(self, task, how):
         run = self._runs.pop(task)
@@ -146,9 +195,12 @@
         self._lock.notify_all()
 
     def _serve(self, method, path, query, body):
+        fields = json.loads(body or b"{}")
+        if path == "/hold" and self._checker.chance(self.held_back_probability):
+            self._held_back.append(fields)
+            raise NoAnswer()
         if self._crashed:
             raise NoAnswer()
-        fields = json.loads(body or b"{}")
         if path == "/run-start":
             self._check_stored(fields)
         if self.late_probability and self._checker.chance(self.late_probability):
@@ -213,7 +265,10 @@
         return json_answer(status, wall_clock_ms=self._clock_ms(), born=self.born, **fields)
 
     def _extend(self, fields):
-        until_ms = min(fields.get("deadline_ms", 0), self._clock_ms() + MAX_LEASE_MS)
+        longest_ms = self._clock_ms() + self._max_lease_ms
+        if fields.get("deadline_ms", 0) > longest_ms:
+            self._checker.note(f"{self.name} grants the longest lease")
+        until_ms = min(fields.get("deadline_ms", 0), longest_ms)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
 
     def _start(self, fields):
@@ -226,9 +281,9 @@
             return self._answer(200)
         if running is not None or number <= self._last_runs.get(task, 0):
             return self._answer(409, reason="old")
-        work_ms, cpu_milli, gang = (int(part) for part in fields["spec"].split(":"))
-        ends_at = time.monotonic() + work_ms / 1000
-        self._runs[task] = Run(number, ends_at, cpu_milli, bool(gang))
+        work_ms, cpu_milli, kind = (int(part) for part in fields["spec"].split(":"))
+        work_s = LONG_RUNNING_FAILURE_S if kind == LONG_RUNNING else work_ms / 1000
+        self._runs[task] = Run(number, time.monotonic() + work_s, cpu_milli, kind)
         used = sum(run.cpu_milli for run in self._runs.values())
         self._checker.run_started(self.name, task, number, used, self._permitted_cpu_milli())
         return self._answer(200)
