Let a thousand connections wait to be accepted

http_loop.completesCallsWhileHundredsAreHeldOpen failed beside load: of 200 calls opened at once, some were delayed by a second, which is a caller's connect timeout.

Cause: Pistache listens with a backlog of 128. The system drops the first packets of further connections; they are repeated after 1 s. Pistache's option for the backlog has no effect in this version (tried: the limit of the listening socket did not reach 1000), so the server calls listen() again on its socket, which raises the limit.

--- a/edges/src/http_server.cpp
+++ b/edges/src/http_server.cpp
@@ -26,6 +26,10 @@
 
 constexpr const char* kConnectionData = "endiveusher";
 
+/// Connections that may wait to be accepted. The system drops the first packets of further ones,
+/// and they are repeated after a second. It applies its own limit, net.core.somaxconn (4096), too.
+constexpr int kListenBacklog = 1024;
+
 /// Disables Pistache's own timeouts, which would answer and close connections independently of this
 /// server.
 constexpr std::chrono::hours kDisabledTimeout{ 24 * 365 };
@@ -33,22 +37,23 @@
 /// Longest wait of stop() for the answers that it gives itself to be sent.
 constexpr std::chrono::milliseconds kLastSendTimeout{ 100 };
 
-/// Returns the connected sockets of this process whose own address is that of a server; aHost may
-/// be 0.0.0.0.
-std::vector<int> connectedSockets(const std::string& aHost, std::uint16_t aPort)
+/// Returns the sockets of this process, either listening or connected ones, whose own address is
+/// that of a server; aHost may be 0.0.0.0.
+std::vector<int> socketsOf(const std::string& aHost, std::uint16_t aPort, bool aListening)
 {
   std::vector<int> result;
   std::error_code error;
   for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd", error)) {
     const int fd = std::atoi(entry.path().filename().c_str());
+    int listening = 0;
+    socklen_t listeningSize = sizeof listening;
     sockaddr_in own{};
-    sockaddr_in peer{};
     socklen_t ownSize = sizeof own;
-    socklen_t peerSize = sizeof peer;
     std::array<char, INET_ADDRSTRLEN> host{};
-    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &ownSize) == 0 &&
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &listeningSize) == 0 &&
+        (listening != 0) == aListening &&
+        ::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &ownSize) == 0 &&
         own.sin_family == AF_INET && ntohs(own.sin_port) == aPort &&
-        ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0 &&
         ::inet_ntop(AF_INET, &own.sin_addr, host.data(), host.size()) != nullptr &&
         (aHost == "0.0.0.0" || aHost == host.data())) {
       result.push_back(fd);
@@ -145,6 +150,10 @@
     mEndpoint->setHandler(std::make_shared<byte_handler>(mParts));
     mEndpoint->serveThreaded();
     mPort = static_cast<std::uint16_t>(mEndpoint->getPort());
+    // Pistache ignores its option for this.
+    for (const int listener : socketsOf(host(), mPort, true)) {
+      ::listen(listener, kListenBacklog);
+    }
   }
 
   ~impl() { stop(std::chrono::milliseconds(0)); }
@@ -175,12 +184,17 @@
   std::uint16_t port() const { return mPort; }
 
 private:
+  std::string host() const
+  {
+    const auto& address = mParts.mShared->mOptions.mAddress;
+    return address.substr(0, address.rfind(':'));
+  }
+
   /// Takes over the connections that Pistache has accepted and has passed to none of its threads.
   /// It neither closes their sockets nor tells of them.
   void adoptSockets()
   {
-    const auto& address = mParts.mShared->mOptions.mAddress;
-    for (const int socket : connectedSockets(address.substr(0, address.rfind(':')), mPort)) {
+    for (const int socket : socketsOf(host(), mPort, false)) {
       if (!mParts.mRegistry->containsSocket(socket)) {
         mParts.mRegistry->add(std::make_shared<internal::connection>(mParts.mShared, socket));
       }
--- a/tests/edges/http_server_test.cpp
+++ b/tests/edges/http_server_test.cpp
@@ -1,7 +1,10 @@
 #include "endiveusher/edges/http_server.h"
 #include "raw_client.h"
 
+#include <netinet/tcp.h>
+
 #include <condition_variable>
+#include <cstdlib>
 #include <filesystem>
 #include <future>
 #include <mutex>
@@ -271,6 +274,30 @@
   STRCMP_EQUAL("truncated answer", client.receiveAnswer().c_str());
 }
 
+// Guards against callers that are delayed by a second because a burst of connections exceeds the
+// listen queue, so that the system drops their first packets.
+TEST(http_server, listenQueueHoldsABurstOfConnections)
+{
+  http_server server({}, echoPath);
+  std::uint32_t limit = 0;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+    const int fd = std::atoi(entry.path().filename().c_str());
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    sockaddr_in address{};
+    socklen_t addressSize = sizeof address;
+    tcp_info info{};
+    socklen_t infoSize = sizeof info;
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0 &&
+        ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &addressSize) == 0 &&
+        ntohs(address.sin_port) == server.port() &&
+        ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &infoSize) == 0) {
+      limit = info.tcpi_sacked; // Of a listening socket, the longest queue.
+    }
+  }
+  CHECK(limit >= 1000);
+}
+
 // Guards against an answer above the size limit that is sent in part.
 TEST(http_server, tooLargeAnswersAreReplaced)
 {
