Answer late requests without doing their work

Cause: a request's timeout counted from when the loop reached it, and one whose caller had given up was decoded and stored like any other, so that a loop that was behind stayed behind.

Change: the wait in the inbox counts against the timeout. A request whose timeout has passed is answered at once: 504 to a submission or cancellation, an earlier copy of which may be stored, and 503 to others.

Evidence: request_handler.answersRequestsThatHaveWaitedForTooLong and cell_node.theTimeoutOfARequestIncludesItsWaitForTheLoop fail without the check and pass with it.

node tests (259), edges tests (56), test_unanswered_requests and test_cancelled_jobs pass; formatter and linter pass.

--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -370,8 +370,13 @@
 
 void cell_node::impl::handleCaller(const queued_caller_request& aRequest)
 {
+  auto call = aRequest.mCall;
+  if (call.mTimeout && mInputArrival) {
+    *call.mTimeout -=
+      std::chrono::duration_cast<std::chrono::milliseconds>(mClock.now() - *mInputArrival);
+  }
   mRequestHandler.handle(
-    aRequest.mCall, aRequest.mBody,
+    call, aRequest.mBody,
     [this, responder = aRequest.mResponder, since = mClock.now()](caller_response&& aAnswer) {
       mCallTimes.record(mClock.now() - since);
       edges::http_answer answer{
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -145,12 +145,13 @@
   using verb = platform::caller_request::verb;
   const auto now = mClock.now();
   const auto subject = fmt::format("path={}", aCall.mPath);
-  if (mStopping) {
+  const bool late = aCall.mTimeout && *aCall.mTimeout < std::chrono::milliseconds(0);
+  if (mStopping || late) {
     if (aCall.mVerb == verb::submit || aCall.mVerb == verb::cancel) {
       // An earlier copy of it may be stored.
       replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, subject, now);
     } else {
-      reject(aReply, 503, kRetryAfterTransient, subject, "stopping");
+      reject(aReply, 503, kRetryAfterTransient, subject, late ? "too late" : "stopping");
     }
     return;
   }
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -127,6 +127,8 @@
   using await_end_callback = std::function<void(scheduler::job_id, std::function<void()> aAnswer)>;
   void setAwaitEnd(await_end_callback aAwaitEnd) { mAwaitEnd = std::move(aAwaitEnd); }
 
+  /// Handles a request; its timeout is that from now on. One whose timeout has passed, because it
+  /// has waited for the event loop, is answered without being decoded.
   void handle(const platform::caller_request& aCall, std::string_view aBody, reply aReply);
   /// Answers callers whose timeout has passed.
   void tick(time_point aNow);
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -331,6 +331,24 @@
   LONGS_EQUAL(504, post.status());
 }
 
+// Guards against a timeout that counts from when the event loop reaches a request.
+TEST(cell_node, theTimeoutOfARequestIncludesItsWaitForTheLoop)
+{
+  CHECK(renewUntil([this] { return call("GET") == 410; }));
+  edges::raw_client client(port);
+  {
+    const unread_output output;
+    edges::raw_client first(port);
+    first.send(edges::getRequest("/none"));
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(client.send("GET /r/00000000000000aa HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 50\r\n\r\n"));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  const auto body = client.receiveAnswer();
+  LONGS_EQUAL(503, client.status());
+  CHECK(body.find("too late") != std::string::npos);
+}
+
 // Guards against a call for advice whose caller gives up before it is told that the service does
 // not answer, and then takes the daemon that made the call as unresponsive.
 TEST(cell_node, anAdviceCallIsAnsweredBeforeItsTimeout)
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -32,6 +32,7 @@
   std::vector<caller_record_writer::done_callback> pendingStores;
   std::set<caller_record> unstored;
   std::vector<caller_response> answers;
+  milliseconds timeout{ 3000 };
   bool storeLost = false;
   bool caughtUp = true;
   bool knowsJobs = true;
@@ -99,13 +100,9 @@
             const std::string& aKey = "k1",
             const std::string& aBody = R"({"spec":"x","steps":[{"count":1,"cpu":100}]})")
   {
-    handler->handle({ .mVerb = aVerb,
-                      .mHost = "h",
-                      .mPath = aPath,
-                      .mKey = aKey,
-                      .mTimeout = milliseconds(3000) },
-                    aBody,
-                    [this](caller_response&& aAnswer) { answers.push_back(std::move(aAnswer)); });
+    handler->handle(
+      { .mVerb = aVerb, .mHost = "h", .mPath = aPath, .mKey = aKey, .mTimeout = timeout }, aBody,
+      [this](caller_response&& aAnswer) { answers.push_back(std::move(aAnswer)); });
   }
   int lastStatus() const
   {
@@ -128,6 +125,20 @@
   STRCMP_EQUAL(R"({"state":"queued"})", answers.back().mBody.c_str());
 }
 
+// Guards against a loop that is behind and goes on to do the work of callers that have given up.
+TEST(request_handler, answersRequestsThatHaveWaitedForTooLong)
+{
+  timeout = milliseconds(-1);
+  call(kSubmit, kPath);
+  CHECK_EQUAL(504, lastStatus());
+  call(kCancel, kPath);
+  CHECK_EQUAL(504, lastStatus());
+  call(kStatus, kPath);
+  CHECK_EQUAL(503, lastStatus());
+  CHECK_EQUAL(3, answers.size());
+  CHECK_EQUAL(0, pendingStores.size());
+}
+
 /// A daemon that has stored a job and has not read it yet.
 TEST(request_handler, confirmsARepetitionOfAJobThatItHasNotReadYet)
 {
