Cut off the soak's zones by turns

Cause: no fault of the soak let the lease of one task run out three times, so that it could not show a job that is given up for targets that were only cut off. Change: zones_cut, only if named, cuts off the targets of one zone and of the other by turns, four times for 9 s, while a job runs each of whose three tasks fills a target.

--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -123,7 +123,7 @@
         self._max_attempts = max_attempts
         self.checker = Checker(seed, TEAM_LIMIT_CPU_MILLI, max_attempts, hold_max_ms / 1000)
         self.gangs = GangRuns(self.checker)
-        self.recut = None  # The fault that restarts targets and cuts them off, while it lasts.
+        self.recut = None  # The fault that cuts off the targets of a zone, while it lasts.
         self.store = Store(store_port, seed, self.checker.report_violation)
         self.version = 0
         self.spare_key_revoked_at = None
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -25,6 +25,7 @@
     "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
     "target_late_any", "target_rejects", "journal_reads", "journal_appends", "journal_blind",
     "operator_reads", "registry_reads", "gang_fails", "target_recut",
+    "zones_cut",
 }
 # Kinds in whose runs a job has few attempts, and in whose runs the longest lease
 # (bounds.hold_max_ms) exceeds the owner's of 7 s (kLease in node/src/cell_node_owner.cpp).
@@ -42,6 +43,10 @@
 # lease, and three of them fill a target: an order to one that is cut off would make its owner wait
 # longer.
 LONG_TASKS, LONG_TASK_CPU_MILLI, LONG_WORK_MS = (1, 8), 2600, 12000
+# Duration and number of the cuts of zones by turns: an owner takes runs as lost 7 to 9 s after the
+# cut. Tasks of the job that runs meanwhile, each for LONG_WORK_MS.
+ZONE_CUT_S, ZONE_CUTS = 9.0, 4
+ZONE_TASKS, ZONE_TASK_CPU_MILLI = 3, 7800
 # Time before a crash from which heartbeats may be held back: longer than one waits for an end.
 HELD_BACK_S = 1.0
 
@@ -54,6 +59,43 @@
         self.lasts_s, self.apply, self.heal, self.later = lasts_s, apply, heal, later
 
 
+def zones_cut(cell):
+    """The targets of one zone and of the other are cut off by turns, each time for longer than their
+    leases, while a job runs each of whose tasks fills a target. Does nothing while another such
+    fault lasts."""
+    first = cell.random.choice(ZONES)
+    rng, submitters, this = random.Random(cell.random.random()), [], object()
+
+    def cut(zone):
+        cell.checker.note(f"cut off: zone {zone}")
+        for target, proxy in zip(cell.targets, cell.target_proxies):
+            proxy.drop_all = target.zone == zone
+
+    def submit():
+        args = ("red", ZONE_TASKS, ZONE_TASK_CPU_MILLI, LONG_WORK_MS, rng)
+        submitters.append(threading.Thread(target=cell.submit_long, args=args))
+        submitters[0].start()
+
+    def begin():
+        cell.recut = cell.recut or this
+
+    def heal():
+        cut(None)
+        for submitter in submitters:
+            submitter.join()
+        cell.recut = None
+
+    def if_active(call):
+        return lambda: cell.recut is this and call()
+
+    zones = [first, *(zone for zone in ZONES if zone != first)]
+    steps = [(0.1, if_active(submit))] + [
+        (1.5 + number * ZONE_CUT_S, if_active(lambda zone=zones[number % 2]: cut(zone)))
+        for number in range(ZONE_CUTS)
+    ]
+    return Fault(1.5 + ZONE_CUTS * ZONE_CUT_S, begin, if_active(heal), steps)
+
+
 class Recut:
     """The targets of a zone restart under their ids after a short time dark, take heartbeats that
     were meant for their former incarnations, and are cut off soon after for longer than the longest
@@ -275,6 +317,7 @@
         "target_fails": lambda: toggled(target(), seconds(), fails_tasks=True),
         "gang_fails": lambda: toggled(cell.gangs, rng.uniform(1, 4), failing=True),
         "target_recut": lambda: Recut(cell).fault(),
+        "zones_cut": lambda: zones_cut(cell),
         "target_shrinks": shrink,
         "target_drains": lambda: toggled(target(), seconds(), draining=True),
         "evacuate": evacuate,
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -57,6 +57,10 @@
 # The next owner did not know of the leases that a target had granted to orders to its former life.
 RECUT = ["target_recut"]
 RECUT_SEEDS = [9520]
+# Leases that expired at targets that were cut off counted as crashes.
+ZONES_CUT = ["zones_cut"]
+ZONES_CUT_SEEDS = [9541]
+ZONES_CUT_RUN_S = 30  # A task meets three cuts.
 
 
 class PlatformSoak(unittest.TestCase):
@@ -88,6 +92,10 @@
         for seed in RECUT_SEEDS:
             self.assertTrue(soak.run(seed, RUN_S, RECUT), f"seed {seed}")
 
+    def test_short_runs_with_zones_that_are_cut_off_by_turns_violate_no_guarantee(self):
+        for seed in ZONES_CUT_SEEDS:
+            self.assertTrue(soak.run(seed, ZONES_CUT_RUN_S, ZONES_CUT), f"seed {seed}")
+
 
 class SoakChecker(unittest.TestCase):
     """Guards against a checker that misses violations: each kind must be reported."""
