--- a/scheduler/src/owner_leases.cpp
+++ b/scheduler/src/owner_leases.cpp
@@ -27,6 +27,12 @@
          std::chrono::duration_cast<duration>(aLease / (1.0 - internal::kMaxClockDrift));
 }
 
+/// Returns the longest lease that a target may hold by an order whose time is of another clock.
+std::chrono::milliseconds longestLease(const owner_options& aOptions)
+{
+  return std::max(aOptions.mLease, aOptions.mMaxLease);
+}
+
 } // namespace
 
 target_time owner::impl::extendLease(target_state& aTarget, time_point aNow) const
@@ -41,7 +47,7 @@
                                                           time_point aNow) const
 {
   // An order that was meant for a former incarnation states a time of another clock.
-  const auto longest = std::max(mOptions.mLease, mOptions.mMaxLease);
+  const auto longest = longestLease(mOptions);
   const auto& id = aTarget.mEntry.mId;
   if (aTarget.mHasRestarted ||
       mJobTable.acquiredIncarnation(id).value_or(aIncarnationStart) != aIncarnationStart) {
@@ -67,7 +73,7 @@
   const auto lastAct = mLatestActs.find(mJobTable.lastEpochAt(id));
   const auto renewed =
     lastAct == mLatestActs.end() ? since + mOptions.mMaxRenewalAge : lastAct->second;
-  const auto longest = std::max(mOptions.mLease, mOptions.mMaxLease);
+  const auto longest = longestLease(mOptions);
   if (aTarget.mHasRestarted) {
     // What a former owner has recorded of the leases is about another clock.
     return expiryOf(longest, renewed);
@@ -89,8 +95,7 @@
   }
   // The clock and the leases are those of the former incarnation. The new one may have executed
   // orders that were sent until its entry was read.
-  return std::max(
-    end, expiryOf(std::max(mOptions.mLease, mOptions.mMaxLease), aTarget.mRestartListedAt));
+  return std::max(end, expiryOf(longestLease(mOptions), aTarget.mRestartListedAt));
 }
 
 duration owner::impl::reportGrace(const target_state& aTarget)
