Use relays by the measured load of the owner's loop

Cause: an owner of 350 targets and half a core made all calls itself, since relays depended on 800 targets a core. Batches with an urgent start leave after 4 ms while the loop has time. Metrics and log line show it.

--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -448,6 +448,7 @@
     const auto planned = mClock.now();
     guarded("orders", [&] { mOrderRouter.tick(planned, mOwner && mElection.mayAct(planned)); });
     guarded("relayed_orders", [&] { mOrderRelay.tick(planned); });
+    next = std::min(next, mOrderRouter.nextBatch().value_or(next));
     if (mNextPurge <= now) {
       mNextPurge = now + kPurgeInterval;
       guarded("purge", [&] {
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -117,7 +117,7 @@
     }
   }
   mOwner->setAdviceHelpers(all);
-  mOrderRouter.setCell(mRegistry.targets().size(), std::move(candidates), aNow);
+  mOrderRouter.setCell(mProfiler.load(), mRegistry.targets().size(), std::move(candidates), aNow);
 }
 
 void cell_node::impl::updateStandbys()
@@ -447,6 +447,12 @@
     add("advice_helpers", mHelpers.size());
     add("relays", mOrderRouter.relays());
     add("relayed_orders_open", mOrderRouter.openOrders());
+    add("relay_policy_idle", mOrderRouter.policy().load().mIdle);
+    add("relay_policy_calls", mOrderRouter.policy().load().mCalls);
+    const auto& paths = mOrderRouter.pathCounts();
+    add("relay_switches_total", paths.mSwitches);
+    add("orders_direct_total", paths.mDirect);
+    add("orders_relayed_total", paths.mRelayed);
   }
   text += mProfiler.metrics();
   text += mCallTimes.render("endiveusher_call_seconds", "Time to answer a caller.");
--- a/node/src/loop_profiler.cpp
+++ b/node/src/loop_profiler.cpp
@@ -24,6 +24,26 @@
   return std::exchange(mPhase, aPhase);
 }
 
+loop_load loop_profiler::load()
+{
+  enter(mPhase);
+  duration whole{ 0 };
+  std::array<duration, kPhases> parts{};
+  for (std::size_t phase = 0; phase < kPhases; ++phase) {
+    parts[phase] = mTotals[phase] - mLoaded[phase];
+    whole += parts[phase];
+  }
+  mLoaded = mTotals;
+  if (whole <= duration{ 0 }) {
+    return {};
+  }
+  const auto fraction = [&](loop_phase aPhase) {
+    return std::chrono::duration<double>(parts[static_cast<std::size_t>(aPhase)]) /
+           std::chrono::duration<double>(whole);
+  };
+  return { .mIdle = fraction(loop_phase::idle), .mCalls = fraction(loop_phase::calls) };
+}
+
 std::string loop_profiler::report()
 {
   enter(mPhase);
--- a/node/src/loop_profiler.h
+++ b/node/src/loop_profiler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/kernel/time.h"
+#include "relay_policy.h"
 
 #include <array>
 #include <cstddef>
@@ -48,6 +49,8 @@
     loop_phase mOuter;
   };
 
+  /// Returns the load since the last call.
+  loop_load load();
   /// Returns the percentage of each phase in the time since the last report.
   std::string report();
   /// Returns the counters in the Prometheus text format.
@@ -64,6 +67,8 @@
   time_point mSince;
   std::array<duration, kPhases> mTotals{};
   std::array<duration, kPhases> mReported{};
+  /// mTotals at the last call of load().
+  std::array<duration, kPhases> mLoaded{};
 };
 
 } // namespace endiveusher::node
--- a/node/src/order_router.cpp
+++ b/node/src/order_router.cpp
@@ -17,6 +17,10 @@
 
 /// Minimum time between two batches to a relay, so that each holds several orders.
 constexpr std::chrono::milliseconds kBatchInterval{ 15 };
+/// The same if the batch holds the start of an urgent step, which has a quarter of a second, while
+/// the loop has time for more batches.
+constexpr std::chrono::milliseconds kUrgentBatchInterval{ 4 };
+constexpr double kMinIdleForUrgentBatches = 0.25;
 /// Largest number of orders in one batch; with payloads of 4 KB each it stays below the body limit
 /// of the relay's server, 1 MB.
 constexpr std::size_t kMaxOrdersPerBatch = 200;
@@ -50,7 +54,7 @@
 order_router::order_router(edges::http_loop& aLoop, const clock& aClock, order_sender& aDirect,
                            event_log& aLog, relay_candidate aSelf)
   : mLoop(aLoop), mClock(aClock), mDirect(aDirect), mLog(aLog),
-    mOwnAddress(std::move(aSelf.mAddress)), mRelays(aSelf.mCores)
+    mOwnAddress(std::move(aSelf.mAddress)), mOwnCores(aSelf.mCores)
 {
 }
 
@@ -58,6 +62,7 @@
 {
   mEpoch = aEpoch;
   mSuperseded = false;
+  mPolicy.reset();
   mRelays.clear();
   mQueues.clear();
   mOpen.clear();
@@ -66,13 +71,20 @@
   mExpiries.clear();
 }
 
-void order_router::setCell(std::size_t aTargets, std::vector<relay_candidate> aCandidates,
-                           time_point aNow)
+void order_router::setCell(const loop_load& aLoad, std::size_t aTargets,
+                           std::vector<relay_candidate> aCandidates, time_point aNow)
 {
   const auto before = mRelays.size();
-  mRelays.set(aTargets, std::move(aCandidates), aNow);
+  if (mPolicy.update(aLoad, aTargets, mOwnCores, aNow)) {
+    mRelays.set(aTargets, std::move(aCandidates), aNow);
+  } else {
+    mRelays.clear();
+  }
   if (mRelays.size() != before) {
-    mLog.write("relays", fmt::format("count={} targets={}", mRelays.size(), aTargets));
+    mCounts.mSwitches += before == 0 || mRelays.size() == 0 ? 1 : 0;
+    mLog.write("relays", fmt::format("count={} targets={} reason={} idle={:.2f} calls={:.2f}",
+                                     mRelays.size(), aTargets, mPolicy.reason(),
+                                     mPolicy.load().mIdle, mPolicy.load().mCalls));
   }
 }
 
@@ -88,7 +100,12 @@
                              .mDone = aDone,
                              .mIsHeartbeat = std::is_same_v<Order, scheduler::heartbeat_order> },
                            aTimeout);
-  mQueues[*relay].mOrders.push_back({ .mNumber = number, .mOrder = aOrder });
+  auto& queue = mQueues[*relay];
+  queue.mOrders.push_back({ .mNumber = number, .mOrder = aOrder });
+  if constexpr (std::is_same_v<Order, scheduler::start_order>) {
+    queue.mHasUrgent = queue.mHasUrgent || aOrder.mUrgent;
+  }
+  ++mCounts.mRelayed;
   return true;
 }
 
@@ -107,6 +124,7 @@
   if (relayed(aOrder, aTimeout, aDone)) {
     return;
   }
+  ++mCounts.mDirect;
   if (mMayAct()) {
     sendDirectly(aOrder, aDone);
     return;
@@ -210,6 +228,7 @@
   };
   aQueue.mOrders.erase(aQueue.mOrders.begin(), last);
   aQueue.mLastSent = aNow;
+  aQueue.mHasUrgent = aQueue.mHasUrgent && !aQueue.mOrders.empty();
   ++aQueue.mOpenCalls;
   mLoop.send({ .mMethod = "POST",
                .mAddress = aRelay,
@@ -320,12 +339,30 @@
   }
   sendKept();
   for (auto& [relay, queue] : mQueues) {
-    while (
-      !queue.mOrders.empty() && queue.mOpenCalls < kMaxOpenBatches &&
-      (aNow - queue.mLastSent >= kBatchInterval || queue.mOrders.size() >= kMaxOrdersPerBatch)) {
+    while (!queue.mOrders.empty() && queue.mOpenCalls < kMaxOpenBatches && due(queue) <= aNow) {
       sendBatch(relay, queue, aNow);
     }
   }
 }
 
+time_point order_router::due(const queue& aQueue) const
+{
+  if (aQueue.mOrders.size() >= kMaxOrdersPerBatch) {
+    return aQueue.mLastSent;
+  }
+  const bool isUrgent = aQueue.mHasUrgent && mPolicy.load().mIdle >= kMinIdleForUrgentBatches;
+  return aQueue.mLastSent + (isUrgent ? kUrgentBatchInterval : kBatchInterval);
+}
+
+std::optional<time_point> order_router::nextBatch() const
+{
+  std::optional<time_point> next;
+  for (const auto& [relay, queue] : mQueues) {
+    if (!queue.mOrders.empty() && queue.mOpenCalls < kMaxOpenBatches) {
+      next = std::min(next.value_or(time_point::max()), due(queue));
+    }
+  }
+  return next;
+}
+
 } // namespace endiveusher::node
--- a/node/src/order_router.h
+++ b/node/src/order_router.h
@@ -5,12 +5,14 @@
 #include "event_log.h"
 #include "order_batch.h"
 #include "order_sender.h"
+#include "relay_policy.h"
 #include "relay_set.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,8 +44,10 @@
   void setStartPermission(std::function<bool()> aMayStart) { mMayStart = std::move(aMayStart); }
   /// Begins an epoch of this daemon's ownership; orders of former epochs are forgotten.
   void begin(std::uint64_t aEpoch);
-  /// Sets the number of targets and the followers that may be relays.
-  void setCell(std::size_t aTargets, std::vector<relay_candidate> aCandidates, time_point aNow);
+  /// Sets the load of the event loop since the last call, the number of targets and the followers
+  /// that may be relays.
+  void setCell(const loop_load& aLoad, std::size_t aTargets,
+               std::vector<relay_candidate> aCandidates, time_point aNow);
 
   void sendHeartbeat(const scheduler::heartbeat_order& aOrder,
                      const order_sender::report_callback& aDone);
@@ -58,6 +62,17 @@
   bool superseded() const { return mSuperseded; }
   std::size_t openOrders() const { return mOpen.size() - mOverdue; }
   std::size_t relays() const { return mRelays.size(); }
+  const relay_policy& policy() const { return mPolicy; }
+  /// Time at which the next batch is due, if orders wait for one.
+  std::optional<time_point> nextBatch() const;
+  /// Numbers of orders sent by either path, and of changes between them.
+  struct path_counts
+  {
+    std::uint64_t mDirect = 0;
+    std::uint64_t mRelayed = 0;
+    std::uint64_t mSwitches = 0;
+  };
+  const path_counts& pathCounts() const { return mCounts; }
 
 private:
   struct open_order
@@ -73,8 +88,12 @@
     std::vector<numbered_order> mOrders;
     time_point mLastSent{};
     std::uint32_t mOpenCalls = 0;
+    /// Whether it holds the start of an urgent step.
+    bool mHasUrgent = false;
   };
 
+  /// Returns the time at which the next batch of the queue is due.
+  time_point due(const queue& aQueue) const;
   /// Queues an order for the relay of its target; returns false if it is to be sent directly.
   template<typename Order>
   bool relayed(const Order& aOrder, std::chrono::milliseconds aTimeout,
@@ -112,7 +131,10 @@
   std::uint64_t mEpoch = 0;
   std::uint64_t mLastNumber = 0;
   bool mSuperseded = false;
+  const double mOwnCores;
+  relay_policy mPolicy;
   relay_set mRelays;
+  path_counts mCounts;
   std::map<std::string, queue> mQueues;
   std::map<std::uint64_t, open_order> mOpen;
   /// Number of orders in mOpen that are overdue.
--- a/node/src/relay_set.cpp
+++ b/node/src/relay_set.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Number of targets for each core of the owner up to which it makes all calls itself. The calls to
-/// 350 targets take about a fifth of a core, the decisions as much.
-constexpr double kDirectTargetsPerCore = 800;
 /// Number of targets for each core of a relay, which also serves callers and follows the journal.
 constexpr double kRelayedTargetsPerCore = 360;
 /// Time for which a relay that did not answer gets no orders.
@@ -36,10 +33,6 @@
     return mExcludedUntil.contains(aOne.mAddress);
   });
   const auto targets = static_cast<double>(aTargets);
-  if (targets <= kDirectTargetsPerCore * mOwnerCores) {
-    mChosen.clear();
-    return;
-  }
   // Relays that are usable are kept; the largest of the others are added.
   std::erase_if(mChosen, [&aCandidates](const relay_candidate& aOne) {
     return std::ranges::find(aCandidates, aOne.mAddress, &relay_candidate::mAddress) ==
--- a/node/src/relay_set.h
+++ b/node/src/relay_set.h
@@ -23,10 +23,8 @@
 class relay_set
 {
 public:
-  /// aOwnerCores: cores that the owner may use.
-  explicit relay_set(double aOwnerCores) : mOwnerCores(aOwnerCores) {}
-
-  /// Sets the number of targets and the followers that may be relays, in any order.
+  /// Sets the number of targets and the followers that may be relays, in any order; chooses as many
+  /// of them as the targets need.
   void set(std::size_t aTargets, std::vector<relay_candidate> aCandidates, time_point aNow);
   /// Excludes a relay that does not answer for a while.
   void exclude(const std::string& aRelay, time_point aNow);
@@ -37,7 +35,6 @@
   std::size_t size() const { return mChosen.size(); }
 
 private:
-  const double mOwnerCores;
   std::vector<relay_candidate> mChosen;
   std::map<std::string, time_point> mExcludedUntil;
 };
--- a/scheduler/include/endiveusher/scheduler/owner_port.h
+++ b/scheduler/include/endiveusher/scheduler/owner_port.h
@@ -48,6 +48,8 @@
   /// Time on the owner's clock from which the target rejects the ticket. The owner's process uses
   /// it until the order leaves; it is not part of the order.
   time_point mTicketExpiry = time_point::max();
+  /// Whether the step's route has the highest priority. Not part of the order either.
+  bool mUrgent = false;
 };
 
 struct stop_order
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -188,6 +188,7 @@
 {
   const job* owning = mJobTable.find(aTask.mStep.mJob);
   const auto& state = owning->find(aTask.mStep)->mTasks[aTask.mIndex];
+  const auto* route = findRoute(owning->mSpec);
   aRun.mOrderOpen = true;
   if (aRun.mTries == 0) {
     aRun.mFirstOrderAt = aNow;
@@ -202,7 +203,8 @@
                 .mFence = aTarget.mFence,
                 .mCheckpoint = state.mCheckpoint,
                 .mTicket = aRun.mTicket,
-                .mTicketExpiry = aRun.mTicketExpiry });
+                .mTicketExpiry = aRun.mTicketExpiry,
+                .mUrgent = route != nullptr && route->mPriority == 0 });
 }
 
 void owner::impl::sendStop(target_state& aTarget, const task_key& aTask, allocated_run& aRun)
--- a/tests/node/order_relay_test.cpp
+++ b/tests/node/order_relay_test.cpp
@@ -197,7 +197,7 @@
 
   void setTargets(std::size_t aTargets)
   {
-    router->setCell(aTargets, { { .mAddress = relay.address(), .mCores = 0.5 } }, time.mNow);
+    router->setCell({}, aTargets, { { .mAddress = relay.address(), .mCores = 0.5 } }, time.mNow);
   }
   void start()
   {
@@ -420,7 +420,7 @@
 // Guards against a relay that gets most of the targets.
 TEST(relay_set, spreadsTheTargetsOverAsManyRelaysAsTheyNeed)
 {
-  relay_set relays(0.5);
+  relay_set relays;
   relays.set(1100, candidates(14, 0.5), {});
   std::map<std::string, int> counts;
   for (const auto& [id, relay] : assignments(relays)) {
@@ -435,7 +435,7 @@
 // Guards against connections of all targets that are opened anew when one relay is lost.
 TEST(relay_set, theLossOfARelayMovesOnlyItsTargets)
 {
-  relay_set relays(0.5);
+  relay_set relays;
   relays.set(1100, candidates(7, 0.5), {});
   const auto before = assignments(relays);
   relays.exclude("r3", {});
@@ -449,9 +449,9 @@
 // Guards against a large cell whose owner has only small VMs to help it.
 TEST(relay_set, usesMoreOfSmallerRelays)
 {
-  relay_set large(0.5);
+  relay_set large;
   large.set(1100, candidates(100, 0.5), {});
-  relay_set small(0.5);
+  relay_set small;
   small.set(1100, candidates(100, 0.12), {});
   CHECK(small.size() > 3 * large.size());
 }
