Size calls for advice by a forecast of the slots they return

Change: slot_forecast sums mean and variance of the slots of a call. Calls for tickets renew those of the step's other good targets. A gang's tickets are renewed only if they expire during the round that it needs. Calls of 110 ms count as long, so that they no longer fill all daemons. A gang's own reservation counts as room when it preempts.

--- a/scheduler/src/advice_dispatcher.cpp
+++ b/scheduler/src/advice_dispatcher.cpp
@@ -11,7 +11,7 @@
 
 /// Calls of at least this duration count as long: they would delay the short calls of urgent steps
 /// noticeably.
-constexpr auto kLongCallThreshold = std::chrono::milliseconds(200);
+constexpr auto kLongCallThreshold = std::chrono::milliseconds(110);
 /// Maximum number of open short calls per daemon; more than one, so that the service is not idle
 /// for a round trip between them.
 constexpr std::uint32_t kMaxOpenShortCalls = 3;
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -2,7 +2,9 @@
 #include "owner_impl.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
+#include <set>
 
 namespace endiveusher::scheduler {
 
@@ -28,12 +30,14 @@
 /// Pause of a step that has found no target to query. Load pattern: hundreds of steps wait for
 /// capacity in a cell of a thousand targets, and each visits all of them.
 constexpr auto kFutileQueryPause = std::chrono::milliseconds(40);
-/// A gang queries targets with capacity for this many times its tasks, because others may use some
-/// of it during the call.
-constexpr double kGangSpareFactor = 1.25;
-/// Discount on the expected capacity of targets without a verdict, because the number of good ones
-/// varies.
-constexpr double kUnknownDiscount = 0.6;
+/// Fraction of the free capacity that is left when the reply arrives: on targets without a verdict,
+/// and on good ones, where it is withheld for a gang from the steps behind it.
+constexpr double kLeftAtReply = 0.6;
+constexpr double kGoodLeftAtReply = 0.9;
+/// The slots that a call is expected to return exceed the slots needed by this many standard
+/// deviations: the call costs far more than some further targets in it, and one that returns too
+/// few slots for a gang is of no use.
+constexpr double kDeviations = 1.2;
 /// A gang without room queries more targets until the total capacity of the good ones is this many
 /// times its needs.
 constexpr std::uint64_t kReservableFactor = 2;
@@ -42,6 +46,45 @@
 constexpr double kAssumedGoodFraction = 0.25;
 constexpr double kAssumedVerdicts = 8;
 
+/// Expected number of slots that a call returns, and its variance.
+class slot_forecast
+{
+public:
+  explicit slot_forecast(double aGoodFraction) : mGoodFraction(aGoodFraction) {}
+
+  void addGood(std::uint32_t aSlots)
+  {
+    mMean += aSlots;
+    add(kGoodLeftAtReply, aSlots);
+  }
+  void addUnknown(std::uint32_t aSlots)
+  {
+    const double left = kLeftAtReply * aSlots;
+    mMean += mGoodFraction * left;
+    add(mGoodFraction, left);
+  }
+  /// Expected number of slots if nothing is lost on good targets.
+  double mean() const { return mMean; }
+  /// Whether the call very likely returns at least aNeeded slots.
+  bool suffices(double aNeeded) const
+  {
+    return mLikely - kDeviations * std::sqrt(mVariance) >= aNeeded;
+  }
+
+private:
+  /// Adds a target that has aSlots with the probability, and otherwise none.
+  void add(double aProbability, double aSlots)
+  {
+    mLikely += aProbability * aSlots;
+    mVariance += aProbability * (1 - aProbability) * aSlots * aSlots;
+  }
+
+  const double mGoodFraction;
+  double mMean = 0;
+  double mLikely = 0;
+  double mVariance = 0;
+};
+
 } // namespace
 
 std::uint32_t owner::impl::ticketSlots(const waiting_step& aStep, time_point aNow) const
@@ -75,6 +118,7 @@
   std::uint32_t slots = 0;
   std::vector<const candidate_target*> unknown;
   const bool hasGood = aStep.mAdvice.goodTargets() > 0;
+  slot_forecast forecast(expectedGoodFraction(aStep.mRoute.mName));
   std::size_t unknownWithRoom = 0;
   for (const auto position : withRoom) {
     const auto& candidate = aCandidates[position];
@@ -85,8 +129,13 @@
     if (aStep.mAdvice.verdictOn(number) == verdict::unknown) {
       unknown.push_back(&candidate);
       // Targets with a good verdict come before these; without any, no more are needed.
-      if (!hasGood && slotsOf(candidate) > 0 && ++unknownWithRoom == most) {
-        break;
+      const auto here = hasGood ? 0 : slotsOf(candidate);
+      if (here > 0) {
+        forecast.addUnknown(std::min(here, pending));
+        if (++unknownWithRoom == most ||
+            (unknownWithRoom >= kMinQueriedTargets && forecast.suffices(pending))) {
+          break;
+        }
       }
     } else if (slots < pending && queried.size() < most) {
       const auto here = slotsOf(candidate);
@@ -102,6 +151,9 @@
     }
   }
   if (slots > 0) {
+    if (!queried.empty()) {
+      addGoodTargets(aStep, slots < pending ? most : kMinQueriedTargets, queried, aNow);
+    }
     return queried;
   }
   for (const auto* candidate : unknown) {
@@ -115,6 +167,27 @@
   return queried;
 }
 
+/// Load pattern: wide steps wait in a full cell, where room appears on a few targets at a time. A
+/// call about these alone costs nearly as much as one about all good targets of the step, and the
+/// next target with room would need another call. The tickets for the others are used as room
+/// appears there while they are valid.
+void owner::impl::addGoodTargets(const waiting_step& aStep, std::size_t aMost,
+                                 std::vector<internal::target_number>& aQueried,
+                                 time_point aNow) const
+{
+  const auto withRoom = std::set(aQueried.begin(), aQueried.end());
+  for (const auto number : aStep.mAdvice.good()) {
+    if (aQueried.size() >= aMost) {
+      return;
+    }
+    const auto position = mCandidatePositions[number];
+    if (position && !withRoom.contains(number) && allowed(aStep, *mTargetsByNumber[number], aNow) &&
+        aStep.mAdvice.validTicket(number, aNow + kTicketRenewalMargin) == nullptr) {
+      aQueried.push_back(number);
+    }
+  }
+}
+
 /// Load pattern: wide gangs wait while advice is slow and the capacity of the targets changes. A
 /// gang starts only if its tickets are valid at the same time, and a call may take nearly as long
 /// as a ticket lives. One round of calls therefore queries every target that the gang will use,
@@ -130,7 +203,8 @@
     bool mIsGood;
   };
   const bool hasRoom = hasRoomForGang(aStep, aCandidates);
-  if (!hasRoom && !mAdviceDispatcher.hasSpareHelpers(aNow)) {
+  const bool hasSpareHelpers = mAdviceDispatcher.hasSpareHelpers(aNow);
+  if (!hasRoom && !hasSpareHelpers) {
     return {};
   }
   const bool isolated = queriesInIsolation(aStep, aCandidates, aNow);
@@ -148,7 +222,7 @@
     add(*candidate, true);
   }
   bool hasUnknown = false;
-  if (static_cast<double>(slots) < kGangSpareFactor * needed) {
+  if (static_cast<double>(slots) < needed) {
     for (const auto position : groupOf(aStep, aCandidates).positions()) {
       const auto& candidate = aCandidates[position];
       if (aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::unknown &&
@@ -158,9 +232,8 @@
       }
     }
   }
-  const bool wantsVerdicts = hasUnknown &&
-                             goodCapacity < kReservableFactor * aStep.mPending.size() &&
-                             mAdviceDispatcher.hasSpareHelpers(aNow);
+  const bool wantsVerdicts =
+    hasUnknown && goodCapacity < kReservableFactor * aStep.mPending.size() && hasSpareHelpers;
   if (slots < aStep.mPending.size() && !wantsVerdicts) {
     return {};
   }
@@ -171,21 +244,28 @@
   });
   const double goodFraction = expectedGoodFraction(aStep.mRoute.mName);
   const auto& terms = *aStep.mRoute.mAdvice;
-  const auto roundEnd =
-    aNow + terms.mPerCall + static_cast<int>(kMaxQueriedTargets) * terms.mPerTarget;
-  double expected = 0;
+  slot_forecast forecast(goodFraction);
   std::vector<internal::target_number> queried;
   for (const auto& one : options) {
-    if (one.mSlots == 0 || expected >= kGangSpareFactor * needed) {
+    if (one.mSlots == 0 || forecast.suffices(needed)) {
       break;
     }
-    expected += one.mSlots * (one.mIsGood ? 1.0 : kUnknownDiscount * goodFraction);
-    const auto& target = *one.mCandidate->mTarget;
-    if (aStep.mAdvice.validTicket(target.mNumber, roundEnd + kTicketRenewalMargin) == nullptr) {
-      queried.push_back(target.mNumber);
+    const auto slotsHere = std::min(one.mSlots, static_cast<std::uint32_t>(needed));
+    if (one.mIsGood) {
+      forecast.addGood(slotsHere);
+    } else {
+      forecast.addUnknown(slotsHere);
     }
+    queried.push_back(one.mCandidate->mTarget->mNumber);
   }
-  if (expected >= needed) {
+  if (forecast.mean() >= needed) {
+    // Tickets that outlive the round need no renewal, which in turn makes the round shorter.
+    const auto roundEnd =
+      aNow + terms.mPerCall +
+      static_cast<int>(std::min(queried.size(), kMaxQueriedTargets)) * terms.mPerTarget;
+    std::erase_if(queried, [&](internal::target_number aTarget) {
+      return aStep.mAdvice.validTicket(aTarget, roundEnd + kTicketRenewalMargin) != nullptr;
+    });
     return queried;
   }
   // The gang cannot start now. Verdicts on more targets show where capacity is worth reserving.
@@ -193,9 +273,15 @@
   if (!wantsVerdicts) {
     return queried;
   }
+  double reservable = static_cast<double>(goodCapacity);
   for (const auto& one : options) {
-    if (!one.mIsGood && queried.size() < kMaxQueriedTargets) {
-      queried.push_back(one.mCandidate->mTarget->mNumber);
+    if (queried.size() == kMaxQueriedTargets || reservable >= kReservableFactor * needed) {
+      break;
+    }
+    if (!one.mIsGood) {
+      const auto& target = *one.mCandidate->mTarget;
+      queried.push_back(target.mNumber);
+      reservable += goodFraction * maxTasksIn(aStep.mNeeds, target.mEntry.mCapacity);
     }
   }
   return queried;
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -123,6 +123,13 @@
     std::uint32_t mTaskIndex = 0;
     candidate_target* mCandidate = nullptr;
   };
+  /// Capacity that the gang whose turn it is has reserved at a candidate.
+  struct gang_reservation
+  {
+    candidate_target* mCandidate = nullptr;
+    std::uint32_t mSlots = 0;
+    resources mAmount;
+  };
   /// Runs to stop at a target, and the number of tasks that then fit there.
   struct preemption
   {
@@ -385,6 +392,9 @@
   std::vector<internal::target_number> targetsToQuery(const waiting_step& aStep,
                                                       std::vector<candidate_target>& aCandidates,
                                                       time_point aNow) const;
+  /// Adds the step's other good targets without a ticket, up to aMost targets in all.
+  void addGoodTargets(const waiting_step& aStep, std::size_t aMost,
+                      std::vector<internal::target_number>& aQueried, time_point aNow) const;
   std::vector<internal::target_number> gangTargetsToQuery(
     const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const;
   /// Returns the fraction of targets that is expected to be good for a step of the route.
@@ -412,6 +422,10 @@
   /// Stops runs of routes with lower priority for a step that would be late otherwise.
   void preempt(waiting_step& aStep, const internal::step_rank& aRank,
                std::vector<candidate_target>& aCandidates, time_point aNow);
+  /// Stops runs for up to aWanted tasks of the step; returns the number of targets at which it did.
+  std::size_t preemptFor(const waiting_step& aStep, std::size_t aWanted,
+                         std::vector<candidate_target>& aCandidates, time_point aNow);
+  void stopVictims(const waiting_step& aStep, const preemption& aStop, time_point aNow);
   /// Returns the runs to stop at the target so that up to aMost tasks of the step fit; no tasks if
   /// stopping runs does not help.
   preemption preemptionAt(const waiting_step& aStep, candidate_target& aCandidate,
@@ -505,6 +519,8 @@
   /// CPU reserved for waiting gangs, and claimed by steps that ask for advice, in the current pass.
   std::int64_t mReservedCpuMilli = 0;
   std::int64_t mClaimedCpuMilli = 0;
+  /// Of the step whose turn it is.
+  std::vector<gang_reservation> mGangReservations;
   pass_counts mLastPass;
   /// pass_counts::mVisits of the current pass.
   mutable std::uint64_t mPassVisits = 0;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -294,6 +294,7 @@
       continue;
     }
     updateIsolation(*step, aNow);
+    mGangReservations.clear();
     if (step->spec().mGang) {
       placeGang(*step, candidates, aNow);
     } else {
@@ -604,7 +605,9 @@
   for (auto& [candidate, slots] : parts) {
     // Nothing of other jobs may start where a gang waits for isolation. That wait is short, so that
     // the limit on reservations counts only what the gang needs.
-    candidate->mFree -= aStep.mNeedsIsolation ? candidate->mFree : times(aStep.mNeeds, slots);
+    const auto amount = aStep.mNeedsIsolation ? candidate->mFree : times(aStep.mNeeds, slots);
+    candidate->mFree -= amount;
+    mGangReservations.push_back({ .mCandidate = candidate, .mSlots = slots, .mAmount = amount });
   }
 }
 
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -124,23 +124,34 @@
       aStep.mNextPreemption > aNow) {
     return;
   }
-  const bool gang = aStep.spec().mGang;
-  auto missing = std::min<std::size_t>(aStep.mPending.size(), teamSlots(aStep));
-  if (gang && missing < aStep.mPending.size()) {
+  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), teamSlots(aStep));
+  if (aStep.spec().mGang && wanted < aStep.mPending.size()) {
     return;
   }
-  if (aStep.mRoute.mPriority >= mLowestPriority && !mCapacityIsBeingFreed &&
-      positionsWithRoom(aStep, aCandidates).empty()) {
-    // There is nothing to stop and nothing to wait for.
+  // In the first case there is nothing to stop and nothing to wait for.
+  const bool isFutile =
+    (aStep.mRoute.mPriority >= mLowestPriority && !mCapacityIsBeingFreed &&
+     positionsWithRoom(aStep, aCandidates).empty()) ||
+    (aStep.mRoute.mAdvice && aStep.mAdvice.goodTargets() == 0) ||
+    groupOf(aStep, aCandidates).isPreemptionFutile(aStep.mNeeds, aStep.mRoute.mPriority);
+  if (isFutile) {
     aStep.mNextPreemption = aNow + kFutilePreemptionPause;
     return;
   }
-  auto& group = groupOf(aStep, aCandidates);
-  if ((aStep.mRoute.mAdvice && aStep.mAdvice.goodTargets() == 0) ||
-      group.isPreemptionFutile(aStep.mNeeds, aStep.mRoute.mPriority)) {
-    aStep.mNextPreemption = aNow + kFutilePreemptionPause;
-    return;
+  // What the gang has reserved is room for it.
+  for (const auto& one : mGangReservations) {
+    one.mCandidate->mFree += one.mAmount;
   }
+  const auto targets = preemptFor(aStep, wanted, aCandidates, aNow);
+  for (const auto& one : mGangReservations) {
+    one.mCandidate->mFree -= one.mAmount;
+  }
+  aStep.mNextPreemption = aNow + (targets == 0 ? kFutilePreemptionPause : kPreemptInterval);
+}
+
+std::size_t owner::impl::preemptFor(const waiting_step& aStep, std::size_t aWanted,
+                                    std::vector<candidate_target>& aCandidates, time_point aNow)
+{
   auto good = goodCandidates(aStep, aCandidates, aNow);
   std::erase_if(good, [&aStep](const auto* aOne) { return !mayShare(aStep, *aOne); });
   // Candidates are in the order of their free CPU. At a target whose capacity has shrunk below its
@@ -148,11 +159,17 @@
   std::ranges::stable_partition(good, [](const candidate_target* aOne) {
     return !aOne->mTarget->freeCapacity().anyNegative();
   });
-  const auto wanted = missing;
+  const auto reservedAt = [this](const candidate_target* aOne) {
+    const auto found = std::ranges::find(mGangReservations, aOne, &gang_reservation::mCandidate);
+    return found == mGangReservations.end() ? 0U : found->mSlots;
+  };
+  auto missing = aWanted;
   for (auto* candidate : good) {
     const auto beingFreed = static_cast<std::uint32_t>(std::min<std::size_t>(
       missing, maxTasksIn(aStep.mNeeds, candidate->mFree + candidate->mBeingFreed)));
-    candidate->mBeingFreed -= times(aStep.mNeeds, beingFreed);
+    // Reserved capacity is withheld from other steps already.
+    const auto reserved = std::min(beingFreed, reservedAt(candidate));
+    candidate->mBeingFreed -= times(aStep.mNeeds, beingFreed - reserved);
     missing -= beingFreed;
   }
   std::vector<preemption> stops;
@@ -166,36 +183,41 @@
       stops.push_back(std::move(here));
     }
   }
-  if (missing > 0 && missing == wanted) {
+  if (missing > 0 && missing == aWanted) {
     const auto freeAt = [&](std::uint32_t aPosition) {
       return freeAfterPreemption(aStep, aCandidates[aPosition]);
     };
-    group.checkPreemption(aStep.mNeeds, aStep.mRoute.mPriority, freeAt, mPassVisits);
+    groupOf(aStep, aCandidates)
+      .checkPreemption(aStep.mNeeds, aStep.mRoute.mPriority, freeAt, mPassVisits);
   }
-  if (gang && missing > 0) {
-    aStep.mNextPreemption = aNow + kFutilePreemptionPause;
-    return;
+  if (aStep.spec().mGang && missing > 0) {
+    return 0;
   }
-  aStep.mNextPreemption = aNow + (stops.empty() ? kFutilePreemptionPause : kPreemptInterval);
   for (const auto& stop : stops) {
-    auto& target = *stop.mCandidate->mTarget;
-    for (const auto& victim : stop.mVictims) {
-      const auto& task = victim.mTask;
-      auto& run = target.mRuns.find(task)->second;
-      target.wantStop(run);
-      run.mNextTry = aNow;
-      stop.mCandidate->mBeingFreed += run.mNeeds;
-      mCapacityIsBeingFreed = true;
-      mRoom.onPreempted(victim.mPriority);
-      mPort.logDecision("preempt",
-                        fmt::format("task={} run={} target={} for_step={} deadline_slack_ms={}",
-                                    toText(task), run.mRun, target.mEntry.mId, toText(aStep.mKey),
-                                    (aStep.mDeadline - aStep.mRemainingWork - aNow) /
-                                      std::chrono::milliseconds(1)));
-    }
-    target.mNextOrders = time_point{};
-    stop.mCandidate->mBeingFreed -= times(aStep.mNeeds, stop.mTasks);
+    stopVictims(aStep, stop, aNow);
+  }
+  return stops.size();
+}
+
+void owner::impl::stopVictims(const waiting_step& aStep, const preemption& aStop, time_point aNow)
+{
+  auto& target = *aStop.mCandidate->mTarget;
+  for (const auto& victim : aStop.mVictims) {
+    const auto& task = victim.mTask;
+    auto& run = target.mRuns.find(task)->second;
+    target.wantStop(run);
+    run.mNextTry = aNow;
+    aStop.mCandidate->mBeingFreed += run.mNeeds;
+    mCapacityIsBeingFreed = true;
+    mRoom.onPreempted(victim.mPriority);
+    mPort.logDecision(
+      "preempt",
+      fmt::format("task={} run={} target={} for_step={} deadline_slack_ms={}", toText(task),
+                  run.mRun, target.mEntry.mId, toText(aStep.mKey),
+                  (aStep.mDeadline - aStep.mRemainingWork - aNow) / std::chrono::milliseconds(1)));
   }
+  target.mNextOrders = time_point{};
+  aStop.mCandidate->mBeingFreed -= times(aStep.mNeeds, aStop.mTasks);
 }
 
 } // namespace endiveusher::scheduler
--- a/tests/scheduler/owner_fixture.h
+++ b/tests/scheduler/owner_fixture.h
@@ -320,6 +320,8 @@
   std::optional<fake_advice_service> mAdviceService;
   /// Whether tasks end as done after their estimate, except long-running ones.
   bool mTasksEnd = false;
+  /// Relative error of the estimates, by which mTasksEnd's ends are earlier or later: up to this.
+  double mEstimateError = 0;
   bool mStoreDown = false;
   /// Whether the owner's renewals are stored.
   bool mRenews = true;
@@ -736,12 +738,23 @@
       mJobTable.find(aOrder.mTask.mStep.mJob)->mSpec.mSteps[aOrder.mTask.mStep.mStep];
     if (mTasksEnd && !step.mLongRunning) {
       mTaskEnds.emplace(
-        mNow + step.mEstimate,
+        mNow + runTime(step, aOrder.mTask),
         task_end{ .mTarget = aOrder.mTarget, .mTask = aOrder.mTask, .mRun = aOrder.mRun });
     }
     return target.mLosesReplies ? target.mLostReply : order_outcome::accepted;
   }
 
+  /// Returns how long the task runs. The members of a gang run equally long.
+  milliseconds runTime(const step_spec& aStep, const task_key& aTask) const
+  {
+    const auto index = aStep.mGang ? 0 : aTask.mIndex;
+    const auto mixed =
+      (static_cast<std::uint64_t>(aTask.mStep.mJob) * 131 + index) * 11400714819323198485U;
+    const double unit = static_cast<double>(mixed >> 32U) / 4294967296.0;
+    return std::chrono::duration_cast<milliseconds>(aStep.mEstimate *
+                                                    (1 + mEstimateError * (2 * unit - 1)));
+  }
+
   order_outcome execute(const stop_order& aOrder)
   {
     auto& target = mTargets.at(aOrder.mTarget);
