--- a/node/src/relay_policy.h
+++ b/node/src/relay_policy.h
@@ -26,9 +26,9 @@
 /// there is room. Relays take most of the calls over. In a cell with less load they only delay
 /// orders: each waits for its batch and for a second hop.
 ///
-/// Relays are enabled while the loop still has some time left, and disabled only if the direct
-/// calls would leave it well below that, so that a load near the limit does not switch back and
-/// forth: each switch opens connections to all targets anew.
+/// Relays are enabled while the loop still has some time left, and disabled after a while if it
+/// would also have that with direct calls. A load near the limit does not switch back and forth
+/// more often: each switch opens connections to all targets anew.
 ///
 /// Usage:
 ///   if (policy.update(load, targets, cores, now)) { ... }
@@ -41,14 +41,15 @@
   /// The same up to which it never does: decisions and callers take most of its time then.
   static constexpr double kMinRelayedTargetsPerCore = 300;
   /// Period over which the load is averaged; a burst lasts some seconds.
-  static constexpr std::chrono::milliseconds kAveragePeriod{ 700 };
-  /// Relays are enabled below this idle time, if calls take at least kEnabledCalls. Urgent steps
-  /// have a quarter of a second to start, and wait for every pass of a loop that is busier.
-  static constexpr double kEnabledIdle = 0.4;
+  static constexpr std::chrono::milliseconds kAveragePeriod{ 600 };
+  /// Relays are enabled below this idle time, if calls take at least kEnabledCalls. Owners of 350
+  /// targets on half a core are idle for a quarter of a quiet day; from 0.4 on, relays delayed its
+  /// jobs.
+  static constexpr double kEnabledIdle = 0.2;
   static constexpr double kEnabledCalls = 0.25;
   /// They are disabled if direct calls would leave at least this idle time. A relayed order costs
   /// the owner about a third of a direct call.
-  static constexpr double kDisabledIdle = 0.6;
+  static constexpr double kDisabledIdle = 0.2;
   static constexpr double kDirectCostFactor = 3;
   /// Shortest time for which relays stay enabled.
   static constexpr std::chrono::seconds kMinRelayTime{ 10 };
