Order waiting steps by the teams' shares and past use

Cause: the weight of a team counts in admission only, so a team below its share waits behind one far above it, and shares hold over seconds only.

Change: past_use counts the dominant share of each team over time, halved in each half-life; team_shares compares present shares. A step of a team above the mean is ordered later by at most 2 s and a quarter of its slack; late steps are ordered by priority, ratio in powers of two, and latest start. Preemption uses the rank without the delay.

--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -6,6 +6,7 @@
 #include "settings.h"
 #include "signal_watch.h"
 
+#include <absl/status/statusor.h>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -39,6 +40,11 @@
 /// Time for the core to write the state dump before a forced exit.
 constexpr auto kFinalDumpTimeout = std::chrono::milliseconds(500);
 
+/// Limits of the half-life of past use. Use is stored every 10 s, so that a shorter half-life would
+/// not outlast a change of owner. The upper limit rejects values in another unit.
+constexpr std::chrono::seconds kMinHalfLife{ 10 };
+constexpr std::chrono::seconds kMaxHalfLife{ 30 * 24 * 3600 };
+
 void limitMemory()
 {
   // With one arena per thread, each would retain its own freed memory.
@@ -116,13 +122,33 @@
   return file ? std::optional(text.str()) : std::nullopt;
 }
 
+/// Options of the command line for a cell on the prepared platform.
+struct platform_options
+{
+  /// 0: past use is not counted.
+  std::chrono::seconds mPastUseHalfLife{ 0 };
+  bool mOrderByShare = false;
+};
+
+/// Returns the settings of the file's text with the options of the command line.
+absl::StatusOr<platform::node_settings> readNodeSettings(const std::string& aText,
+                                                         const platform_options& aOptions)
+{
+  auto settings = platform::parseSettings(aText);
+  if (settings.ok()) {
+    settings->mPastUseHalfLife = aOptions.mPastUseHalfLife;
+    settings->mOrderByShare = aOptions.mOrderByShare;
+  }
+  return settings;
+}
+
 /// Serves a cell on the prepared platform, whose settings file may change at any time.
-int runOnPlatform(bool aCheckOnly)
+int runOnPlatform(bool aCheckOnly, const platform_options& aOptions)
 {
   limitMemory();
   const auto path = platform::settingsPath();
   auto text = readFile(path).value_or("");
-  const auto settings = platform::parseSettings(text);
+  const auto settings = readNodeSettings(text, aOptions);
   if (!settings.ok()) {
     fmt::print(stderr, "{}: {}\n", path, std::string(settings.status().message()));
     return kExitSettings;
@@ -145,7 +171,7 @@
       cell.dumpState();
     } else if (auto newText = readFile(path).value_or(""); newText != text) {
       text = std::move(newText);
-      auto changed = platform::parseSettings(text);
+      auto changed = readNodeSettings(text, aOptions);
       if (changed.ok()) {
         cell.reload(*std::move(changed));
       } else {
@@ -166,10 +192,28 @@
   TCLAP::SwitchArg onPlatform(
     "", "platform", "Serve a cell on the prepared platform, configured by its settings file.",
     line);
+  TCLAP::ValueArg<long> pastUseHalfLife(
+    "", "past-use-half-life",
+    "Order waiting steps by the teams' past use, which halves in this time (with --platform; 0: "
+    "off).",
+    false, 0, "seconds", line);
+  TCLAP::SwitchArg shareOrder(
+    "", "share-order", "Order waiting steps by the teams' present shares (with --platform).", line);
   line.parse(aArgc, aArgv);
 
+  const long halfLife = pastUseHalfLife.getValue();
+  if (halfLife != 0 && (halfLife < kMinHalfLife.count() || halfLife > kMaxHalfLife.count())) {
+    fmt::print(stderr, "--past-use-half-life {}: accepted: 0 (off), or {} to {} seconds\n",
+               halfLife, kMinHalfLife.count(), kMaxHalfLife.count());
+    return kExitSettings;
+  }
   if (onPlatform.getValue()) {
-    return runOnPlatform(check.getValue());
+    return runOnPlatform(check.getValue(), { .mPastUseHalfLife = std::chrono::seconds(halfLife),
+                                             .mOrderByShare = shareOrder.getValue() });
+  }
+  if (halfLife != 0 || shareOrder.getValue()) {
+    fmt::print(stderr, "--past-use-half-life and --share-order require --platform\n");
+    return kExitSettings;
   }
   if (!config.isSet()) {
     fmt::print(stderr, "one of --config and --platform is required\n");
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -33,6 +33,23 @@
          std::holds_alternative<scheduler::job_cancelled>(aRecord);
 }
 
+/// Returns the value of a label in the Prometheus text format.
+std::string metricLabel(std::string_view aValue)
+{
+  std::string text;
+  for (const char one : aValue) {
+    if (one == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (one == '"' || one == '\\') {
+      text += '\\';
+    }
+    text += one;
+  }
+  return text;
+}
+
 /// Returns the interval at which each of the owner's followers should send hellos.
 std::chrono::milliseconds helloInterval(std::size_t aFollowers)
 {
@@ -444,6 +461,13 @@
     add("plan_starts", counts.mLastPass.mStarts);
     add("plan_visits", counts.mLastPass.mVisits);
     add("plan_seconds", inSeconds(counts.mLastPass.mDuration));
+    add("steps_delayed", counts.mDelayedSteps);
+    for (const auto& team : counts.mTeams) {
+      const auto label = metricLabel(team.mName);
+      text += fmt::format("endiveusher_team_share{{team=\"{}\"}} {:.4f}\n", label, team.mShare);
+      text +=
+        fmt::format("endiveusher_team_past_use{{team=\"{}\"}} {:.4f}\n", label, team.mPastUse);
+    }
     add("advice_helpers", mHelpers.size());
     add("relays", mOrderRouter.relays());
     add("relayed_orders_open", mOrderRouter.openOrders());
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -368,7 +368,9 @@
                               .mEpochs = mElection.epochs(),
                               .mLatestActs = mElection.history().latestActs(),
                               .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval,
-                              .mClock = &mClock },
+                              .mClock = &mClock,
+                              .mPastUseHalfLife = mSettings.mPastUseHalfLife,
+                              .mOrderByShare = mSettings.mOrderByShare },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -56,6 +56,8 @@
   std::optional<std::int64_t> acquiredIncarnation(std::string_view aTarget) const;
   /// Returns the VM of the target; empty if it is unknown.
   std::string vmOf(std::string_view aTarget) const;
+  /// Returns the latest past use of the teams; nullptr if there is no record of it.
+  const team_use* teamUse() const { return mTeamUse ? &*mTeamUse : nullptr; }
   /// Returns records that rebuild this state in an empty table. Ended jobs without open runs are
   /// reduced to what callers may still query.
   std::vector<journal_record> snapshot(time_point aNow) const;
@@ -79,6 +81,7 @@
   job* applyRecord(const job_snapshot& aRecord, time_point aNow);
   job* applyRecord(const target_acquired& aRecord, time_point aNow);
   job* applyRecord(const renewals_stopped& aRecord, time_point aNow);
+  job* applyRecord(const team_use& aRecord, time_point aNow);
   step_state* stepOf(job& aJob, const step_key& aKey);
   void finish(job& aJob, job_phase aPhase, time_point aNow);
   void completeIfDone(job& aJob, std::uint32_t aOccurrence, time_point aNow);
@@ -99,6 +102,8 @@
   };
   /// Latest acquisition of each target.
   std::map<std::string, acquisition, std::less<>> mAcquisitions;
+  /// See teamUse().
+  std::optional<team_use> mTeamUse;
   /// Ended jobs by the time of their end, ascending.
   std::vector<std::pair<time_point, job_id>> mEnded;
 };
--- a/scheduler/include/endiveusher/scheduler/journal.h
+++ b/scheduler/include/endiveusher/scheduler/journal.h
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -90,10 +91,29 @@
   time_point mTakenAt{};
 };
 
+/// Largest number of teams in a team_use record.
+inline constexpr std::size_t kMaxTeamsInRecord = 512;
+
+/// Past use of all teams at a time. It holds totals, and a later record replaces an earlier one.
+/// Written only by owners with a half-life of past use; earlier versions pass over it.
+struct team_use
+{
+  struct entry
+  {
+    std::string mTeam;
+    /// Decayed dominant share times time, in seconds of the whole cell. A float, because it takes
+    /// 5 bytes in the record.
+    float mUse = 0;
+  };
+  wall_time mAt{ 0 };
+  std::vector<entry> mTeams;
+};
+
 /// A journal record. Daemons that apply the records in the order of the journal reach the same
 /// state.
-using journal_record = std::variant<job_submitted, job_cancelled, run_started, run_ended,
-                                    job_abandoned, job_snapshot, target_acquired, renewals_stopped>;
+using journal_record =
+  std::variant<job_submitted, job_cancelled, run_started, run_ended, job_abandoned, job_snapshot,
+               target_acquired, renewals_stopped, team_use>;
 
 /// Encodes a record as a MessagePack array whose first element is the kind of record.
 std::string encode(const journal_record& aRecord);
--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -39,6 +39,11 @@
   std::chrono::milliseconds mPlanInterval{ 20 };
   /// Measures the duration of planning passes; nullptr if it is not wanted.
   const clock* mClock = nullptr;
+  /// Half-life of the teams' past use, by which waiting steps are ordered; 0: past use is neither
+  /// counted nor stored.
+  std::chrono::seconds mPastUseHalfLife{ 0 };
+  /// Whether waiting steps are ordered by the teams' present shares.
+  bool mOrderByShare = false;
 };
 
 /// What the last planning pass has cost.
@@ -53,6 +58,16 @@
   duration mDuration{ 0 };
 };
 
+/// Use of a team, relative to the mean of the others and by weight.
+struct team_counts
+{
+  std::string mName;
+  /// Present dominant share.
+  double mShare = 0;
+  /// Decayed past use; 0 if it is not counted.
+  double mPastUse = 0;
+};
+
 /// Counts of the owner's state, for metrics.
 struct owner_counts
 {
@@ -66,6 +81,10 @@
   duration mLongestWait{ 0 };
   /// Longest time since a target with open runs has replied to this owner.
   duration mLongestSilence{ 0 };
+  /// The teams with the largest use, largest first; empty unless steps are ordered by use.
+  std::vector<team_counts> mTeams{};
+  /// Steps that were delayed in the last planning pass because of their teams' use.
+  std::size_t mDelayedSteps = 0;
 };
 
 /// Decides for all targets of the cell during one epoch: where tasks start, which leases are
--- a/scheduler/src/backlog_estimate.cpp
+++ b/scheduler/src/backlog_estimate.cpp
@@ -24,8 +24,9 @@
 /// Whether aOne starts before the job if that starts on time.
 bool isBefore(const step_rank& aOne, const new_work& aJob)
 {
-  return std::tie(aOne.mBand, aOne.mPriority, aOne.mLatestStart) <=
-         std::tie(aJob.mRank.mBand, aJob.mRank.mPriority, aJob.mRank.mLatestStart);
+  return std::tie(aOne.mBand, aOne.mPriority, aOne.mShareClass, aOne.mLatestStart) <=
+         std::tie(aJob.mRank.mBand, aJob.mRank.mPriority, aJob.mRank.mShareClass,
+                  aJob.mRank.mLatestStart);
 }
 
 } // namespace
--- a/scheduler/src/backlog_estimate.h
+++ b/scheduler/src/backlog_estimate.h
@@ -148,6 +148,7 @@
   {
     int mBand = 0;
     int mPriority = 0;
+    int mShareClass = 0;
     time_point mLatestStart;
     auto operator<=>(const start_order_key&) const = default;
   };
@@ -155,6 +156,7 @@
   {
     return { .mBand = aRank.mBand,
              .mPriority = aRank.mPriority,
+             .mShareClass = aRank.mShareClass,
              .mLatestStart = aRank.mLatestStart };
   }
   /// Units in the order of their starts, with their running sum.
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -333,6 +333,13 @@
   return nullptr;
 }
 
+job* job_table::applyRecord(const team_use& aRecord, time_point /*aNow*/)
+{
+  // In the order of the journal: the clock of a later owner may be behind that of an earlier one.
+  mTeamUse = aRecord;
+  return nullptr;
+}
+
 std::optional<time_point> job_table::leaseExpiryAt(std::string_view aTarget) const
 {
   const auto found = mAcquisitions.find(aTarget);
@@ -459,6 +466,9 @@
                           .mLeaseLeft = std::chrono::ceil<std::chrono::milliseconds>(left) });
     }
   }
+  if (mTeamUse) {
+    records.emplace_back(*mTeamUse);
+  }
   for (const auto& [id, one] : mJobs) {
     if (one.mPhase == job_phase::active || hasOpenRuns(one)) {
       records.emplace_back(job_snapshot{ .mJob = one, .mTakenAt = aNow });
@@ -477,6 +487,7 @@
   mJobs.clear();
   mWaiting.clear();
   mAcquisitions.clear();
+  mTeamUse.reset();
   mEnded.clear();
 }
 
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <stdexcept>
 #include <utility>
@@ -29,6 +30,7 @@
   snapshot = 6,
   target_acquired = 7,
   renewals_stopped = 8,
+  team_use = 9,
 };
 
 std::uint64_t number(job_id aId)
@@ -426,6 +428,17 @@
     value.push_back(aRecord.mLeaseLeft.count());
     return value;
   }
+  json operator()(const team_use& aRecord) const
+  {
+    auto value = start(record_kind::team_use);
+    value.push_back(aRecord.mAt.count());
+    json teams = json::array();
+    for (const auto& one : aRecord.mTeams) {
+      teams.push_back(json::array({ one.mTeam, one.mUse }));
+    }
+    value.push_back(std::move(teams));
+    return value;
+  }
 };
 
 target_acquired acquisitionFrom(const json& aValue)
@@ -444,6 +457,23 @@
   return record;
 }
 
+team_use teamUseFrom(const json& aValue)
+{
+  team_use record{ .mAt = wall_time(aValue.at(1).get<std::int64_t>()) };
+  const auto& teams = aValue.at(2).get_ref<const json::array_t&>();
+  if (teams.size() > kMaxTeamsInRecord) {
+    throw std::out_of_range("the number of teams is out of range");
+  }
+  for (const auto& team : teams) {
+    record.mTeams.push_back({ .mTeam = team.at(0), .mUse = team.at(1) });
+    const auto use = record.mTeams.back().mUse;
+    if (!std::isfinite(use) || use < 0) {
+      throw std::out_of_range("the use of a team is out of range");
+    }
+  }
+  return record;
+}
+
 journal_record recordFrom(const json& aValue)
 {
   const auto jobOf = [&aValue] { return static_cast<job_id>(aValue.at(1).get<std::uint64_t>()); };
@@ -475,6 +505,8 @@
                                .mEpoch = aValue.at(2),
                                .mLeaseLeft =
                                  std::chrono::milliseconds(aValue.at(3).get<std::int64_t>()) };
+    case record_kind::team_use:
+      return teamUseFrom(aValue);
   }
   throw std::invalid_argument(absl::StrCat("unknown record kind ", aValue.at(0).get<int>()));
 }
@@ -526,6 +558,10 @@
     {
       return absl::StrCat("kind=renewals_stopped target=", aOne.mTarget);
     }
+    std::string operator()(const team_use& aOne) const
+    {
+      return absl::StrCat("kind=team_use teams=", aOne.mTeams.size());
+    }
   };
   return std::visit(describer{}, aRecord);
 }
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -39,6 +39,8 @@
 /// Time before its due time at which an occurrence is opened, so that advice can be requested. Its
 /// tasks do not start before the due time.
 constexpr auto kOccurrenceOpenLead = std::chrono::milliseconds(100);
+/// Number of teams in the metrics and in the dump.
+constexpr std::size_t kCountedTeams = 20;
 
 /// Returns the estimated duration of a step, its advice call included.
 duration estimatedWork(const step_spec& aStep, const route_config& aRoute)
@@ -159,6 +161,10 @@
 {
   mLatestActs = mOptions.mLatestActs;
   mNewestRecord = mEpoch;
+  if (mOptions.mPastUseHalfLife.count() > 0) {
+    mPastUse.emplace(mOptions.mPastUseHalfLife);
+    mNextUseRecord = aNow + internal::past_use::kMaxInterval;
+  }
 }
 
 void owner::impl::configure(std::shared_ptr<const cell_config> aConfig)
@@ -322,8 +328,11 @@
   }
   const auto& first = aSpec.mSteps[static_cast<std::size_t>(longest - paths.begin())];
   const auto period = onTimePeriod(*longest, route);
-  return internal::new_work{ .mRank = internal::rankOnTime(aNow + period, *longest, route.mPriority,
-                                                           { .mJob = aSpec.mId }),
+  const auto team = mTeams.find(aSpec.mTeam);
+  const auto position = team == mTeams.end() ? internal::share_position{} : team->second.mPosition;
+  const auto rank =
+    internal::rankOnTime(aNow + period, *longest, route.mPriority, { .mJob = aSpec.mId });
+  return internal::new_work{ .mRank = internal::withShare(rank, position, aNow),
                              .mPriority = route.mPriority,
                              .mRoom = internal::roomClassOf(first),
                              .mUnits = first.mGang ? 1 : first.mCount,
@@ -567,6 +576,7 @@
       ++at;
     }
   }
+  updatePastUse(aNow, aWall);
   const bool viewCurrent = aNow <= mViewCurrentUntil;
   mPlanNeeded = mPlanNeeded || (viewCurrent && !mWasViewCurrent);
   mWasViewCurrent = viewCurrent;
@@ -598,7 +608,9 @@
   owner_counts counts{ .mTargets = mTargets.size(),
                        .mWaitingSteps = mWaiting.size(),
                        .mAdviceCalls = mAdviceCalls.size(),
-                       .mLastPass = mLastPass };
+                       .mLastPass = mLastPass,
+                       .mTeams = largestTeams(kCountedTeams),
+                       .mDelayedSteps = mDelayedSteps };
   for (const auto& [id, target] : mTargets) {
     counts.mUsableTargets += target.mAcquired && target.mMissedHeartbeats == 0 ? 1 : 0;
     counts.mOpenRuns += target.mRuns.size();
@@ -621,6 +633,14 @@
                                  mBatchesInFlight.size(), mPendingRecords.size());
   text += fmt::format("pass steps={} starts={} visits={} us={}\n", mLastPass.mSteps,
                       mLastPass.mStarts, mLastPass.mVisits, mLastPass.mDuration.count());
+  if (ordersByUse()) {
+    text += fmt::format("use teams={} delayed_steps={}\n", mPastUse ? mPastUse->size() : 0,
+                        mDelayedSteps);
+  }
+  for (const auto& team : largestTeams(kCountedTeams)) {
+    text += fmt::format("team {} share={:.3f} past_use={:.3f} use_s={:.3f}\n", team.mName,
+                        team.mShare, team.mPastUse, mPastUse ? mPastUse->use(team.mName) : 0.0);
+  }
   for (const auto& [id, target] : mTargets) {
     text += fmt::format(
       "target {} zone={} listed={} taken={} draining={} missed={} runs={} cpu={}/{} mem={}/{}\n",
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -4,6 +4,7 @@
 #include "backlog_estimate.h"
 #include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
+#include "past_use.h"
 #include "room_index.h"
 #include "target_state.h"
 #include "waiting_step.h"
@@ -158,6 +159,17 @@
   void abandonAfterLastAttempts(time_point aNow);
   /// Returns the team with the name, creating it if it is new.
   internal::team_state& teamOf(const std::string& aName);
+  /// Whether waiting steps are ordered by their teams' use.
+  bool ordersByUse() const { return mPastUse || mOptions.mOrderByShare; }
+  static double weightOf(const internal::team_state& aTeam);
+  /// Returns the capacity of all usable targets.
+  resources usableCapacity(time_point aNow) const;
+  /// Counts the teams' past use and stores it from time to time.
+  void updatePastUse(time_point aNow, wall_time aWall);
+  /// Sets the positions of the teams by their use, for a planning pass.
+  void updateTeamPositions(time_point aNow);
+  /// Returns the teams with the largest use, at most aMost.
+  std::vector<team_counts> largestTeams(std::size_t aMost) const;
   /// Returns the latest known configuration of the job's route; without one, what the job was
   /// accepted by.
   route_config routeOf(const job_spec& aJob) const;
@@ -461,6 +473,13 @@
   std::map<step_key, waiting_step> mWaiting;
   /// Teams of all jobs; entries are never removed, because steps and runs refer to them.
   std::map<std::string, internal::team_state> mTeams;
+  /// Absent without owner_options::mPastUseHalfLife.
+  std::optional<internal::past_use> mPastUse;
+  bool mPastUseLoaded = false;
+  time_point mNextUseSample{};
+  time_point mNextUseRecord{};
+  /// See owner_counts::mDelayedSteps.
+  std::size_t mDelayedSteps = 0;
   /// Jobs with occurrences that are not open yet.
   std::set<job_id> mRecurringJobs;
   std::unordered_map<job_id, time_point> mSubmittedAt;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -262,6 +262,7 @@
 
 void owner::impl::plan(time_point aNow)
 {
+  updateTeamPositions(aNow);
   if (!mConfig || mWaiting.empty()) {
     return;
   }
@@ -299,7 +300,8 @@
     } else {
       placeTasks(*step, candidates, aNow);
     }
-    preempt(*step, rank, candidates, aNow);
+    // Its team's use does not make a step late for which others may be stopped.
+    preempt(*step, internal::rankWithoutShare(*step, aNow), candidates, aNow);
     if (step->startable() && step->mNextWaitLog <= aNow && waitLogs < kMaxWaitLogs) {
       ++waitLogs;
       logWait(*step, candidates, aNow);
--- a/scheduler/src/team_state.h
+++ b/scheduler/src/team_state.h
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/resources.h"
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job.h"
+#include "team_shares.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,14 @@
   std::optional<team_reservation> mReserved;
   /// Tasks that wait, in the current planning pass.
   std::uint32_t mWaitingTasks = 0;
+  /// Whether the team waits or runs, in the current planning pass. Maintained only while steps are
+  /// ordered by use, like the fields below.
+  bool mIsActive = false;
+  /// Present dominant share per weight, and past use, each over the mean of the teams.
+  double mShareRatio = 1;
+  double mPastUseRatio = 1;
+  /// Position by use, in the current planning pass.
+  share_position mPosition;
 };
 
 } // namespace endiveusher::scheduler::internal
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -190,13 +190,29 @@
   /// deadline, 3: past the value deadline.
   int mBand = 0;
   int mPriority = 0;
+  /// share_position::mClass of the team of a late step; 0 for others.
+  int mShareClass = 0;
+  /// Moved back by share_position::delayFor() for a step that is on time.
   time_point mLatestStart;
   step_key mKey;
 
   auto operator<=>(const step_rank&) const = default;
 };
 
-/// Returns the rank of a step that can meet its deadline.
+/// Returns the rank of a step of a team with this position. Steps of the highest priority and
+/// long-running ones keep theirs. The delay of a step that is on time ends with its slack, so that
+/// it comes before all steps that have more slack left, whatever its team has used.
+inline step_rank withShare(step_rank aRank, const share_position& aPosition, time_point aNow)
+{
+  if (aRank.mBand > kLastOnTimeBand) {
+    aRank.mShareClass = aPosition.mClass;
+  } else if (aRank.mBand == kLastOnTimeBand) {
+    aRank.mLatestStart += aPosition.delayFor(aRank.mLatestStart - aNow);
+  }
+  return aRank;
+}
+
+/// Returns the rank of a step that can meet its deadline, without regard to its team's use.
 inline step_rank rankOnTime(time_point aDeadline, duration aRemainingWork, int aPriority,
                             const step_key& aKey)
 {
@@ -206,10 +222,10 @@
            .mKey = aKey };
 }
 
-/// Returns the rank of a step. Load pattern: a burst needs more than all cores. Steps that can
-/// still meet their deadline come before late ones, ordered by their latest start, so that late
-/// steps do not delay others past their deadlines.
-inline step_rank rankOf(const waiting_step& aStep, time_point aNow)
+/// Returns the rank of a step without regard to its team's use. Load pattern: a burst needs more
+/// than all cores. Steps that can still meet their deadline come before late ones, ordered by their
+/// latest start, so that late steps do not delay others past their deadlines.
+inline step_rank rankWithoutShare(const waiting_step& aStep, time_point aNow)
 {
   if (aStep.spec().mLongRunning) {
     // Before all others, in the order of waiting: every second without its tasks is lost to their
@@ -231,4 +247,10 @@
            .mKey = aStep.mKey };
 }
 
+/// Returns the rank of a step, by which it is placed.
+inline step_rank rankOf(const waiting_step& aStep, time_point aNow)
+{
+  return withShare(rankWithoutShare(aStep, aNow), aStep.mTeam->mPosition, aNow);
+}
+
 } // namespace endiveusher::scheduler::internal
