Bound what servers buffer by one budget of bytes

Cause: 300 connections that each send most of an announced 1 MiB body raised the memory of a daemon without a bound. Change: memory_budget (edges) is shared by the three servers of a daemon: a quarter of limits.memory_mb. Incomplete requests are shed when it is short. Limits of the operator's configuration apply to callers. Bodies are refused by key and route before they are received. Not built completely and not run at this commit.

--- a/edges/include/endiveusher/edges/http_server.h
+++ b/edges/include/endiveusher/edges/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +14,9 @@
 
 namespace endiveusher::edges {
 
+class memory_budget;
+class memory_charge;
+
 struct http_request
 {
   std::string mMethod;
@@ -25,6 +29,9 @@
   /// Headers in the order received; names in lower case.
   std::vector<std::pair<std::string, std::string>> mHeaders;
   std::string mBody;
+  /// Reservation of the request's bytes in the budget of its server, released with the last copy.
+  /// Null if the server has no budget.
+  std::shared_ptr<memory_charge> mCharge;
 
   /// Returns the value of the first header named aName (in lower case); empty if there is none.
   std::string_view header(std::string_view aName) const
@@ -68,6 +75,33 @@
   std::shared_ptr<impl> mImpl;
 };
 
+/// Limits of a server that can be changed while it runs.
+struct http_limits
+{
+  /// Largest size of the request line and headers; larger ones get status 431.
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } << 10U;
+  /// Largest request body; larger ones get status 413.
+  std::size_t mMaxRequestBytes = std::size_t{ 1 } << 20U;
+  /// Time limit for receiving the request line and headers.
+  std::chrono::milliseconds mHeaderTimeout{ 10'000 };
+  /// Time after which a connection without a request is closed.
+  std::chrono::milliseconds mIdleTimeout{ 75'000 };
+};
+
+/// Decision on a request whose header has been received and whose body has not.
+struct body_admission
+{
+  /// Whether the request has a valid key or a public route; others are shed first.
+  bool mTrusted = false;
+  /// Answer of a request that is refused, after which the connection is closed; absent if its body
+  /// is to be received.
+  std::optional<http_answer> mRefusal;
+};
+
+/// Size of a body from which http_server_options::mAdmitBody is asked. Most requests are smaller,
+/// and their headers are decoded once.
+inline constexpr std::size_t kMinAdmittedBytes = std::size_t{ 16 } << 10U;
+
 struct http_server_options
 {
   /// Address to listen on, `ip:port`; port 0 selects a free one.
@@ -94,6 +128,24 @@
   /// Without this function such requests get status 503 if they arrive during stop(), and no answer
   /// if they are open at its end.
   std::function<http_answer(std::string_view aMethod)> mStopAnswer;
+  /// Budget for received requests and unsent answers; may be shared by several servers. Without it
+  /// they are limited by the other options only. A request that is shed gets mStopAnswer; without
+  /// that its connection is closed.
+  std::shared_ptr<memory_budget> mBudget = nullptr;
+  /// Number of connections beyond mMaxConnections that stay open until their callers have read
+  /// status 503; further ones are closed at once. By default mMaxConnections.
+  std::optional<std::size_t> mMaxRejectedConnections = std::nullopt;
+  /// Size of the system's receive buffer of each connection in bytes; 0 leaves the system's
+  /// default.
+  int mReceiveBufferBytes = 0;
+  /// Asked once about a request, without its body, when its header is complete, its body is not,
+  /// and the body is larger than kMinAdmittedBytes. Runs on the server's threads and must not block
+  /// or call the server.
+  std::function<body_admission(const http_request& aHead)> mAdmitBody = nullptr;
+  /// Largest size of the request line and headers; larger ones get status 431.
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } << 10U;
+  /// Time limit for receiving the request line and headers; mReceiveTimeout applies too.
+  std::chrono::milliseconds mHeaderTimeout{ 10'000 };
 };
 
 /// Requests that were open at the end of the period of http_server::stop().
@@ -130,6 +182,10 @@
   http_server& operator=(const http_server&) = delete;
 
   std::uint16_t port() const;
+  /// Replaces the limits, for requests that are received from now on.
+  void setLimits(const http_limits& aLimits);
+  /// Number of connections that were rejected because there were too many.
+  std::uint64_t rejectedConnections() const;
   /// Gives new requests the answer of a stop, waits at most aPeriod until the pending ones are
   /// answered and sent, gives the others the answer of a stop, then closes all connections. Later
   /// answers are discarded.
--- a/edges/src/connection_registry.cpp
+++ b/edges/src/connection_registry.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace endiveusher::edges::internal {
 
@@ -25,7 +26,10 @@
 
 } // namespace
 
-connection_registry::connection_registry() : mWakeFd(createEventFd()), mThread([this] { run(); }) {}
+connection_registry::connection_registry(std::shared_ptr<memory_budget> aBudget)
+  : mBudget(std::move(aBudget)), mWakeFd(createEventFd()), mThread([this] { run(); })
+{
+}
 
 connection_registry::~connection_registry()
 {
@@ -39,6 +43,12 @@
   mConnections.insert(std::move(aConnection));
 }
 
+void connection_registry::appendTo(std::vector<std::shared_ptr<sheddable>>& aHolders) const
+{
+  const std::lock_guard lock(mMutex);
+  aHolders.insert(aHolders.end(), mConnections.begin(), mConnections.end());
+}
+
 void connection_registry::remove(const std::shared_ptr<connection>& aConnection)
 {
   const std::lock_guard lock(mMutex);
@@ -121,6 +131,10 @@
     for (const auto& one : snapshot()) {
       one->maintain(now);
     }
+    // Answers are buffered also beyond the limit: a connection cannot shed others while it sends.
+    if (mBudget && mBudget->used() > mBudget->limit()) {
+      mBudget->makeRoom(0, nullptr);
+    }
   }
 }
 
--- a/edges/src/connection_registry.h
+++ b/edges/src/connection_registry.h
@@ -16,12 +16,15 @@
 class connection_registry
 {
 public:
-  connection_registry();
+  /// aBudget may be null.
+  explicit connection_registry(std::shared_ptr<memory_budget> aBudget);
   ~connection_registry();
   connection_registry(const connection_registry&) = delete;
   connection_registry& operator=(const connection_registry&) = delete;
 
   void add(std::shared_ptr<connection> aConnection);
+  /// Appends the connections to aHolders.
+  void appendTo(std::vector<std::shared_ptr<sheddable>>& aHolders) const;
   void remove(const std::shared_ptr<connection>& aConnection);
   /// Makes the thread visit all connections immediately.
   void wake() const;
@@ -40,6 +43,7 @@
   std::vector<std::shared_ptr<connection>> snapshot() const;
   void run();
 
+  const std::shared_ptr<memory_budget> mBudget;
   const int mWakeFd;
   std::atomic<bool> mStopped = false;
   mutable std::mutex mMutex;
--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -22,6 +23,24 @@
   return Pistache::Http::codeString(static_cast<Pistache::Http::Code>(aStatus));
 }
 
+/// Longest method of a request that is told from an unknown one.
+constexpr std::size_t kMaxMethodBytes = 15;
+/// Attempts to reserve memory for received bytes. Other threads may take what was made free.
+constexpr int kReserveAttempts = 4;
+
+/// Frees the memory of a string; an assignment of an empty one keeps the capacity.
+void freeMemory(std::string& aText)
+{
+  std::string().swap(aText);
+}
+
+/// Returns the method of a request of which a part has arrived; empty if it is not known.
+std::string methodOf(std::string_view aInput)
+{
+  const auto end = aInput.substr(0, kMaxMethodBytes + 1).find(' ');
+  return end == std::string_view::npos ? std::string() : std::string(aInput.substr(0, end));
+}
+
 std::string headerLines(const http_answer& aAnswer)
 {
   std::string lines;
@@ -51,7 +70,8 @@
 }
 
 connection::connection(std::shared_ptr<server_shared> aShared, int aSocket)
-  : mShared(std::move(aShared)), mSocket(aSocket), mStateStart(std::chrono::steady_clock::now())
+  : mShared(std::move(aShared)), mSocket(aSocket), mInputCharge(mShared->mOptions.mBudget),
+    mOutputCharge(mShared->mOptions.mBudget), mStateStart(std::chrono::steady_clock::now())
 {
   ++mShared->mConnections;
 }
@@ -64,20 +84,32 @@
 void connection::receive(std::string_view aBytes)
 {
   std::optional<ready_request> ready;
-  {
-    const std::lock_guard lock(mMutex);
-    if (!mOpen || mClosing) {
-      return;
+  for (int attempt = 0;; ++attempt) {
+    std::size_t missing = 0;
+    {
+      const std::lock_guard lock(mMutex);
+      if (!mOpen || mClosing) {
+        return;
+      }
+      if (mActiveRequest != 0 || !mOutput.empty()) {
+        mClosing = true;
+        return;
+      }
+      if (mInput.empty()) {
+        mStateStart = std::chrono::steady_clock::now();
+      }
+      missing = reserveInputLocked(aBytes.size());
+      if (missing == 0) {
+        mInput += aBytes;
+        ready = takeRequestLocked();
+        break;
+      }
     }
-    if (mActiveRequest != 0 || !mOutput.empty()) {
-      mClosing = true;
+    // Without the lock: this may shed any connection of any server.
+    if (attempt == kReserveAttempts || !mShared->mOptions.mBudget->makeRoom(missing, this)) {
+      shedRequester(aBytes);
       return;
     }
-    if (mInput.empty()) {
-      mStateStart = std::chrono::steady_clock::now();
-    }
-    mInput += aBytes;
-    ready = takeRequestLocked();
   }
   if (!ready) {
     return;
@@ -91,13 +123,54 @@
   }
 }
 
+std::size_t connection::reserveInputLocked(std::size_t aCount)
+{
+  const auto needed = mInput.size() + aCount;
+  if (needed <= mInput.capacity()) {
+    return 0;
+  }
+  auto capacity = std::max(needed, 2 * mInput.capacity());
+  if (mExpectedBytes != 0) {
+    capacity = std::min(capacity, std::max(needed, mExpectedBytes));
+  }
+  if (!mInputCharge.tryResize(capacity)) {
+    return capacity - mInputCharge.bytes();
+  }
+  // A string that grows by itself at least doubles its capacity.
+  std::string larger;
+  larger.reserve(capacity);
+  larger += mInput;
+  mInput.swap(larger);
+  return 0;
+}
+
+void connection::dropInputLocked()
+{
+  freeMemory(mInput);
+  mInputCharge.resize(0);
+  mExpectedBytes = 0;
+  mTrusted = false;
+}
+
+void connection::dropOutputLocked()
+{
+  freeMemory(mOutput);
+  mOutputCharge.resize(0);
+  mSent = 0;
+}
+
 std::optional<connection::ready_request> connection::takeRequestLocked()
 {
+  if (mInput.size() < mExpectedBytes && !mShared->mStopping) {
+    return std::nullopt;
+  }
   // Some clients send an extra line break after a body.
-  while (mInput.starts_with("\r\n")) {
-    mInput.erase(0, 2);
+  std::size_t breaks = 0;
+  while (std::string_view(mInput).substr(breaks).starts_with("\r\n")) {
+    breaks += 2;
   }
-  const request_frame frame = frameRequest(mInput, mShared->mOptions.mMaxRequestBytes);
+  mInput.erase(0, breaks);
+  const request_frame frame = frameRequest(mInput, mShared->limits());
   if (frame.mFraming == framing::rejected) {
     rejectLocked(frame.mStatus, frame.mCode, frame.mMessage);
     return std::nullopt;
@@ -108,10 +181,8 @@
       rejectStoppedLocked();
       return std::nullopt;
     }
-    if (frame.mExpectsContinue && !mContinueSent) {
-      mContinueSent = true;
-      mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
-      flushLocked();
+    if (frame.mLength != 0) {
+      admitLocked(frame);
     }
     return std::nullopt;
   }
@@ -126,13 +197,47 @@
   }
   // Bytes after the request belong to a pipelined one.
   mClosing = !frame.mKeepAlive || mInput.size() > frame.mLength;
-  mInput.clear();
+  if (mShared->mOptions.mBudget) {
+    mInputCharge.resize(std::min(mInputCharge.bytes(), frame.mLength));
+    request->mCharge = std::make_shared<memory_charge>(std::move(mInputCharge));
+    mInputCharge = memory_charge(mShared->mOptions.mBudget);
+  }
+  dropInputLocked();
   mContinueSent = false;
   mActiveRequest = ++mLastRequest;
   mMethod = request->mMethod;
   return ready_request{ .mRequest = std::move(*request), .mNumber = mActiveRequest };
 }
 
+void connection::admitLocked(const request_frame& aFrame)
+{
+  const auto& admitBody = mShared->mOptions.mAdmitBody;
+  mExpectedBytes = aFrame.mLength;
+  if (admitBody && aFrame.mBodyBytes > kMinAdmittedBytes) {
+    auto target = std::string_view(mInput).substr(0, mInput.find("\r\n"));
+    target = target.substr(0, target.rfind(' '));
+    target.remove_prefix(std::min(target.size(), target.find(' ') + 1));
+    const http_request head{ .mMethod = methodOf(mInput),
+                             .mPath = std::string(target.substr(0, target.find('?'))),
+                             .mBearer = aFrame.mBearer,
+                             .mHeaders = aFrame.mHeaders };
+    auto admission = admitBody(head);
+    if (admission.mRefusal) {
+      mClosing = true;
+      mMethod = head.mMethod;
+      dropInputLocked();
+      sendLocked(*admission.mRefusal);
+      return;
+    }
+    mTrusted = admission.mTrusted;
+  }
+  if (aFrame.mExpectsContinue && !mContinueSent) {
+    mContinueSent = true;
+    mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+    flushLocked();
+  }
+}
+
 std::optional<http_request> connection::parse(const request_frame& aFrame)
 {
   namespace http = Pistache::Http;
@@ -165,8 +270,7 @@
 void connection::rejectLocked(std::uint16_t aStatus, const char* aCode, const char* aMessage)
 {
   mClosing = true;
-  mInput.clear();
-  mInput.shrink_to_fit();
+  dropInputLocked();
   // A malformed or oversized request has no effect. If a request was not read completely (408,
   // 503), an earlier copy of it may have run.
   const bool notRead = aStatus == 408 || aStatus == 503;
@@ -238,9 +342,12 @@
 {
   const std::lock_guard lock(mMutex);
   rejectLocked(503, "too_many_connections", "this server has too many connections");
+  ++mShared->mRejectedConnections;
   // A rejected connection stays open so that the caller can read the error, but their number is
   // bounded.
-  if (mShared->mConnections > 2 * mShared->mOptions.mMaxConnections) {
+  const auto& options = mShared->mOptions;
+  if (mShared->mConnections >
+      options.mMaxConnections + options.mMaxRejectedConnections.value_or(options.mMaxConnections)) {
     abortLocked();
   }
 }
@@ -252,6 +359,7 @@
     return;
   }
   const auto& options = mShared->mOptions;
+  const auto limits = mShared->limits();
   const auto elapsed = aNow - mStateStart;
   if (!mOutput.empty()) {
     flushLocked();
@@ -265,10 +373,13 @@
       abortLocked();
     }
   } else if (!mInput.empty()) {
-    if (elapsed > options.mReceiveTimeout) {
+    // This process may have been paused: the header may have arrived without having been read.
+    const bool headerLate =
+      mExpectedBytes == 0 && elapsed > limits.mHeaderTimeout && !unreadLocked();
+    if (headerLate || elapsed > options.mReceiveTimeout) {
       rejectLocked(408, "request_timeout", "the request did not arrive in time");
     }
-  } else if (elapsed > options.mIdleTimeout && !unreadLocked()) {
+  } else if (elapsed > limits.mIdleTimeout && !unreadLocked()) {
     abortLocked();
   }
 }
@@ -325,13 +436,56 @@
     rejectLocked(503, "stopping", "this server is stopping");
     return;
   }
-  // Empty if nothing has been read.
-  mMethod = mInput.substr(0, mInput.find(' '));
-  mInput = {};
+  mMethod = methodOf(mInput);
+  dropInputLocked();
   mClosing = true;
   sendLocked(mShared->mOptions.mStopAnswer(mMethod));
 }
 
+sheddable::held_memory connection::held() const
+{
+  const std::lock_guard lock(mMutex);
+  if (mInputCharge.bytes() > 0) {
+    return { .mBytes = mInputCharge.bytes(), .mTrusted = mTrusted };
+  }
+  return { .mBytes = mOutputCharge.bytes(), .mAnswer = true };
+}
+
+std::size_t connection::shed()
+{
+  const std::lock_guard lock(mMutex);
+  const auto bytes = mInputCharge.bytes() + mOutputCharge.bytes();
+  if (mInputCharge.bytes() > 0) {
+    shedLocked();
+  } else if (mOutputCharge.bytes() > 0) {
+    abortLocked();
+  }
+  return bytes;
+}
+
+void connection::shedRequester(std::string_view aBytes)
+{
+  const std::lock_guard lock(mMutex);
+  if (!mOpen || mClosing) {
+    return;
+  }
+  mShared->mOptions.mBudget->countShed(mInputCharge.bytes() + aBytes.size());
+  if (mInput.empty()) {
+    mInput = aBytes.substr(0, kMaxMethodBytes);
+  }
+  shedLocked();
+}
+
+void connection::shedLocked()
+{
+  // An earlier copy of the request may have run, so status 503 would not be true of all methods.
+  if (mShared->mOptions.mStopAnswer) {
+    rejectStoppedLocked();
+  } else {
+    abortLocked();
+  }
+}
+
 bool connection::unreadLocked() const
 {
   int bytes = 0;
@@ -349,6 +503,7 @@
   if (mOutput.empty()) {
     return;
   }
+  mOutputCharge.resize(mOutput.capacity());
   if (mShared->mUnsentBytes > mShared->mOptions.mMaxUnsentBytes) {
     abortLocked();
     return;
@@ -371,8 +526,7 @@
     }
   }
   if (mSent == mOutput.size()) {
-    mOutput = {};
-    mSent = 0;
+    dropOutputLocked();
     if (mClosing && mActiveRequest == 0) {
       // Shuts down only the sending side: closing a socket with unread input would make the system
       // discard the answer in flight.
@@ -392,9 +546,8 @@
 void connection::abortLocked()
 {
   mClosing = true;
-  mInput = {};
-  mOutput = {};
-  mSent = 0;
+  dropInputLocked();
+  dropOutputLocked();
   countUnsentLocked();
   ::shutdown(mSocket, SHUT_RDWR);
 }
--- a/edges/src/http_connection.h
+++ b/edges/src/http_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/edges/http_server.h"
+#include "endiveusher/edges/memory_budget.h"
 #include "endiveusher/kernel/messages/call.h"
 #include "http_framing.h"
 
@@ -27,8 +28,24 @@
   /// Bytes of answers buffered for callers that have not read them.
   std::atomic<std::size_t> mUnsentBytes = 0;
   std::atomic<std::size_t> mConnections = 0;
+  std::atomic<std::uint64_t> mRejectedConnections = 0;
   /// Wakes the thread that sends the rest of partly sent answers.
   std::function<void()> mWake;
+
+  http_limits limits() const
+  {
+    const std::lock_guard lock(mLimitsMutex);
+    return mLimits;
+  }
+  void setLimits(const http_limits& aLimits)
+  {
+    const std::lock_guard lock(mLimitsMutex);
+    mLimits = aLimits;
+  }
+
+private:
+  mutable std::mutex mLimitsMutex;
+  http_limits mLimits;
 };
 
 /// Returns the body of an error that the server itself reports.
@@ -38,11 +55,13 @@
 /// Connection of one caller. Writes answers to the socket directly: Pistache queues them by file
 /// descriptor number, so that an answer can reach a later connection with the same number, and it
 /// busy-waits on callers that do not read.
-class connection : public std::enable_shared_from_this<connection>
+class connection
+  : public sheddable
+  , public std::enable_shared_from_this<connection>
 {
 public:
   connection(std::shared_ptr<server_shared> aShared, int aSocket);
-  ~connection();
+  ~connection() override;
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
 
@@ -69,6 +88,11 @@
   /// Gives an open request the answer of a stop, and counts it in aReport.
   void answerStopped(stop_report& aReport);
 
+  /// What an incomplete request, or an answer that is not completely sent, takes of the budget.
+  held_memory held() const override;
+  /// Answers an incomplete request as one whose outcome is not known; cuts off an unsent answer.
+  std::size_t shed() override;
+
 private:
   /// A complete request that is not yet passed to the handler.
   struct ready_request
@@ -77,6 +101,16 @@
     std::uint64_t mNumber = 0;
   };
   std::optional<ready_request> takeRequestLocked();
+  /// Sets aside room in mInput for aCount bytes more. Returns 0, or the number of bytes by which
+  /// the budget falls short.
+  std::size_t reserveInputLocked(std::size_t aCount);
+  void dropInputLocked();
+  void dropOutputLocked();
+  /// Sheds a request that the budget has no room for; aBytes are the next ones of it.
+  void shedRequester(std::string_view aBytes);
+  void shedLocked();
+  /// Continues to receive a request whose header is complete and whose body is not, or refuses it.
+  void admitLocked(const request_frame& aFrame);
   std::optional<http_request> parse(const request_frame& aFrame);
   void rejectLocked(std::uint16_t aStatus, const char* aCode, const char* aMessage);
   /// Whether bytes have arrived that the server's thread has not read yet.
@@ -106,7 +140,15 @@
   /// Called if the caller disconnects before the request in progress is answered.
   std::function<void()> mOnDisconnect;
   std::string mInput;
+  /// Reservation of the capacity of mInput.
+  memory_charge mInputCharge;
+  /// Length of the request in mInput; 0 if its header is not complete.
+  std::size_t mExpectedBytes = 0;
+  /// Whether the request in mInput has a valid key or a public route.
+  bool mTrusted = false;
   std::string mOutput;
+  /// Reservation of the capacity of mOutput.
+  memory_charge mOutputCharge;
   /// Bytes of mOutput that are sent.
   std::size_t mSent = 0;
   /// This connection's contribution to server_shared::mUnsentBytes.
--- a/edges/src/http_framing.cpp
+++ b/edges/src/http_framing.cpp
@@ -94,13 +94,14 @@
 
 } // namespace
 
-request_frame frameRequest(std::string_view aInput, std::size_t aMaxBodyBytes)
+request_frame frameRequest(std::string_view aInput, const http_limits& aLimits)
 {
-  const auto headerEnd = aInput.substr(0, kMaxHeaderBytes).find("\r\n\r\n");
+  const auto headerEnd = aInput.substr(0, aLimits.mMaxHeaderBytes).find("\r\n\r\n");
   if (headerEnd == std::string_view::npos) {
-    return aInput.size() < kMaxHeaderBytes
+    return aInput.size() < aLimits.mMaxHeaderBytes
              ? request_frame{}
-             : rejected(431, "header_too_large", "the request line and headers exceed 16 KiB");
+             : rejected(431, "header_too_large",
+                        "the request line and headers are larger than this server reads");
   }
   std::string_view header = aInput.substr(0, headerEnd + kLineEnd.size());
   const auto nextLine = [&header] {
@@ -134,13 +135,14 @@
     return rejected(411, "length_required", "send the body with Content-Length");
   }
   const std::size_t bodyBytes = fields.mContentLength.value_or(0);
-  if (bodyBytes > aMaxBodyBytes) {
+  if (bodyBytes > aLimits.mMaxRequestBytes) {
     return rejected(413, "request_too_large", "the body is larger than this server reads");
   }
   const std::size_t length = headerEnd + 4 + bodyBytes;
   const bool complete = aInput.size() >= length;
   return { .mFraming = complete ? framing::complete : framing::incomplete,
            .mLength = length,
+           .mBodyBytes = bodyBytes,
            .mKeepAlive = version11 ? !fields.mClose : fields.mKeepAlive,
            .mExpectsContinue = fields.mExpectsContinue && !complete,
            .mBearer = std::move(fields.mBearer),
--- a/edges/src/http_framing.h
+++ b/edges/src/http_framing.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endiveusher/edges/http_server.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -21,8 +23,9 @@
 struct request_frame
 {
   framing mFraming = framing::incomplete;
-  /// Bytes of header and body; set if the framing is complete.
+  /// Bytes of header and body; set once the header is complete.
   std::size_t mLength = 0;
+  std::size_t mBodyBytes = 0;
   bool mKeepAlive = true;
   /// Whether the header is complete and the caller waits for `100 Continue` to send the body.
   bool mExpectsContinue = false;
@@ -35,10 +38,7 @@
   const char* mMessage = "";
 };
 
-/// Largest size of the request line and headers.
-inline constexpr std::size_t kMaxHeaderBytes = 16U << 10U;
-
 /// Finds the end of the first request in aInput and checks the headers that determine it.
-request_frame frameRequest(std::string_view aInput, std::size_t aMaxBodyBytes);
+request_frame frameRequest(std::string_view aInput, const http_limits& aLimits);
 
 } // namespace endiveusher::edges::internal
--- a/edges/src/http_server.cpp
+++ b/edges/src/http_server.cpp
@@ -128,12 +128,24 @@
 public:
   impl(http_server_options aOptions, handler aHandler)
     : mParts{ .mShared = std::make_shared<internal::server_shared>(),
-              .mRegistry = std::make_shared<internal::connection_registry>() },
+              .mRegistry = std::make_shared<internal::connection_registry>(aOptions.mBudget) },
       mEndpoint(std::make_unique<Pistache::Http::Endpoint>(Pistache::Address(aOptions.mAddress)))
   {
     const int threads = aOptions.mThreads;
     mParts.mShared->mOptions = std::move(aOptions);
     mParts.mShared->mHandler = std::move(aHandler);
+    const auto& options = mParts.mShared->mOptions;
+    setLimits({ .mMaxHeaderBytes = options.mMaxHeaderBytes,
+                .mMaxRequestBytes = options.mMaxRequestBytes,
+                .mHeaderTimeout = options.mHeaderTimeout,
+                .mIdleTimeout = options.mIdleTimeout });
+    if (options.mBudget) {
+      options.mBudget->addSource([registry = std::weak_ptr(mParts.mRegistry)](auto& aHolders) {
+        if (const auto alive = registry.lock()) {
+          alive->appendTo(aHolders);
+        }
+      });
+    }
     mParts.mShared->mWake = [registry = std::weak_ptr(mParts.mRegistry)] {
       if (const auto alive = registry.lock()) {
         alive->wake();
@@ -153,6 +165,10 @@
     // Pistache ignores its option for this.
     for (const int listener : socketsOf(host(), mPort, true)) {
       ::listen(listener, kListenBacklog);
+      if (const int bytes = options.mReceiveBufferBytes; bytes > 0) {
+        // Accepted connections inherit it. Without it the system's default applies.
+        ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+      }
     }
   }
 
@@ -182,6 +198,8 @@
   }
 
   std::uint16_t port() const { return mPort; }
+  void setLimits(const http_limits& aLimits) { mParts.mShared->setLimits(aLimits); }
+  std::uint64_t rejectedConnections() const { return mParts.mShared->mRejectedConnections; }
 
 private:
   std::string host() const
@@ -227,6 +245,16 @@
   return mImpl->port();
 }
 
+void http_server::setLimits(const http_limits& aLimits)
+{
+  mImpl->setLimits(aLimits);
+}
+
+std::uint64_t http_server::rejectedConnections() const
+{
+  return mImpl->rejectedConnections();
+}
+
 stop_report http_server::stop(std::chrono::milliseconds aPeriod)
 {
   return mImpl->stop(aPeriod);
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -46,21 +46,20 @@
 /// Period over which the claims of different daemons are spread, in milliseconds.
 constexpr int kMaxStaggerMs = 250;
 
-std::chrono::milliseconds claimStagger(std::uint64_t aIncarnation)
+/// Part of the machine's memory that received requests and unsent answers may take. The daemon
+/// itself takes 20 to 56 MB of the 160 MB of a small VM.
+constexpr double kBudgetPart = 0.25;
+/// Smallest budget: several of the largest requests of other daemons.
+constexpr std::size_t kMinBudgetBytes = std::size_t{ 4 } << 20U;
+std::size_t budgetBytes(const platform::node_settings& aSettings)
 {
-  return std::chrono::milliseconds(aIncarnation % kMaxStaggerMs);
+  const auto bytes = aSettings.mMemoryMb * 1024.0 * 1024.0 * kBudgetPart;
+  return std::max(kMinBudgetBytes, static_cast<std::size_t>(bytes));
 }
 
-/// Returns the answer to a request that the event loop has not answered. It may hold the request,
-/// or an earlier copy of it may be stored.
-edges::http_answer stopAnswer(std::string_view aMethod)
+std::chrono::milliseconds claimStagger(std::uint64_t aIncarnation)
 {
-  if (aMethod == "GET" || aMethod == "HEAD") {
-    return { .mStatus = 503,
-             .mBody = R"({"error":"stopping"})",
-             .mHeaders = { { "Retry-After", "1" } } };
-  }
-  return { .mStatus = 504, .mBody = R"({"error":"the outcome is not known"})" };
+  return std::chrono::milliseconds(aIncarnation % kMaxStaggerMs);
 }
 
 } // namespace
@@ -145,7 +144,10 @@
     mHandOver(mLoop, mClock, mLog,
               [this](const std::string& aAddress, const std::vector<scheduler::run_ended>& aEnds) {
                 onEndsHandedOver(aAddress, aEnds);
-              })
+              }),
+    mBudget(std::make_shared<edges::memory_budget>(budgetBytes(mSettings))),
+    mCallerGate(
+      mClock, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5, .mMaxDenialAge = kMaxDenialAge })
 {
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(owner_answer &&)> aDone) {
@@ -193,36 +195,9 @@
   mLog.write("start", fmt::format("zone={} front={} peer={} store={} incarnation={}",
                                   mSettings.mZone, mSettings.mCallerAddress, mPeerAddress,
                                   mSettings.mStoreAddress, mIncarnation));
-  mCallerServer = std::make_unique<edges::http_server>(
-    edges::http_server_options{ .mAddress = mSettings.mCallerAddress,
-                                .mThreads = 1,
-                                .mMaxConnections = mSettings.mMaxConnections,
-                                .mStopAnswer = stopAnswer },
-    [this](edges::http_request aRequest, const edges::responder& aResponder) {
-      inbox_item item = queued_caller_request{ .mCall = platform::decodeCallerRequest(aRequest),
-                                               .mBody = std::move(aRequest.mBody),
-                                               .mResponder = aResponder };
-      if (!mInbox.push(input_lane::callers, item)) {
-        aResponder.answer({ .mStatus = 503,
-                            .mBody = R"({"error":"overloaded"})",
-                            .mHeaders = { { "Retry-After", "1" } } });
-      }
-    });
-  mReadinessServer = std::make_unique<edges::http_server>(
-    edges::http_server_options{ .mAddress = mSettings.mReadinessAddress, .mThreads = 1 },
-    [this](const edges::http_request& /*aRequest*/, const edges::responder& aResponder) {
-      aResponder.answer({ .mStatus = static_cast<std::uint16_t>(mReady ? 200 : 503) });
-    });
-  mPeerServer = std::make_unique<edges::http_server>(
-    edges::http_server_options{ .mAddress = mPeerAddress, .mThreads = 1 },
-    [this](edges::http_request aRequest, const edges::responder& aResponder) {
-      inbox_item item = peer_request{ .mPath = aRequest.mPath,
-                                      .mBody = std::move(aRequest.mBody),
-                                      .mResponder = aResponder };
-      if (!mInbox.push(laneOf(aRequest.mPath), item)) {
-        aResponder.answer({ .mStatus = 503 });
-      }
-    });
+  startCallerServer();
+  startReadinessServer();
+  startPeerServer();
   mThread = std::thread([this] { run(); });
 }
 
@@ -358,6 +333,7 @@
                                   .mKnowsJobs = followsJournal(),
                                   .mCaughtUp = caughtUp(),
                                   .mStoreLost = mStoreLost });
+  mCallerGate.setConfig(mOperator.config(), mOperatorTail->freshAsOf());
 }
 
 void cell_node::impl::readStore(time_point aNow)
@@ -469,6 +445,7 @@
       mNextProfileLog = now + kProfileLogInterval;
       mLog.write("loop_time", fmt::format("{} owner={}", mProfiler.report(), mOwner != nullptr));
     }
+    guarded("shedding", [&] { logShedding(now); });
     guarded("calls", [&] { serveCalls(next); });
   }
 }
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -429,6 +429,11 @@
     add("registry_age_seconds", inSeconds(now - mRegistryTail->freshAsOf()));
   }
   add("log_lines_dropped_total", mLog.dropped());
+  add("memory_budget_used_bytes", mBudget->used());
+  add("memory_budget_limit_bytes", mBudget->limit());
+  add("shed_requests_total", mBudget->shedRequests());
+  add("shed_bytes_total", mBudget->shedBytes());
+  add("rejected_connections_total", rejectedConnections());
   add("ready", mReady ? 1 : 0);
   add("owner", mOwner ? 1 : 0);
   if (mOwner) {
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "boot_clock.h"
+#include "caller_gate.h"
 #include "caller_record_writer.h"
 #include "daemon/src/quantile_summary.h"
 #include "election.h"
@@ -9,6 +10,7 @@
 #include "end_waiters.h"
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/edges/http_server.h"
+#include "endiveusher/edges/memory_budget.h"
 #include "endiveusher/node/cell_node.h"
 #include "endiveusher/scheduler/owner.h"
 #include "event_log.h"
@@ -79,6 +81,8 @@
 {
   platform::caller_request mCall;
   std::string mBody;
+  /// Reservation of the body; released when the event loop has handled the request.
+  std::shared_ptr<edges::memory_charge> mCharge;
   edges::responder mResponder;
 };
 /// A request of another daemon, passed from a server thread to the event loop.
@@ -86,6 +90,8 @@
 {
   std::string mPath;
   std::string mBody;
+  /// Reservation of the body; released when the event loop has handled the request.
+  std::shared_ptr<edges::memory_charge> mCharge;
   edges::responder mResponder;
 };
 using inbox_item = std::variant<queued_caller_request, peer_request>;
@@ -178,6 +184,16 @@
 
   void onOperatorChange();
 
+  void startCallerServer();
+  void startReadinessServer();
+  void startPeerServer();
+  /// Applies the operator's limits to the callers' server.
+  void updateCallerLimits();
+  /// Number of connections that the servers have rejected.
+  std::uint64_t rejectedConnections() const;
+  /// Logs what the servers have shed and rejected lately.
+  void logShedding(time_point aNow);
+
   // Election and ownership.
   void readOwnerRecords(const std::vector<std::string>& aRecords, std::uint64_t aOffset);
 
@@ -404,6 +420,16 @@
   std::atomic<bool> mDump{ false };
   std::atomic<bool> mReady{ false };
   std::function<void()> mStopped;
+  /// Shared by the three servers.
+  const std::shared_ptr<edges::memory_budget> mBudget;
+  caller_gate mCallerGate;
+  /// Configuration whose limits the callers' server was last given.
+  std::shared_ptr<const scheduler::cell_config> mLimitsConfig;
+  time_point mNextSheddingLog{};
+  /// Counters at the last log line on shedding.
+  std::uint64_t mLoggedShedRequests = 0;
+  std::uint64_t mLoggedShedBytes = 0;
+  std::uint64_t mLoggedRejectedConnections = 0;
   std::unique_ptr<edges::http_server> mCallerServer;
   std::unique_ptr<edges::http_server> mReadinessServer;
   std::unique_ptr<edges::http_server> mPeerServer;
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -193,6 +193,7 @@
 
 void cell_node::impl::onOperatorChange()
 {
+  updateCallerLimits();
   if (mOwner) {
     if (mOwnerConfig != mOperator.config()) {
       mOwnerConfig = mOperator.config();
--- a/scheduler/include/endiveusher/scheduler/cell_config.h
+++ b/scheduler/include/endiveusher/scheduler/cell_config.h
@@ -57,6 +57,18 @@
   resources mUpperLimit;
 };
 
+/// Limits of callers' requests.
+struct request_limits
+{
+  /// Largest size of the request line and headers.
+  std::size_t mMaxHeaderBytes = 16384;
+  std::size_t mMaxBodyBytes = 262144;
+  /// Time limit for receiving the request line and headers.
+  std::chrono::milliseconds mHeaderTimeout{ 3000 };
+  /// Time after which a connection without a request is closed.
+  std::chrono::milliseconds mIdleTimeout{ 15'000 };
+};
+
 /// One complete version of the operator's configuration.
 class cell_config
 {
@@ -64,7 +76,7 @@
   std::int64_t mVersion = 0;
   std::vector<route_config> mRoutes;
   std::vector<team_config> mTeams;
-  std::size_t mMaxBodyBytes = 262144;
+  request_limits mLimits;
 
   /// Builds the lookup tables; must be called after the fields are set.
   void index();
