--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -33,6 +33,19 @@
   CHECK(config->teamOfKey("k3") == nullptr);
 }
 
+// Guards against limits that callers without a limit of their own would reach.
+TEST(platform_config, absentAndZeroLimitsKeepTheirDefaults)
+{
+  const auto config = decodeConfig(
+    R"({"version":1,"routes":[],"limits":{"max_header_bytes":0,"max_body_bytes":1000,
+        "idle_timeout_ms":700}})");
+  CHECK(config.ok());
+  CHECK_EQUAL(16384, config->mLimits.mMaxHeaderBytes);
+  CHECK_EQUAL(1000, config->mLimits.mMaxBodyBytes);
+  CHECK_EQUAL(3000, config->mLimits.mHeaderTimeout.count());
+  CHECK_EQUAL(700, config->mLimits.mIdleTimeout.count());
+}
+
 TEST(platform_config, matchesTheLongestPrefix)
 {
   const auto config = decodeConfig(kConfig);
--- a/tests/platform/settings_ranges_test.cpp
+++ b/tests/platform/settings_ranges_test.cpp
@@ -19,9 +19,10 @@
   for (const char* port : { "0", "65536", "72956", "-1", "99999999999", "x" }) {
     CHECK_TEXT(!parseSettings(good + "port_range=" + port + "\n").ok(), port);
   }
-  for (const char* name : { "bounds.hold_max_ms", "bounds.revoke_ms", "bounds.grace_s",
-                            "bounds.status_s", "platform.keep_s", "heartbeat_ms",
-                            "limits.cpu_share", "limits.cores", "limits.max_fds" }) {
+  for (const char* name :
+       { "bounds.hold_max_ms", "bounds.revoke_ms", "bounds.grace_s", "bounds.status_s",
+         "platform.keep_s", "heartbeat_ms", "limits.cpu_share", "limits.cores", "limits.max_fds",
+         "limits.memory_mb" }) {
     for (const char* number : { "-1", "1e300", "-1e300", "1e400", "nan", "inf" }) {
       const auto settings =
         parseSettings(good + "port_range=7420,7435\n" + name + "=" + number + "\n");
