Correct the test of the order of shedding

Cause: the test asked for 1.3 MB on behalf of a small request, which then ranks with the large ones. Change: it fills the budget and asks for 1000 bytes three times; it checks each request that is shed.

--- a/tests/edges/memory_budget_test.cpp
+++ b/tests/edges/memory_budget_test.cpp
@@ -115,9 +115,14 @@
   CHECK(budget->makeRoom(kUnit, nullptr));
   CHECK_EQUAL(0, all[1]->held().mBytes);
   CHECK_EQUAL(3 * kUnit, all[2]->held().mBytes);
-  // A small request is not shed for trusted ones that are larger.
-  CHECK(budget->makeRoom(13 * kUnit, all[4].get()));
-  CHECK_EQUAL(0, all[0]->held().mBytes);
+  // A small request is not shed while others are larger, also if these are trusted.
+  std::vector<memory_charge> fillers;
+  for (const std::size_t next : { 2U, 3U, 0U }) {
+    fillers.emplace_back(budget).resize(budget->limit() - budget->used());
+    CHECK(all[next]->held().mBytes > 0);
+    CHECK(budget->makeRoom(1000, all[4].get()));
+    CHECK_EQUAL(0, all[next]->held().mBytes);
+  }
   CHECK_EQUAL(1000, all[4]->held().mBytes);
   CHECK_EQUAL(4, budget->shedRequests());
   CHECK_EQUAL(15 * kUnit, budget->shedBytes());
