--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -21,6 +21,8 @@
 #include <tclap/CmdLine.h>
 #include <thread>
 
+#include <sys/resource.h>
+
 namespace {
 
 using namespace endiveusher;
@@ -142,6 +144,19 @@
   return settings;
 }
 
+/// Has the system refuse descriptors beyond aCount. Load pattern: hundreds of connections at once,
+/// which the HTTP library accepts faster than its other thread closes them.
+void limitDescriptors(std::size_t aCount)
+{
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && aCount > 0 && aCount < limit.rlim_cur) {
+    limit.rlim_cur = aCount;
+    if (::setrlimit(RLIMIT_NOFILE, &limit) != 0) {
+      fmt::print(stderr, "the number of descriptors cannot be limited to {}\n", aCount);
+    }
+  }
+}
+
 /// Serves a cell on the prepared platform, whose settings file may change at any time.
 int runOnPlatform(bool aCheckOnly, const platform_options& aOptions)
 {
@@ -157,6 +172,7 @@
     fmt::print("{}: ok\n", path);
     return EXIT_SUCCESS;
   }
+  limitDescriptors(settings->mMaxDescriptors);
   signal_watch signals;
   node::cell_node cell(*settings);
   cell.start([&signals] { signals.notifyStopped(); });
