Share the load generator of the advice tests; compute ranks once without the share options

Cause: advice_contention_test repeated the load generator of advice_load_test, and each planning pass computed the rank of every step twice, also where the orders by share are off and both are equal. Change: tests/scheduler/route_load.h serves both tests, with the same draws; the second rank is computed only with the options on. No behaviour, check or bound changes.

--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -302,7 +302,8 @@
       placeTasks(*step, candidates, aNow);
     }
     // Its team's use does not make a step late for which others may be stopped.
-    preempt(*step, internal::rankWithoutShare(*step, aNow), candidates, aNow);
+    preempt(*step, ordersByUse() ? internal::rankWithoutShare(*step, aNow) : rank, candidates,
+            aNow);
     if (step->startable() && step->mNextWaitLog <= aNow && waitLogs < kMaxWaitLogs) {
       ++waitLogs;
       logWait(*step, candidates, aNow);
--- a/tests/scheduler/advice_contention_test.cpp
+++ b/tests/scheduler/advice_contention_test.cpp
@@ -1,9 +1,9 @@
 #include "owner_fixture.h"
+#include "route_load.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <cmath>
-#include <random>
 
 using namespace endiveusher;
 using namespace endiveusher::scheduler;
@@ -11,27 +11,6 @@
 
 namespace {
 
-/// Log-normal distribution with a mean, a relative spread and an upper limit.
-struct quantity
-{
-  double mMean = 0;
-  double mSpread = 0;
-  double mMax = 0;
-};
-
-/// Jobs of one route: how many arrive per second, and the sizes of their steps.
-struct route_load
-{
-  std::string mRoute;
-  double mPerSecond = 0;
-  double mGangFraction = 0;
-  double mCheckpointingFraction = 0;
-  quantity mTasks;
-  quantity mCpuMilli;
-  quantity mMemoryMb;
-  quantity mWorkMs;
-};
-
 /// Wide gangs, wide batch steps and small urgent jobs, at 89% of the CPU of 350 targets with 16
 /// cores. The calls for advice that they need at least take a fifth of what 33 daemons can make.
 const std::vector<route_load> kLoad{
@@ -76,7 +55,7 @@
 TEST_GROUP(advice_contention)
 {
   owner_fixture cell;
-  std::mt19937_64 random{ 1 };
+  load_random random;
   std::map<job_id, time_point> deadlines;
   std::map<job_id, std::string> routes;
   std::map<std::string, route_result> results;
@@ -121,24 +100,15 @@
       .mPerCall = aPerCall, .mPerTarget = aPerTarget, .mTicketLifetime = milliseconds(1500)
     };
   }
-  double draw(const quantity& aOf)
-  {
-    const double sigma = std::sqrt(std::log1p(aOf.mSpread * aOf.mSpread));
-    std::lognormal_distribution<double> values(std::log(aOf.mMean) - sigma * sigma / 2, sigma);
-    return std::clamp(values(random), 1.0, aOf.mMax);
-  }
-  bool chance(double aProbability)
-  {
-    return std::uniform_real_distribution<double>(0, 1)(random) < aProbability;
-  }
   void submit(const route_load& aLoad)
   {
-    const step_spec step{ .mCount = static_cast<std::uint32_t>(std::lround(draw(aLoad.mTasks))),
-                          .mNeeds = { .mCpuMilli = std::lround(draw(aLoad.mCpuMilli)),
-                                      .mMemoryMb = std::lround(draw(aLoad.mMemoryMb)) },
-                          .mEstimate = milliseconds(std::lround(draw(aLoad.mWorkMs))),
-                          .mCheckpointing = chance(aLoad.mCheckpointingFraction),
-                          .mGang = chance(aLoad.mGangFraction) };
+    const step_spec step{ .mCount =
+                            static_cast<std::uint32_t>(std::lround(random.draw(aLoad.mTasks))),
+                          .mNeeds = { .mCpuMilli = std::lround(random.draw(aLoad.mCpuMilli)),
+                                      .mMemoryMb = std::lround(random.draw(aLoad.mMemoryMb)) },
+                          .mEstimate = milliseconds(std::lround(random.draw(aLoad.mWorkMs))),
+                          .mCheckpointing = random.chance(aLoad.mCheckpointingFraction),
+                          .mGang = random.chance(aLoad.mGangFraction) };
     const auto& route =
       *std::ranges::find(cell.mConfig.mRoutes, aLoad.mRoute, &route_config::mName);
     // As callers are told: one call for advice about 30 targets belongs to the critical path.
@@ -166,7 +136,8 @@
     for (auto at = milliseconds(0); at < aTime; at += step) {
       for (const auto& load : kLoad) {
         const auto factor = aFactors.find(load.mRoute);
-        if (chance(load.mPerSecond * 0.005 * (factor == aFactors.end() ? 1 : factor->second))) {
+        if (random.chance(load.mPerSecond * 0.005 *
+                          (factor == aFactors.end() ? 1 : factor->second))) {
           submit(load);
         }
       }
--- a/tests/scheduler/advice_load_test.cpp
+++ b/tests/scheduler/advice_load_test.cpp
@@ -1,10 +1,10 @@
 #include "owner_fixture.h"
+#include "route_load.h"
 #include "starvation_meter.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <cmath>
-#include <random>
 
 using namespace endiveusher;
 using namespace endiveusher::scheduler;
@@ -16,26 +16,6 @@
 /// there is capacity for it twice over.
 constexpr milliseconds kMaxStarvation{ 3000 };
 
-/// Log-normal distribution with a mean, a relative spread and an upper limit.
-struct quantity
-{
-  double mMean = 0;
-  double mSpread = 0;
-  double mMax = 0;
-};
-
-/// Jobs of one route: how many arrive per second, and the sizes of their steps.
-struct route_load
-{
-  std::string mRoute;
-  double mPerSecond = 0;
-  double mGangFraction = 0;
-  quantity mTasks;
-  quantity mCpuMilli;
-  quantity mMemoryMb;
-  quantity mWorkMs;
-};
-
 /// Wide gangs, wide batch steps and small urgent jobs, at 70% of the capacity of 350 targets.
 const std::vector<route_load> kMixedLoad{
   { .mRoute = "gang",
@@ -66,7 +46,7 @@
 TEST_GROUP(advice_load)
 {
   owner_fixture cell;
-  std::mt19937_64 random{ 1 };
+  load_random random;
 
   void setup() override
   {
@@ -118,23 +98,13 @@
     cell.mOwner->setAdviceHelpers(helpers);
   }
 
-  double draw(const quantity& aOf)
-  {
-    const double sigma = std::sqrt(std::log1p(aOf.mSpread * aOf.mSpread));
-    std::lognormal_distribution<double> values(std::log(aOf.mMean) - sigma * sigma / 2, sigma);
-    return std::clamp(values(random), 1.0, aOf.mMax);
-  }
-  bool chance(double aProbability)
-  {
-    return std::uniform_real_distribution<double>(0, 1)(random) < aProbability;
-  }
   step_spec drawStep(const route_load& aLoad)
   {
-    return { .mCount = static_cast<std::uint32_t>(std::lround(draw(aLoad.mTasks))),
-             .mNeeds = { .mCpuMilli = std::lround(draw(aLoad.mCpuMilli)),
-                         .mMemoryMb = std::lround(draw(aLoad.mMemoryMb)) },
-             .mEstimate = milliseconds(std::lround(draw(aLoad.mWorkMs))),
-             .mGang = chance(aLoad.mGangFraction) };
+    return { .mCount = static_cast<std::uint32_t>(std::lround(random.draw(aLoad.mTasks))),
+             .mNeeds = { .mCpuMilli = std::lround(random.draw(aLoad.mCpuMilli)),
+                         .mMemoryMb = std::lround(random.draw(aLoad.mMemoryMb)) },
+             .mEstimate = milliseconds(std::lround(random.draw(aLoad.mWorkMs))),
+             .mGang = random.chance(aLoad.mGangFraction) };
   }
 
   /// Runs for aTime while the loads arrive, each at aFactor times its rate.
@@ -143,7 +113,7 @@
     constexpr milliseconds step{ 5 };
     for (auto at = milliseconds(0); at < aTime; at += step) {
       for (const auto& load : aLoads) {
-        if (chance(load.mPerSecond * aFactor * 0.005)) {
+        if (random.chance(load.mPerSecond * aFactor * 0.005)) {
           cell.submit({ drawStep(load) }, "red", load.mRoute);
         }
       }
@@ -169,7 +139,7 @@
   {
     std::vector<std::string> lost;
     for (const auto& [id, target] : cell.targets()) {
-      if (chance(0.2)) {
+      if (random.chance(0.2)) {
         lost.push_back(id);
       }
     }
