Reserve capacity for wide gangs until they start

Cause: on a full cell, gangs of 20 tasks that may run on a quarter of the targets waited for all slots to be free at the same time, while smaller steps took each of them; other tasks were stopped only 1.7 s before the latest start. wideGangsAreOnTimeInBursts was known to be red. Change: a gang that knows enough good targets reserves what is free, being freed or taken by preemptible tasks there, stops these and makes one call for tickets of just these targets. Structs of a planning pass move to candidate_target.h, the placement of gangs to owner_gangs.cpp.

--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -85,6 +85,13 @@
   double mVariance = 0;
 };
 
+/// Returns when a round of calls about aTargets targets is over.
+time_point roundEndFor(const advice_terms& aTerms, std::size_t aTargets, time_point aNow)
+{
+  return aNow + aTerms.mPerCall +
+         static_cast<int>(std::min(aTargets, kMaxQueriedTargets)) * aTerms.mPerTarget;
+}
+
 } // namespace
 
 std::uint32_t owner::impl::ticketSlots(const waiting_step& aStep, time_point aNow) const
@@ -196,6 +203,9 @@
 std::vector<internal::target_number> owner::impl::gangTargetsToQuery(
   const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
 {
+  if (aStep.mReservation) {
+    return reservedTargetsToQuery(aStep, aNow);
+  }
   struct option
   {
     const candidate_target* mCandidate;
@@ -260,9 +270,7 @@
   }
   if (forecast.mean() >= needed) {
     // Tickets that outlive the round need no renewal, which in turn makes the round shorter.
-    const auto roundEnd =
-      aNow + terms.mPerCall +
-      static_cast<int>(std::min(queried.size(), kMaxQueriedTargets)) * terms.mPerTarget;
+    const auto roundEnd = roundEndFor(terms, queried.size(), aNow);
     std::erase_if(queried, [&](internal::target_number aTarget) {
       return aStep.mAdvice.validTicket(aTarget, roundEnd + kTicketRenewalMargin) != nullptr;
     });
@@ -287,6 +295,21 @@
   return queried;
 }
 
+/// The capacity is reserved for the gang, so that every ticket for it will be used.
+std::vector<internal::target_number> owner::impl::reservedTargetsToQuery(const waiting_step& aStep,
+                                                                         time_point aNow)
+{
+  const auto& parts = aStep.mReservation->mParts;
+  const auto roundEnd = roundEndFor(*aStep.mRoute.mAdvice, parts.size(), aNow);
+  std::vector<internal::target_number> queried;
+  for (const auto& part : parts) {
+    if (aStep.mAdvice.validTicket(part.mTarget, roundEnd + kTicketRenewalMargin) == nullptr) {
+      queried.push_back(part.mTarget);
+    }
+  }
+  return queried;
+}
+
 double owner::impl::expectedGoodFraction(const std::string& aRoute) const
 {
   const auto found = mVerdictCounts.find(aRoute);
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -2,6 +2,7 @@
 
 #include "advice_dispatcher.h"
 #include "backlog_estimate.h"
+#include "candidate_target.h"
 #include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
 #include "past_use.h"
@@ -73,6 +74,12 @@
   using run_loss = internal::run_loss;
   using loss_evidence = internal::loss_evidence;
   using waiting_step = internal::waiting_step;
+  using preemptible_run = internal::preemptible_run;
+  using candidate_target = internal::candidate_target;
+  using placement = internal::placement;
+  using withheld_room = internal::withheld_room;
+  using preemption = internal::preemption;
+  using reservable_target = internal::reservable_target;
 
   /// Records of one owner_port::store() call, in order, and what to do when they are stored.
   struct batch
@@ -97,48 +104,6 @@
     /// Time of the store() call.
     time_point mSentAt;
   };
-  /// A run that steps of higher priority may stop.
-  struct preemptible_run
-  {
-    std::int64_t mCpuMilli = 0;
-    task_key mTask;
-    int mPriority = 0;
-  };
-  /// A target and its free capacity during one planning pass.
-  struct candidate_target
-  {
-    target_state* mTarget = nullptr;
-    resources mFree;
-    /// CPU that was free at the start of the pass, by which the candidates are ordered.
-    std::int64_t mFirstFreeCpuMilli = 0;
-    /// Capacity that runs will free which are being stopped.
-    resources mBeingFreed;
-    /// Runs that could be stopped at the start of the pass, largest first; collected when a step
-    /// needs them.
-    std::optional<std::vector<preemptible_run>> mPreemptible{};
-    /// Jobs of the runs beside which no task of another job may start.
-    internal::occupants mIsolated;
-  };
-  struct placement
-  {
-    std::uint32_t mTaskIndex = 0;
-    candidate_target* mCandidate = nullptr;
-  };
-  /// Capacity that the gang whose turn it is has reserved at a candidate.
-  struct gang_reservation
-  {
-    candidate_target* mCandidate = nullptr;
-    std::uint32_t mSlots = 0;
-    resources mAmount;
-  };
-  /// Runs to stop at a target, and the number of tasks that then fit there.
-  struct preemption
-  {
-    candidate_target* mCandidate = nullptr;
-    std::vector<preemptible_run> mVictims;
-    std::uint32_t mTasks = 0;
-  };
-
   // Steps and jobs.
   void registerJob(job& aJob, time_point aNow, wall_time aWall);
   /// Allocates capacity for the open runs that a former owner has started, also for those of jobs
@@ -393,6 +358,29 @@
   std::uint32_t ticketSlots(const waiting_step& aStep, time_point aNow) const;
   void reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                        time_point aNow);
+
+  // Reservations of gangs, which last over several passes.
+  /// Withholds them from all steps of the pass, and drops those that have expired or whose targets
+  /// are not usable any more.
+  void withholdReservations(std::vector<candidate_target>& aCandidates, time_point aNow);
+  /// Withholds the gang's reservation from the other steps.
+  void withhold(const waiting_step& aStep, std::vector<candidate_target>& aCandidates) const;
+  /// Makes the gang's reservation available to it.
+  void giveBack(const waiting_step& aStep, std::vector<candidate_target>& aCandidates) const;
+  /// Whether the gang may make a reservation now.
+  bool mayReserve(const waiting_step& aStep, time_point aNow) const;
+  /// Reserves capacity for the gang on good targets, and stops runs there that it may preempt.
+  void makeReservation(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+                       time_point aNow);
+  /// Returns the good targets with their slots for the gang, those at which the fewest runs have to
+  /// be stopped for a slot first; empty if they are not enough.
+  std::vector<reservable_target> reservableTargets(const waiting_step& aStep,
+                                                   std::vector<candidate_target>& aCandidates,
+                                                   time_point aNow) const;
+  /// Stops runs so that the gang can use aSlots slots at the target.
+  void freeFor(const waiting_step& aStep, const reservable_target& aTarget, std::uint32_t aSlots,
+               time_point aNow);
+
   void commit(waiting_step& aStep, const std::vector<placement>& aPlacements, time_point aNow);
   void requestAdvice(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                      time_point aNow);
@@ -409,6 +397,8 @@
                       std::vector<internal::target_number>& aQueried, time_point aNow) const;
   std::vector<internal::target_number> gangTargetsToQuery(
     const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const;
+  static std::vector<internal::target_number> reservedTargetsToQuery(const waiting_step& aStep,
+                                                                     time_point aNow);
   /// Returns the fraction of targets that is expected to be good for a step of the route.
   double expectedGoodFraction(const std::string& aRoute) const;
   /// Returns the number of tasks of the step that fit now on the targets.
@@ -539,7 +529,7 @@
   std::int64_t mReservedCpuMilli = 0;
   std::int64_t mClaimedCpuMilli = 0;
   /// Of the step whose turn it is.
-  std::vector<gang_reservation> mGangReservations;
+  std::vector<withheld_room> mGangReservations;
   pass_counts mLastPass;
   /// pass_counts::mVisits of the current pass.
   mutable std::uint64_t mPassVisits = 0;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Fraction of all CPU that may be reserved for waiting gangs.
-constexpr double kMaxReservedFraction = 0.4;
 /// Fraction of all CPU that steps may claim while they ask for advice about it.
 constexpr double kMaxClaimedFraction = 0.4;
 /// Time before the last start that meets its deadline from which a step takes any rack, not only
@@ -201,16 +199,6 @@
   aStep.mIgnoresTeamReservations = aNow - *aStep.mTeamHoldSince >= kMaxTeamHold;
 }
 
-bool owner::impl::hasRoomForGang(const waiting_step& aStep,
-                                 std::span<const candidate_target> aCandidates) const
-{
-  const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
-    return aCandidates[aPosition].mFree;
-  };
-  return groupOf(aStep, aCandidates)
-    .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPassVisits);
-}
-
 void owner::impl::planAndMeasure(time_point aNow)
 {
   const auto* clock = mOptions.mClock;
@@ -288,6 +276,7 @@
   std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
   mReservedCpuMilli = 0;
   mClaimedCpuMilli = 0;
+  withholdReservations(candidates, aNow);
   mLastPass.mSteps = order.size();
   std::size_t waitLogs = 0;
   for (auto& [rank, step] : order) {
@@ -469,151 +458,6 @@
   }
 }
 
-void owner::impl::placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
-                            time_point aNow)
-{
-  const auto count = static_cast<std::uint32_t>(aStep.mPending.size());
-  updateTeamHold(aStep, aNow);
-  if (teamSlots(aStep) < count) {
-    reserveTeamLimit(aStep, aNow);
-    return;
-  }
-  const auto most = aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count;
-  const auto startable = hasRoomForGang(aStep, aCandidates)
-                           ? startableCandidates(aStep, aCandidates, most, aNow)
-                           : std::vector<candidate_target*>{};
-  const auto tryOn = [&](std::string_view aRack) {
-    std::vector<placement> placements;
-    for (auto* candidate : startable) {
-      if (!aRack.empty() && candidate->mTarget->mEntry.mRack != aRack) {
-        continue;
-      }
-      for (auto slots = slotsAt(aStep, *candidate); slots > 0 && placements.size() < count;
-           --slots) {
-        placements.push_back(
-          { .mTaskIndex = aStep.mPending[placements.size()], .mCandidate = candidate });
-      }
-      if (placements.size() == count) {
-        return placements;
-      }
-    }
-    return std::vector<placement>{};
-  };
-  std::vector<placement> placements;
-  if (aStep.mNotBefore <= aNow && !startable.empty()) {
-    if (aStep.spec().mRackLocal) {
-      std::set<std::string> racks;
-      for (const auto* candidate : startable) {
-        racks.insert(candidate->mTarget->mEntry.mRack);
-      }
-      for (const auto& rack : racks) {
-        if (placements.empty()) {
-          placements = tryOn(rack);
-        }
-      }
-    }
-    if (placements.empty()) {
-      placements = tryOn({});
-    }
-  }
-  if (!placements.empty()) {
-    for (const auto& one : placements) {
-      one.mCandidate->mFree -= aStep.mNeeds;
-    }
-    commit(aStep, placements, aNow);
-    return;
-  }
-  if (aStep.mRoute.mAdvice) {
-    requestAdvice(aStep, aCandidates, aNow);
-  }
-  reserveTeamLimit(aStep, aNow);
-  reserveCapacity(aStep, aCandidates, aNow);
-}
-
-/// Reserves a part of the team's limit for a waiting gang. Load pattern: a team runs near its
-/// limit, and its small tasks take every part that becomes free before there is enough for one of
-/// its gangs. Later steps of the team may not use the reserved part while the gang can be on time,
-/// unless it needs more than the whole limit, or updateTeamHold() exempts them.
-void owner::impl::reserveTeamLimit(const waiting_step& aStep, time_point aNow)
-{
-  const auto needs = times(aStep.spec().mNeeds, static_cast<std::uint32_t>(aStep.mPending.size()));
-  const auto* team = aStep.mTeam->mConfig;
-  if (internal::rankOf(aStep, aNow).mBand > internal::kLastOnTimeBand ||
-      (team != nullptr && !withinLimit(needs, team->mUpperLimit))) {
-    return;
-  }
-  auto& reservation = aStep.mTeam->mReserved;
-  auto& reserved = reservation ? *reservation : reservation.emplace();
-  reserved.mTotal += needs;
-  if (needs.mCpuMilli > reserved.mLargestCpuMilli) {
-    reserved.mLargest = aStep.mKey;
-    reserved.mLargestCpuMilli = needs.mCpuMilli;
-  }
-}
-
-/// Reserves capacity for a waiting gang. Load pattern: small tasks fill every gap that wide gangs
-/// wait for. The capacity that the gang needs is withheld from the steps behind it: first the free
-/// capacity of the good targets for which it has tickets or waits for them, then any on the good
-/// targets with the most free CPU. All gangs together reserve at most kMaxReservedFraction.
-void owner::impl::reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
-                                  time_point aNow)
-{
-  const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
-  if (static_cast<double>(mReservedCpuMilli + needed) >
-      kMaxReservedFraction * static_cast<double>(mCandidateCpuMilli)) {
-    return;
-  }
-  auto& group = groupOf(aStep, aCandidates);
-  const auto capacityAt = [&aCandidates](std::uint32_t aPosition) -> const resources& {
-    return aCandidates[aPosition].mTarget->mEntry.mCapacity;
-  };
-  if (!group.hasCapacity(aStep.mNeeds, aStep.mPending.size(), capacityAt, mPassVisits)) {
-    return;
-  }
-  std::vector<candidate_target*> good;
-  for (auto* candidate : goodCandidates(aStep, aCandidates, aNow)) {
-    // Other jobs may still run where a gang waits for isolation; they end there.
-    if (candidate->mIsolated.onlyOf(aStep.mKey.mJob)) {
-      good.push_back(candidate);
-    }
-  }
-  const auto requested = [&aStep, aNow](const candidate_target* aOne) {
-    return aStep.mAdvice.requested(aOne->mTarget->mNumber, aNow + kTicketMargin);
-  };
-  const auto part = std::ranges::partition(good, requested);
-  const auto freeCpu = [](const candidate_target* aOne) { return aOne->mFree.mCpuMilli; };
-  std::ranges::sort(good.begin(), part.begin(), std::greater<>{}, freeCpu);
-  std::ranges::sort(part, std::greater<>{}, freeCpu);
-  const auto most = aStep.spec().mMaxPerTarget > 0 ? aStep.spec().mMaxPerTarget
-                                                   : std::numeric_limits<std::uint32_t>::max();
-  auto left = static_cast<std::uint32_t>(aStep.mPending.size());
-  std::vector<std::pair<candidate_target*, std::uint32_t>> parts;
-  for (auto* candidate : good) {
-    const auto fitting = requested(candidate) && mayShare(aStep, *candidate)
-                           ? slotsAt(aStep, *candidate)
-                           : maxTasksIn(aStep.mNeeds, candidate->mTarget->mEntry.mCapacity);
-    const auto slots = std::min({ left, most, fitting });
-    if (slots > 0 && !candidate->mFree.anyNegative()) {
-      parts.emplace_back(candidate, slots);
-      left -= slots;
-    }
-    if (left == 0) {
-      break;
-    }
-  }
-  if (left > 0) {
-    return;
-  }
-  mReservedCpuMilli += needed;
-  for (auto& [candidate, slots] : parts) {
-    // Nothing of other jobs may start where a gang waits for isolation. That wait is short, so that
-    // the limit on reservations counts only what the gang needs.
-    const auto amount = aStep.mNeedsIsolation ? candidate->mFree : times(aStep.mNeeds, slots);
-    candidate->mFree -= amount;
-    mGangReservations.push_back({ .mCandidate = candidate, .mSlots = slots, .mAmount = amount });
-  }
-}
-
 /// Load pattern: more steps wait than there is room for, and each of them sees the same room and
 /// asks about it. What a step has asked about is withheld from the steps behind it until its call
 /// has ended, so that the number of calls depends on the room that becomes free. The room that its
@@ -660,6 +504,7 @@
   const auto* state = aStep.mJob->find(key);
   const auto isolatedUntil = isolationEnd(*state, aNow);
   aStep.mIsolationSince.reset();
+  aStep.mReservation.reset();
   std::uint32_t gangRun = 0;
   if (spec.mGang) {
     for (const auto& task : state->mTasks) {
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -120,7 +120,7 @@
   const bool pressing = aRank.mBand <= internal::kLastOnTimeBand &&
                         aRank.mLatestStart - aNow < preemptLead(aStep) &&
                         aNow - aStep.mWaitingSince > kMinWaitBeforePreemption;
-  if (!pressing || !aStep.startable() || aStep.spec().mLongRunning ||
+  if (!pressing || aStep.mReservation || !aStep.startable() || aStep.spec().mLongRunning ||
       aStep.mNextPreemption > aNow) {
     return;
   }
@@ -160,7 +160,7 @@
     return !aOne->mTarget->freeCapacity().anyNegative();
   });
   const auto reservedAt = [this](const candidate_target* aOne) {
-    const auto found = std::ranges::find(mGangReservations, aOne, &gang_reservation::mCandidate);
+    const auto found = std::ranges::find(mGangReservations, aOne, &withheld_room::mCandidate);
     return found == mGangReservations.end() ? 0U : found->mSlots;
   };
   auto missing = aWanted;
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -119,6 +119,18 @@
   time_point mLatestExpiry{};
 };
 
+/// Capacity of good targets that a gang keeps from all other steps until it starts.
+struct gang_reservation
+{
+  struct part
+  {
+    target_number mTarget = 0;
+    std::uint32_t mSlots = 0;
+  };
+  std::vector<part> mParts;
+  time_point mSince;
+};
+
 /// Interval at which the reason for a step's waiting is logged.
 inline constexpr auto kWaitLogInterval = std::chrono::milliseconds(3000);
 
@@ -154,6 +166,9 @@
   /// Targets at which a run of the step has failed, and the time up to which they are avoided.
   std::unordered_map<target_number, time_point> mAvoidedTargets;
   step_advice mAdvice;
+  std::optional<gang_reservation> mReservation;
+  /// The gang makes no reservation before this time.
+  time_point mNextReservation{};
   /// Until this time the step is suspected of crashing its targets, and starts in isolation.
   time_point mSuspectUntil{};
   /// Time since which the suspect step waits for targets that run nothing of other jobs.
