Explain where a job would be placed, by the decision code

An operator could not ask where a job would be placed and why without submitting it.

placeTasks() and placeGang() are split into choosing and committing, as are preemption and the checks of reservations. owner::explain() makes a planning pass that chooses and commits nothing, and restores what the owner keeps for its own passes.

--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -4,6 +4,7 @@
 #include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job_table.h"
 #include "endiveusher/scheduler/owner_port.h"
+#include "endiveusher/scheduler/placement_explanation.h"
 
 #include <chrono>
 #include <cstddef>
@@ -164,6 +165,8 @@
   /// back, or nothing if it is to be accepted. See overload_admission, for an owner whose loop is
   /// behind, and internal::backlog_estimate, for work that would start too late.
   std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
+  /// Explains where the job would be placed if it were submitted now. Changes nothing.
+  placement_explanation explain(const job_spec& aJob, time_point aNow) const;
   /// Whether the journal holds the record that has ended the job, if one has. A job may be shown as
   /// ended only then: the next owner may not know that record.
   bool isEndStored(job_id aJob) const;
--- a/scheduler/src/candidate_target.h
+++ b/scheduler/src/candidate_target.h
@@ -3,6 +3,7 @@
 #include "endiveusher/kernel/resources.h"
 #include "target_state.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -32,6 +33,19 @@
   /// Jobs of the runs beside which no task of another job may start.
   occupants mIsolated;
 };
+
+/// Targets and room of a step that waits.
+struct wait_counts
+{
+  std::size_t mAllowedTargets = 0;
+  std::size_t mTickets = 0;
+  /// Tasks that fit on the allowed targets: by isolation, without regard to it, and by isolation on
+  /// targets with a good verdict.
+  std::uint32_t mSlots = 0;
+  std::uint32_t mFreeSlots = 0;
+  std::uint32_t mGoodSlots = 0;
+};
+
 struct placement
 {
   std::uint32_t mTaskIndex = 0;
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -265,6 +265,28 @@
   }
 }
 
+internal::waiting_step owner::impl::makeStep(job& aJob, const step_key& aKey,
+                                             internal::team_state& aTeam, time_point aSubmitted,
+                                             time_point aNow) const
+{
+  waiting_step step{ .mKey = aKey, .mJob = &aJob, .mTeam = &aTeam };
+  step.mRoute = routeOf(aJob.mSpec);
+  step.mNeeds = step.spec().capacityNeeds();
+  const auto paths = criticalPaths(aJob.mSpec, step.mRoute);
+  const auto longest = *std::ranges::max_element(paths);
+  auto since = aSubmitted;
+  if (aJob.mSpec.mRepeat != 0) {
+    since += aJob.mSpec.due(aKey.mOccurrence) - aJob.mSpec.mSubmitted;
+    // An occurrence that has started is due, also if this daemon's clock is behind.
+    step.mNotBefore = hasStarted(aJob, aKey.mOccurrence) ? aNow : since;
+  }
+  const auto period = onTimePeriod(longest, step.mRoute);
+  step.mDeadline = since + period;
+  step.mValueDeadline = since + kValuePeriods * period;
+  step.mRemainingWork = paths[aKey.mStep];
+  return step;
+}
+
 void owner::impl::enqueueStep(job& aJob, const step_key& aKey, time_point aNow)
 {
   const step_state* state = aJob.find(aKey);
@@ -275,45 +297,34 @@
   auto [at, isNew] = mWaiting.try_emplace(aKey);
   auto& step = at->second;
   if (isNew) {
-    step.mKey = aKey;
-    step.mJob = &aJob;
-    step.mTeam = &teamOf(aJob.mSpec.mTeam);
-    step.mRoute = routeOf(aJob.mSpec);
-    step.mNeeds = step.spec().capacityNeeds();
+    step = makeStep(aJob, aKey, teamOf(aJob.mSpec.mTeam), mSubmittedAt[aKey.mJob], aNow);
     mLowestPriority = std::max(mLowestPriority, step.mRoute.mPriority);
-    const auto paths = criticalPaths(aJob.mSpec, step.mRoute);
-    const auto longest = *std::ranges::max_element(paths);
-    auto since = mSubmittedAt[aKey.mJob];
-    if (aJob.mSpec.mRepeat != 0) {
-      since += aJob.mSpec.due(aKey.mOccurrence) - aJob.mSpec.mSubmitted;
-      // An occurrence that has started is due, also if this daemon's clock is behind.
-      step.mNotBefore = hasStarted(aJob, aKey.mOccurrence) ? aNow : since;
-    }
-    const auto period = onTimePeriod(longest, step.mRoute);
-    step.mDeadline = since + period;
-    step.mValueDeadline = since + kValuePeriods * period;
-    step.mRemainingWork = paths[aKey.mStep];
-  }
-  if (step.mPending.empty()) {
-    step.mWaitingSince = aNow;
-    step.mNextWaitLog = aNow + internal::kWaitLogInterval;
-    step.mAdvice.mReplies = 0;
-  }
-  const auto waitingBefore = step.mPending.size();
-  step.mPending.clear();
-  for (std::uint32_t index = 0; index < state->mTasks.size(); ++index) {
-    if (!state->mTasks[index].mDone && !state->mTasks[index].mOpen) {
-      step.mPending.push_back(index);
-    }
   }
+  updatePending(step, *state, aNow);
   step.mWaitsForRoute = waitsForRoute(step);
   updateSuspicion(step, *state, aNow);
-  if (step.spec().mLongRunning && step.mPending.size() > waitingBefore) {
+  mPlanNeeded = true;
+}
+
+void owner::impl::updatePending(waiting_step& aStep, const step_state& aState, time_point aNow)
+{
+  if (aStep.mPending.empty()) {
+    aStep.mWaitingSince = aNow;
+    aStep.mNextWaitLog = aNow + internal::kWaitLogInterval;
+    aStep.mAdvice.mReplies = 0;
+  }
+  const auto waitingBefore = aStep.mPending.size();
+  aStep.mPending.clear();
+  for (std::uint32_t index = 0; index < aState.mTasks.size(); ++index) {
+    if (!aState.mTasks[index].mDone && !aState.mTasks[index].mOpen) {
+      aStep.mPending.push_back(index);
+    }
+  }
+  if (aStep.spec().mLongRunning && aStep.mPending.size() > waitingBefore) {
     // Each restart has its own deadline, also if the step has run for hours.
-    step.mRemainingWork = duration{ 0 };
-    step.mDeadline = aNow + kLongRunningWaitLimit;
+    aStep.mRemainingWork = duration{ 0 };
+    aStep.mDeadline = aNow + kLongRunningWaitLimit;
   }
-  mPlanNeeded = true;
 }
 
 std::optional<internal::new_work> owner::impl::newWork(const job_spec& aSpec, time_point aNow) const
@@ -784,7 +795,13 @@
 
 std::optional<std::chrono::seconds> owner::rejection(const job_spec& aJob, time_point aNow) const
 {
-  return mImpl->rejection(aJob, aNow);
+  const auto rejected = mImpl->rejection(aJob, aNow);
+  return rejected ? std::optional(rejected->mRetryAfter) : std::nullopt;
+}
+
+placement_explanation owner::explain(const job_spec& aJob, time_point aNow) const
+{
+  return mImpl->explain(aJob, aNow);
 }
 
 bool owner::fenced() const
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -8,6 +8,7 @@
 
 namespace endiveusher::scheduler {
 
+using internal::kMaxQueriedTargets;
 using internal::kTicketMargin;
 using internal::maxTasksIn;
 using verdict = internal::step_advice::verdict;
@@ -16,8 +17,6 @@
 
 /// A ticket that expires within this time is requested again.
 constexpr auto kTicketRenewalMargin = 4 * kTicketMargin;
-/// Maximum number of targets in one advice call, set by the platform.
-constexpr std::size_t kMaxQueriedTargets = 100;
 /// A call may query at least this many targets, so that some of them are good.
 constexpr std::size_t kMinQueriedTargets = 12;
 /// Added to the expected duration of an advice call, for the network and a busy daemon. A call
@@ -109,6 +108,9 @@
 std::vector<internal::target_number> owner::impl::targetsToQuery(
   const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
 {
+  if (aStep.spec().mGang) {
+    return gangTargetsToQuery(aStep, aCandidates, aNow);
+  }
   const auto& terms = *aStep.mRoute.mAdvice;
   const auto pending = static_cast<std::uint32_t>(aStep.mPending.size());
   // As many targets as cost as much as the call itself: querying fewer would save little.
@@ -327,14 +329,13 @@
       !mAdviceDispatcher.hasFreeHelper(terms.mPerCall + terms.mPerTarget, aNow)) {
     return;
   }
-  const auto queried = aStep.spec().mGang ? gangTargetsToQuery(aStep, aCandidates, aNow)
-                                          : targetsToQuery(aStep, aCandidates, aNow);
+  const auto queried = targetsToQuery(aStep, aCandidates, aNow);
   if (queried.empty()) {
     advice.mNextCall = aNow + kFutileQueryPause;
     return;
   }
   // Calls through several daemons run in parallel, so that their tickets arrive together.
-  const auto calls = (queried.size() + kMaxQueriedTargets - 1) / kMaxQueriedTargets;
+  const auto calls = internal::adviceCalls(queried.size());
   for (std::size_t call = 0; call < calls; ++call) {
     const auto first = call * queried.size() / calls;
     const auto last = (call + 1) * queried.size() / calls;
--- a/scheduler/src/owner_gangs.cpp
+++ b/scheduler/src/owner_gangs.cpp
@@ -42,19 +42,10 @@
     .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPassVisits);
 }
 
-void owner::impl::placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
-                            time_point aNow)
+std::vector<owner::impl::placement> owner::impl::chooseGang(
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
 {
   const auto count = static_cast<std::uint32_t>(aStep.mPending.size());
-  if (aStep.mReservation) {
-    giveBack(aStep, aCandidates);
-  }
-  updateTeamHold(aStep, aNow);
-  if (teamSlots(aStep) < count) {
-    aStep.mReservation.reset();
-    reserveTeamLimit(aStep, aNow);
-    return;
-  }
   const auto most = aStep.spec().mRackLocal ? std::numeric_limits<std::size_t>::max() : count;
   const auto startable = hasRoomForGang(aStep, aCandidates)
                            ? startableCandidates(aStep, aCandidates, most, aNow)
@@ -93,10 +84,25 @@
       placements = tryOn({});
     }
   }
-  if (!placements.empty()) {
-    for (const auto& one : placements) {
-      one.mCandidate->mFree -= aStep.mNeeds;
-    }
+  for (const auto& one : placements) {
+    one.mCandidate->mFree -= aStep.mNeeds;
+  }
+  return placements;
+}
+
+void owner::impl::placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+                            time_point aNow)
+{
+  if (aStep.mReservation) {
+    giveBack(aStep, aCandidates);
+  }
+  updateTeamHold(aStep, aNow);
+  if (teamSlots(aStep) < aStep.mPending.size()) {
+    aStep.mReservation.reset();
+    reserveTeamLimit(aStep, aNow);
+    return;
+  }
+  if (const auto placements = chooseGang(aStep, aCandidates, aNow); !placements.empty()) {
     commit(aStep, placements, aNow);
     return;
   }
@@ -106,6 +112,12 @@
   if (aStep.mRoute.mAdvice) {
     requestAdvice(aStep, aCandidates, aNow);
   }
+  holdForGang(aStep, aCandidates, aNow);
+}
+
+void owner::impl::holdForGang(const waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+                              time_point aNow)
+{
   reserveTeamLimit(aStep, aNow);
   if (aStep.mReservation) {
     withhold(aStep, aCandidates);
@@ -139,8 +151,8 @@
 /// wait for. The capacity that the gang needs is withheld from the steps behind it: first the free
 /// capacity of the good targets for which it has tickets or waits for them, then any on the good
 /// targets with the most free CPU. All gangs together reserve at most kMaxReservedFraction.
-void owner::impl::reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
-                                  time_point aNow)
+void owner::impl::reserveCapacity(const waiting_step& aStep,
+                                  std::vector<candidate_target>& aCandidates, time_point aNow)
 {
   const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
   if (static_cast<double>(mReservedCpuMilli + needed) >
@@ -218,18 +230,23 @@
   }
 }
 
+bool owner::impl::keepsReservation(const waiting_step& aStep, time_point aNow) const
+{
+  const auto isUsable = [&](const internal::gang_reservation::part& aPart) {
+    return mCandidatePositions[aPart.mTarget] &&
+           allowed(aStep, *mTargetsByNumber[aPart.mTarget], aNow);
+  };
+  return aStep.startable() && aStep.mReservation->mSince + kMaxReservationAge > aNow &&
+         std::ranges::all_of(aStep.mReservation->mParts, isUsable);
+}
+
 void owner::impl::withholdReservations(std::vector<candidate_target>& aCandidates, time_point aNow)
 {
   for (auto& [key, step] : mWaiting) {
     if (!step.mReservation) {
       continue;
     }
-    const auto isUsable = [&](const internal::gang_reservation::part& aPart) {
-      return mCandidatePositions[aPart.mTarget] &&
-             allowed(step, *mTargetsByNumber[aPart.mTarget], aNow);
-    };
-    if (!step.startable() || step.mReservation->mSince + kMaxReservationAge <= aNow ||
-        !std::ranges::all_of(step.mReservation->mParts, isUsable)) {
+    if (!keepsReservation(step, aNow)) {
       step.mReservation.reset();
       step.mNextReservation = aNow + kDroppedReservationPause;
       continue;
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "advice_call.h"
 #include "advice_dispatcher.h"
 #include "backlog_estimate.h"
 #include "candidate_target.h"
 #include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
+#include "endiveusher/scheduler/placement_explanation.h"
 #include "past_use.h"
+#include "record_batch.h"
 #include "room_index.h"
 #include "target_state.h"
 #include "waiting_step.h"
@@ -49,7 +52,8 @@
   time_point tick(time_point aNow, wall_time aWall);
   bool isEndStored(job_id aJob) const { return !mUnstoredEnds.contains(aJob); }
   bool allStored() const { return mPendingRecords.empty() && mBatchesInFlight.empty(); }
-  std::optional<std::chrono::seconds> rejection(const job_spec& aJob, time_point aNow) const;
+  std::optional<job_rejection> rejection(const job_spec& aJob, time_point aNow) const;
+  placement_explanation explain(const job_spec& aJob, time_point aNow);
   owner_counts counts(time_point aNow) const;
   std::string dump() const;
 
@@ -81,29 +85,11 @@
   using preemption = internal::preemption;
   using reservable_target = internal::reservable_target;
 
-  /// Records of one owner_port::store() call, in order, and what to do when they are stored.
-  struct batch
-  {
-    std::vector<run_started> mStarts;
-    /// End of a run to acknowledge to its target.
-    struct stored_end
-    {
-      std::string mTarget;
-      std::int64_t mIncarnationStart = 0;
-      std::uint64_t mNumber = 0;
-    };
-    std::vector<stored_end> mEnds;
-    /// Ends that targets have reported, for the next owner if the batch is not stored.
-    std::vector<run_ended> mReportedEnds;
-    /// Jobs that a record of the batch has ended.
-    std::vector<job_id> mEndedJobs;
-    /// Tokens of callers' records.
-    std::vector<std::uint64_t> mTokens;
-    /// Targets at which leases may be renewed once the batch is stored.
-    std::vector<std::string> mAcquired;
-    /// Time of the store() call.
-    time_point mSentAt;
-  };
+  using batch = internal::record_batch;
+  using verdict_counts = internal::verdict_counts;
+  /// See owner_explain.cpp.
+  class trial_pass;
+
   // Steps and jobs.
   void registerJob(job& aJob, time_point aNow, wall_time aWall);
   /// Allocates capacity for the open runs that a former owner has started, also for those of jobs
@@ -111,6 +97,10 @@
   void adoptRuns(const job& aJob);
   void openDueOccurrences(time_point aNow, wall_time aWall);
   void enqueueStep(job& aJob, const step_key& aKey, time_point aNow);
+  /// Returns a step of a job that was submitted at aSubmitted, without its waiting tasks.
+  waiting_step makeStep(job& aJob, const step_key& aKey, internal::team_state& aTeam,
+                        time_point aSubmitted, time_point aNow) const;
+  static void updatePending(waiting_step& aStep, const step_state& aState, time_point aNow);
   void dropSteps(job_id aJob);
   void stopRuns(job& aJob, time_point aNow);
   void stopStep(job& aJob, const step_key& aKey, time_point aNow);
@@ -300,6 +290,8 @@
   /// Makes a planning pass and measures it.
   void planAndMeasure(time_point aNow);
   void plan(time_point aNow);
+  /// Returns the steps that a planning pass considers, in the order in which they are placed.
+  std::vector<std::pair<internal::step_rank, waiting_step*>> stepsInOrder(time_point aNow);
   /// Returns the usable targets in the order of their free CPU, and resets what a planning pass
   /// finds out about them.
   std::vector<candidate_target> makeCandidates(time_point aNow);
@@ -326,7 +318,8 @@
   /// whether advice and isolation permit them is left open.
   bool hasRoomForGang(const waiting_step& aStep,
                       std::span<const candidate_target> aCandidates) const;
-  /// Whether the target can be given new tasks.
+  /// Returns why the target can be given no new tasks; target_fit::fits if it can.
+  target_fit fitOf(const target_state& aTarget, time_point aNow) const;
   bool usable(const target_state& aTarget, time_point aNow) const;
   /// Whether the target is in the route's pool and has the label that the step requires.
   static bool isSuitable(const target_state& aTarget, const route_config& aRoute,
@@ -351,18 +344,36 @@
   void reserveTeamLimit(const waiting_step& aStep, time_point aNow);
   void placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
   void placeGang(waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow);
+  /// Returns where waiting tasks of the step start now, and takes the room from the candidates.
+  std::vector<placement> chooseTasks(const waiting_step& aStep,
+                                     std::vector<candidate_target>& aCandidates,
+                                     time_point aNow) const;
+  /// The same for a gang, all of whose tasks start at the same time.
+  std::vector<placement> chooseGang(const waiting_step& aStep,
+                                    std::vector<candidate_target>& aCandidates,
+                                    time_point aNow) const;
+  /// Withholds what a gang that does not start now needs from the steps behind it.
+  void holdForGang(const waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+                   time_point aNow);
+  internal::wait_counts countsFor(const waiting_step& aStep,
+                                  std::span<const candidate_target> aCandidates,
+                                  time_point aNow) const;
+  /// Returns why the step waits.
+  const char* waitReason(const waiting_step& aStep, const internal::wait_counts& aCounts,
+                         time_point aNow) const;
   void logWait(waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
                time_point aNow);
   /// Returns the number of tasks of the step that fit now on the targets with a valid ticket,
   /// without regard to capacity reserved for other steps.
   std::uint32_t ticketSlots(const waiting_step& aStep, time_point aNow) const;
-  void reserveCapacity(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+  void reserveCapacity(const waiting_step& aStep, std::vector<candidate_target>& aCandidates,
                        time_point aNow);
 
   // Reservations of gangs, which last over several passes.
   /// Withholds them from all steps of the pass, and drops those that have expired or whose targets
   /// are not usable any more.
   void withholdReservations(std::vector<candidate_target>& aCandidates, time_point aNow);
+  bool keepsReservation(const waiting_step& aStep, time_point aNow) const;
   /// Withholds the gang's reservation from the other steps.
   void withhold(const waiting_step& aStep, std::vector<candidate_target>& aCandidates) const;
   /// Makes the gang's reservation available to it.
@@ -424,9 +435,10 @@
   /// Stops runs of routes with lower priority for a step that would be late otherwise.
   void preempt(waiting_step& aStep, const internal::step_rank& aRank,
                std::vector<candidate_target>& aCandidates, time_point aNow);
-  /// Stops runs for up to aWanted tasks of the step; returns the number of targets at which it did.
-  std::size_t preemptFor(const waiting_step& aStep, std::size_t aWanted,
-                         std::vector<candidate_target>& aCandidates, time_point aNow);
+  /// Returns the runs to stop for up to aWanted tasks of the step, by target.
+  std::vector<preemption> choosePreemptions(const waiting_step& aStep, std::size_t aWanted,
+                                            std::vector<candidate_target>& aCandidates,
+                                            time_point aNow) const;
   void stopVictims(const waiting_step& aStep, const preemption& aStop, time_point aNow);
   /// Returns the runs to stop at the target so that up to aMost tasks of the step fit; no tasks if
   /// stopping runs does not help.
@@ -434,8 +446,9 @@
                           std::uint32_t aMost) const;
   /// Returns what is free at the target, being freed, and taken by runs that the step may preempt.
   resources freeAfterPreemption(const waiting_step& aStep, candidate_target& aCandidate) const;
-  /// Time before its latest start at which a step may preempt other runs.
-  static duration preemptLead(const waiting_step& aStep);
+  /// Returns the time after which a step may preempt other runs; absent if it may not at all.
+  static std::optional<time_point> preemptsAfter(const waiting_step& aStep,
+                                                 const internal::step_rank& aRank);
   /// Returns the runs at the target that may be preempted, largest first, so that few have to stop.
   std::vector<preemptible_run> preemptibleRuns(const target_state& aTarget) const;
 
@@ -494,22 +507,7 @@
   batch mNextBatch;
   std::deque<batch> mBatchesInFlight;
 
-  struct advice_call
-  {
-    step_key mStep;
-    std::string mDaemon;
-    std::vector<internal::target_number> mTargets;
-    time_point mSent;
-    duration mCost{ 0 };
-    /// Number of tasks that fit on the queried targets when the call was made.
-    std::uint32_t mSlots = 0;
-  };
-  std::map<std::uint64_t, advice_call> mAdviceCalls;
-  struct verdict_counts
-  {
-    std::uint64_t mQueried = 0;
-    std::uint64_t mGood = 0;
-  };
+  std::map<std::uint64_t, internal::advice_call> mAdviceCalls;
   /// First verdicts on targets, by route.
   std::map<std::string, verdict_counts> mVerdictCounts;
   std::uint64_t mLastAdviceCall = 0;
--- a/scheduler/src/owner_overload.cpp
+++ b/scheduler/src/owner_overload.cpp
@@ -34,17 +34,23 @@
                             kMaxPlanPause);
 }
 
-std::optional<std::chrono::seconds> owner::impl::rejection(const job_spec& aJob,
-                                                           time_point aNow) const
+std::optional<job_rejection> owner::impl::rejection(const job_spec& aJob, time_point aNow) const
 {
   if (!mConfig) {
     return std::nullopt;
   }
   if (!mAdmission.admits(aJob.mTeam, *mConfig, std::chrono::duration_cast<duration>(mTickLag))) {
-    return kRetryAfterLag;
+    return job_rejection{ .mRetryAfter = kRetryAfterLag,
+                          .mReason = "the owner is behind, and the team exceeds its share" };
   }
   const auto work = newWork(aJob, aNow);
-  return work ? mBacklog.retryAfter(*work, *mConfig, aNow < mBehindUntil, aNow) : std::nullopt;
+  const auto retryAfter =
+    work ? mBacklog.retryAfter(*work, *mConfig, aNow < mBehindUntil, aNow) : std::nullopt;
+  if (!retryAfter) {
+    return std::nullopt;
+  }
+  return job_rejection{ .mRetryAfter = *retryAfter,
+                        .mReason = "it would start too late behind the waiting work" };
 }
 
 void owner::impl::addToBacklog(const job_spec& aSpec, time_point aNow)
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -56,12 +56,25 @@
 
 } // namespace
 
+target_fit owner::impl::fitOf(const target_state& aTarget, time_point aNow) const
+{
+  if (!aTarget.mListed || !aTarget.isDescribed() || !aTarget.mAcquisitionStored ||
+      aTarget.mRestartListed || aTarget.mMissedHeartbeats != 0 || !aTarget.mClock ||
+      aTarget.mHasUnknownRuns) {
+    return target_fit::not_usable;
+  }
+  if (aTarget.mEntry.mDraining) {
+    return target_fit::draining;
+  }
+  if (aTarget.mAvoidUntil > aNow) {
+    return target_fit::avoided;
+  }
+  return mClosedZones.contains(aTarget.mEntry.mZone) ? target_fit::closed_zone : target_fit::fits;
+}
+
 bool owner::impl::usable(const target_state& aTarget, time_point aNow) const
 {
-  return aTarget.mListed && aTarget.isDescribed() && aTarget.mAcquisitionStored &&
-         !aTarget.mRestartListed && aTarget.mMissedHeartbeats == 0 && aTarget.mClock &&
-         !aTarget.mHasUnknownRuns && !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
-         !mClosedZones.contains(aTarget.mEntry.mZone);
+  return fitOf(aTarget, aNow) == target_fit::fits;
 }
 
 bool owner::impl::isSuitable(const target_state& aTarget, const route_config& aRoute,
@@ -248,6 +261,19 @@
   return candidates;
 }
 
+std::vector<std::pair<internal::step_rank, internal::waiting_step*>> owner::impl::stepsInOrder(
+  time_point aNow)
+{
+  std::vector<std::pair<internal::step_rank, waiting_step*>> order;
+  for (auto& [key, step] : mWaiting) {
+    if (step.startable()) {
+      order.emplace_back(internal::rankOf(step, aNow), &step);
+    }
+  }
+  std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
+  return order;
+}
+
 void owner::impl::plan(time_point aNow)
 {
   updateTeamPositions(aNow);
@@ -255,16 +281,12 @@
     return;
   }
   auto candidates = makeCandidates(aNow);
-  std::vector<std::pair<internal::step_rank, waiting_step*>> order;
   for (auto& [name, team] : mTeams) {
     team.mWaitingTasks = 0;
     team.mReserved.reset();
   }
   for (auto& [key, step] : mWaiting) {
     step.mTeam->mWaitingTasks += static_cast<std::uint32_t>(step.mPending.size());
-    if (step.startable()) {
-      order.emplace_back(internal::rankOf(step, aNow), &step);
-    }
   }
   overload_admission::task_counts waiting;
   for (const auto& [name, team] : mTeams) {
@@ -273,13 +295,13 @@
     }
   }
   mAdmission.setWaiting(std::move(waiting));
-  std::ranges::sort(order, {}, [](const auto& aOne) { return aOne.first; });
+  const auto order = stepsInOrder(aNow);
   mReservedCpuMilli = 0;
   mClaimedCpuMilli = 0;
   withholdReservations(candidates, aNow);
   mLastPass.mSteps = order.size();
   std::size_t waitLogs = 0;
-  for (auto& [rank, step] : order) {
+  for (const auto& [rank, step] : order) {
     if (step->mNotBefore > aNow && step->mJob->mSpec.mRepeat == 0) {
       continue;
     }
@@ -356,15 +378,11 @@
   return good;
 }
 
-void owner::impl::logWait(waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
-                          time_point aNow)
+internal::wait_counts owner::impl::countsFor(const waiting_step& aStep,
+                                             std::span<const candidate_target> aCandidates,
+                                             time_point aNow) const
 {
-  aStep.mNextWaitLog = aNow + internal::kWaitLogInterval;
-  std::size_t allowedTargets = 0;
-  std::size_t tickets = 0;
-  std::uint32_t slots = 0;
-  std::uint32_t freeSlots = 0;
-  std::uint32_t goodSlots = 0;
+  internal::wait_counts counts;
   const auto positions = groupOf(aStep, aCandidates).positions();
   const auto firstWithRoom = positions.size() - positionsWithRoom(aStep, aCandidates).size();
   for (std::size_t at = 0; at < positions.size(); ++at) {
@@ -372,32 +390,55 @@
     if (!allowedInGroup(aStep, *candidate.mTarget, aNow)) {
       continue;
     }
-    ++allowedTargets;
+    ++counts.mAllowedTargets;
     const auto freeHere =
       at < firstWithRoom ? 0 : std::min(freeSlotsAt(aStep, candidate), aStep.spec().mCount);
     const auto here = mayShare(aStep, candidate) ? freeHere : 0;
-    slots += here;
-    freeSlots += freeHere;
-    goodSlots += aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good ? here : 0;
+    counts.mSlots += here;
+    counts.mFreeSlots += freeHere;
+    counts.mGoodSlots +=
+      aStep.mAdvice.verdictOn(candidate.mTarget->mNumber) == verdict::good ? here : 0;
     const auto* ticket = aStep.mAdvice.validTicket(candidate.mTarget->mNumber, aNow);
-    tickets += ticket != nullptr ? 1 : 0;
+    counts.mTickets += ticket != nullptr ? 1 : 0;
   }
+  return counts;
+}
+
+const char* owner::impl::waitReason(const waiting_step& aStep, const internal::wait_counts& aCounts,
+                                    time_point aNow) const
+{
   const auto neededSlots = aStep.spec().mGang ? aStep.spec().mCount : 1;
-  const char* reason = "no_ticket";
   if (aStep.mNotBefore > aNow) {
-    reason = "not_before";
-  } else if (teamSlots(aStep) < neededSlots) {
-    reason = "team_limit";
-  } else if (allowedTargets == 0) {
-    reason = "no_target";
-  } else if (slots < neededSlots) {
-    reason = freeSlots < neededSlots ? "no_room" : "isolation";
-  } else if (aStep.mAdvice.mCallsOpen > 0) {
-    reason = "advice_open";
-  } else if (aStep.mRoute.mAdvice &&
-             !mAdviceDispatcher.hasFreeHelper(aStep.mRoute.mAdvice->mPerCall, aNow)) {
-    reason = "advice_busy";
+    return "not_before";
+  }
+  if (teamSlots(aStep) < neededSlots) {
+    return "team_limit";
+  }
+  if (aCounts.mAllowedTargets == 0) {
+    return "no_target";
+  }
+  if (aCounts.mSlots < neededSlots) {
+    return aCounts.mFreeSlots < neededSlots ? "no_room" : "isolation";
   }
+  if (!aStep.mRoute.mAdvice && !aStep.spec().mDataRack.empty()) {
+    return "data_rack";
+  }
+  if (aStep.mAdvice.mCallsOpen > 0) {
+    return "advice_open";
+  }
+  if (aStep.mRoute.mAdvice &&
+      !mAdviceDispatcher.hasFreeHelper(aStep.mRoute.mAdvice->mPerCall, aNow)) {
+    return "advice_busy";
+  }
+  return "no_ticket";
+}
+
+void owner::impl::logWait(waiting_step& aStep, const std::vector<candidate_target>& aCandidates,
+                          time_point aNow)
+{
+  aStep.mNextWaitLog = aNow + internal::kWaitLogInterval;
+  const auto counts = countsFor(aStep, aCandidates, aNow);
+  const auto neededSlots = aStep.spec().mGang ? aStep.spec().mCount : 1;
   mPort.logDecision(
     "step_waiting",
     fmt::format("step={} route={} waited_ms={} pending={}/{} reason={} allowed_targets={} "
@@ -405,20 +446,16 @@
                 "band={} held_by={}",
                 toText(aStep.mKey), aStep.mRoute.mName,
                 (aNow - aStep.mWaitingSince) / std::chrono::milliseconds(1), aStep.mPending.size(),
-                aStep.spec().mCount, reason, allowedTargets, slots, goodSlots, tickets,
-                ticketSlots(aStep, aNow), aStep.mAdvice.mReplies, aStep.mNeeds.mCpuMilli,
-                aStep.mNeeds.mMemoryMb, internal::rankOf(aStep, aNow).mBand,
+                aStep.spec().mCount, waitReason(aStep, counts, aNow), counts.mAllowedTargets,
+                counts.mSlots, counts.mGoodSlots, counts.mTickets, ticketSlots(aStep, aNow),
+                aStep.mAdvice.mReplies, aStep.mNeeds.mCpuMilli, aStep.mNeeds.mMemoryMb,
+                internal::rankOf(aStep, aNow).mBand,
                 teamSlots(aStep) < neededSlots ? reserverFor(aStep, neededSlots) : "-"));
 }
 
-void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
-                             time_point aNow)
+std::vector<owner::impl::placement> owner::impl::chooseTasks(
+  const waiting_step& aStep, std::vector<candidate_target>& aCandidates, time_point aNow) const
 {
-  updateTeamHold(aStep, aNow);
-  const auto team = teamSlots(aStep);
-  if (team == 0) {
-    return;
-  }
   const bool ready = aStep.mNotBefore <= aNow;
   const auto& rack = aStep.spec().mDataRack;
   // Elsewhere a task takes at least twice as long, so waiting for longer than its estimate does not
@@ -426,7 +463,7 @@
   const auto rackWait = std::min<duration>(kMaxRackWait, aStep.spec().mEstimate);
   const bool anyRack = rack.empty() || aNow - aStep.mWaitingSince >= rackWait ||
                        aNow > aStep.mDeadline - aStep.mRemainingWork - kAnyRackLead;
-  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
+  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), teamSlots(aStep));
   const auto most = rack.empty() ? wanted : std::numeric_limits<std::size_t>::max();
   auto startable = startableCandidates(aStep, aCandidates, most, aNow);
   if (!rack.empty()) {
@@ -435,25 +472,37 @@
     });
   }
   std::vector<placement> placements;
-  std::size_t next = 0;
   for (auto* candidate : startable) {
-    if (next == wanted) {
+    if (placements.size() == wanted) {
       break;
     }
     if (!anyRack && candidate->mTarget->mEntry.mRack != rack) {
       continue;
     }
-    for (auto slots = slotsAt(aStep, *candidate); ready && slots > 0 && next < wanted;
-         --slots, ++next) {
-      placements.push_back({ .mTaskIndex = aStep.mPending[next], .mCandidate = candidate });
+    for (auto slots = slotsAt(aStep, *candidate); ready && slots > 0 && placements.size() < wanted;
+         --slots) {
+      placements.push_back(
+        { .mTaskIndex = aStep.mPending[placements.size()], .mCandidate = candidate });
       candidate->mFree -= aStep.mNeeds;
     }
   }
-  const bool missing = next < wanted;
+  return placements;
+}
+
+void owner::impl::placeTasks(waiting_step& aStep, std::vector<candidate_target>& aCandidates,
+                             time_point aNow)
+{
+  updateTeamHold(aStep, aNow);
+  const auto team = teamSlots(aStep);
+  if (team == 0) {
+    return;
+  }
+  const auto wanted = std::min<std::size_t>(aStep.mPending.size(), team);
+  const auto placements = chooseTasks(aStep, aCandidates, aNow);
   if (!placements.empty()) {
     commit(aStep, placements, aNow);
   }
-  if (missing && aStep.mRoute.mAdvice) {
+  if (placements.size() < wanted && aStep.mRoute.mAdvice) {
     requestAdvice(aStep, aCandidates, aNow);
   }
 }
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -100,14 +100,19 @@
   return free;
 }
 
-duration owner::impl::preemptLead(const waiting_step& aStep)
+std::optional<time_point> owner::impl::preemptsAfter(const waiting_step& aStep,
+                                                     const internal::step_rank& aRank)
 {
+  if (aRank.mBand > internal::kLastOnTimeBand || aStep.spec().mLongRunning) {
+    return std::nullopt;
+  }
   duration lead = kPreemptLead;
   if (aStep.spec().mGang && aStep.mRoute.mAdvice) {
     // Tickets expire while a gang waits, so it needs new ones when there is capacity.
     lead += 2 * aStep.mRoute.mAdvice->mPerCall;
   }
-  return lead;
+  return std::max<time_point>(aRank.mLatestStart - lead,
+                              aStep.mWaitingSince + kMinWaitBeforePreemption);
 }
 
 /// Load pattern: a burst of urgent jobs arrives while checkpointing batch work fills the cell.
@@ -117,10 +122,8 @@
 void owner::impl::preempt(waiting_step& aStep, const internal::step_rank& aRank,
                           std::vector<candidate_target>& aCandidates, time_point aNow)
 {
-  const bool pressing = aRank.mBand <= internal::kLastOnTimeBand &&
-                        aRank.mLatestStart - aNow < preemptLead(aStep) &&
-                        aNow - aStep.mWaitingSince > kMinWaitBeforePreemption;
-  if (!pressing || aStep.mReservation || !aStep.startable() || aStep.spec().mLongRunning ||
+  const auto after = preemptsAfter(aStep, aRank);
+  if (!after || aNow <= *after || aStep.mReservation || !aStep.startable() ||
       aStep.mNextPreemption > aNow) {
     return;
   }
@@ -142,15 +145,19 @@
   for (const auto& one : mGangReservations) {
     one.mCandidate->mFree += one.mAmount;
   }
-  const auto targets = preemptFor(aStep, wanted, aCandidates, aNow);
+  const auto stops = choosePreemptions(aStep, wanted, aCandidates, aNow);
+  for (const auto& stop : stops) {
+    stopVictims(aStep, stop, aNow);
+  }
   for (const auto& one : mGangReservations) {
     one.mCandidate->mFree -= one.mAmount;
   }
-  aStep.mNextPreemption = aNow + (targets == 0 ? kFutilePreemptionPause : kPreemptInterval);
+  aStep.mNextPreemption = aNow + (stops.empty() ? kFutilePreemptionPause : kPreemptInterval);
 }
 
-std::size_t owner::impl::preemptFor(const waiting_step& aStep, std::size_t aWanted,
-                                    std::vector<candidate_target>& aCandidates, time_point aNow)
+std::vector<owner::impl::preemption> owner::impl::choosePreemptions(
+  const waiting_step& aStep, std::size_t aWanted, std::vector<candidate_target>& aCandidates,
+  time_point aNow) const
 {
   auto good = goodCandidates(aStep, aCandidates, aNow);
   std::erase_if(good, [&aStep](const auto* aOne) { return !mayShare(aStep, *aOne); });
@@ -191,12 +198,9 @@
       .checkPreemption(aStep.mNeeds, aStep.mRoute.mPriority, freeAt, mPassVisits);
   }
   if (aStep.spec().mGang && missing > 0) {
-    return 0;
-  }
-  for (const auto& stop : stops) {
-    stopVictims(aStep, stop, aNow);
+    return {};
   }
-  return stops.size();
+  return stops;
 }
 
 void owner::impl::stopVictims(const waiting_step& aStep, const preemption& aStop, time_point aNow)
