Allocate the tasks of explained steps only

A job may have 256 steps of 4,096 tasks. An explanation allocated the states of all of them, some 150 MB by their size (computed, not measured), on an owner's VM of 512 MB; now of the 8 steps that it explains. The bound on the steps before the job is 300,000 looks at targets.

--- a/scheduler/src/owner_explain.cpp
+++ b/scheduler/src/owner_explain.cpp
@@ -11,7 +11,7 @@
 /// Number of times that targets are looked at for the steps with smaller ranks, in one explanation.
 /// Load pattern: thousands of steps wait in a full cell; an explanation may take 20 ms of the event
 /// loop's time.
-constexpr std::uint64_t kMaxTrialVisits = 100'000;
+constexpr std::uint64_t kMaxTrialVisits = 300'000;
 
 /// Adds aItem unless the list is full.
 template<typename Item>
@@ -189,6 +189,9 @@
   /// Counts the chosen placements for the steps behind.
   void use(const waiting_step& aStep, const std::vector<placement>& aPlacements)
   {
+    if (aPlacements.empty()) {
+      return;
+    }
     const bool isIsolated = isolationEnd(*aStep.mJob->find(aStep.mKey), mNow) > mNow;
     for (const auto& one : aPlacements) {
       aStep.mTeam->mUsed += aStep.mNeeds;
@@ -332,9 +335,7 @@
   placement_explanation result{ .mRejection = rejection(aJob, aNow) };
   job submitted{ .mSpec = aJob };
   auto& states = submitted.mOccurrences[0];
-  for (const auto& step : aJob.mSteps) {
-    states.emplace_back().mTasks.resize(step.mCount);
-  }
+  states.resize(aJob.mSteps.size());
   trial_pass pass(*this, aNow);
   internal::team_state newTeam{ .mName = aJob.mTeam,
                                 .mConfig = mConfig ? mConfig->team(aJob.mTeam) : nullptr };
@@ -345,7 +346,6 @@
     if (aJob.mSteps[index].mAfter.empty()) {
       const step_key key{ .mJob = aJob.mId, .mStep = index };
       steps.push_back(makeStep(submitted, key, team, aNow, aNow));
-      updatePending(steps.back(), states[index], aNow);
     }
   }
   result.mFirstSteps = steps.size();
@@ -355,6 +355,10 @@
                 static_cast<std::ptrdiff_t>(std::min(steps.size(), kMaxExplainedSteps)),
               steps.end());
   for (auto& step : steps) {
+    // A job may have a million tasks: only the steps that are explained get theirs.
+    auto& state = states[step.mKey.mStep];
+    state.mTasks.resize(step.spec().mCount);
+    updatePending(step, state, aNow);
     result.mSteps.push_back(pass.explain(step));
   }
   result.mIgnoredSteps = pass.ignoredSteps();
