Answer POST /explain on a daemon's address for other daemons

Any daemon takes the call; one that is not the owner forwards it once and answers 503 if no owner is known or the owner does not answer within 2 s. Route, key and team are found by identify(), the job is decoded by decodeSubmission(), both now shared with request_handler and caller_gate. Errors name the invalid value.

--- a/node/src/caller_gate.cpp
+++ b/node/src/caller_gate.cpp
@@ -1,6 +1,6 @@
 #include "caller_gate.h"
 
-#include "endiveusher/platform/messages.h"
+#include "caller_identity.h"
 
 #include <fmt/format.h>
 
@@ -41,17 +41,17 @@
     return {};
   }
   const auto call = platform::decodeCallerRequest(aHead);
-  const auto* route = config->match(call.mHost, call.mPath);
-  if (route == nullptr) {
+  const auto identity = identify(*config, call);
+  if (identity.mRoute == nullptr) {
     return deny(404, "no such route");
   }
-  if (route->mPublic) {
+  if (identity.mRoute->mPublic) {
     return { .mTrusted = true };
   }
   if (age > mOptions.mMaxConfigAge) {
     return {};
   }
-  if (config->teamOfKey(call.mKey) == nullptr) {
+  if (!identity.mayCall()) {
     return deny(401, "unknown key");
   }
   return { .mTrusted = true };
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -1,4 +1,5 @@
 #include "cell_node_impl.h"
+#include "explain_api.h"
 
 namespace endiveusher::node {
 
@@ -69,8 +70,9 @@
   if (aPath == kPeerOrdersPath || aPath == kPeerAdvicePath) {
     return input_lane::orders;
   }
-  return aPath == kMetricsPath || aPath == kStatePath ? input_lane::diagnostics
-                                                      : input_lane::callers;
+  const bool isDiagnostic = aPath == kMetricsPath || aPath == kStatePath || aPath == kExplainPath ||
+                            aPath == kOwnerExplainPath;
+  return isDiagnostic ? input_lane::diagnostics : input_lane::callers;
 }
 
 bool cell_node::impl::queryOwner(scheduler::job_id aId, const std::string& aTeam,
@@ -376,6 +378,8 @@
                          .mBody = std::move(aReply.mBody) });
     };
     mLoop.send(std::move(call));
+  } else if (aRequest.mPath == kExplainPath || aRequest.mPath == kOwnerExplainPath) {
+    handleExplain(aRequest);
   } else if (aRequest.mPath == kMetricsPath) {
     aRequest.mResponder.answer({ .mBody = metrics(), .mContentType = "text/plain" });
   } else if (aRequest.mPath == kStatePath) {
@@ -433,6 +437,7 @@
   add("outcomes_unknown_total", counters.mUnknown);
   add("status_calls_total", counters.mStatus);
   add("jobs_cancelled_total", counters.mCancelled);
+  add("explanations_total", mExplanations);
   add("jobs_known", mJobs.table().size());
   add("journal_records_passed_over_total", mJobs.passedOver());
   add("store_calls_total", mStore.calls());
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -252,6 +252,11 @@
 
   void handleUnstoredEnds(const peer_request& aRequest);
 
+  /// Explains where a job would be placed, or has the owner do so.
+  void handleExplain(const peer_request& aRequest);
+  /// Returns the owner's answer.
+  edges::http_answer explainHere(std::string_view aBody);
+
   /// Adopts ends that a former owner has handed over, or keeps them until this daemon schedules.
   void onEndsHandedOver(const std::string& aAddress,
                         const std::vector<scheduler::run_ended>& aEnds);
@@ -410,6 +415,10 @@
   time_point mStopSince{};
   bool mStopNoted = false;
 
+  /// Number of explanations as the owner, and whether one that was forwarded is unanswered.
+  std::uint64_t mExplanations = 0;
+  bool mExplanationOpen = false;
+
   daemon::quantile_summary mCallTimes;
   daemon::quantile_summary mAppendTimes;
 
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -1,5 +1,8 @@
 #include "request_handler.h"
 
+#include "caller_identity.h"
+#include "submission.h"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -17,8 +20,6 @@
 /// Retry delay of a job that was rejected by an overloaded owner that has stated none; a burst
 /// lasts some seconds.
 constexpr std::chrono::seconds kRetryAfterOverload{ 2 };
-/// Retry delay of a job that can never fit unless the operator changes the configuration.
-constexpr std::chrono::seconds kRetryAfterConfigChange{ 60 };
 /// Time for which a record with an unknown outcome may still be stored: it waits in a connection,
 /// in a queue of the owner, or for an append that is repeated. Longer than callers' timeouts.
 constexpr std::chrono::seconds kUnknownOutcomePeriod{ 15 };
@@ -43,13 +44,6 @@
   return fmt::format("job={} route={} team={}", toText(aId), aRoute, aTeam);
 }
 
-/// Whether the job's record is larger than the store takes. Only long bodies make long records.
-bool isTooLarge(const scheduler::job_spec& aSpec, std::size_t aBodyBytes)
-{
-  return aBodyBytes > platform::kMaxRecordBytes / 2 &&
-         encode(scheduler::job_submitted{ .mSpec = aSpec }).size() > platform::kMaxRecordBytes;
-}
-
 } // namespace
 
 request_handler::request_handler(const clock& aClock, const scheduler::job_table& aJobTable,
@@ -165,7 +159,8 @@
     // An outdated cell status may lack the newest route or key.
     reject(aReply, current ? aStatus : 503, kRetryAfterTransient, subject, aReason);
   };
-  const auto* route = config.match(aCall.mHost, aCall.mPath);
+  const auto identity = identify(config, aCall);
+  const auto* route = identity.mRoute;
   if (route == nullptr) {
     deny(404, "no such route");
     return;
@@ -176,12 +171,11 @@
       reject(aReply, 503, kRetryAfterTransient, subject, "configuration too old to check keys");
       return;
     }
-    const auto* owning = config.teamOfKey(aCall.mKey);
-    if (owning == nullptr) {
+    if (!identity.mayCall()) {
       deny(401, "unknown key");
       return;
     }
-    team = owning->mName;
+    team = identity.mTeam->mName;
   }
   const auto rest = std::string_view(aCall.mPath).substr(route->mPathPrefix.size());
   if (rest.empty() && aCall.mVerb == verb::status) {
@@ -226,19 +220,13 @@
     aReply({ .mBody = std::string(kQueuedState) });
     return;
   }
-  auto spec = platform::decodeJob(aBody);
+  auto spec = decodeSubmission(aBody, aId, aRoute, aTeam);
   if (!spec.ok()) {
     reject(aReply, 400, kRetryAfterConfigChange, subject, "malformed job");
     mLog.write("malformed",
                fmt::format("{} error=\"{}\"", subject, std::string(spec.status().message())));
     return;
   }
-  spec->mId = aId;
-  spec->mRoute = aRoute.mName;
-  spec->mTeam = aTeam;
-  spec->mAcceptedBy = jobTermsOf(aRoute);
-  spec->mSubmitted = std::chrono::duration_cast<scheduler::wall_time>(
-    std::chrono::system_clock::now().time_since_epoch());
   if (isTooLarge(*spec, aBody.size())) {
     // Such a record would be repeated for ever, and all later ones would wait for it.
     reject(aReply, 400, kRetryAfterConfigChange, subject, "job too large");
--- a/tests/node/cell_node_test.cpp
+++ b/tests/node/cell_node_test.cpp
@@ -1,6 +1,7 @@
 #include "election.h"
 #include "endiveusher/node/cell_node.h"
 #include "endiveusher/platform/messages.h"
+#include "explain_api.h"
 #include "peer_api.h"
 #include "snapshots.h"
 #include "store_fixture.h"
@@ -239,6 +240,17 @@
     client.receiveAnswer();
     return client.status();
   }
+  /// Calls for an explanation; returns the answer.
+  std::string explain(std::string_view aPath, const std::string& aHost = "h") const
+  {
+    edges::raw_client client(peerPort);
+    const nlohmann::json call{ { "host", aHost },
+                               { "path", "/r/00000000000000aa" },
+                               { "body", R"({"steps":[{"count":1,"cpu":100}]})" } };
+    client.send(edges::postRequest(std::string(aPath), call.dump()));
+    const auto answer = client.receiveAnswer();
+    return std::to_string(client.status()) + answer;
+  }
   bool isOwner() const
   {
     edges::raw_client client(peerPort);
@@ -499,6 +511,36 @@
   CHECK_EQUAL('r', forward(scheduler::run_ended{}));
 }
 
+// Guards against explanations by a daemon that does not decide, against calls that are forwarded in
+// a circle, and against callers that wait for ever for an owner that does not answer.
+TEST(cell_node, anExplanationIsForwardedToTheOwnerOnce)
+{
+  const auto has = [](const std::string& aAnswer, const std::string& aText) {
+    return aAnswer.starts_with("503") && aAnswer.find(aText) != std::string::npos;
+  };
+  CHECK(renewUntil([this] { return owner->count(kPeerHelloPath) > 0 && call("GET") == 410; }));
+  CHECK(has(explain(kOwnerExplainPath), "not the owner any more"));
+  CHECK_EQUAL(0, owner->count(kOwnerExplainPath));
+  CHECK(has(explain(kExplainPath), "does not answer within 2 s"));
+  CHECK_EQUAL(1, owner->count(kOwnerExplainPath));
+  appendOwnerRecord(owner_record::kind::release);
+  CHECK(waitUntil([this] { return isOwner(); }));
+  CHECK(waitUntil([this] { return explain(kExplainPath).starts_with("200"); }));
+  const auto answer = explain(kExplainPath);
+  CHECK(answer.find(R"("waits_for":"no_target")") != std::string::npos);
+  CHECK(answer.find("registry_age_ms") != std::string::npos);
+  CHECK(explain(kExplainPath, "x").find("no route has the host") != std::string::npos);
+  CHECK_EQUAL(1, owner->count(kOwnerExplainPath));
+}
+
+// Guards against a call that waits for an owner that there is not.
+TEST(cell_node, withoutAnOwnerThereIsNoExplanation)
+{
+  delete std::exchange(owner, nullptr);
+  CHECK(waitUntil(
+    [this] { return explain(kExplainPath).find("no owner is known") != std::string::npos; }));
+}
+
 // A follower asks in this way whether the owner has taken its earlier calls.
 TEST(cell_node, anOwnerAnswersACallWithoutRecords)
 {
