--- a/ctl/src/command.h
+++ b/ctl/src/command.h
@@ -33,6 +33,9 @@
   exit_code mCode;
 };
 
+/// See explain_command.cpp.
+exit_code explainPlacement(command_context& aContext);
+
 std::span<const command> jobCommands();
 std::span<const command> operatorCommands();
 
--- a/ctl/src/job_commands.cpp
+++ b/ctl/src/job_commands.cpp
@@ -219,9 +219,12 @@
 std::span<const command> jobCommands()
 {
   static const command kCommands[] = {
-    { "submit", "submit a job", &submit },           { "status", "show a job", &status },
-    { "wait", "wait until a job has ended", &wait }, { "cancel", "cancel a job", &cancel },
+    { "submit", "submit a job", &submit },
+    { "status", "show a job", &status },
+    { "wait", "wait until a job has ended", &wait },
+    { "cancel", "cancel a job", &cancel },
     { "ticket", "fetch request ids", &ticket },
+    { "explain", "show where a job would be placed, and why", &explainPlacement },
   };
   return kCommands;
 }
