--- a/tests/scheduler/placement_explanation_test.cpp
+++ b/tests/scheduler/placement_explanation_test.cpp
@@ -86,6 +86,10 @@
   auto spread = tasks(4, 500);
   spread.mMaxPerTarget = 1;
   checkAgrees(spread);
+  auto local = tasks(2, 500);
+  local.mDataRack = "r9";
+  STRCMP_EQUAL("data_rack", explainStep(local).mWaitReason.c_str());
+  checkAgrees(local);
   checkAgrees(gang(40));
   checkAgrees(tasks(40));
 }
