Print the violations of a soak run in the assertion of its test

A failed run of PlatformSoak named only its seed: soak.run returned whether it was clean. It now returns the violations, the faults and the folder of the logs, and the assertion contains them.

--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -392,7 +392,7 @@
 
 
 def run(seed, seconds, names):
-    """Returns whether the run violated no guarantee."""
+    """Returns the violations of a run and where its logs are, as lines; none if there are none."""
     cell = Cell(
         seed,
         max_attempts=MAX_ATTEMPTS if FEW_ATTEMPTS & set(names) else 50,
@@ -413,14 +413,13 @@
         f"{len(found)} violations",
         flush=True,
     )
-    for violation in found[:20]:
-        print(f"  {violation}")
-    if found:
-        (cell.folder / "events.log").write_text("".join(cell.checker.events))
-        print(f"  faults: {' '.join(applied)}\n  logs: {cell.folder}", flush=True)
-    else:
+    if not found:
         shutil.rmtree(cell.folder)
-    return not found
+        return []
+    (cell.folder / "events.log").write_text("".join(cell.checker.events))
+    lines = [*found[:20], f"faults: {' '.join(applied)}", f"logs: {cell.folder}"]
+    print("\n".join(f"  {line}" for line in lines), flush=True)
+    return lines
 
 
 def main():
@@ -431,7 +430,7 @@
     parser.add_argument("--fault", default="", help="kinds, comma-separated; default: all")
     options = parser.parse_args()
     names = [name for name in options.fault.split(",") if name]
-    clean = [run(options.seed + i, options.seconds, names) for i in range(options.runs)]
+    clean = [not run(options.seed + i, options.seconds, names) for i in range(options.runs)]
     print(f"soak: {sum(clean)} of {len(clean)} runs without a violation")
     return 0 if all(clean) else 1
 
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -64,37 +64,41 @@
 
 
 class PlatformSoak(unittest.TestCase):
+    def check_run(self, seed, seconds, names):
+        found = soak.run(seed, seconds, names)
+        self.assertFalse(found, "\n".join([f"seed {seed}", *found]))
+
     def test_short_runs_violate_no_guarantee(self):
         for seed in SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, []), f"seed {seed}")
+            self.check_run(seed, RUN_S, [])
 
     def test_short_runs_with_lost_answers_violate_no_guarantee(self):
         for seed in LOST_ANSWERS_SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, LOST_ANSWERS), f"seed {seed}")
+            self.check_run(seed, RUN_S, LOST_ANSWERS)
 
     def test_short_runs_with_late_orders_violate_no_guarantee(self):
         for seed in LATE_ORDERS_SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, LATE_ORDERS), f"seed {seed}")
+            self.check_run(seed, RUN_S, LATE_ORDERS)
 
     def test_short_runs_with_late_appends_violate_no_guarantee(self):
         for seed in LATE_APPENDS_SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, LATE_APPENDS), f"seed {seed}")
+            self.check_run(seed, RUN_S, LATE_APPENDS)
 
     def test_short_runs_with_a_blind_owner_violate_no_guarantee(self):
         for seed in BLIND_OWNER_SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, BLIND_OWNER), f"seed {seed}")
+            self.check_run(seed, RUN_S, BLIND_OWNER)
 
     def test_short_runs_with_failed_gangs_violate_no_guarantee(self):
         for seed in FAILED_GANGS_SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, FAILED_GANGS), f"seed {seed}")
+            self.check_run(seed, RUN_S, FAILED_GANGS)
 
     def test_short_runs_with_targets_that_restart_and_are_cut_off_violate_no_guarantee(self):
         for seed in RECUT_SEEDS:
-            self.assertTrue(soak.run(seed, RUN_S, RECUT), f"seed {seed}")
+            self.check_run(seed, RUN_S, RECUT)
 
     def test_short_runs_with_zones_that_are_cut_off_by_turns_violate_no_guarantee(self):
         for seed in ZONES_CUT_SEEDS:
-            self.assertTrue(soak.run(seed, ZONES_CUT_RUN_S, ZONES_CUT), f"seed {seed}")
+            self.check_run(seed, ZONES_CUT_RUN_S, ZONES_CUT)
 
 
 class SoakChecker(unittest.TestCase):
