--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -460,6 +460,10 @@
 team_use teamUseFrom(const json& aValue)
 {
   team_use record{ .mAt = wall_time(aValue.at(1).get<std::int64_t>()) };
+  // A later wall time minus a negative one may not be representable.
+  if (record.mAt < wall_time{ 0 }) {
+    throw std::out_of_range("the time of the teams' use is out of range");
+  }
   const auto& teams = aValue.at(2).get_ref<const json::array_t&>();
   if (teams.size() > kMaxTeamsInRecord) {
     throw std::out_of_range("the number of teams is out of range");
--- a/tests/node/malformed_bytes_test.cpp
+++ b/tests/node/malformed_bytes_test.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -110,7 +111,13 @@
   }
 }
 
-/// A job of two steps, the second one a gang with a run that has failed and one that is open.
+team_use useOfTeams()
+{
+  return { .mAt = wall_time(1'700'000'000'000), .mTeams = { { "t", 2.5F }, { "u", 0.25F } } };
+}
+
+/// A job of two steps, the second one a gang with a run that has failed and one that is open, and
+/// the past use of two teams.
 job_table tableWithRuns()
 {
   job_table table;
@@ -123,12 +130,23 @@
   table.apply(run_ended{ .mTask = task, .mRun = 1, .mOutcome = run_end::target_lost },
               time_point{});
   table.apply(run_started{ .mTask = task, .mRun = 2, .mAt = { .mTarget = "w" } }, time_point{});
+  table.apply(useOfTeams(), time_point{});
   return table;
 }
 
+journal_record snapshotOfJob()
+{
+  for (auto& record : tableWithRuns().snapshot(time_point{})) {
+    if (std::holds_alternative<job_snapshot>(record)) {
+      return record;
+    }
+  }
+  return {};
+}
+
 std::string snapshotRecord()
 {
-  return encode(tableWithRuns().snapshot(time_point{}).at(0));
+  return encode(snapshotOfJob());
 }
 
 /// Applies starts and ends to all tasks that the job may have.
@@ -215,9 +233,10 @@
     run_started{ .mTask = task, .mRun = 3, .mAt = { .mTarget = "w", .mIncarnationStart = 3 } },
     run_ended{ .mTask = task, .mRun = 2, .mOutcome = run_end::failed, .mCheckpoint = "c" },
     job_abandoned{ .mJob = kJob },
-    table.snapshot(time_point{}).at(0),
+    snapshotOfJob(),
     target_acquired{ .mTarget = "w", .mEpoch = 4, .mVm = "vm" },
     renewals_stopped{ .mTarget = "w", .mEpoch = 4, .mLeaseLeft = std::chrono::seconds(1) },
+    useOfTeams(),
   };
   for (const auto& record : records) {
     feed(encode(record), true, [&table, &record](const std::string& aBytes) {
@@ -238,6 +257,36 @@
   }
 }
 
+// Guards against a record of the teams' use that a daemon reads though a value of it cannot be, so
+// that ranks are computed from it.
+TEST(malformed_bytes, useOfTeamsHasValuesInRange)
+{
+  const auto valid = json::from_msgpack(encode(useOfTeams()));
+  const auto isOkWith = [&valid](const char* aPath, const json& aValue) {
+    auto changed = valid;
+    changed.at(json::json_pointer(aPath)) = aValue;
+    std::string bytes;
+    json::to_msgpack(changed, bytes);
+    return decodeRecord(bytes).ok();
+  };
+  // The kind, the time, and for each team its name and use.
+  CHECK(isOkWith("/1", 0));
+  for (const auto& time :
+       { json(-1), json(INT64_MIN), json(~0ULL), json("0"), json(), json::array() }) {
+    CHECK_FALSE(isOkWith("/1", time));
+  }
+  for (const auto& teams :
+       { json(), json(1), json("t"), json::object(), json::array({ 1 }),
+         json::array({ json::array() }), json::array({ json::array({ "t" }) }) }) {
+    CHECK_FALSE(isOkWith("/2", teams));
+  }
+  CHECK(isOkWith("/2", json::array()));
+  CHECK_FALSE(isOkWith("/2/1/0", 7));
+  for (const auto& use : { json(-1), json(-0.5), json(1e300), json(std::nan("")), json("1") }) {
+    CHECK_FALSE(isOkWith("/2/1/1", use));
+  }
+}
+
 TEST(malformed_bytes, recordsOfSnapshotsAndOwners)
 {
   const auto parts =
--- a/tests/node/snapshots_test.cpp
+++ b/tests/node/snapshots_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <variant>
@@ -92,6 +93,54 @@
   CHECK_FALSE(restored.leaseExpiryAt("w").has_value());
 }
 
+// Guards against use of teams that is lost with the journal before a snapshot, that a snapshot
+// without it invents, or that a record from before the snapshot replaces.
+TEST(snapshots, keepTheUseOfTeamsIfThereIsAny)
+{
+  const auto restoredFrom = [](const job_table& aTable) {
+    const auto found =
+      lastSnapshot(encodeSnapshot({ .mRecords = aTable.snapshot(time_point{}) }, 1).at(0));
+    CHECK(found.has_value());
+    job_table restored;
+    for (const auto& record : found->mRecords) {
+      restored.apply(record, time_point{});
+    }
+    CHECK(restored.find(static_cast<job_id>(5)) != nullptr);
+    return restored;
+  };
+  auto table = tableWithOneRun();
+  CHECK(restoredFrom(table).teamUse() == nullptr);
+  table.apply(team_use{ .mAt = wall_time(7), .mTeams = { { "old", 1 } } }, time_point{});
+  table.apply(team_use{ .mAt = wall_time(5), .mTeams = { { "red", 2 }, { "blue", 0.5F } } },
+              time_point{});
+  const auto restored = restoredFrom(table);
+  CHECK(restored.teamUse() != nullptr);
+  CHECK(encode(*restored.teamUse()) == encode(*table.teamUse()));
+  CHECK(restored.teamUse()->mAt == wall_time(5));
+}
+
+// Guards against jobs that are lost with a damaged record of the teams' use: the snapshot before is
+// taken, and the journal after it.
+TEST(snapshots, oneWithADamagedUseOfTeamsIsPassedOver)
+{
+  auto table = tableWithOneRun();
+  auto records = encodeSnapshot({ .mBase = 1, .mRecords = table.snapshot(time_point{}) }, 1).at(0);
+  table.apply(team_use{ .mAt = wall_time(5), .mTeams = { { "red", 2 } } }, time_point{});
+  const auto second =
+    encodeSnapshot({ .mBase = 2, .mRecords = table.snapshot(time_point{}) }, 1).at(0);
+  records.insert(records.end(), second.begin(), second.end());
+  CHECK_EQUAL(2, lastSnapshot(records)->mBase);
+  const auto valid = encode(*table.teamUse());
+  const auto at = std::ranges::find(records, valid);
+  CHECK(at != records.end());
+  for (std::size_t size = 0; size < valid.size(); ++size) {
+    *at = valid.substr(0, size);
+    CHECK_EQUAL(1, lastSnapshot(records)->mBase);
+  }
+  *at = encode(team_use{ .mAt = wall_time(5), .mTeams = { { "red", -1 } } });
+  CHECK_EQUAL(1, lastSnapshot(records)->mBase);
+}
+
 TEST(snapshots, incompleteSnapshotsAreIgnored)
 {
   const auto snapshotAt = [](std::uint64_t aBase) {
