Let gangs reserve once during an outage of advice, and stop no runs twice in one pass

Two faults of reservations for wide gangs, found in review:

- A gang whose calls for advice got no reply reserved again 240 ms after its reservation had expired, and stopped other runs for it: 4 reservations in 10 s of an outage.
- Stops for a reservation subtracted the gang's needs from the capacity that is being freed, and the reservation subtracted them from the free capacity as well.
A step behind it in the same pass then stopped more than it needed: 60 runs instead of 48 for two gangs on 12 targets.

Both tests failed before.

--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -411,6 +411,9 @@
     step.mAdvice.mQueried.clear();
   }
   step.mAdvice.mNextCall = aNow + kAdvicePause;
+  if (step.mReservation) {
+    step.mReservation->mAdviceFailed = !aReply.mOk;
+  }
   if (!aReply.mOk) {
     mPort.logDecision("advice_failed",
                       fmt::format("step={} targets={} after_ms={}", toText(call.mStep),
--- a/scheduler/src/owner_gangs.cpp
+++ b/scheduler/src/owner_gangs.cpp
@@ -25,6 +25,9 @@
 /// Pause of a gang for which no reservation was found, or whose reservation was dropped.
 constexpr auto kFutileReservationPause = std::chrono::milliseconds(60);
 constexpr auto kDroppedReservationPause = std::chrono::milliseconds(240);
+/// The same if its calls for advice got no reply. With the pause above, a gang reserved four times
+/// in 10 s of an outage of the advice service, and stopped other runs for it.
+constexpr auto kFailedAdvicePause = std::chrono::seconds(10);
 /// Minimum waiting time before a gang makes a reservation, and before it stops other runs for it:
 /// capacity is often free, or freed without stops.
 constexpr auto kMinWaitToReserve = std::chrono::milliseconds(60);
@@ -228,10 +231,13 @@
       return mCandidatePositions[aPart.mTarget] &&
              allowed(step, *mTargetsByNumber[aPart.mTarget], aNow);
     };
-    if (!step.startable() || step.mReservation->mSince + kMaxReservationAge <= aNow ||
+    const bool isExpired = step.mReservation->mSince + kMaxReservationAge <= aNow;
+    if (!step.startable() || isExpired ||
         !std::ranges::all_of(step.mReservation->mParts, isUsable)) {
+      const bool adviceFailed = isExpired && step.mReservation->mAdviceFailed;
+      step.mNextReservation =
+        aNow + (adviceFailed ? duration(kFailedAdvicePause) : duration(kDroppedReservationPause));
       step.mReservation.reset();
-      step.mNextReservation = aNow + kDroppedReservationPause;
       continue;
     }
     mReservedCpuMilli += static_cast<std::int64_t>(step.mPending.size()) * step.mNeeds.mCpuMilli;
@@ -293,10 +299,12 @@
   if (aSlots <= aTarget.mFreeSlots) {
     return;
   }
-  stopVictims(aStep,
-              aSlots < aTarget.mStops.mTasks ? preemptionAt(aStep, *aTarget.mCandidate, aSlots)
-                                             : aTarget.mStops,
-              aNow);
+  const auto stop = aSlots < aTarget.mStops.mTasks
+                      ? preemptionAt(aStep, *aTarget.mCandidate, aSlots)
+                      : aTarget.mStops;
+  stopVictims(aStep, stop, aNow);
+  // withhold() subtracts what the gang needs from the free capacity, once for the whole pass.
+  aTarget.mCandidate->mBeingFreed += times(aStep.mNeeds, stop.mTasks);
 }
 
 /// Load pattern: in a full cell, a gang that knows enough good targets waits for all its slots to
--- a/scheduler/src/waiting_step.h
+++ b/scheduler/src/waiting_step.h
@@ -129,6 +129,8 @@
   };
   std::vector<part> mParts;
   time_point mSince;
+  /// Whether the last call for advice that ended since then got no reply.
+  bool mAdviceFailed = false;
 };
 
 /// Interval at which the reason for a step's waiting is logged.
--- a/tests/scheduler/gang_reservation_test.cpp
+++ b/tests/scheduler/gang_reservation_test.cpp
@@ -177,3 +177,50 @@
   cell.startNextOwner();
   CHECK(startsWithin(gang, 4 * kStartLimit));
 }
+
+// Guards against an outage of the advice service in which each gang keeps reserving capacity that
+// it cannot use, for as long as it can be on time: batch tasks are stopped again and again.
+TEST(gang_reservation, anOutageOfAdviceMakesAGangReserveOnce)
+{
+  submitBatch(90);
+  cell.run(milliseconds(500));
+  cell.mConfig.mRoutes[2].mStretch = 20;
+  cell.mConfig.mRoutes[2].mAdvice->mTicketLifetime = milliseconds(400);
+  cell.mOwner->configure(std::make_shared<cell_config>(cell.mConfig));
+  const auto gang = submitGang();
+  cell.run(milliseconds(350));
+  cell.mAdviceService->mUnreachable = { "" };
+  CHECK(untilReserved());
+  cell.run(milliseconds(10000));
+  CHECK_EQUAL(1, std::ranges::count(cell.mEvents, "gang_reserved"));
+  cell.mAdviceService->mUnreachable.clear();
+  CHECK(startsWithin(gang, 3 * kStartLimit));
+}
+
+// Guards against runs that are stopped without need: capacity that a gang has reserved in the same
+// planning pass was subtracted twice for the gang behind it.
+TEST(gang_reservation, twoGangsInOnePassStopNoMoreThanTheyNeed)
+{
+  cell.mConfig.mRoutes[2].mAdvice->mPerCall = milliseconds(20);
+  cell.mOwner->configure(std::make_shared<cell_config>(cell.mConfig));
+  const step_spec small{ .mCount = 120,
+                         .mNeeds = { .mCpuMilli = 1000, .mMemoryMb = 1000 },
+                         .mEstimate = milliseconds(20000),
+                         .mCheckpointing = true };
+  cell.submit(std::vector<step_spec>{ small });
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(96, cell.running());
+  const step_spec gang{ .mCount = 12,
+                        .mNeeds = { .mCpuMilli = 1600, .mMemoryMb = 1000 },
+                        .mEstimate = milliseconds(3000),
+                        .mGang = true,
+                        .mMaxPerTarget = 1 };
+  cell.submit(std::vector<step_spec>{ gang }, "blue", "gang");
+  cell.submit(std::vector<step_spec>{ gang }, "blue", "gang");
+  for (int turn = 0; turn < 200 && std::ranges::count(cell.mEvents, "gang_reserved") < 2; ++turn) {
+    cell.run(milliseconds(10));
+  }
+  CHECK_EQUAL(2, std::ranges::count(cell.mEvents, "gang_reserved"));
+  // Two tasks of the batch job at each target for each gang.
+  CHECK_EQUAL(48, std::ranges::count(cell.mEvents, "preempt"));
+}
