Count the use of a team by at most the whole cell

While a new owner gets in touch with the targets, runs on all of them are known and few are usable: the share of a team was a multiple of the cell, and one sample could outweigh minutes of use. Found in review. The share is now limited to 1.

The test failed before; past_use and order_by_use of scheduler_tests pass.

--- a/scheduler/src/past_use.cpp
+++ b/scheduler/src/past_use.cpp
@@ -47,7 +47,9 @@
   const double counted =
     mHalfLife.count() / std::numbers::ln2 * (1 - std::exp2(-time.count() / mHalfLife.count()));
   for (const auto& one : aUsed) {
-    const double added = dominantShare(one.mUsed, aTotal) * counted;
+    // While a new owner gets in touch with the targets, few of them are usable and runs on all of
+    // them are known.
+    const double added = std::min(dominantShare(one.mUsed, aTotal), 1.0) * counted;
     if (added <= 0) {
       continue;
     }
--- a/tests/scheduler/past_use_test.cpp
+++ b/tests/scheduler/past_use_test.cpp
@@ -92,6 +92,16 @@
   DOUBLES_EQUAL(before * std::exp2(-0.1), use.use("red"), 1e-9);
 }
 
+// Guards against use that exceeds the whole cell: while a new owner has few usable targets, each
+// sample counted the runs on all targets against the capacity of these.
+TEST(past_use, countsAtMostTheWholeCell)
+{
+  const std::vector<team_usage_sample> used{ { .mTeam = "red", .mUsed = { .mCpuMilli = 8000 } } };
+  use.advance(wall, used, kCell);
+  use.advance(wall + seconds(1), used, { .mCpuMilli = 100 });
+  CHECK(use.use("red") <= 1);
+}
+
 // Guards against state that grows with the names of teams, and a record that is not accepted.
 TEST(past_use, dropsTheSmallestTeams)
 {
