--- a/tests/platform_soak/cell.py
+++ b/tests/platform_soak/cell.py
@@ -5,11 +5,13 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
 import threading
 import time
+import urllib.request
 import uuid
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -53,13 +55,21 @@
 
 
 class Daemon:
-    def __init__(self, name, zone, folder, ports, store_port, hold_max_ms, settings=""):
+    def __init__(self, name, zone, folder, ports, store_port, hold_max_ms, settings="",
+                 rewrites=None, arguments=()):
+        """arguments: further ones of the command line. rewrites: addresses of daemons and of the
+        proxies through which others reach them; without it, they reach each other directly."""
         self.name = name
         self.address = f"127.0.0.1:{ports.take()}"
         self.store = Proxy(ports.take(), ("127.0.0.1", store_port))
         self.readiness_address = f"127.0.0.1:{ports.take()}"
         peer_port = ports.take()
         self.peer_address = f"127.0.0.1:{peer_port}"
+        self.peers = None
+        if rewrites is not None:
+            self.peers = Proxy(ports.take(), ("127.0.0.1", peer_port))
+            rewrites[self.peer_address.encode()] = self.peers.address.encode()
+            self.peers.rewrites = self.store.rewrites = rewrites
         self._settings = folder / f"{name}.conf"
         self._settings.write_text(
             f"node={name}\nzone={zone}\nip=127.0.0.1\nlisten.front={self.address}\n"
@@ -70,7 +80,7 @@
             f"platform.keep_s={RECORD_RETENTION_S}\n{settings}"
         )
         binary = pathlib.Path(os.environ.get("ENDIVEUSHER_BUILD", ROOT / "build"))
-        self._command = [str(binary / "daemon/endiveusherd"), "--platform"]
+        self._command = [str(binary / "daemon/endiveusherd"), "--platform", *arguments]
         self._folder = folder
         self._environment = {"ENDIVEUSHER_BOOT": str(self._settings)}
         self._paused = False
@@ -112,15 +122,28 @@
             settings.write(f"bounds.status_s={STATUS_RETENTION_S}\n")
         self.process.send(signal.SIGHUP)
 
+    def team_use(self):
+        """Returns the past use of each team that the daemon counts as the owner."""
+        try:
+            with urllib.request.urlopen(f"http://{self.peer_address}/state", timeout=1) as answer:
+                state = answer.read()
+        except OSError:
+            return []
+        found = re.findall(rb"(?m)^team (\S+) .*use_s=(\S+)", state)
+        return [[team, float(use)] for team, use in found]
+
     def close(self):
         self.process.close()
         self.store.close()
+        if self.peers is not None:
+            self.peers.close()
 
 
 class Cell:
     def __init__(self, seed, daemons=4, targets=6, max_attempts=50, hold_max_ms=6000,
-                 settings=""):
-        """settings: further lines of the daemons' settings files."""
+                 settings="", proxied_peers=False, arguments=()):
+        """settings: further lines of the daemons' settings files. arguments: further ones of their
+        command lines. proxied_peers: whether they reach each other through Daemon.peers."""
         self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         ports = Ports(os.getpid() * 37)
@@ -146,9 +169,10 @@
             target.registry_address = proxy.address
             self.targets.append(target)
             self.target_proxies.append(proxy)
+        rewrites = {} if proxied_peers else None
         self.daemons = [
             Daemon(f"d{number}", ZONES[number % len(ZONES)], self.folder, ports, store_port,
-                   hold_max_ms, settings)
+                   hold_max_ms, settings, rewrites, arguments)
             for number in range(daemons)
         ]
         self._stop = threading.Event()
@@ -211,14 +235,17 @@
 
         wait_until(ready, "daemons have read the store")
 
+    def owners(self):
+        """Returns the daemons that have become owners, by the time, in ms."""
+        return {
+            int(line.split(" ", 1)[0]): daemon for daemon in self.daemons
+            for line in daemon.process.output().splitlines() if " owner_started " in line
+        }
+
     def owner(self):
         """Returns the daemon that has become owner last; it may have ended since."""
-        started = {}
-        for daemon in self.daemons:
-            for line in daemon.process.output().splitlines():
-                if " owner_started " in line:
-                    started[int(line.split(" ", 1)[0])] = daemon
-        return started[max(started)] if started else None
+        owners = self.owners()
+        return owners[max(owners)] if owners else None
 
     def submit(self, steps, work_ms, team="red", route="b"):
         """Submits a job, whose tasks all need the same, and returns it once it is accepted."""
--- a/tests/platform_soak/proxy.py
+++ b/tests/platform_soak/proxy.py
@@ -12,7 +12,10 @@
     """Faults: `drop_all` drops bytes in both directions, `drop_replies` only those of the server,
     `delay_s` delays every chunk, and `answer_reset_probability` is that of a connection being reset
     when the server answers a request, which has then been delivered and carried out. A connection
-    falls silent with the first request that `swallows` chooses by its first line."""
+    falls silent with the first request that `swallows` chooses by its first line.
+
+    `rewrites` maps bytes of clients to others of the same length, so that an address in a message
+    can be replaced by that of a proxy."""
 
     def __init__(self, port, target, seed=0):
         self.answer_reset_probability = 0.0
@@ -23,6 +26,7 @@
         self.drop_all = False
         self.drop_replies = False
         self.delay_s = 0.0
+        self.rewrites = {}
         self.address = f"127.0.0.1:{port}"
         self._target = target
         self._open = set()
@@ -98,6 +102,9 @@
                         self.drop_all or pair in self._stalled
                         or (self.drop_replies and end is server)
                     )
+                    if end is client:
+                        for old, new in self.rewrites.items():
+                            data = data.replace(old, new)
                     if self.delay_s:
                         time.sleep(self.delay_s)
                     if not dropped:
