Keep line breaks from prolonging idle connections; send the body of errors after HEAD

Cause: line breaks before a request restarted the idle time limit and kept their buffer, so that a caller could keep a connection open without ever sending a request, and a shed idle connection got an unexpected answer. An error answer used the method of the previous request: after HEAD its body was announced and left out. Change: line breaks alone leave the idle state and its start as they are and free the buffer; rejectLocked() takes the method from the request that it rejects. Measured: lineBreaksDoNotProlongAnIdleConnection and errorAfterAHeadRequestHasItsBody failed before and pass now; the 27 tests of http_server and the 6 of memory_budget pass.

--- a/edges/src/http_connection.cpp
+++ b/edges/src/http_connection.cpp
@@ -96,7 +96,7 @@
         return;
       }
       if (mInput.empty()) {
-        mStateStart = std::chrono::steady_clock::now();
+        mIdleStart = std::exchange(mStateStart, std::chrono::steady_clock::now());
       }
       missing = reserveInputLocked(aBytes.size());
       if (missing == 0) {
@@ -170,6 +170,12 @@
     breaks += 2;
   }
   mInput.erase(0, breaks);
+  if (mInput.empty()) {
+    // Line breaks alone are no request: the connection is as idle as before.
+    dropInputLocked();
+    mStateStart = mIdleStart;
+    return std::nullopt;
+  }
   const request_frame frame = frameRequest(mInput, mShared->limits());
   if (frame.mFraming == framing::rejected) {
     rejectLocked(frame.mStatus, frame.mCode, frame.mMessage);
@@ -270,6 +276,7 @@
 void connection::rejectLocked(std::uint16_t aStatus, const char* aCode, const char* aMessage)
 {
   mClosing = true;
+  mMethod = methodOf(mInput);
   dropInputLocked();
   // A malformed or oversized request has no effect. If a request was not read completely (408,
   // 503), an earlier copy of it may have run.
--- a/edges/src/http_connection.h
+++ b/edges/src/http_connection.h
@@ -155,6 +155,8 @@
   std::size_t mUnsentCounted = 0;
   /// Start of the current state (idle, receiving, sending or closing).
   socket_time mStateStart;
+  /// Start of the idle state before the bytes in mInput.
+  socket_time mIdleStart;
 };
 
 } // namespace endiveusher::edges::internal
--- a/tests/edges/http_server_test.cpp
+++ b/tests/edges/http_server_test.cpp
@@ -614,3 +614,31 @@
   }
   LONGS_EQUAL(before, sockets());
 }
+
+// Guards against an error whose body is left out because the request before it was a HEAD: the
+// caller waits for the announced bytes, and takes the answer for one that was cut off.
+TEST(http_server, errorAfterAHeadRequestHasItsBody)
+{
+  http_server server(
+    {}, [](const http_request&, const responder& aResponder) { aResponder.answer({}); });
+  raw_client client(server.port());
+  client.send("HEAD /x HTTP/1.1\r\nHost: t\r\n\r\n");
+  CHECK(client.receiveUntil("\r\n\r\n"));
+  client.send("GET /x HTTP/9\r\n\r\n");
+  CHECK(client.receiveUntil("malformed_request"));
+}
+
+// Guards against a connection that line breaks keep open without a request.
+TEST(http_server, lineBreaksDoNotProlongAnIdleConnection)
+{
+  http_server server(
+    { .mIdleTimeout = std::chrono::milliseconds(400) },
+    [](const http_request&, const responder& aResponder) { aResponder.answer({}); });
+  raw_client client(server.port());
+  bool open = true;
+  for (int sent = 0; sent < 40 && open; ++sent) {
+    open = client.send("\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  CHECK_FALSE(open);
+}
