Charge replies and records that wait for the store to the memory budget

Cause: replies of the store, targets, advice and other daemons, and submissions and cancellations until their outcome is known, were outside the budget. A caller that submits and disconnects left a record that nothing counted, for as long as the store or the owner was slow. Change: http_loop charges the capacity of each reply and limits all replies to half of the budget, at least 8 MiB; trusted replies shed callers' data first. request_handler charges four times the body until the outcome is known, limited to half of the budget; at the limit 503, or 504 if a copy may be stored.

--- a/edges/include/endiveusher/edges/http_loop.h
+++ b/edges/include/endiveusher/edges/http_loop.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <exception>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,8 @@
 
 namespace endiveusher::edges {
 
+class memory_budget;
+
 struct loop_reply
 {
   /// HTTP status; absent if no complete answer was received, for any reason.
@@ -72,6 +75,12 @@
   long mConnections = 2000;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   std::size_t mMaxBodyBytes = std::size_t{ 16 } << 20U;
+  /// Largest number of bytes of all replies that are being received; a call whose reply exceeds it
+  /// fails.
+  std::size_t mMaxReplyBytes = std::numeric_limits<std::size_t>::max();
+  /// Budget that replies are charged to. Servers are trusted: if the budget is used up, requests
+  /// and answers of its other users are shed, and the budget is exceeded if that is not enough.
+  std::shared_ptr<memory_budget> mBudget = nullptr;
   /// Called with the server's address when a callback of a call throws; the loop goes on then.
   /// Without it the exception leaves run() or progress(), and an exception of mOnAnswerBegun ends
   /// the call. Must not throw.
@@ -106,6 +115,10 @@
   void wait(std::chrono::milliseconds aWait);
   /// Ends the wait of run() or wait(). Thread-safe.
   void wake();
+  /// Bytes reserved for replies that are being received.
+  std::size_t replyBytes() const;
+  /// Number of calls that have failed because their replies exceeded mMaxReplyBytes.
+  std::uint64_t refusedReplies() const;
 
 private:
   class impl;
--- a/edges/include/endiveusher/edges/http_server.h
+++ b/edges/include/endiveusher/edges/http_server.h
@@ -186,6 +186,8 @@
   void setLimits(const http_limits& aLimits);
   /// Number of connections that were rejected because there were too many.
   std::uint64_t rejectedConnections() const;
+  /// Number of connections, rejected ones that are still open included.
+  std::size_t connections() const;
   /// Gives new requests the answer of a stop, waits at most aPeriod until the pending ones are
   /// answered and sent, gives the others the answer of a stop, then closes all connections. Later
   /// answers are discarded.
--- a/edges/src/http_loop.cpp
+++ b/edges/src/http_loop.cpp
@@ -1,6 +1,7 @@
 #include "endiveusher/edges/http_loop.h"
 
 #include "easy_handles.h"
+#include "endiveusher/edges/memory_budget.h"
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
@@ -62,12 +63,62 @@
   aList.reset(curl_slist_append(aList.release(), aLine.c_str()));
 }
 
+/// Accounts of the replies of a loop.
+struct reply_accounts
+{
+  /// Limit of all replies together.
+  std::shared_ptr<memory_budget> mReplies;
+  /// Budget of the process; may be null.
+  std::shared_ptr<memory_budget> mProcess;
+  std::uint64_t mRefused = 0;
+};
+
+/// Reservations of the capacity of one reply's body.
+class reply_charge
+{
+public:
+  explicit reply_charge(reply_accounts& aAccounts)
+    : mAccounts(aAccounts), mReply(aAccounts.mReplies), mProcess(aAccounts.mProcess)
+  {
+  }
+
+  /// Makes room in aBody for aCount bytes more; returns false if the limit of replies is reached.
+  bool reserve(std::string& aBody, std::size_t aCount)
+  {
+    const auto needed = aBody.size() + aCount;
+    if (needed <= aBody.capacity()) {
+      return true;
+    }
+    const auto capacity = std::max(needed, 2 * aBody.capacity());
+    if (!mReply.tryResize(capacity)) {
+      ++mAccounts.mRefused;
+      return false;
+    }
+    if (!mProcess.tryResize(capacity)) {
+      mAccounts.mProcess->makeRoom(capacity - mProcess.bytes(), nullptr);
+      mProcess.resize(capacity);
+    }
+    aBody.reserve(capacity);
+    return true;
+  }
+
+private:
+  reply_accounts& mAccounts;
+  memory_charge mReply;
+  memory_charge mProcess;
+};
+
 struct transfer
 {
+  explicit transfer(reply_accounts& aAccounts) : mCharge(aAccounts) {}
+
   call_id mId = 0;
   loop_call mCall;
   std::string mUrl;
   std::string mBody;
+  reply_charge mCharge;
+  /// Whether the reply has exceeded the limit of all replies.
+  bool mRefused = false;
   header_list mHeaders;
   std::size_t mMaxBodyBytes = 0;
   const http_loop_options* mOptions = nullptr;
@@ -123,6 +174,10 @@
   if (!noteProgress(self) || aCount > self.mMaxBodyBytes - self.mBody.size()) {
     return 0; // libcurl then aborts the transfer with an error.
   }
+  if (!self.mCharge.reserve(self.mBody, aCount)) {
+    self.mRefused = true;
+    return 0;
+  }
   self.mBody.append(aBytes, aCount);
   return aCount;
 }
@@ -253,7 +308,10 @@
 class http_loop::impl
 {
 public:
-  explicit impl(http_loop_options aOptions) : mOptions(std::move(aOptions))
+  explicit impl(http_loop_options aOptions)
+    : mOptions(std::move(aOptions)), mAccounts{ .mReplies = std::make_shared<memory_budget>(
+                                                  mOptions.mMaxReplyBytes),
+                                                .mProcess = mOptions.mBudget }
   {
     for (std::uint32_t index = 0; index < kShards; ++index) {
       mShards.push_back(std::make_unique<multi_shard>(index, mEpollFd.number(), mOptions));
@@ -276,7 +334,7 @@
 
   call_id send(loop_call&& aCall)
   {
-    auto active = std::make_unique<transfer>();
+    auto active = std::make_unique<transfer>(mAccounts);
     const auto id = ++mLastId;
     active->mId = id;
     active->mCall = std::move(aCall);
@@ -395,6 +453,8 @@
     [[maybe_unused]] const auto bytes = ::write(mWakeFd.number(), &one, sizeof one);
   }
 
+  const reply_accounts& accounts() const { return mAccounts; }
+
 private:
   /// Returns the shard of an address, always the same one, so that its connections are reused.
   multi_shard& shardOf(std::string_view aAddress)
@@ -437,7 +497,8 @@
         reply.mWithheld = active->mWithheld;
         reply.mUnsent = (reply.mRefused || reply.mWithheld) && bytes == 0;
         reply.mInterrupted = internal::wasInterrupted(handle, code);
-        reply.mError = internal::describe(handle, code);
+        reply.mError = active->mRefused ? "the replies exceed their memory limit"
+                                        : internal::describe(handle, code);
         if (code == CURLE_OPERATION_TIMEDOUT) {
           mTimeouts[active->mCall.mAddress] = steady_clock::now();
         }
@@ -462,6 +523,7 @@
   }
 
   const http_loop_options mOptions;
+  reply_accounts mAccounts;
   const file_descriptor mEpollFd{ ::epoll_create1(EPOLL_CLOEXEC) };
   /// eventfd that ends a wait; written from any thread.
   const file_descriptor mWakeFd{ ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK) };
@@ -515,4 +577,14 @@
   mImpl->wake();
 }
 
+std::size_t http_loop::replyBytes() const
+{
+  return mImpl->accounts().mReplies->used();
+}
+
+std::uint64_t http_loop::refusedReplies() const
+{
+  return mImpl->accounts().mRefused;
+}
+
 } // namespace endiveusher::edges
--- a/edges/src/http_server.cpp
+++ b/edges/src/http_server.cpp
@@ -200,6 +200,7 @@
   std::uint16_t port() const { return mPort; }
   void setLimits(const http_limits& aLimits) { mParts.mShared->setLimits(aLimits); }
   std::uint64_t rejectedConnections() const { return mParts.mShared->mRejectedConnections; }
+  std::size_t connections() const { return mParts.mShared->mConnections; }
 
 private:
   std::string host() const
@@ -255,6 +256,11 @@
   return mImpl->rejectedConnections();
 }
 
+std::size_t http_server::connections() const
+{
+  return mImpl->connections();
+}
+
 stop_report http_server::stop(std::chrono::milliseconds aPeriod)
 {
   return mImpl->stop(aPeriod);
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -51,6 +51,14 @@
 constexpr double kBudgetPart = 0.25;
 /// Smallest budget: several of the largest requests of other daemons.
 constexpr std::size_t kMinBudgetBytes = std::size_t{ 4 } << 20U;
+/// Part of the budget that replies of the store, targets, advice and other daemons may take while
+/// they are received, and the least that they may: parts of snapshots take 0.5 MB and pages of
+/// topics 1 MB, of which a daemon reads a few at a time, and buffers double.
+constexpr std::size_t kReplyPart = 2;
+constexpr std::size_t kMinReplyBytes = std::size_t{ 8 } << 20U;
+/// Part of the budget that submissions and cancellations may take until they are stored: 20 MB of a
+/// small VM, five thousand jobs of ordinary size.
+constexpr std::size_t kRecordPart = 2;
 std::size_t budgetBytes(const platform::node_settings& aSettings)
 {
   const auto bytes = aSettings.mMemoryMb * 1024.0 * 1024.0 * kBudgetPart;
@@ -66,6 +74,13 @@
 
 cell_node::impl::impl(platform::node_settings aSettings)
   : mSettings(std::move(aSettings)), mLog(mSettings.mNode),
+    mBudget(std::make_shared<edges::memory_budget>(budgetBytes(mSettings))),
+    mLoop({ .mMaxReplyBytes = std::max(kMinReplyBytes, mBudget->limit() / kReplyPart),
+            .mBudget = mBudget,
+            .mOnError =
+              [this](const std::string& aAddress, const std::exception& aError) {
+                onStepFailed("answer", aAddress, aError);
+              } }),
     mInbox(mClock, [this] { mLoop.wake(); }),
     mStore(mLoop, mSettings.mStoreAddress, mSettings.mLinkMbps),
     mIncarnation(std::random_device{}()),
@@ -104,7 +119,9 @@
         return acceptLocally(aRecord, aDone);
       }),
     mRequestHandler(mClock, mJobs.table(), mRecordWriter, mLog,
-                    { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5 }),
+                    { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5,
+                      .mMaxRecordBytes = mBudget->limit() / kRecordPart,
+                      .mBudget = mBudget }),
     mRegistry(mLog, mClock,
               { .mOnListed =
                   [this](const scheduler::target_entry& aEntry) {
@@ -145,7 +162,6 @@
               [this](const std::string& aAddress, const std::vector<scheduler::run_ended>& aEnds) {
                 onEndsHandedOver(aAddress, aEnds);
               }),
-    mBudget(std::make_shared<edges::memory_budget>(budgetBytes(mSettings))),
     mCallerGate(
       mClock, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5, .mMaxDenialAge = kMaxDenialAge })
 {
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -451,6 +451,12 @@
   add("shed_requests_total", mBudget->shedRequests());
   add("shed_bytes_total", mBudget->shedBytes());
   add("rejected_connections_total", rejectedConnections());
+  add("connections",
+      mCallerServer->connections() + mReadinessServer->connections() + mPeerServer->connections());
+  add("reply_bytes", mLoop.replyBytes());
+  add("refused_replies_total", mLoop.refusedReplies());
+  add("record_bytes", mRequestHandler.recordBytes());
+  add("records_without_memory_total", counters.mNoMemory);
   add("ready", mReady ? 1 : 0);
   add("owner", mOwner ? 1 : 0);
   if (mOwner) {
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -316,10 +316,9 @@
   std::uint64_t mFailedSteps = 0;
   time_point mNextFailureLog{};
   time_point mLastWakeUp{};
-  edges::http_loop mLoop{ { .mOnError = [this](const std::string& aAddress,
-                                               const std::exception& aError) {
-    onStepFailed("answer", aAddress, aError);
-  } } };
+  /// Shared by the three servers, the replies of mLoop and the records of mRequestHandler.
+  const std::shared_ptr<edges::memory_budget> mBudget;
+  edges::http_loop mLoop;
   inbox<inbox_item> mInbox;
   input_lanes mLanes;
   /// Time for which inputs have waited, by lane.
@@ -420,8 +419,6 @@
   std::atomic<bool> mDump{ false };
   std::atomic<bool> mReady{ false };
   std::function<void()> mStopped;
-  /// Shared by the three servers.
-  const std::shared_ptr<edges::memory_budget> mBudget;
   caller_gate mCallerGate;
   /// Configuration whose limits the callers' server was last given.
   std::shared_ptr<const scheduler::cell_config> mLimitsConfig;
@@ -430,6 +427,8 @@
   std::uint64_t mLoggedShedRequests = 0;
   std::uint64_t mLoggedShedBytes = 0;
   std::uint64_t mLoggedRejectedConnections = 0;
+  std::uint64_t mLoggedRejectedRecords = 0;
+  std::uint64_t mLoggedRefusedReplies = 0;
   std::unique_ptr<edges::http_server> mCallerServer;
   std::unique_ptr<edges::http_server> mReadinessServer;
   std::unique_ptr<edges::http_server> mPeerServer;
--- a/node/src/cell_node_servers.cpp
+++ b/node/src/cell_node_servers.cpp
@@ -142,16 +142,21 @@
   const auto requests = mBudget->shedRequests();
   const auto bytes = mBudget->shedBytes();
   const auto connections = rejectedConnections();
-  if (requests == mLoggedShedRequests && connections == mLoggedRejectedConnections) {
+  const auto records = mRequestHandler.counters().mNoMemory;
+  const auto replies = mLoop.refusedReplies();
+  if (requests == mLoggedShedRequests && connections == mLoggedRejectedConnections &&
+      records == mLoggedRejectedRecords && replies == mLoggedRefusedReplies) {
     return;
   }
   mLog.write("shed",
-             fmt::format("requests={} bytes={} rejected_connections={} used_bytes={} "
-                         "limit_bytes={}",
+             fmt::format("requests={} bytes={} rejected_connections={} rejected_records={} "
+                         "refused_replies={} used_bytes={} limit_bytes={}",
                          requests - std::exchange(mLoggedShedRequests, requests),
                          bytes - std::exchange(mLoggedShedBytes, bytes),
                          connections - std::exchange(mLoggedRejectedConnections, connections),
-                         mBudget->used(), mBudget->limit()));
+                         records - std::exchange(mLoggedRejectedRecords, records),
+                         replies - std::exchange(mLoggedRefusedReplies, replies), mBudget->used(),
+                         mBudget->limit()));
 }
 
 } // namespace endiveusher::node
--- a/node/src/request_handler.cpp
+++ b/node/src/request_handler.cpp
@@ -28,6 +28,11 @@
 constexpr std::chrono::seconds kStoredJobPeriod{ 5 };
 constexpr std::chrono::seconds kPurgeInterval{ 1 };
 
+/// Memory of a submission as a multiple of its body, which exists as decoded records of the handler
+/// and of the writer and as encoded bytes, and that of a caller with its callbacks.
+constexpr std::size_t kRecordCopies = 4;
+constexpr std::size_t kCallerBytes = 1024;
+
 constexpr std::string_view kQueuedState = R"({"state":"queued"})";
 constexpr std::string_view kCancelledState = R"({"state":"cancelled"})";
 
@@ -56,8 +61,40 @@
                                  caller_record_writer& aRecordWriter, event_log& aLog,
                                  request_handler_options aOptions)
   : mClock(aClock), mJobTable(aJobTable), mRecordWriter(aRecordWriter), mLog(aLog),
-    mOptions(aOptions)
+    mOptions(std::move(aOptions)),
+    mRecords(std::make_shared<edges::memory_budget>(mOptions.mMaxRecordBytes))
+{
+}
+
+request_handler::charge_pointer request_handler::charge(std::size_t aBodyBytes)
 {
+  const auto bytes = kRecordCopies * aBodyBytes + kCallerBytes;
+  auto made = std::make_shared<record_charge>(
+    record_charge{ .mRecord = edges::memory_charge(mRecords),
+                   .mProcess = edges::memory_charge(mOptions.mBudget) });
+  if (!made->mRecord.tryResize(bytes)) {
+    return nullptr;
+  }
+  if (!made->mProcess.tryResize(bytes) &&
+      (!mOptions.mBudget->makeRoom(bytes, nullptr) || !made->mProcess.tryResize(bytes))) {
+    return nullptr;
+  }
+  return made;
+}
+
+void request_handler::rejectForMemory(const caller_record& aKey, const reply& aReply)
+{
+  ++mCounters.mNoMemory;
+  const auto subject = fmt::format("job={} cancel={}", toText(aKey.mJob), aKey.mCancel);
+  // On the owner the table holds what another daemon has forwarded and is not stored yet.
+  const auto* known = mJobTable.find(aKey.mJob);
+  const bool isApplied =
+    known != nullptr && (!aKey.mCancel || known->mPhase != scheduler::job_phase::active);
+  if (mPending.contains(aKey) || mayBeStored(aKey) || isApplied) {
+    replyUnknownOutcome({ .mReply = aReply, .mUntil = {} }, subject, mClock.now());
+  } else {
+    reject(aReply, 503, kRetryAfterTransient, subject, "no memory for it until others are stored");
+  }
 }
 
 std::int64_t request_handler::ageMs(time_point aThen) const
@@ -83,9 +120,11 @@
 }
 
 request_handler::caller request_handler::makeCaller(const platform::caller_request& aCall,
-                                                    reply aReply) const
+                                                    charge_pointer aCharge, reply aReply) const
 {
-  return { .mReply = std::move(aReply), .mUntil = mClock.now() + callerTimeout(aCall) };
+  return { .mReply = std::move(aReply),
+           .mUntil = mClock.now() + callerTimeout(aCall),
+           .mCharge = std::move(aCharge) };
 }
 
 bool request_handler::mayBeStored(const caller_record& aKey) const
@@ -108,7 +147,11 @@
   if (pending == mPending.end()) {
     return false;
   }
-  pending->second.mCallers.push_back(makeCaller(aCall, aReply));
+  if (auto charged = charge(0)) {
+    pending->second.mCallers.push_back(makeCaller(aCall, std::move(charged), aReply));
+  } else {
+    rejectForMemory(aKey, aReply);
+  }
   return true;
 }
 
@@ -244,20 +287,25 @@
     reject(aReply, 400, kRetryAfterConfigChange, subject, "job too large");
     return;
   }
+  auto charged = charge(aBody.size());
+  if (!charged) {
+    rejectForMemory({ .mJob = aId }, aReply);
+    return;
+  }
   const auto reason =
     unschedulableReason(*spec, aRoute, mCellStatus.mConfig->team(aTeam), mCapacity);
   // A known job was accepted before the configuration or the targets changed.
   if (known == nullptr && !reason.empty()) {
-    rejectUnschedulable(aCall, std::move(*spec), reason, aReply);
+    rejectUnschedulable(aCall, std::move(*spec), reason, std::move(charged), aReply);
     return;
   }
   store(aCall, { .mJob = aId }, scheduler::job_submitted{ .mSpec = std::move(*spec) },
-        std::move(aReply));
+        std::move(charged), std::move(aReply));
 }
 
 void request_handler::rejectUnschedulable(const platform::caller_request& aCall,
                                           scheduler::job_spec aSpec, std::string_view aReason,
-                                          const reply& aReply)
+                                          charge_pointer aCharge, const reply& aReply)
 {
   const caller_record key{ .mJob = aSpec.mId };
   const auto team = aSpec.mTeam;
@@ -272,10 +320,11 @@
     replyUnknown();
     return;
   }
-  const auto repeat = [this, aCall, key, aReply, spec = std::move(aSpec)] {
+  const auto repeat = [this, aCall, key, aReply, charged = std::move(aCharge),
+                       spec = std::move(aSpec)] {
     noteUnknownOutcome(key);
     if (!joinPending(aCall, key, aReply)) {
-      store(aCall, key, scheduler::job_submitted{ .mSpec = spec }, aReply);
+      store(aCall, key, scheduler::job_submitted{ .mSpec = spec }, charged, aReply);
     }
   };
   const bool queried =
@@ -304,7 +353,8 @@
 }
 
 void request_handler::store(const platform::caller_request& aCall, caller_record aKey,
-                            const scheduler::journal_record& aRecord, reply aReply)
+                            const scheduler::journal_record& aRecord, charge_pointer aCharge,
+                            reply aReply)
 {
   const auto now = mClock.now();
   if (mRecordWriter.unavailable(now, mCellStatus.mStoreLost, mOptions.mMaxWriteAge)) {
@@ -318,10 +368,10 @@
   }
   auto& pending = mPending[aKey];
   pending.mSince = now;
-  pending.mCallers.push_back(makeCaller(aCall, std::move(aReply)));
-  mRecordWriter.store(aRecord, [this, aKey, aRecord](caller_outcome aOutcome) {
-    onWritten(aKey, aRecord, aOutcome);
-  });
+  pending.mCallers.push_back(makeCaller(aCall, aCharge, std::move(aReply)));
+  // The charge is held until the outcome is known, also if the caller has been answered before.
+  mRecordWriter.store(aRecord, [this, aKey, aRecord, charged = std::move(aCharge)](
+                                 caller_outcome aOutcome) { onWritten(aKey, aRecord, aOutcome); });
 }
 
 void request_handler::onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
@@ -461,20 +511,29 @@
     aReply({ .mBody = std::move(body) });
     return;
   }
-  storeCancellation(aCall, aId, std::move(aReply));
+  if (auto charged = charge(0)) {
+    storeCancellation(aCall, aId, std::move(charged), std::move(aReply));
+  } else {
+    rejectForMemory({ .mJob = aId, .mCancel = true }, aReply);
+  }
 }
 
 void request_handler::cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
                                     const std::string& aTeam, const reply& aReply)
 {
+  auto charged = charge(0);
+  if (!charged) {
+    rejectForMemory({ .mJob = aId, .mCancel = true }, aReply);
+    return;
+  }
   unread_cancellation one{ .mCall = aCall,
                            .mJob = aId,
                            .mTeam = aTeam,
-                           .mCaller = makeCaller(aCall, aReply),
+                           .mCaller = makeCaller(aCall, std::move(charged), aReply),
                            .mSince = mClock.now() };
   const bool queried = mQueryOwner(aId, aTeam, [this, one](const owner_answer& aAnswer) {
     if (aAnswer.mBody) {
-      storeCancellation(one.mCall, one.mJob, one.mCaller.mReply);
+      storeCancellation(one.mCall, one.mJob, one.mCaller.mCharge, one.mCaller.mReply);
     } else if (aAnswer.mUnknownJob) {
       rejectUnknownJob(one.mCaller.mReply, fmt::format("job={} cancel=true", toText(one.mJob)),
                        true);
@@ -524,13 +583,13 @@
 }
 
 void request_handler::storeCancellation(const platform::caller_request& aCall,
-                                        scheduler::job_id aId, reply aReply)
+                                        scheduler::job_id aId, charge_pointer aCharge, reply aReply)
 {
   if (joinPending(aCall, { .mJob = aId, .mCancel = true }, aReply)) {
     return;
   }
   store(aCall, { .mJob = aId, .mCancel = true }, scheduler::job_cancelled{ .mJob = aId },
-        std::move(aReply));
+        std::move(aCharge), std::move(aReply));
 }
 
 void request_handler::replyUnknownOutcome(const caller& aCaller, std::string_view aSubject,
--- a/node/src/request_handler.h
+++ b/node/src/request_handler.h
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "caller_record_writer.h"
+#include "endiveusher/edges/memory_budget.h"
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/platform/messages.h"
 #include "endiveusher/scheduler/cell_config.h"
@@ -73,6 +74,11 @@
   std::chrono::milliseconds mMaxDenialAge{ kMaxDenialAge };
   /// Jobs and cancellations are rejected while a write has been unanswered for longer.
   std::chrono::milliseconds mMaxWriteAge{ 800 };
+  /// Largest number of bytes that submissions and cancellations may take until they are stored;
+  /// further ones are rejected with 503. The default is for tests.
+  std::size_t mMaxRecordBytes = std::size_t{ 16 } << 20U;
+  /// Budget that they are charged to; may be null. Incomplete requests are shed for them.
+  std::shared_ptr<edges::memory_budget> mBudget = nullptr;
 };
 
 struct request_counters
@@ -83,6 +89,8 @@
   std::uint64_t mUnknown = 0;
   std::uint64_t mStatus = 0;
   std::uint64_t mCancelled = 0;
+  /// Submissions and cancellations for which there was no memory.
+  std::uint64_t mNoMemory = 0;
 };
 
 /// Handles requests of callers: stores jobs and cancellations in the journal before it confirms
@@ -138,12 +146,24 @@
   const request_counters& counters() const { return mCounters; }
   /// Number of submissions and cancellations that are being stored.
   std::size_t waiting() const { return mPending.size(); }
+  /// Bytes reserved for submissions and cancellations that are not stored yet.
+  std::size_t recordBytes() const { return mRecords->used(); }
 
 private:
+  /// Memory of a submission or cancellation, or of a caller who waits for it; released with the
+  /// last copy.
+  struct record_charge
+  {
+    edges::memory_charge mRecord;
+    edges::memory_charge mProcess;
+  };
+  using charge_pointer = std::shared_ptr<record_charge>;
+
   struct caller
   {
     reply mReply;
     time_point mUntil;
+    charge_pointer mCharge;
   };
   struct pending
   {
@@ -151,13 +171,18 @@
     time_point mSince;
   };
 
+  /// Reserves memory for a request with a body of aBodyBytes; returns null if there is none.
+  charge_pointer charge(std::size_t aBodyBytes);
+  /// Rejects a submission or cancellation for which there is no memory.
+  void rejectForMemory(const caller_record& aKey, const reply& aReply);
+
   void submit(const platform::caller_request& aCall, scheduler::job_id aId, std::string_view aBody,
               const scheduler::route_config& aRoute, const std::string& aTeam, reply aReply);
   /// Rejects a submission that can never be scheduled. A daemon that is not the owner asks the
   /// owner first: the job may have been accepted before the configuration or the targets changed,
   /// and even a daemon that follows the journal may not have read of it.
   void rejectUnschedulable(const platform::caller_request& aCall, scheduler::job_spec aSpec,
-                           std::string_view aReason, const reply& aReply);
+                           std::string_view aReason, charge_pointer aCharge, const reply& aReply);
   void status(scheduler::job_id aId, const std::string& aTeam, const reply& aReply);
   /// Answers with the state of a job, after a wait if its end is being stored.
   void replyWithState(scheduler::job_id aId, const std::string& aTeam, const reply& aReply,
@@ -193,9 +218,9 @@
   void cancelAtOwner(const platform::caller_request& aCall, scheduler::job_id aId,
                      const std::string& aTeam, const reply& aReply);
   void storeCancellation(const platform::caller_request& aCall, scheduler::job_id aId,
-                         reply aReply);
+                         charge_pointer aCharge, reply aReply);
   void store(const platform::caller_request& aCall, caller_record aKey,
-             const scheduler::journal_record& aRecord, reply aReply);
+             const scheduler::journal_record& aRecord, charge_pointer aCharge, reply aReply);
   void onWritten(caller_record aKey, const scheduler::journal_record& aRecord,
                  caller_outcome aOutcome);
   /// Whether this daemon follows the journal, has stored the job and may not have read it yet, and
@@ -211,7 +236,8 @@
   void noteUnknownOutcome(const caller_record& aKey);
   /// Adds the caller to those waiting for the record; returns false if the record is not pending.
   bool joinPending(const platform::caller_request& aCall, caller_record aKey, const reply& aReply);
-  caller makeCaller(const platform::caller_request& aCall, reply aReply) const;
+  caller makeCaller(const platform::caller_request& aCall, charge_pointer aCharge,
+                    reply aReply) const;
   /// Rejects a request for a job that this daemon does not know; aDenied tells whether the owner
   /// has stated that there is none.
   void rejectUnknownJob(const reply& aReply, std::string_view aSubject, bool aDenied = false);
@@ -234,6 +260,8 @@
   cell_status mCellStatus;
   cell_capacity mCapacity;
   request_counters mCounters;
+  /// Limit of the records that are not stored yet.
+  const std::shared_ptr<edges::memory_budget> mRecords;
   /// Submissions and cancellations that are being stored in the journal.
   std::map<caller_record, pending> mPending;
   /// Records whose last outcome was unknown, with the time of it; at most kMaxUnknownOutcomes.
--- a/tests/edges/http_loop_test.cpp
+++ b/tests/edges/http_loop_test.cpp
@@ -1,9 +1,11 @@
 #include "endiveusher/edges/http_loop.h"
 #include "endiveusher/edges/http_server.h"
+#include "endiveusher/edges/memory_budget.h"
 #include "tests/clients/scripted_server.h"
 
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
@@ -477,3 +479,40 @@
   }
   CHECK_EQUAL(1, answered);
 }
+
+// Guards against replies that are kept without a limit, and against trusted replies that fail
+// because callers' requests have used up the budget.
+TEST(http_loop, repliesAreChargedAndLimited)
+{
+  constexpr std::size_t kLimit = 400'000;
+  const auto budget = std::make_shared<memory_budget>(kLimit);
+  http_server server({}, [](const http_request& aRequest, const responder& aResponder) {
+    aResponder.answer(
+      { .mBody = std::string(aRequest.mPath == "/large" ? 500'000 : 150'000, 'x') });
+  });
+  http_loop loop({ .mMaxReplyBytes = kLimit, .mBudget = budget });
+  const auto call = [&](const std::string& aPath) {
+    std::optional<loop_reply> result;
+    std::size_t charged = 0;
+    loop.send({ .mAddress = "127.0.0.1:" + std::to_string(server.port()),
+                .mPath = aPath,
+                .mDone = [&](loop_reply&& aReply) {
+                  charged = budget->used();
+                  result = std::move(aReply);
+                } });
+    CHECK(runUntil(loop, [&] { return result.has_value(); }));
+    CHECK(!result->ok() || charged >= 150'000);
+    return *std::move(result);
+  };
+  CHECK(call("/").ok());
+  CHECK_EQUAL(0, budget->used());
+  const auto refused = call("/large");
+  CHECK_FALSE(refused.mStatus.has_value());
+  STRCMP_CONTAINS("memory limit", refused.mError.c_str());
+  CHECK_EQUAL(1, loop.refusedReplies());
+  CHECK_EQUAL(0, loop.replyBytes());
+  memory_charge callers(budget);
+  callers.resize(kLimit);
+  CHECK(call("/").ok());
+  CHECK_EQUAL(kLimit, budget->used());
+}
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -58,7 +58,12 @@
         }
         return true;
       });
-    handler = new request_handler(time, jobTable, *recordWriter, *log, {});
+    makeHandler({});
+  }
+  void makeHandler(request_handler_options aOptions)
+  {
+    delete handler;
+    handler = new request_handler(time, jobTable, *recordWriter, *log, std::move(aOptions));
     handler->setQueryOwner([this](job_id, const std::string&, auto aDone) {
       if (queriesOwner) {
         ownerReplies.push_back(std::move(aDone));
@@ -650,3 +655,47 @@
        bodyOf(platform::kMaxRecordBytes - 1000));
   CHECK_EQUAL(1, pendingStores.size());
 }
+
+// Guards against submissions that wait for a slow store and take memory without a limit, also after
+// their callers have left, and against rejections that are not true.
+TEST(request_handler, recordsThatAreNotStoredAreLimited)
+{
+  const auto budget = std::make_shared<edges::memory_budget>(8192);
+  makeHandler({ .mMaxRecordBytes = 5000, .mBudget = budget });
+  tableIsAhead = false;
+  const std::string body =
+    R"({"spec":")" + std::string(400, 'x') + R"(","steps":[{"count":1,"cpu":100}]})";
+  call(kSubmit, kPath, "k1", body);
+  const auto one = budget->used();
+  CHECK(one > 4 * body.size());
+  call(kSubmit, "/r/00000000000000bb", "k1", body);
+  CHECK_EQUAL(503, lastStatus());
+  CHECK(answers.back().mRetryAfter.has_value());
+  call(kSubmit, kPath, "k1", body);
+  CHECK_EQUAL(1, answers.size());
+  call(kSubmit, kPath, "k1", body);
+  call(kSubmit, kPath, "k1", body);
+  CHECK_EQUAL(504, lastStatus());
+  call(kCancel, "/r/00000000000000cc");
+  CHECK_EQUAL(503, lastStatus());
+  CHECK_EQUAL(3, handler->counters().mNoMemory);
+  time.mNow += timeout;
+  handler->tick(time.now());
+  CHECK_EQUAL(one, budget->used());
+  CHECK_EQUAL(1, pendingStores.size());
+  pendingStores.clear();
+  CHECK_EQUAL(0, budget->used());
+}
+
+// Guards against a rejection of a record that the owner's table already holds.
+TEST(request_handler, recordsOfTheTableAreNotRejectedForMemory)
+{
+  makeHandler({ .mMaxRecordBytes = 0 });
+  jobTable.apply(job_submitted{ .mSpec = { .mId = static_cast<job_id>(0xaa), .mTeam = "red" } },
+                 time.now());
+  unstored.insert({ .mJob = static_cast<job_id>(0xaa) });
+  call(kSubmit, kPath);
+  CHECK_EQUAL(504, lastStatus());
+  call(kCancel, kPath);
+  CHECK_EQUAL(503, lastStatus());
+}
