Pause accepting connections while the process has no descriptor left

Cause: while RLIMIT_NOFILE is reached, Pistache's accepting thread repeats a failing accept() without a pause: it takes a core and each descriptor that is freed, so that no new connection to the store or a target can be opened. Change: accept_gate takes the listening socket out of the thread's epoll events, releases 16 descriptors that the server has held back, and resumes after a second at least, once they can be taken again.

--- a/edges/include/endiveusher/edges/http_server.h
+++ b/edges/include/endiveusher/edges/http_server.h
@@ -186,6 +186,9 @@
   void setLimits(const http_limits& aLimits);
   /// Number of connections that were rejected because there were too many.
   std::uint64_t rejectedConnections() const;
+  /// Number of times that accepting connections was paused because the process had no descriptor
+  /// left.
+  std::uint64_t acceptPauses() const;
   /// Number of connections, rejected ones that are still open included.
   std::size_t connections() const;
   /// Gives new requests the answer of a stop, waits at most aPeriod until the pending ones are
--- a/edges/src/connection_registry.cpp
+++ b/edges/src/connection_registry.cpp
@@ -15,6 +15,10 @@
 /// Longest time between two visits of a connection; the resolution of the timeouts.
 constexpr std::chrono::milliseconds kMaintenanceInterval{ 100 };
 
+/// Descriptors that each server holds back for other uses while the system refuses further ones:
+/// the store, advice and the owner take a few connections each.
+constexpr std::size_t kReservedDescriptors = 16;
+
 int createEventFd()
 {
   const int fd = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -27,7 +31,8 @@
 } // namespace
 
 connection_registry::connection_registry(std::shared_ptr<memory_budget> aBudget)
-  : mBudget(std::move(aBudget)), mWakeFd(createEventFd()), mThread([this] { run(); })
+  : mBudget(std::move(aBudget)), mWakeFd(createEventFd()), mGate(kReservedDescriptors),
+    mThread([this] { run(); })
 {
 }
 
@@ -128,6 +133,7 @@
     std::uint64_t wakes = 0;
     [[maybe_unused]] const auto bytes = ::read(mWakeFd, &wakes, sizeof wakes);
     const auto now = std::chrono::steady_clock::now();
+    mGate.update(now);
     for (const auto& one : snapshot()) {
       one->maintain(now);
     }
--- a/edges/src/connection_registry.h
+++ b/edges/src/connection_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accept_gate.h"
 #include "http_connection.h"
 
 #include <chrono>
@@ -36,6 +37,8 @@
   bool containsSocket(int aSocket) const;
   /// Ends all connections and closes their sockets. Call only when nothing else uses the sockets.
   void closeAll();
+  /// Controls whether connections are accepted; updated by the thread.
+  accept_gate& gate() { return mGate; }
   /// Ends the thread.
   void stop();
 
@@ -45,6 +48,7 @@
 
   const std::shared_ptr<memory_budget> mBudget;
   const int mWakeFd;
+  accept_gate mGate;
   std::atomic<bool> mStopped = false;
   mutable std::mutex mMutex;
   std::unordered_set<std::shared_ptr<connection>> mConnections;
--- a/edges/src/http_server.cpp
+++ b/edges/src/http_server.cpp
@@ -169,6 +169,7 @@
         // Accepted connections inherit it. Without it the system's default applies.
         ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
       }
+      mParts.mRegistry->gate().open(listener);
     }
   }
 
@@ -181,6 +182,7 @@
     }
     mParts.mShared->mStopping = true;
     waitUntil(aPeriod, [this] { return !mParts.mRegistry->anyBusy(); });
+    mParts.mRegistry->gate().close();
     // Ends accepting and reading. Otherwise callers that get their answers now connect again, and
     // are cut off in the middle of their next request.
     mEndpoint->shutdown();
@@ -200,6 +202,7 @@
   std::uint16_t port() const { return mPort; }
   void setLimits(const http_limits& aLimits) { mParts.mShared->setLimits(aLimits); }
   std::uint64_t rejectedConnections() const { return mParts.mShared->mRejectedConnections; }
+  std::uint64_t acceptPauses() const { return mParts.mRegistry->gate().pauses(); }
   std::size_t connections() const { return mParts.mShared->mConnections; }
 
 private:
@@ -256,6 +259,11 @@
   return mImpl->rejectedConnections();
 }
 
+std::uint64_t http_server::acceptPauses() const
+{
+  return mImpl->acceptPauses();
+}
+
 std::size_t http_server::connections() const
 {
   return mImpl->connections();
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -451,6 +451,7 @@
   add("shed_requests_total", mBudget->shedRequests());
   add("shed_bytes_total", mBudget->shedBytes());
   add("rejected_connections_total", rejectedConnections());
+  add("accept_pauses_total", acceptPauses());
   add("connections",
       mCallerServer->connections() + mReadinessServer->connections() + mPeerServer->connections());
   add("reply_bytes", mLoop.replyBytes());
--- a/node/src/cell_node_impl.h
+++ b/node/src/cell_node_impl.h
@@ -191,6 +191,8 @@
   void updateCallerLimits();
   /// Number of connections that the servers have rejected.
   std::uint64_t rejectedConnections() const;
+  /// Number of times that the servers have paused accepting connections.
+  std::uint64_t acceptPauses() const;
   /// Logs what the servers have shed and rejected lately.
   void logShedding(time_point aNow);
 
@@ -427,6 +429,7 @@
   std::uint64_t mLoggedShedRequests = 0;
   std::uint64_t mLoggedShedBytes = 0;
   std::uint64_t mLoggedRejectedConnections = 0;
+  std::uint64_t mLoggedAcceptPauses = 0;
   std::uint64_t mLoggedRejectedRecords = 0;
   std::uint64_t mLoggedRefusedReplies = 0;
   std::unique_ptr<edges::http_server> mCallerServer;
--- a/node/src/cell_node_servers.cpp
+++ b/node/src/cell_node_servers.cpp
@@ -133,6 +133,12 @@
          mPeerServer->rejectedConnections();
 }
 
+std::uint64_t cell_node::impl::acceptPauses() const
+{
+  return mCallerServer->acceptPauses() + mReadinessServer->acceptPauses() +
+         mPeerServer->acceptPauses();
+}
+
 void cell_node::impl::logShedding(time_point aNow)
 {
   if (aNow < mNextSheddingLog) {
@@ -142,21 +148,25 @@
   const auto requests = mBudget->shedRequests();
   const auto bytes = mBudget->shedBytes();
   const auto connections = rejectedConnections();
+  const auto pauses = acceptPauses();
   const auto records = mRequestHandler.counters().mNoMemory;
   const auto replies = mLoop.refusedReplies();
   if (requests == mLoggedShedRequests && connections == mLoggedRejectedConnections &&
-      records == mLoggedRejectedRecords && replies == mLoggedRefusedReplies) {
+      pauses == mLoggedAcceptPauses && records == mLoggedRejectedRecords &&
+      replies == mLoggedRefusedReplies) {
     return;
   }
-  mLog.write("shed",
-             fmt::format("requests={} bytes={} rejected_connections={} rejected_records={} "
-                         "refused_replies={} used_bytes={} limit_bytes={}",
-                         requests - std::exchange(mLoggedShedRequests, requests),
-                         bytes - std::exchange(mLoggedShedBytes, bytes),
-                         connections - std::exchange(mLoggedRejectedConnections, connections),
-                         records - std::exchange(mLoggedRejectedRecords, records),
-                         replies - std::exchange(mLoggedRefusedReplies, replies), mBudget->used(),
-                         mBudget->limit()));
+  mLog.write(
+    "shed",
+    fmt::format("requests={} bytes={} rejected_connections={} accept_pauses={} rejected_records={} "
+                "refused_replies={} used_bytes={} limit_bytes={}",
+                requests - std::exchange(mLoggedShedRequests, requests),
+                bytes - std::exchange(mLoggedShedBytes, bytes),
+                connections - std::exchange(mLoggedRejectedConnections, connections),
+                pauses - std::exchange(mLoggedAcceptPauses, pauses),
+                records - std::exchange(mLoggedRejectedRecords, records),
+                replies - std::exchange(mLoggedRefusedReplies, replies), mBudget->used(),
+                mBudget->limit()));
 }
 
 } // namespace endiveusher::node
--- a/tests/edges/http_server_test.cpp
+++ b/tests/edges/http_server_test.cpp
@@ -2,6 +2,7 @@
 #include "raw_client.h"
 
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 
 #include <condition_variable>
 #include <cstdlib>
@@ -642,3 +643,34 @@
   }
   CHECK_FALSE(open);
 }
+
+// Guards against a server that spins while it can accept no connection, and takes each descriptor
+// that is freed, so that other parts of the process get none.
+TEST(http_server, acceptingIsPausedWhileNoDescriptorIsLeft)
+{
+  http_server server({}, [](const http_request&, const responder& aResponder) {
+    aResponder.answer({ .mBody = "ok" });
+  });
+  rlimit former{};
+  ::getrlimit(RLIMIT_NOFILE, &former);
+  rlimit lowered = former;
+  lowered.rlim_cur = 200;
+  ::setrlimit(RLIMIT_NOFILE, &lowered);
+  std::vector<int> taken;
+  for (int next = ::dup(0); next >= 0; next = ::dup(0)) {
+    taken.push_back(next);
+  }
+  for (int tries = 0; tries < 4000 && server.acceptPauses() == 0; ++tries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK_EQUAL(1, server.acceptPauses());
+  // Descriptors were held back for this socket; the connection waits to be accepted.
+  raw_client client(server.port());
+  CHECK(client.send("GET /x HTTP/1.1\r\nHost: t\r\n\r\n"));
+  CHECK_EQUAL(0, server.connections());
+  for (const int one : taken) {
+    ::close(one);
+  }
+  STRCMP_EQUAL("ok", client.receiveAnswer().c_str());
+  ::setrlimit(RLIMIT_NOFILE, &former);
+}
