--- a/tests/process/test_hostile_callers.py
+++ b/tests/process/test_hostile_callers.py
@@ -1,17 +1,21 @@
 """Callers that send more than the limits, against real daemons: no process ends, grows beyond its memory or runs
 out of descriptors, and an ordinary request is answered afterwards."""
 
+import http.client
+import json
 import pathlib
+import resource
 import select
 import socket
 import sys
 import time
 import unittest
+import uuid
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "tests/platform_soak"))
 
-from cell import Cell  # noqa: E402
+from cell import ALONE, CALL_TIMEOUT_S, Cell, Job  # noqa: E402
 from main import run_tests  # noqa: E402
 from programs import wait_until  # noqa: E402
 
@@ -25,6 +29,10 @@
 # Time without progress after which a crowd has sent all that the daemon takes.
 QUIET_S = 0.5
 LONGEST_SEND_S = 20.0
+# Descriptors left when the limit is lowered, and jobs that run one after another while it is reached.
+SPARE, JOBS, WORK_MS = 20, 8, 50
+# Far more than the daemon's ordinary lines meanwhile.
+MAX_LOG_BYTES = 1 << 20
 
 
 def post(length=None, key=None, headers="", verb="POST"):
@@ -159,6 +167,47 @@
         state = b"GET /state HTTP/1.1\r\nHost: h\r\n\r\n"
         self.attack(lambda key: state if key is None else post(None, key, verb="GET"), pieces=1)
 
+    def run_job(self, connection):
+        """Runs a job to its end through an open connection."""
+        steps = [{"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": WORK_MS}]
+        job = Job(uuid.uuid4().hex[:16], "red", steps, steps[0]["cpu"])
+        self.cell.checker.submitted(job)
+        body = json.dumps({"spec": f"{WORK_MS}:{job.cpu_milli}:{ALONE}", "steps": steps})
+
+        def call(method, data=None):
+            connection.request(method, f"/b/{job.name}", data, {"Host": "h", "Credential": "kred"})
+            response = connection.getresponse()
+            return response.status, response.read()
+
+        wait_until(lambda: call("POST", body)[0] == 200, "the job is accepted")
+        wait_until(lambda: b"completed" in call("GET")[1], "the job ends")
+
+    # Guards against a daemon that ends, fills the log or gives up its calls when it can accept no connection.
+    def test_no_descriptor_left(self):
+        process = self.daemon.process
+        files = pathlib.Path(f"/proc/{process.pid}/fd")
+        for address in (self.daemon.address, self.daemon.readiness_address, self.daemon.peer_address):
+            connection = http.client.HTTPConnection(self.daemon.address, timeout=CALL_TIMEOUT_S)
+            self.addCleanup(connection.close)
+            self.run_job(connection)
+            written = len(process.output())
+            former = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+            limit = len(list(files.iterdir())) + SPARE
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (limit, former[1]))
+            crowd = Crowd(address, CROWD)
+            try:
+                wait_until(lambda: len(list(files.iterdir())) >= limit, "the limit is reached")
+                for _ in range(JOBS):
+                    self.run_job(connection)
+                self.check(address)
+            finally:
+                crowd.close()
+            wait_until(self.answered, f"{address}: an ordinary request is answered")
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, former)
+            self.run_job(connection)
+            self.check(address)
+            self.assertLess(len(process.output()) - written, MAX_LOG_BYTES)
+
 
 if __name__ == "__main__":
     run_tests()
