--- a/scheduler/include/endiveusher/scheduler/owner.h
+++ b/scheduler/include/endiveusher/scheduler/owner.h
@@ -44,6 +44,20 @@
   std::chrono::seconds mPastUseHalfLife{ 0 };
   /// Whether waiting steps are ordered by the teams' present shares.
   bool mOrderByShare = false;
+  /// Whether run times are predicted from those of past runs, and slow targets are avoided.
+  bool mLearnRunTimes = false;
+};
+
+/// What was learned of the run times of a route.
+struct route_run_times
+{
+  std::string mRoute;
+  /// Number of runs since it became known.
+  std::uint64_t mRuns = 0;
+  /// Geometric mean of actual time over estimate, and spread of the logarithm of that, by decayed
+  /// weight.
+  double mMeanRatio = 1;
+  double mSpread = 0;
 };
 
 /// What the last planning pass has cost.
@@ -85,6 +99,12 @@
   std::vector<team_counts> mTeams{};
   /// Steps that were delayed in the last planning pass because of their teams' use.
   std::size_t mDelayedSteps = 0;
+  /// Empty without owner_options::mLearnRunTimes.
+  std::vector<route_run_times> mRunTimes{};
+  /// Slow targets, those among them that get no new tasks, and tasks moved off slow targets.
+  std::size_t mSlowTargets = 0;
+  std::size_t mExcludedTargets = 0;
+  std::uint64_t mMovedTasks = 0;
 };
 
 /// Decides for all targets of the cell during one epoch: where tasks start, which leases are
