Learn run times in the owner, avoid slow targets and move work off them

Cause: ranks, admission and preemption relied on wrong estimates, and urgent tasks started again and again on targets that were slow.

--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -130,6 +130,7 @@
   /// 0: past use is not counted.
   std::chrono::seconds mPastUseHalfLife{ 0 };
   bool mOrderByShare = false;
+  bool mLearnRunTimes = false;
 };
 
 /// Returns the settings of the file's text with the options of the command line.
@@ -140,6 +141,7 @@
   if (settings.ok()) {
     settings->mPastUseHalfLife = aOptions.mPastUseHalfLife;
     settings->mOrderByShare = aOptions.mOrderByShare;
+    settings->mLearnRunTimes = aOptions.mLearnRunTimes;
   }
   return settings;
 }
@@ -215,6 +217,10 @@
     false, 0, "seconds", line);
   TCLAP::SwitchArg shareOrder(
     "", "share-order", "Order waiting steps by the teams' present shares (with --platform).", line);
+  TCLAP::SwitchArg learnRunTimes("", "learn-run-times",
+                                 "Predict run times from past runs and avoid slow targets (with "
+                                 "--platform).",
+                                 line);
   line.parse(aArgc, aArgv);
 
   const long halfLife = pastUseHalfLife.getValue();
@@ -225,10 +231,12 @@
   }
   if (onPlatform.getValue()) {
     return runOnPlatform(check.getValue(), { .mPastUseHalfLife = std::chrono::seconds(halfLife),
-                                             .mOrderByShare = shareOrder.getValue() });
+                                             .mOrderByShare = shareOrder.getValue(),
+                                             .mLearnRunTimes = learnRunTimes.getValue() });
   }
-  if (halfLife != 0 || shareOrder.getValue()) {
-    fmt::print(stderr, "--past-use-half-life and --share-order require --platform\n");
+  if (halfLife != 0 || shareOrder.getValue() || learnRunTimes.getValue()) {
+    fmt::print(stderr,
+               "--past-use-half-life, --share-order and --learn-run-times require --platform\n");
     return kExitSettings;
   }
   if (!config.isSet()) {
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -467,6 +467,17 @@
     add("plan_visits", counts.mLastPass.mVisits);
     add("plan_seconds", inSeconds(counts.mLastPass.mDuration));
     add("steps_delayed", counts.mDelayedSteps);
+    add("targets_slow", counts.mSlowTargets);
+    add("targets_slow_excluded", counts.mExcludedTargets);
+    add("tasks_moved_total", counts.mMovedTasks);
+    for (const auto& route : counts.mRunTimes) {
+      const auto label = metricLabel(route.mRoute);
+      text += fmt::format("endiveusher_run_times_total{{route=\"{}\"}} {}\n", label, route.mRuns);
+      text +=
+        fmt::format("endiveusher_run_time_ratio{{route=\"{}\"}} {:.4f}\n", label, route.mMeanRatio);
+      text +=
+        fmt::format("endiveusher_run_time_spread{{route=\"{}\"}} {:.4f}\n", label, route.mSpread);
+    }
     for (const auto& team : counts.mTeams) {
       const auto label = metricLabel(team.mName);
       text += fmt::format("endiveusher_team_share{{team=\"{}\"}} {:.4f}\n", label, team.mShare);
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -371,7 +371,8 @@
                               .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval,
                               .mClock = &mClock,
                               .mPastUseHalfLife = mSettings.mPastUseHalfLife,
-                              .mOrderByShare = mSettings.mOrderByShare },
+                              .mOrderByShare = mSettings.mOrderByShare,
+                              .mLearnRunTimes = mSettings.mLearnRunTimes },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -43,9 +43,14 @@
 constexpr std::size_t kCountedTeams = 20;
 
 /// Returns the estimated duration of a step, its advice call included.
-duration estimatedWork(const step_spec& aStep, const route_config& aRoute)
+/// @param aTimes learned run times; nullptr to use the caller's estimate
+duration estimatedWork(const step_spec& aStep, const std::string& aTeam, const route_config& aRoute,
+                       const internal::run_times* aTimes, time_point aNow)
 {
   duration work = aStep.mEstimate;
+  if (aTimes != nullptr) {
+    work = aTimes->predicted(aRoute.mName, aTeam, work, aNow);
+  }
   if (aRoute.mAdvice) {
     work += aRoute.mAdvice->mPerCall + kAssumedTargetsPerAdviceCall * aRoute.mAdvice->mPerTarget;
   }
@@ -53,12 +58,13 @@
 }
 
 /// Returns the critical path from each step to the end of the job, the step included.
-std::vector<duration> criticalPaths(const job_spec& aSpec, const route_config& aRoute)
+std::vector<duration> criticalPaths(const job_spec& aSpec, const route_config& aRoute,
+                                    const internal::run_times* aTimes, time_point aNow)
 {
   std::vector<duration> paths(aSpec.mSteps.size(), duration{ 0 });
   // Steps depend only on earlier ones, so the path of a step is final when the loop reaches it.
   for (std::size_t step = aSpec.mSteps.size(); step-- > 0;) {
-    paths[step] += estimatedWork(aSpec.mSteps[step], aRoute);
+    paths[step] += estimatedWork(aSpec.mSteps[step], aSpec.mTeam, aRoute, aTimes, aNow);
     for (const auto before : aSpec.mSteps[step].mAfter) {
       paths[before] = std::max(paths[before], paths[step]);
     }
@@ -161,6 +167,10 @@
 {
   mLatestActs = mOptions.mLatestActs;
   mNewestRecord = mEpoch;
+  if (mOptions.mLearnRunTimes) {
+    mLearning = std::make_unique<internal::run_time_learning>();
+    mLearning->mCountedFrom = aNow;
+  }
   if (mOptions.mPastUseHalfLife.count() > 0) {
     mPastUse.emplace(mOptions.mPastUseHalfLife);
     mNextUseRecord = aNow + internal::past_use::kMaxInterval;
@@ -281,7 +291,8 @@
     step.mRoute = routeOf(aJob.mSpec);
     step.mNeeds = step.spec().capacityNeeds();
     mLowestPriority = std::max(mLowestPriority, step.mRoute.mPriority);
-    const auto paths = criticalPaths(aJob.mSpec, step.mRoute);
+    const auto* times = mLearning ? &mLearning->mTimes : nullptr;
+    const auto paths = criticalPaths(aJob.mSpec, step.mRoute, times, aNow);
     const auto longest = *std::ranges::max_element(paths);
     auto since = mSubmittedAt[aKey.mJob];
     if (aJob.mSpec.mRepeat != 0) {
@@ -319,7 +330,8 @@
 std::optional<internal::new_work> owner::impl::newWork(const job_spec& aSpec, time_point aNow) const
 {
   const auto route = routeOf(aSpec);
-  const auto paths = criticalPaths(aSpec, route);
+  const auto* times = mLearning ? &mLearning->mTimes : nullptr;
+  const auto paths = criticalPaths(aSpec, route, times, aNow);
   const auto longest = std::ranges::max_element(paths);
   // The longest path begins with a step that waits for no other.
   if (longest == paths.end() || aSpec.mRepeat != 0 ||
@@ -536,6 +548,7 @@
   if (!mStoreResponsive || wasPaused(aNow)) {
     mStoreUnresponsiveAt = aNow;
   }
+  notePause(aNow);
   mTickLag += (std::max(aNow - mNextTick, duration{ 0 }) - mTickLag) / kTickLagWeight;
   openDueOccurrences(aNow, aWall);
   const bool checksUnknownRoutes =
@@ -570,6 +583,9 @@
     }
     const bool removable = !target.mListed && target.mRuns.empty() && !target.mHeartbeatInFlight;
     if (removable) {
+      if (mLearning) {
+        mLearning->mSlow.forget(target.mNumber);
+      }
       mTargetsByNumber[target.mNumber] = nullptr;
       at = mTargets.erase(at);
     } else {
@@ -577,6 +593,7 @@
     }
   }
   updatePastUse(aNow, aWall);
+  updateSlowTargets(aNow);
   const bool viewCurrent = aNow <= mViewCurrentUntil;
   mPlanNeeded = mPlanNeeded || (viewCurrent && !mWasViewCurrent);
   mWasViewCurrent = viewCurrent;
@@ -611,6 +628,12 @@
                        .mLastPass = mLastPass,
                        .mTeams = largestTeams(kCountedTeams),
                        .mDelayedSteps = mDelayedSteps };
+  if (mLearning) {
+    counts.mRunTimes = mLearning->mTimes.routes();
+    counts.mSlowTargets = mLearning->mSlow.marks(aNow).size();
+    counts.mExcludedTargets = mLearning->mExcluded;
+    counts.mMovedTasks = mLearning->mMoved;
+  }
   for (const auto& [id, target] : mTargets) {
     counts.mUsableTargets += target.mAcquired && target.mMissedHeartbeats == 0 ? 1 : 0;
     counts.mOpenRuns += target.mRuns.size();
@@ -641,6 +664,10 @@
     text += fmt::format("team {} share={:.3f} past_use={:.3f} use_s={:.3f}\n", team.mName,
                         team.mShare, team.mPastUse, mPastUse ? mPastUse->use(team.mName) : 0.0);
   }
+  for (const auto& one : mLearning ? mLearning->mTimes.routes() : std::vector<route_run_times>{}) {
+    text += fmt::format("run_times {} runs={} ratio={:.3f} spread={:.3f}\n", one.mRoute, one.mRuns,
+                        one.mMeanRatio, one.mSpread);
+  }
   for (const auto& [id, target] : mTargets) {
     text += fmt::format(
       "target {} zone={} listed={} taken={} draining={} missed={} runs={} cpu={}/{} mem={}/{}\n",
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -7,6 +7,8 @@
 #include "endiveusher/scheduler/owner.h"
 #include "past_use.h"
 #include "room_index.h"
+#include "slow_targets.h"
+#include "store_batch.h"
 #include "target_state.h"
 #include "waiting_step.h"
 
@@ -80,30 +82,8 @@
   using withheld_room = internal::withheld_room;
   using preemption = internal::preemption;
   using reservable_target = internal::reservable_target;
+  using batch = internal::store_batch;
 
-  /// Records of one owner_port::store() call, in order, and what to do when they are stored.
-  struct batch
-  {
-    std::vector<run_started> mStarts;
-    /// End of a run to acknowledge to its target.
-    struct stored_end
-    {
-      std::string mTarget;
-      std::int64_t mIncarnationStart = 0;
-      std::uint64_t mNumber = 0;
-    };
-    std::vector<stored_end> mEnds;
-    /// Ends that targets have reported, for the next owner if the batch is not stored.
-    std::vector<run_ended> mReportedEnds;
-    /// Jobs that a record of the batch has ended.
-    std::vector<job_id> mEndedJobs;
-    /// Tokens of callers' records.
-    std::vector<std::uint64_t> mTokens;
-    /// Targets at which leases may be renewed once the batch is stored.
-    std::vector<std::string> mAcquired;
-    /// Time of the store() call.
-    time_point mSentAt;
-  };
   // Steps and jobs.
   void registerJob(job& aJob, time_point aNow, wall_time aWall);
   /// Allocates capacity for the open runs that a former owner has started, also for those of jobs
@@ -133,7 +113,6 @@
   internal::team_state& teamOf(const std::string& aName);
   /// Whether waiting steps are ordered by their teams' use.
   bool ordersByUse() const { return mPastUse || mOptions.mOrderByShare; }
-  static double weightOf(const internal::team_state& aTeam);
   /// Returns the capacity of all usable targets.
   resources usableCapacity(time_point aNow) const;
   /// Counts the teams' past use and stores it from time to time.
@@ -244,6 +223,24 @@
   /// aNeeds, so that steps do not depend on this target.
   bool isReplaceable(const target_state& aTarget, const resources& aNeeds, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
+
+  // Learned run times; nothing without owner_options::mLearnRunTimes.
+  /// Has no open run counted if this daemon has just been paused.
+  void notePause(time_point aNow);
+  /// Returns what is known of the run's time, aNow being the time of its end or the last at which
+  /// it was open; absent if it does not tell about estimates and targets.
+  std::optional<internal::run_measurement> measure(const target_state& aTarget,
+                                                   const task_key& aTask, const allocated_run& aRun,
+                                                   time_point aNow) const;
+  /// Counts a run that its target has reported as done.
+  void countRunTime(target_state& aTarget, const task_key& aTask, time_point aNow);
+  void countSlowRun(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
+                    const internal::run_measurement& aTime, time_point aNow);
+  /// Counts open runs that are slow by now, and decides which targets get no new tasks.
+  void updateSlowTargets(time_point aNow);
+  void excludeSlowTargets(time_point aNow);
+  /// Stops runs on slow targets that end sooner elsewhere.
+  void moveFromSlowTargets(time_point aNow);
   /// Returns the longest lease that the target may hold, from now on, by orders of former owners or
   /// to former incarnations.
   /// @param aIncarnationStart incarnation that has replied
@@ -484,6 +481,8 @@
   time_point mNextUseRecord{};
   /// See owner_counts::mDelayedSteps.
   std::size_t mDelayedSteps = 0;
+  /// Absent without owner_options::mLearnRunTimes.
+  std::unique_ptr<internal::run_time_learning> mLearning;
   /// Jobs with occurrences that are not open yet.
   std::set<job_id> mRecurringJobs;
   std::unordered_map<job_id, time_point> mSubmittedAt;
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -192,6 +192,7 @@
   aRun.mOrderOpen = true;
   if (aRun.mTries == 0) {
     aRun.mFirstOrderAt = aNow;
+    aRun.mIsResumed = !state.mCheckpoint.empty();
   }
   mPort.start({ .mTarget = aTarget.mEntry.mId,
                 .mAddress = aTarget.mEntry.mAddress,
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -61,7 +61,7 @@
   return aTarget.mListed && aTarget.isDescribed() && aTarget.mAcquisitionStored &&
          !aTarget.mRestartListed && aTarget.mMissedHeartbeats == 0 && aTarget.mClock &&
          !aTarget.mHasUnknownRuns && !aTarget.mEntry.mDraining && aTarget.mAvoidUntil <= aNow &&
-         !mClosedZones.contains(aTarget.mEntry.mZone);
+         aTarget.mSlowUntil <= aNow && !mClosedZones.contains(aTarget.mEntry.mZone);
 }
 
 bool owner::impl::isSuitable(const target_state& aTarget, const route_config& aRoute,
--- a/scheduler/src/owner_restarts.cpp
+++ b/scheduler/src/owner_restarts.cpp
@@ -187,6 +187,10 @@
   aTarget.mLastEndNumber = 0;
   aTarget.mStoredEndNumber = 0;
   aTarget.mConsecutiveFailures = 0;
+  aTarget.mSlowUntil = time_point{};
+  if (mLearning) {
+    mLearning->mSlow.forget(aTarget.mNumber);
+  }
   aTarget.mRejectedStarts = 0;
   aTarget.mNextOrders = time_point{};
   for (auto& [key, step] : mWaiting) {
--- a/scheduler/src/owner_runs.cpp
+++ b/scheduler/src/owner_runs.cpp
@@ -217,6 +217,7 @@
   if (target.mMissedHeartbeats > 0) {
     mPort.logDecision("target_responsive",
                       fmt::format("target={} missed={}", aTarget, target.mMissedHeartbeats));
+    target.mHeardAgainAt = aNow;
   }
   target.mMissedHeartbeats = 0;
   if (aReport.mIncarnationStart < target.mEntry.mIncarnationStart) {
@@ -280,6 +281,9 @@
     }
     updateTargetHealth(aTarget, end, aNow);
     if (!found->second.mEnded) {
+      if (end.mOutcome == reported_end::done) {
+        countRunTime(aTarget, end.mTask, aNow);
+      }
       if (end.mOutcome == reported_end::gang_incomplete) {
         mPort.logDecision(
           "gang_incomplete",
--- a/scheduler/src/owner_use.cpp
+++ b/scheduler/src/owner_use.cpp
@@ -11,13 +11,13 @@
 /// Interval at which the teams' use is sampled: tasks shorter than this count on average only.
 constexpr auto kUseSampleInterval = std::chrono::milliseconds(100);
 
-} // namespace
-
-double owner::impl::weightOf(const internal::team_state& aTeam)
+double weightOf(const internal::team_state& aTeam)
 {
   return internal::usableWeight(aTeam.mConfig == nullptr ? 1.0 : aTeam.mConfig->mWeight);
 }
 
+} // namespace
+
 resources owner::impl::usableCapacity(time_point aNow) const
 {
   resources total;
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -86,6 +86,9 @@
   time_point mUnansweredAt{};
   /// Time of the first start order.
   time_point mFirstOrderAt{};
+  /// Whether the run resumes from a checkpoint, and whether it has been counted as slow.
+  bool mIsResumed = false;
+  bool mIsSlow = false;
   time_point mNextTry{};
   /// Replies to heartbeats sent from this time on list the run unless it has ended.
   time_point mMustBeListedFrom = time_point::max();
@@ -196,6 +199,10 @@
   resources mUsed;
   /// The target gets no new tasks before this time, after failures attributed to it.
   time_point mAvoidUntil{};
+  /// The same, because runs there are slow.
+  time_point mSlowUntil{};
+  /// Time at which it was heard of again after missed heartbeats.
+  time_point mHeardAgainAt{};
   std::uint32_t mConsecutiveFailures = 0;
   /// Number of times in a row that the target has rejected starts.
   std::uint32_t mRejectedStarts = 0;
