Look at open runs only once they can be slow; guard against silent targets by a busy one

Cause: every open run was predicted anew each 100 ms, on an owner whose event loop is full under overload; and the test of silent targets chose targets without runs, so that it passed without the rule that it guards. Change: the time from which a run counts as slow is kept with the run; the test silences a target that runs an urgent task.

--- a/scheduler/src/owner_run_times.cpp
+++ b/scheduler/src/owner_run_times.cpp
@@ -17,7 +17,7 @@
 /// Lateness of a tick from which open runs are not counted: as much as run_times::slowAfter()
 /// allows for orders and reports.
 constexpr auto kMaxTickDelay = std::chrono::milliseconds(300);
-/// Interval at which open runs are looked through; at 3,500 runs this takes about 1 ms.
+/// Interval at which open runs are looked through.
 constexpr auto kCheckInterval = std::chrono::milliseconds(100);
 /// Largest part of a pool's CPU that gets no new tasks because its targets are slow, as a divisor.
 constexpr std::int64_t kMaxExcludedPart = 5;
@@ -144,17 +144,23 @@
   mLearning->mNextCheck = aNow + kCheckInterval;
   for (auto& [id, target] : mTargets) {
     for (auto& [task, run] : target.mRuns) {
-      if (run.mEnded || !run.mHasBegun || run.mPhase != run_phase::confirmed) {
+      if (run.mPhase != run_phase::confirmed || !run.mHasBegun || run.mEnded) {
         continue;
       }
+      if (run.mSlowAt == time_point{}) {
+        const auto time = measure(target, task, run, aNow);
+        const bool counts = time && !time->mJob->mSteps[task.mStep.mStep].mGang;
+        run.mSlowAt =
+          counts ? run.mFirstOrderAt + run_times::slowAfter(time->mPredicted) : time_point::max();
+      }
       // Known to be open as of the last reply: the target may be silent since.
-      const auto time = measure(target, task, run, target.mLastReply);
-      if (!time || time->mJob->mSteps[task.mStep.mStep].mGang) {
+      if (run.mSlowAt >= target.mLastReply) {
         continue;
       }
-      if (run.mIsSlow) {
+      const auto time = measure(target, task, run, target.mLastReply);
+      if (time && run.mIsSlow) {
         mLearning->mSlow.onStillSlow(target.mNumber, time->ratio(), true, aNow);
-      } else if (time->mTime > run_times::slowAfter(time->mPredicted)) {
+      } else if (time && time->mTime > run_times::slowAfter(time->mPredicted)) {
         countSlowRun(target, task, run, *time, aNow);
       }
     }
@@ -218,6 +224,9 @@
 void owner::impl::excludeSlowTargets(time_point aNow)
 {
   const auto marks = mLearning->mSlow.marks(aNow);
+  if (marks.empty() && mLearning->mExcluded == 0) {
+    return;
+  }
   mLearning->mExcluded = 0;
   std::map<std::string, std::int64_t> left;
   for (auto* target : mTargetsByNumber) {
--- a/scheduler/src/target_state.h
+++ b/scheduler/src/target_state.h
@@ -89,6 +89,9 @@
   /// Whether the run resumes from a checkpoint, and whether it has been counted as slow.
   bool mIsResumed = false;
   bool mIsSlow = false;
+  /// Time from which it counts as slow while it is open; time_point::max() if it does not, and
+  /// time_point{} as long as that is not known.
+  time_point mSlowAt{};
   time_point mNextTry{};
   /// Replies to heartbeats sent from this time on list the run unless it has ended.
   time_point mMustBeListedFrom = time_point::max();
--- a/tests/scheduler/learned_run_times_test.cpp
+++ b/tests/scheduler/learned_run_times_test.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds kSlowTime{ 6500 };
 /// Time in which slow runs of urgent tasks are detected.
 constexpr milliseconds kKnownAfter{ 3000 };
-constexpr double kTargetCpu = 16'000;
 
 } // namespace
 
@@ -57,27 +56,14 @@
   /// Ends of the runs that were seen at a target, by its id, task and run.
   std::map<std::tuple<std::string, task_key, std::uint32_t>, time_point> dueEnds;
 
-  const arrivals urgent{ .mRoute = "urgent",
-                         .mTeam = "blue",
-                         .mPerSecond = 20,
-                         .mTasks = 3,
-                         .mWorkMs = 800,
-                         .mCpuMilli = 2500,
-                         .mError = 0.2 };
-  const arrivals batch{ .mRoute = "batch",
-                        .mTeam = "red",
-                        .mPerSecond = 1.6,
-                        .mTasks = 15,
-                        .mWorkMs = 3400,
-                        .mCpuMilli = 1700,
-                        .mError = 0.5,
-                        .mCheckpointing = true };
+  const arrivals urgent{ "urgent", "blue", 20, 3, 800, 2500, 0.2 };
+  const arrivals batch{ "batch", "red", 1.6, 15, 3400, 1700, 0.5, 1, true };
 
   void setup() override
   {
     cell.mOptions.mLearnRunTimes = true;
     for (int at = 0; at < 28; ++at) {
-      cell.addTarget("t" + std::to_string(at), static_cast<std::int64_t>(kTargetCpu), 64'000);
+      cell.addTarget("t" + std::to_string(at), 16'000, 64'000);
     }
     cell.startNextOwner();
     cell.run(milliseconds(500));
@@ -271,8 +257,11 @@
 TEST(learned_run_times, runsOfSilentTargetsAreNotCounted)
 {
   play({ urgent, batch }, seconds(8));
-  cell.target("t3").mLosesHeartbeatsUntil = cell.mNow + milliseconds(3000);
-  cell.target("t4").mLosesHeartbeatsUntil = cell.mNow + milliseconds(3000);
+  const auto urgentJob = submit(urgent);
+  run(milliseconds(200));
+  const auto silent = cell.targetRunning(urgentJob);
+  CHECK_FALSE(silent.empty());
+  cell.target(silent).mLosesHeartbeatsUntil = cell.mNow + milliseconds(3500);
   play({ urgent, batch }, seconds(6));
   CHECK_EQUAL(0, count("target_slow"));
   checkStarts();
