Count slow runs beside fast ones as outliers of their team

Change: a slow run is an outlier at once if a fast run has begun on its target in the second half of its time, and later if a fast one ends before the target is marked.

--- a/scheduler/src/owner_run_times.cpp
+++ b/scheduler/src/owner_run_times.cpp
@@ -112,7 +112,7 @@
   aRun.mIsSlow = true;
   const auto& job = *aTime.mJob;
   mLearning->mTimes.onSlow(job.mRoute, job.mTeam, aNow);
-  const auto mark = mLearning->mSlow.onSlow(
+  const auto judged = mLearning->mSlow.onSlow(
     aTarget.mNumber, { .mTask = aTask,
                        .mRoute = job.mRoute,
                        .mTeam = job.mTeam,
@@ -120,6 +120,10 @@
                        .mAt = aNow,
                        .mWeight = mLearning->mTimes.evidenceWeight(job.mRoute, job.mTeam, aNow),
                        .mRatio = aTime.ratio() });
+  if (judged.mIsOutlier) {
+    mLearning->mTimes.onOutlier(job.mRoute, job.mTeam, aNow);
+  }
+  const auto& mark = judged.mMark;
   if (!mark) {
     return;
   }
--- a/scheduler/src/slow_targets.cpp
+++ b/scheduler/src/slow_targets.cpp
@@ -23,14 +23,18 @@
 
 } // namespace
 
-std::optional<slow_mark> slow_targets::onSlow(target_number aTarget, slow_run aRun)
+slow_targets::judgement slow_targets::onSlow(target_number aTarget, slow_run aRun)
 {
   if (aRun.mWeight <= 0) {
-    return std::nullopt;
+    return {};
   }
   const auto now = aRun.mAt;
   const auto start = aRun.mStart;
   auto& of = mTargets[aTarget];
+  // In the first half of its time the target may not have been slow yet.
+  if (of.mFastStart >= start + (now - start) / 2) {
+    return { .mIsOutlier = true };
+  }
   std::erase_if(of.mEvidence, [&aRun](const slow_run& aOne) { return aOne.mTask == aRun.mTask; });
   if (of.mEvidence.size() >= kMaxEvidence) {
     of.mEvidence.erase(of.mEvidence.begin());
@@ -48,7 +52,7 @@
     }
   }
   if (sum < kEnough) {
-    return std::nullopt;
+    return {};
   }
   const bool isLater = of.mMark && start >= of.mPeriodSince;
   const bool isNew = !of.mMark;
@@ -63,7 +67,7 @@
   of.mMark->mRatio = std::max(of.mMark->mRatio, ratio);
   of.mMark->mRuns = runs;
   of.mMark->mHasChanged = isNew || isLater;
-  return of.mMark;
+  return { .mMark = of.mMark };
 }
 
 void slow_targets::onStillSlow(target_number aTarget, double aRatio, bool aIsOpen, time_point aNow)
@@ -83,17 +87,17 @@
                                              time_point aNow)
 {
   clearance result;
-  const auto found = mTargets.find(aTarget);
-  if (found == mTargets.end()) {
-    return result;
-  }
-  result.mWasMarked = found->second.mMark.has_value();
-  for (auto& one : found->second.mEvidence) {
-    if (ranBeside(one, aStart, aNow)) {
+  auto& of = mTargets[aTarget];
+  result.mWasMarked = of.mMark.has_value();
+  for (auto& one : of.mEvidence) {
+    if (!of.mMark || ranBeside(one, aStart, aNow)) {
       result.mOutliers.push_back(std::move(one));
     }
   }
-  mTargets.erase(found);
+  of.mEvidence.clear();
+  of.mMark.reset();
+  of.mFastStart = std::max(of.mFastStart, aStart);
+  of.mFastEnd = aNow;
   return result;
 }
 
@@ -111,7 +115,8 @@
     };
     std::ranges::copy_if(of.mEvidence, std::back_inserter(outliers), isOld);
     std::erase_if(of.mEvidence, isOld);
-    at = !of.mMark && of.mEvidence.empty() ? mTargets.erase(at) : std::next(at);
+    const bool isOver = !of.mMark && of.mEvidence.empty() && of.mFastEnd + kEvidencePeriod < aNow;
+    at = isOver ? mTargets.erase(at) : std::next(at);
   }
   return outliers;
 }
--- a/scheduler/src/slow_targets.h
+++ b/scheduler/src/slow_targets.h
@@ -59,15 +59,23 @@
   /// Largest number of slow runs that are kept for a target.
   static constexpr std::size_t kMaxEvidence = 8;
 
-  /// Counts a slow run. Returns the mark if the target is slow by it.
-  std::optional<slow_mark> onSlow(target_number aTarget, slow_run aRun);
+  struct judgement
+  {
+    /// Set if the target is slow by the run.
+    std::optional<slow_mark> mMark;
+    /// Whether the target does not explain the run: one that was fast has begun later there.
+    bool mIsOutlier = false;
+  };
+  /// Counts a slow run.
+  judgement onSlow(target_number aTarget, slow_run aRun);
   /// Counts a run again that has been counted as slow before: it is still open, or ends now. As
   /// long as it is open, the target gets no new tasks.
   void onStillSlow(target_number aTarget, double aRatio, bool aIsOpen, time_point aNow);
   struct clearance
   {
     bool mWasMarked = false;
-    /// Slow runs beside which the run that ended was fast: the target does not explain them.
+    /// Slow runs that the target does not explain: it was not slow by them, or the run that ended
+    /// was fast beside them.
     std::vector<slow_run> mOutliers;
   };
   /// Counts a run that has ended within its predicted time.
@@ -87,6 +95,9 @@
     std::optional<slow_mark> mMark;
     /// Time at which the period was set: runs that have started later are later runs.
     time_point mPeriodSince{};
+    /// Latest start of a run that was fast, and the time of its end.
+    time_point mFastStart{};
+    time_point mFastEnd{};
   };
 
   std::map<target_number, history> mTargets;
