--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -371,7 +371,9 @@
                               .mMinEntryLapse = kMinSilentIntervals * mSettings.mRegistryInterval,
                               .mClock = &mClock,
                               .mPastUseHalfLife = mSettings.mPastUseHalfLife,
-                              .mOrderByShare = mSettings.mOrderByShare },
+                              .mOrderByShare = mSettings.mOrderByShare,
+                              .mLearnRunTimes = mSettings.mLearnRunTimes,
+                              .mAvoidSlowTargets = mSettings.mAvoidSlowTargets },
     epoch, now);
   mPaused = false;
   mOwnerConfig.reset();
--- a/scheduler/include/endiveusher/scheduler/placement_explanation.h
+++ b/scheduler/include/endiveusher/scheduler/placement_explanation.h
@@ -26,12 +26,14 @@
   draining,
   /// Excluded for a while after failures that are attributed to the target.
   avoided,
+  /// Excluded for a while because runs there are slow.
+  slow,
   closed_zone,
   no_room,
   isolation,
   fits,
 };
-inline constexpr std::size_t kTargetFits = 9;
+inline constexpr std::size_t kTargetFits = 10;
 
 std::string_view toText(target_fit aFit);
 
--- a/scheduler/src/owner_explain.cpp
+++ b/scheduler/src/owner_explain.cpp
@@ -37,6 +37,8 @@
       return "draining";
     case target_fit::avoided:
       return "avoided";
+    case target_fit::slow:
+      return "slow";
     case target_fit::closed_zone:
       return "closed_zone";
     case target_fit::no_room:
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -10,6 +10,7 @@
 #include "past_use.h"
 #include "record_batch.h"
 #include "room_index.h"
+#include "slow_targets.h"
 #include "target_state.h"
 #include "waiting_step.h"
 
@@ -123,7 +124,6 @@
   internal::team_state& teamOf(const std::string& aName);
   /// Whether waiting steps are ordered by their teams' use.
   bool ordersByUse() const { return mPastUse || mOptions.mOrderByShare; }
-  static double weightOf(const internal::team_state& aTeam);
   /// Returns the capacity of all usable targets.
   resources usableCapacity(time_point aNow) const;
   /// Counts the teams' past use and stores it from time to time.
@@ -234,6 +234,26 @@
   /// aNeeds, so that steps do not depend on this target.
   bool isReplaceable(const target_state& aTarget, const resources& aNeeds, time_point aNow) const;
   void updateTargetHealth(target_state& aTarget, const ended_run& aEnd, time_point aNow);
+
+  // Learned run times and slow targets.
+  /// Returns what deadlines and ranks are computed with; nullptr for the callers' estimates.
+  const internal::run_times* predictions() const;
+  /// Has no open run counted if this daemon has just been paused.
+  void notePause(time_point aNow);
+  /// Returns what is known of the run's time, aNow being the time of its end or the last at which
+  /// it was open; absent if it does not tell about estimates and targets.
+  std::optional<internal::run_measurement> measure(const target_state& aTarget,
+                                                   const task_key& aTask, const allocated_run& aRun,
+                                                   time_point aNow) const;
+  /// Counts a run that its target has reported as done.
+  void countRunTime(target_state& aTarget, const task_key& aTask, time_point aNow);
+  void countSlowRun(target_state& aTarget, const task_key& aTask, allocated_run& aRun,
+                    const internal::run_measurement& aTime, time_point aNow);
+  /// Counts open runs that are slow by now, and decides which targets get no new tasks.
+  void updateSlowTargets(time_point aNow);
+  void excludeSlowTargets(time_point aNow);
+  /// Stops runs on slow targets that end sooner elsewhere.
+  void moveFromSlowTargets(time_point aNow);
   /// Returns the longest lease that the target may hold, from now on, by orders of former owners or
   /// to former incarnations.
   /// @param aIncarnationStart incarnation that has replied
@@ -497,6 +517,8 @@
   time_point mNextUseRecord{};
   /// See owner_counts::mDelayedSteps.
   std::size_t mDelayedSteps = 0;
+  /// Absent without owner_options::mLearnRunTimes and mAvoidSlowTargets.
+  std::unique_ptr<internal::run_time_learning> mLearning;
   /// Jobs with occurrences that are not open yet.
   std::set<job_id> mRecurringJobs;
   std::unordered_map<job_id, time_point> mSubmittedAt;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -69,6 +69,9 @@
   if (aTarget.mAvoidUntil > aNow) {
     return target_fit::avoided;
   }
+  if (aTarget.mSlowUntil > aNow) {
+    return target_fit::slow;
+  }
   return mClosedZones.contains(aTarget.mEntry.mZone) ? target_fit::closed_zone : target_fit::fits;
 }
 
