--- a/tests/platform_soak/journal_model.py
+++ b/tests/platform_soak/journal_model.py
@@ -7,12 +7,15 @@
 import time
 
 SUBMITTED, CANCELLED, STARTED, ENDED, ABANDONED, SNAPSHOT, ACQUIRED = range(1, 8)
+TEAM_USE = 9
 ACTIVE, COMPLETED, FAILED, PHASE_CANCELLED = range(4)
 RUN_DONE, RUN_FAILED = range(2)
 # Kind of the header of a part of a snapshot.
 PART_HEADER = 101
 # bounds.status_s of the daemons: a job may be dropped that ended longer ago.
 STATUS_RETENTION_S = 120
+# Half-life of the teams' past use in the daemons' options, and tolerance in a total: it is a float.
+USE_HALF_LIFE_S, USE_TOLERANCE = 10, 1e-3
 # Formats of numbers, and of the lengths of strings and containers, by type byte.
 NUMBERS = {0xCA: ">f", 0xCB: ">d", 0xCC: ">B", 0xCD: ">H", 0xCE: ">I", 0xCF: ">Q",
            0xD0: ">b", 0xD1: ">h", 0xD2: ">i", 0xD3: ">q"}
@@ -142,6 +145,7 @@
         self.jobs = {}
         self.epochs = {}
         self.targets = {}  # Of each start that was stored, by job, task and run.
+        self.use = None  # Time, and past use of each team.
 
     def apply(self, record):
         self.position += 1
@@ -156,6 +160,8 @@
             self.jobs.setdefault(record[1], JobState.unknown(record[1])).finish(PHASE_CANCELLED)
         elif kind == ACQUIRED:
             self.epochs[record[1]] = max(record[2], self.epochs.get(record[1], 0))
+        elif kind == TEAM_USE:
+            self.use = record[1:]
         elif kind == ABANDONED and record[1] in self.jobs:
             self.jobs[record[1]].finish(FAILED)
         elif kind in (STARTED, ENDED) and record[1] in self.jobs:
@@ -222,6 +228,22 @@
             yield f"{key} run {task.run} is open on {task.target.decode()}, which has no such start"
 
 
+def use_differences(before, now):
+    """Compares two records of the teams' use that follow each other, also of two owners.
+
+    Yields what differs by more than the time between them explains: use decays, and grows by at most
+    the whole cell."""
+    (before_ms, before_teams), (now_ms, now_teams) = before, now
+    passed_s = (now_ms - before_ms) / 1000
+    old, new = dict(before_teams), dict(now_teams)
+    for team in sorted(old.keys() | new.keys()):
+        decayed = old.get(team, 0.0) * 0.5 ** (passed_s / USE_HALF_LIFE_S)
+        least, most = decayed - USE_TOLERANCE, decayed + passed_s + USE_TOLERANCE
+        if not least <= new.get(team, 0.0) <= most:
+            yield (f"team {team.decode()} has used {new.get(team, 0.0):.4f}, not from "
+                   f"{least:.4f} to {most:.4f}, {passed_s:.1f} s after {old.get(team, 0.0):.4f}")
+
+
 class JournalModel:
     """Keeps the whole journal, and reports snapshots and trims that do not agree with it.
 
@@ -245,6 +267,9 @@
                 self._report(f"journal record {len(self._records)} cannot be decoded: {error}")
                 record = None
             self._records.append(record)
+            if record is not None and record[0] == TEAM_USE and self._now.use is not None:
+                for difference in use_differences(self._now.use, record[1:]):
+                    self._report(f"journal record {len(self._records) - 1}: {difference}")
             self._now.apply(record)
 
     def has_start(self, task, run, target):
@@ -253,6 +278,10 @@
         stored = self._now.targets.get((int(job, 16), tuple(map(int, key)), run))
         return stored == target.encode()
 
+    def use(self):
+        """Returns the time, and past use of each team, of the last record; None without one."""
+        return self._now.use
+
     def append_snapshot(self, records, offset):
         """Adds records of the snapshot topic that one append has stored at the offset."""
         try:
@@ -290,6 +319,9 @@
         for record in self._records[self._base.position : base]:
             self._base.apply(record)
         snapshot = read_snapshot(records)
+        uses = [one[1:] for one in self._records[base:] if one and one[0] == TEAM_USE]
+        if snapshot.use not in [self._base.use, *uses]:
+            self._report(f"snapshot of base {base}: use of teams {snapshot.use} is not stored")
         for name in sorted(snapshot.jobs.keys() | self._base.jobs.keys()):
             for difference in self._job_differences(name, snapshot):
                 self._report(f"snapshot of base {base}: job {name:016x}: {difference}")
--- a/tests/platform_soak/soak.py
+++ b/tests/platform_soak/soak.py
@@ -16,6 +16,9 @@
 
 from cell import Cell, TARGET_CPU_MILLI, ZONES
 from checker import CANCEL_LIMIT_S, CONTACT_S, STOP_LIMIT_S
+from crowd import Crowd, post
+from journal_model import USE_HALF_LIFE_S, use_differences
+from programs import wait_until
 
 # Time limit after the last fault for all accepted jobs to end.
 SETTLE_S = 40.0
@@ -25,12 +28,20 @@
     "reload", "store_late", "target_shrinks", "target_answer_reset", "target_late",
     "target_late_any", "target_rejects", "journal_reads", "journal_appends", "journal_blind",
     "operator_reads", "registry_reads", "gang_fails", "target_recut",
-    "zones_cut",
+    "zones_cut", "hostile_callers", "past_use",
 }
 # Kinds in whose runs a job has few attempts, and in whose runs the longest lease
 # (bounds.hold_max_ms) exceeds the owner's of 7 s (kLease in node/src/cell_node_owner.cpp).
 FEW_ATTEMPTS, MAX_ATTEMPTS = {"gang_fails"}, 3
 LONG_HOLD, HOLD_MAX_MS = {"target_recut"}, 10000
+# Kinds in whose runs the daemons have small limits, and the memory that each may use.
+SMALL_LIMITS, MEMORY_MB = {"hostile_callers"}, 48
+SMALL_SETTINGS = f"limits.memory_mb={MEMORY_MB}\nlimits.max_fds=400\n"
+# Connections of a crowd of callers, fewer than a daemon accepts beside the ordinary ones.
+CROWD = 100
+# Kinds in whose runs waiting steps are ordered by the teams' use.
+BY_USE = {"past_use"}
+USE_ARGUMENTS = ("--past-use-half-life", str(USE_HALF_LIFE_S), "--share-order")
 # Kinds beside which the bounds hold that are counted without a fault.
 CALM = {"evacuate", "revoke", "quota", "target_drains"}
 # Share of the faults of one daemon's requests to the store that hit the owner.
@@ -96,6 +107,54 @@
     return Fault(1.5 + ZONE_CUTS * ZONE_CUT_S, begin, if_active(heal), steps)
 
 
+def hostile_callers(cell):
+    """A crowd of callers announces bodies over the limit and sends them, leaves bodies within the
+    limit incomplete, or says nothing, at one address of a daemon. The daemon stays within its
+    memory and does not end."""
+    rng = cell.random
+    daemon = rng.choice(cell.daemons)
+    address = rng.choice([daemon.address, daemon.readiness_address, daemon.peer_address])
+    key = rng.choice([None, "kred"])
+    data = rng.choice([
+        post(1 << 20, key) + b"x" * (1 << 20), post(262144, key) + b"x" * 200_000, b"",
+    ])
+    crowd = []
+
+    def send():
+        crowd[0].send(data)
+
+    def apply():
+        crowd.append(Crowd(address, CROWD))
+        crowd.append(threading.Thread(target=send))
+        crowd[1].start()
+
+    def heal():
+        crowd[1].join()
+        crowd[0].close()
+        if not daemon.process.running():
+            cell.checker.report_violation(f"{daemon.name} has ended")
+        elif daemon.process.peak_mb() >= MEMORY_MB:
+            cell.checker.report_violation(
+                f"{daemon.name} has used {daemon.process.peak_mb():.0f} MB of {MEMORY_MB}"
+            )
+
+    return Fault(rng.uniform(1, 4), apply, heal)
+
+
+def owner_change(cell):
+    """The owner is killed or stopped, once it has stored a record of the teams' use, which it does
+    after 10 s."""
+    number = cell.random.choice([signal.SIGKILL, signal.SIGTERM])
+
+    def apply():
+        owners, use = cell.owners(), cell.store.use()
+        if owners and use is not None and use[0] > max(owners):
+            cell.checker.note(f"owner {owners[max(owners)].name} gets signal {number}")
+            owners[max(owners)].restart(number)
+
+    return Fault(0, apply)
+
+
 class Recut:
     """The targets of a zone restart under their ids after a short time dark, take heartbeats that
     were meant for their former incarnations, and are cut off soon after for longer than the longest
@@ -318,6 +377,8 @@
         "gang_fails": lambda: toggled(cell.gangs, rng.uniform(1, 4), failing=True),
         "target_recut": lambda: Recut(cell).fault(),
         "zones_cut": lambda: zones_cut(cell),
+        "hostile_callers": lambda: hostile_callers(cell),
+        "past_use": lambda: owner_change(cell),
         "target_shrinks": shrink,
         "target_drains": lambda: toggled(target(), seconds(), draining=True),
         "evacuate": evacuate,
@@ -391,18 +452,40 @@
     cell.checker.finish()
 
 
+def check_use(cell):
+    """Compares the use of the teams that the owner counts with the last record of it, which another
+    owner may have stored."""
+    def counted():
+        owner, before = cell.owner(), cell.store.use()
+        teams = owner.team_use()
+        is_last = owner is cell.owner() and before == cell.store.use()
+        # An owner that has just begun has not read the record yet.
+        is_read = before is not None and len(teams) == len(before[1]) and all(
+            use > 0 for _, use in teams
+        )
+        return (before, [time.time() * 1000, teams]) if is_last and is_read else None
+
+    before, now = wait_until(counted, "the owner shows the use of the teams")
+    for difference in use_differences(before, now):
+        cell.checker.report_violation(f"owner {cell.owner().name}: {difference}")
+
+
 def run(seed, seconds, names):
     """Returns the violations of a run and where its logs are, as lines; none if there are none."""
     cell = Cell(
         seed,
         max_attempts=MAX_ATTEMPTS if FEW_ATTEMPTS & set(names) else 50,
         hold_max_ms=HOLD_MAX_MS if LONG_HOLD & set(names) else 6000,
+        settings=SMALL_SETTINGS if SMALL_LIMITS & set(names) else "",
+        arguments=USE_ARGUMENTS if BY_USE & set(names) else (),
     )
     try:
         cell.wait_until_ready()
         cell.start_clients(CLIENTS)
         applied = inject_faults(cell, seconds, names)
         cell.stop_clients()
+        if BY_USE & set(names):
+            check_use(cell)
         settle(cell)
     finally:
         cell.close()
--- a/tests/platform_soak/store.py
+++ b/tests/platform_soak/store.py
@@ -68,6 +68,11 @@
         with self._lock:
             return self._model.has_start(task, run, target)
 
+    def use(self):
+        """Returns the last record of the teams' use: its time in ms, and the use of each team."""
+        with self._lock:
+            return self._model.use()
+
     def snapshots(self):
         """Returns the number of snapshots that were compared with the journal."""
         return self._model.snapshots
--- a/tests/process/programs.py
+++ b/tests/process/programs.py
@@ -107,8 +107,15 @@
 
     def resident_mb(self):
         """Returns the resident memory in MB."""
+        return self._status_mb("VmRSS:")
+
+    def peak_mb(self):
+        """Returns the largest resident memory since the start in MB."""
+        return self._status_mb("VmHWM:")
+
+    def _status_mb(self, field):
         for line in pathlib.Path(f"/proc/{self.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith(field):
                 return int(line.split()[1]) / 1024
         raise AssertionError(f"{self.name} is not running")
 
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -61,6 +61,10 @@
 ZONES_CUT = ["zones_cut"]
 ZONES_CUT_SEEDS = [9541]
 ZONES_CUT_RUN_S = 30  # A task meets three cuts.
+HOSTILE_CALLERS = ["hostile_callers"]
+HOSTILE_CALLERS_SEEDS = [9601]
+PAST_USE = ["past_use"]
+PAST_USE_SEEDS = [9701]
 
 
 class PlatformSoak(unittest.TestCase):
@@ -100,6 +104,14 @@
         for seed in ZONES_CUT_SEEDS:
             self.check_run(seed, ZONES_CUT_RUN_S, ZONES_CUT)
 
+    def test_short_runs_with_hostile_callers_violate_no_guarantee(self):
+        for seed in HOSTILE_CALLERS_SEEDS:
+            self.check_run(seed, RUN_S, HOSTILE_CALLERS)
+
+    def test_short_runs_by_past_use_with_changes_of_the_owner_violate_no_guarantee(self):
+        for seed in PAST_USE_SEEDS:
+            self.check_run(seed, RUN_S, PAST_USE)
+
 
 class SoakChecker(unittest.TestCase):
     """Guards against a checker that misses violations: each kind must be reported."""
@@ -445,6 +457,8 @@
         return b"\xc3" if value else b"\xc2"
     if isinstance(value, int):
         return struct.pack(">BQ", 0xCF, value)
+    if isinstance(value, float):
+        return struct.pack(">Bd", 0xCB, value)
     return struct.pack(">BI", 0xDB, len(value)) + value.encode()
 
 
@@ -465,6 +479,10 @@
     return [journal_model.ENDED, 1, 0, 0, index, run, outcome, ""]
 
 
+def use(at_s, **teams):
+    return [journal_model.TEAM_USE, at_s * 1000, [[name, teams[name]] for name in teams]]
+
+
 def job(*tasks, phase=journal_model.ACTIVE, gang=False, failed_runs=0, last_failed=0):
     """A job with one step in a snapshot; a task is run, failures, done, and the target if open."""
     rows = [[run, failures, done, "", *([target[0], 1000] if target else [])]
@@ -571,6 +589,27 @@
         self.compare(job((1, 0, True), (2, 1, False, "t1")))
         self.assert_reports("(0, 0, 1) run 2 is open on t1, which has no such start")
 
+    def test_use_of_teams_that_decays_and_grows_is_clean(self):
+        self.append(use(0, red=4), use(10, red=2, blue=9.9), use(20, blue=4.95))
+        self.assertIn("red has used 0.0000, not from 0.999", self.reports.pop())
+        self.assertEqual([], self.reports)
+
+    def test_use_of_teams_that_is_lost_with_an_owner(self):
+        self.append(use(0, red=4), use(1, red=0.5))
+        self.assert_reports("red has used 0.5000")
+
+    def test_use_of_teams_that_exceeds_the_whole_cell(self):
+        self.append(use(0, red=4), use(1, red=5.1))
+        self.assert_reports("red has used 5.1000")
+
+    def test_a_snapshot_with_other_use_of_teams(self):
+        self.append(use(0, red=4), use(10, red=2))
+        self.part([use(10, red=2)], base=0)
+        self.part([use(0, red=4)], base=1)
+        self.assertEqual([], self.reports)
+        self.part([use(0, red=4)], base=2)
+        self.assert_reports("snapshot of base 2: use of teams")
+
     def test_a_missing_job(self):
         self.compare()
         self.assert_reports("job 0000000000000001: missing")
