Limit reservations of gangs by the dominant resource of the pool

Cause: found in review: the limit of 0.4 counted CPU only, and of the whole cell, so that gangs could hold all memory or a small pool as a whole, also against urgent steps. A reservation dropped at the team's limit was made again in the next pass. Change: what lasting reservations need is summed up by pool and compared with the pool's capacity in each resource; the pause after a dropped reservation also holds at the team's limit.

--- a/scheduler/src/owner_gangs.cpp
+++ b/scheduler/src/owner_gangs.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// Fraction of all CPU that may be reserved for waiting gangs.
+/// Fraction of all CPU, and of each resource of a pool, that may be reserved for waiting gangs.
 constexpr double kMaxReservedFraction = 0.4;
 /// Time after which a reservation is dropped: stops at its targets, one call for advice about them
 /// and a repetition of it are over by then.
@@ -101,7 +101,10 @@
   }
   updateTeamHold(aStep, aNow);
   if (teamSlots(aStep) < aStep.mPending.size()) {
-    aStep.mReservation.reset();
+    if (aStep.mReservation) {
+      aStep.mReservation.reset();
+      aStep.mNextReservation = aNow + kDroppedReservationPause;
+    }
     reserveTeamLimit(aStep, aNow);
     return;
   }
@@ -257,7 +260,9 @@
       step.mReservation.reset();
       continue;
     }
-    mReservedCpuMilli += static_cast<std::int64_t>(step.mPending.size()) * step.mNeeds.mCpuMilli;
+    const auto needs = times(step.mNeeds, static_cast<std::uint32_t>(step.mPending.size()));
+    mReservedCpuMilli += needs.mCpuMilli;
+    mReservedInPools[step.mRoute.mPool] += needs;
     withhold(step, aCandidates);
   }
 }
@@ -310,6 +315,17 @@
   return targets;
 }
 
+resources owner::impl::poolCapacity(const waiting_step& aStep,
+                                    std::span<const candidate_target> aCandidates) const
+{
+  resources total;
+  for (const auto position : groupOf(aStep, aCandidates).positions()) {
+    total += aCandidates[position].mTarget->mEntry.mCapacity;
+  }
+  total.mSlots = 0;
+  return total;
+}
+
 void owner::impl::freeFor(const waiting_step& aStep, const reservable_target& aTarget,
                           std::uint32_t aSlots, time_point aNow)
 {
@@ -336,9 +352,15 @@
   }
   aStep.mNextReservation = aNow + kFutileReservationPause;
   auto left = static_cast<std::uint32_t>(aStep.mPending.size());
+  const auto targets = reservableTargets(aStep, aCandidates, aNow);
+  const auto reserved = mReservedInPools[aStep.mRoute.mPool] + times(aStep.mNeeds, left);
+  if (targets.empty() ||
+      dominantShare(reserved, poolCapacity(aStep, aCandidates)) > kMaxReservedFraction) {
+    return;
+  }
   internal::gang_reservation reservation{ .mSince = aNow };
   std::size_t stops = 0;
-  for (const auto& one : reservableTargets(aStep, aCandidates, aNow)) {
+  for (const auto& one : targets) {
     const auto slots = std::min(left, one.mSlots);
     if (slots == 0) {
       continue;
@@ -348,10 +370,8 @@
     reservation.mParts.push_back({ .mTarget = one.mCandidate->mTarget->mNumber, .mSlots = slots });
     left -= slots;
   }
-  if (reservation.mParts.empty()) {
-    return;
-  }
   mReservedCpuMilli += static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
+  mReservedInPools[aStep.mRoute.mPool] = reserved;
   mPort.logDecision("gang_reserved",
                     fmt::format("step={} tasks={} targets={} stops_at={} waited_ms={}",
                                 toText(aStep.mKey), aStep.mPending.size(),
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -408,6 +408,9 @@
   std::vector<reservable_target> reservableTargets(const waiting_step& aStep,
                                                    std::vector<candidate_target>& aCandidates,
                                                    time_point aNow) const;
+  /// Returns the capacity of the candidates in the step's pool and with its label.
+  resources poolCapacity(const waiting_step& aStep,
+                         std::span<const candidate_target> aCandidates) const;
   /// Stops runs so that the gang can use aSlots slots at the target.
   void freeFor(const waiting_step& aStep, const reservable_target& aTarget, std::uint32_t aSlots,
                time_point aNow);
@@ -547,6 +550,8 @@
   time_point mLastFlush{};
   /// CPU reserved for waiting gangs, and claimed by steps that ask for advice, in the current pass.
   std::int64_t mReservedCpuMilli = 0;
+  /// What gangs with reservations that last over several passes need, by pool.
+  std::map<std::string, resources> mReservedInPools;
   std::int64_t mClaimedCpuMilli = 0;
   /// Of the step whose turn it is.
   std::vector<withheld_room> mGangReservations;
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -300,6 +300,7 @@
   mAdmission.setWaiting(std::move(waiting));
   const auto order = stepsInOrder(aNow);
   mReservedCpuMilli = 0;
+  mReservedInPools.clear();
   mClaimedCpuMilli = 0;
   withholdReservations(candidates, aNow);
   mLastPass.mSteps = order.size();
--- a/tests/scheduler/gang_reservation_test.cpp
+++ b/tests/scheduler/gang_reservation_test.cpp
@@ -93,6 +93,20 @@
   }
 };
 
+// Guards against gangs whose reservations hold all memory, or all of a small pool: the limit was of
+// the CPU of the whole cell.
+TEST(gang_reservation, reservationsAreLimitedByTheDominantResourceOfThePool)
+{
+  submitBatch(90);
+  cell.run(milliseconds(500));
+  const step_spec wideInMemory{ .mCount = 7,
+                                .mNeeds = { .mCpuMilli = 100, .mMemoryMb = 50000 },
+                                .mEstimate = milliseconds(3000),
+                                .mGang = true };
+  cell.submit(std::vector<step_spec>{ wideInMemory }, "blue", "gang");
+  CHECK(!untilReserved());
+}
+
 // Guards against gangs that start only when they are about to be late: until then small tasks take
 // each part that becomes free.
 TEST(gang_reservation, aGangStartsInAFullCellLongBeforeItIsLate)
