--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -189,7 +189,7 @@
     if (aQueried.size() >= aMost) {
       return;
     }
-    const auto position = mCandidatePositions[number];
+    const auto position = mPass.mCandidatePositions[number];
     if (position && !withRoom.contains(number) && allowed(aStep, *mTargetsByNumber[number], aNow) &&
         aStep.mAdvice.validTicket(number, aNow + kTicketRenewalMargin) == nullptr) {
       aQueried.push_back(number);
--- a/scheduler/src/owner_explain.cpp
+++ b/scheduler/src/owner_explain.cpp
@@ -58,14 +58,7 @@
 {
 public:
   trial_pass(impl& aOwner, time_point aNow)
-    : mOwner(aOwner), mNow(aNow), mRoom(std::exchange(aOwner.mRoom, {})),
-      mPositions(std::exchange(aOwner.mCandidatePositions, {})),
-      mGangReservations(std::exchange(aOwner.mGangReservations, {})),
-      mCapacityIsBeingFreed(aOwner.mCapacityIsBeingFreed),
-      mCandidateCpuMilli(aOwner.mCandidateCpuMilli),
-      mReservedCpuMilli(std::exchange(aOwner.mReservedCpuMilli, 0)),
-      mClaimedCpuMilli(std::exchange(aOwner.mClaimedCpuMilli, 0)),
-      mVisits(std::exchange(aOwner.mPassVisits, 0))
+    : mOwner(aOwner), mNow(aNow), mFormerPass(std::exchange(aOwner.mPass, {}))
   {
     for (auto& [name, team] : mOwner.mTeams) {
       mTeams.emplace_back(&team, team);
@@ -78,7 +71,7 @@
         continue;
       }
       if (mOwner.keepsReservation(*step, mNow)) {
-        mOwner.mReservedCpuMilli +=
+        mOwner.mPass.mReservedCpuMilli +=
           static_cast<std::int64_t>(step->mPending.size()) * step->mNeeds.mCpuMilli;
         mOwner.withhold(*step, mCandidates);
       } else {
@@ -91,14 +84,7 @@
   trial_pass& operator=(const trial_pass&) = delete;
   ~trial_pass()
   {
-    mOwner.mRoom = std::move(mRoom);
-    mOwner.mCandidatePositions = std::move(mPositions);
-    mOwner.mGangReservations = std::move(mGangReservations);
-    mOwner.mCapacityIsBeingFreed = mCapacityIsBeingFreed;
-    mOwner.mCandidateCpuMilli = mCandidateCpuMilli;
-    mOwner.mReservedCpuMilli = mReservedCpuMilli;
-    mOwner.mClaimedCpuMilli = mClaimedCpuMilli;
-    mOwner.mPassVisits = mVisits;
+    mOwner.mPass = std::move(mFormerPass);
     for (auto& [team, saved] : mTeams) {
       *team = std::move(saved);
     }
@@ -111,7 +97,7 @@
     while (mNext < mOrder.size() && mOrder[mNext].first < rank) {
       const auto& step = *mOrder[mNext++].second;
       mTasksBefore += step.mPending.size();
-      if (mOwner.mPassVisits >= kMaxTrialVisits) {
+      if (mOwner.mPass.mVisits >= kMaxTrialVisits) {
         ++mIgnoredSteps;
       } else {
         place(step);
@@ -123,7 +109,7 @@
                              .mLatestStart = rank.mLatestStart - mNow,
                              .mStepsBefore = mNext,
                              .mTasksBefore = mTasksBefore };
-    mOwner.mGangReservations.clear();
+    mOwner.mPass.mWithheldForGang.clear();
     mOwner.updateTeamHold(aStep, mNow);
     describeTeam(aStep, result);
     describeTargets(aStep, result);
@@ -162,7 +148,7 @@
     if (aStep.mNotBefore > mNow && aStep.mJob->mSpec.mRepeat == 0) {
       return;
     }
-    mOwner.mGangReservations.clear();
+    mOwner.mPass.mWithheldForGang.clear();
     if (aStep.mReservation) {
       mOwner.giveBack(aStep, mCandidates);
     }
@@ -236,7 +222,7 @@
     if (const auto fit = mOwner.fitOf(aTarget, mNow); fit != target_fit::fits) {
       return fit;
     }
-    const auto& candidate = mCandidates[*mOwner.mCandidatePositions[aTarget.mNumber]];
+    const auto& candidate = mCandidates[*mOwner.mPass.mCandidatePositions[aTarget.mNumber]];
     if (mOwner.freeSlotsAt(aStep, candidate) == 0) {
       return target_fit::no_room;
     }
@@ -321,14 +307,7 @@
   std::size_t mIgnoredSteps = 0;
 
   // What the owner had before.
-  internal::room_index mRoom;
-  std::vector<std::optional<std::uint32_t>> mPositions;
-  std::vector<withheld_room> mGangReservations;
-  const bool mCapacityIsBeingFreed;
-  const std::int64_t mCandidateCpuMilli;
-  const std::int64_t mReservedCpuMilli;
-  const std::int64_t mClaimedCpuMilli;
-  const std::uint64_t mVisits;
+  internal::planning_pass mFormerPass;
   std::vector<std::pair<internal::team_state*, internal::team_state>> mTeams;
 };
 
--- a/scheduler/src/owner_gangs.cpp
+++ b/scheduler/src/owner_gangs.cpp
@@ -42,7 +42,7 @@
     return aCandidates[aPosition].mFree;
   };
   return groupOf(aStep, aCandidates)
-    .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPassVisits);
+    .hasRoom(aStep.mNeeds, aStep.mPending.size(), freeAt, mPass.mVisits);
 }
 
 std::vector<owner::impl::placement> owner::impl::chooseGang(
@@ -161,15 +161,15 @@
                                   std::vector<candidate_target>& aCandidates, time_point aNow)
 {
   const auto needed = static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
-  if (static_cast<double>(mReservedCpuMilli + needed) >
-      kMaxReservedFraction * static_cast<double>(mCandidateCpuMilli)) {
+  if (static_cast<double>(mPass.mReservedCpuMilli + needed) >
+      kMaxReservedFraction * static_cast<double>(mPass.mCandidateCpuMilli)) {
     return;
   }
   auto& group = groupOf(aStep, aCandidates);
   const auto capacityAt = [&aCandidates](std::uint32_t aPosition) -> const resources& {
     return aCandidates[aPosition].mTarget->mEntry.mCapacity;
   };
-  if (!group.hasCapacity(aStep.mNeeds, aStep.mPending.size(), capacityAt, mPassVisits)) {
+  if (!group.hasCapacity(aStep.mNeeds, aStep.mPending.size(), capacityAt, mPass.mVisits)) {
     return;
   }
   std::vector<candidate_target*> good;
@@ -206,13 +206,14 @@
   if (left > 0) {
     return;
   }
-  mReservedCpuMilli += needed;
+  mPass.mReservedCpuMilli += needed;
   for (auto& [candidate, slots] : parts) {
     // Nothing of other jobs may start where a gang waits for isolation. That wait is short, so that
     // the limit on reservations counts only what the gang needs.
     const auto amount = aStep.mNeedsIsolation ? candidate->mFree : times(aStep.mNeeds, slots);
     candidate->mFree -= amount;
-    mGangReservations.push_back({ .mCandidate = candidate, .mSlots = slots, .mAmount = amount });
+    mPass.mWithheldForGang.push_back(
+      { .mCandidate = candidate, .mSlots = slots, .mAmount = amount });
   }
 }
 
@@ -220,7 +221,7 @@
                            std::vector<candidate_target>& aCandidates) const
 {
   for (const auto& part : aStep.mReservation->mParts) {
-    if (const auto position = mCandidatePositions[part.mTarget]) {
+    if (const auto position = mPass.mCandidatePositions[part.mTarget]) {
       aCandidates[*position].mFree -= times(aStep.mNeeds, part.mSlots);
     }
   }
@@ -230,7 +231,7 @@
                            std::vector<candidate_target>& aCandidates) const
 {
   for (const auto& part : aStep.mReservation->mParts) {
-    if (const auto position = mCandidatePositions[part.mTarget]) {
+    if (const auto position = mPass.mCandidatePositions[part.mTarget]) {
       aCandidates[*position].mFree += times(aStep.mNeeds, part.mSlots);
     }
   }
@@ -239,7 +240,7 @@
 bool owner::impl::keepsReservation(const waiting_step& aStep, time_point aNow) const
 {
   const auto isUsable = [&](const internal::gang_reservation::part& aPart) {
-    return mCandidatePositions[aPart.mTarget] &&
+    return mPass.mCandidatePositions[aPart.mTarget] &&
            allowed(aStep, *mTargetsByNumber[aPart.mTarget], aNow);
   };
   return aStep.startable() && aStep.mReservation->mSince + kMaxReservationAge > aNow &&
@@ -261,8 +262,8 @@
       continue;
     }
     const auto needs = times(step.mNeeds, static_cast<std::uint32_t>(step.mPending.size()));
-    mReservedCpuMilli += needs.mCpuMilli;
-    mReservedInPools[step.mRoute.mPool] += needs;
+    mPass.mReservedCpuMilli += needs.mCpuMilli;
+    mPass.mReservedInPools[step.mRoute.mPool] += needs;
     withhold(step, aCandidates);
   }
 }
@@ -273,8 +274,8 @@
   return aStep.mRoute.mAdvice && aStep.mRoute.mPriority > 0 && !aStep.mNeedsIsolation &&
          aStep.mNextReservation <= aNow && aNow - aStep.mWaitingSince >= kMinWaitToReserve &&
          internal::rankOf(aStep, aNow).mBand <= internal::kLastOnTimeBand &&
-         static_cast<double>(mReservedCpuMilli + needed) <=
-           kMaxReservedFraction * static_cast<double>(mCandidateCpuMilli);
+         static_cast<double>(mPass.mReservedCpuMilli + needed) <=
+           kMaxReservedFraction * static_cast<double>(mPass.mCandidateCpuMilli);
 }
 
 std::vector<owner::impl::reservable_target> owner::impl::reservableTargets(
@@ -353,7 +354,7 @@
   aStep.mNextReservation = aNow + kFutileReservationPause;
   auto left = static_cast<std::uint32_t>(aStep.mPending.size());
   const auto targets = reservableTargets(aStep, aCandidates, aNow);
-  const auto reserved = mReservedInPools[aStep.mRoute.mPool] + times(aStep.mNeeds, left);
+  const auto reserved = mPass.mReservedInPools[aStep.mRoute.mPool] + times(aStep.mNeeds, left);
   if (targets.empty() ||
       dominantShare(reserved, poolCapacity(aStep, aCandidates)) > kMaxReservedFraction) {
     return;
@@ -370,8 +371,9 @@
     reservation.mParts.push_back({ .mTarget = one.mCandidate->mTarget->mNumber, .mSlots = slots });
     left -= slots;
   }
-  mReservedCpuMilli += static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
-  mReservedInPools[aStep.mRoute.mPool] = reserved;
+  mPass.mReservedCpuMilli +=
+    static_cast<std::int64_t>(aStep.mPending.size()) * aStep.mNeeds.mCpuMilli;
+  mPass.mReservedInPools[aStep.mRoute.mPool] = reserved;
   mPort.logDecision("gang_reserved",
                     fmt::format("step={} tasks={} targets={} stops_at={} waited_ms={}",
                                 toText(aStep.mKey), aStep.mPending.size(),
--- a/scheduler/src/owner_impl.h
+++ b/scheduler/src/owner_impl.h
@@ -3,13 +3,12 @@
 #include "advice_call.h"
 #include "advice_dispatcher.h"
 #include "backlog_estimate.h"
-#include "candidate_target.h"
 #include "endiveusher/scheduler/overload_admission.h"
 #include "endiveusher/scheduler/owner.h"
 #include "endiveusher/scheduler/placement_explanation.h"
 #include "past_use.h"
+#include "planning_pass.h"
 #include "record_batch.h"
-#include "room_index.h"
 #include "slow_targets.h"
 #include "target_state.h"
 #include "waiting_step.h"
@@ -499,14 +498,6 @@
   std::unordered_map<std::string, std::uint64_t> mLastFences;
   /// Entries of mTargets by number; null for targets that are gone.
   std::vector<target_state*> mTargetsByNumber;
-  /// Positions of the targets in the candidates of the current planning pass, by number.
-  std::vector<std::optional<std::uint32_t>> mCandidatePositions;
-  /// Cache of the current planning pass.
-  mutable internal::room_index mRoom;
-  /// Whether runs are being stopped at a candidate of the current planning pass.
-  bool mCapacityIsBeingFreed = false;
-  /// CPU of all candidates of the current planning pass.
-  std::int64_t mCandidateCpuMilli = 0;
   /// Largest number of a priority among the routes of all runs, or larger: steps of such a route
   /// preempt no other runs.
   int mLowestPriority = 0;
@@ -548,16 +539,9 @@
   /// Time up to which the event loop counts as behind in the admission of jobs.
   time_point mBehindUntil{};
   time_point mLastFlush{};
-  /// CPU reserved for waiting gangs, and claimed by steps that ask for advice, in the current pass.
-  std::int64_t mReservedCpuMilli = 0;
-  /// What gangs with reservations that last over several passes need, by pool.
-  std::map<std::string, resources> mReservedInPools;
-  std::int64_t mClaimedCpuMilli = 0;
-  /// Of the step whose turn it is.
-  std::vector<withheld_room> mGangReservations;
+  /// Mutable, because it includes a cache and counts of work.
+  mutable internal::planning_pass mPass;
   pass_counts mLastPass;
-  /// pass_counts::mVisits of the current pass.
-  mutable std::uint64_t mPassVisits = 0;
 };
 
 } // namespace endiveusher::scheduler
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -96,7 +96,7 @@
 bool owner::impl::allowedInGroup(const waiting_step& aStep, const target_state& aTarget,
                                  time_point aNow) const
 {
-  ++mPassVisits;
+  ++mPass.mVisits;
   if (aStep.mRoute.mAdvice && aStep.mAdvice.verdictOn(aTarget.mNumber) == verdict::bad) {
     return false;
   }
@@ -113,15 +113,16 @@
                                            std::span<const candidate_target> aCandidates) const
 {
   const auto& spec = aStep.spec();
-  return mRoom.group(aStep.mRoute.mPool, spec.mRequiredLabel, [&](internal::room_group& aGroup) {
-    mPassVisits += aCandidates.size();
-    for (std::uint32_t position = 0; position < aCandidates.size(); ++position) {
-      const auto& candidate = aCandidates[position];
-      if (isSuitable(*candidate.mTarget, aStep.mRoute, spec)) {
-        aGroup.add(position, candidate.mFirstFreeCpuMilli);
+  return mPass.mRoom.group(
+    aStep.mRoute.mPool, spec.mRequiredLabel, [&](internal::room_group& aGroup) {
+      mPass.mVisits += aCandidates.size();
+      for (std::uint32_t position = 0; position < aCandidates.size(); ++position) {
+        const auto& candidate = aCandidates[position];
+        if (isSuitable(*candidate.mTarget, aStep.mRoute, spec)) {
+          aGroup.add(position, candidate.mFirstFreeCpuMilli);
+        }
       }
-    }
-  });
+    });
 }
 
 std::span<const std::uint32_t> owner::impl::positionsWithRoom(
@@ -131,7 +132,7 @@
   const auto freeAt = [aCandidates](std::uint32_t aPosition) -> const resources& {
     return aCandidates[aPosition].mFree;
   };
-  return group.positions().subspan(group.firstWithRoom(aStep.mNeeds, freeAt, mPassVisits));
+  return group.positions().subspan(group.firstWithRoom(aStep.mNeeds, freeAt, mPass.mVisits));
 }
 
 std::uint32_t owner::impl::slotsAt(const waiting_step& aStep,
@@ -220,9 +221,9 @@
   const auto* clock = mOptions.mClock;
   const auto begin = clock == nullptr ? time_point{} : clock->now();
   mLastPass = {};
-  mPassVisits = 0;
+  mPass.mVisits = 0;
   plan(aNow);
-  mLastPass.mVisits = mPassVisits;
+  mLastPass.mVisits = mPass.mVisits;
   mLastPass.mDuration = clock == nullptr ? duration{ 0 } : clock->now() - begin;
 }
 
@@ -230,22 +231,22 @@
 {
   std::vector<std::pair<std::int64_t, target_state*>> order;
   order.reserve(mTargetsByNumber.size());
-  mCandidateCpuMilli = 0;
+  mPass.mCandidateCpuMilli = 0;
   for (auto* target : mTargetsByNumber) {
     if (target != nullptr && usable(*target, aNow)) {
-      mCandidateCpuMilli += target->mEntry.mCapacity.mCpuMilli;
+      mPass.mCandidateCpuMilli += target->mEntry.mCapacity.mCpuMilli;
       order.emplace_back(target->freeCapacity().mCpuMilli, target);
     }
   }
   // Best fit: small tasks go to the fullest targets, so that large gaps remain for gangs.
   std::ranges::stable_sort(order, {}, [](const auto& aOne) { return aOne.first; });
-  mRoom.clear();
-  mCapacityIsBeingFreed = false;
-  mCandidatePositions.assign(mTargetsByNumber.size(), std::nullopt);
+  mPass.mRoom.clear();
+  mPass.mCapacityIsBeingFreed = false;
+  mPass.mCandidatePositions.assign(mTargetsByNumber.size(), std::nullopt);
   std::vector<candidate_target> candidates;
   candidates.reserve(order.size());
   for (const auto& [freeCpu, target] : order) {
-    mCandidatePositions[target->mNumber] = static_cast<std::uint32_t>(candidates.size());
+    mPass.mCandidatePositions[target->mNumber] = static_cast<std::uint32_t>(candidates.size());
     auto& candidate = candidates.emplace_back(candidate_target{
       .mTarget = target, .mFree = target->freeCapacity(), .mFirstFreeCpuMilli = freeCpu });
     if (!target->mHasStops && target->mIsolatedUntil <= aNow) {
@@ -257,7 +258,7 @@
       }
       if (run.mStopWanted) {
         candidate.mBeingFreed += run.mNeeds;
-        mCapacityIsBeingFreed = true;
+        mPass.mCapacityIsBeingFreed = true;
       }
     }
   }
@@ -299,9 +300,9 @@
   }
   mAdmission.setWaiting(std::move(waiting));
   const auto order = stepsInOrder(aNow);
-  mReservedCpuMilli = 0;
-  mReservedInPools.clear();
-  mClaimedCpuMilli = 0;
+  mPass.mReservedCpuMilli = 0;
+  mPass.mReservedInPools.clear();
+  mPass.mClaimedCpuMilli = 0;
   withholdReservations(candidates, aNow);
   mLastPass.mSteps = order.size();
   std::size_t waitLogs = 0;
@@ -310,7 +311,7 @@
       continue;
     }
     updateIsolation(*step, aNow);
-    mGangReservations.clear();
+    mPass.mWithheldForGang.clear();
     if (step->spec().mGang) {
       placeGang(*step, candidates, aNow);
     } else {
@@ -351,7 +352,7 @@
     return found;
   }
   aStep.mAdvice.forEachValidTicket(aNow + kTicketMargin, [&](internal::target_number aNumber) {
-    const auto position = mCandidatePositions[aNumber];
+    const auto position = mPass.mCandidatePositions[aNumber];
     if (position && allowed(aStep, *aCandidates[*position].mTarget, aNow)) {
       found.push_back(&aCandidates[*position]);
     }
@@ -373,7 +374,7 @@
     return good;
   }
   for (const auto number : aStep.mAdvice.good()) {
-    const auto position = mCandidatePositions[number];
+    const auto position = mPass.mCandidatePositions[number];
     if (position && allowed(aStep, *aCandidates[*position].mTarget, aNow)) {
       good.push_back(&aCandidates[*position]);
     }
@@ -524,11 +525,11 @@
   }
   auto tasks = std::min<std::size_t>(aStep.mPending.size(), teamSlots(aStep));
   const auto most =
-    static_cast<std::int64_t>(kMaxClaimedFraction * static_cast<double>(mCandidateCpuMilli));
+    static_cast<std::int64_t>(kMaxClaimedFraction * static_cast<double>(mPass.mCandidateCpuMilli));
   const auto claimOn = [&](verdict aVerdict) {
     for (const auto number : aStep.mAdvice.mQueried) {
-      const auto position = mCandidatePositions[number];
-      if (tasks == 0 || mClaimedCpuMilli >= most) {
+      const auto position = mPass.mCandidatePositions[number];
+      if (tasks == 0 || mPass.mClaimedCpuMilli >= most) {
         return;
       }
       if (!position || aStep.mAdvice.verdictOn(number) != aVerdict) {
@@ -539,9 +540,9 @@
         static_cast<std::uint32_t>(std::min<std::size_t>(tasks, slotsAt(aStep, candidate)));
       const auto claimed = times(aStep.mNeeds, slots);
       candidate.mFree -= claimed;
-      mClaimedCpuMilli += claimed.mCpuMilli;
+      mPass.mClaimedCpuMilli += claimed.mCpuMilli;
       tasks -= slots;
-      ++mPassVisits;
+      ++mPass.mVisits;
     }
   };
   claimOn(verdict::good);
--- a/scheduler/src/owner_preemption.cpp
+++ b/scheduler/src/owner_preemption.cpp
@@ -133,7 +133,7 @@
   }
   // In the first case there is nothing to stop and nothing to wait for.
   const bool isFutile =
-    (aStep.mRoute.mPriority >= mLowestPriority && !mCapacityIsBeingFreed &&
+    (aStep.mRoute.mPriority >= mLowestPriority && !mPass.mCapacityIsBeingFreed &&
      positionsWithRoom(aStep, aCandidates).empty()) ||
     (aStep.mRoute.mAdvice && aStep.mAdvice.goodTargets() == 0) ||
     groupOf(aStep, aCandidates).isPreemptionFutile(aStep.mNeeds, aStep.mRoute.mPriority);
@@ -142,14 +142,14 @@
     return;
   }
   // What the gang has reserved is room for it.
-  for (const auto& one : mGangReservations) {
+  for (const auto& one : mPass.mWithheldForGang) {
     one.mCandidate->mFree += one.mAmount;
   }
   const auto stops = choosePreemptions(aStep, wanted, aCandidates, aNow);
   for (const auto& stop : stops) {
     stopVictims(aStep, stop, aNow);
   }
-  for (const auto& one : mGangReservations) {
+  for (const auto& one : mPass.mWithheldForGang) {
     one.mCandidate->mFree -= one.mAmount;
   }
   aStep.mNextPreemption = aNow + (stops.empty() ? kFutilePreemptionPause : kPreemptInterval);
@@ -167,8 +167,8 @@
     return !aOne->mTarget->freeCapacity().anyNegative();
   });
   const auto reservedAt = [this](const candidate_target* aOne) {
-    const auto found = std::ranges::find(mGangReservations, aOne, &withheld_room::mCandidate);
-    return found == mGangReservations.end() ? 0U : found->mSlots;
+    const auto found = std::ranges::find(mPass.mWithheldForGang, aOne, &withheld_room::mCandidate);
+    return found == mPass.mWithheldForGang.end() ? 0U : found->mSlots;
   };
   auto missing = aWanted;
   for (auto* candidate : good) {
@@ -195,7 +195,7 @@
       return freeAfterPreemption(aStep, aCandidates[aPosition]);
     };
     groupOf(aStep, aCandidates)
-      .checkPreemption(aStep.mNeeds, aStep.mRoute.mPriority, freeAt, mPassVisits);
+      .checkPreemption(aStep.mNeeds, aStep.mRoute.mPriority, freeAt, mPass.mVisits);
   }
   if (aStep.spec().mGang && missing > 0) {
     return {};
@@ -212,8 +212,8 @@
     target.wantStop(run);
     run.mNextTry = aNow;
     aStop.mCandidate->mBeingFreed += run.mNeeds;
-    mCapacityIsBeingFreed = true;
-    mRoom.onPreempted(victim.mPriority);
+    mPass.mCapacityIsBeingFreed = true;
+    mPass.mRoom.onPreempted(victim.mPriority);
     mPort.logDecision(
       "preempt",
       fmt::format("task={} run={} target={} for_step={} deadline_slack_ms={}", toText(task),
