--- a/scheduler/src/owner_run_times.cpp
+++ b/scheduler/src/owner_run_times.cpp
@@ -232,6 +232,9 @@
 /// excluded.
 void owner::impl::excludeSlowTargets(time_point aNow)
 {
+  if (!mOptions.mAvoidSlowTargets) {
+    return;
+  }
   const auto marks = mLearning->mSlow.marks(aNow);
   if (marks.empty() && mLearning->mExcluded == 0) {
     return;
--- a/tests/scheduler/learned_run_times_test.cpp
+++ b/tests/scheduler/learned_run_times_test.cpp
@@ -219,6 +219,21 @@
   checkStarts();
 }
 
+// Guards against predictions that exclude targets although only they are enabled.
+TEST(learned_run_times, predictionsAloneExcludeNoTargets)
+{
+  cell.mOptions.mAvoidSlowTargets = false;
+  cell.startNextOwner();
+  play({ urgent, batch }, seconds(8));
+  for (int at = 0; at < 2; ++at) {
+    slowDown();
+    play({ urgent, batch }, seconds(8));
+  }
+  CHECK(runsOf("urgent") > 0);
+  CHECK_EQUAL(0, mostExcluded);
+  CHECK_EQUAL(0, moves.size());
+}
+
 // Guards against a long tail of run times that takes targets out of use.
 TEST(learned_run_times, aLongTailMarksFewTargets)
 {
