--- a/scheduler/src/advice_call.h
+++ b/scheduler/src/advice_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endiveusher/kernel/time.h"
+#include "endiveusher/scheduler/cell_config.h"
 #include "endiveusher/scheduler/job.h"
 #include "waiting_step.h"
 
@@ -20,6 +21,12 @@
   return (aTargets + kMaxQueriedTargets - 1) / kMaxQueriedTargets;
 }
 
+/// Returns the expected duration of one call about aTargets targets.
+inline duration adviceCost(const advice_terms& aTerms, std::size_t aTargets)
+{
+  return aTerms.mPerCall + static_cast<int>(aTargets) * aTerms.mPerTarget;
+}
+
 /// An open call for advice.
 struct advice_call
 {
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Number of targets in the advice call for a step that is assumed in estimates of critical paths.
-constexpr int kAssumedTargetsPerAdviceCall = 30;
+constexpr std::size_t kAssumedTargetsPerAdviceCall = 30;
 /// Value deadline of a job, as a multiple of the period in which it is on time.
 constexpr int kValuePeriods = 3;
 /// Deadline of a long-running step after a task of it began to wait. Shortly before it, the task
@@ -52,7 +52,7 @@
     work = aTimes->predicted(aRoute.mName, aTeam, work, aNow);
   }
   if (aRoute.mAdvice) {
-    work += aRoute.mAdvice->mPerCall + kAssumedTargetsPerAdviceCall * aRoute.mAdvice->mPerTarget;
+    work += internal::adviceCost(*aRoute.mAdvice, kAssumedTargetsPerAdviceCall);
   }
   return work;
 }
--- a/scheduler/src/owner_advice.cpp
+++ b/scheduler/src/owner_advice.cpp
@@ -87,8 +87,7 @@
 /// Returns when a round of calls about aTargets targets is over.
 time_point roundEndFor(const advice_terms& aTerms, std::size_t aTargets, time_point aNow)
 {
-  return aNow + aTerms.mPerCall +
-         static_cast<int>(std::min(aTargets, kMaxQueriedTargets)) * aTerms.mPerTarget;
+  return aNow + internal::adviceCost(aTerms, std::min(aTargets, kMaxQueriedTargets));
 }
 
 } // namespace
@@ -326,7 +325,7 @@
   auto& advice = aStep.mAdvice;
   const auto& terms = *aStep.mRoute.mAdvice;
   if (advice.mCallsOpen > 0 || advice.mNextCall > aNow ||
-      !mAdviceDispatcher.hasFreeHelper(terms.mPerCall + terms.mPerTarget, aNow)) {
+      !mAdviceDispatcher.hasFreeHelper(internal::adviceCost(terms, 1), aNow)) {
     return;
   }
   const auto queried = targetsToQuery(aStep, aCandidates, aNow);
@@ -349,7 +348,7 @@
                              time_point aNow)
 {
   const auto& terms = *aStep.mRoute.mAdvice;
-  const duration cost = terms.mPerCall + static_cast<int>(aTargets.size()) * terms.mPerTarget;
+  const auto cost = internal::adviceCost(terms, aTargets.size());
   const auto call = mLastAdviceCall + 1;
   const auto helper = mAdviceDispatcher.reserve(cost, aNow, call);
   if (!helper) {
