--- a/review/lib-2/small_cell.py
+++ b/review/lib-2/small_cell.py
@@ -212,10 +212,11 @@
 
 class SmallCell:
     """tenants: keys by name of the tenant. routes: fields of the routes. store_proxies: whether each
-    daemon reaches the store through a proxy of its own (self.proxies)."""
+    daemon reaches the store through a proxy of its own (self.proxies). up_s: time for which the
+    workers have been up, by their clocks."""
 
     def __init__(self, case, daemons=3, targets=8, cpu_milli=32000, tenants=None, routes=None,
-                 settings="", store_proxies=False, seed=1):
+                 settings="", store_proxies=False, seed=1, target_class=Target, up_s=0):
         self.record = Record(case)
         self.observer = Observer(self.record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -231,8 +232,8 @@
         self.routes = routes or [{"name": "batch", "host": "h", "path_prefix": "/b/"}]
         self.configure()
         for number in range(targets):
-            target = Target(f"w{number}", self.ports.take(), ZONES[number % 2], cpu_milli,
-                            self.store, self.observer)
+            target = target_class(f"w{number}", self.ports.take(), ZONES[number % 2], cpu_milli,
+                                  self.store, self.observer, up_s=up_s)
             self.targets.append(target)
         for number in range(daemons):
             self.daemons.append(Daemon(self, f"d{number}", ZONES[number % 2]))
