Wait for the ends of connections before the budget is used again

The test ends eight connections and sends the last request at once. The server notices the ends one after the other. As long as some of the eight bodies are held, the last request is the largest without a key, and is shed as the budget is specified to do. The test now waits until the budget is empty, and so also checks that the ends of connections release what was held.

No check was changed or taken out.

--- a/tests/edges/memory_budget_test.cpp
+++ b/tests/edges/memory_budget_test.cpp
@@ -151,6 +151,9 @@
   for (const auto& one : crowd) {
     one->disconnect();
   }
+  // The server notices the ends of the connections one after the other; until then the last request
+  // is the largest without a key, and may be shed in turn.
+  CHECK(becomesTrue([&] { return budget->used() == 0; }));
   raw_client last(server.port());
   last.send(head(300'000) + std::string(300'000, 'x'));
   STRCMP_EQUAL("300000", last.receiveAnswer().c_str());
