--- a/node/src/caller_record_writer.cpp
+++ b/node/src/caller_record_writer.cpp
@@ -37,14 +37,16 @@
 /// ones: with the largest record it stays below the body limit of the owner's server, 1 MB.
 constexpr std::size_t kMaxRecordsPerCall = 200;
 constexpr std::size_t kMaxCallBytes = std::size_t{ 512 } << 10U;
+/// Time after which the caller of a job without room should come back, the same as the owner's.
+constexpr std::chrono::seconds kRetryAfterNoRoom{ 10 };
 
 } // namespace
 
 caller_record_writer::caller_record_writer(const clock& aClock, const platform::store& aStore,
                                            owner_client& aOwnerClient, journal_writer& aWriter,
-                                           event_log& aLog, local_store aLocal)
+                                           event_log& aLog, local_store aLocal, room_check aHasRoom)
   : mClock(aClock), mStore(aStore), mOwnerClient(aOwnerClient), mWriter(aWriter), mLog(aLog),
-    mStoreLocally(std::move(aLocal))
+    mStoreLocally(std::move(aLocal)), mHasRoom(std::move(aHasRoom))
 {
 }
 
@@ -311,8 +313,25 @@
     });
 }
 
+bool caller_record_writer::lacksRoom(const forwarded_record& aRecord) const
+{
+  if (!aRecord.mIsSubmission) {
+    return false;
+  }
+  const auto record = scheduler::decodeRecord(aRecord.mBytes);
+  const auto* submitted = record.ok() ? std::get_if<scheduler::job_submitted>(&*record) : nullptr;
+  return submitted != nullptr && !mHasRoom(submitted->mSpec);
+}
+
 void caller_record_writer::append(forwarded_record aRecord, bool aUncertain)
 {
+  // A submission that may be stored already is appended: it takes no further room.
+  if (!aUncertain && lacksRoom(aRecord)) {
+    mLog.write("append_rejected",
+               fmt::format("reason=job_table_full retry_after_s={}", kRetryAfterNoRoom.count()));
+    aRecord.mDone({ write_outcome::overloaded, kRetryAfterNoRoom });
+    return;
+  }
   // Later, a job that another copy of the record has stored may have ended and been forgotten.
   const auto notAfter =
     aRecord.mIsSubmission ? std::optional(aRecord.mSince + kMaxForwardAge) : std::nullopt;
--- a/node/src/caller_record_writer.h
+++ b/node/src/caller_record_writer.h
@@ -58,9 +58,12 @@
   using local_store =
     std::function<bool(const scheduler::journal_record& aRecord, const done_callback& aDone)>;
 
+  /// Whether a job may be appended directly, by what this daemon knows of the jobs' memory.
+  using room_check = std::function<bool(const scheduler::job_spec& aJob)>;
+
   caller_record_writer(const clock& aClock, const platform::store& aStore,
                        owner_client& aOwnerClient, journal_writer& aWriter, event_log& aLog,
-                       local_store aLocal);
+                       local_store aLocal, room_check aHasRoom);
 
   /// Writes a record; the outcome is never write_outcome::fenced.
   void store(const scheduler::journal_record& aRecord, done_callback aDone);
@@ -114,8 +117,10 @@
                         const edges::loop_reply& aReply);
   /// Processes the owner's answer for one record, which is no longer among the forwarded ones.
   void finish(forwarded_record aRecord, char aResult);
-  /// Appends a record directly, unless it is a submission that is too old.
+  /// Appends a record directly, unless it is a submission that is too old, or has no room.
   void append(forwarded_record aRecord, bool aUncertain);
+  /// Whether the record is a submission for which there is no room.
+  bool lacksRoom(const forwarded_record& aRecord) const;
 
   const clock& mClock;
   const platform::store& mStore;
@@ -123,6 +128,7 @@
   journal_writer& mWriter;
   event_log& mLog;
   local_store mStoreLocally;
+  room_check mHasRoom;
   std::map<std::uint64_t, forwarded_record> mForwarded;
   std::uint64_t mLastForwardedId = 0;
   std::uint64_t mLastCall = 0;
--- a/node/src/cell_node.cpp
+++ b/node/src/cell_node.cpp
@@ -65,6 +65,19 @@
   return std::max(kMinBudgetBytes, static_cast<std::size_t>(bytes));
 }
 
+/// Part of a daemon's memory that jobs may take. While a snapshot is made, the same is taken once
+/// more, beside the budget and what the daemon takes itself.
+constexpr double kJobTablePart = 0.2;
+/// Smallest limit, of which a team may use two fifths: the largest job that is valid counts 6 MB.
+constexpr std::size_t kMinJobTableBytes = std::size_t{ 16 } << 20U;
+/// Largest limit: a later owner may run on a VM with less memory.
+constexpr std::size_t kMaxJobTableBytes = std::size_t{ 64 } << 20U;
+std::size_t jobTableBytes(const platform::node_settings& aSettings)
+{
+  const auto bytes = aSettings.mMemoryMb * 1024.0 * 1024.0 * kJobTablePart;
+  return std::clamp(static_cast<std::size_t>(bytes), kMinJobTableBytes, kMaxJobTableBytes);
+}
+
 std::chrono::milliseconds claimStagger(std::uint64_t aIncarnation)
 {
   return std::chrono::milliseconds(aIncarnation % kMaxStaggerMs);
@@ -117,6 +130,9 @@
       mClock, mStore, mOwnerClient, mWriter, mLog,
       [this](const journal_record& aRecord, const caller_record_writer::done_callback& aDone) {
         return acceptLocally(aRecord, aDone);
+      },
+      [this](const scheduler::job_spec& aJob) {
+        return mJobs.table().find(aJob.mId) != nullptr || mJobs.table().hasRoomFor(aJob);
       }),
     mRequestHandler(mClock, mJobs.table(), mRecordWriter, mLog,
                     { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5,
@@ -165,6 +181,7 @@
     mCallerGate(
       mClock, { .mMaxConfigAge = mSettings.mRevokePeriod * 3 / 5, .mMaxDenialAge = kMaxDenialAge })
 {
+  mJobs.table().setLimit(jobTableBytes(mSettings));
   mRequestHandler.setQueryOwner([this](scheduler::job_id aId, const std::string& aTeam,
                                        std::function<void(owner_answer &&)> aDone) {
     return queryOwner(aId, aTeam, std::move(aDone));
@@ -444,6 +461,7 @@
     if (mNextPurge <= now) {
       mNextPurge = now + kPurgeInterval;
       guarded("purge", [&] {
+        mJobs.table().dropCompleted();
         mJobs.table().removeEnded(now - mSettings.mStatusRetention - kPurgeInterval);
       });
     }
--- a/node/src/cell_node_callers.cpp
+++ b/node/src/cell_node_callers.cpp
@@ -439,6 +439,8 @@
   add("jobs_cancelled_total", counters.mCancelled);
   add("explanations_total", mExplanations);
   add("jobs_known", mJobs.table().size());
+  add("job_table_bytes", mJobs.table().bytes());
+  add("job_table_limit_bytes", mJobs.table().limit());
   add("journal_records_passed_over_total", mJobs.passedOver());
   add("store_calls_total", mStore.calls());
   add("store_read_limit_seconds", inSeconds(mStore.readTimeout({})));
--- a/node/src/cell_node_owner.cpp
+++ b/node/src/cell_node_owner.cpp
@@ -111,6 +111,12 @@
   }
   if (submitted != nullptr && !known) {
     if (const auto retryAfter = mOwner->rejection(submitted->mSpec, now)) {
+      if (!mJobs.table().hasRoomFor(submitted->mSpec)) {
+        mLog.write("job_rejected",
+                   fmt::format("job={} team={} reason=job_table_full bytes={} limit={}",
+                               toText(submitted->mSpec.mId), submitted->mSpec.mTeam,
+                               mJobs.table().bytes(), mJobs.table().limit()));
+      }
       aDone({ write_outcome::overloaded, *retryAfter });
       return true;
     }
--- a/scheduler/include/endiveusher/scheduler/job.h
+++ b/scheduler/include/endiveusher/scheduler/job.h
@@ -3,6 +3,8 @@
 #include "endiveusher/kernel/resources.h"
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/scheduler/cell_config.h"
+#include "endiveusher/scheduler/index_set.h"
+#include "endiveusher/scheduler/task_states.h"
 
 #include <chrono>
 #include <compare>
@@ -151,38 +153,9 @@
   return aOutcome == run_end::target_silent || aOutcome == run_end::target_silent_at_start;
 }
 
-/// Location of a run that may still be executing.
-struct open_run
-{
-  std::string mTarget;
-  /// Start of the target's incarnation, Unix milliseconds.
-  std::int64_t mIncarnationStart = 0;
-};
-
 /// Returns the outcome's name, for the log.
 std::string_view toText(run_end aOutcome);
 
-struct task_state
-{
-  /// Number of the latest run, from 1; 0 if there was none.
-  std::uint32_t mRun = 0;
-  std::uint32_t mFailures = 0;
-  bool mDone = false;
-  std::optional<open_run> mOpen;
-  /// When the start of the latest run was read from the journal; unknown after a snapshot.
-  time_point mStartedAt{};
-  std::string mCheckpoint;
-  /// Number of targets that have crashed while a run of the task may have been executing there,
-  /// each within kTargetLossMemory of the one before, and the time of the last on the local clock.
-  std::uint32_t mTargetLosses = 0;
-  /// Those of them that came soon after the start of the task's run.
-  std::uint32_t mStartLosses = 0;
-  /// Those of them whose run is known to have begun. The others may have crashed before the order
-  /// arrived.
-  std::uint32_t mCertainLosses = 0;
-  time_point mLastTargetLoss{};
-};
-
 /// An end of a run that counts against its task or gang, kept for the log.
 struct counted_end
 {
@@ -211,9 +184,11 @@
 
 struct step_state
 {
-  std::vector<task_state> mTasks;
+  task_states mTasks;
   std::uint32_t mDone = 0;
   std::uint32_t mOpen = 0;
+  /// Checkpoint from which all members of the gang resume; empty if there is none, or no gang.
+  std::string mGangCheckpoint;
   /// Number of failed runs of the gang, and the latest of them. Each counts once, however many
   /// members have failed in it.
   std::uint32_t mGangFailures = 0;
@@ -224,6 +199,10 @@
   std::vector<silent_run> mSilentRuns;
 
   bool complete() const { return mDone == mTasks.size(); }
+  const std::string& checkpointOf(std::uint32_t aTask) const
+  {
+    return mGangCheckpoint.empty() ? mTasks[aTask].mCheckpoint : mGangCheckpoint;
+  }
 };
 
 enum class job_phase : std::uint8_t
@@ -243,10 +222,17 @@
   /// Opened occurrences by index; see job_table::openOccurrence().
   std::map<std::uint32_t, std::vector<step_state>> mOccurrences;
   std::uint32_t mOccurrencesDone = 0;
+  /// Complete occurrences whose states were dropped, see job_table::dropCompleted().
+  index_set mDropped;
   /// End of the job on the local clock; the job is dropped after the retention period.
   std::chrono::microseconds mEndedAt{ 0 };
+  /// What the job counts in job_table::bytes().
+  std::size_t mBytes = 0;
 
   const step_state* find(const step_key& aKey) const;
+  /// Returns the state of a task; the initial state if its step is unknown, or the states of its
+  /// occurrence were dropped.
+  const task_state& taskOf(const task_key& aKey) const;
   /// Whether the occurrence is open and all steps listed in mAfter are complete.
   bool eligible(const step_key& aKey) const;
 };
--- a/scheduler/include/endiveusher/scheduler/job_table.h
+++ b/scheduler/include/endiveusher/scheduler/job_table.h
@@ -3,7 +3,9 @@
 #include "endiveusher/kernel/time.h"
 #include "endiveusher/scheduler/journal.h"
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,7 +33,7 @@
   bool hasPlaceFor(const journal_record& aRecord) const;
   /// Creates the steps of an occurrence if they do not exist yet. The owner does so shortly before
   /// the occurrence is due, the other daemons when its first run starts. Returns nullptr if the job
-  /// has no such occurrence.
+  /// has no such occurrence, or its states were dropped.
   std::vector<step_state>* openOccurrence(job& aJob, std::uint32_t aOccurrence);
 
   job* find(job_id aId);
@@ -41,6 +43,22 @@
   std::uint32_t waitingJobs(std::string_view aRoute) const;
   /// Drops jobs that ended before aBefore and have no open run.
   void removeEnded(time_point aBefore);
+  /// Drops the states of the complete occurrences of recurring jobs that nothing refers to any
+  /// more: a job may have a million occurrences.
+  void dropCompleted();
+
+  /// Sets the number of bytes that all jobs may take, as bytes() counts them.
+  void setLimit(std::size_t aBytes) { mLimit = aBytes; }
+  std::size_t limit() const { return mLimit; }
+  /// Returns what the jobs take, or may come to take in the table and in the owner's queue.
+  std::size_t bytes() const { return mBytes; }
+  /// Whether a new job fits in: into the limit, less a part for occurrences that fall due, and into
+  /// the share of its team. A team may take as much as it leaves free, so that one that submits
+  /// without end takes half, and the next one still a half of the rest. Each daemon answers by what
+  /// it has read of the journal.
+  bool hasRoomFor(const job_spec& aSpec) const;
+  /// Whether a further occurrence of the job fits into the limit.
+  bool hasRoomToOpen(const job& aJob) const;
   /// Returns the last epoch in which leases at the target may have been renewed; 0 if there is
   /// none.
   std::uint64_t lastEpochAt(std::string_view aTarget) const;
@@ -83,11 +101,19 @@
   job* applyRecord(const renewals_stopped& aRecord, time_point aNow);
   job* applyRecord(const team_use& aRecord, time_point aNow);
   step_state* stepOf(job& aJob, const step_key& aKey);
+  void endRun(const job& aJob, step_state& aStep, const run_ended& aRecord, time_point aNow);
+  /// Counts the job anew after a change; setBytes() if the new number is known.
+  void recount(job& aJob);
+  void setBytes(job& aJob, std::size_t aBytes);
   void finish(job& aJob, job_phase aPhase, time_point aNow);
   void completeIfDone(job& aJob, std::uint32_t aOccurrence, time_point aNow);
   void countWaiting(const job& aJob, int aChange);
 
   std::unordered_map<job_id, job> mJobs;
+  std::size_t mLimit = std::numeric_limits<std::size_t>::max();
+  /// See bytes(); by team in addition.
+  std::size_t mBytes = 0;
+  std::map<std::string, std::size_t, std::less<>> mTeamBytes;
   std::map<std::string, std::uint32_t, std::less<>> mWaiting;
   struct acquisition
   {
--- a/scheduler/src/job.cpp
+++ b/scheduler/src/job.cpp
@@ -99,6 +99,13 @@
            : &found->second[aKey.mStep];
 }
 
+const task_state& job::taskOf(const task_key& aKey) const
+{
+  static const task_state kInitial;
+  const auto* step = find(aKey.mStep);
+  return step == nullptr ? kInitial : step->mTasks[aKey.mIndex];
+}
+
 bool job::eligible(const step_key& aKey) const
 {
   const auto found = mOccurrences.find(aKey.mOccurrence);
--- a/scheduler/src/job_table.cpp
+++ b/scheduler/src/job_table.cpp
@@ -1,5 +1,7 @@
 #include "endiveusher/scheduler/job_table.h"
 
+#include "job_memory.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,9 @@
 
 namespace {
 
+/// One part in this many of the limit is left to occurrences of accepted jobs that fall due.
+constexpr std::size_t kOccurrencePart = 5;
+
 bool hasOpenRuns(const job& aJob)
 {
   return std::ranges::any_of(aJob.mOccurrences, [](const auto& aOne) {
@@ -24,16 +29,17 @@
 /// Whether nothing shows that a run of the job has ever begun.
 bool nothingHasBegun(const job& aJob)
 {
-  return std::ranges::all_of(aJob.mOccurrences, [](const auto& aOne) {
-    return std::ranges::all_of(aOne.second, [](const step_state& aStep) {
-      return aStep.mGangFailures == 0 &&
-             std::ranges::all_of(aStep.mTasks, [](const task_state& aTask) {
-               return !aTask.mOpen && !aTask.mDone && aTask.mFailures == 0 &&
-                      aTask.mCheckpoint.empty() && aTask.mCertainLosses == 0 &&
-                      aTask.mTargetLosses == aTask.mStartLosses;
-             });
-    });
-  });
+  return aJob.mDropped.empty() && std::ranges::all_of(aJob.mOccurrences, [](const auto& aOne) {
+           return std::ranges::all_of(aOne.second, [](const step_state& aStep) {
+             return aStep.mGangFailures == 0 && aStep.mTasks.reduced().empty() &&
+                    std::ranges::all_of(aStep.mTasks.full(), [](const auto& aOne) {
+                      const task_state& task = aOne.second;
+                      return !task.mOpen && !task.mDone && task.mFailures == 0 &&
+                             task.mCheckpoint.empty() && task.mCertainLosses == 0 &&
+                             task.mTargetLosses == task.mStartLosses;
+                    });
+           });
+         });
 }
 
 /// Counts the crash of a target under a run of the task.
@@ -81,7 +87,8 @@
     return false;
   }
   if (isTargetLost(aEnd.mOutcome)) {
-    countTargetLoss(aStep.mTasks[aEnd.mTask.mIndex], aEnd, aNow);
+    countTargetLoss(aStep.mTasks.edit(aEnd.mTask.mIndex), aEnd, aNow);
+    aStep.mTasks.compact(aEnd.mTask.mIndex);
     keepForLog(aStep, aEnd, std::move(found->mAt.mTarget));
   }
   aStep.mSilentRuns.erase(found);
@@ -115,6 +122,9 @@
       task.mIndex >= steps[task.mStep.mStep].mCount) {
     return false;
   }
+  if (found->mDropped.contains(task.mStep.mOccurrence)) {
+    return true;
+  }
   const auto* step = found->find(task.mStep);
   const auto known = step == nullptr ? 0 : step->mTasks[task.mIndex].mRun;
   // The members of a gang share a number, which is above that of each.
@@ -130,10 +140,13 @@
   if (!isNew && !isCancelledBefore) {
     return nullptr;
   }
+  // What was counted before belongs to no team.
+  setBytes(made, 0);
   made.mSpec = aRecord.mSpec;
   if (made.mSpec.mRepeat == 0) {
     openOccurrence(made, 0);
   }
+  recount(made);
   if (isCancelledBefore) {
     // Its runs are read next: the cancellation was taken out of the journal's order.
     return nullptr;
@@ -151,6 +164,7 @@
     found.mSpec.mId = aRecord.mJob;
     // It was never counted as waiting.
     found.mStarted = true;
+    recount(found);
   }
   if (found.mPhase != job_phase::active) {
     return nullptr;
@@ -170,14 +184,17 @@
   if (step == nullptr || aRecord.mTask.mIndex >= step->mTasks.size()) {
     return nullptr;
   }
-  auto& task = step->mTasks[aRecord.mTask.mIndex];
-  if (aRecord.mRun <= task.mRun) {
+  if (aRecord.mRun <= step->mTasks[aRecord.mTask.mIndex].mRun) {
     return nullptr;
   }
+  const auto bytesBefore = internal::bytesOfFullState(*step, aRecord.mTask.mIndex);
+  auto& task = step->mTasks.edit(aRecord.mTask.mIndex);
   step->mOpen += task.mOpen ? 0 : 1;
   task.mRun = aRecord.mRun;
   task.mOpen = aRecord.mAt;
   task.mStartedAt = aNow;
+  setBytes(*found,
+           found->mBytes - bytesBefore + internal::bytesOfFullState(*step, aRecord.mTask.mIndex));
   if (!found->mStarted) {
     countWaiting(*found, -1);
     found->mStarted = true;
@@ -192,66 +209,90 @@
   if (step == nullptr || aRecord.mTask.mIndex >= step->mTasks.size()) {
     return nullptr;
   }
-  auto& task = step->mTasks[aRecord.mTask.mIndex];
-  if (aRecord.mRun > task.mRun) {
+  if (aRecord.mRun > step->mTasks[aRecord.mTask.mIndex].mRun) {
     // The end shows a start that the table lacks.
     applyRecord(run_started{ .mTask = aRecord.mTask, .mRun = aRecord.mRun }, aNow);
   }
-  if (aRecord.mRun != task.mRun || !task.mOpen) {
-    return resolveSilentRun(*step, aRecord, aNow) ? found : nullptr;
+  const bool wasComplete = step->complete();
+  const bool gang = found->mSpec.mSteps[aRecord.mTask.mStep.mStep].mGang;
+  // The end of a member changes the states of others.
+  const auto bytes = [&] {
+    return gang ? internal::bytesOfFullStates(*step)
+                : internal::bytesOfFullState(*step, aRecord.mTask.mIndex);
+  };
+  const auto bytesBefore = bytes();
+  const auto& task = step->mTasks[aRecord.mTask.mIndex];
+  const bool endsRun = aRecord.mRun == task.mRun && task.mOpen;
+  if (endsRun) {
+    endRun(*found, *step, aRecord, aNow);
+  } else if (!resolveSilentRun(*step, aRecord, aNow)) {
+    return nullptr;
+  }
+  setBytes(*found, found->mBytes - bytesBefore + bytes());
+  if (!endsRun) {
+    return found;
+  }
+  if (!wasComplete && step->complete()) {
+    completeIfDone(*found, aRecord.mTask.mStep.mOccurrence, aNow);
+  }
+  const bool mayNotHaveBegun =
+    aRecord.mOutcome == run_end::not_run || (isAtStart(aRecord.mOutcome) && !aRecord.mHasBegun);
+  if (mayNotHaveBegun && found->mPhase == job_phase::active && found->mStarted &&
+      nothingHasBegun(*found)) {
+    found->mStarted = false;
+    countWaiting(*found, 1);
   }
+  return found;
+}
+
+void job_table::endRun(const job& aJob, step_state& aStep, const run_ended& aRecord,
+                       time_point aNow)
+{
+  const auto index = aRecord.mTask.mIndex;
+  auto& task = aStep.mTasks.edit(index);
   auto at = *std::exchange(task.mOpen, std::nullopt);
-  --step->mOpen;
-  const bool gang = found->mSpec.mSteps[aRecord.mTask.mStep.mStep].mGang;
+  --aStep.mOpen;
+  const bool gang = aJob.mSpec.mSteps[aRecord.mTask.mStep.mStep].mGang;
   if (!aRecord.mCheckpoint.empty()) {
-    task.mCheckpoint = aRecord.mCheckpoint;
-    if (gang) {
-      // The members of a gang resume from one common checkpoint.
-      for (auto& member : step->mTasks) {
-        member.mCheckpoint = aRecord.mCheckpoint;
-      }
-    }
+    (gang ? aStep.mGangCheckpoint : task.mCheckpoint) = aRecord.mCheckpoint;
   }
   if (aRecord.mOutcome == run_end::done) {
     // Members of a gang end together, so the end of one completes all, including members whose
     // target was lost just after it.
-    const bool wasComplete = step->complete();
-    for (auto& member : step->mTasks) {
-      const bool ended = &member == &task || (gang && member.mRun == aRecord.mRun);
-      step->mDone += ended && !member.mDone ? 1 : 0;
-      member.mDone = member.mDone || ended;
-    }
-    if (!wasComplete && step->complete()) {
-      completeIfDone(*found, aRecord.mTask.mStep.mOccurrence, aNow);
+    const auto markDone = [&aStep](task_state& aTask) {
+      aStep.mDone += aTask.mDone ? 0 : 1;
+      aTask.mDone = true;
+    };
+    markDone(task);
+    if (gang && !aStep.complete()) {
+      for (std::uint32_t member = 0; member < aStep.mTasks.size(); ++member) {
+        if (aStep.mTasks[member].mRun == aRecord.mRun && !aStep.mTasks[member].mDone) {
+          markDone(aStep.mTasks.edit(member));
+          aStep.mTasks.compact(member);
+        }
+      }
     }
   } else if (aRecord.mOutcome == run_end::failed) {
     ++task.mFailures;
-    if (gang && aRecord.mRun > step->mLastFailedRun) {
-      step->mLastFailedRun = aRecord.mRun;
-      ++step->mGangFailures;
+    if (gang && aRecord.mRun > aStep.mLastFailedRun) {
+      aStep.mLastFailedRun = aRecord.mRun;
+      ++aStep.mGangFailures;
     }
-    keepForLog(*step, aRecord, std::move(at.mTarget));
+    keepForLog(aStep, aRecord, std::move(at.mTarget));
   } else if (isTargetLost(aRecord.mOutcome)) {
     countTargetLoss(task, aRecord, aNow);
-    keepForLog(*step, aRecord, std::move(at.mTarget));
+    keepForLog(aStep, aRecord, std::move(at.mTarget));
   } else if (isTargetSilent(aRecord.mOutcome)) {
     // A run that is still open was listed by the incarnation that was acquired last.
     at.mIncarnationStart = std::max({ at.mIncarnationStart, aRecord.mIncarnationStart,
                                       acquiredIncarnation(at.mTarget).value_or(0) });
-    keepSilentRun(*step, { .mIndex = aRecord.mTask.mIndex,
+    keepSilentRun(aStep, { .mIndex = index,
                            .mRun = aRecord.mRun,
                            .mAt = std::move(at),
                            .mAtStart = isAtStart(aRecord.mOutcome),
                            .mHasBegun = aRecord.mHasBegun });
   }
-  const bool mayNotHaveBegun =
-    aRecord.mOutcome == run_end::not_run || (isAtStart(aRecord.mOutcome) && !aRecord.mHasBegun);
-  if (mayNotHaveBegun && found->mPhase == job_phase::active && found->mStarted &&
-      nothingHasBegun(*found)) {
-    found->mStarted = false;
-    countWaiting(*found, 1);
-  }
-  return found;
+  aStep.mTasks.compact(index);
 }
 
 job* job_table::applyRecord(const job_abandoned& aRecord, time_point aNow)
@@ -272,10 +313,11 @@
   }
   job& made = at->second;
   made = aRecord.mJob;
+  made.mBytes = 0;
   for (auto& [occurrence, steps] : made.mOccurrences) {
     for (auto& step : steps) {
-      for (auto& task : step.mTasks) {
-        task.mLastTargetLoss += aNow - aRecord.mTakenAt;
+      for (const auto& [index, task] : step.mTasks.full()) {
+        step.mTasks.edit(index).mLastTargetLoss += aNow - aRecord.mTakenAt;
       }
     }
   }
@@ -285,6 +327,7 @@
   } else if (!made.mStarted) {
     countWaiting(made, 1);
   }
+  recount(made);
   return &made;
 }
 
@@ -360,14 +403,15 @@
 
 std::vector<step_state>* job_table::openOccurrence(job& aJob, std::uint32_t aOccurrence)
 {
-  if (aOccurrence >= aJob.mSpec.occurrences()) {
+  if (aOccurrence >= aJob.mSpec.occurrences() || aJob.mDropped.contains(aOccurrence)) {
     return nullptr;
   }
   const auto [at, isNew] = aJob.mOccurrences.try_emplace(aOccurrence);
   if (isNew) {
     for (const auto& step : aJob.mSpec.mSteps) {
-      at->second.push_back({ .mTasks = std::vector<task_state>(step.mCount) });
+      at->second.push_back({ .mTasks = task_states(step.mCount) });
     }
+    recount(aJob);
   }
   return &at->second;
 }
@@ -400,6 +444,60 @@
   aJob.mPhase = aPhase;
   aJob.mEndedAt = aNow.time_since_epoch();
   mEnded.emplace_back(aNow, aJob.mSpec.mId);
+  recount(aJob);
+}
+
+void job_table::recount(job& aJob)
+{
+  setBytes(aJob, internal::bytesOf(aJob));
+}
+
+void job_table::setBytes(job& aJob, std::size_t aBytes)
+{
+  mBytes += aBytes - aJob.mBytes;
+  auto team = mTeamBytes.try_emplace(aJob.mSpec.mTeam).first;
+  team->second += aBytes - aJob.mBytes;
+  if (team->second == 0) {
+    mTeamBytes.erase(team);
+  }
+  aJob.mBytes = aBytes;
+}
+
+bool job_table::hasRoomFor(const job_spec& aSpec) const
+{
+  const auto claim = internal::claimOf(aSpec);
+  const auto team = mTeamBytes.find(aSpec.mTeam);
+  const auto ofTeam = claim + (team == mTeamBytes.end() ? 0 : team->second);
+  const auto ofAll = claim + mBytes;
+  const auto limit = mLimit / kOccurrencePart * (kOccurrencePart - 1);
+  return ofAll <= limit && ofTeam <= limit - ofAll;
+}
+
+bool job_table::hasRoomToOpen(const job& aJob) const
+{
+  return mBytes + internal::claimOfOccurrence(aJob.mSpec) <= mLimit;
+}
+
+void job_table::dropCompleted()
+{
+  const auto isSettled = [](const step_state& aStep) {
+    return aStep.complete() && aStep.mOpen == 0 && aStep.mSilentRuns.empty();
+  };
+  for (auto& [id, one] : mJobs) {
+    if (one.mSpec.mRepeat == 0) {
+      continue;
+    }
+    const auto dropped = std::erase_if(one.mOccurrences, [&](const auto& aOccurrence) {
+      const bool drops = std::ranges::all_of(aOccurrence.second, isSettled);
+      if (drops) {
+        one.mDropped.insert(aOccurrence.first);
+      }
+      return drops;
+    });
+    if (dropped > 0) {
+      recount(one);
+    }
+  }
 }
 
 void job_table::countWaiting(const job& aJob, int aChange)
@@ -436,8 +534,9 @@
     const job* ended = find(at->second);
     if (ended != nullptr && hasOpenRuns(*ended)) {
       kept.push_back(*at);
-    } else {
-      mJobs.erase(at->second);
+    } else if (const auto found = mJobs.find(at->second); found != mJobs.end()) {
+      setBytes(found->second, 0);
+      mJobs.erase(found);
     }
   }
   mEnded.erase(mEnded.begin(), firstKept);
@@ -485,6 +584,8 @@
 void job_table::clear()
 {
   mJobs.clear();
+  mBytes = 0;
+  mTeamBytes.clear();
   mWaiting.clear();
   mAcquisitions.clear();
   mTeamUse.reset();
--- a/scheduler/src/journal.cpp
+++ b/scheduler/src/journal.cpp
@@ -31,8 +31,14 @@
   target_acquired = 7,
   renewals_stopped = 8,
   team_use = 9,
+  /// As snapshot, of a job of which occurrences were dropped. Earlier versions, which would run
+  /// these once more, must not take it for the other one.
+  snapshot_with_dropped = 10,
 };
 
+/// Largest number of tasks of a step that have a row each in a snapshot, whatever their state.
+constexpr std::uint32_t kMaxTaskRows = 64;
+
 std::uint64_t number(job_id aId)
 {
   return static_cast<std::uint64_t>(aId);
@@ -151,9 +157,9 @@
   return spec;
 }
 
-json toJson(const task_state& aTask)
+json toJson(const task_state& aTask, std::string_view aCheckpoint)
 {
-  json value = json::array({ aTask.mRun, aTask.mFailures, aTask.mDone, aTask.mCheckpoint });
+  json value = json::array({ aTask.mRun, aTask.mFailures, aTask.mDone, aCheckpoint });
   if (aTask.mOpen) {
     value.push_back(aTask.mOpen->mTarget);
     value.push_back(aTask.mOpen->mIncarnationStart);
@@ -173,13 +179,65 @@
   return task;
 }
 
+bool isInitial(const task_state& aTask)
+{
+  return aTask.mRun == 0 && aTask.mFailures == 0 && !aTask.mDone && !aTask.mOpen &&
+         aTask.mCheckpoint.empty();
+}
+
+/// Returns the states of a step's tasks. A row for each up to kMaxTaskRows, which earlier versions
+/// read; for more, the reduced states, the index and row of the others, and the gang's checkpoint.
+json tasksToJson(const step_state& aStep)
+{
+  const auto& tasks = aStep.mTasks;
+  json rows = json::array();
+  if (tasks.size() <= kMaxTaskRows) {
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+      rows.push_back(toJson(tasks[index], aStep.checkpointOf(index)));
+    }
+    return rows;
+  }
+  for (const auto& [index, task] : tasks.full()) {
+    rows.push_back(json::array({ index, toJson(task, task.mCheckpoint) }));
+  }
+  return json::array({ json::binary(tasks.reduced()), std::move(rows), aStep.mGangCheckpoint });
+}
+
+void readTasks(const json& aTasks, step_state& aStep, const step_spec& aSpec)
+{
+  aStep.mTasks = task_states(aSpec.mCount);
+  if (!aTasks.empty() && aTasks.at(0).is_binary()) {
+    aStep.mTasks.setReduced(aTasks.at(0).get_binary());
+    for (const auto& row : aTasks.at(1)) {
+      aStep.mTasks.edit(row.at(0).get<std::uint32_t>()) = taskFrom(row.at(1));
+    }
+    aStep.mGangCheckpoint = aTasks.at(2).get<std::string>();
+  } else if (aTasks.size() != aSpec.mCount) {
+    throw std::out_of_range(
+      absl::StrCat("the step has ", aSpec.mCount, " tasks, not ", aTasks.size()));
+  } else {
+    for (std::uint32_t index = 0; index < aSpec.mCount; ++index) {
+      auto task = taskFrom(aTasks.at(index));
+      if (aSpec.mGang && !task.mCheckpoint.empty()) {
+        aStep.mGangCheckpoint = std::move(task.mCheckpoint);
+        task.mCheckpoint.clear();
+      }
+      if (!isInitial(task)) {
+        aStep.mTasks.edit(index) = std::move(task);
+      }
+    }
+  }
+  const auto isOpen = [](const auto& aOne) { return aOne.second.mOpen.has_value(); };
+  aStep.mOpen = static_cast<std::uint32_t>(std::ranges::count_if(aStep.mTasks.full(), isOpen));
+  aStep.mDone = aStep.mTasks.countDone();
+}
+
 /// Returns the target losses of a step's tasks: index, number, age of the last one in ms, number at
 /// the start, and number of those whose run had begun.
 json lossesToJson(const step_state& aStep, time_point aTakenAt)
 {
   json losses = json::array();
-  for (std::size_t index = 0; index < aStep.mTasks.size(); ++index) {
-    const auto& task = aStep.mTasks[index];
+  for (const auto& [index, task] : aStep.mTasks.full()) {
     if (task.mTargetLosses > 0) {
       losses.push_back(json::array(
         { index, task.mTargetLosses,
@@ -193,7 +251,7 @@
 void readLosses(const json& aLosses, step_state& aStep)
 {
   for (const auto& loss : aLosses) {
-    auto& task = aStep.mTasks.at(loss.at(0).get<std::size_t>());
+    auto& task = aStep.mTasks.edit(loss.at(0).get<std::uint32_t>());
     task.mTargetLosses = loss.at(1);
     task.mLastTargetLoss = time_point{} - std::chrono::milliseconds(loss.at(2).get<std::int64_t>());
     task.mStartLosses = loss.at(3);
@@ -250,9 +308,11 @@
 /// than the gang.
 void limitGangFailures(step_state& aStep)
 {
-  const auto most = std::ranges::max_element(aStep.mTasks, {}, &task_state::mFailures);
-  aStep.mGangFailures =
-    std::min(aStep.mGangFailures, most == aStep.mTasks.end() ? 0 : most->mFailures);
+  std::uint32_t most = 0;
+  for (const auto& [index, task] : aStep.mTasks.full()) {
+    most = std::max(most, task.mFailures);
+  }
+  aStep.mGangFailures = std::min(aStep.mGangFailures, most);
 }
 
 json toJson(const job& aJob, time_point aTakenAt)
@@ -261,11 +321,7 @@
   for (const auto& [index, steps] : aJob.mOccurrences) {
     json states = json::array();
     for (const auto& step : steps) {
-      json tasks = json::array();
-      for (const auto& task : step.mTasks) {
-        tasks.push_back(toJson(task));
-      }
-      auto state = json::array({ step.mGangFailures, std::move(tasks) });
+      auto state = json::array({ step.mGangFailures, tasksToJson(step) });
       // Earlier versions ignore further elements of a step's row, but not of a task's.
       auto losses = lossesToJson(step, aTakenAt);
       auto ends = countedEndsToJson(step);
@@ -280,8 +336,16 @@
     }
     occurrences.push_back(json::array({ index, std::move(states) }));
   }
-  return json::array({ toJson(aJob.mSpec), static_cast<int>(aJob.mPhase), aJob.mStarted,
-                       aJob.mOccurrencesDone, std::move(occurrences) });
+  auto value = json::array({ toJson(aJob.mSpec), static_cast<int>(aJob.mPhase), aJob.mStarted,
+                             aJob.mOccurrencesDone, std::move(occurrences) });
+  if (!aJob.mDropped.empty()) {
+    json dropped = json::array();
+    for (const auto& [first, last] : aJob.mDropped.ranges()) {
+      dropped.push_back(json::array({ first, last }));
+    }
+    value.push_back(std::move(dropped));
+  }
+  return value;
 }
 
 /// Throws unless the states are those of the job's occurrences, steps and tasks: a daemon that uses
@@ -291,7 +355,7 @@
   const auto& specs = aJob.mSpec.mSteps;
   for (const auto& [occurrence, steps] : aJob.mOccurrences) {
     const bool fits =
-      occurrence < aJob.mSpec.occurrences() &&
+      occurrence < aJob.mSpec.occurrences() && !aJob.mDropped.contains(occurrence) &&
       std::ranges::equal(steps, specs, [](const step_state& aState, const step_spec& aSpec) {
         return aState.mTasks.size() == aSpec.mCount &&
                std::ranges::all_of(aState.mSilentRuns, [&aSpec](const silent_run& aRun) {
@@ -304,22 +368,34 @@
   }
 }
 
+/// Reads the first and last index of each range of dropped occurrences.
+void readDropped(const json& aRanges, job& aJob)
+{
+  for (const auto& range : aRanges) {
+    const auto first = range.at(0).get<std::uint32_t>();
+    const auto last = range.at(1).get<std::uint32_t>();
+    if (first > last || last >= aJob.mSpec.occurrences()) {
+      throw std::out_of_range(
+        absl::StrCat("dropped occurrences ", first, " to ", last, " are out of range"));
+    }
+    aJob.mDropped.insert(first, last);
+  }
+}
+
 job jobFrom(const json& aValue)
 {
   job result{ .mSpec = specFrom(aValue.at(0)),
               .mPhase = static_cast<job_phase>(aValue.at(1).get<int>()),
               .mStarted = aValue.at(2),
               .mOccurrencesDone = aValue.at(3) };
+  if (aValue.size() > 5) {
+    readDropped(aValue.at(5), result);
+  }
   for (const auto& occurrence : aValue.at(4)) {
     auto& steps = result.mOccurrences[occurrence.at(0).get<std::uint32_t>()];
     for (const auto& state : occurrence.at(1)) {
       step_state step{ .mGangFailures = state.at(0) };
-      for (const auto& value : state.at(1)) {
-        auto task = taskFrom(value);
-        step.mDone += task.mDone ? 1 : 0;
-        step.mOpen += task.mOpen ? 1 : 0;
-        step.mTasks.push_back(std::move(task));
-      }
+      readTasks(state.at(1), step, result.mSpec.mSteps.at(steps.size()));
       if (state.size() > 2) {
         readLosses(state.at(2), step);
       }
@@ -330,6 +406,7 @@
       } else {
         limitGangFailures(step);
       }
+      step.mTasks.compactAll();
       steps.push_back(std::move(step));
     }
   }
@@ -403,7 +480,8 @@
   }
   json operator()(const job_snapshot& aRecord) const
   {
-    auto value = start(record_kind::snapshot);
+    auto value = start(aRecord.mJob.mDropped.empty() ? record_kind::snapshot
+                                                     : record_kind::snapshot_with_dropped);
     value.push_back(toJson(aRecord.mJob, aRecord.mTakenAt));
     return value;
   }
@@ -501,6 +579,7 @@
     case record_kind::abandoned:
       return job_abandoned{ .mJob = jobOf() };
     case record_kind::snapshot:
+    case record_kind::snapshot_with_dropped:
       return job_snapshot{ .mJob = jobFrom(aValue.at(1)) };
     case record_kind::target_acquired:
       return acquisitionFrom(aValue);
--- a/scheduler/src/owner.cpp
+++ b/scheduler/src/owner.cpp
@@ -81,10 +81,8 @@
 /// Whether any task of the occurrence has ever been started.
 bool hasStarted(const job& aJob, std::uint32_t aOccurrence)
 {
-  return std::ranges::any_of(aJob.mOccurrences.at(aOccurrence), [](const step_state& aStep) {
-    return std::ranges::any_of(aStep.mTasks,
-                               [](const task_state& aTask) { return aTask.mRun > 0; });
-  });
+  return std::ranges::any_of(aJob.mOccurrences.at(aOccurrence),
+                             [](const step_state& aStep) { return aStep.mTasks.anyStarted(); });
 }
 
 /// Returns the first occurrence that is not open. Opening is not in the journal: after a change of
@@ -92,12 +90,12 @@
 std::uint32_t firstUnopened(const job& aJob)
 {
   const auto& open = aJob.mOccurrences;
-  const auto count = static_cast<std::uint32_t>(open.size());
-  if (open.empty() || open.rbegin()->first + 1 == count) {
-    return count;
+  std::uint32_t next = aJob.mDropped.firstMissing();
+  if (!open.empty() && open.begin()->first == next &&
+      open.rbegin()->first - next + 1 == open.size()) {
+    return open.rbegin()->first + 1;
   }
-  std::uint32_t next = 0;
-  while (open.contains(next)) {
+  while (open.contains(next) || aJob.mDropped.contains(next)) {
     ++next;
   }
   return next;
@@ -250,8 +248,7 @@
 {
   for (const auto& [occurrence, steps] : aJob.mOccurrences) {
     for (std::uint32_t step = 0; step < steps.size(); ++step) {
-      for (std::uint32_t index = 0; index < steps[step].mTasks.size(); ++index) {
-        const auto& task = steps[step].mTasks[index];
+      for (const auto& [index, task] : steps[step].mTasks.full()) {
         const task_key key{
           .mStep = { .mJob = aJob.mSpec.mId, .mOccurrence = occurrence, .mStep = step },
           .mIndex = index
@@ -324,12 +321,7 @@
     aStep.mAdvice.mReplies = 0;
   }
   const auto waitingBefore = aStep.mPending.size();
-  aStep.mPending.clear();
-  for (std::uint32_t index = 0; index < aState.mTasks.size(); ++index) {
-    if (!aState.mTasks[index].mDone && !aState.mTasks[index].mOpen) {
-      aStep.mPending.push_back(index);
-    }
-  }
+  aStep.mPending = aState.mTasks.waiting();
   if (aStep.spec().mLongRunning && aStep.mPending.size() > waitingBefore) {
     // Each restart has its own deadline, also if the step has run for hours.
     aStep.mRemainingWork = duration{ 0 };
@@ -386,14 +378,16 @@
 
 void owner::impl::stopStep(job& aJob, const step_key& aKey, time_point aNow)
 {
-  const auto& tasks = aJob.find(aKey)->mTasks;
-  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    if (!tasks[index].mOpen) {
+  const auto* step = aJob.find(aKey);
+  if (step == nullptr) {
+    return;
+  }
+  for (const auto& [index, task] : step->mTasks.full()) {
+    if (!task.mOpen) {
       continue;
     }
-    if (auto* run = findRun(tasks[index].mOpen->mTarget, { .mStep = aKey, .mIndex = index },
-                            tasks[index].mRun)) {
-      auto& target = mTargets.find(tasks[index].mOpen->mTarget)->second;
+    if (auto* run = findRun(task.mOpen->mTarget, { .mStep = aKey, .mIndex = index }, task.mRun)) {
+      auto& target = mTargets.find(task.mOpen->mTarget)->second;
       target.wantStop(*run);
       run->mNextTry = aNow;
       target.mNextOrders = time_point{};
@@ -413,7 +407,8 @@
     const auto next = firstUnopened(*found);
     if (next >= found->mSpec.mRepeat) {
       finished.push_back(id);
-    } else if (found->mSpec.due(next) <= aWall + kOccurrenceOpenLead) {
+    } else if (found->mSpec.due(next) <= aWall + kOccurrenceOpenLead &&
+               mJobTable.hasRoomToOpen(*found)) {
       mJobTable.openOccurrence(*found, next);
       mSubmittedAt[id] = aNow + (found->mSpec.mSubmitted - aWall);
       for (std::uint32_t step = 0; step < found->mSpec.mSteps.size(); ++step) {
@@ -433,6 +428,9 @@
     dropSteps(aJob.mSpec.mId);
     return;
   }
+  if (state == nullptr) {
+    return;
+  }
   if (aOutcome == run_end::failed && attemptsUsedUp(aJob, aTask) && knowsAttempts(aJob, aNow)) {
     abandon(aJob, aTask, "attempts", aNow);
     return;
--- a/scheduler/src/owner_abandonment.cpp
+++ b/scheduler/src/owner_abandonment.cpp
@@ -25,11 +25,6 @@
 /// start: tasks beside it that have run for longer are not suspected.
 constexpr auto kStartLossPeriod = std::chrono::milliseconds(500);
 
-const task_state& taskOf(const job& aJob, const task_key& aTask)
-{
-  return aJob.find(aTask.mStep)->mTasks[aTask.mIndex];
-}
-
 /// Returns the ends that count against the task, or against its gang, as
 /// `INDEX:RUN:OUTCOME@TARGET`.
 std::string describeCountedEnds(const job& aJob, const task_key& aTask)
@@ -76,8 +71,8 @@
 std::uint32_t owner::impl::failuresOf(const job& aJob, const task_key& aTask)
 {
   const auto* state = aJob.find(aTask.mStep);
-  return aJob.mSpec.mSteps[aTask.mStep.mStep].mGang ? state->mGangFailures
-                                                    : state->mTasks[aTask.mIndex].mFailures;
+  const bool gang = state != nullptr && aJob.mSpec.mSteps[aTask.mStep.mStep].mGang;
+  return gang ? state->mGangFailures : aJob.taskOf(aTask).mFailures;
 }
 
 bool owner::impl::attemptsUsedUp(const job& aJob, const task_key& aTask) const
@@ -106,12 +101,12 @@
                           time_point aNow)
 {
   const auto id = aJob.mSpec.mId;
-  mPort.logDecision(
-    "job_failed", fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
-                              "start_losses={} counted={}",
-                              toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
-                              routeOf(aJob.mSpec).mMaxAttempts, taskOf(aJob, aTask).mTargetLosses,
-                              taskOf(aJob, aTask).mStartLosses, describeCountedEnds(aJob, aTask)));
+  mPort.logDecision("job_failed",
+                    fmt::format("job={} task={} reason={} failures={} max_attempts={} losses={} "
+                                "start_losses={} counted={}",
+                                toText(id), toText(aTask), aReason, failuresOf(aJob, aTask),
+                                routeOf(aJob.mSpec).mMaxAttempts, aJob.taskOf(aTask).mTargetLosses,
+                                aJob.taskOf(aTask).mStartLosses, describeCountedEnds(aJob, aTask)));
   append(job_abandoned{ .mJob = id }, aNow);
   stopRuns(aJob, aNow);
   dropSteps(id);
@@ -125,7 +120,7 @@
       const task_key task{ .mStep = key, .mIndex = index };
       if (attemptsUsedUp(*step.mJob, task) && knowsAttempts(*step.mJob, aNow)) {
         failed.try_emplace(key.mJob, task, "attempts");
-      } else if (crashesTooOften(taskOf(*step.mJob, task), step.spec().mLongRunning, false)) {
+      } else if (crashesTooOften(step.mJob->taskOf(task), step.spec().mLongRunning, false)) {
         failed.try_emplace(key.mJob, task, "targets_lost");
       }
     }
@@ -150,7 +145,7 @@
                                          time_point aNow)
 {
   if (aJob.mPhase == job_phase::active &&
-      crashesTooOften(taskOf(aJob, aTask), aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning,
+      crashesTooOften(aJob.taskOf(aTask), aJob.mSpec.mSteps[aTask.mStep.mStep].mLongRunning,
                       aWasAlone)) {
     abandon(aJob, aTask, "targets_lost", aNow);
   }
@@ -189,8 +184,8 @@
                               "start_losses={}",
                               toText(aTask), run, aTarget.mEntry.mId, aReason,
                               toText(aLoss ? aLoss->mOutcome : run_end::interrupted), hadBegun,
-                              owning == nullptr ? 0 : taskOf(*owning, aTask).mTargetLosses,
-                              owning == nullptr ? 0 : taskOf(*owning, aTask).mStartLosses));
+                              owning == nullptr ? 0 : owning->taskOf(aTask).mTargetLosses,
+                              owning == nullptr ? 0 : owning->taskOf(aTask).mStartLosses));
     if (!isConfirmed) {
       stopGangOf(aTask, aNow);
     }
@@ -313,12 +308,12 @@
     mPort.logDecision("crash_shown_late",
                       fmt::format("task={} run={} target={} losses={} start_losses={}",
                                   toText(run.mTask), run.mRun, aTarget,
-                                  taskOf(*owning, run.mTask).mTargetLosses,
-                                  taskOf(*owning, run.mTask).mStartLosses));
+                                  owning->taskOf(run.mTask).mTargetLosses,
+                                  owning->taskOf(run.mTask).mStartLosses));
     if (const auto step = mWaiting.find(run.mTask.mStep); step != mWaiting.end()) {
       updateSuspicion(step->second, *owning->find(run.mTask.mStep), aNow);
     }
-    if (!taskOf(*owning, run.mTask).mDone) {
+    if (!owning->taskOf(run.mTask).mDone) {
       abandonAfterTargetLoss(*owning, run.mTask, false, aNow);
     }
   }
--- a/scheduler/src/owner_explain.cpp
+++ b/scheduler/src/owner_explain.cpp
@@ -338,7 +338,7 @@
   for (auto& step : steps) {
     // A job may have a million tasks: only the steps that are explained get theirs.
     auto& state = states[step.mKey.mStep];
-    state.mTasks.resize(step.spec().mCount);
+    state.mTasks = task_states(step.spec().mCount);
     updatePending(step, state, aNow);
     result.mSteps.push_back(pass.explain(step));
   }
--- a/scheduler/src/owner_isolation.cpp
+++ b/scheduler/src/owner_isolation.cpp
@@ -60,7 +60,7 @@
 time_point owner::impl::isolationEnd(const step_state& aStep, time_point aStart)
 {
   const bool isSuspect = std::ranges::any_of(
-    aStep.mTasks, [aStart](const task_state& aTask) { return suspectUntil(aTask) > aStart; });
+    aStep.mTasks.full(), [aStart](const auto& aOne) { return suspectUntil(aOne.second) > aStart; });
   return isSuspect ? aStart + kMaxIsolationPeriod : time_point{};
 }
 
--- a/scheduler/src/owner_orders.cpp
+++ b/scheduler/src/owner_orders.cpp
@@ -86,7 +86,7 @@
       continue;
     }
     // The gang may have lost all members of this run and be part of a later batch.
-    if (owning->find(key)->mTasks[start.mTask.mIndex].mRun == start.mRun) {
+    if (owning->taskOf(start.mTask).mRun == start.mRun) {
       stopStep(*owning, key, aNow);
       stopped = key;
     }
@@ -187,12 +187,13 @@
                             time_point aNow)
 {
   const job* owning = mJobTable.find(aTask.mStep.mJob);
-  const auto& state = owning->find(aTask.mStep)->mTasks[aTask.mIndex];
+  const auto* step = owning->find(aTask.mStep);
+  const auto checkpoint = step == nullptr ? std::string() : step->checkpointOf(aTask.mIndex);
   const auto* route = findRoute(owning->mSpec);
   aRun.mOrderOpen = true;
   if (aRun.mTries == 0) {
     aRun.mFirstOrderAt = aNow;
-    aRun.mIsResumed = !state.mCheckpoint.empty();
+    aRun.mIsResumed = !checkpoint.empty();
   }
   mPort.start({ .mTarget = aTarget.mEntry.mId,
                 .mAddress = aTarget.mEntry.mAddress,
@@ -202,7 +203,7 @@
                 .mLeaseUntil = extendLease(aTarget, aNow),
                 .mEpoch = mEpoch,
                 .mFence = aTarget.mFence,
-                .mCheckpoint = state.mCheckpoint,
+                .mCheckpoint = checkpoint,
                 .mTicket = aRun.mTicket,
                 .mTicketExpiry = aRun.mTicketExpiry,
                 .mUrgent = route != nullptr && route->mPriority == 0 });
--- a/scheduler/src/owner_overload.cpp
+++ b/scheduler/src/owner_overload.cpp
@@ -22,6 +22,9 @@
 constexpr auto kBehindPeriod = std::chrono::seconds(2);
 /// Interval at which the waiting work is counted; at 5,000 waiting steps a count takes some 2 ms.
 constexpr auto kBacklogInterval = std::chrono::milliseconds(100);
+/// Time after which the caller of a job should come back that has no room in memory: room is made
+/// by jobs that end, and large ones take minutes.
+constexpr std::chrono::seconds kRetryAfterFullTable{ 10 };
 
 } // namespace
 
@@ -36,6 +39,11 @@
 
 std::optional<job_rejection> owner::impl::rejection(const job_spec& aJob, time_point aNow) const
 {
+  if (!mJobTable.hasRoomFor(aJob)) {
+    return job_rejection{ .mRetryAfter = kRetryAfterFullTable,
+                          .mReason = "the unfinished jobs, or those of the team, take too much "
+                                     "memory" };
+  }
   if (!mConfig) {
     return std::nullopt;
   }
--- a/scheduler/src/owner_placement.cpp
+++ b/scheduler/src/owner_placement.cpp
@@ -559,9 +559,9 @@
   const auto isolatedUntil = isolationEnd(*state, aNow);
   aStep.mIsolationSince.reset();
   aStep.mReservation.reset();
-  std::uint32_t gangRun = 0;
+  std::uint32_t gangRun = 1;
   if (spec.mGang) {
-    for (const auto& task : state->mTasks) {
+    for (const auto& [index, task] : state->mTasks.full()) {
       gangRun = std::max(gangRun, task.mRun + 1);
     }
   }
--- a/tests/node/caller_record_writer_test.cpp
+++ b/tests/node/caller_record_writer_test.cpp
@@ -132,7 +132,8 @@
       mDirect(aStore.mStore, mTime, { .mTopic = "journal", .mProducer = "aged" }),
       mWriter(
         mTime, aStore.mStore, mClient, mDirect, aLog,
-        [](const journal_record&, const caller_record_writer::done_callback&) { return false; })
+        [](const journal_record&, const caller_record_writer::done_callback&) { return false; },
+        [](const job_spec&) { return true; })
   {
   }
 
@@ -181,6 +182,7 @@
   caller_record_writer* recordWriter = nullptr;
   std::vector<write_outcome> outcomes;
   std::vector<std::chrono::seconds> retryAfters;
+  std::uint32_t mostTasks = 1;
 
   void setup() override
   {
@@ -192,7 +194,8 @@
       new journal_writer(store->mStore, store->mClock, { .mTopic = "journal", .mProducer = "d" });
     recordWriter = new caller_record_writer(
       store->mClock, store->mStore, *ownerClient, *writer, *log,
-      [](const journal_record&, const caller_record_writer::done_callback&) { return false; });
+      [](const journal_record&, const caller_record_writer::done_callback&) { return false; },
+      [this](const job_spec& aJob) { return aJob.mSteps[0].mCount <= mostTasks; });
     ownerClient->setOwner(owner->address());
     CHECK(runUntil([this] { return ownerClient->reachable(store->mClock.now()); }));
   }
@@ -243,6 +246,27 @@
   }
 };
 
+// Guards against large jobs that fill the memory of all daemons while no owner can be reached, and
+// against cancellations that are rejected with them.
+TEST(caller_record_writer, appendsNoJobForWhichThereIsNoRoom)
+{
+  delete owner;
+  owner = nullptr;
+  CHECK(runUntil([this] { return !ownerClient->reachable(store->mClock.now()); }));
+  mostTasks = 0;
+  submit(1);
+  CHECK(runUntil([this] { return outcomes.size() == 1; }));
+  CHECK(outcomes[0] == write_outcome::overloaded);
+  forward(1);
+  CHECK(runUntil([this] { return outcomes.size() == 2; }));
+  CHECK(outcomes[1] == write_outcome::stored);
+  CHECK_EQUAL(1, stored());
+  mostTasks = 1;
+  submit(1);
+  CHECK(runUntil([this] { return outcomes.size() == 3; }));
+  CHECK(outcomes[2] == write_outcome::stored);
+}
+
 // Load pattern: a burst of records arrives while the owner waits for a slow store. Guards against
 // records that use all connections to the owner, so that hellos are unanswered and it counts as
 // lost.
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -57,7 +57,8 @@
           jobTable.apply(aRecord, time.now());
         }
         return true;
-      });
+      },
+      [](const job_spec&) { return true; });
     makeHandler({});
   }
   void makeHandler(request_handler_options aOptions)
--- a/tests/platform_soak/journal_model.py
+++ b/tests/platform_soak/journal_model.py
@@ -8,6 +8,9 @@
 
 SUBMITTED, CANCELLED, STARTED, ENDED, ABANDONED, SNAPSHOT, ACQUIRED = range(1, 8)
 TEAM_USE = 9
+SNAPSHOT_WITH_DROPPED = 10
+# Bits of a reduced state, of a task that is done, that hold the number of its latest run.
+RUN_BITS = 5
 ACTIVE, COMPLETED, FAILED, PHASE_CANCELLED = range(4)
 RUN_DONE, RUN_FAILED = range(2)
 # Kind of the header of a part of a snapshot.
@@ -86,6 +89,7 @@
         self.gangs = {}  # By occurrence and step; those without a failed run may be missing.
         self.phase, self.ended_at = phase, None
         self.tasks = {}  # By occurrence, step and index; those without a run may be missing.
+        self.dropped = set()  # Complete occurrences whose states a snapshot does not hold.
         self._left = max(1, spec[7])  # Occurrences that are not complete.
 
     @classmethod
@@ -173,20 +177,37 @@
                 job.end(key, run, record[6])
 
 
+def task_rows(rows):
+    """Yields index and row of the tasks of a step in a snapshot that have been started.
+
+    Of large steps, a snapshot holds the reduced states, the index and row of others, and the
+    checkpoint of a gang."""
+    if not rows or not isinstance(rows[0], bytes):
+        yield from enumerate(rows)
+        return
+    reduced, others, _ = rows
+    for index, state in enumerate(reduced):
+        if state:
+            yield index, (state & (1 << RUN_BITS) - 1, state >> RUN_BITS, True, b"")
+    yield from others
+
+
 def read_snapshot(records):
     """Returns the jobs and epochs of the records of a snapshot."""
     fold = Fold()
     for record in records:
-        if record[0] != SNAPSHOT:
+        if record[0] not in (SNAPSHOT, SNAPSHOT_WITH_DROPPED):
             fold.apply(record)
             continue
-        spec, phase, _, _, occurrences = record[1]
+        spec, phase, _, _, occurrences, *dropped = record[1]
         job = fold.jobs[spec[0]] = JobState(spec, phase)
+        for first, last in dropped[0] if dropped else []:
+            job.dropped.update(range(first, last + 1))
         for occurrence, steps in occurrences:
             for number, step in enumerate(steps):
                 # Elements from the third on are left out if all of them are empty.
                 job.gangs[occurrence, number] = Gang(step[0], step[4] if len(step) > 4 else 0)
-                for index, (run, failures, done, _, *opened) in enumerate(step[1]):
+                for index, (run, failures, done, _, *opened) in task_rows(step[1]):
                     target = opened[0] if opened else None
                     job.tasks[occurrence, number, index] = Task(run, failures, done, target)
     return fold
@@ -203,13 +224,23 @@
     compact = job.phase != ACTIVE and not job.steps
     if not compact and job.steps != now.steps:
         yield f"steps are {job.steps}, not {now.steps}"
+    for occurrence in sorted(job.dropped):
+        for step, (count, _) in enumerate(job.steps):
+            for index in range(count):
+                task = now.tasks.get((occurrence, step, index), Task())
+                if not task.done or task.target is not None:
+                    yield f"{occurrence, step, index} is dropped, and not done or open"
     for key in sorted(before.gangs.keys() | job.gangs.keys()) if not compact else []:
+        if key[0] in job.dropped:
+            continue
         low, gang, high = (one.gangs.get(key, Gang()) for one in (before, job, now))
         for field in ("failures", "last_failed"):
             least, value, most = (getattr(one, field) for one in (low, gang, high))
             if not least <= value <= most:
                 yield f"gang {key} {field} is {value}, not from {least} to {most}"
     for key in sorted(before.tasks.keys() | job.tasks.keys()):
+        if key[0] in job.dropped:
+            continue
         low, task, high = (one.tasks.get(key, Task()) for one in (before, job, now))
         if compact:
             if low.target is not None and (high.run, high.target) == (low.run, low.target):
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -459,6 +459,8 @@
         return struct.pack(">BQ", 0xCF, value)
     if isinstance(value, float):
         return struct.pack(">Bd", 0xCB, value)
+    if isinstance(value, bytes):
+        return struct.pack(">BI", 0xC6, len(value)) + value
     return struct.pack(">BI", 0xDB, len(value)) + value.encode()
 
 
@@ -676,6 +678,52 @@
         self.compare_gang(failed_runs=2, last_failed=0)
         self.assert_reports("gang (0, 0) last_failed is 0, not from 2 to 2")
 
+    def compare_large(self, reduced, *rows):
+        """Of a step of 100 tasks, task 0 is done in run 2 after a failure, and task 1 is open."""
+        journal = [
+            submitted(count=100), started(0), ended(0, outcome=journal_model.RUN_FAILED),
+            started(0, run=2), ended(0, run=2), started(1),
+        ]
+        snapshot = [journal_model.SNAPSHOT, [
+            spec(count=100), journal_model.ACTIVE, True, 0,
+            [[0, [[0, [reduced, list(rows), ""]]]]],
+        ]]
+        self.compare(snapshot, base=len(journal), journal=journal)
+
+    def test_a_large_step(self):
+        self.compare_large(b"\x22" + bytes(99), [1, [1, 0, False, "", "t1", 1000]])
+        self.assertEqual([], self.reports)
+
+    def test_a_large_step_with_a_lost_end(self):
+        self.compare_large(bytes(100), [1, [1, 0, False, "", "t1", 1000]])
+        self.assertEqual(3, len(self.reports), self.reports)
+        self.assertIn("(0, 0, 0) done is False, not from True to True", self.reports[2])
+
+    def test_a_large_step_with_a_lost_failure(self):
+        self.compare_large(b"\x02" + bytes(99), [1, [1, 0, False, "", "t1", 1000]])
+        self.assert_reports("(0, 0, 0) failures is 0, not from 1 to 1")
+
+    def test_a_large_step_with_a_lost_start(self):
+        self.compare_large(b"\x22" + bytes(99))
+        self.assert_reports("(0, 0, 1) run is 0, not from 1 to 1")
+
+    def compare_dropped(self, *ends):
+        """Of a job of ten occurrences, the first one is dropped from the snapshot."""
+        recurring = spec()
+        recurring[7] = 10
+        journal = [[journal_model.SUBMITTED, recurring], started(0), started(1), *ends]
+        snapshot = [journal_model.SNAPSHOT_WITH_DROPPED,
+                    [recurring, journal_model.ACTIVE, True, 1, [], [[0, 0]]]]
+        self.compare(snapshot, base=len(journal), journal=journal)
+
+    def test_a_dropped_occurrence(self):
+        self.compare_dropped(ended(0), ended(1))
+        self.assertEqual([], self.reports)
+
+    def test_a_dropped_occurrence_that_is_not_complete(self):
+        self.compare_dropped(ended(0))
+        self.assert_reports("(0, 0, 1) is dropped, and not done or open")
+
     def test_a_step_that_is_no_gang_has_no_failed_runs_of_one(self):
         self.compare(job((1, 0, True), (2, 1, False, "t2"), failed_runs=1))
         self.assert_reports("gang (0, 0) failures is 1, not from 0 to 0")
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -172,9 +172,11 @@
   cell.endTask(urgent, reported_end::done, 0, 1);
   cell.run(milliseconds(400));
   CHECK_EQUAL(4, cell.running());
-  const auto& states = cell.find(batch).mOccurrences.at(0)[0].mTasks;
-  CHECK_EQUAL(2, std::ranges::count(states, "saved", &task_state::mCheckpoint));
-  CHECK_EQUAL(0, std::ranges::count_if(states, [](const auto& aOne) { return aOne.mFailures; }));
+  const auto& states = cell.find(batch).mOccurrences.at(0)[0].mTasks.full();
+  CHECK_EQUAL(2, std::ranges::count_if(
+                   states, [](const auto& aOne) { return aOne.second.mCheckpoint == "saved"; }));
+  CHECK_EQUAL(
+    0, std::ranges::count_if(states, [](const auto& aOne) { return aOne.second.mFailures; }));
 }
 
 // Load pattern: capacity is freed for a gang before it has tickets. Guards against preempting batch
--- a/tests/scheduler/target_losses_test.cpp
+++ b/tests/scheduler/target_losses_test.cpp
@@ -709,11 +709,11 @@
     cell.target(name).mRejectStarts = order_outcome::unreachable;
   }
   const auto id = cell.submit(tasks(1, seconds(30)));
-  const auto& task = cell.find(id).find({ .mJob = id })->mTasks[0];
-  for (int wait = 0; wait < 1000 && task.mRun < 6; ++wait) {
+  const auto latestRun = [this, id] { return cell.find(id).find({ .mJob = id })->mTasks[0].mRun; };
+  for (int wait = 0; wait < 1000 && latestRun() < 6; ++wait) {
     cell.run(milliseconds(10));
   }
-  CHECK(task.mRun >= 6);
+  CHECK(latestRun() >= 6);
   for (const auto& [name, target] : cell.targets()) {
     cell.restartTarget(name);
   }
