--- a/tests/scheduler/large_jobs_test.cpp
+++ b/tests/scheduler/large_jobs_test.cpp
@@ -285,6 +285,28 @@
   CHECK_EQUAL(0, cell.mStartsAfterDone.size());
 }
 
+// Guards against a recurring job that fills the memory with occurrences that overlap, and against
+// one that does not go on when there is room again.
+TEST(large_jobs, anOccurrenceIsOpenedWhenThereIsRoom)
+{
+  owner_fixture cell;
+  cell.mTasksEnd = true;
+  cell.addTarget("t1");
+  cell.startNextOwner();
+  step_spec step;
+  step.mEstimate = milliseconds(100);
+  const auto job = cell.submitRecurring(step, seconds(1), 3);
+  cell.run(milliseconds(500));
+  CHECK_EQUAL(1, cell.find(job).mOccurrencesDone);
+  cell.mJobTable.setLimit(cell.mJobTable.bytes());
+  cell.run(seconds(5));
+  CHECK_EQUAL(1, cell.find(job).mOccurrencesDone);
+  CHECK(cell.find(job).mPhase == job_phase::active);
+  cell.mJobTable.setLimit(kMegabyte);
+  cell.run(seconds(5));
+  CHECK(cell.find(job).mPhase == job_phase::completed);
+}
+
 // Guards against a job that is accepted by an owner without room for it, and against a caller who
 // is not told when to come back.
 TEST(large_jobs, theOwnerRejectsAJobWithoutRoom)
