--- a/tests/scheduler/large_jobs_test.cpp
+++ b/tests/scheduler/large_jobs_test.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <malloc.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 #include <vector>
@@ -144,6 +145,38 @@
   CHECK_EQUAL(table.bytes(), other.bytes());
 }
 
+// Guards against accepted jobs that are lost with an upgrade: earlier versions have stored a row
+// for each task.
+TEST(large_jobs, rowsOfEarlierVersionsAreRead)
+{
+  constexpr std::uint32_t kTasks = 100;
+  job_spec spec{ .mId = id(1), .mTeam = "red" };
+  spec.mSteps = { { .mCount = kTasks } };
+  table.apply(job_submitted{ .mSpec = spec }, time_point{});
+  auto stored = nlohmann::json::from_msgpack(encode(table.snapshot(time_point{}).front()));
+  auto rows = nlohmann::json::array();
+  for (std::uint32_t index = 0; index < kTasks; ++index) {
+    rows.push_back(nlohmann::json::array({ index == 7 ? 2 : 0, 0, index == 7, "" }));
+  }
+  rows[8] = nlohmann::json::array({ 1, 0, false, "half", "w", 7 });
+  stored[1][4][0][1][0][1] = rows;
+  std::string bytes;
+  nlohmann::json::to_msgpack(stored, bytes);
+  job_table other;
+  other.apply(*decodeRecord(bytes), time_point{});
+  const auto* step = other.find(id(1))->find({ .mJob = id(1) });
+  CHECK_EQUAL(1, step->mDone);
+  CHECK_EQUAL(1, step->mOpen);
+  CHECK_EQUAL(2, step->mTasks[7].mRun);
+  CHECK_EQUAL("half", step->checkpointOf(8));
+  CHECK_EQUAL(1, step->mTasks.full().size());
+  rows.erase(rows.begin());
+  stored[1][4][0][1][0][1] = rows;
+  bytes.clear();
+  nlohmann::json::to_msgpack(stored, bytes);
+  CHECK_FALSE(decodeRecord(bytes).ok());
+}
+
 // Guards against one checkpoint of a gang that is kept once for each of its members.
 TEST(large_jobs, membersOfAGangShareTheirCheckpoint)
 {
