--- a/tests/scheduler/large_jobs_test.cpp
+++ b/tests/scheduler/large_jobs_test.cpp
@@ -50,6 +50,15 @@
   return info.uordblks + info.hblkhd;
 }
 
+/// Starts a cell of one target with a job of short tasks, an occurrence each second.
+job_id startRecurring(owner_fixture& aCell, std::uint32_t aOccurrences)
+{
+  aCell.mTasksEnd = true;
+  aCell.addTarget("t1");
+  aCell.startNextOwner();
+  return aCell.submitRecurring({ .mEstimate = milliseconds(100) }, seconds(1), aOccurrences);
+}
+
 } // namespace
 
 TEST_GROUP(large_jobs)
@@ -303,12 +312,7 @@
 TEST(large_jobs, theOwnerGoesOnAfterDroppedOccurrences)
 {
   owner_fixture cell;
-  cell.mTasksEnd = true;
-  cell.addTarget("t1");
-  cell.startNextOwner();
-  step_spec step;
-  step.mEstimate = milliseconds(100);
-  const auto job = cell.submitRecurring(step, seconds(1), 6);
+  const auto job = startRecurring(cell, 6);
   cell.run(milliseconds(3500));
   cell.mJobTable.dropCompleted();
   CHECK_FALSE(cell.find(job).mDropped.empty());
@@ -323,12 +327,7 @@
 TEST(large_jobs, anOccurrenceIsOpenedWhenThereIsRoom)
 {
   owner_fixture cell;
-  cell.mTasksEnd = true;
-  cell.addTarget("t1");
-  cell.startNextOwner();
-  step_spec step;
-  step.mEstimate = milliseconds(100);
-  const auto job = cell.submitRecurring(step, seconds(1), 3);
+  const auto job = startRecurring(cell, 3);
   cell.run(milliseconds(500));
   CHECK_EQUAL(1, cell.find(job).mOccurrencesDone);
   cell.mJobTable.setLimit(cell.mJobTable.bytes());
